--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# make demo shows the product, make test proves it; the rest is for developers.
+.PHONY: build demo test lint format bench slopes
+
+build:
+	go build -o bin/dunlinquay ./cmd/dunlinquay
+
+demo: build
+	./bin/dunlinquay demo
+
+test:
+	go test -race -count=1 ./...
+
+bin/golangci-lint: tools/go.mod
+	go build -modfile=tools/go.mod -o bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: bin/golangci-lint
+	./bin/golangci-lint run ./...
+
+format: bin/golangci-lint
+	./bin/golangci-lint fmt
+
+bench: build
+	go run ./bench
+
+slopes:
+	cd slopes && go run .
--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which request may run now, which waits, and which is refused at once as not run.
+package admission
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller speaks the OpenAI-compatible HTTP interface and plain HTTP towards callers.
+package caller
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,199 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/keys"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+// The headers of this interface beside those of HTTP and of the OpenAI interface.
+const (
+	HeaderClass         = "Dunlinquay-Class"
+	HeaderDeadline      = "Dunlinquay-Deadline"
+	HeaderNotRepeatable = "Dunlinquay-Not-Repeatable"
+	HeaderRequest       = "Dunlinquay-Request-Id"
+	HeaderCode          = "Dunlinquay-Result-Code"
+	HeaderNotRun        = "Dunlinquay-Not-Run"
+	HeaderKey           = "Idempotency-Key"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxDeadline       = time.Hour
+	maxKeyLength      = 255
+)
+
+// Server answers callers; exported fields are set before Handler.
+type Server struct {
+	Customers *keys.Ring[ident.Customer]
+	Classes   []settings.Class
+	Limits    settings.Limits
+	Services  []settings.Service
+	Now       func() time.Time
+	Serve     func(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) (*dispatch.Answer, error)
+	ServeCall func(ctx context.Context, c *dispatch.Call) (*dispatch.Reply, error)
+	// Models lists the models and adapters ("model:adapter") that are declared.
+	Models func() []ident.Model
+	// Ready returns why the balancer should look away, or nil.
+	Ready func() error
+	// Refused is told of requests that ended before they reached Serve.
+	Refused func(customer ident.Customer, code result.Code)
+	Log     logr.Logger
+
+	inProgress atomic.Int64
+	stopping   atomic.Bool
+}
+
+// NewServer returns a server that is ready and has no customers.
+func NewServer() *Server {
+	return &Server{
+		Customers: &keys.Ring[ident.Customer]{},
+		Now:       time.Now,
+		Models:    func() []ident.Model { return nil },
+		Ready:     func() error { return nil },
+		Refused:   func(ident.Customer, result.Code) {},
+		Log:       logr.Discard(),
+	}
+}
+
+// HTTP returns the http.Server with its bounds on headers and slow senders.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+	}
+}
+
+// InProgress returns the number of requests being answered.
+func (s *Server) InProgress() int {
+	return int(s.inProgress.Load())
+}
+
+// Stop makes every later request be refused as not run; those in progress go on.
+func (s *Server) Stop() {
+	s.stopping.Store(true)
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.handleReady)
+	mux.HandleFunc("GET /v1/models", s.customer(s.handleModels))
+	mux.HandleFunc("POST /v1/chat/completions", s.customer(s.handleChat))
+	mux.HandleFunc("POST /v1/completions", s.customer(s.handleText))
+	mux.HandleFunc("/services/{service}/{path...}", s.customer(s.handleService))
+	mux.HandleFunc("/", s.customer(func(w http.ResponseWriter, r *http.Request, _ ident.Customer) {
+		s.fail(w, r, result.New(result.NotFound, "there is no %s %s", r.Method, r.URL.Path), nil)
+	}))
+	return mux
+}
+
+func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		http.Error(w, result.Text(err), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// customer finds who calls and counts the request as in progress.
+func (s *Server) customer(next func(w http.ResponseWriter, r *http.Request, customer ident.Customer)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		// Counting comes before the look at stopping, so that a stop sees every request that passed it.
+		s.inProgress.Add(1)
+		defer s.inProgress.Add(-1)
+		customer, ok := s.Customers.Find(keys.Bearer(r))
+		switch {
+		case !ok:
+			s.Refused("", result.Unauthorized)
+			s.fail(w, r, result.New(result.Unauthorized, "present a key as Authorization: Bearer"), nil)
+		case s.stopping.Load():
+			s.Refused(customer, result.Stopping)
+			s.fail(w, r, result.New(result.Stopping, "this daemon stops; use another"), nil)
+		default:
+			next(w, r, customer)
+		}
+	}
+}
+
+// envelope is what the headers say about a request of either kind.
+type envelope struct {
+	class         settings.Class
+	deadline      time.Time
+	notRepeatable bool
+	key           string
+}
+
+func (s *Server) envelope(r *http.Request) (envelope, error) {
+	e := envelope{class: s.Classes[0], key: r.Header.Get(HeaderKey)}
+	if name := r.Header.Get(HeaderClass); name != "" {
+		class, ok := s.class(ident.Class(name))
+		if !ok {
+			return e, result.New(result.BadRequest, "%s: there is no class %q", HeaderClass, name)
+		}
+		e.class = class
+	}
+	span := e.class.Deadline.Std()
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > maxDeadline {
+			return e, result.New(result.BadRequest, "%s: %q is not a time such as 1.5s of at most %s", HeaderDeadline, text, maxDeadline)
+		}
+		span = d
+	}
+	e.deadline = s.Now().Add(span)
+	switch v := strings.ToLower(r.Header.Get(HeaderNotRepeatable)); v {
+	case "", "false", "true":
+		// Who sends a key wants one effect, whether or not the other header says so.
+		e.notRepeatable = v == "true" || e.key != ""
+	default:
+		return e, result.New(result.BadRequest, "%s: %q is neither true nor false", HeaderNotRepeatable, v)
+	}
+	if len(e.key) > maxKeyLength {
+		return e, result.New(result.BadRequest, "%s is over %d bytes", HeaderKey, maxKeyLength)
+	}
+	return e, nil
+}
+
+func (s *Server) class(name ident.Class) (settings.Class, bool) {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return settings.Class{}, false
+}
+
+// body reads the whole body within its bounds of size and time.
+func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(s.Now().Add(bodyTimeout))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.BodyBytes)))
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, result.New(result.TooLarge, "body is over %d bytes", large.Limit)
+	}
+	if err != nil {
+		return nil, result.Wrap(err, result.BadRequest, "body cannot be read")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/cmd/dunlinquay/doc.go
@@ -0,0 +1,2 @@
+// Command dunlinquay runs one daemon, checks settings, shows a demo, and is the operators' command line.
+package main
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/planner"
+	"github.com/dunlinquay/dunlinquay/presence"
+)
+
+// Leader does the leader's work once in every tick, when this member leads; exported fields are set before use.
+type Leader struct {
+	Now     func() time.Time
+	Machine *fleet.Machine
+	Judge   *Judge
+	Members *presence.Members
+	Orders  *Orders
+	Policy  planner.Policy
+	// DrainBound is how long a drain waits for requests in progress, ControlBound how long a silent daemon may still serve.
+	DrainBound   time.Duration
+	ControlBound time.Duration
+	// Propose writes one command to the log.
+	Propose func(ctx context.Context, c *fleet.Command) (fleet.Answer, error)
+	// Registered returns the VMs that settings and platform name, Listings what is said of their stay.
+	Registered func() []fleet.VM
+	Listings   func() map[ident.VM]fleet.Listing
+	Log        logr.Logger
+
+	mu       sync.Mutex
+	confirms []fleet.Confirm
+	down     map[ident.Group]time.Time
+	drains   map[ident.Group]drainWatch
+}
+
+type drainWatch struct {
+	epoch ident.Epoch
+	since time.Time
+}
+
+// NewLeader returns a leader without work.
+func NewLeader() *Leader {
+	return &Leader{
+		Now:        time.Now,
+		Policy:     planner.DefaultPolicy(),
+		Registered: func() []fleet.VM { return nil },
+		Listings:   func() map[ident.VM]fleet.Listing { return nil },
+		Log:        logr.Discard(),
+		down:       map[ident.Group]time.Time{},
+		drains:     map[ident.Group]drainWatch{},
+	}
+}
+
+// Confirm takes an engine's confirmation, which the next tick writes to the log together with others.
+func (l *Leader) Confirm(c fleet.Confirm) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirms = append(l.confirms, c)
+}
+
+func (l *Leader) takeConfirms() []fleet.Confirm {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.confirms
+	l.confirms = nil
+	return c
+}
+
+// Tick does everything that is due; an error means that the log took no commands, and the next tick tries again.
+func (l *Leader) Tick(ctx context.Context) error {
+	if err := l.writeConfirms(ctx); err != nil {
+		return err
+	}
+	if err := l.register(ctx); err != nil {
+		return err
+	}
+	if err := l.list(ctx); err != nil {
+		return err
+	}
+	if err := l.plan(ctx); err != nil {
+		return err
+	}
+	l.Machine.Read(func(s *fleet.State) { l.Orders.Reconcile(ctx, s) })
+	return nil
+}
+
+func (l *Leader) writeConfirms(ctx context.Context) error {
+	confirms := l.takeConfirms()
+	if len(confirms) == 0 {
+		return nil
+	}
+	_, err := l.Propose(ctx, &fleet.Command{Kind: fleet.KindConfirm, Confirms: confirms})
+	return err
+}
+
+// register writes the VMs that are new or have moved.
+func (l *Leader) register(ctx context.Context) error {
+	var changed []fleet.VM
+	l.Machine.Read(func(s *fleet.State) {
+		for _, v := range l.Registered() {
+			if old := s.VMs[v.Name]; old == nil || !sameMachine(old, &v) {
+				changed = append(changed, v)
+			}
+		}
+	})
+	if len(changed) == 0 {
+		return nil
+	}
+	_, err := l.Propose(ctx, &fleet.Command{Kind: fleet.KindRegister, VMs: changed})
+	return err
+}
+
+func sameMachine(a, b *fleet.VM) bool {
+	return a.Address == b.Address && a.Hall == b.Hall && a.Domain == b.Domain &&
+		a.Accelerators == b.Accelerators && a.Speed == b.Speed && a.ChecksOrders == b.ChecksOrders
+}
+
+// list writes what the platform and the engines say of VMs that stay or leave, where it has changed.
+func (l *Leader) list(ctx context.Context) error {
+	said := l.Listings()
+	var changed []fleet.VMListing
+	l.Machine.Read(func(s *fleet.State) {
+		for _, v := range s.SortedVMs() {
+			listing, ok := said[v.Name]
+			if !ok {
+				listing = v.Listing
+			}
+			if seen := l.Judge.Table.Cell(v.Name).Seen(); seen != nil && seen.Leaving && listing == fleet.ListingLive {
+				listing = fleet.ListingLeaving
+			} else if !ok && seen != nil && !seen.Leaving && listing == fleet.ListingLeaving {
+				listing = fleet.ListingLive
+			}
+			if listing != v.Listing {
+				changed = append(changed, fleet.VMListing{VM: v.Name, Listing: listing})
+			}
+		}
+	})
+	if len(changed) == 0 {
+		return nil
+	}
+	_, err := l.Propose(ctx, &fleet.Command{Kind: fleet.KindListing, Listings: changed})
+	return err
+}
+
+// World returns the planner's view at this moment, for planning and for explain.
+func (l *Leader) World() *planner.World {
+	var w *planner.World
+	now := l.Now()
+	l.Machine.Read(func(s *fleet.State) {
+		w = planner.NewWorld(s.Clone())
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Judge.Assess(now, w)
+	l.judgeGroups(now, w)
+	return w
+}
+
+func (l *Leader) judgeGroups(now time.Time, w *planner.World) {
+	for i := range w.Groups {
+		g := &w.Groups[i]
+		g.Drained = l.drained(now, g)
+		if g.Phase == fleet.GroupServing && l.allPresent(w, g) {
+			delete(l.down, g.Spec.Name)
+			continue
+		}
+		since, ok := l.down[g.Spec.Name]
+		if !ok {
+			since = now
+			l.down[g.Spec.Name] = now
+		}
+		g.Down = now.Sub(since)
+	}
+}
+
+func (l *Leader) allPresent(w *planner.World, g *planner.Group) bool {
+	for _, name := range g.Members {
+		if w.VM(name).Condition != planner.ConditionPresent {
+			return false
+		}
+	}
+	return true
+}
+
+// drained reports whether no daemon can have a request in progress at g: each one knows of the drain and has none,
+// or has been silent for so long that it refuses requests; or the bound has passed.
+func (l *Leader) drained(now time.Time, g *planner.Group) bool {
+	if g.Phase != fleet.GroupDraining {
+		delete(l.drains, g.Spec.Name)
+		return false
+	}
+	d := l.drains[g.Spec.Name]
+	if d.epoch != g.Epoch {
+		d = drainWatch{g.Epoch, now}
+		l.drains[g.Spec.Name] = d
+	}
+	if now.Sub(d.since) > l.DrainBound {
+		return true
+	}
+	for _, p := range l.Members.All() {
+		if now.Sub(p.Heard) > l.ControlBound {
+			continue
+		}
+		if p.Revision < g.DrainedFrom || p.InFlight[g.Spec.Name] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Leader) plan(ctx context.Context) error {
+	w := l.World()
+	for _, a := range planner.Plan(w, l.Policy) {
+		answer, err := l.Propose(ctx, commandFor(&a))
+		if err != nil {
+			return err
+		}
+		l.Log.Info("planned", "group", a.Group, "members", a.Members, "reason", a.Reason,
+			"revision", answer.Revision, "code", int(answer.Code), "text", answer.Text)
+	}
+	return nil
+}
+
+func commandFor(a *planner.Action) *fleet.Command {
+	kinds := map[planner.ActionKind]fleet.Kind{
+		planner.ActionAssign: fleet.KindAssign, planner.ActionDrain: fleet.KindDrainGroup, planner.ActionBreak: fleet.KindBreakGroup,
+	}
+	return &fleet.Command{
+		Kind:   kinds[a.Kind],
+		Assign: &fleet.Assign{Group: a.Group, Base: a.Base, Members: a.Members, Reason: a.Reason},
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,365 @@
+package daemon
+
+// A daemon has up to three roles. Every daemon is an entry for callers and a
+// watcher of upstreams; the control members also keep the replicated logs, and
+// the leader of instance 0 does control's work. The parts know nothing of each
+// other: what one needs of another is a function field that is set here.
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/caller"
+	"github.com/dunlinquay/dunlinquay/control"
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/engine"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/keys"
+	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/operator"
+	"github.com/dunlinquay/dunlinquay/park"
+	"github.com/dunlinquay/dunlinquay/peer"
+	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/routing"
+	"github.com/dunlinquay/dunlinquay/service"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+const (
+	liveBeats    = 6
+	tickInterval = 100 * time.Millisecond
+	callTimeout  = time.Second
+)
+
+// Daemon is one process; exported fields are set before Run.
+type Daemon struct {
+	// Log receives JSON lines.
+	Log logr.Logger
+	// Dial replaces the way to other daemons; nil is TCP, with TLS when the settings name certificates.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	cfg         *settings.Settings
+	incarnation ident.Incarnation
+	tasks       *park.Group
+	now         func() time.Time
+
+	machine  *fleet.Machine
+	members  *presence.Members
+	table    *presence.Table
+	routes   *routing.Table
+	gate     *admission.Controller
+	dispatch *dispatch.Dispatcher
+	engines  *engine.Client
+	view     *view
+	force    *force
+	probes   *probes
+	shares   *shares
+	leader   *control.Leader
+	platform *platformWatch
+	metrics  *metrics
+	control  *member // nil without the control role
+
+	peers      map[ident.Daemon]*peer.Client
+	peerServer *peer.Server
+	callers    *caller.Server
+	operators  *operator.Server
+	listeners  map[string]net.Listener
+	leaders    atomic.Pointer[leaders]
+	clock      groupClock
+	started    time.Time
+	stopping   atomic.Bool
+	failed     chan error
+}
+
+// New opens the data folder and the listeners that cfg names; Run starts the work.
+func New(cfg *settings.Settings) (*Daemon, error) {
+	d := &Daemon{
+		Log: logr.Discard(), cfg: cfg, incarnation: ident.NewIncarnation(), tasks: park.New(), now: time.Now,
+		machine: fleet.NewMachine(),
+		members: presence.NewMembers(cfg.Times.Beat.Std() * liveBeats),
+		table:   presence.NewTable(),
+		engines: engine.NewClient(),
+		peers:   map[ident.Daemon]*peer.Client{}, listeners: map[string]net.Listener{},
+		failed: make(chan error, 1),
+	}
+	d.started = d.now()
+	d.leaders.Store(&leaders{})
+	d.routes = routing.NewTable(cfg.Hall, cfg.Times.PresenceBound.Std())
+	d.view = newView(d.routes, d.table)
+	d.force = newForce(cfg)
+	d.metrics = newMetrics()
+	d.buildGate()
+	d.buildDispatch()
+	d.buildCallers()
+	d.buildOperators()
+	d.buildLeader()
+	d.probes = newProbes(d)
+	d.platform = newPlatformWatch(d)
+	if err := d.open(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.start()
+	return d, nil
+}
+
+// open takes everything from the system that can fail.
+func (d *Daemon) open() error {
+	tlsConfig, err := peer.TLS(d.cfg.TLS)
+	if err != nil {
+		return err
+	}
+	if d.cfg.IsControl() {
+		if d.control, err = newMember(d); err != nil {
+			return err
+		}
+	}
+	d.buildPeers(tlsConfig)
+	if d.peerServer, err = peer.Listen(d.cfg.Addresses.Peers, tlsConfig, d.handlers()); err != nil {
+		return err
+	}
+	for name, address := range map[string]string{
+		"callers": d.cfg.Addresses.Callers, "operators": d.cfg.Addresses.Operators, "metrics": d.cfg.Addresses.Metrics,
+	} {
+		if address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return result.Wrap(err, result.StartFailed, "%s address %s cannot be opened", name, address)
+		}
+		d.listeners[name] = ln
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, ln := range d.listeners {
+		ln.Close()
+	}
+}
+
+func (d *Daemon) buildPeers(tlsConfig *tls.Config) {
+	for _, p := range d.cfg.Peers {
+		client := peer.NewClient(p.Address, tlsConfig)
+		standard := client.Dial
+		client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if d.Dial != nil {
+				return d.Dial(ctx, address)
+			}
+			return standard(ctx, address)
+		}
+		d.peers[p.Name] = client
+	}
+}
+
+func (d *Daemon) buildGate() {
+	d.gate = admission.NewController()
+	pools := d.servicePools()
+	d.gate.Capacity = func(model ident.Model) int {
+		for _, p := range pools {
+			if dispatch.ServiceModel(p.Name) == model {
+				return p.Capacity()
+			}
+		}
+		return d.routes.Capacity(d.now(), model)
+	}
+	d.gate.QueueLength = func(name ident.Class) int {
+		class, _ := d.cfg.Class(name)
+		return class.Queue
+	}
+	d.shares = newShares(d)
+	d.dispatch = dispatch.NewDispatcher()
+	d.dispatch.Services = &dispatch.Services{
+		Pools: pools, Send: service.NewClient(int64(d.cfg.Limits.BodyBytes)).Send, Random: d.routes.Random,
+	}
+}
+
+func (d *Daemon) servicePools() map[ident.Service]*dispatch.ServicePool {
+	pools := map[ident.Service]*dispatch.ServicePool{}
+	for _, s := range d.cfg.Services {
+		pools[s.Name] = dispatch.NewPool(s.Name, s.Addresses, s.Slots)
+	}
+	return pools
+}
+
+func (d *Daemon) buildDispatch() {
+	x := d.dispatch
+	x.Gate, x.Table = d.gate, d.routes
+	x.Budget = dispatch.NewBudget(d.cfg.Limits.RetryShare)
+	x.Generate, x.Cancel = d.engines.Generate, d.engines.Cancel
+	x.InForce = func() error { return d.force.check(d.now(), d.view.revision()) }
+	x.Observe, x.Dropped = d.metrics.observe, d.metrics.dropped
+	x.Book = &ledger.Book{
+		Daemon: d.cfg.Name, Incarnation: d.incarnation,
+		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: d.now,
+		Propose: d.proposeLedger,
+	}
+}
+
+func (d *Daemon) buildCallers() {
+	s := caller.NewServer()
+	for i := range d.cfg.Customers {
+		c := &d.cfg.Customers[i]
+		for _, hash := range c.KeyHashes {
+			s.Customers.Add(hash, c.Name)
+		}
+	}
+	s.Classes, s.Limits, s.Services = d.cfg.Classes, d.cfg.Limits, d.cfg.Services
+	s.Serve, s.ServeCall = d.dispatch.Serve, d.dispatch.ServeCall
+	s.Models, s.Ready = d.view.models, d.readiness
+	s.Refused = d.metrics.refused
+	d.callers = s
+}
+
+func (d *Daemon) buildOperators() {
+	s := operator.NewServer()
+	s.Operators = &keys.Ring[string]{}
+	for _, o := range d.cfg.Operators {
+		s.Operators.Add(o.KeyHash, o.Name)
+	}
+	s.Change, s.Admit = d.change, d.admitMember
+	s.Machine = d.machine
+	s.Status, s.Explain, s.InForce = d.status, d.explain, d.inForce
+	d.operators = s
+}
+
+// readiness is what the platform's balancer asks for.
+func (d *Daemon) readiness() error {
+	if d.stopping.Load() {
+		return result.New(result.Stopping, "this daemon stops")
+	}
+	return d.force.check(d.now(), d.view.revision())
+}
+
+// start makes the parked goroutines.
+func (d *Daemon) start() {
+	d.tasks.Go(d.peerServer.Run)
+	for _, c := range d.peers {
+		d.tasks.Go(c.Run)
+	}
+	d.tasks.Go(d.beatLoop)
+	d.tasks.Go(d.viewLoop)
+	d.tasks.Go(d.lookLoop)
+	d.tasks.Go(d.probes.run)
+	if d.control != nil {
+		d.tasks.Go(d.control.run)
+		d.tasks.Go(d.leadLoop)
+		d.tasks.Go(d.platform.run)
+	} else {
+		d.tasks.Go(d.followLoop)
+	}
+	d.serveHTTP("callers", d.callers.HTTP())
+	d.serveHTTP("operators", d.operators.HTTP())
+	d.serveHTTP("metrics", d.metrics.http())
+}
+
+func (d *Daemon) serveHTTP(name string, server *http.Server) {
+	ln := d.listeners[name]
+	if ln == nil {
+		return
+	}
+	d.tasks.Go(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		_ = server.Serve(ln)
+	})
+}
+
+// Run works until ctx ends or the disk fails, and returns that failure.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.Log.Info("daemon starts", "daemon", d.cfg.Name, "incarnation", d.incarnation, "callers", d.Callers(), "operators", d.Operators())
+	done := make(chan struct{})
+	go func() {
+		d.tasks.Run(ctx)
+		close(done)
+	}()
+	var err error
+	select {
+	case err = <-d.failed:
+		d.Log.Error(err, "daemon fails", "daemon", d.cfg.Name, "code", int(result.CodeOf(err)))
+		cancel()
+	case <-ctx.Done():
+	}
+	<-done
+	return err
+}
+
+// fatal ends Run with err.
+func (d *Daemon) fatal(err error) {
+	select {
+	case d.failed <- err:
+	default:
+	}
+}
+
+// Stop is the planned stop: the balancer looks away, requests in progress end, leadership is handed over. It returns
+// when the daemon may be ended, or when ctx ends.
+func (d *Daemon) Stop(ctx context.Context) {
+	d.stopping.Store(true)
+	d.Log.Info("planned stop begins", "daemon", d.cfg.Name)
+	if !sleep(ctx, d.cfg.Times.LookAway.Std()) {
+		return
+	}
+	d.callers.Stop()
+	for d.callers.InProgress() > 0 {
+		if !sleep(ctx, tickInterval) {
+			return
+		}
+	}
+	if d.control != nil {
+		d.control.handOver(ctx)
+	}
+	d.Log.Info("planned stop ends", "daemon", d.cfg.Name)
+}
+
+// Callers returns host:port of the callers' listener.
+func (d *Daemon) Callers() string {
+	return d.listeners["callers"].Addr().String()
+}
+
+// Operators returns host:port of the operators' listener.
+func (d *Daemon) Operators() string {
+	return d.listeners["operators"].Addr().String()
+}
+
+// sleep reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// every calls fn at once and then in every interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	for {
+		fn()
+		if !sleep(ctx, interval) {
+			return
+		}
+	}
+}
+
+// lookLoop ends tries at groups that lost a member, and lets waiting requests see capacity that came back.
+func (d *Daemon) lookLoop(ctx context.Context) {
+	every(ctx, tickInterval, func() {
+		d.dispatch.Look(d.now())
+		d.gate.Pump()
+	})
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon builds one dunlinquay process from its settings and runs it.
+package daemon
--- /dev/null
+++ b/daemon/lead.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/control"
+	"github.com/dunlinquay/dunlinquay/engine"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/peer"
+	"github.com/dunlinquay/dunlinquay/planner"
+	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+const proposeTimeout = 3 * time.Second
+
+func (d *Daemon) buildLeader() {
+	l := control.NewLeader()
+	times := &d.cfg.Times
+	l.Machine, l.Members = d.machine, d.members
+	l.Judge = control.NewJudge(d.table, times.PresenceBound.Std(), times.LossBound.Std())
+	l.Policy = planner.DefaultPolicy()
+	l.Policy.Downtime, l.Policy.Stranded = d.cfg.Policy.Downtime, d.cfg.Policy.Stranded
+	l.Policy.ConcurrentLoads = d.cfg.WeightStore.ConcurrentLoads
+	l.DrainBound, l.ControlBound = times.DrainBound.Std(), times.ControlBound.Std()
+	l.Propose = d.proposeFleet
+	l.Registered = func() []fleet.VM { return d.platform.registered() }
+	l.Listings = func() map[ident.VM]fleet.Listing { return d.platform.listings() }
+	o := control.NewOrders()
+	o.Deadline, o.Authority, o.Give = times.OrderDeadline.Std(), d.authority, d.engines.Order
+	o.Confirmed, o.Failed = l.Confirm, d.orderFailed
+	l.Orders = o
+	d.leader = l
+}
+
+// authority is asked before each order.
+func (d *Daemon) authority() control.Authority {
+	if d.control == nil {
+		return control.Authority{}
+	}
+	n := d.control.nodes[instanceFleet]
+	now := d.now()
+	s := n.Status()
+	return control.Authority{
+		Leads: s.Role == quorum.RoleLeader, Term: uint64(s.Term),
+		Unchecked: n.HoldsLease(now) && n.OutlivedPredecessors(now), Until: s.Lease,
+	}
+}
+
+func (d *Daemon) orderFailed(vm ident.VM, kind engine.OrderKind, err error) {
+	d.Log.V(1).Info("order not obeyed", "vm", vm, "order", kind, "code", int(result.CodeOf(err)), "text", result.Message(err))
+}
+
+// leadLoop does the leader's work while this member leads and holds its lease.
+func (d *Daemon) leadLoop(ctx context.Context) {
+	d.leader.Log = d.Log
+	orphaned := map[ident.Daemon]ident.Incarnation{}
+	defer d.leader.Orders.Wait()
+	every(ctx, tickInterval, func() {
+		d.measureGroups()
+		if !d.control.leads() {
+			return
+		}
+		if err := d.leader.Tick(ctx); err != nil {
+			d.Log.V(1).Info("leader's work waits", "code", int(result.CodeOf(err)), "text", result.Message(err))
+			return
+		}
+		d.orphanClaims(ctx, orphaned)
+	})
+}
+
+// orphanClaims closes the claims that a daemon left open when it started anew.
+func (d *Daemon) orphanClaims(ctx context.Context, done map[ident.Daemon]ident.Incarnation) {
+	for _, p := range d.members.Live(d.now()) {
+		if done[p.Name] == p.Incarnation {
+			continue
+		}
+		data, err := ledger.Encode(&ledger.Command{Kind: ledger.KindOrphan, Daemon: p.Name, Incarnation: p.Incarnation})
+		if err != nil {
+			continue
+		}
+		if _, err := d.proposeLedger(ctx, ledger.Key{}, data); err == nil {
+			done[p.Name] = p.Incarnation
+		}
+	}
+}
+
+// propose writes a command through the leader of an instance, wherever it is.
+func (d *Daemon) propose(ctx context.Context, instance quorum.Instance, data []byte) (peer.ProposeReply, error) {
+	call := &peer.ProposeCall{Instance: instance, Data: data}
+	leader := d.leaders.Load().byInstance[instance]
+	var reply peer.ProposeReply
+	switch {
+	case leader == "" || leader != d.cfg.Name && d.peers[leader] == nil:
+		return reply, result.New(result.NoLeader, "no control leader is known")
+	case leader == d.cfg.Name:
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		reply = d.control.propose(ctx, call)
+	default:
+		var err error
+		if reply, err = d.peers[leader].Propose(ctx, proposeTimeout, call); err != nil {
+			return reply, err
+		}
+	}
+	if reply.Code != result.OK {
+		return reply, result.New(reply.Code, "%s", reply.Text)
+	}
+	return reply, nil
+}
+
+func (d *Daemon) proposeFleet(ctx context.Context, c *fleet.Command) (fleet.Answer, error) {
+	data, err := fleet.Encode(c)
+	if err != nil {
+		return fleet.Answer{}, result.Wrap(err, result.ChangeInvalid, "change cannot be encoded")
+	}
+	reply, err := d.propose(ctx, instanceFleet, data)
+	if err != nil {
+		return fleet.Answer{}, err
+	}
+	return fleetAnswer(reply.Answer)
+}
+
+func (d *Daemon) proposeLedger(ctx context.Context, _ ledger.Key, data []byte) (ledger.Answer, error) {
+	reply, err := d.propose(ctx, instanceLedger, data)
+	if err != nil {
+		return ledger.Answer{}, err
+	}
+	return ledgerAnswer(reply.Answer)
+}
--- /dev/null
+++ b/daemon/member.go
@@ -0,0 +1,305 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dunlinquay/dunlinquay/disk"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/peer"
+	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// The instances of the log that every control member keeps.
+const (
+	instanceFleet  quorum.Instance = 0
+	instanceLedger quorum.Instance = 1
+	instanceCount                  = 2
+)
+
+const formInterval = 200 * time.Millisecond
+
+// member is the control role of this daemon: the logs, their state machines and the forming of their first members.
+type member struct {
+	d      *Daemon
+	store  *quorum.Store
+	nodes  [instanceCount]*quorum.Node
+	ledger *ledger.Machine
+}
+
+func newMember(d *Daemon) (*member, error) {
+	folder, err := disk.NewFolder(d.cfg.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	store, err := quorum.OpenStore(folder, d.cfg.Name)
+	if err != nil {
+		return nil, err
+	}
+	m := &member{d: d, store: store, ledger: ledger.NewMachine()}
+	for i := range m.nodes {
+		m.nodes[i] = m.node(quorum.Instance(i))
+	}
+	m.serveFleet(m.nodes[instanceFleet])
+	m.serveLedger(m.nodes[instanceLedger])
+	return m, nil
+}
+
+func (m *member) node(i quorum.Instance) *quorum.Node {
+	cfg := m.d.cfg
+	n := quorum.NewNode(m.store)
+	n.Instance = i
+	n.Timing = quorum.Timing{Heartbeat: cfg.Times.Heartbeat.Std(), Election: cfg.Times.Election.Std(), Lease: cfg.Times.Lease.Std()}
+	n.Seed = seedOf(cfg.Name)
+	n.Send = m.send
+	n.Fatal = m.d.fatal
+	return n
+}
+
+// seedOf spreads the members' election times.
+func seedOf(name ident.Daemon) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+func (m *member) serveFleet(n *quorum.Node) {
+	machine := m.d.machine
+	n.Apply = func(index quorum.Index, data []byte) any {
+		return machine.Apply(ident.Revision(index), data)
+	}
+	n.TakeSnapshot = machine.Snapshot
+	n.Restore = func(index quorum.Index, data []byte) error {
+		return machine.Restore(ident.Revision(index), data)
+	}
+	n.Applied = func(quorum.Index) { machine.Notify() }
+}
+
+func (m *member) serveLedger(n *quorum.Node) {
+	n.Apply = func(_ quorum.Index, data []byte) any { return m.ledger.Apply(data) }
+	n.TakeSnapshot = m.ledger.Snapshot
+	n.Restore = func(_ quorum.Index, data []byte) error { return m.ledger.Restore(data) }
+}
+
+func (m *member) send(messages []quorum.Message) {
+	for i := range messages {
+		if c := m.d.peers[messages[i].To.Name]; c != nil {
+			c.Enqueue(&messages[i])
+		}
+	}
+}
+
+func (m *member) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { m.store.Run(ctx) })
+	for _, n := range m.nodes {
+		n.Log = m.d.Log
+		wg.Go(func() { n.Run(ctx) })
+	}
+	every(ctx, formInterval, func() { m.form(ctx) })
+	wg.Wait()
+}
+
+func (m *member) deliver(messages []quorum.Message) {
+	var byInstance [instanceCount][]quorum.Message
+	for i := range messages {
+		if n := messages[i].Instance; n < instanceCount {
+			byInstance[n] = append(byInstance[n], messages[i])
+		}
+	}
+	for i, list := range byInstance {
+		if len(list) > 0 {
+			m.nodes[i].Deliver(list)
+		}
+	}
+}
+
+// formed reports whether every instance knows its members.
+func (m *member) formed() bool {
+	for _, n := range m.nodes {
+		if s := n.Status(); !s.Formed || s.Expelled {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *member) hello() peer.HelloReply {
+	s := m.nodes[instanceFleet].Status()
+	reply := peer.HelloReply{ID: m.store.ID(), Formed: s.Formed, Expelled: s.Expelled, Members: s.Members}
+	for _, n := range m.nodes {
+		reply.Formed = reply.Formed || n.Status().Formed
+	}
+	return reply
+}
+
+// form makes the first members, once in the life of a system. Only the member that the settings name first does it,
+// and only when every other one answers that it was never formed: a member that comes back with an empty folder
+// meets others that were, and waits to be admitted.
+func (m *member) form(ctx context.Context) {
+	cfg := m.d.cfg
+	status := m.nodes[instanceFleet].Status()
+	if m.formed() && (status.Commit > 0 || status.Leader != "") {
+		return
+	}
+	others := m.askOthers(ctx)
+	if others == nil {
+		return
+	}
+	if !m.hello().Formed {
+		if cfg.ControlMembers[0] == cfg.Name {
+			m.formFirst(ctx, others)
+		}
+		return
+	}
+	m.formAgain(others)
+}
+
+// askOthers returns every other member's answer, or nil when one is missing.
+func (m *member) askOthers(ctx context.Context) map[ident.Daemon]peer.HelloReply {
+	others := map[ident.Daemon]peer.HelloReply{}
+	for _, name := range m.d.cfg.ControlMembers {
+		if name == m.d.cfg.Name {
+			continue
+		}
+		reply, err := m.d.peers[name].Hello(ctx, callTimeout)
+		if err != nil {
+			return nil
+		}
+		others[name] = reply
+	}
+	return others
+}
+
+func (m *member) formFirst(ctx context.Context, others map[ident.Daemon]peer.HelloReply) {
+	members := []quorum.Member{{ID: m.store.ID(), Voter: true}}
+	for _, name := range m.d.cfg.ControlMembers[1:] {
+		if others[name].Formed || others[name].Expelled {
+			m.d.Log.Info("this member is not admitted", "code", int(result.NotAdmitted),
+				"advice", "run: dunlinquay control admit "+string(m.d.cfg.Name))
+			return
+		}
+		members = append(members, quorum.Member{ID: others[name].ID, Voter: true})
+	}
+	for _, n := range m.nodes {
+		n.Form(ctx, members)
+	}
+}
+
+// formAgain passes the first members on to those that have not received them; it is harmless for all others.
+func (m *member) formAgain(others map[ident.Daemon]peer.HelloReply) {
+	for i, n := range m.nodes {
+		s := n.Status()
+		if s.Commit > 0 {
+			continue
+		}
+		for _, to := range s.Members {
+			if reply, ok := others[to.ID.Name]; ok && reply.ID == to.ID {
+				m.send([]quorum.Message{{
+					Instance: quorum.Instance(i), Kind: quorum.MessageForm, From: m.store.ID(), To: to.ID,
+					Snapshot: &quorum.Snapshot{Members: s.Members},
+				}})
+			}
+		}
+	}
+}
+
+// propose writes a command as leader of an instance and returns the encoded answer.
+func (m *member) propose(ctx context.Context, c *peer.ProposeCall) peer.ProposeReply {
+	if c.Instance >= instanceCount {
+		return peer.ProposeReply{Code: result.PeerRefused, Text: "no such instance"}
+	}
+	value, index, err := m.nodes[c.Instance].Propose(ctx, c.Data)
+	if err != nil {
+		return peer.ProposeReply{Code: result.CodeOf(err), Text: result.Message(err)}
+	}
+	answer, err := cbor.Marshal(value)
+	if err != nil {
+		return peer.ProposeReply{Code: result.PeerRefused, Text: err.Error()}
+	}
+	return peer.ProposeReply{Answer: answer, Index: index}
+}
+
+// admit takes a member with a new data folder in the place of the one with the same name, first without a vote.
+func (m *member) admit(ctx context.Context, c *peer.AdmitCall) peer.AdmitReply {
+	err := m.tryAdmit(ctx, c)
+	if err != nil {
+		return peer.AdmitReply{Code: result.CodeOf(err), Text: result.Message(err)}
+	}
+	return peer.AdmitReply{}
+}
+
+func (m *member) tryAdmit(ctx context.Context, c *peer.AdmitCall) error {
+	client := m.d.peers[c.Member]
+	if client == nil {
+		return result.New(result.ChangeNotFound, "no daemon is called %s", c.Member)
+	}
+	reply, err := client.Hello(ctx, callTimeout)
+	if err != nil {
+		return err
+	}
+	if reply.Expelled {
+		return result.New(result.NotAdmitted, "%s has a damaged folder: stop it, empty its data folder and start it again", c.Member)
+	}
+	n := m.nodes[c.Instance]
+	members := []quorum.Member{}
+	for _, old := range n.Status().Members {
+		if old.ID == reply.ID {
+			return nil
+		}
+		if old.ID.Name != c.Member {
+			members = append(members, old)
+		}
+	}
+	return n.ProposeMembers(ctx, append(members, quorum.Member{ID: reply.ID}))
+}
+
+// handOver gives up the lead of every instance that this member leads.
+func (m *member) handOver(ctx context.Context) {
+	for _, n := range m.nodes {
+		if n.Status().Role == quorum.RoleLeader {
+			n.HandOver(ctx)
+		}
+	}
+}
+
+// leads reports whether this member leads control's instance.
+func (m *member) leads() bool {
+	return m.nodes[instanceFleet].Status().Role == quorum.RoleLeader
+}
+
+// leaders names the leader of each instance as this member knows it.
+func (m *member) leaders() map[quorum.Instance]ident.Daemon {
+	known := map[quorum.Instance]ident.Daemon{}
+	for i, n := range m.nodes {
+		if s := n.Status(); s.Leader != "" {
+			known[quorum.Instance(i)] = s.Leader
+		}
+	}
+	return known
+}
+
+// fleetAnswer decodes what the fleet's machine answered.
+func fleetAnswer(data []byte) (fleet.Answer, error) {
+	var a fleet.Answer
+	if err := cbor.Unmarshal(data, &a); err != nil {
+		return a, result.Wrap(err, result.PeerRefused, "leader's answer cannot be decoded")
+	}
+	return a, nil
+}
+
+// ledgerAnswer decodes what the ledger's machine answered.
+func ledgerAnswer(data []byte) (ledger.Answer, error) {
+	var a ledger.Answer
+	if err := cbor.Unmarshal(data, &a); err != nil {
+		return a, result.Wrap(err, result.PeerRefused, "leader's answer cannot be decoded")
+	}
+	return a, nil
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// metrics reports through tally. Its label values are bounded: customers and
+// classes come from the settings, codes from the table of result codes, groups
+// from what operators declare.
+type metrics struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+
+	mu     sync.Mutex
+	totals groupTotals
+	series map[seriesKey]*series
+}
+
+type seriesKey struct {
+	customer ident.Customer
+	class    ident.Class
+}
+
+// series are the histograms of one customer and class.
+type series struct {
+	wait, first, between, total tally.Histogram
+}
+
+const (
+	reportInterval    = time.Second
+	metricsHeaderTime = 5 * time.Second
+	bucketCount       = 20
+)
+
+func newMetrics() *metrics {
+	// A registry of its own lets several daemons live in one process, as in the demo.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {}})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "dunlinquay", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &metrics{scope: scope, reporter: reporter, series: map[seriesKey]*series{}}
+}
+
+func (m *metrics) http() *http.Server {
+	return &http.Server{Handler: m.reporter.HTTPHandler(), ReadHeaderTimeout: metricsHeaderTime}
+}
+
+func (m *metrics) of(customer ident.Customer, class ident.Class) *series {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := seriesKey{customer, class}
+	s := m.series[key]
+	if s == nil {
+		scope := m.scope.Tagged(map[string]string{"customer": string(customer), "class": string(class)})
+		buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, bucketCount)
+		s = &series{
+			wait:    scope.Histogram("admission_wait", buckets),
+			first:   scope.Histogram("first_token", buckets),
+			between: scope.Histogram("between_tokens", buckets),
+			total:   scope.Histogram("request", buckets),
+		}
+		m.series[key] = s
+	}
+	return s
+}
+
+func (m *metrics) observe(t *dispatch.Timing) {
+	s := m.of(t.Customer, t.Class)
+	s.wait.RecordDuration(t.Wait)
+	if t.Err != nil {
+		m.ended(t.Customer, result.CodeOf(t.Err))
+		return
+	}
+	s.first.RecordDuration(t.First)
+	s.total.RecordDuration(t.Total)
+	if t.Tokens > 1 {
+		s.between.RecordDuration((t.Total - t.First) / time.Duration(t.Tokens-1))
+	}
+	m.ended(t.Customer, result.OK)
+}
+
+func (m *metrics) refused(customer ident.Customer, code result.Code) {
+	if customer == "" {
+		customer = "unknown"
+	}
+	m.ended(customer, code)
+}
+
+func (m *metrics) ended(customer ident.Customer, code result.Code) {
+	m.scope.Tagged(map[string]string{
+		"customer": string(customer), "code": strconv.Itoa(int(code)), "result": result.Lookup(code).Name,
+	}).Counter("requests").Inc(1)
+}
+
+func (m *metrics) dropped(group ident.Group, code result.Code) {
+	m.scope.Tagged(map[string]string{"group": string(group), "result": result.Lookup(code).Name}).Counter("answers_dropped").Inc(1)
+}
+
+// groups takes the newest totals of downtime and stranded accelerators.
+func (m *metrics) groups(t groupTotals) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.totals = t
+	m.scope.Gauge("groups_whole").Update(float64(t.whole))
+	m.scope.Gauge("stranded_accelerators").Update(float64(t.stranded))
+	m.scope.Gauge("stranded_accelerator_seconds").Update(t.strandedTime.Seconds())
+	m.scope.Gauge("group_downtime_seconds").Update(t.downTime.Seconds())
+}
+
+func (m *metrics) counted() groupTotals {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.totals
+}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/platform"
+)
+
+// platformWatch keeps the newest list of the platform beside the upstreams of the settings.
+type platformWatch struct {
+	d      *Daemon
+	client *platform.Client
+
+	mu   sync.Mutex
+	list platform.List
+}
+
+func newPlatformWatch(d *Daemon) *platformWatch {
+	p := &platformWatch{d: d}
+	if d.cfg.Platform.URL != "" {
+		p.client = platform.NewClient(d.cfg.Platform.URL)
+	}
+	return p
+}
+
+func (p *platformWatch) run(ctx context.Context) {
+	if p.client == nil {
+		return
+	}
+	every(ctx, p.d.cfg.Platform.Interval.Std(), func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		list, err := p.client.List(ctx)
+		if err != nil {
+			// The last list stays: an absent platform says nothing about the VMs.
+			p.d.Log.V(1).Info("platform's list not read", "error", err.Error())
+			return
+		}
+		p.mu.Lock()
+		p.list = *list
+		p.mu.Unlock()
+	})
+}
+
+// registered returns every upstream that settings or platform name whole; the platform's word goes first.
+func (p *platformWatch) registered() []fleet.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var vms []fleet.VM
+	named := map[ident.VM]bool{}
+	for i := range p.list.VMs {
+		if e := &p.list.VMs[i]; e.Valid() {
+			named[e.Name] = true
+			vms = append(vms, platform.VM(&e.Upstream))
+		}
+	}
+	for i := range p.d.cfg.Upstreams {
+		if u := &p.d.cfg.Upstreams[i]; !named[u.Name] {
+			vms = append(vms, platform.VM(u))
+		}
+	}
+	return vms
+}
+
+func (p *platformWatch) listings() map[ident.VM]fleet.Listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	said := map[ident.VM]fleet.Listing{}
+	for i := range p.list.VMs {
+		said[p.list.VMs[i].Name] = p.list.VMs[i].Stay.Listing()
+	}
+	return said
+}
--- /dev/null
+++ b/daemon/probes.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/engine"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// probes watches this daemon's share of the upstreams; the leader also looks itself at those that seem absent.
+type probes struct {
+	d *Daemon
+
+	mu   sync.Mutex
+	seen map[ident.VM]sighting
+	busy map[ident.VM]bool
+}
+
+type sighting struct {
+	at time.Time
+	presence.Observation
+}
+
+// maxProbes bounds the probes on their way at once.
+const maxProbes = 512
+
+func newProbes(d *Daemon) *probes {
+	return &probes{d: d, seen: map[ident.VM]sighting{}, busy: map[ident.VM]bool{}}
+}
+
+func (p *probes) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	every(ctx, p.d.cfg.Times.Probe.Std(), func() {
+		for _, v := range p.share() {
+			if !p.begin(v.name) {
+				continue
+			}
+			wg.Go(func() {
+				defer p.end(v.name)
+				p.probe(ctx, v)
+			})
+		}
+	})
+}
+
+type watched struct {
+	name    ident.VM
+	address string
+}
+
+// share returns the VMs that this daemon has to watch now.
+func (p *probes) share() []watched {
+	now := p.d.now()
+	live := p.watchers(now)
+	leads := p.d.control != nil && p.d.control.leads()
+	var list []watched
+	p.d.machine.Read(func(s *fleet.State) {
+		for name, v := range s.VMs {
+			if v.Listing == fleet.ListingGone {
+				continue
+			}
+			mine := slices.Contains(presence.Watchers(name, v.Hall, live), p.d.cfg.Name)
+			if mine || leads && p.d.leader.Judge.Absent(now, v) {
+				list = append(list, watched{name, v.Address})
+			}
+		}
+	})
+	return list
+}
+
+func (p *probes) watchers(now time.Time) []presence.Watcher {
+	var live []presence.Watcher
+	for _, peer := range p.d.members.Live(now) {
+		live = append(live, presence.Watcher{Name: peer.Name, Hall: peer.Hall})
+	}
+	return live
+}
+
+func (p *probes) begin(name ident.VM) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[name] || len(p.busy) >= maxProbes {
+		return false
+	}
+	p.busy[name] = true
+	return true
+}
+
+func (p *probes) end(name ident.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, name)
+}
+
+func (p *probes) probe(ctx context.Context, v watched) {
+	ctx, cancel := context.WithTimeout(ctx, p.d.cfg.Times.PresenceBound.Std())
+	defer cancel()
+	// The age counts from the question: the answer may have been true only then.
+	asked := p.d.now()
+	state, err := p.d.engines.State(ctx, v.address)
+	if ctx.Err() != nil && err != nil && result.CodeOf(err) == result.Cancelled {
+		return
+	}
+	o := observation(v.name, &state, err)
+	p.mu.Lock()
+	p.seen[v.name] = sighting{asked, o}
+	p.mu.Unlock()
+	p.d.table.Observe(asked, []presence.Observation{o})
+}
+
+func observation(name ident.VM, state *engine.State, err error) presence.Observation {
+	switch {
+	case err == nil:
+		return presence.Observation{
+			VM: name, Sight: presence.SightAnswer, Incarnation: state.Incarnation, Group: state.Group, Epoch: state.Epoch,
+			Leaving: state.Leaving, Slots: state.Slots, Running: state.Running, Queued: state.Queued,
+		}
+	case result.CodeOf(err) == result.NeverSent:
+		return presence.Observation{VM: name, Sight: presence.SightRefused}
+	}
+	return presence.Observation{VM: name, Sight: presence.SightSilence}
+}
+
+// newest returns the sightings that are young enough to matter, with their ages; older ones are forgotten.
+func (p *probes) newest(now time.Time) []presence.Observation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []presence.Observation
+	for name, s := range p.seen {
+		age := now.Sub(s.at)
+		if age > p.d.cfg.Times.LossBound.Std() {
+			delete(p.seen, name)
+			continue
+		}
+		o := s.Observation
+		o.Age = age.Milliseconds()
+		list = append(list, o)
+	}
+	return list
+}
--- /dev/null
+++ b/disk/doc.go
@@ -0,0 +1,2 @@
+// Package disk keeps synced files and one shared log under the data folder.
+package disk
--- /dev/null
+++ b/dispatch/budget.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import "sync"
+
+// Budget lets retries be at most a share of recent requests, so that retries cannot multiply an overload.
+type Budget struct {
+	// Share is the number of retries for each request that was answered.
+	Share float64
+
+	mu    sync.Mutex
+	level float64
+}
+
+const (
+	budgetStart = 10
+	budgetLimit = 100
+)
+
+// NewBudget returns a budget that allows a few retries at once.
+func NewBudget(share float64) *Budget {
+	return &Budget{Share: share, level: budgetStart}
+}
+
+// Earn adds what one answered request pays in.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level = min(budgetLimit, b.level+b.Share)
+}
+
+// Spend reports whether one retry is allowed, and takes it.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
--- /dev/null
+++ b/dispatch/services.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/routing"
+)
+
+// Worker is one process of a plain service; a worker that could not be reached rests for a moment.
+type Worker struct {
+	Address   string
+	inFlight  atomic.Int64
+	restUntil atomic.Int64
+}
+
+// ServicePool is the workers of one plain service.
+type ServicePool struct {
+	Name    ident.Service
+	Workers []*Worker
+	// Slots bounds the calls in progress at one worker.
+	Slots int
+}
+
+// Services sends calls to plain services; exported fields are set before use.
+type Services struct {
+	Pools map[ident.Service]*ServicePool
+	// Send makes one call and returns its whole reply; NeverSent means that it certainly did not run.
+	Send func(ctx context.Context, address string, c *Call) (*Reply, error)
+	// Random returns a number in [0, n).
+	Random func(n int) int
+}
+
+const (
+	workerRest   = time.Second
+	defaultSlots = 64
+)
+
+// NewPool returns a pool of workers at addresses; slots 0 takes a default.
+func NewPool(name ident.Service, addresses []string, slots int) *ServicePool {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	p := &ServicePool{Name: name, Slots: slots}
+	for _, a := range addresses {
+		p.Workers = append(p.Workers, &Worker{Address: a})
+	}
+	return p
+}
+
+// ServiceModel is the name under which the gate queues and learns a service's calls.
+func ServiceModel(name ident.Service) ident.Model {
+	return ident.Model("service/" + string(name))
+}
+
+// Capacity returns the calls that all workers take at once.
+func (p *ServicePool) Capacity() int {
+	return p.Slots * len(p.Workers)
+}
+
+// take chooses the worker with the fewest calls, from a random one on, past those that rest.
+func (s *Services) take(now time.Time, p *ServicePool, avoid *Worker) (*Worker, routing.Verdict) {
+	start := s.Random(len(p.Workers))
+	var best *Worker
+	verdict := routing.NotWhole
+	for i := range p.Workers {
+		w := p.Workers[(start+i)%len(p.Workers)]
+		if w == avoid && len(p.Workers) > 1 || now.UnixNano() < w.restUntil.Load() {
+			continue
+		}
+		if int(w.inFlight.Load()) >= p.Slots {
+			verdict = routing.Full
+			continue
+		}
+		if best == nil || w.inFlight.Load() < best.inFlight.Load() {
+			best = w
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	best.inFlight.Add(1)
+	return best, routing.Chosen
+}
+
+// ServeCall returns the whole reply of a plain service.
+func (d *Dispatcher) ServeCall(ctx context.Context, c *Call) (*Reply, error) {
+	started := d.Now()
+	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, errDeadline)
+	defer cancel()
+	t := &Timing{Customer: c.Customer, Class: c.Class, Group: ident.Group(ServiceModel(c.Service))}
+	reply, err := d.claimedCall(ctx, c, t)
+	t.Total = d.Now().Sub(started)
+	t.First = t.Total
+	t.Err = err
+	d.Observe(t)
+	return reply, err
+}
+
+func (d *Dispatcher) claimedCall(ctx context.Context, c *Call, t *Timing) (*Reply, error) {
+	if err := d.InForce(); err != nil {
+		return nil, err
+	}
+	pool := d.Services.Pools[c.Service]
+	if pool == nil {
+		return nil, result.New(result.ServiceUnknown, "there is no service %q", c.Service)
+	}
+	if !c.Once {
+		return d.admittedCall(ctx, c, pool, t)
+	}
+	var reply *Reply
+	run := func() ([]byte, error) {
+		got, err := d.admittedCall(ctx, c, pool, t)
+		if err != nil {
+			return nil, err
+		}
+		reply = got
+		return json.Marshal(got)
+	}
+	stored, err := d.once(ctx, ledger.Key{Customer: c.Customer, ID: c.Key}, c.Digest, c.Deadline, t, run)
+	if err != nil || reply != nil {
+		return reply, err
+	}
+	reply = &Reply{}
+	if err := json.Unmarshal(stored, reply); err != nil {
+		return nil, result.Wrap(err, result.OutcomeUnknown, "stored answer cannot be read")
+	}
+	return reply, nil
+}
+
+func (d *Dispatcher) admittedCall(ctx context.Context, c *Call, pool *ServicePool, t *Timing) (*Reply, error) {
+	started := d.Now()
+	var worker *Worker
+	ask := &admission.Ask{
+		Customer: c.Customer, Class: c.Class, Priority: c.Priority, Model: ServiceModel(c.Service), Deadline: c.Deadline,
+		Reserve: func(now time.Time) (verdict routing.Verdict) {
+			worker, verdict = d.Services.take(now, pool, nil)
+			return verdict
+		},
+	}
+	if err := d.Gate.Admit(ctx, ask); err != nil {
+		return nil, d.unsent(ctx, err)
+	}
+	t.Wait = d.Now().Sub(started)
+	reply, err := d.callWorkers(ctx, c, pool, worker, t)
+	var took time.Duration
+	if err == nil {
+		took = d.Now().Sub(started) - t.Wait
+		d.Budget.Earn()
+	}
+	d.Gate.Done(ask, took, 0)
+	return reply, err
+}
+
+// callWorkers sends the call to worker, and to others as long as it surely did not run or may be repeated.
+func (d *Dispatcher) callWorkers(ctx context.Context, c *Call, pool *ServicePool, worker *Worker, t *Timing) (*Reply, error) {
+	ran := false
+	for {
+		t.Tries++
+		reply, err := d.Services.Send(ctx, worker.Address, c)
+		worker.inFlight.Add(-1)
+		if err == nil {
+			return reply, nil
+		}
+		err = d.named(ctx, err)
+		ran = ran || !NotRun(err)
+		if result.CodeOf(err) == result.NeverSent {
+			worker.restUntil.Store(d.Now().Add(workerRest).UnixNano())
+		}
+		if !d.mayCallAgain(ctx, c, err, t.Tries) {
+			return nil, finalCall(err, ran)
+		}
+		next, verdict := d.Services.take(d.Now(), pool, worker)
+		if verdict != routing.Chosen {
+			return nil, finalCall(err, ran)
+		}
+		worker = next
+	}
+}
+
+func (d *Dispatcher) mayCallAgain(ctx context.Context, c *Call, err error, tries int) bool {
+	if ctx.Err() != nil || tries >= maxTries {
+		return false
+	}
+	if NotRun(err) {
+		return true
+	}
+	return c.Repeatable && d.Budget.Spend()
+}
+
+func finalCall(err error, ran bool) error {
+	if result.CodeOf(err) == result.NeverSent {
+		err = result.Wrap(err, result.NoWholeGroup, "no worker of the service could be reached")
+	}
+	return notAfterRun(err, ran)
+}
--- /dev/null
+++ b/fleet/apply.go
@@ -0,0 +1,470 @@
+package fleet
+
+// Apply is the only place that changes a State. The promises that must hold
+// whatever a planner or an operator asks for are checked here, against the
+// state that the log itself has built, and nowhere else:
+//
+//   - a VM is assigned only while it is free or held by the same group;
+//   - a VM that leaves stays reserved until its engine confirmed, or the
+//     platform lists it as gone;
+//   - a decision made on an epoch that has passed is refused.
+//
+// A refusal is an answer like any other: it is part of the log's outcome, the
+// same on every member.
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+const (
+	maxGroupSize = 256
+	maxLabels    = 64
+	maxSelector  = 32
+)
+
+// refusal is a code with its words; nil means accepted.
+type refusal struct {
+	code result.Code
+	text string
+}
+
+func refuse(code result.Code, format string, args ...any) *refusal {
+	return &refusal{code, fmt.Sprintf(format, args...)}
+}
+
+// Apply executes c at revision and returns its answer; an operator's change sent twice gets its first answer.
+func (s *State) Apply(revision ident.Revision, c *Command) Answer {
+	s.Revision = revision
+	if c.Change == "" {
+		return answerOf(revision, s.execute(revision, c))
+	}
+	digest := c.digest()
+	if first, ok := s.remembered(c.Change); ok {
+		if first.Digest != digest {
+			return answerOf(revision, refuse(result.ChangeIDReused, "change id %s was used at revision %d for: %s", c.Change, first.Revision, first.What))
+		}
+		return first.Answer
+	}
+	answer := answerOf(revision, s.execute(revision, c))
+	s.remember(HistoryEntry{
+		Change: c.Change, Revision: revision, By: c.By, At: c.At, What: c.What(), Digest: digest, Answer: answer,
+	})
+	return answer
+}
+
+func answerOf(revision ident.Revision, r *refusal) Answer {
+	if r == nil {
+		return Answer{Revision: revision}
+	}
+	return Answer{Revision: revision, Code: r.code, Text: r.text}
+}
+
+func (s *State) execute(revision ident.Revision, c *Command) *refusal {
+	if r := c.incomplete(); r != nil {
+		return r
+	}
+	switch c.Kind {
+	case KindCreateGroup:
+		return s.createGroup(revision, c.Spec)
+	case KindChangeGroup:
+		return s.changeGroup(revision, c)
+	case KindDeleteGroup:
+		return s.deleteGroup(revision, c)
+	case KindLabelVM:
+		return s.labelVM(revision, c)
+	case KindDrainVM:
+		return s.drainVM(revision, c)
+	case KindLimits:
+		return s.limits(revision, c)
+	case KindRegister:
+		return s.register(c.VMs)
+	case KindListing:
+		return s.list(revision, c.Listings)
+	case KindAssign:
+		return s.assign(revision, c.Assign)
+	case KindDrainGroup:
+		return s.drainGroup(revision, c.Assign)
+	case KindBreakGroup:
+		return s.breakGroup(c.Assign)
+	case KindConfirm:
+		return s.confirm(c.Confirms)
+	}
+	return refuse(result.ChangeInvalid, "unknown kind %d", c.Kind)
+}
+
+// incomplete refuses a command whose Kind lacks its content, which only a faulty sender makes.
+func (c *Command) incomplete() *refusal {
+	missing := false
+	switch c.Kind {
+	case KindCreateGroup, KindChangeGroup:
+		missing = c.Spec == nil
+	case KindLabelVM, KindDrainVM:
+		missing = c.Label == nil
+	case KindLimits:
+		missing = c.Limits == nil
+	case KindAssign, KindDrainGroup, KindBreakGroup:
+		missing = c.Assign == nil
+	}
+	if missing {
+		return refuse(result.ChangeInvalid, "the change has no content")
+	}
+	return nil
+}
+
+func (s *State) createGroup(revision ident.Revision, spec *GroupSpec) *refusal {
+	if r := checkSpec(spec); r != nil {
+		return r
+	}
+	if g, ok := s.Groups[spec.Name]; ok {
+		if g.Deleted {
+			return refuse(result.ChangeExists, "group %s is being dissolved since revision %d", spec.Name, g.Changed)
+		}
+		return refuse(result.ChangeExists, "group %s exists since revision %d", spec.Name, g.Generation)
+	}
+	s.Groups[spec.Name] = &Group{Spec: *spec, Generation: revision, Changed: revision}
+	return nil
+}
+
+func checkSpec(spec *GroupSpec) *refusal {
+	if !ident.ValidName(string(spec.Name)) {
+		return refuse(result.ChangeInvalid, "%q is not a name", spec.Name)
+	}
+	if spec.Model == "" || len(spec.Model) > ident.MaxNameLength {
+		return refuse(result.ChangeInvalid, "group %s needs a model of at most %d bytes", spec.Name, ident.MaxNameLength)
+	}
+	if spec.Size < 1 || spec.Size > maxGroupSize {
+		return refuse(result.ChangeInvalid, "size %d is not between 1 and %d", spec.Size, maxGroupSize)
+	}
+	if len(spec.Selector) > maxSelector {
+		return refuse(result.ChangeInvalid, "more than %d selectors", maxSelector)
+	}
+	return nil
+}
+
+// beaten refuses a change that was decided on an older state of the object.
+func beaten(c *Command, what string, changed ident.Revision) *refusal {
+	if c.IfRevision == 0 || c.IfRevision >= changed {
+		return nil
+	}
+	return refuse(result.ChangeConflict, "%s was changed at revision %d, after revision %d", what, changed, c.IfRevision)
+}
+
+func (s *State) liveGroup(name ident.Group) (*Group, *refusal) {
+	g, ok := s.Groups[name]
+	if !ok || g.Deleted {
+		return nil, refuse(result.ChangeNotFound, "there is no group %s", name)
+	}
+	return g, nil
+}
+
+func (s *State) changeGroup(revision ident.Revision, c *Command) *refusal {
+	g, r := s.liveGroup(c.Spec.Name)
+	if r != nil {
+		return r
+	}
+	if r := checkSpec(c.Spec); r != nil {
+		return r
+	}
+	if r := beaten(c, "group "+string(c.Spec.Name), g.Changed); r != nil {
+		return r
+	}
+	if g.Epoch != 0 && len(g.Members) > 0 && s.needsReform(g, c.Spec) {
+		g.Reform = true
+	}
+	g.Spec = *c.Spec
+	g.Changed = revision
+	return nil
+}
+
+// needsReform reports whether the members must load something else, or are no longer the right ones.
+func (s *State) needsReform(g *Group, next *GroupSpec) bool {
+	old := &g.Spec
+	if old.Model != next.Model || old.Version != next.Version || !slices.Equal(old.Adapters, next.Adapters) || old.Size != next.Size {
+		return true
+	}
+	return slices.ContainsFunc(g.Members, func(name ident.VM) bool {
+		return next.FailedRequirement(s.VMs[name]) != nil
+	})
+}
+
+func (s *State) deleteGroup(revision ident.Revision, c *Command) *refusal {
+	g, r := s.liveGroup(c.Group)
+	if r != nil {
+		return r
+	}
+	if r := beaten(c, "group "+string(c.Group), g.Changed); r != nil {
+		return r
+	}
+	g.Deleted = true
+	g.Changed = revision
+	s.drain(revision, g)
+	if len(g.Members) == 0 {
+		delete(s.Groups, c.Group)
+	}
+	return nil
+}
+
+func (s *State) drain(revision ident.Revision, g *Group) {
+	if g.Phase == GroupServing {
+		g.Phase = GroupDraining
+		g.DrainedFrom = revision
+	}
+}
+
+func (s *State) labelVM(revision ident.Revision, c *Command) *refusal {
+	v, ok := s.VMs[c.Label.VM]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no VM %s", c.Label.VM)
+	}
+	if r := beaten(c, "VM "+string(v.Name), v.Changed); r != nil {
+		return r
+	}
+	labels := map[string]string{}
+	for _, key := range sortedKeys(v.Labels) {
+		labels[key] = v.Labels[key]
+	}
+	for _, key := range c.Label.Remove {
+		delete(labels, key)
+	}
+	for _, key := range sortedKeys(c.Label.Set) {
+		if key == LabelVM || key == LabelHall || key == LabelDomain {
+			return refuse(result.ChangeInvalid, "label %s is built in", key)
+		}
+		labels[key] = c.Label.Set[key]
+	}
+	if len(labels) > maxLabels {
+		return refuse(result.ChangeInvalid, "more than %d labels", maxLabels)
+	}
+	v.Labels = labels
+	v.Changed = revision
+	s.recheckMembership(revision, v)
+	return nil
+}
+
+// recheckMembership starts the orderly end of a formation that a member no longer belongs to.
+func (s *State) recheckMembership(revision ident.Revision, v *VM) {
+	g, ok := s.Groups[v.Group]
+	if !ok || !slices.Contains(g.Members, v.Name) {
+		return
+	}
+	if v.Eligible() && g.Spec.FailedRequirement(v) == nil {
+		return
+	}
+	g.Reform = true
+	if !v.Eligible() {
+		s.drain(revision, g)
+	}
+}
+
+func (s *State) drainVM(revision ident.Revision, c *Command) *refusal {
+	v, ok := s.VMs[c.Label.VM]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no VM %s", c.Label.VM)
+	}
+	if r := beaten(c, "VM "+string(v.Name), v.Changed); r != nil {
+		return r
+	}
+	v.Drained = c.Label.Drain
+	v.Changed = revision
+	s.recheckMembership(revision, v)
+	return nil
+}
+
+func (s *State) limits(revision ident.Revision, c *Command) *refusal {
+	l := c.Limits.Limits
+	if l.Weight < 0 || l.Concurrent < 0 || l.RequestsPerSecond < 0 || l.TokensPerSecond < 0 {
+		return refuse(result.ChangeInvalid, "limits cannot be negative")
+	}
+	if r := beaten(c, "the limits of "+string(c.Limits.Customer), s.Limits[c.Limits.Customer].Changed); r != nil {
+		return r
+	}
+	l.Changed = revision
+	s.Limits[c.Limits.Customer] = l
+	return nil
+}
+
+// register takes VMs from the settings or the platform; what operators and groups did with a known VM stays.
+func (s *State) register(vms []VM) *refusal {
+	for i := range vms {
+		in := &vms[i]
+		if !ident.ValidName(string(in.Name)) || in.Accelerators < 1 {
+			return refuse(result.ChangeInvalid, "VM %q has no valid name or no accelerators", in.Name)
+		}
+	}
+	for i := range vms {
+		in := vms[i]
+		if old, ok := s.VMs[in.Name]; ok {
+			old.Address, old.Accelerators, old.Speed, old.ChecksOrders = in.Address, in.Accelerators, in.Speed, in.ChecksOrders
+			old.Hall, old.Domain = in.Hall, in.Domain
+			continue
+		}
+		in.Group, in.Epoch, in.Phase, in.Incarnation = "", 0, VMFree, ""
+		s.VMs[in.Name] = &in
+	}
+	return nil
+}
+
+func (s *State) list(revision ident.Revision, listings []VMListing) *refusal {
+	for _, l := range listings {
+		v, ok := s.VMs[l.VM]
+		if !ok {
+			continue
+		}
+		v.Listing = l.Listing
+		if v.Listing == ListingGone && v.Phase == VMLeaving {
+			v.release()
+		}
+		s.recheckMembership(revision, v)
+	}
+	return nil
+}
+
+func (v *VM) release() {
+	v.Group, v.Epoch, v.Phase, v.Incarnation = "", 0, VMFree, ""
+}
+
+func (s *State) assign(revision ident.Revision, a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base {
+		return refuse(result.ChangeConflict, "group %s is in epoch %d, not %d", a.Group, g.Epoch, a.Base)
+	}
+	if len(a.Members) > 0 {
+		if r := s.checkMembers(g, a.Members); r != nil {
+			return r
+		}
+	}
+	s.moveMembers(revision, g, a.Members)
+	return nil
+}
+
+func (s *State) checkMembers(g *Group, members []ident.VM) *refusal {
+	if g.Deleted {
+		return refuse(result.ChangeRefused, "group %s is being dissolved", g.Spec.Name)
+	}
+	if len(members) != g.Spec.Size {
+		return refuse(result.ChangeRefused, "group %s wants %d VMs, not %d", g.Spec.Name, g.Spec.Size, len(members))
+	}
+	seen := map[ident.VM]bool{}
+	for _, name := range members {
+		if seen[name] {
+			return refuse(result.ChangeRefused, "VM %s stands twice", name)
+		}
+		seen[name] = true
+		if r := s.checkMember(g, name); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *State) checkMember(g *Group, name ident.VM) *refusal {
+	v, ok := s.VMs[name]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no VM %s", name)
+	}
+	if !v.Eligible() {
+		return refuse(result.ChangeRefused, "VM %s is %s or drained", name, v.Listing)
+	}
+	if q := g.Spec.FailedRequirement(v); q != nil {
+		return refuse(result.ChangeRefused, "VM %s does not meet %s", name, q)
+	}
+	if v.Phase == VMFree {
+		return nil
+	}
+	// A VM on its way out of a group's older epoch has not confirmed that; even its own group must wait.
+	if v.Group == g.Spec.Name && v.Epoch == g.Epoch && v.Phase != VMLeaving {
+		return nil
+	}
+	return refuse(result.ChangeRefused, "VM %s is held by group %s in epoch %d (%s)", name, v.Group, v.Epoch, v.Phase)
+}
+
+// moveMembers ends the present epoch: those not kept leave, the others join the next one.
+func (s *State) moveMembers(revision ident.Revision, g *Group, members []ident.VM) {
+	for _, name := range g.Members {
+		if v := s.VMs[name]; !slices.Contains(members, name) {
+			v.Phase = VMLeaving
+			if v.Listing == ListingGone {
+				v.release()
+			}
+		}
+	}
+	g.Epoch = ident.Epoch(revision)
+	g.Members = append([]ident.VM(nil), members...)
+	g.Reform = false
+	g.DrainedFrom = 0
+	for _, name := range members {
+		v := s.VMs[name]
+		v.Group, v.Epoch, v.Phase, v.Incarnation = g.Spec.Name, g.Epoch, VMJoining, ""
+	}
+	if len(members) > 0 {
+		g.Phase = GroupForming
+		return
+	}
+	g.Phase = GroupPending
+	if g.Deleted {
+		delete(s.Groups, g.Spec.Name)
+	}
+}
+
+func (s *State) drainGroup(revision ident.Revision, a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base || g.Phase != GroupServing {
+		return refuse(result.ChangeConflict, "group %s is %s in epoch %d, not serving in %d", a.Group, g.Phase, g.Epoch, a.Base)
+	}
+	s.drain(revision, g)
+	return nil
+}
+
+// breakGroup remembers for good that the present epoch has lost a member.
+func (s *State) breakGroup(a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base || g.Phase == GroupPending {
+		return refuse(result.ChangeConflict, "group %s is %s in epoch %d, not formed in %d", a.Group, g.Phase, g.Epoch, a.Base)
+	}
+	g.Phase = GroupBroken
+	return nil
+}
+
+func (s *State) confirm(confirms []Confirm) *refusal {
+	for _, c := range confirms {
+		v, ok := s.VMs[c.VM]
+		if !ok || v.Epoch != c.Epoch {
+			continue
+		}
+		switch {
+		case c.Left && v.Phase == VMLeaving:
+			v.release()
+		case !c.Left && v.Phase == VMJoining:
+			v.Phase = VMJoined
+			v.Incarnation = c.Incarnation
+			s.completeFormation(v.Group)
+		}
+	}
+	return nil
+}
+
+func (s *State) completeFormation(name ident.Group) {
+	g, ok := s.Groups[name]
+	if !ok || g.Phase != GroupForming {
+		return
+	}
+	for _, member := range g.Members {
+		if v := s.VMs[member]; v.Phase != VMJoined || v.Epoch != g.Epoch {
+			return
+		}
+	}
+	g.Phase = GroupServing
+}
--- /dev/null
+++ b/fleet/command.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// Kind says which field of a Command counts.
+type Kind uint8
+
+// The kinds of commands: operators' changes first, then control's own.
+const (
+	KindCreateGroup Kind = iota + 1
+	KindChangeGroup
+	KindDeleteGroup
+	KindLabelVM
+	KindDrainVM
+	KindLimits
+	KindRegister
+	KindListing
+	KindAssign
+	KindDrainGroup
+	KindConfirm
+	KindBreakGroup
+)
+
+// Command is one entry of the replicated log; Kind says which of the pointers is set.
+type Command struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// Change, By and At (milliseconds since 1970) come with an operator's change.
+	Change ident.Change `cbor:"2,keyasint,omitempty"`
+	By     string       `cbor:"3,keyasint,omitempty"`
+	At     int64        `cbor:"4,keyasint,omitempty"`
+	// IfRevision refuses the change when the object changed after that revision; zero does not ask.
+	IfRevision ident.Revision `cbor:"5,keyasint,omitempty"`
+
+	Spec     *GroupSpec   `cbor:"6,keyasint,omitempty"`
+	Group    ident.Group  `cbor:"7,keyasint,omitempty"`
+	Label    *LabelChange `cbor:"8,keyasint,omitempty"`
+	Limits   *LimitChange `cbor:"9,keyasint,omitempty"`
+	VMs      []VM         `cbor:"10,keyasint,omitempty"`
+	Listings []VMListing  `cbor:"11,keyasint,omitempty"`
+	Assign   *Assign      `cbor:"12,keyasint,omitempty"`
+	Confirms []Confirm    `cbor:"13,keyasint,omitempty"`
+}
+
+// LabelChange sets and removes labels of one VM, or with Drain set says whether it is to be left alone.
+type LabelChange struct {
+	VM     ident.VM          `cbor:"1,keyasint"`
+	Set    map[string]string `cbor:"2,keyasint,omitempty"`
+	Remove []string          `cbor:"3,keyasint,omitempty"`
+	Drain  bool              `cbor:"4,keyasint,omitempty"`
+}
+
+// LimitChange replaces the limits of one customer.
+type LimitChange struct {
+	Customer ident.Customer `cbor:"1,keyasint"`
+	Limits   CustomerLimits `cbor:"2,keyasint"`
+}
+
+// VMListing is what is said of one VM's stay.
+type VMListing struct {
+	VM      ident.VM `cbor:"1,keyasint"`
+	Listing Listing  `cbor:"2,keyasint"`
+}
+
+// Assign forms Group anew with Members, rank 0 first; no members returns it to pending. Base is the epoch that the decision was made on.
+type Assign struct {
+	Group   ident.Group `cbor:"1,keyasint"`
+	Base    ident.Epoch `cbor:"2,keyasint"`
+	Members []ident.VM  `cbor:"3,keyasint,omitempty"`
+	Reason  string      `cbor:"4,keyasint,omitempty"`
+}
+
+// Confirm is an engine's answer to an order: it joined as Incarnation, or with Left set it left.
+type Confirm struct {
+	VM          ident.VM          `cbor:"1,keyasint"`
+	Epoch       ident.Epoch       `cbor:"2,keyasint"`
+	Incarnation ident.Incarnation `cbor:"3,keyasint,omitempty"`
+	Left        bool              `cbor:"4,keyasint,omitempty"`
+}
+
+// Answer is the outcome of a command, the same on every member and for every resend.
+type Answer struct {
+	Revision ident.Revision `cbor:"1,keyasint" json:"revision"`
+	Code     result.Code    `cbor:"2,keyasint,omitempty" json:"code,omitempty"`
+	Text     string         `cbor:"3,keyasint,omitempty" json:"text,omitempty"`
+}
+
+// Err returns the refusal as an error, or nil when the command was accepted.
+func (a Answer) Err() error {
+	if a.Code == result.OK {
+		return nil
+	}
+	return result.New(a.Code, "%s", a.Text)
+}
+
+var encoding = mustEncoding()
+
+// mustEncoding returns the deterministic form: sorted keys and shortest numbers.
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the log form of c.
+func Encode(c *Command) ([]byte, error) {
+	return encoding.Marshal(c)
+}
+
+// Decode reads the log form of a command.
+func Decode(data []byte) (*Command, error) {
+	c := &Command{}
+	if err := cbor.Unmarshal(data, c); err != nil {
+		return nil, result.Wrap(err, result.ChangeInvalid, "a command cannot be decoded")
+	}
+	return c, nil
+}
+
+// digest tells a resend from another change that reuses its id; the time of sending does not count.
+func (c *Command) digest() uint64 {
+	same := *c
+	same.At = 0
+	data, err := encoding.Marshal(&same)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
+// What describes the command in a few words for the history.
+func (c *Command) What() string {
+	switch c.Kind {
+	case KindCreateGroup:
+		return fmt.Sprintf("create group %s", c.Spec.Name)
+	case KindChangeGroup:
+		return fmt.Sprintf("change group %s", c.Spec.Name)
+	case KindDeleteGroup:
+		return fmt.Sprintf("delete group %s", c.Group)
+	case KindLabelVM:
+		return fmt.Sprintf("label vm %s%s", c.Label.VM, c.Label.describe())
+	case KindDrainVM:
+		return fmt.Sprintf("drain vm %s: %t", c.Label.VM, c.Label.Drain)
+	case KindLimits:
+		return fmt.Sprintf("limits of %s", c.Limits.Customer)
+	}
+	return fmt.Sprintf("command %d", c.Kind)
+}
+
+func (l *LabelChange) describe() string {
+	var b strings.Builder
+	for _, key := range sortedKeys(l.Set) {
+		fmt.Fprintf(&b, " %s=%s", key, l.Set[key])
+	}
+	for _, key := range l.Remove {
+		fmt.Fprintf(&b, " -%s", key)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/fleet/machine.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"sync"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// Entry is one applied command as daemons pass it on.
+type Entry struct {
+	Revision ident.Revision
+	Data     []byte
+}
+
+// feedLength is how many applied commands a machine keeps for daemons that follow it.
+const feedLength = 8192
+
+// Machine guards a State and keeps the newest commands for followers; it only moves forward.
+type Machine struct {
+	mu    sync.RWMutex
+	state *State
+	feed  []Entry
+	// feedAfter is the revision after which feed is complete.
+	feedAfter ident.Revision
+	changed   chan struct{}
+}
+
+// NewMachine returns a machine with the empty state.
+func NewMachine() *Machine {
+	return &Machine{state: NewState(), changed: make(chan struct{})}
+}
+
+// Apply executes one command of the log and returns its Answer; a revision that was applied before is ignored.
+func (m *Machine) Apply(revision ident.Revision, data []byte) Answer {
+	c, err := Decode(data)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.state.Revision {
+		return Answer{Revision: m.state.Revision}
+	}
+	m.keep(Entry{revision, data})
+	if err != nil {
+		m.state.Revision = revision
+		return Answer{Revision: revision, Code: result.ChangeInvalid, Text: result.Message(err)}
+	}
+	return m.state.Apply(revision, c)
+}
+
+func (m *Machine) keep(e Entry) {
+	m.feed = append(m.feed, e)
+	if len(m.feed) >= 2*feedLength {
+		m.feedAfter = m.feed[feedLength-1].Revision
+		m.feed = append([]Entry(nil), m.feed[feedLength:]...)
+	}
+}
+
+// Notify wakes everyone who waits for changes.
+func (m *Machine) Notify() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next Notify.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Revision returns the newest applied revision.
+func (m *Machine) Revision() ident.Revision {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Revision
+}
+
+// Read calls fn with the state, which fn must neither change nor keep.
+func (m *Machine) Read(fn func(s *State)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	fn(m.state)
+}
+
+// Snapshot returns the encoded state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Marshal()
+}
+
+// Restore replaces the state by a snapshot taken at revision, unless the machine is further already.
+func (m *Machine) Restore(revision ident.Revision, data []byte) error {
+	s, err := UnmarshalState(data)
+	if err != nil {
+		return err
+	}
+	s.Revision = max(s.Revision, revision)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.Revision < m.state.Revision {
+		return nil
+	}
+	m.state = s
+	m.feed = nil
+	m.feedAfter = s.Revision
+	return nil
+}
+
+// Since returns the commands after revision, at most limit of them, or ok false when they are no longer kept and a snapshot is needed.
+func (m *Machine) Since(revision ident.Revision, limit int) (entries []Entry, ok bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if revision >= m.state.Revision {
+		return nil, true
+	}
+	if revision < m.feedAfter {
+		return nil, false
+	}
+	i := len(m.feed)
+	for i > 0 && m.feed[i-1].Revision > revision {
+		i--
+	}
+	entries = m.feed[i:]
+	return append([]Entry(nil), entries[:min(limit, len(entries))]...), true
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// historyLength bounds the remembered changes; it covers a day at 18,000 changes.
+const historyLength = 20_000
+
+const stateFormat = 1
+
+// State is everything the log has decided; a copy of the log gives an equal State on every daemon.
+type State struct {
+	Format   int                               `cbor:"1,keyasint"`
+	Revision ident.Revision                    `cbor:"2,keyasint"`
+	VMs      map[ident.VM]*VM                  `cbor:"3,keyasint"`
+	Groups   map[ident.Group]*Group            `cbor:"4,keyasint"`
+	Limits   map[ident.Customer]CustomerLimits `cbor:"5,keyasint"`
+	History  []HistoryEntry                    `cbor:"6,keyasint"`
+
+	byChange map[ident.Change]int
+	// dropped counts history entries that were forgotten, so that positions stay valid.
+	dropped int
+}
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{
+		Format:   stateFormat,
+		VMs:      map[ident.VM]*VM{},
+		Groups:   map[ident.Group]*Group{},
+		Limits:   map[ident.Customer]CustomerLimits{},
+		byChange: map[ident.Change]int{},
+	}
+}
+
+// Marshal returns the deterministic encoding of the state.
+func (s *State) Marshal() ([]byte, error) {
+	return encoding.Marshal(s)
+}
+
+// UnmarshalState reads what Marshal wrote; no bytes give the empty state.
+func UnmarshalState(data []byte) (*State, error) {
+	s := NewState()
+	if len(data) == 0 {
+		return s, nil
+	}
+	if err := cbor.Unmarshal(data, s); err != nil {
+		return nil, result.Wrap(err, result.StorageDamaged, "the fleet's state cannot be decoded")
+	}
+	if s.Format > stateFormat {
+		return nil, result.New(result.FormatTooNew, "state format %d is newer than %d", s.Format, stateFormat)
+	}
+	for i := range s.History {
+		s.byChange[s.History[i].Change] = i
+	}
+	return s, nil
+}
+
+// SortedVMs returns the VMs by name.
+func (s *State) SortedVMs() []*VM {
+	return sortedValues(s.VMs)
+}
+
+// SortedGroups returns the groups by name.
+func (s *State) SortedGroups() []*Group {
+	return sortedValues(s.Groups)
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
+	values := make([]V, 0, len(m))
+	for _, key := range sortedKeys(m) {
+		values = append(values, m[key])
+	}
+	return values
+}
+
+func (s *State) remembered(id ident.Change) (*HistoryEntry, bool) {
+	i, ok := s.byChange[id]
+	if !ok {
+		return nil, false
+	}
+	return &s.History[i-s.dropped], true
+}
+
+func (s *State) remember(h HistoryEntry) {
+	s.byChange[h.Change] = s.dropped + len(s.History)
+	s.History = append(s.History, h)
+	if len(s.History) < 2*historyLength {
+		return
+	}
+	// Forgetting half at once keeps the cost of one change constant.
+	for i := range s.History[:historyLength] {
+		delete(s.byChange, s.History[i].Change)
+	}
+	s.History = append([]HistoryEntry(nil), s.History[historyLength:]...)
+	s.dropped += historyLength
+}
+
+// Clone returns a copy of VMs, groups and limits that later commands do not change; history is left out.
+func (s *State) Clone() *State {
+	c := &State{
+		Format: s.Format, Revision: s.Revision,
+		VMs: make(map[ident.VM]*VM, len(s.VMs)), Groups: make(map[ident.Group]*Group, len(s.Groups)),
+		Limits: maps.Clone(s.Limits),
+	}
+	for name, v := range s.VMs {
+		copied := *v
+		c.VMs[name] = &copied
+	}
+	for name, g := range s.Groups {
+		copied := *g
+		c.Groups[name] = &copied
+	}
+	return c
+}
--- /dev/null
+++ b/fleet/types.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Listing is what the platform, the engine itself or an operator says of a VM's stay.
+type Listing uint8
+
+// The listings.
+const (
+	ListingLive Listing = iota
+	ListingLeaving
+	ListingGone
+)
+
+// String returns the listing in kebab case.
+func (l Listing) String() string {
+	return [...]string{"live", "leaving", "gone"}[l]
+}
+
+// VMPhase is a VM's place between groups.
+type VMPhase uint8
+
+// The phases of a VM; only a free VM may be assigned to another group.
+const (
+	VMFree VMPhase = iota
+	VMJoining
+	VMJoined
+	VMLeaving
+)
+
+// String returns the phase in kebab case.
+func (p VMPhase) String() string {
+	return [...]string{"free", "joining", "joined", "leaving"}[p]
+}
+
+// GroupPhase is a group's place in its life.
+type GroupPhase uint8
+
+// The phases of a group; requests go to serving groups only. A broken group lost a member
+// and serves again only in a new epoch, even when the member returns as if nothing had happened.
+const (
+	GroupPending GroupPhase = iota
+	GroupForming
+	GroupServing
+	GroupDraining
+	GroupBroken
+)
+
+// String returns the phase in kebab case.
+func (p GroupPhase) String() string {
+	return [...]string{"pending", "forming", "serving", "draining", "broken"}[p]
+}
+
+// VM is one machine with an engine: what it is, what is said of it and which group holds it.
+type VM struct {
+	Name         ident.VM           `cbor:"1,keyasint" json:"name"`
+	Address      string             `cbor:"2,keyasint" json:"address"`
+	Hall         ident.Hall         `cbor:"3,keyasint" json:"hall"`
+	Domain       ident.Domain       `cbor:"4,keyasint" json:"domain"`
+	Accelerators ident.Accelerators `cbor:"5,keyasint" json:"accelerators"`
+	// Speed is relative; a replica is as slow as its slowest member.
+	Speed        float64           `cbor:"6,keyasint" json:"speed"`
+	ChecksOrders bool              `cbor:"7,keyasint" json:"checks-orders"`
+	Labels       map[string]string `cbor:"8,keyasint,omitempty" json:"labels,omitempty"`
+
+	Listing Listing `cbor:"9,keyasint" json:"-"`
+	// Drained is an operator's word that the VM is to be left alone.
+	Drained bool `cbor:"10,keyasint" json:"drained"`
+
+	Group       ident.Group       `cbor:"11,keyasint" json:"group,omitempty"`
+	Epoch       ident.Epoch       `cbor:"12,keyasint" json:"epoch,omitempty"`
+	Phase       VMPhase           `cbor:"13,keyasint" json:"-"`
+	Incarnation ident.Incarnation `cbor:"14,keyasint" json:"incarnation,omitempty"`
+
+	// Changed is the revision of the last operator's change.
+	Changed ident.Revision `cbor:"15,keyasint" json:"changed"`
+}
+
+// Eligible reports whether the VM may be a member of a group at all.
+func (v *VM) Eligible() bool {
+	return v.Listing == ListingLive && !v.Drained
+}
+
+// GroupSpec is what an operator declares of one group: one replica of Model on Size VMs that Selector admits.
+type GroupSpec struct {
+	Name     ident.Group   `cbor:"1,keyasint" json:"name"`
+	Model    ident.Model   `cbor:"2,keyasint" json:"model"`
+	Version  string        `cbor:"3,keyasint,omitempty" json:"version,omitempty"`
+	Adapters []string      `cbor:"4,keyasint,omitempty" json:"adapters,omitempty"`
+	Size     int           `cbor:"5,keyasint" json:"size"`
+	Selector []Requirement `cbor:"6,keyasint,omitempty" json:"selector,omitempty"`
+	// Priority orders groups that want the same VMs; 0 comes first.
+	Priority int `cbor:"7,keyasint" json:"priority"`
+	// OneDomain forbids a replica across fabric domains even when it would otherwise not form.
+	OneDomain bool `cbor:"8,keyasint" json:"one-domain"`
+}
+
+// Group is one declared group and its present formation.
+type Group struct {
+	Spec GroupSpec `cbor:"1,keyasint" json:"spec"`
+	// Generation is the revision of creation; a deleted name recreated has another.
+	Generation ident.Revision `cbor:"2,keyasint" json:"generation"`
+	Changed    ident.Revision `cbor:"3,keyasint" json:"changed"`
+	Epoch      ident.Epoch    `cbor:"4,keyasint" json:"epoch"`
+	Phase      GroupPhase     `cbor:"5,keyasint" json:"-"`
+	Members    []ident.VM     `cbor:"6,keyasint,omitempty" json:"members"`
+	// Reform is set when the declared load differs from the one the members were formed with.
+	Reform  bool `cbor:"7,keyasint" json:"reform"`
+	Deleted bool `cbor:"8,keyasint" json:"deleted"`
+	// DrainedFrom is the revision at which draining began.
+	DrainedFrom ident.Revision `cbor:"9,keyasint" json:"drained-from,omitempty"`
+}
+
+// CustomerLimits bounds one customer over all daemons; zero means no bound.
+type CustomerLimits struct {
+	Weight            float64        `cbor:"1,keyasint" json:"weight"`
+	Concurrent        int            `cbor:"2,keyasint" json:"concurrent"`
+	RequestsPerSecond float64        `cbor:"3,keyasint" json:"requests-per-second"`
+	TokensPerSecond   float64        `cbor:"4,keyasint" json:"tokens-per-second"`
+	Changed           ident.Revision `cbor:"5,keyasint" json:"changed"`
+}
+
+// HistoryEntry is one operator's change and its answer.
+type HistoryEntry struct {
+	Change   ident.Change   `cbor:"1,keyasint" json:"change"`
+	Revision ident.Revision `cbor:"2,keyasint" json:"revision"`
+	By       string         `cbor:"3,keyasint" json:"by"`
+	// At is the proposer's clock in milliseconds since 1970.
+	At     int64  `cbor:"4,keyasint" json:"at"`
+	What   string `cbor:"5,keyasint" json:"what"`
+	Digest uint64 `cbor:"6,keyasint" json:"-"`
+	Answer Answer `cbor:"7,keyasint" json:"answer"`
+}
--- /dev/null
+++ b/keys/doc.go
@@ -0,0 +1,2 @@
+// Package keys makes and recognises the secret keys of customers and operators.
+package keys
--- /dev/null
+++ b/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger remembers not-repeatable requests, so that each runs at most once however often it is sent.
+package ledger
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/rpc"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/park"
+	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+const (
+	dialTimeout    = time.Second
+	deliverTimeout = 2 * time.Second
+	queueLength    = 256
+	maxDeliver     = 64
+)
+
+// Client calls one other daemon over a connection that it opens when needed; exported fields are set before Run.
+type Client struct {
+	Address string
+	// Dial opens a connection; tests and the demo replace it to cut daemons off.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	tasks *park.Group
+	queue chan quorum.Message
+	sent  atomic.Int64
+	got   atomic.Int64
+
+	mu  sync.Mutex
+	rpc *rpc.Client
+}
+
+// NewClient returns a client of the daemon at address; cfg nil means no TLS.
+func NewClient(address string, cfg *tls.Config) *Client {
+	c := &Client{Address: address, tasks: park.New(), queue: make(chan quorum.Message, queueLength)}
+	c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		if cfg == nil {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+		return (&tls.Dialer{NetDialer: dialer, Config: cfg}).DialContext(ctx, "tcp", address)
+	}
+	c.tasks.Go(func(ctx context.Context) { c.deliverLoop(ctx) })
+	return c
+}
+
+// Run sends queued log messages until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.tasks.Run(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		c.rpc.Close()
+	}
+}
+
+// Bytes returns how many bytes were sent to and received from the peer by this client.
+func (c *Client) Bytes() (sent, received int64) {
+	return c.sent.Load(), c.got.Load()
+}
+
+// Enqueue hands over a log message; when the queue is full it is dropped, as a network may.
+func (c *Client) Enqueue(m *quorum.Message) {
+	select {
+	case c.queue <- *m:
+	default:
+	}
+}
+
+// deliverLoop has one call on its way at a time, which keeps messages in order and gathers those that come meanwhile.
+func (c *Client) deliverLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.queue:
+			call := &DeliverCall{Messages: c.gather(m)}
+			_ = c.call(ctx, deliverTimeout, "Deliver", call, &Nothing{})
+		}
+	}
+}
+
+func (c *Client) gather(first quorum.Message) []quorum.Message {
+	messages := []quorum.Message{first}
+	for len(messages) < maxDeliver {
+		select {
+		case m := <-c.queue:
+			messages = append(messages, m)
+		default:
+			return messages
+		}
+	}
+	return messages
+}
+
+// Beat tells the peer how this daemon is.
+func (c *Client) Beat(ctx context.Context, timeout time.Duration, b *Beat) (reply BeatReply, err error) {
+	err = c.call(ctx, timeout, "Beat", b, &reply)
+	return reply, err
+}
+
+// Follow waits for commands after a revision.
+func (c *Client) Follow(ctx context.Context, timeout time.Duration, call *FollowCall) (reply FollowReply, err error) {
+	err = c.call(ctx, timeout, "Follow", call, &reply)
+	return reply, err
+}
+
+// Propose forwards a command to the peer.
+func (c *Client) Propose(ctx context.Context, timeout time.Duration, call *ProposeCall) (reply ProposeReply, err error) {
+	err = c.call(ctx, timeout, "Propose", call, &reply)
+	return reply, err
+}
+
+// Hello asks a control member who it is.
+func (c *Client) Hello(ctx context.Context, timeout time.Duration) (reply HelloReply, err error) {
+	err = c.call(ctx, timeout, "Hello", &Nothing{}, &reply)
+	return reply, err
+}
+
+// Admit asks the leader of an instance to take a member with a new data folder.
+func (c *Client) Admit(ctx context.Context, timeout time.Duration, call *AdmitCall) (reply AdmitReply, err error) {
+	err = c.call(ctx, timeout, "Admit", call, &reply)
+	return reply, err
+}
+
+// call makes one call; after a failure of the connection the next call opens another one.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return result.Wrap(err, result.DaemonUnreached, "daemon at %s cannot be reached", c.Address)
+	}
+	pending := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case done := <-pending.Done:
+		return c.outcome(conn, done.Error)
+	case <-ctx.Done():
+		// The reply may still arrive and must not be written while the caller reads; the connection is given up.
+		c.drop(conn)
+		<-pending.Done
+		return result.Wrap(ctx.Err(), result.DaemonUnreached, "daemon at %s did not answer in time", c.Address)
+	}
+}
+
+func (c *Client) outcome(conn *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	if _, ok := err.(rpc.ServerError); ok { //nolint:errorlint // net/rpc returns this type itself
+		return result.Wrap(err, result.PeerRefused, "daemon at %s refused", c.Address)
+	}
+	c.drop(conn)
+	return result.Wrap(err, result.DaemonUnreached, "connection to daemon at %s broke", c.Address)
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		return c.rpc, nil
+	}
+	conn, err := c.Dial(ctx, c.Address)
+	if err != nil {
+		return nil, err
+	}
+	c.rpc = rpc.NewClient(&countedConn{conn, c})
+	return c.rpc, nil
+}
+
+func (c *Client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.Close()
+	if c.rpc == conn {
+		c.rpc = nil
+	}
+}
+
+// countedConn counts bytes for the daemon's metrics.
+type countedConn struct {
+	net.Conn
+	client *Client
+}
+
+// Read counts what arrives.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.client.got.Add(int64(n))
+	return n, err
+}
+
+// Write counts what leaves.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.client.sent.Add(int64(n))
+	return n, err
+}
+
+// TLS returns the configuration for mutual TLS from PEM files, or nil when there are none.
+func TLS(cfg *settings.TLS) (*tls.Config, error) {
+	if cfg == nil {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(cfg.Certificate, cfg.Key)
+	if err != nil {
+		return nil, result.Wrap(err, result.SettingsValue, "tls certificate and key cannot be loaded")
+	}
+	pem, err := os.ReadFile(cfg.Authority)
+	if err != nil {
+		return nil, result.Wrap(err, result.SettingsValue, "tls authority cannot be read")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, result.New(result.SettingsValue, "tls authority %s holds no certificate", cfg.Authority)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/planner/fit.go
@@ -0,0 +1,72 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+)
+
+// Fit says why a VM can or cannot join a group now; planning and explain share it.
+type Fit uint8
+
+// The reasons, of which only FitYes lets a VM join.
+const (
+	FitYes Fit = iota
+	FitHeld
+	FitLeavingGroup
+	FitListed
+	FitDrained
+	FitAbsent
+	FitFlapping
+	FitSelector
+)
+
+// String returns the reason in words.
+func (f Fit) String() string {
+	return [...]string{
+		"fits", "held by a group", "leaving its last group", "leaving the platform", "drained by an operator",
+		"absent", "flapping", "selector",
+	}[f]
+}
+
+const (
+	flapBase  = 5 * time.Second
+	flapLimit = 5 * time.Minute
+	flapShift = 6
+)
+
+// steadyFor is how long a VM must have been there before it is used again, doubled by each recent loss.
+func steadyFor(flaps int) time.Duration {
+	if flaps < 2 {
+		return 0
+	}
+	return min(flapBase<<min(flaps, flapShift), flapLimit)
+}
+
+// free says whether VM i could be given to any group at all.
+func (w *World) free(i int) Fit {
+	v := &w.VMs[i]
+	switch {
+	case v.Listing != fleet.ListingLive:
+		return FitListed
+	case v.Drained:
+		return FitDrained
+	case v.Phase == fleet.VMLeaving:
+		return FitLeavingGroup
+	case v.Phase != fleet.VMFree:
+		return FitHeld
+	case v.Condition != ConditionPresent:
+		return FitAbsent
+	case v.Stable < steadyFor(v.Flaps):
+		return FitFlapping
+	}
+	return FitYes
+}
+
+// fit says whether VM i can join a group of that spec.
+func (w *World) fit(spec *fleet.GroupSpec, i int) Fit {
+	if spec.FailedRequirement(w.VMs[i].VM) != nil {
+		return FitSelector
+	}
+	return w.free(i)
+}
--- /dev/null
+++ b/planner/plan.go
@@ -0,0 +1,405 @@
+package planner
+
+// Plan compares what is declared with what is there and returns the next
+// actions. It keeps no state: what it wants next follows from the log and from
+// presence, so a new leader continues where the last one stopped.
+//
+// The order of work is what lowers downtime most for each load of weights:
+// groups that lost a member before groups that never formed, important groups
+// before others, small loads before large ones, and no more loads at a time
+// than the weight store can feed. Within that order each group takes the VMs
+// that hurt the rest least: its own members, a spare of its own domain, a
+// domain that it fills to the brim, and only then several domains.
+//
+// Spares are never held back from a declared group: a group that waits so that
+// another may be repaired later is down for certain, the other one only
+// perhaps. What the weights decide is how long a broken group without a spare
+// waits for its lost VM before its other VMs are given to a group that they
+// would complete, and whether moving a split replica home is worth a reload.
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Policy holds the weights of a deployment and what the planner must know of its times.
+type Policy struct {
+	// Downtime weighs a second of one group's downtime, Stranded a second of one stranded accelerator.
+	Downtime float64
+	Stranded float64
+	// ConcurrentLoads is how many VMs may load weights at once.
+	ConcurrentLoads int
+	// LoadTime is how long one load takes.
+	LoadTime time.Duration
+	// ReturnTime is how long a restarted VM is usually away.
+	ReturnTime time.Duration
+	// SplitLoss is the share of its speed that a replica across domains loses.
+	SplitLoss float64
+	// Horizon is how long a move home has to pay for itself.
+	Horizon time.Duration
+}
+
+// DefaultPolicy returns even weights and times that suit a replica of some hundred gigabytes.
+func DefaultPolicy() Policy {
+	return Policy{
+		Downtime: 1, Stranded: 1, ConcurrentLoads: 16,
+		LoadTime: time.Minute, ReturnTime: 2 * time.Minute, SplitLoss: 0.4, Horizon: 30 * time.Minute,
+	}
+}
+
+// ActionKind says what an action does.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	ActionAssign ActionKind = iota + 1
+	ActionDrain
+	ActionBreak
+)
+
+// Action is one command for the log, decided on epoch Base; an assignment without members releases them.
+type Action struct {
+	Kind    ActionKind
+	Group   ident.Group
+	Base    ident.Epoch
+	Members []ident.VM
+	Reason  string
+}
+
+type plan struct {
+	world   *World
+	policy  Policy
+	taken   []bool
+	version []int
+	freeIDs []int
+	scanned bool
+	pools   map[string]*pool
+	loads   int
+	actions []Action
+	short   []int // groups that lost members and found no replacement
+	unmet   []int // pending groups that found no single domain
+}
+
+// Plan returns the next actions for w under policy; equal inputs give equal actions.
+func Plan(w *World, policy Policy) []Action {
+	p := &plan{world: w, policy: policy, taken: make([]bool, len(w.VMs)), version: make([]int, len(w.domains)), pools: map[string]*pool{}}
+	p.loads = policy.ConcurrentLoads - p.loading()
+	for _, g := range p.order() {
+		p.decide(g)
+	}
+	for _, g := range p.unmet {
+		p.formSplit(g)
+	}
+	p.consolidate()
+	p.moveHome()
+	return p.actions
+}
+
+func (p *plan) loading() int {
+	n := 0
+	for i := range p.world.VMs {
+		if p.world.VMs[i].Phase == fleet.VMJoining {
+			n++
+		}
+	}
+	return n
+}
+
+// order returns the groups that need a decision, the most useful first.
+func (p *plan) order() []int {
+	var order []int
+	for i := range p.world.Groups {
+		if p.idle(&p.world.Groups[i]) {
+			continue
+		}
+		order = append(order, i)
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		return p.before(&p.world.Groups[order[a]], &p.world.Groups[order[b]])
+	})
+	return order
+}
+
+// idle is true for the many groups about which nothing has to be decided.
+func (p *plan) idle(g *Group) bool {
+	return !g.Deleted && !g.Reform && (g.Phase == fleet.GroupServing || g.Phase == fleet.GroupForming) && p.world.sound(g)
+}
+
+func (p *plan) before(a, b *Group) bool {
+	if a.Spec.Priority != b.Spec.Priority {
+		return a.Spec.Priority < b.Spec.Priority
+	}
+	if x, y := a.Phase != fleet.GroupPending, b.Phase != fleet.GroupPending; x != y {
+		return x
+	}
+	return a.Spec.Size < b.Spec.Size
+}
+
+func (p *plan) decide(i int) {
+	g := &p.world.Groups[i]
+	sound := p.world.sound(g)
+	switch {
+	case g.Deleted:
+		if g.Phase != fleet.GroupDraining || g.Drained || !sound {
+			p.assign(g, nil, "dissolved")
+		}
+	case g.Phase == fleet.GroupPending:
+		p.form(i, g)
+	case g.Phase == fleet.GroupServing && sound:
+		p.act(Action{Kind: ActionDrain, Group: g.Spec.Name, Base: g.Epoch, Reason: "declared load or members changed"})
+	case g.Phase == fleet.GroupDraining && !g.Drained && sound:
+	case g.Phase == fleet.GroupDraining || g.Reform:
+		p.reform(i, g)
+	default:
+		p.repair(i, g)
+	}
+}
+
+func (p *plan) act(a Action) {
+	p.actions = append(p.actions, a)
+}
+
+func (p *plan) assign(g *Group, members []int, reason string) {
+	for _, i := range members {
+		if !p.taken[i] {
+			p.taken[i] = true
+			p.version[p.world.VMs[i].domain]++
+		}
+	}
+	p.act(Action{Kind: ActionAssign, Group: g.Spec.Name, Base: g.Epoch, Members: p.world.names(members), Reason: reason})
+}
+
+// mayLoad takes n loads from what the weight store can feed; one group is always let through.
+func (p *plan) mayLoad(n int) bool {
+	if n > p.loads && p.loads < p.policy.ConcurrentLoads {
+		return false
+	}
+	p.loads -= n
+	return true
+}
+
+// freeVMs lists the VMs that any group could take, found at the first need and not for a plan without one.
+func (p *plan) freeVMs() []int {
+	if !p.scanned {
+		p.scanned = true
+		for i := range p.world.VMs {
+			if p.world.free(i) == FitYes {
+				p.freeIDs = append(p.freeIDs, i)
+			}
+		}
+	}
+	return p.freeIDs
+}
+
+func (p *plan) pool(spec *fleet.GroupSpec) *pool {
+	key := selectorKey(spec)
+	pl := p.pools[key]
+	if pl == nil {
+		pl = newPool(p, spec)
+		p.pools[key] = pl
+	}
+	return pl
+}
+
+func (p *plan) form(i int, g *Group) {
+	members := p.pool(&g.Spec).oneDomain(g.Spec.Size)
+	if members == nil {
+		p.unmet = append(p.unmet, i)
+		return
+	}
+	if p.mayLoad(len(members)) {
+		p.assign(g, members, "formed in one domain")
+	}
+}
+
+// formSplit is tried after every group that fits one domain has had its choice.
+func (p *plan) formSplit(i int) {
+	g := &p.world.Groups[i]
+	if g.Spec.OneDomain {
+		return
+	}
+	members := p.pool(&g.Spec).manyDomains(g.Spec.Size)
+	if members != nil && p.mayLoad(len(members)) {
+		p.assign(g, members, "formed across domains")
+	}
+}
+
+// repair keeps the members that are there and looks for as many more as are lost.
+func (p *plan) repair(i int, g *Group) {
+	kept := p.world.kept(g)
+	missing := g.Spec.Size - len(kept)
+	if missing == 0 {
+		p.assign(g, kept, "member restarted")
+		return
+	}
+	if len(kept) == 0 {
+		p.replaceAll(i, g)
+		return
+	}
+	more := p.pool(&g.Spec).beside(kept, missing, g.Spec.OneDomain)
+	if more == nil {
+		p.wait(i, g)
+		return
+	}
+	p.loads -= missing
+	p.assign(g, append(kept, more...), "lost member replaced")
+}
+
+// replaceAll forms the group elsewhere when its whole domain is dark.
+func (p *plan) replaceAll(i int, g *Group) {
+	pl := p.pool(&g.Spec)
+	members := pl.oneDomain(g.Spec.Size)
+	if members == nil && !g.Spec.OneDomain {
+		members = pl.manyDomains(g.Spec.Size)
+	}
+	if members == nil {
+		p.wait(i, g)
+		return
+	}
+	if p.mayLoad(len(members)) {
+		p.assign(g, members, "all members lost, formed elsewhere")
+		return
+	}
+	p.wait(i, g)
+}
+
+// wait leaves a broken group as it is until a VM is there for it. That it broke goes into the log,
+// so that no later leader takes a member's return for an undisturbed formation.
+func (p *plan) wait(i int, g *Group) {
+	p.short = append(p.short, i)
+	if g.Phase != fleet.GroupBroken {
+		p.act(Action{Kind: ActionBreak, Group: g.Spec.Name, Base: g.Epoch, Reason: "member lost and no VM to replace it"})
+	}
+}
+
+// reform chooses members anew after a drain: the same ones if they still are the right ones and lie together.
+func (p *plan) reform(i int, g *Group) {
+	kept := p.world.kept(g)
+	same := len(kept) == g.Spec.Size
+	if same && !p.world.split(kept) {
+		p.assign(g, kept, "reloaded in place")
+		return
+	}
+	if home := p.homeFor(g, kept); home != nil {
+		p.assign(g, home, "moved into one domain")
+		return
+	}
+	switch {
+	case same:
+		p.assign(g, kept, "reloaded in place")
+	case len(kept) > g.Spec.Size:
+		p.assign(g, kept[:g.Spec.Size], "made smaller")
+	default:
+		p.repair(i, g)
+	}
+}
+
+// homeFor returns a full set of VMs in one domain, own members included, or nil.
+func (p *plan) homeFor(g *Group, kept []int) []int {
+	pl := p.pool(&g.Spec)
+	own := map[int][]int{}
+	for _, i := range kept {
+		own[p.world.VMs[i].domain] = append(own[p.world.VMs[i].domain], i)
+	}
+	var best []int
+	bestOwn := -1
+	for _, d := range pl.domains {
+		pl.refresh(d)
+		mine := own[d.index]
+		if len(mine)+len(d.members) < g.Spec.Size || len(mine) <= bestOwn {
+			continue
+		}
+		set := slices.Concat(mine, d.members)
+		best, bestOwn = set[:g.Spec.Size], len(mine)
+	}
+	return best
+}
+
+// patience is how long a broken group without a spare waits for its lost VM. A VM that restarts is back after
+// ReturnTime, a failed one much later; the more downtime weighs, the sooner its other VMs help another group.
+func (p *plan) patience() time.Duration {
+	total := p.policy.Downtime + p.policy.Stranded
+	if total == 0 {
+		return p.policy.ReturnTime
+	}
+	return time.Duration(float64(p.policy.ReturnTime) * (1 + p.policy.Stranded/total))
+}
+
+// consolidate gives up one broken group whose members would complete another one.
+func (p *plan) consolidate() {
+	if len(p.short) < 2 {
+		return
+	}
+	first := &p.world.Groups[p.short[0]]
+	missing := first.Spec.Size - len(p.world.kept(first))
+	for n := len(p.short) - 1; n > 0; n-- {
+		donor := &p.world.Groups[p.short[n]]
+		if min(donor.Down, first.Down) < p.patience() {
+			continue
+		}
+		if p.usefulTo(first, donor) >= missing {
+			p.assign(donor, nil, "its VMs complete group "+string(first.Spec.Name))
+			return
+		}
+	}
+}
+
+func (p *plan) usefulTo(g, donor *Group) int {
+	n := 0
+	home, _, _ := p.pool(&g.Spec).home(p.world.kept(g))
+	for _, i := range p.world.kept(donor) {
+		v := &p.world.VMs[i]
+		if g.Spec.FailedRequirement(v.VM) == nil && (!g.Spec.OneDomain || home == none || v.domain == home) {
+			n++
+		}
+	}
+	return n
+}
+
+// moveHome drains one split group when one domain could hold it and the speed gained pays for the reload.
+func (p *plan) moveHome() {
+	if len(p.actions) > 0 || p.loads < p.policy.ConcurrentLoads {
+		return
+	}
+	gain := p.policy.SplitLoss * float64(p.policy.Horizon)
+	if gain <= float64(p.policy.LoadTime) {
+		return
+	}
+	for i := range p.world.Groups {
+		g := &p.world.Groups[i]
+		if g.Phase == fleet.GroupDraining {
+			return
+		}
+		if g.Phase != fleet.GroupServing || len(g.members) == 0 || !p.world.split(g.members) {
+			continue
+		}
+		if p.homeFor(g, p.world.kept(g)) != nil {
+			p.act(Action{Kind: ActionDrain, Group: g.Spec.Name, Base: g.Epoch, Reason: "one domain can hold the replica"})
+			return
+		}
+	}
+}
+
+func (p *plan) sortFastest(members []int) {
+	vms := p.world.VMs
+	sort.SliceStable(members, func(a, b int) bool { return vms[members[a]].Speed > vms[members[b]].Speed })
+}
+
+// sortClosest puts VMs that do not slow the group first, the slowest of them in front, so that fast ones stay for others.
+func (p *plan) sortClosest(members []int, slowest float64) {
+	vms := p.world.VMs
+	sort.SliceStable(members, func(a, b int) bool {
+		x, y := vms[members[a]].Speed, vms[members[b]].Speed
+		if (x >= slowest) != (y >= slowest) {
+			return x >= slowest
+		}
+		if x >= slowest {
+			return x < y
+		}
+		return x > y
+	})
+}
--- /dev/null
+++ b/presence/members.go
@@ -0,0 +1,80 @@
+package presence
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Peer is what is known of one daemon.
+type Peer struct {
+	Name        ident.Daemon
+	Hall        ident.Hall
+	Incarnation ident.Incarnation
+	Revision    ident.Revision
+	Heard       time.Time
+	Stopping    bool
+	// InFlight counts requests in progress at groups that are draining.
+	InFlight map[ident.Group]int
+}
+
+// Members knows which daemons are live.
+type Members struct {
+	// Bound is the silence after which a daemon no longer counts as live.
+	Bound time.Duration
+
+	mu    sync.RWMutex
+	peers map[ident.Daemon]Peer
+}
+
+// NewMembers returns a table that has heard of nobody.
+func NewMembers(bound time.Duration) *Members {
+	return &Members{Bound: bound, peers: map[ident.Daemon]Peer{}}
+}
+
+// Hear takes what a daemon says of itself; an older revision of the same incarnation never replaces a newer one.
+func (m *Members) Hear(p Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.peers[p.Name]
+	if old.Incarnation == p.Incarnation {
+		p.Revision = max(p.Revision, old.Revision)
+	}
+	m.peers[p.Name] = p
+}
+
+// Get returns what is known of a daemon.
+func (m *Members) Get(name ident.Daemon) (Peer, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	p, ok := m.peers[name]
+	return p, ok
+}
+
+// Live returns the daemons heard of within the bound, by name.
+func (m *Members) Live(now time.Time) []Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var live []Peer
+	for _, p := range m.peers {
+		if now.Sub(p.Heard) <= m.Bound {
+			live = append(live, p)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live
+}
+
+// All returns every daemon ever heard of, by name.
+func (m *Members) All() []Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		all = append(all, p)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
--- /dev/null
+++ b/presence/table.go
@@ -0,0 +1,164 @@
+package presence
+
+// A group may be sent a request only while each member's newest observation is
+// positive, younger than the presence bound, and of the incarnation and epoch
+// that the group was formed with. The check stands on the path of every
+// request, so each VM has a Cell that is read without a lock:
+//
+//	cell.Observe(...)         // from watchers, a few times a second
+//	cell.Present(now, want)   // at each dispatch
+//
+// Observations travel as ages, because the clocks of two VMs need not agree;
+// the receiver subtracts the age from its own clock.
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Sight is what a probe saw.
+type Sight uint8
+
+// The sights: an answer, a definite refusal such as a closed port, and silence.
+const (
+	SightAnswer Sight = iota
+	SightRefused
+	SightSilence
+)
+
+// Observation is one watcher's newest probe of one VM; Age is in milliseconds at the time of sending.
+type Observation struct {
+	VM          ident.VM
+	Sight       Sight
+	Age         int64
+	Incarnation ident.Incarnation
+	Group       ident.Group
+	Epoch       ident.Epoch
+	Leaving     bool
+	Slots       int
+	Running     int
+	Queued      int
+}
+
+// Seen is the newest definite observation of a VM, at the receiver's clock.
+type Seen struct {
+	At time.Time
+	Observation
+}
+
+// Member is what a group's formation expects of one VM.
+type Member struct {
+	Cell        *Cell
+	Incarnation ident.Incarnation
+	Epoch       ident.Epoch
+}
+
+// Cell holds what is known of one VM; its methods may be called concurrently.
+type Cell struct {
+	seen     atomic.Pointer[Seen]
+	positive atomic.Int64 // unix nanoseconds of the newest answer
+	reported atomic.Int64 // unix nanoseconds of the newest report of any kind
+	failed   atomic.Int64 // unix nanoseconds of the newest passive failure
+}
+
+// Observe takes an observation that arrived at now.
+func (c *Cell) Observe(now time.Time, o *Observation) {
+	at := now.Add(-time.Duration(o.Age) * time.Millisecond)
+	raise(&c.reported, at.UnixNano())
+	if o.Sight == SightSilence {
+		return
+	}
+	if o.Sight == SightAnswer {
+		raise(&c.positive, at.UnixNano())
+	}
+	for {
+		old := c.seen.Load()
+		if old != nil && !at.After(old.At) {
+			return
+		}
+		if c.seen.CompareAndSwap(old, &Seen{At: at, Observation: *o}) {
+			return
+		}
+	}
+}
+
+func raise(v *atomic.Int64, to int64) {
+	for {
+		old := v.Load()
+		if to <= old || v.CompareAndSwap(old, to) {
+			return
+		}
+	}
+}
+
+// Fail notes a failure met while using the VM; only an observation made after it counts again.
+func (c *Cell) Fail(now time.Time) {
+	raise(&c.failed, now.UnixNano())
+}
+
+// Seen returns the newest definite observation, or nil.
+func (c *Cell) Seen() *Seen {
+	return c.seen.Load()
+}
+
+// PositiveAge returns how long ago the VM answered a probe; ok is false when it never did.
+func (c *Cell) PositiveAge(now time.Time) (age time.Duration, ok bool) {
+	at := c.positive.Load()
+	return time.Duration(now.UnixNano() - at), at != 0
+}
+
+// ReportAge returns how long ago any watcher reported on the VM; ok is false when none ever did.
+func (c *Cell) ReportAge(now time.Time) (age time.Duration, ok bool) {
+	at := c.reported.Load()
+	return time.Duration(now.UnixNano() - at), at != 0
+}
+
+// Present reports whether the VM is there, in the wanted incarnation and epoch, as of at most bound ago.
+func (m *Member) Present(now time.Time, bound time.Duration) bool {
+	s := m.Cell.seen.Load()
+	if s == nil || s.Sight != SightAnswer || s.Leaving {
+		return false
+	}
+	if now.Sub(s.At) > bound || s.At.UnixNano() <= m.Cell.failed.Load() {
+		return false
+	}
+	return s.Incarnation == m.Incarnation && s.Epoch == m.Epoch
+}
+
+// Table holds the cells of all VMs by name.
+type Table struct {
+	mu    sync.RWMutex
+	cells map[ident.VM]*Cell
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{cells: map[ident.VM]*Cell{}}
+}
+
+// Cell returns the cell of that VM, making it when it is new.
+func (t *Table) Cell(name ident.VM) *Cell {
+	t.mu.RLock()
+	c := t.cells[name]
+	t.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c = t.cells[name]; c == nil {
+		c = &Cell{}
+		t.cells[name] = c
+	}
+	return c
+}
+
+// Observe takes observations that arrived at now.
+func (t *Table) Observe(now time.Time, observations []Observation) {
+	for i := range observations {
+		t.Cell(observations[i].VM).Observe(now, &observations[i])
+	}
+}
--- /dev/null
+++ b/quorum/core.go
@@ -0,0 +1,542 @@
+package quorum
+
+// Core is the protocol without any input or output: messages, ticks and
+// proposals go in, and Ready tells what must be persisted, sent and applied.
+// All traps of a replicated log then lie in code that a test can drive one
+// step at a time, with a clock of its own:
+//
+//	c.Step(now, message)
+//	rd := c.Ready()
+//	send(rd.Appends)            // a leader may send entries before its own sync
+//	persist(rd.Hard, rd.Entries) // then c.Persisted(last)
+//	send(rd.Messages)           // promises go out only after they are on disk
+//	apply(rd.Committed)
+//
+// The rules are those of Raft (Ongaro 2014) with pre-vote, check-quorum,
+// single-member changes and leader leases. A member withholds its vote while
+// it has heard from a leader within the election time, and after its start,
+// because it cannot remember what it promised before. A leader's lease is
+// counted from the moment it sent a heartbeat that a majority answered.
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	maxEntriesPerMessage = 512
+	maxBytesPerMessage   = 1 << 20
+	driftFactor          = 1.1
+)
+
+// Timing holds the intervals of one instance.
+type Timing struct {
+	Heartbeat time.Duration
+	Election  time.Duration
+	Lease     time.Duration
+}
+
+// Ready is what the driver has to do after a step, in the order of its fields.
+type Ready struct {
+	Appends   []Message
+	Install   *Snapshot
+	Hard      *HardState
+	Entries   []Entry
+	Messages  []Message
+	Committed []Entry
+}
+
+type progress struct {
+	match     Index
+	next      Index
+	acked     time.Time
+	ackedSent time.Time
+	// suspect is when the member first refused what it had acknowledged before.
+	suspect time.Time
+	lost    bool
+	// snapshotAt limits how often a snapshot is sent to a member that does not answer.
+	snapshotAt time.Time
+}
+
+// Core is one member of one instance; its methods must not be called concurrently.
+type Core struct {
+	id       MemberID
+	instance Instance
+	timing   Timing
+	random   *rand.Rand
+
+	hard      HardState
+	snapshot  Snapshot // Data is left out; the driver keeps it.
+	entries   []Entry  // entries[0].Index == snapshot.Index+1
+	formed    bool
+	members   []Member
+	memberAt  Index
+	commit    Index
+	handed    Index // up to here Ready has handed out committed entries
+	persisted Index
+
+	role     Role
+	leader   MemberID
+	heard    time.Time // when a leader was heard last, or the start
+	deadline time.Time
+	votes    map[MemberID]bool
+	transfer bool
+	elected  time.Time
+	lease    time.Time
+	nextBeat time.Time
+	lastSent time.Time
+	progress map[MemberID]*progress
+	needSnap []MemberID
+
+	appends    []Message
+	messages   []Message
+	install    *Snapshot
+	hardDirty  bool
+	firstDirty Index
+}
+
+// NewCore returns a member that has read snapshot (nil when never formed), hard and entries from its disk; seed varies election times.
+func NewCore(id MemberID, instance Instance, timing Timing, seed uint64, now time.Time, snapshot *Snapshot, hard HardState, entries []Entry) *Core {
+	c := &Core{
+		id:       id,
+		instance: instance,
+		timing:   timing,
+		random:   rand.New(rand.NewPCG(seed, uint64(instance))),
+		hard:     hard,
+		heard:    now,
+		votes:    map[MemberID]bool{},
+		progress: map[MemberID]*progress{},
+	}
+	if snapshot != nil {
+		c.formed = true
+		c.snapshot = Snapshot{Index: snapshot.Index, Term: snapshot.Term, Members: snapshot.Members}
+		c.commit = snapshot.Index
+		c.handed = snapshot.Index
+		c.entries = append(c.entries, entries...)
+	}
+	c.persisted = c.lastIndex()
+	c.findMembers()
+	c.resetDeadline(now)
+	return c
+}
+
+// Ready returns what is to be done and forgets it.
+func (c *Core) Ready() Ready {
+	rd := Ready{Appends: c.appends, Install: c.install, Messages: c.messages}
+	c.appends, c.messages, c.install = nil, nil, nil
+	if c.hardDirty {
+		hard := c.hard
+		rd.Hard = &hard
+		c.hardDirty = false
+	}
+	if c.firstDirty != 0 {
+		rd.Entries = c.slice(c.firstDirty, c.lastIndex())
+		c.firstDirty = 0
+	}
+	if until := min(c.commit, c.lastIndex()); until > c.handed {
+		rd.Committed = c.slice(c.handed+1, until)
+		c.handed = until
+	}
+	return rd
+}
+
+// Persisted tells that every entry up to last is synced; a leader counts itself only then.
+func (c *Core) Persisted(last Index) {
+	c.persisted = max(c.persisted, min(last, c.lastIndex()))
+	if c.role == RoleLeader {
+		c.advanceCommit()
+	}
+}
+
+// Tick moves time on: elections, heartbeats, loss of a majority.
+func (c *Core) Tick(now time.Time) {
+	if c.role == RoleLeader {
+		c.tickLeader(now)
+		return
+	}
+	if now.Before(c.deadline) {
+		return
+	}
+	c.resetDeadline(now)
+	c.transfer = false
+	if c.mayLead() {
+		c.campaign(now, RolePreCandidate)
+	}
+}
+
+func (c *Core) tickLeader(now time.Time) {
+	// After a failed transfer the receiver may still campaign past this leader's lease, so the reign ends.
+	if !c.heardMajority(now) || c.transfer && !now.Before(c.deadline) {
+		c.becomeFollower(now, c.hard.Term, MemberID{})
+		return
+	}
+	if !now.Before(c.nextBeat) {
+		c.broadcast(now)
+	}
+}
+
+func (c *Core) heardMajority(now time.Time) bool {
+	count := 0
+	for _, m := range c.members {
+		if !m.Voter {
+			continue
+		}
+		if m.ID == c.id || now.Sub(c.progress[m.ID].acked) < c.timing.Election {
+			count++
+		}
+	}
+	return count >= c.majority()
+}
+
+// Propose appends a command as leader and returns its index, or false when this member does not lead.
+func (c *Core) Propose(now time.Time, kind EntryKind, data []byte) (Index, bool) {
+	if c.role != RoleLeader || c.transfer {
+		return 0, false
+	}
+	c.append(Entry{Index: c.lastIndex() + 1, Term: c.hard.Term, Kind: kind, Data: data})
+	if kind == EntryMembers {
+		c.trackMembers(now)
+	}
+	return c.lastIndex(), true
+}
+
+// Flush sends what was proposed since the last broadcast; the driver calls it once for many proposals.
+func (c *Core) Flush(now time.Time) {
+	if c.role == RoleLeader {
+		c.broadcast(now)
+	}
+}
+
+// ProposeMembers replaces the members when this member leads, the last change is committed and at most one voter differs.
+func (c *Core) ProposeMembers(now time.Time, members []Member) (Index, bool) {
+	if c.role != RoleLeader || c.memberAt > c.commit || c.termAt(c.commit) != c.hard.Term {
+		return 0, false
+	}
+	if votersChanged(c.members, members) > 1 {
+		return 0, false
+	}
+	data, err := cbor.Marshal(members)
+	if err != nil {
+		return 0, false
+	}
+	return c.Propose(now, EntryMembers, data)
+}
+
+func votersChanged(a, b []Member) int {
+	in := map[MemberID]int{}
+	for _, m := range a {
+		if m.Voter {
+			in[m.ID]++
+		}
+	}
+	for _, m := range b {
+		if m.Voter {
+			in[m.ID]--
+		}
+	}
+	n := 0
+	for _, v := range in {
+		if v != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Form gives a member that was never formed its first members; later calls change nothing.
+func (c *Core) Form(members []Member) bool {
+	if c.formed {
+		return false
+	}
+	c.formed = true
+	c.snapshot = Snapshot{Members: members}
+	c.install = &Snapshot{Format: snapshotFormat, Members: members}
+	c.findMembers()
+	return true
+}
+
+// TransferTo asks another voter to take over at once; the lease ends with the asking.
+func (c *Core) TransferTo(now time.Time, to MemberID) bool {
+	p := c.progress[to]
+	if c.role != RoleLeader || p == nil || p.match != c.lastIndex() || !c.isVoter(to) {
+		return false
+	}
+	c.lease = time.Time{}
+	c.transfer = true
+	c.deadline = now.Add(c.timing.Election)
+	c.send(Message{Kind: MessageTransfer, To: to})
+	return true
+}
+
+// Step handles one message.
+func (c *Core) Step(now time.Time, m *Message) {
+	if m.To != c.id || c.hard.Expelled {
+		return
+	}
+	if m.Kind == MessageForm {
+		if m.Snapshot != nil {
+			c.Form(m.Snapshot.Members)
+		}
+		return
+	}
+	if c.ignoresVote(now, m) {
+		return
+	}
+	// A pre-vote asks about a term that nobody has entered yet, and so does its consent.
+	proposed := m.Kind == MessagePreVote || m.Kind == MessagePreVoteReply && m.Granted
+	if m.Term > c.hard.Term && !proposed {
+		c.becomeFollower(now, m.Term, MemberID{})
+	}
+	if m.Term < c.hard.Term {
+		c.answerOld(m)
+		return
+	}
+	c.dispatch(now, m)
+}
+
+func (c *Core) dispatch(now time.Time, m *Message) {
+	switch m.Kind {
+	case MessagePreVote, MessageVote:
+		c.stepVote(now, m)
+	case MessagePreVoteReply, MessageVoteReply:
+		c.stepVoteReply(now, m)
+	case MessageAppend:
+		c.stepAppend(now, m)
+	case MessageAppendReply:
+		c.stepAppendReply(now, m)
+	case MessageSnapshot:
+		c.stepSnapshot(now, m)
+	case MessageTransfer:
+		if c.mayLead() {
+			c.transfer = true
+			c.campaign(now, RoleCandidate)
+		}
+	case MessageExpel:
+		// The leader has proof that this folder lost what it had synced.
+		c.hard.Expelled = true
+		c.hardDirty = true
+		c.role = RoleFollower
+	}
+}
+
+// ignoresVote withholds votes while a leader may hold a lease that this member supports.
+func (c *Core) ignoresVote(now time.Time, m *Message) bool {
+	if m.Kind != MessagePreVote && m.Kind != MessageVote {
+		return false
+	}
+	if !c.formed {
+		return true
+	}
+	if m.Transfer {
+		return false
+	}
+	if c.role == RoleLeader {
+		return c.heardMajority(now)
+	}
+	return now.Sub(c.heard) < c.timing.Election
+}
+
+// answerOld tells a stale sender the newer term, so that a returned leader steps down at once.
+func (c *Core) answerOld(m *Message) {
+	switch m.Kind {
+	case MessageAppend, MessageSnapshot:
+		c.send(Message{Kind: MessageAppendReply, To: m.From})
+	case MessagePreVote:
+		c.send(Message{Kind: MessagePreVoteReply, To: m.From})
+	}
+}
+
+func (c *Core) stepVote(now time.Time, m *Message) {
+	pre := m.Kind == MessagePreVote
+	free := pre && m.Term > c.hard.Term || c.hard.Vote == (MemberID{}) || c.hard.Vote == m.From
+	grant := free && c.upToDate(m)
+	reply := Message{Kind: MessageVoteReply, To: m.From, Granted: grant}
+	if pre {
+		reply.Kind = MessagePreVoteReply
+	} else if grant {
+		c.hard.Vote = m.From
+		c.hardDirty = true
+		c.resetDeadline(now)
+	}
+	c.send(reply)
+	if pre && grant {
+		c.messages[len(c.messages)-1].Term = m.Term
+	}
+}
+
+func (c *Core) upToDate(m *Message) bool {
+	last := c.termAt(c.lastIndex())
+	return m.LastTerm > last || m.LastTerm == last && m.LastIndex >= c.lastIndex()
+}
+
+func (c *Core) campaign(now time.Time, role Role) {
+	c.role = role
+	c.leader = MemberID{}
+	c.votes = map[MemberID]bool{c.id: true}
+	kind, term := MessagePreVote, c.hard.Term+1
+	if role == RoleCandidate {
+		kind = MessageVote
+		c.hard.Term++
+		c.hard.Vote = c.id
+		c.hardDirty = true
+		c.resetDeadline(now)
+	}
+	for _, m := range c.members {
+		if m.Voter && m.ID != c.id {
+			c.send(Message{Kind: kind, To: m.ID, LastIndex: c.lastIndex(), LastTerm: c.termAt(c.lastIndex()), Transfer: c.transfer})
+			c.messages[len(c.messages)-1].Term = term
+		}
+	}
+	c.countVotes(now)
+}
+
+func (c *Core) stepVoteReply(now time.Time, m *Message) {
+	wanted := map[Role]MessageKind{RolePreCandidate: MessagePreVoteReply, RoleCandidate: MessageVoteReply}
+	if kind, ok := wanted[c.role]; !ok || kind != m.Kind {
+		return
+	}
+	if m.Kind == MessagePreVoteReply && m.Term != c.hard.Term+1 {
+		return
+	}
+	c.votes[m.From] = m.Granted
+	c.countVotes(now)
+}
+
+func (c *Core) countVotes(now time.Time) {
+	granted := 0
+	for _, m := range c.members {
+		if m.Voter && c.votes[m.ID] {
+			granted++
+		}
+	}
+	if granted < c.majority() {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(now, RoleCandidate)
+		return
+	}
+	c.becomeLeader(now)
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role = RoleLeader
+	c.leader = c.id
+	c.transfer = false
+	c.elected = now
+	c.lease = time.Time{}
+	c.progress = map[MemberID]*progress{}
+	c.trackMembers(now)
+	// An entry of the own term lets the entries of earlier terms commit.
+	c.append(Entry{Index: c.lastIndex() + 1, Term: c.hard.Term, Kind: EntryNoop})
+	c.broadcast(now)
+}
+
+func (c *Core) trackMembers(now time.Time) {
+	for _, m := range c.members {
+		if _, ok := c.progress[m.ID]; !ok {
+			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, acked: now}
+		}
+	}
+}
+
+func (c *Core) becomeFollower(now time.Time, term Term, leader MemberID) {
+	if term > c.hard.Term {
+		c.hard.Term = term
+		c.hard.Vote = MemberID{}
+		c.hardDirty = true
+	}
+	if c.role == RoleLeader {
+		c.heard = now
+	}
+	c.role = RoleFollower
+	c.transfer = false
+	c.lease = time.Time{}
+	c.leader = leader
+	c.resetDeadline(now)
+}
+
+func (c *Core) resetDeadline(now time.Time) {
+	spread := c.random.Int64N(int64(c.timing.Election))
+	c.deadline = now.Add(c.timing.Election + time.Duration(spread))
+}
+
+// mayLead is false for a member that has no vote, or that cannot yet know whether it promised it away.
+func (c *Core) mayLead() bool {
+	return c.formed && !c.hard.Expelled && c.isVoter(c.id)
+}
+
+func (c *Core) isVoter(id MemberID) bool {
+	for _, m := range c.members {
+		if m.ID == id {
+			return m.Voter
+		}
+	}
+	return false
+}
+
+func (c *Core) majority() int {
+	n := 0
+	for _, m := range c.members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n/2 + 1
+}
+
+func (c *Core) send(m Message) {
+	m.Instance = c.instance
+	m.From = c.id
+	m.Term = c.hard.Term
+	if m.Kind == MessageAppend {
+		c.appends = append(c.appends, m)
+		return
+	}
+	c.messages = append(c.messages, m)
+}
+
+// majorityMatch returns the highest index that a majority of voters holds on disk.
+func (c *Core) majorityMatch() Index {
+	var matches []Index
+	for _, m := range c.members {
+		switch {
+		case !m.Voter:
+		case m.ID == c.id:
+			matches = append(matches, c.persisted)
+		case c.progress[m.ID].lost:
+			matches = append(matches, 0)
+		default:
+			matches = append(matches, c.progress[m.ID].match)
+		}
+	}
+	if len(matches) == 0 {
+		return 0
+	}
+	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
+	return matches[len(matches)/2]
+}
+
+func (c *Core) advanceCommit() {
+	if i := c.majorityMatch(); i > c.commit && c.termAt(i) == c.hard.Term {
+		c.commit = i
+	}
+}
+
+// promote gives a learner its vote once it holds everything that is committed.
+func (c *Core) promote(now time.Time) {
+	if c.role != RoleLeader || c.memberAt > c.commit || c.termAt(c.commit) != c.hard.Term {
+		return
+	}
+	for i, m := range c.members {
+		if p := c.progress[m.ID]; !m.Voter && p != nil && p.match >= c.commit {
+			members := append([]Member(nil), c.members...)
+			members[i].Voter = true
+			c.ProposeMembers(now, members)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,499 @@
+package quorum
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/park"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+const (
+	inboxLength      = 1024
+	proposalsLength  = 4096
+	drainLimit       = 2048
+	ticksPerBeat     = 2
+	fullDiskRetry    = 500 * time.Millisecond
+	defaultSnapEvery = 4096
+	maxProposal      = 4 << 20
+	catchUpEntries   = 1024
+)
+
+// Status is a member's view at one moment.
+type Status struct {
+	ID      MemberID
+	Formed  bool
+	Role    Role
+	Term    Term
+	Leader  ident.Daemon
+	Commit  Index
+	Applied Index
+	Members []Member
+	// Expelled is set when the leader proved that this folder lost synced entries.
+	Expelled bool
+	// Lease is the end of the leader's lease, Elected the moment it was elected; both zero on others.
+	Lease   time.Time
+	Elected time.Time
+	// Heard is when a leader was heard last.
+	Heard time.Time
+}
+
+type proposal struct {
+	kind    EntryKind
+	data    []byte
+	members []Member
+	done    chan outcome
+}
+
+type outcome struct {
+	value any
+	index Index
+	err   error
+}
+
+type waiter struct {
+	term Term
+	done chan outcome
+}
+
+// Node drives one Core: it persists, sends and applies; exported fields are set before Run.
+type Node struct {
+	Instance Instance
+	Timing   Timing
+	Seed     uint64
+	Now      func() time.Time
+	// Send hands messages to the transport and must not block.
+	Send func(messages []Message)
+	// Apply executes a committed command; the same log gives the same calls on each member.
+	Apply func(index Index, data []byte) any
+	// TakeSnapshot and Restore write and read the whole state machine.
+	TakeSnapshot func() ([]byte, error)
+	Restore      func(index Index, data []byte) error
+	// Applied is called after each batch of applied entries.
+	Applied func(index Index)
+	// Fatal is called once when the disk can no longer be trusted.
+	Fatal         func(err error)
+	SnapshotEvery Index
+	Log           logr.Logger
+
+	store     *Store
+	tasks     *park.Group
+	inbox     chan []Message
+	proposals chan proposal
+	transfers chan chan bool
+	forms     chan []Member
+	status    atomic.Pointer[Status]
+	ready     chan struct{}
+	readyOnce sync.Once
+
+	core    *Core
+	applied Index
+	snapped Index
+	waiting map[Index]waiter
+}
+
+// NewNode returns a node on store; its goroutine is parked until Run.
+func NewNode(store *Store) *Node {
+	n := &Node{
+		SnapshotEvery: defaultSnapEvery,
+		Now:           time.Now,
+		Applied:       func(Index) {},
+		Log:           logr.Discard(),
+		store:         store,
+		tasks:         park.New(),
+		inbox:         make(chan []Message, inboxLength),
+		proposals:     make(chan proposal, proposalsLength),
+		transfers:     make(chan chan bool),
+		forms:         make(chan []Member),
+		ready:         make(chan struct{}),
+		waiting:       map[Index]waiter{},
+	}
+	n.status.Store(&Status{})
+	n.tasks.Go(func(ctx context.Context) { n.loop(ctx) })
+	return n
+}
+
+// Run takes part in the protocol until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.tasks.Run(ctx)
+}
+
+// Ready is closed once the state of the disk has been restored.
+func (n *Node) Ready() <-chan struct{} {
+	return n.ready
+}
+
+// Status returns the newest view.
+func (n *Node) Status() Status {
+	return *n.status.Load()
+}
+
+// Deliver hands over messages from the transport; when the queue is full they are dropped, as a network may.
+func (n *Node) Deliver(messages []Message) {
+	select {
+	case n.inbox <- messages:
+	default:
+	}
+}
+
+// Propose returns what Apply returned and the command's index, or NoLeader when it is not known whether the command will be applied.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, Index, error) {
+	if len(data) > maxProposal {
+		return nil, 0, result.New(result.ProposalTooLarge, "%d bytes are over %d", len(data), maxProposal)
+	}
+	return n.propose(ctx, proposal{kind: EntryCommand, data: data})
+}
+
+// ProposeMembers returns after the new members are committed.
+func (n *Node) ProposeMembers(ctx context.Context, members []Member) error {
+	_, _, err := n.propose(ctx, proposal{kind: EntryMembers, members: members})
+	return err
+}
+
+func (n *Node) propose(ctx context.Context, p proposal) (any, Index, error) {
+	p.done = make(chan outcome, 1)
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, 0, result.New(result.NoLeader, "the log takes no proposals")
+	}
+	select {
+	case o := <-p.done:
+		return o.value, o.index, o.err
+	case <-ctx.Done():
+		return nil, 0, result.New(result.NoLeader, "the change was not confirmed in time")
+	}
+}
+
+// Form gives a never formed member its first members.
+func (n *Node) Form(ctx context.Context, members []Member) {
+	select {
+	case n.forms <- members:
+	case <-ctx.Done():
+	}
+}
+
+// HandOver asks the best follower to lead and reports whether one was asked.
+func (n *Node) HandOver(ctx context.Context) bool {
+	done := make(chan bool, 1)
+	select {
+	case n.transfers <- done:
+		return <-done
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *Node) loop(ctx context.Context) {
+	if err := n.open(); err != nil {
+		n.Fatal(err)
+		return
+	}
+	n.publish()
+	n.readyOnce.Do(func() { close(n.ready) })
+	ticker := time.NewTicker(max(n.Timing.Heartbeat/ticksPerBeat, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.failWaiting(result.New(result.Stopping, "the member stops"))
+			return
+		case <-ticker.C:
+			n.core.Tick(n.Now())
+		case messages := <-n.inbox:
+			n.step(messages)
+		case p := <-n.proposals:
+			n.take(p)
+			n.drainProposals()
+			n.core.Flush(n.Now())
+		case members := <-n.forms:
+			n.core.Form(members)
+		case done := <-n.transfers:
+			done <- n.transfer()
+		}
+		n.drainInbox()
+		if err := n.process(ctx); err != nil {
+			if ctx.Err() == nil {
+				n.Fatal(err)
+			}
+			n.failWaiting(err)
+			return
+		}
+	}
+}
+
+func (n *Node) open() error {
+	snap, hard, entries, err := n.store.Load(n.Instance)
+	if err != nil {
+		return err
+	}
+	n.core = NewCore(n.store.ID(), n.Instance, n.Timing, n.Seed, n.Now(), snap, hard, entries)
+	if snap == nil {
+		return nil
+	}
+	n.applied, n.snapped = snap.Index, snap.Index
+	return n.Restore(snap.Index, snap.Data)
+}
+
+func (n *Node) step(messages []Message) {
+	now := n.Now()
+	for i := range messages {
+		n.core.Step(now, &messages[i])
+	}
+}
+
+func (n *Node) drainInbox() {
+	for range drainLimit {
+		select {
+		case messages := <-n.inbox:
+			n.step(messages)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) drainProposals() {
+	for range drainLimit {
+		select {
+		case p := <-n.proposals:
+			n.take(p)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) take(p proposal) {
+	var index Index
+	var ok bool
+	if p.kind == EntryMembers {
+		index, ok = n.core.ProposeMembers(n.Now(), p.members)
+	} else {
+		index, ok = n.core.Propose(n.Now(), p.kind, p.data)
+	}
+	if !ok {
+		p.done <- outcome{err: result.New(result.NoLeader, "this member does not lead, or its last change of members is not yet committed")}
+		return
+	}
+	n.waiting[index] = waiter{term: n.core.hard.Term, done: p.done}
+}
+
+func (n *Node) transfer() bool {
+	best := MemberID{}
+	for id, p := range n.core.progress {
+		if n.core.isVoter(id) && id != n.core.id && p.match == n.core.lastIndex() {
+			best = id
+		}
+	}
+	return best != MemberID{} && n.core.TransferTo(n.Now(), best)
+}
+
+// process does what the core asks for, in the order that makes its promises true.
+func (n *Node) process(ctx context.Context) error {
+	for _, to := range n.core.TakeSnapshotRequests() {
+		n.sendSnapshot(to)
+	}
+	rd := n.core.Ready()
+	if len(rd.Appends) > 0 {
+		n.Send(rd.Appends)
+	}
+	if rd.Install != nil {
+		if err := n.install(ctx, rd.Install); err != nil {
+			return err
+		}
+	}
+	if rd.Hard != nil || len(rd.Entries) > 0 {
+		if err := n.save(ctx, rd.Hard, rd.Entries); err != nil {
+			return err
+		}
+	}
+	if len(rd.Messages) > 0 {
+		n.Send(rd.Messages)
+	}
+	if err := n.applyAll(ctx, rd.Committed); err != nil {
+		return err
+	}
+	n.afterStep()
+	if more := n.core.commit > n.core.handed; more {
+		return n.process(ctx)
+	}
+	return nil
+}
+
+// save persists, and waits out a full disk: nothing is promised meanwhile.
+func (n *Node) save(ctx context.Context, hard *HardState, entries []Entry) error {
+	for {
+		err := n.store.Save(ctx, n.Instance, hard, entries)
+		if err == nil {
+			break
+		}
+		if result.CodeOf(err) != result.StorageFull {
+			return err
+		}
+		n.Log.Error(err, "disk full, changes are refused", "instance", n.Instance)
+		// These are in the log already and will be written once there is space.
+		n.failWaiting(result.Wrap(err, result.NoLeader, "the change may be accepted when the disk has space"))
+		if err := n.waitForSpace(ctx); err != nil {
+			return err
+		}
+	}
+	if len(entries) > 0 {
+		n.core.Persisted(entries[len(entries)-1].Index)
+	}
+	return nil
+}
+
+// waitForSpace refuses proposals for a moment.
+func (n *Node) waitForSpace(ctx context.Context) error {
+	timer := time.NewTimer(fullDiskRetry)
+	defer timer.Stop()
+	for {
+		select {
+		case p := <-n.proposals:
+			p.done <- outcome{err: result.New(result.StorageFull, "the disk of the data folder is full")}
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) install(ctx context.Context, snap *Snapshot) error {
+	if err := n.saveSnapshot(ctx, snap, snap.Index, true); err != nil {
+		return err
+	}
+	n.applied, n.snapped = snap.Index, snap.Index
+	if err := n.Restore(snap.Index, snap.Data); err != nil {
+		return err
+	}
+	n.Applied(snap.Index)
+	return nil
+}
+
+func (n *Node) saveSnapshot(ctx context.Context, snap *Snapshot, drop Index, replaces bool) error {
+	for {
+		err := n.store.SaveSnapshot(n.Instance, snap, drop, replaces)
+		if result.CodeOf(err) != result.StorageFull {
+			return err
+		}
+		n.Log.Error(err, "disk full, snapshot waits", "instance", n.Instance)
+		if !replaces {
+			// An own snapshot only saves space later; serving goes on without it.
+			return nil
+		}
+		if err := n.waitForSpace(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) applyAll(ctx context.Context, entries []Entry) error {
+	for i := range entries {
+		n.apply(&entries[i])
+	}
+	if len(entries) > 0 {
+		n.Applied(n.applied)
+	}
+	if n.applied-n.snapped < n.SnapshotEvery {
+		return nil
+	}
+	return n.compact(ctx)
+}
+
+func (n *Node) apply(e *Entry) {
+	var value any
+	if e.Kind == EntryCommand {
+		value = n.Apply(e.Index, e.Data)
+	}
+	n.applied = e.Index
+	w, ok := n.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.waiting, e.Index)
+	if w.term != e.Term {
+		w.done <- outcome{err: result.New(result.NoLeader, "another leader replaced the change")}
+		return
+	}
+	w.done <- outcome{value: value, index: e.Index}
+}
+
+func (n *Node) compact(ctx context.Context) error {
+	snap, err := n.current()
+	if err != nil {
+		return err
+	}
+	keep := min(Index(catchUpEntries), n.SnapshotEvery)
+	if err := n.saveSnapshot(ctx, snap, snap.Index-min(keep, snap.Index), false); err != nil {
+		return err
+	}
+	n.snapped = n.applied
+	n.core.Compact(snap.Index, keep)
+	return nil
+}
+
+func (n *Node) current() (*Snapshot, error) {
+	data, err := n.TakeSnapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &Snapshot{
+		Format:  snapshotFormat,
+		Index:   n.applied,
+		Term:    n.core.termAt(n.applied),
+		Members: n.core.membersAt(n.applied),
+		Data:    data,
+	}, nil
+}
+
+func (n *Node) sendSnapshot(to MemberID) {
+	snap, err := n.current()
+	if err != nil {
+		n.Log.Error(err, "snapshot failed", "instance", n.Instance)
+		return
+	}
+	n.core.SendSnapshot(to, snap)
+}
+
+func (n *Node) afterStep() {
+	if n.core.role != RoleLeader && len(n.waiting) > 0 {
+		n.failWaiting(result.New(result.NoLeader, "this member lost the lead; the change may still be accepted"))
+	}
+	n.publish()
+}
+
+func (n *Node) failWaiting(err error) {
+	for i, w := range n.waiting {
+		w.done <- outcome{err: err}
+		delete(n.waiting, i)
+	}
+}
+
+func (n *Node) publish() {
+	c := n.core
+	n.status.Store(&Status{
+		ID: c.id, Formed: c.formed, Role: c.role, Term: c.hard.Term, Leader: c.leader.Name,
+		Commit: c.commit, Applied: n.applied, Members: c.members, Expelled: c.hard.Expelled,
+		Lease: c.lease, Elected: c.elected, Heard: c.heard,
+	})
+}
+
+// HoldsLease reports whether this member led with a majority's support at now, counted on its own clock.
+func (n *Node) HoldsLease(now time.Time) bool {
+	s := n.status.Load()
+	return s.Role == RoleLeader && now.Before(s.Lease)
+}
+
+// OutlivedPredecessors reports whether every lease of an earlier leader has run out, clock drift included.
+func (n *Node) OutlivedPredecessors(now time.Time) bool {
+	s := n.status.Load()
+	wait := time.Duration(float64(n.Timing.Lease) * driftFactor)
+	return s.Role == RoleLeader && now.Sub(s.Elected) > wait
+}
--- /dev/null
+++ b/quorum/replicate.go
@@ -0,0 +1,341 @@
+package quorum
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// broadcast sends every member what it lacks, as one numbered round that also carries the lease.
+func (c *Core) broadcast(now time.Time) {
+	c.nextBeat = now.Add(c.timing.Heartbeat)
+	c.lastSent = now
+	for _, m := range c.members {
+		if m.ID != c.id {
+			c.sendAppend(now, m.ID)
+		}
+	}
+	c.countLease()
+}
+
+// round names the last broadcast by its distance from the election, so that a reply tells when its question was sent.
+func (c *Core) round() uint64 {
+	return uint64(c.lastSent.Sub(c.elected))
+}
+
+func (c *Core) sendAppend(now time.Time, to MemberID) {
+	p := c.progress[to]
+	if p.lost {
+		c.send(Message{Kind: MessageExpel, To: to})
+		return
+	}
+	previous := p.next - 1
+	if previous < c.snapshot.Index {
+		c.requestSnapshot(now, to, p)
+		// The heartbeat still goes out, with nothing that the member could not check.
+		previous = c.snapshot.Index
+		c.send(Message{Kind: MessageAppend, To: to, LastIndex: previous, LastTerm: c.termAt(previous), Commit: 0, Round: c.round()})
+		return
+	}
+	entries := c.limited(p.next)
+	c.send(Message{
+		Kind: MessageAppend, To: to, LastIndex: previous, LastTerm: c.termAt(previous),
+		Entries: entries, Commit: c.commit, Round: c.round(),
+	})
+	// What was sent is taken as received; a refusal or a lost message moves next back.
+	p.next += Index(len(entries))
+}
+
+func (c *Core) requestSnapshot(now time.Time, to MemberID, p *progress) {
+	if now.Sub(p.snapshotAt) < c.timing.Election {
+		return
+	}
+	p.snapshotAt = now
+	c.needSnap = append(c.needSnap, to)
+}
+
+// TakeSnapshotRequests returns the members that need a snapshot from the driver.
+func (c *Core) TakeSnapshotRequests() []MemberID {
+	ids := c.needSnap
+	c.needSnap = nil
+	return ids
+}
+
+// SendSnapshot queues s for a member that lacks entries that were compacted.
+func (c *Core) SendSnapshot(to MemberID, s *Snapshot) {
+	if c.role == RoleLeader {
+		c.send(Message{Kind: MessageSnapshot, To: to, Snapshot: s, Round: c.round()})
+	}
+}
+
+func (c *Core) limited(from Index) []Entry {
+	all := c.slice(from, c.lastIndex())
+	size := 0
+	for i := range all {
+		size += len(all[i].Data)
+		if i >= maxEntriesPerMessage || i > 0 && size > maxBytesPerMessage {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+func (c *Core) stepAppend(now time.Time, m *Message) {
+	c.followLeader(now, m)
+	if !c.formed {
+		c.send(Message{Kind: MessageAppendReply, To: m.From, Round: m.Round, Unformed: true})
+		return
+	}
+	if m.LastIndex < c.snapshot.Index {
+		// Everything up to the own snapshot is committed and thus equal.
+		c.reply(m, true, c.snapshot.Index)
+		return
+	}
+	if m.LastIndex > c.lastIndex() || c.termAt(m.LastIndex) != m.LastTerm {
+		c.reply(m, false, c.conflictHint(m))
+		return
+	}
+	last := c.adopt(m)
+	c.commit = max(c.commit, min(m.Commit, last))
+	c.reply(m, true, last)
+}
+
+// conflictHint skips a whole term of conflicting entries instead of one entry at a time.
+func (c *Core) conflictHint(m *Message) Index {
+	i := min(m.LastIndex, c.lastIndex())
+	term := c.termAt(i)
+	for i > c.commit && c.termAt(i) == term && term != m.LastTerm {
+		i--
+	}
+	return i
+}
+
+func (c *Core) followLeader(now time.Time, m *Message) {
+	c.heard = now
+	c.role = RoleFollower
+	c.leader = m.From
+	c.transfer = false
+	c.resetDeadline(now)
+}
+
+func (c *Core) reply(m *Message, granted bool, match Index) {
+	c.send(Message{Kind: MessageAppendReply, To: m.From, Granted: granted, Match: match, Round: m.Round})
+}
+
+// adopt takes the entries that are new, replacing a conflicting tail, and returns the last index known to be equal to the leader's.
+func (c *Core) adopt(m *Message) Index {
+	last := m.LastIndex
+	for _, e := range m.Entries {
+		last = e.Index
+		if e.Index <= c.lastIndex() && c.termAt(e.Index) == e.Term {
+			continue
+		}
+		c.append(e)
+	}
+	return last
+}
+
+// append adds e, cutting whatever stands at its index and after.
+func (c *Core) append(e Entry) {
+	cut := e.Index <= c.lastIndex()
+	if cut {
+		// A fresh slice: the old one may still be read by the driver.
+		c.entries = append([]Entry(nil), c.slice(c.snapshot.Index+1, e.Index-1)...)
+		c.persisted = min(c.persisted, e.Index-1)
+	}
+	c.entries = append(c.entries, e)
+	if c.firstDirty == 0 || e.Index < c.firstDirty {
+		c.firstDirty = e.Index
+	}
+	if cut || e.Kind == EntryMembers {
+		c.findMembers()
+	}
+}
+
+func (c *Core) stepAppendReply(now time.Time, m *Message) {
+	p := c.progress[m.From]
+	if c.role != RoleLeader || p == nil {
+		return
+	}
+	p.acked = now
+	if sent := c.elected.Add(time.Duration(m.Round)); sent.After(p.ackedSent) && !sent.After(c.lastSent) {
+		p.ackedSent = sent
+		c.countLease()
+	}
+	switch {
+	case m.Unformed:
+		p.next = 1
+		c.requestSnapshotUnformed(now, m.From, p)
+	case m.Granted:
+		c.acknowledged(now, m.From, p, m.Match)
+	default:
+		c.refused(now, m.From, p, m.Match)
+	}
+}
+
+// refused moves back to the member's hint. A member that keeps refusing what it had
+// acknowledged as synced has an older or damaged folder; one late reply alone proves nothing.
+func (c *Core) refused(now time.Time, from MemberID, p *progress, hint Index) {
+	if hint < p.match {
+		if p.suspect.IsZero() {
+			p.suspect = now
+		}
+		if now.Sub(p.suspect) >= c.timing.Election {
+			p.lost = true
+			c.send(Message{Kind: MessageExpel, To: from})
+		}
+		return
+	}
+	p.next = hint + 1
+	if p.next > c.snapshot.Index {
+		c.sendAppend(now, from)
+		return
+	}
+	c.requestSnapshot(now, from, p)
+}
+
+func (c *Core) requestSnapshotUnformed(now time.Time, to MemberID, p *progress) {
+	if p.match == 0 {
+		c.requestSnapshot(now, to, p)
+		return
+	}
+	p.lost = true
+}
+
+func (c *Core) acknowledged(now time.Time, from MemberID, p *progress, match Index) {
+	if match >= p.match {
+		p.match = match
+		p.suspect = time.Time{}
+	}
+	p.next = max(p.next, p.match+1)
+	before := c.commit
+	c.advanceCommit()
+	c.promote(now)
+	if c.commit > before {
+		// Followers learn the commit at once rather than with the next heartbeat.
+		c.broadcast(now)
+		return
+	}
+	if p.next <= c.lastIndex() && p.match+1 == p.next {
+		c.sendAppend(now, from)
+	}
+}
+
+// countLease extends the lease to the newest moment that a majority's answers support.
+func (c *Core) countLease() {
+	if c.transfer {
+		return
+	}
+	var sent []time.Time
+	for _, m := range c.members {
+		if !m.Voter {
+			continue
+		}
+		if m.ID == c.id {
+			sent = append(sent, c.lastSent)
+			continue
+		}
+		sent = append(sent, c.progress[m.ID].ackedSent)
+	}
+	newest := majorityTime(sent)
+	if until := newest.Add(c.timing.Lease); !newest.IsZero() && until.After(c.lease) {
+		c.lease = until
+	}
+}
+
+// majorityTime returns the latest time that a majority of times has reached.
+func majorityTime(times []time.Time) time.Time {
+	var best time.Time
+	for _, t := range times {
+		reached := 0
+		for _, u := range times {
+			if !u.Before(t) {
+				reached++
+			}
+		}
+		if reached > len(times)/2 && t.After(best) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (c *Core) stepSnapshot(now time.Time, m *Message) {
+	c.followLeader(now, m)
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	if c.formed && s.Index <= c.commit {
+		c.reply(m, true, c.commit)
+		return
+	}
+	c.formed = true
+	c.snapshot = Snapshot{Index: s.Index, Term: s.Term, Members: s.Members}
+	c.entries = nil
+	c.firstDirty = 0
+	c.commit, c.handed, c.persisted = s.Index, s.Index, s.Index
+	c.install = s
+	c.findMembers()
+	c.reply(m, true, s.Index)
+}
+
+// Compact forgets entries up to index, which the driver has in a synced snapshot; keep entries stay for catch-up.
+func (c *Core) Compact(index, keep Index) {
+	if index <= c.snapshot.Index+keep || index > c.handed {
+		return
+	}
+	at := index - keep
+	members := c.membersAt(at)
+	tail := append([]Entry(nil), c.slice(at+1, c.lastIndex())...)
+	c.snapshot = Snapshot{Index: at, Term: c.termAt(at), Members: members}
+	c.entries = tail
+}
+
+func (c *Core) lastIndex() Index {
+	return c.snapshot.Index + Index(len(c.entries))
+}
+
+func (c *Core) termAt(i Index) Term {
+	switch {
+	case i == c.snapshot.Index:
+		return c.snapshot.Term
+	case i < c.snapshot.Index || i > c.lastIndex():
+		return 0
+	}
+	return c.entries[i-c.snapshot.Index-1].Term
+}
+
+// slice returns the entries from first to last, both included.
+func (c *Core) slice(first, last Index) []Entry {
+	if last < first {
+		return nil
+	}
+	return c.entries[first-c.snapshot.Index-1 : last-c.snapshot.Index]
+}
+
+// findMembers takes the newest members in the log, committed or not, as the protocol demands.
+func (c *Core) findMembers() {
+	c.members = c.membersAt(c.lastIndex())
+	c.memberAt = c.snapshot.Index
+	for i := len(c.entries) - 1; i >= 0; i-- {
+		if c.entries[i].Kind == EntryMembers {
+			c.memberAt = c.entries[i].Index
+			return
+		}
+	}
+}
+
+func (c *Core) membersAt(at Index) []Member {
+	for i := at; i > c.snapshot.Index; i-- {
+		e := &c.entries[i-c.snapshot.Index-1]
+		if e.Kind != EntryMembers {
+			continue
+		}
+		var members []Member
+		if cbor.Unmarshal(e.Data, &members) == nil {
+			return members
+		}
+	}
+	return c.snapshot.Members
+}
--- /dev/null
+++ b/result/doc.go
@@ -0,0 +1,2 @@
+// Package result defines the numbered result codes and the errors that carry them.
+package result
--- /dev/null
+++ b/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the whole group that answers a request soonest.
+package routing
--- /dev/null
+++ b/routing/record.go
@@ -0,0 +1,140 @@
+package routing
+
+// What a group has in its prefix cache is known from two sides: this daemon
+// remembers where it sent which prompts, and the engines publish cache events,
+// late and with gaps. An event that removes a block is believed; a gap may have
+// hidden removals, so it voids all that was believed of that target.
+//
+// A prompt is described by the hashes of its first 256, 512, 1024, ... bytes: a
+// dozen numbers for any length, and a shared beginning still shows at its
+// largest power of two.
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	firstPrefix       = 256
+	maxPrefixes       = 16
+	defaultRecordSize = 1 << 16
+)
+
+// Prefixes returns the hashes of the beginnings of prompt, shortest first.
+func Prefixes(prompt []byte) []uint64 {
+	var hashes []uint64
+	h := xxhash.New()
+	done := 0
+	for size := firstPrefix; size <= len(prompt) && len(hashes) < maxPrefixes; size *= 2 {
+		_, _ = h.Write(prompt[done:size])
+		done = size
+		hashes = append(hashes, h.Sum64())
+	}
+	return hashes
+}
+
+type belief struct {
+	target uint64
+	known  uint64
+}
+
+// Record remembers which target has seen which prefix, within a bound.
+type Record struct {
+	mu    sync.Mutex
+	cache *generations[uint64, belief]
+}
+
+// NewRecord returns a record of at most 2*size prefixes.
+func NewRecord(size int) *Record {
+	return &Record{cache: newGenerations[uint64, belief](size)}
+}
+
+// find returns the target that has the longest known prefix, and how many of the prefixes it has.
+func (r *Record) find(ix *index, prefixes []uint64) (*Target, int) {
+	if len(prefixes) == 0 {
+		return nil, 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for depth := len(prefixes); depth > 0; depth-- {
+		b, ok := r.cache.get(prefixes[depth-1])
+		if !ok {
+			continue
+		}
+		if target := ix.byID[b.target]; target != nil && target.known.Load() == b.known {
+			return target, depth
+		}
+	}
+	return nil, 0
+}
+
+func (r *Record) note(target *Target, prefixes []uint64) {
+	if len(prefixes) == 0 {
+		return
+	}
+	b := belief{target.id, target.known.Load()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range prefixes {
+		r.cache.put(p, b)
+	}
+}
+
+// Removed takes an engine's word that it no longer caches a prefix.
+func (r *Record) Removed(target *Target, prefix uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b, ok := r.cache.get(prefix); ok && b.target == target.id {
+		r.cache.remove(prefix)
+	}
+}
+
+// Stored takes an engine's word that it caches a prefix, which fills what this daemon did not send itself.
+func (r *Record) Stored(target *Target, prefix uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.cache.get(prefix); !ok {
+		r.cache.put(prefix, belief{target.id, target.known.Load()})
+	}
+}
+
+// Gap voids everything believed of target, because events were missed.
+func (r *Record) Gap(target *Target) {
+	target.known.Add(1)
+}
+
+// generations is a map bounded by forgetting its older half at once: it needs no list of uses, and a get of
+// an old item makes it young again.
+type generations[K comparable, V any] struct {
+	size     int
+	now, old map[K]V
+}
+
+func newGenerations[K comparable, V any](size int) *generations[K, V] {
+	return &generations[K, V]{size: size, now: map[K]V{}, old: map[K]V{}}
+}
+
+func (g *generations[K, V]) get(key K) (V, bool) {
+	if v, ok := g.now[key]; ok {
+		return v, true
+	}
+	v, ok := g.old[key]
+	if ok {
+		g.put(key, v)
+	}
+	return v, ok
+}
+
+func (g *generations[K, V]) put(key K, v V) {
+	if len(g.now) >= g.size {
+		g.old = g.now
+		g.now = make(map[K]V, g.size)
+	}
+	g.now[key] = v
+}
+
+func (g *generations[K, V]) remove(key K) {
+	delete(g.now, key)
+	delete(g.old, key)
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,204 @@
+package routing
+
+// Choosing looks at three targets however many there are: the one that
+// probably holds the longest prefix of the prompt, and two taken at random. The
+// best of the three wins. Taking the best of all would send every entry VM's
+// next request to whichever group the last lagging report called idle (power of
+// two choices, Mitzenmacher 2001). Only when none of the three can take the
+// request are the others looked through, from a random place on.
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Ask is what a request needs of a target.
+type Ask struct {
+	Model   ident.Model
+	Adapter string
+	// Prefixes are the chained hashes of the prompt's beginnings, shortest first; see Prefixes.
+	Prefixes     []uint64
+	PromptTokens ident.Tokens
+	// Avoid is a target that has just failed this request.
+	Avoid *Target
+}
+
+// Costs are the seconds by which the parts of a choice are weighed.
+type Costs struct {
+	// Service is the time of a usual request, by which load is weighed.
+	Service float64
+	// PrefillPerToken is the time to read one prompt token that is not cached.
+	PrefillPerToken float64
+	AdapterLoad     float64
+	OtherHall       float64
+}
+
+// DefaultCosts suit a large model on several VMs.
+func DefaultCosts() Costs {
+	return Costs{Service: 2, PrefillPerToken: 0.0002, AdapterLoad: 1, OtherHall: 0.002}
+}
+
+type models map[ident.Model][]*Target
+
+type index struct {
+	byModel models
+	byID    map[uint64]*Target
+}
+
+// Table holds the targets of all models; exported fields are set before use.
+type Table struct {
+	Hall   ident.Hall
+	Bound  time.Duration
+	Costs  Costs
+	Record *Record
+	// Random returns a number in [0, n); tests give it a seed.
+	Random func(n int) int
+
+	current atomic.Pointer[index]
+}
+
+// NewTable returns an empty table for a daemon in hall with the presence bound.
+func NewTable(hall ident.Hall, bound time.Duration) *Table {
+	t := &Table{Hall: hall, Bound: bound, Costs: DefaultCosts(), Record: NewRecord(defaultRecordSize), Random: rand.IntN}
+	t.Replace(nil)
+	return t
+}
+
+// Replace makes targets the whole content of the table.
+func (t *Table) Replace(targets []*Target) {
+	ix := &index{byModel: models{}, byID: make(map[uint64]*Target, len(targets))}
+	for _, target := range targets {
+		ix.byModel[target.Model] = append(ix.byModel[target.Model], target)
+		ix.byID[target.id] = target
+	}
+	t.current.Store(ix)
+}
+
+// Targets returns every target of a model; the caller must not change the slice.
+func (t *Table) Targets(model ident.Model) []*Target {
+	return t.current.Load().byModel[model]
+}
+
+// Verdict says why a choice succeeded or not.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Chosen Verdict = iota
+	UnknownModel
+	NotWhole
+	Full
+)
+
+// Take chooses a target and counts one request in flight there, which Done gives back.
+func (t *Table) Take(now time.Time, ask *Ask) (*Target, Verdict) {
+	ix := t.current.Load()
+	targets := ix.byModel[ask.Model]
+	if len(targets) == 0 {
+		return nil, UnknownModel
+	}
+	warm, depth := t.Record.find(ix, ask.Prefixes)
+	best := t.best(now, ask, targets, warm, depth)
+	if best == nil {
+		var verdict Verdict
+		if best, verdict = t.search(now, ask, targets); best == nil {
+			return nil, verdict
+		}
+	}
+	best.inFlight.Add(1)
+	if latest := t.current.Load(); latest != ix && latest.byID[best.id] == nil {
+		// The group left the table in this moment; a drain may already have counted nobody here.
+		best.inFlight.Add(-1)
+		return t.Take(now, ask)
+	}
+	t.Record.note(best, ask.Prefixes)
+	return best, Chosen
+}
+
+// Done gives back what Take counted.
+func (t *Table) Done(target *Target) {
+	target.inFlight.Add(-1)
+}
+
+func (t *Table) best(now time.Time, ask *Ask, targets []*Target, warm *Target, depth int) *Target {
+	candidates := [...]*Target{warm, targets[t.Random(len(targets))], targets[t.Random(len(targets))]}
+	var best *Target
+	var lowest float64
+	for i, c := range candidates {
+		if c == nil || c == ask.Avoid || c.Model != ask.Model || i > 0 && c == candidates[i-1] {
+			continue
+		}
+		cost, ok := t.cost(now, ask, c, cachedShare(c == warm, depth, len(ask.Prefixes)))
+		if ok && (best == nil || cost < lowest) {
+			best, lowest = c, cost
+		}
+	}
+	return best
+}
+
+// cachedShare estimates how much of the prompt is cached; each prefix is twice as long as the one before.
+func cachedShare(warm bool, depth, prefixes int) float64 {
+	if !warm || depth == 0 {
+		return 0
+	}
+	return 1 / float64(uint64(1)<<(prefixes-depth))
+}
+
+// cost returns the expected seconds until the first token beyond the unavoidable; ok is false when the target cannot take the request now.
+func (t *Table) cost(now time.Time, ask *Ask, c *Target, cached float64) (seconds float64, ok bool) {
+	slots, busy := c.load()
+	if busy >= slots || !c.Whole(now, t.Bound) {
+		return 0, false
+	}
+	seconds = t.Costs.Service * float64(busy) / float64(slots)
+	seconds += t.Costs.PrefillPerToken * float64(ask.PromptTokens) * (1 - cached)
+	if !c.HasAdapter(ask.Adapter) {
+		seconds += t.Costs.AdapterLoad
+	}
+	// A slow target answers slowly whatever its load is.
+	seconds = (seconds + t.Costs.Service) * c.paceNow(now)
+	if c.Hall != t.Hall {
+		seconds += t.Costs.OtherHall
+	}
+	return seconds, true
+}
+
+// search looks through all targets; the one to avoid is taken only if there is no other.
+func (t *Table) search(now time.Time, ask *Ask, targets []*Target) (*Target, Verdict) {
+	start := t.Random(len(targets))
+	verdict := NotWhole
+	for i := range targets {
+		c := targets[(start+i)%len(targets)]
+		if c == ask.Avoid {
+			continue
+		}
+		if _, ok := t.cost(now, ask, c, 0); ok {
+			return c, Chosen
+		}
+		if c.Whole(now, t.Bound) {
+			verdict = Full
+		}
+	}
+	if ask.Avoid == nil || len(targets) == 0 {
+		return nil, verdict
+	}
+	if _, ok := t.cost(now, ask, ask.Avoid, 0); ok {
+		return ask.Avoid, Chosen
+	}
+	return nil, verdict
+}
+
+// Capacity returns the slots of the whole groups of a model.
+func (t *Table) Capacity(now time.Time, model ident.Model) int {
+	total := 0
+	for _, c := range t.Targets(model) {
+		if c.Whole(now, t.Bound) {
+			slots, _ := c.load()
+			total += slots
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,95 @@
+package service
+
+// A call is sent once. Calls that may be repeated use kept connections; all
+// others get a fresh one each, which the transport never retries (see package
+// transport). What the worker replies is read whole before any of it goes on,
+// so that a reply that breaks off is a failure and never a short answer.
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// Client sends calls to workers of plain services; exported fields are set before use.
+type Client struct {
+	// Kept carries repeatable calls, Fresh all others.
+	Kept  *http.Client
+	Fresh *http.Client
+	// MaxReply is the largest accepted body in bytes.
+	MaxReply int64
+}
+
+// NewClient returns a client that follows no redirects and accepts bodies up to maxReply bytes.
+func NewClient(maxReply int64) *Client {
+	return &Client{Kept: transport.New(transport.Kept), Fresh: transport.New(transport.Fresh), MaxReply: maxReply}
+}
+
+// hopByHop are the headers that belong to one connection.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns a copy of h without the headers that belong to one connection.
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// Send makes one call to the worker at address (host:port) and returns its whole reply.
+func (c *Client) Send(ctx context.Context, address string, call *dispatch.Call) (*dispatch.Reply, error) {
+	r, err := newRequest(ctx, address, call)
+	if err != nil {
+		return nil, result.Wrap(err, result.BadRequest, "call cannot be built")
+	}
+	client := c.Fresh
+	if call.Repeatable {
+		client = c.Kept
+	}
+	w, err := client.Do(r)
+	if err != nil {
+		return nil, transport.Classify(err)
+	}
+	defer w.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(w.Body, c.MaxReply+1))
+	if err != nil {
+		return nil, result.Wrap(err, result.UpstreamFailed, "reply ended after %d bytes", len(body))
+	}
+	if int64(len(body)) > c.MaxReply {
+		return nil, result.New(result.UpstreamFailed, "reply is over %d bytes", c.MaxReply)
+	}
+	return &dispatch.Reply{Status: w.StatusCode, Header: EndToEnd(w.Header), Body: body}, nil
+}
+
+func newRequest(ctx context.Context, address string, call *dispatch.Call) (*http.Request, error) {
+	url := "http://" + address + call.Path
+	if call.Query != "" {
+		url += "?" + call.Query
+	}
+	r, err := http.NewRequestWithContext(ctx, call.Method, url, transport.Body(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = int64(len(call.Body))
+	r.Header = EndToEnd(call.Header)
+	// The customer's key is for this system only.
+	r.Header.Del("Authorization")
+	if r.Header.Get("User-Agent") == "" {
+		r.Header.Set("User-Agent", "")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/service/doc.go
@@ -0,0 +1,2 @@
+// Package service speaks HTTP to plain services and holds a small stand-in of one.
+package service
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,78 @@
+package transport
+
+// net/http's transport sends a request again when a kept connection breaks and
+// the request looks replayable: it has no body or one that can be rewound, and
+// is a GET or carries an Idempotency-Key header. Two rules keep that from
+// happening to work that may have effects:
+//
+//   - bodies are plain readers (Body), so the transport cannot rewind them;
+//   - what must not be repeated goes over a fresh connection (New(Fresh)),
+//     which the transport never retries, whatever the headers are.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// Reuse says whether connections are kept between requests.
+type Reuse bool
+
+// The two kinds of clients.
+const (
+	Kept  Reuse = true
+	Fresh Reuse = false
+)
+
+const (
+	idlePerUpstream = 64
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 30 * time.Second
+)
+
+// New returns a client that follows no redirects and asks for no compression.
+func New(reuse Reuse) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   reuse == Fresh,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: idlePerUpstream,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Body returns a reader of b that the transport can neither measure nor rewind; set ContentLength beside it.
+func Body(b []byte) io.Reader {
+	if len(b) == 0 {
+		return nil
+	}
+	return onceReader{bytes.NewReader(b)}
+}
+
+// onceReader hides every other method of the reader in it.
+type onceReader struct{ io.Reader }
+
+// Classify gives a failed call its code; only NeverSent is certain that nothing was sent.
+func Classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.Wrap(err, result.NeverSent, "no connection")
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return result.Wrap(err, result.TimedOut, "no answer in time")
+	}
+	if errors.Is(err, context.Canceled) {
+		return result.Wrap(err, result.Cancelled, "cancelled")
+	}
+	return result.Wrap(err, result.UpstreamFailed, "connection broke")
+}
