Hold the replicated log to its promises by driven histories

Cause: nothing proved that votes, leases and commits survive kills, losses and one-way cuts. A constructed but never run log can be closed (park.Discard), which the tests found leaking. A folder put back from an older copy is found by the leader that had its acknowledgement; when that leader is gone as well it is not found, which docs/design/replicated-log.md says.

--- a/disk/log.go
+++ b/disk/log.go
@@ -115,6 +115,14 @@
 	l.file.Close()
 }
 
+// Close closes a log that was opened and will not run.
+func (l *Log) Close() {
+	l.tasks.Discard()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.file.Close()
+}
+
 // Append returns after records are on disk and synced; records of concurrent calls share one sync.
 func (l *Log) Append(ctx context.Context, records []Record) error {
 	call := appendCall{records: records, done: make(chan error, 1)}
--- a/park/park.go
+++ b/park/park.go
@@ -32,7 +32,9 @@
 func (g *Group) Go(fn func(ctx context.Context)) {
 	g.wg.Go(func() {
 		<-g.release
-		fn(g.ctx)
+		if g.ctx != nil {
+			fn(g.ctx)
+		}
 	})
 }
 
@@ -44,3 +46,9 @@
 	})
 	g.wg.Wait()
 }
+
+// Discard ends the parked goroutines of a group that will never run.
+func (g *Group) Discard() {
+	g.once.Do(func() { close(g.release) })
+	g.wg.Wait()
+}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -143,6 +143,24 @@
 	return rd
 }
 
+// Status returns the member's view; Applied is the driver's to fill in.
+func (c *Core) Status() Status {
+	return Status{
+		ID: c.id, Formed: c.formed, Role: c.role, Term: c.hard.Term, Leader: c.leader.Name, Commit: c.commit,
+		Members: c.members, Expelled: c.hard.Expelled, Lease: c.lease, Elected: c.elected, Heard: c.heard,
+	}
+}
+
+// CaughtUp returns a voter other than this leader that holds the whole log.
+func (c *Core) CaughtUp() (MemberID, bool) {
+	for _, m := range c.members {
+		if p := c.progress[m.ID]; m.Voter && m.ID != c.id && p != nil && !p.lost && p.match == c.lastIndex() {
+			return m.ID, true
+		}
+	}
+	return MemberID{}, false
+}
+
 // Persisted tells that every entry up to last is synced; a leader counts itself only then.
 func (c *Core) Persisted(last Index) {
 	c.persisted = max(c.persisted, min(last, c.lastIndex()))
--- /dev/null
+++ b/quorum/lease_test.go
@@ -0,0 +1,190 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/quorum"
+)
+
+// idle returns three members with a leader, everything committed and nothing on its way, and the two followers.
+func idle(t *testing.T) (g *group, leader, b, c *machine) {
+	t.Helper()
+	g, leader = lead(t, 3)
+	g.settle()
+	for _, m := range g.members {
+		switch {
+		case m == leader:
+		case b == nil:
+			b = m
+		default:
+			c = m
+		}
+	}
+	return g, leader, b, c
+}
+
+// run lets time pass and delivers everything in order.
+func (g *group) run(d time.Duration, each func()) {
+	const step = 10 * time.Millisecond
+	for range int(d / step) {
+		g.pass(step)
+		for range 20 {
+			if len(g.wire) == 0 {
+				break
+			}
+			g.deliver(0, false, false)
+			g.check()
+		}
+		each()
+	}
+}
+
+// A member that the leader does not reach asks for votes all the time; the others have promised theirs away.
+func TestVotesAreWithheldWhileALeaderIsHeard(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		restarts bool
+	}{
+		{"steady followers", false},
+		{"a follower that starts anew and has forgotten its promise", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, leader, b, other := idle(t)
+			term := leader.core.Status().Term
+			g.oneWay[[2]quorum.MemberID{leader.id, b.id}] = true
+			steps := 0
+			g.run(10*timing.Election, func() {
+				steps++
+				if c.restarts && steps%20 == 0 {
+					other.up = false
+					g.start(other)
+					g.drain(other, false)
+				}
+			})
+			got := leader.core.Status()
+			if got.Role != quorum.RoleLeader || got.Term != term {
+				t.Errorf("the leader of term %d is now %v in term %d", term, got.Role, got.Term)
+			}
+		})
+	}
+}
+
+func TestALeaseIsCountedFromSending(t *testing.T) {
+	g, leader, _, _ := idle(t)
+	g.run(timing.Heartbeat, func() {})
+	// Whatever is sent from here on is answered late.
+	before := g.now(leader)
+	g.pass(timing.Heartbeat)
+	sent := g.now(leader)
+	g.elapsed += timing.Lease / 2
+	for range 20 {
+		if len(g.wire) > 0 {
+			g.deliver(0, false, false)
+		}
+	}
+	lease := leader.core.Status().Lease
+	if lease.After(sent.Add(timing.Lease)) || !lease.After(before) {
+		t.Errorf("lease ends %s after the sending, want at most %s", lease.Sub(sent), timing.Lease)
+	}
+}
+
+func TestATransferEndsTheLease(t *testing.T) {
+	g, leader, b, _ := idle(t)
+	g.run(timing.Heartbeat, func() {})
+	if !leader.core.TransferTo(g.now(leader), b.id) {
+		t.Fatal("no transfer")
+	}
+	if lease := leader.core.Status().Lease; !lease.IsZero() {
+		t.Errorf("lease until %s after the transfer", lease)
+	}
+	// The receiver is silent: the old leader may not take its lease up again in this term.
+	g.cut[b.id] = true
+	term := leader.core.Status().Term
+	g.run(2*timing.Election, func() {
+		if s := leader.core.Status(); s.Term == term && !s.Lease.IsZero() {
+			t.Fatalf("lease until %s after the transfer", s.Lease)
+		}
+	})
+}
+
+// direct returns a member of three with a log of its own, driven without the others.
+func direct(hard quorum.HardState, entries []quorum.Entry, now time.Time) (*quorum.Core, []quorum.MemberID) {
+	ids := []quorum.MemberID{{Name: "a", Folder: "1"}, {Name: "b", Folder: "2"}, {Name: "c", Folder: "3"}}
+	snapshot := &quorum.Snapshot{Format: 1}
+	for _, id := range ids {
+		snapshot.Members = append(snapshot.Members, quorum.Member{ID: id, Voter: true})
+	}
+	return quorum.NewCore(ids[0], 0, timing, 1, now, snapshot, hard, entries), ids
+}
+
+func TestAVoteSurvivesARestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	late := now.Add(time.Hour)
+	// The term is known already, so that only the vote itself has to be synced.
+	core, ids := direct(quorum.HardState{Term: 5}, nil, now)
+	ask := func(core *quorum.Core, from quorum.MemberID, at time.Time) bool {
+		core.Step(at, &quorum.Message{Kind: quorum.MessageVote, From: from, To: ids[0], Term: 5})
+		for _, m := range core.Ready().Messages {
+			if m.Kind == quorum.MessageVoteReply {
+				return m.Granted
+			}
+		}
+		return false
+	}
+	core.Step(late, &quorum.Message{Kind: quorum.MessageVote, From: ids[1], To: ids[0], Term: 5})
+	rd := core.Ready()
+	if rd.Hard == nil {
+		t.Fatal("a vote was given and nothing has to be synced")
+	}
+	if diff := cmp.Diff(quorum.HardState{Term: 5, Vote: ids[1]}, *rd.Hard); diff != "" {
+		t.Fatalf("hard state (-want +got):\n%s", diff)
+	}
+	again, _ := direct(*rd.Hard, nil, late)
+	if ask(again, ids[2], late.Add(time.Hour)) {
+		t.Error("a second vote in the same term after a restart")
+	}
+	if !ask(again, ids[1], late.Add(time.Hour)) {
+		t.Error("the first vote is not repeated")
+	}
+}
+
+// The entry of an earlier term that a majority holds may still be replaced (Raft, figure 8).
+func TestOnlyEntriesOfTheOwnTermCommitByCounting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core, ids := direct(quorum.HardState{Term: 3}, []quorum.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}}, now)
+	now = now.Add(3 * timing.Election)
+	core.Tick(now)
+	core.Step(now, &quorum.Message{Kind: quorum.MessagePreVoteReply, From: ids[1], To: ids[0], Term: 4, Granted: true})
+	core.Step(now, &quorum.Message{Kind: quorum.MessageVoteReply, From: ids[1], To: ids[0], Term: 4, Granted: true})
+	core.Ready()
+	core.Persisted(3)
+	for _, c := range []struct {
+		match, commit quorum.Index
+	}{{2, 0}, {3, 3}} {
+		core.Step(now, &quorum.Message{Kind: quorum.MessageAppendReply, From: ids[1], To: ids[0], Term: 4, Granted: true, Match: c.match})
+		if got := core.Status().Commit; got != c.commit {
+			t.Errorf("a majority holds entry %d: commit %d, want %d", c.match, got, c.commit)
+		}
+	}
+}
+
+func TestUnsyncedEntriesOfTheLeaderDoNotCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core, ids := direct(quorum.HardState{Term: 3}, nil, now)
+	now = now.Add(3 * timing.Election)
+	core.Tick(now)
+	core.Step(now, &quorum.Message{Kind: quorum.MessagePreVoteReply, From: ids[1], To: ids[0], Term: 4, Granted: true})
+	core.Step(now, &quorum.Message{Kind: quorum.MessageVoteReply, From: ids[1], To: ids[0], Term: 4, Granted: true})
+	core.Ready()
+	core.Step(now, &quorum.Message{Kind: quorum.MessageAppendReply, From: ids[1], To: ids[0], Term: 4, Granted: true, Match: 1})
+	if got := core.Status().Commit; got != 0 {
+		t.Errorf("commit %d with one synced copy of three", got)
+	}
+	core.Persisted(1)
+	if got := core.Status().Commit; got != 1 {
+		t.Errorf("commit %d with two synced copies of three, want 1", got)
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -281,17 +281,12 @@
 		p.done <- outcome{err: result.New(result.NoLeader, "this member does not lead, or its last change of members is not yet committed")}
 		return
 	}
-	n.waiting[index] = waiter{term: n.core.hard.Term, done: p.done}
+	n.waiting[index] = waiter{term: n.core.Status().Term, done: p.done}
 }
 
 func (n *Node) transfer() bool {
-	best := MemberID{}
-	for id, p := range n.core.progress {
-		if n.core.isVoter(id) && id != n.core.id && p.match == n.core.lastIndex() {
-			best = id
-		}
-	}
-	return best != MemberID{} && n.core.TransferTo(n.Now(), best)
+	best, ok := n.core.CaughtUp()
+	return ok && n.core.TransferTo(n.Now(), best)
 }
 
 // process does what the core asks for, in the order that makes its promises true.
@@ -477,12 +472,9 @@
 }
 
 func (n *Node) publish() {
-	c := n.core
-	n.status.Store(&Status{
-		ID: c.id, Formed: c.formed, Role: c.role, Term: c.hard.Term, Leader: c.leader.Name,
-		Commit: c.commit, Applied: n.applied, Members: c.members, Expelled: c.hard.Expelled,
-		Lease: c.lease, Elected: c.elected, Heard: c.heard,
-	})
+	s := n.core.Status()
+	s.Applied = n.applied
+	n.status.Store(&s)
 }
 
 // HoldsLease reports whether this member led with a majority's support at now, counted on its own clock.
--- /dev/null
+++ b/quorum/node_test.go
@@ -0,0 +1,298 @@
+package quorum_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/disk"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// site is a few nodes in one synctest bubble, on real folders and with messages passed by hand.
+type site struct {
+	t     *testing.T
+	nodes map[ident.Daemon]*member
+	names []ident.Daemon
+
+	mu   sync.Mutex
+	live map[ident.Daemon]*quorum.Node
+}
+
+type member struct {
+	node   *quorum.Node
+	folder *disk.Folder
+	cancel context.CancelFunc
+	done   chan struct{}
+	fatal  error
+
+	mu    sync.Mutex
+	state []string
+}
+
+func newSite(t *testing.T, n int) *site {
+	s := &site{t: t, nodes: map[ident.Daemon]*member{}, live: map[ident.Daemon]*quorum.Node{}}
+	root := t.TempDir()
+	for i := range n {
+		name := ident.Daemon(fmt.Sprintf("m%d", i))
+		s.names = append(s.names, name)
+		folder, err := disk.NewFolder(filepath.Join(root, string(name)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.nodes[name] = &member{folder: folder}
+		s.start(name)
+	}
+	var members []quorum.Member
+	for _, name := range s.names {
+		members = append(members, quorum.Member{ID: s.nodes[name].node.Status().ID, Voter: true})
+	}
+	for _, name := range s.names {
+		s.nodes[name].node.Form(t.Context(), members)
+	}
+	return s
+}
+
+func (s *site) start(name ident.Daemon) {
+	m := s.nodes[name]
+	store, err := quorum.OpenStore(m.folder, name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	m.state, m.fatal = nil, nil
+	n := quorum.NewNode(store)
+	n.Timing, n.SnapshotEvery = timing, 50
+	n.Seed = uint64(len(name)) * uint64(name[1])
+	n.Send = s.send
+	n.Fatal = func(err error) { m.fatal = err }
+	n.Apply = func(index quorum.Index, data []byte) any {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.state = append(m.state, string(data))
+		return fmt.Sprint(index, ":", string(data))
+	}
+	n.TakeSnapshot = func() ([]byte, error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return []byte(fmt.Sprintf("%q", m.state)), nil
+	}
+	n.Restore = func(_ quorum.Index, data []byte) error {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.state = parse(string(data))
+		return nil
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	m.node, m.cancel, m.done = n, cancel, make(chan struct{})
+	go func() {
+		defer close(m.done)
+		var wg sync.WaitGroup
+		wg.Go(func() { store.Run(ctx) })
+		wg.Go(func() { n.Run(ctx) })
+		wg.Wait()
+	}()
+	<-n.Ready()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.live[name] = n
+}
+
+// parse reads a list of quoted strings.
+func parse(s string) []string {
+	var list []string
+	for len(s) > 1 {
+		s = s[1:]
+		var one string
+		if _, err := fmt.Sscanf(s, "%q", &one); err != nil {
+			break
+		}
+		list = append(list, one)
+		s = s[len(fmt.Sprintf("%q", one)):]
+	}
+	return list
+}
+
+func (s *site) stop(name ident.Daemon) {
+	m := s.nodes[name]
+	m.cancel()
+	<-m.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.live, name)
+}
+
+func (s *site) send(messages []quorum.Message) {
+	for i := range messages {
+		s.mu.Lock()
+		n := s.live[messages[i].To.Name]
+		s.mu.Unlock()
+		if n != nil {
+			n.Deliver(messages[i : i+1])
+		}
+	}
+}
+
+func (s *site) leader() *member {
+	for range 200 {
+		for _, m := range s.nodes {
+			if m.node.Status().Role == quorum.RoleLeader {
+				return m
+			}
+		}
+		time.Sleep(timing.Heartbeat)
+	}
+	s.t.Fatal("no leader")
+	return nil
+}
+
+func (m *member) commands() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.state)
+}
+
+func (s *site) stopAll() {
+	for _, name := range s.names {
+		s.stop(name)
+	}
+}
+
+func (s *site) proposeMany(m *member, from, n int) {
+	for i := from; i < from+n; i++ {
+		if _, _, err := m.node.Propose(s.t.Context(), []byte(fmt.Sprint("c", i))); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func commands(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprint("c", i))
+	}
+	return list
+}
+
+// Hundreds of changes, a kill of every member, and all of them are back.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		s.proposeMany(s.leader(), 0, 300)
+		s.stopAll()
+		for _, name := range s.names {
+			s.start(name)
+		}
+		s.proposeMany(s.leader(), 300, 1)
+		time.Sleep(time.Second)
+		for _, name := range s.names {
+			if diff := cmp.Diff(commands(301), s.nodes[name].commands()); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", name, diff)
+			}
+		}
+		s.stopAll()
+	})
+}
+
+// A member that was away while the others compacted their logs gets a snapshot.
+func TestAMemberThatWasAwayForLongCatchesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		leader := s.leader()
+		var away ident.Daemon
+		for _, name := range s.names {
+			if s.nodes[name] != leader {
+				away = name
+			}
+		}
+		s.stop(away)
+		s.proposeMany(leader, 0, 300)
+		s.start(away)
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff(commands(300), s.nodes[away].commands()); diff != "" {
+			t.Errorf("after its return (-want +got):\n%s", diff)
+		}
+		s.stopAll()
+	})
+}
+
+func TestFolderFaultsAtTheStart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		damage func(t *testing.T, path string)
+		as     ident.Daemon
+		code   result.Code
+	}{
+		{"untouched", func(*testing.T, string) {}, "m0", result.OK},
+		{"another member's folder", func(*testing.T, string) {}, "m9", result.WrongFolder},
+		{"snapshot with one wrong byte", func(t *testing.T, path string) { flip(t, filepath.Join(path, "snapshot-0"), 3) }, "m0", result.StorageDamaged},
+		{"identity with one wrong byte", func(t *testing.T, path string) { flip(t, filepath.Join(path, "identity"), 3) }, "m0", result.StorageDamaged},
+		{"log damaged before its tail", func(t *testing.T, path string) { flip(t, filepath.Join(path, "log"), 30) }, "m0", result.StorageDamaged},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var path string
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 1)
+				s.proposeMany(s.leader(), 0, 60)
+				s.stopAll()
+				path = s.nodes["m0"].folder.Path
+				c.damage(t, path)
+				store, err := quorum.OpenStore(s.nodes["m0"].folder, c.as)
+				if err == nil {
+					_, _, _, err = store.Load(0)
+					store.Close()
+				}
+				if code := result.CodeOf(err); code != c.code {
+					t.Errorf("code %d, want %d: %v", code, c.code, err)
+				}
+			})
+		})
+	}
+}
+
+func flip(t *testing.T, path string, at int) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[at] ^= 0xff
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A disk that fails to sync ends the member; the others go on.
+func TestAFailedSyncEndsTheMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		leader := s.leader()
+		leader.folder.Sync = func(*os.File) error { return os.ErrPermission }
+		_, _, err := leader.node.Propose(t.Context(), []byte("lost"))
+		if code := result.CodeOf(err); code != result.SyncFailed {
+			t.Errorf("proposal: code %d, want %d", code, result.SyncFailed)
+		}
+		if code := result.CodeOf(leader.fatal); code != result.SyncFailed {
+			t.Errorf("member ended with code %d, want %d", code, result.SyncFailed)
+		}
+		time.Sleep(3 * time.Second)
+		for _, m := range s.nodes {
+			if m != leader && m.node.Status().Role == quorum.RoleLeader {
+				s.proposeMany(m, 0, 1)
+				s.stopAll()
+				return
+			}
+		}
+		t.Error("nobody took over")
+		s.stopAll()
+	})
+}
--- a/quorum/store.go
+++ b/quorum/store.go
@@ -64,6 +64,7 @@
 	s.log = log
 	for _, r := range records {
 		if err := s.replay(r); err != nil {
+			log.Close()
 			return nil, err
 		}
 	}
@@ -173,6 +174,11 @@
 	s.log.Run(ctx)
 }
 
+// Close closes a store that was opened and will not run.
+func (s *Store) Close() {
+	s.log.Close()
+}
+
 // Syncs returns the number of batches synced since the start.
 func (s *Store) Syncs() uint64 {
 	return s.log.Syncs()
