Prove the fleet's state machine by tables and random commands

Conclusion: no VM in two groups and no group serving without all members holds by construction of the state.

--- /dev/null
+++ b/fleet/apply_test.go
@@ -0,0 +1,327 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// log applies commands one after the other, as the replicated log does.
+type log struct {
+	t        *testing.T
+	state    *fleet.State
+	revision ident.Revision
+}
+
+func newLog(t *testing.T, vms int) *log {
+	l := &log{t: t, state: fleet.NewState()}
+	var list []fleet.VM
+	for i := range vms {
+		gpu := []string{"new", "old"}[i%2]
+		list = append(list, fleet.VM{
+			Name: ident.VM(fmt.Sprint("w", i)), Address: "127.0.0.1:1", Hall: "h", Domain: "d", Accelerators: 8, Speed: 1,
+			Labels: map[string]string{"gpu": gpu},
+		})
+	}
+	l.must(&fleet.Command{Kind: fleet.KindRegister, VMs: list})
+	return l
+}
+
+func (l *log) apply(c *fleet.Command) fleet.Answer {
+	l.t.Helper()
+	data, err := fleet.Encode(c)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	decoded, err := fleet.Decode(data)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.revision++
+	return l.state.Apply(l.revision, decoded)
+}
+
+func (l *log) must(c *fleet.Command) fleet.Answer {
+	l.t.Helper()
+	a := l.apply(c)
+	if a.Code != result.OK {
+		l.t.Fatalf("%s", a.Text)
+	}
+	return a
+}
+
+func create(name ident.Group, size int) *fleet.Command {
+	return &fleet.Command{Kind: fleet.KindCreateGroup, Spec: &fleet.GroupSpec{Name: name, Model: "m", Size: size}}
+}
+
+func assign(name ident.Group, base ident.Epoch, members ...ident.VM) *fleet.Command {
+	return &fleet.Command{Kind: fleet.KindAssign, Assign: &fleet.Assign{Group: name, Base: base, Members: members}}
+}
+
+func (l *log) epoch(name ident.Group) ident.Epoch {
+	return l.state.Groups[name].Epoch
+}
+
+// serve forms a group and confirms every member.
+func (l *log) serve(name ident.Group, members ...ident.VM) {
+	l.t.Helper()
+	l.must(create(name, len(members)))
+	l.must(assign(name, 0, members...))
+	l.confirm(name, members...)
+}
+
+func (l *log) confirm(name ident.Group, members ...ident.VM) {
+	l.t.Helper()
+	for _, m := range members {
+		l.must(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: m, Epoch: l.epoch(name), Incarnation: "i-" + ident.Incarnation(m)}}})
+	}
+}
+
+func TestAssignKeepsEachVMInOneGroup(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(l *log)
+		command func(l *log) *fleet.Command
+		code    result.Code
+	}{
+		{"free VMs", func(*log) {}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.OK},
+		{"a VM of another group", func(l *log) { l.serve("other", "w0") }, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.ChangeRefused},
+		{"the same VM twice", func(*log) {}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w0") }, result.ChangeRefused},
+		{"too few", func(*log) {}, func(*log) *fleet.Command { return assign("g", 0, "w0") }, result.ChangeRefused},
+		{"unknown VM", func(*log) {}, func(*log) *fleet.Command { return assign("g", 0, "w0", "x") }, result.ChangeNotFound},
+		{"a decision on a passed epoch", func(l *log) { l.must(assign("g", 0, "w0", "w1")) }, func(*log) *fleet.Command { return assign("g", 0, "w2", "w3") }, result.ChangeConflict},
+		{"a VM that leaves and has not confirmed", func(l *log) {
+			l.serve("other", "w0")
+			l.must(assign("other", l.epoch("other"), "w2"))
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.ChangeRefused},
+		{"the own VM back before it confirmed that it left", func(l *log) {
+			l.must(assign("g", 0, "w0", "w1"))
+			l.must(assign("g", l.epoch("g"), "w2", "w3"))
+		}, func(l *log) *fleet.Command { return assign("g", l.epoch("g"), "w0", "w3") }, result.ChangeRefused},
+		{"a VM that left and confirmed", func(l *log) {
+			l.serve("other", "w0")
+			left := l.epoch("other")
+			l.must(assign("other", left, "w2"))
+			l.must(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: "w0", Epoch: left, Left: true}}})
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.OK},
+		{"a late word of leaving an older epoch", func(l *log) {
+			l.serve("other", "w0")
+			l.must(assign("other", l.epoch("other"), "w2"))
+			l.must(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: "w0", Epoch: 1, Left: true}}})
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.ChangeRefused},
+		{"a VM that leaves and is gone from the platform", func(l *log) {
+			l.serve("other", "w0")
+			l.must(assign("other", l.epoch("other"), "w2"))
+			l.must(&fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: "w0", Listing: fleet.ListingGone}}})
+			l.must(&fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: "w0", Listing: fleet.ListingLive}}})
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.OK},
+		{"a VM that the platform says is leaving", func(l *log) {
+			l.must(&fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: "w0", Listing: fleet.ListingLeaving}}})
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.ChangeRefused},
+		{"a VM that the selector does not admit", func(l *log) {
+			l.must(&fleet.Command{Kind: fleet.KindChangeGroup, Spec: &fleet.GroupSpec{
+				Name: "g", Model: "m", Size: 2, Selector: []fleet.Requirement{{Label: "gpu", Values: []string{"new"}}},
+			}})
+		}, func(*log) *fleet.Command { return assign("g", 0, "w0", "w1") }, result.ChangeRefused},
+		{"a group that is being dissolved", func(l *log) {
+			l.must(assign("g", 0, "w0", "w1"))
+			l.must(&fleet.Command{Kind: fleet.KindDeleteGroup, Group: "g"})
+		}, func(l *log) *fleet.Command { return assign("g", l.epoch("g"), "w2", "w3") }, result.ChangeRefused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLog(t, 6)
+			l.must(create("g", 2))
+			c.prepare(l)
+			if a := l.apply(c.command(l)); a.Code != c.code {
+				t.Errorf("code %d (%s), want %d", a.Code, a.Text, c.code)
+			}
+		})
+	}
+}
+
+func TestAGroupServesOnlyWhenAllHaveConfirmedItsEpoch(t *testing.T) {
+	l := newLog(t, 4)
+	l.must(create("g", 2))
+	l.must(assign("g", 0, "w0", "w1"))
+	first := l.epoch("g")
+	phase := func() string { return l.state.Groups["g"].Phase.String() }
+	for _, c := range []struct {
+		name    string
+		confirm fleet.Confirm
+		want    string
+	}{
+		{"one member", fleet.Confirm{VM: "w0", Epoch: first, Incarnation: "a"}, "forming"},
+		{"the same member again", fleet.Confirm{VM: "w0", Epoch: first, Incarnation: "a"}, "forming"},
+		{"the other one for another epoch", fleet.Confirm{VM: "w1", Epoch: first + 7, Incarnation: "b"}, "forming"},
+		{"a stranger", fleet.Confirm{VM: "w2", Epoch: first, Incarnation: "c"}, "forming"},
+		{"the other one", fleet.Confirm{VM: "w1", Epoch: first, Incarnation: "b"}, "serving"},
+	} {
+		l.must(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{c.confirm}})
+		if got := phase(); got != c.want {
+			t.Errorf("after %s: %s, want %s", c.name, got, c.want)
+		}
+	}
+	// A broken group never serves again in the same epoch, whatever its members confirm.
+	l.must(&fleet.Command{Kind: fleet.KindBreakGroup, Assign: &fleet.Assign{Group: "g", Base: first}})
+	l.confirm("g", "w0", "w1")
+	if got := phase(); got != "broken" {
+		t.Errorf("a broken group is %s again in epoch %d", got, first)
+	}
+	l.must(assign("g", first, "w0", "w1"))
+	l.confirm("g", "w0", "w1")
+	if got := phase(); got != "serving" {
+		t.Errorf("in a new epoch the group is %s", got)
+	}
+}
+
+func TestAGroupThatBrokeWhileItFormedDoesNotServe(t *testing.T) {
+	l := newLog(t, 2)
+	l.must(create("g", 2))
+	l.must(assign("g", 0, "w0", "w1"))
+	l.confirm("g", "w0")
+	l.must(&fleet.Command{Kind: fleet.KindBreakGroup, Assign: &fleet.Assign{Group: "g", Base: l.epoch("g")}})
+	l.confirm("g", "w1")
+	if got := l.state.Groups["g"].Phase; got != fleet.GroupBroken {
+		t.Errorf("the last confirmation made a broken group %s", got)
+	}
+}
+
+func TestAResendAfterARestartGetsItsFirstAnswer(t *testing.T) {
+	l := newLog(t, 1)
+	c := create("g", 1)
+	c.Change = "c1"
+	first := l.must(c)
+	data, err := l.state.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.state, err = fleet.UnmarshalState(data); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(first, l.apply(c)); diff != "" {
+		t.Errorf("answers before and after the restart (-before +after):\n%s", diff)
+	}
+}
+
+func TestChangesSentAgainAndRacing(t *testing.T) {
+	l := newLog(t, 4)
+	change := func(id ident.Change, size int, ifRevision ident.Revision) *fleet.Command {
+		return &fleet.Command{
+			Kind: fleet.KindChangeGroup, Change: id, By: "op", IfRevision: ifRevision,
+			Spec: &fleet.GroupSpec{Name: "g", Model: "m", Size: size},
+		}
+	}
+	made := create("g", 1)
+	made.Change, made.By = "c1", "op"
+	first := l.must(made)
+	for _, c := range []struct {
+		name    string
+		command *fleet.Command
+		code    result.Code
+		size    int
+		// revision is the revision that the answer must name, zero for its own.
+		revision ident.Revision
+	}{
+		{"the first change sent again gets its first answer", made, result.OK, 1, first.Revision},
+		{"a second group of that name", func() *fleet.Command { c := create("g", 1); c.Change = "c2"; return c }(), result.ChangeExists, 1, 0},
+		{"the refused one again, refused the same", func() *fleet.Command { c := create("g", 1); c.Change = "c2"; return c }(), result.ChangeExists, 1, first.Revision + 2},
+		{"one of two racing operators", change("c3", 2, first.Revision), result.OK, 2, 0},
+		{"the other one", change("c4", 3, first.Revision), result.ChangeConflict, 2, 0},
+		{"the first one's resend after a lost answer", change("c3", 2, first.Revision), result.OK, 2, first.Revision + 4},
+		{"an id used for something else", change("c3", 4, 0), result.ChangeIDReused, 2, 0},
+		{"without a condition the last one counts", change("c5", 4, 0), result.OK, 4, 0},
+	} {
+		a := l.apply(c.command)
+		want := c.revision
+		if want == 0 {
+			want = l.revision
+		}
+		if a.Code != c.code || a.Revision != want || l.state.Groups["g"].Spec.Size != c.size {
+			t.Errorf("%s: code %d (%s) at %d with size %d, want code %d at %d with size %d",
+				c.name, a.Code, a.Text, a.Revision, l.state.Groups["g"].Spec.Size, c.code, want, c.size)
+		}
+	}
+}
+
+func TestADeletedNameGetsANewGeneration(t *testing.T) {
+	l := newLog(t, 4)
+	l.serve("g", "w0", "w1")
+	old := l.state.Groups["g"].Generation
+	l.must(&fleet.Command{Kind: fleet.KindDeleteGroup, Group: "g"})
+	if a := l.apply(create("g", 2)); a.Code != result.ChangeExists {
+		t.Errorf("a group that is being dissolved was recreated: code %d", a.Code)
+	}
+	l.must(assign("g", l.epoch("g")))
+	l.must(create("g", 2))
+	if g := l.state.Groups["g"]; g.Generation <= old || g.Epoch != 0 {
+		t.Errorf("generation %d after %d, epoch %d", g.Generation, old, g.Epoch)
+	}
+	if v := l.state.VMs["w0"]; v.Phase != fleet.VMLeaving {
+		t.Errorf("a member of the dissolved group is %s before it confirmed", v.Phase)
+	}
+}
+
+func TestWhatMembersOfAServingGroupCause(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		command *fleet.Command
+		phase   string
+		reform  bool
+	}{
+		{"a label that matters not", &fleet.Command{Kind: fleet.KindLabelVM, Label: &fleet.LabelChange{VM: "w0", Set: map[string]string{"x": "y"}}}, "serving", false},
+		{"a label that ends its membership", &fleet.Command{Kind: fleet.KindLabelVM, Label: &fleet.LabelChange{VM: "w0", Set: map[string]string{"gpu": "broken"}}}, "serving", true},
+		{"an operator drains it", &fleet.Command{Kind: fleet.KindDrainVM, Label: &fleet.LabelChange{VM: "w0", Drain: true}}, "draining", true},
+		{"the platform says it leaves", &fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: "w0", Listing: fleet.ListingLeaving}}}, "draining", true},
+		{"another VM leaves", &fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: "w1", Listing: fleet.ListingLeaving}}}, "serving", false},
+	} {
+		l := newLog(t, 4)
+		l.must(&fleet.Command{Kind: fleet.KindCreateGroup, Spec: &fleet.GroupSpec{
+			Name: "g", Model: "m", Size: 2, Selector: []fleet.Requirement{{Label: "gpu", Values: []string{"new"}}},
+		}})
+		l.must(assign("g", 0, "w0", "w2"))
+		l.confirm("g", "w0", "w2")
+		l.must(c.command)
+		g := l.state.Groups["g"]
+		if g.Phase.String() != c.phase || g.Reform != c.reform {
+			t.Errorf("%s: %s, reform %t; want %s, %t", c.name, g.Phase, g.Reform, c.phase, c.reform)
+		}
+	}
+}
+
+func TestBadCommandsAreRefused(t *testing.T) {
+	l := newLog(t, 2)
+	for _, c := range []struct {
+		name    string
+		command *fleet.Command
+		code    result.Code
+	}{
+		{"no kind", &fleet.Command{}, result.ChangeInvalid},
+		{"create without content", &fleet.Command{Kind: fleet.KindCreateGroup}, result.ChangeInvalid},
+		{"label without content", &fleet.Command{Kind: fleet.KindLabelVM}, result.ChangeInvalid},
+		{"limits without content", &fleet.Command{Kind: fleet.KindLimits}, result.ChangeInvalid},
+		{"assign without content", &fleet.Command{Kind: fleet.KindAssign}, result.ChangeInvalid},
+		{"bad name", create("Not A Name", 1), result.ChangeInvalid},
+		{"no size", create("g", 0), result.ChangeInvalid},
+		{"built-in label", &fleet.Command{Kind: fleet.KindLabelVM, Label: &fleet.LabelChange{VM: "w0", Set: map[string]string{"hall": "x"}}}, result.ChangeInvalid},
+		{"unknown VM", &fleet.Command{Kind: fleet.KindDrainVM, Label: &fleet.LabelChange{VM: "x"}}, result.ChangeNotFound},
+		{"unknown group", &fleet.Command{Kind: fleet.KindDeleteGroup, Group: "x"}, result.ChangeNotFound},
+		{"negative limit", &fleet.Command{Kind: fleet.KindLimits, Limits: &fleet.LimitChange{Customer: "c", Limits: fleet.CustomerLimits{Concurrent: -1}}}, result.ChangeInvalid},
+	} {
+		before, _ := l.state.Marshal()
+		a := l.apply(c.command)
+		if a.Code != c.code {
+			t.Errorf("%s: code %d, want %d", c.name, a.Code, c.code)
+		}
+		l.state.Revision = l.revision - 1
+		after, _ := l.state.Marshal()
+		if diff := cmp.Diff(before, after); diff != "" {
+			t.Errorf("%s: a refused command changed the state", c.name)
+		}
+		l.state.Revision = l.revision
+	}
+}
--- /dev/null
+++ b/fleet/property_test.go
@@ -0,0 +1,202 @@
+package fleet_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same histories every run.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	someVMs    = 6
+	someGroups = 3
+)
+
+func anyVM(t *rapid.T) ident.VM {
+	return ident.VM(fmt.Sprint("w", rapid.IntRange(0, someVMs-1).Draw(t, "vm")))
+}
+
+func anyGroup(t *rapid.T) ident.Group {
+	return ident.Group(fmt.Sprint("g", rapid.IntRange(0, someGroups-1).Draw(t, "group")))
+}
+
+// anyCommand draws a command, sensible or not; epochs are mostly the right ones, or nothing would happen.
+func anyCommand(t *rapid.T, s *fleet.State) *fleet.Command {
+	name := anyGroup(t)
+	epoch := ident.Epoch(rapid.Uint64Range(0, 30).Draw(t, "epoch"))
+	if g := s.Groups[name]; g != nil && rapid.IntRange(0, 4).Draw(t, "right epoch") > 0 {
+		epoch = g.Epoch
+	}
+	members := rapid.SliceOfN(rapid.Custom(anyVM), 0, 3).Draw(t, "members")
+	vm := anyVM(t)
+	vmEpoch := epoch
+	if v := s.VMs[vm]; v != nil && rapid.IntRange(0, 4).Draw(t, "right vm epoch") > 0 {
+		vmEpoch = v.Epoch
+	}
+	switch fleet.Kind(rapid.IntRange(int(fleet.KindCreateGroup), int(fleet.KindBreakGroup)).Draw(t, "kind")) {
+	case fleet.KindCreateGroup:
+		return create(name, rapid.IntRange(1, 3).Draw(t, "size"))
+	case fleet.KindChangeGroup:
+		c := create(name, rapid.IntRange(1, 3).Draw(t, "size"))
+		c.Kind = fleet.KindChangeGroup
+		return c
+	case fleet.KindDeleteGroup:
+		return &fleet.Command{Kind: fleet.KindDeleteGroup, Group: name}
+	case fleet.KindLabelVM, fleet.KindDrainVM:
+		return &fleet.Command{Kind: fleet.KindDrainVM, Label: &fleet.LabelChange{VM: vm, Drain: rapid.Bool().Draw(t, "drain")}}
+	case fleet.KindListing:
+		l := fleet.Listing(rapid.IntRange(0, 2).Draw(t, "listing"))
+		return &fleet.Command{Kind: fleet.KindListing, Listings: []fleet.VMListing{{VM: vm, Listing: l}}}
+	case fleet.KindDrainGroup:
+		return &fleet.Command{Kind: fleet.KindDrainGroup, Assign: &fleet.Assign{Group: name, Base: epoch}}
+	case fleet.KindBreakGroup:
+		return &fleet.Command{Kind: fleet.KindBreakGroup, Assign: &fleet.Assign{Group: name, Base: epoch}}
+	case fleet.KindConfirm:
+		left := rapid.Bool().Draw(t, "left")
+		return &fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: vm, Epoch: vmEpoch, Incarnation: "i", Left: left}}}
+	}
+	return assign(name, epoch, members...)
+}
+
+// hold checks what must hold after every command.
+func hold(t *rapid.T, s *fleet.State) {
+	owner := map[ident.VM]ident.Group{}
+	for _, g := range s.SortedGroups() {
+		joined := 0
+		for _, name := range g.Members {
+			if other, ok := owner[name]; ok {
+				t.Fatalf("VM %s is in groups %s and %s", name, other, g.Spec.Name)
+			}
+			owner[name] = g.Spec.Name
+			v := s.VMs[name]
+			if v.Group != g.Spec.Name || v.Epoch != g.Epoch || v.Phase == fleet.VMFree || v.Phase == fleet.VMLeaving {
+				t.Fatalf("member %s of %s in epoch %d is %s of %q in epoch %d", name, g.Spec.Name, g.Epoch, v.Phase, v.Group, v.Epoch)
+			}
+			if v.Phase == fleet.VMJoined {
+				joined++
+			}
+		}
+		if g.Phase == fleet.GroupServing && (joined != len(g.Members) || joined == 0) {
+			t.Fatalf("group %s serves with %d of %d members", g.Spec.Name, joined, len(g.Members))
+		}
+	}
+	for _, v := range s.SortedVMs() {
+		if _, member := owner[v.Name]; !member && (v.Phase == fleet.VMJoined || v.Phase == fleet.VMJoining) {
+			t.Fatalf("VM %s is %s and no group has it", v.Name, v.Phase)
+		}
+	}
+}
+
+func TestRandomCommandsKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleet.NewState()
+		copied := fleet.NewMachine()
+		var vms []fleet.VM
+		for i := range someVMs {
+			vms = append(vms, fleet.VM{Name: ident.VM(fmt.Sprint("w", i)), Accelerators: 1})
+		}
+		commands := []*fleet.Command{{Kind: fleet.KindRegister, VMs: vms}}
+		n := rapid.IntRange(20, 150).Draw(t, "commands")
+		restart := rapid.IntRange(0, n).Draw(t, "restart")
+		epochs := map[ident.Group]ident.Epoch{}
+		for i := range n {
+			c := commands[0]
+			if i > 0 {
+				c = anyCommand(t, s)
+			}
+			data, err := fleet.Encode(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			revision := ident.Revision(i + 1)
+			answer := s.Apply(revision, c)
+			if again := copied.Apply(revision, data); again != answer {
+				t.Fatalf("two members answer differently: %v and %v", answer, again)
+			}
+			hold(t, s)
+			for name, g := range s.Groups {
+				if g.Epoch < epochs[name] && g.Generation < ident.Revision(epochs[name]) {
+					t.Fatalf("group %s went back from epoch %d to %d", name, epochs[name], g.Epoch)
+				}
+				epochs[name] = g.Epoch
+			}
+			if i == restart {
+				// The copy starts anew from a snapshot and must go on the same.
+				snapshot, err := copied.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				copied = fleet.NewMachine()
+				if err := copied.Restore(revision, snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		one, _ := s.Marshal()
+		two, _ := copied.Snapshot()
+		if !bytes.Equal(one, two) {
+			t.Fatal("the same log gave different bytes")
+		}
+	})
+}
+
+func TestMachineOnlyMovesForward(t *testing.T) {
+	m := fleet.NewMachine()
+	data, err := fleet.Encode(create("g", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(5, data)
+	old, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	more, err := fleet.Encode(create("h", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(6, more)
+	for _, c := range []struct {
+		name string
+		do   func()
+	}{
+		{"an older command", func() { m.Apply(3, data) }},
+		{"the newest command again", func() { m.Apply(6, data) }},
+		{"an older snapshot", func() { _ = m.Restore(5, old) }},
+	} {
+		c.do()
+		if r := m.Revision(); r != 6 {
+			t.Errorf("%s: revision %d", c.name, r)
+		}
+	}
+	entries, ok := m.Since(5, 10)
+	if !ok || len(entries) != 1 || entries[0].Revision != 6 {
+		t.Errorf("since 5: %v, %t", entries, ok)
+	}
+	fresh := fleet.NewMachine()
+	if err := fresh.Restore(5, old); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := fresh.Since(2, 10); ok {
+		t.Error("a machine that started from a snapshot claims to have what came before")
+	}
+	if a := m.Apply(7, []byte{0xff}); a.Code != result.ChangeInvalid || m.Revision() != 7 {
+		t.Errorf("an unreadable command: code %d, revision %d", a.Code, m.Revision())
+	}
+}
