Plan repairs by measured cost and start loads one group after another

Change: (1) the weight store's limit moves from planning whole groups to giving orders; a further group is started when that lowers the sum of waiting (control.StartNow). (2) A broken group without a spare waits 5 s for a pause to end, not two minutes for a restart: a VM that restarted has to load as well. (3) VMs that were lost less often go first. No row is worse than the better baseline now.

--- a/control/orders.go
+++ b/control/orders.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,12 @@
 // until it confirms, one that is leaving is told to leave. A leader that takes
 // over gives the same orders again, which engines take as done already.
 //
+// The weight store has a limited rate. A group serves only when its last member
+// has loaded, so loads that share the rate evenly all end late. Groups are
+// therefore started one after the other, the important one first, then the one
+// that lacks the fewest members, and a further one is started beside those that
+// load only when that lowers the sum of their waiting; see StartNow.
+//
 // Two leaders must not steer the same engine. An engine that checks orders
 // compares the fence, the leader's term and a running number. For one that does
 // not, the leader gives orders only while it holds its lease, only after every
@@ -35,8 +43,10 @@
 
 // Orders gives the orders that a state calls for; exported fields are set before use.
 type Orders struct {
-	Now       func() time.Time
-	Deadline  time.Duration
+	Now      func() time.Time
+	Deadline time.Duration
+	// Loads is how many VMs the weight store feeds at full rate.
+	Loads     int
 	Authority func() Authority
 	Give      func(ctx context.Context, address string, o *engine.Order) (engine.OrderAnswer, error)
 	// Confirmed receives what engines confirmed.
@@ -55,19 +65,22 @@
 	epoch   ident.Epoch
 	kind    engine.OrderKind
 	running bool
+	// loads is set while the engine says that it loads.
+	loads   bool
 	next    time.Time
 	backoff time.Duration
 }
 
 const (
-	maxRunning = 256
-	firstWait  = 100 * time.Millisecond
-	longestGap = 2 * time.Second
+	maxRunning   = 256
+	defaultLoads = 16
+	firstWait    = 100 * time.Millisecond
+	longestGap   = 2 * time.Second
 )
 
 // NewOrders returns an idle order giver.
 func NewOrders() *Orders {
-	return &Orders{Now: time.Now, pending: map[ident.VM]*attempt{}, Failed: func(ident.VM, engine.OrderKind, error) {}}
+	return &Orders{Now: time.Now, Loads: defaultLoads, pending: map[ident.VM]*attempt{}, Failed: func(ident.VM, engine.OrderKind, error) {}}
 }
 
 // Wait returns when no order is on its way.
@@ -80,39 +93,106 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Now()
-	running := o.forget(s)
-	for name, v := range s.VMs {
+	running, loading := o.forget(s)
+	list, missing := inTurn(s)
+	for _, v := range list {
 		order := orderFor(s, v)
 		if order == nil {
 			continue
 		}
-		a := o.attempt(name, order)
+		a := o.attempt(v.Name, order)
 		if a.running || now.Before(a.next) || running >= maxRunning {
 			continue
 		}
-		if !o.mayOrder(v, order, now) {
+		if order.Kind == engine.OrderJoin && !loading.admit(v.Group, missing[v.Group], o.Loads) || !o.mayOrder(v, order, now) {
 			continue
 		}
 		running++
 		a.running = true
-		o.start(ctx, name, v.Address, order, a)
+		o.start(ctx, v.Name, v.Address, order, a)
+	}
+}
+
+// loading counts, for each group that loads, the VMs that do.
+type loading map[ident.Group]int
+
+// admit reports whether a group may load now, and counts it when it may.
+func (l loading) admit(name ident.Group, missing, limit int) bool {
+	if _, ok := l[name]; ok {
+		return true
+	}
+	vms := 0
+	for _, n := range l {
+		vms += n
+	}
+	if !StartNow(vms, len(l), missing, limit) {
+		return false
+	}
+	l[name] = missing
+	return true
+}
+
+// StartNow reports whether starting more loads beside those of the given number of VMs and groups lowers the sum of all
+// groups' waiting, when limit VMs can load at full rate and more of them share it evenly.
+func StartNow(vms, groups, more, limit int) bool {
+	if groups == 0 {
+		return true
+	}
+	rounds := func(n int) float64 { return max(1, float64(n)/float64(limit)) }
+	together := float64(groups+1) * rounds(vms+more)
+	inTurn := float64(groups)*rounds(vms) + rounds(vms) + rounds(more)
+	return together <= inTurn
+}
+
+// inTurn returns the VMs that join or leave, in the order in which they are to be ordered, and what each group lacks.
+func inTurn(s *fleet.State) (list []*fleet.VM, missing map[ident.Group]int) {
+	missing = map[ident.Group]int{}
+	for _, v := range s.VMs {
+		switch v.Phase {
+		case fleet.VMJoining:
+			missing[v.Group]++
+			list = append(list, v)
+		case fleet.VMLeaving:
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b *fleet.VM) int {
+		// Leaving costs nothing and frees a VM for others.
+		if a.Phase != b.Phase {
+			return cmp.Compare(b.Phase, a.Phase)
+		}
+		return cmp.Or(
+			cmp.Compare(priority(s, a), priority(s, b)), cmp.Compare(missing[a.Group], missing[b.Group]),
+			cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Name, b.Name))
+	})
+	return list, missing
+}
+
+func priority(s *fleet.State, v *fleet.VM) int {
+	if g := s.Groups[v.Group]; g != nil {
+		return g.Spec.Priority
 	}
+	return 0
 }
 
-// forget drops attempts that the state no longer calls for and counts those on their way.
-func (o *Orders) forget(s *fleet.State) int {
-	running := 0
+// forget drops attempts that the state no longer calls for and counts those on their way and, by group, those that load.
+func (o *Orders) forget(s *fleet.State) (running int, loads loading) {
+	loads = loading{}
 	for name, a := range o.pending {
+		v := s.VMs[name]
+		called := v != nil && v.Epoch == a.epoch && (v.Phase == fleet.VMJoining || v.Phase == fleet.VMLeaving)
+		if !a.running && !called {
+			delete(o.pending, name)
+			continue
+		}
 		if a.running {
 			running++
-			continue
 		}
-		v := s.VMs[name]
-		if v == nil || v.Epoch != a.epoch || v.Phase != fleet.VMJoining && v.Phase != fleet.VMLeaving {
-			delete(o.pending, name)
+		if called && (a.loads || a.running && a.kind == engine.OrderJoin) {
+			loads[v.Group]++
 		}
 	}
-	return running
+	return running, loads
 }
 
 func (o *Orders) attempt(name ident.VM, order *engine.Order) *attempt {
@@ -183,6 +263,8 @@
 func (o *Orders) finish(name ident.VM, order *engine.Order, a *attempt, answer engine.OrderAnswer, err error) {
 	o.mu.Lock()
 	a.running = false
+	// A VM that cannot be reached must not keep others from loading.
+	a.loads = err == nil && !answer.Done && order.Kind == engine.OrderJoin
 	if err == nil && !answer.Done {
 		// Loading takes its time; the question is repeated at an even pace.
 		a.backoff = firstWait
--- a/daemon/lead.go
+++ b/daemon/lead.go
@@ -24,12 +24,12 @@
 	l.Judge = control.NewJudge(d.table, times.PresenceBound.Std(), times.LossBound.Std())
 	l.Policy = planner.DefaultPolicy()
 	l.Policy.Downtime, l.Policy.Stranded = d.cfg.Policy.Downtime, d.cfg.Policy.Stranded
-	l.Policy.ConcurrentLoads = d.cfg.WeightStore.ConcurrentLoads
 	l.DrainBound, l.ControlBound = times.DrainBound.Std(), times.ControlBound.Std()
 	l.Propose = d.proposeFleet
 	l.Registered = func() []fleet.VM { return d.platform.registered() }
 	l.Listings = func() map[ident.VM]fleet.Listing { return d.platform.listings() }
 	o := control.NewOrders()
+	o.Loads = d.cfg.WeightStore.ConcurrentLoads
 	o.Deadline, o.Authority, o.Give = times.OrderDeadline.Std(), d.authority, d.engines.Order
 	o.Confirmed, o.Failed = l.Confirm, d.orderFailed
 	l.Orders = o
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -4,18 +4,17 @@
 // actions. It keeps no state: what it wants next follows from the log and from
 // presence, so a new leader continues where the last one stopped.
 //
-// The order of work is what lowers downtime most for each load of weights:
-// groups that lost a member before groups that never formed, important groups
-// before others, small loads before large ones, and no more loads at a time
-// than the weight store can feed. Within that order each group takes the VMs
-// that hurt the rest least: its own members, a spare of its own domain, a
-// domain that it fills to the brim, and only then several domains.
+// The order of choice is: important groups before others, groups that lost a
+// member before groups that never formed, small ones before large ones. Within
+// that order each group takes the VMs that hurt the rest least: its own
+// members, a spare of its own domain, a domain that it fills to the brim, and
+// only then several domains. In which order the chosen VMs load is not decided
+// here but by control.Orders, which knows what the weight store is doing.
 //
 // Spares are never held back from a declared group: a group that waits so that
 // another may be repaired later is down for certain, the other one only
-// perhaps. What the weights decide is how long a broken group without a spare
-// waits for its lost VM before its other VMs are given to a group that they
-// would complete, and whether moving a split replica home is worth a reload.
+// perhaps. The weights decide whether moving a split replica home is worth a
+// reload; see docs/design/planner.md for what else was weighed.
 
 import (
 	"slices"
@@ -31,12 +30,10 @@
 	// Downtime weighs a second of one group's downtime, Stranded a second of one stranded accelerator.
 	Downtime float64
 	Stranded float64
-	// ConcurrentLoads is how many VMs may load weights at once.
-	ConcurrentLoads int
 	// LoadTime is how long one load takes.
 	LoadTime time.Duration
-	// ReturnTime is how long a restarted VM is usually away.
-	ReturnTime time.Duration
+	// Patience is how long a broken group without a spare waits for a VM that may only have paused.
+	Patience time.Duration
 	// SplitLoss is the share of its speed that a replica across domains loses.
 	SplitLoss float64
 	// Horizon is how long a move home has to pay for itself.
@@ -46,8 +43,8 @@
 // DefaultPolicy returns even weights and times that suit a replica of some hundred gigabytes.
 func DefaultPolicy() Policy {
 	return Policy{
-		Downtime: 1, Stranded: 1, ConcurrentLoads: 16,
-		LoadTime: time.Minute, ReturnTime: 2 * time.Minute, SplitLoss: 0.4, Horizon: 30 * time.Minute,
+		Downtime: 1, Stranded: 1,
+		LoadTime: time.Minute, Patience: 5 * time.Second, SplitLoss: 0.4, Horizon: 30 * time.Minute,
 	}
 }
 
@@ -78,7 +75,6 @@
 	freeIDs []int
 	scanned bool
 	pools   map[string]*pool
-	loads   int
 	actions []Action
 	short   []int // groups that lost members and found no replacement
 	unmet   []int // pending groups that found no single domain
@@ -87,7 +83,6 @@
 // Plan returns the next actions for w under policy; equal inputs give equal actions.
 func Plan(w *World, policy Policy) []Action {
 	p := &plan{world: w, policy: policy, taken: make([]bool, len(w.VMs)), version: make([]int, len(w.domains)), pools: map[string]*pool{}}
-	p.loads = policy.ConcurrentLoads - p.loading()
 	for _, g := range p.order() {
 		p.decide(g)
 	}
@@ -99,14 +94,14 @@
 	return p.actions
 }
 
-func (p *plan) loading() int {
-	n := 0
+// loading reports whether any VM is on its way into a group.
+func (p *plan) loading() bool {
 	for i := range p.world.VMs {
 		if p.world.VMs[i].Phase == fleet.VMJoining {
-			n++
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // order returns the groups that need a decision, the most useful first.
@@ -173,15 +168,6 @@
 	p.act(Action{Kind: ActionAssign, Group: g.Spec.Name, Base: g.Epoch, Members: p.world.names(members), Reason: reason})
 }
 
-// mayLoad takes n loads from what the weight store can feed; one group is always let through.
-func (p *plan) mayLoad(n int) bool {
-	if n > p.loads && p.loads < p.policy.ConcurrentLoads {
-		return false
-	}
-	p.loads -= n
-	return true
-}
-
 // freeVMs lists the VMs that any group could take, found at the first need and not for a plan without one.
 func (p *plan) freeVMs() []int {
 	if !p.scanned {
@@ -211,9 +197,7 @@
 		p.unmet = append(p.unmet, i)
 		return
 	}
-	if p.mayLoad(len(members)) {
-		p.assign(g, members, "formed in one domain")
-	}
+	p.assign(g, members, "formed in one domain")
 }
 
 // formSplit is tried after every group that fits one domain has had its choice.
@@ -223,7 +207,7 @@
 		return
 	}
 	members := p.pool(&g.Spec).manyDomains(g.Spec.Size)
-	if members != nil && p.mayLoad(len(members)) {
+	if members != nil {
 		p.assign(g, members, "formed across domains")
 	}
 }
@@ -245,7 +229,6 @@
 		p.wait(i, g)
 		return
 	}
-	p.loads -= missing
 	p.assign(g, append(kept, more...), "lost member replaced")
 }
 
@@ -260,11 +243,7 @@
 		p.wait(i, g)
 		return
 	}
-	if p.mayLoad(len(members)) {
-		p.assign(g, members, "all members lost, formed elsewhere")
-		return
-	}
-	p.wait(i, g)
+	p.assign(g, members, "all members lost, formed elsewhere")
 }
 
 // wait leaves a broken group as it is until a VM is there for it. That it broke goes into the log,
@@ -319,16 +298,6 @@
 	return best
 }
 
-// patience is how long a broken group without a spare waits for its lost VM. A VM that restarts is back after
-// ReturnTime, a failed one much later; the more downtime weighs, the sooner its other VMs help another group.
-func (p *plan) patience() time.Duration {
-	total := p.policy.Downtime + p.policy.Stranded
-	if total == 0 {
-		return p.policy.ReturnTime
-	}
-	return time.Duration(float64(p.policy.ReturnTime) * (1 + p.policy.Stranded/total))
-}
-
 // consolidate gives up one broken group whose members would complete another one.
 func (p *plan) consolidate() {
 	if len(p.short) < 2 {
@@ -338,7 +307,8 @@
 	missing := first.Spec.Size - len(p.world.kept(first))
 	for n := len(p.short) - 1; n > 0; n-- {
 		donor := &p.world.Groups[p.short[n]]
-		if min(donor.Down, first.Down) < p.patience() {
+		// A VM that paused is back without a load; one that restarts has to load as well, so waiting longer gains nothing.
+		if min(donor.Down, first.Down) < p.policy.Patience {
 			continue
 		}
 		if p.usefulTo(first, donor) >= missing {
@@ -362,11 +332,7 @@
 
 // moveHome drains one split group when one domain could hold it and the speed gained pays for the reload.
 func (p *plan) moveHome() {
-	if len(p.actions) > 0 || p.loads < p.policy.ConcurrentLoads {
-		return
-	}
-	gain := p.policy.SplitLoss * float64(p.policy.Horizon)
-	if gain <= float64(p.policy.LoadTime) {
+	if len(p.actions) > 0 || !p.worthMoving() || p.loading() {
 		return
 	}
 	for i := range p.world.Groups {
@@ -384,15 +350,31 @@
 	}
 }
 
+// worthMoving weighs the speed that a split replica loses, which wastes its accelerators, against the downtime of a reload.
+func (p *plan) worthMoving() bool {
+	gain := p.policy.Stranded * p.policy.SplitLoss * float64(p.policy.Horizon)
+	return gain > p.policy.Downtime*float64(p.policy.LoadTime)
+}
+
 func (p *plan) sortFastest(members []int) {
 	vms := p.world.VMs
-	sort.SliceStable(members, func(a, b int) bool { return vms[members[a]].Speed > vms[members[b]].Speed })
+	sort.SliceStable(members, func(a, b int) bool {
+		x, y := &vms[members[a]], &vms[members[b]]
+		if x.Speed != y.Speed {
+			return x.Speed > y.Speed
+		}
+		return x.Flaps < y.Flaps
+	})
 }
 
-// sortClosest puts VMs that do not slow the group first, the slowest of them in front, so that fast ones stay for others.
+// sortClosest puts VMs that were lost least often first, among them those that do not slow the group, the slowest of
+// them in front, so that fast ones stay for others.
 func (p *plan) sortClosest(members []int, slowest float64) {
 	vms := p.world.VMs
 	sort.SliceStable(members, func(a, b int) bool {
+		if f, g := vms[members[a]].Flaps, vms[members[b]].Flaps; f != g {
+			return f < g
+		}
 		x, y := vms[members[a]].Speed, vms[members[b]].Speed
 		if (x >= slowest) != (y >= slowest) {
 			return x >= slowest
--- /dev/null
+++ b/planner/policy_test.go
@@ -0,0 +1,558 @@
+package planner_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/control"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/planner"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// The policy table runs short sequences of events through the planner and
+// through two baselines, and adds up group downtime and stranded accelerator
+// time with plain arithmetic: a load takes loadTime of the weight store's
+// attention, a VM that has the weights already joins in rejoinTime.
+
+const (
+	tick       = 5 * time.Second
+	loadTime   = time.Minute
+	rejoinTime = 5 * time.Second
+	lossAfter  = 5 * time.Second
+	feeds      = 8 // VMs that the weight store feeds at full rate
+)
+
+// event is something that happens to a fleet at a time.
+type event struct {
+	at   time.Duration
+	what string // "down NAMES", "up NAMES" or "group NAME SIZE [one]"
+}
+
+// sequence is one row of the table.
+type sequence struct {
+	name    string
+	domains []string
+	groups  []string
+	events  []event
+	length  time.Duration
+}
+
+var sequences = []sequence{
+	{
+		name: "losses with spares", domains: []string{"d1: a b c d e", "d2: f g h i j"},
+		groups: []string{"g1 4", "g2 4"},
+		events: []event{{5 * time.Minute, "down b"}, {20 * time.Minute, "down g"}, {40 * time.Minute, "up b"}, {50 * time.Minute, "up g"}},
+		length: time.Hour,
+	},
+	{
+		name: "a second loss right after a repair", domains: []string{"d1: a b c d e f"},
+		groups: []string{"g1 4 one"},
+		events: []event{{5 * time.Minute, "down b"}, {5*time.Minute + 70*time.Second, "down e"}, {30 * time.Minute, "up b e"}},
+		length: time.Hour,
+	},
+	{
+		name: "restarts without spares", domains: []string{"d1: a b c d", "d2: e f g h"},
+		groups: []string{"g1 4", "g2 4"},
+		events: []event{{5 * time.Minute, "down b"}, {6 * time.Minute, "up b"}, {15 * time.Minute, "down f"}, {16 * time.Minute, "up f"}},
+		length: 30 * time.Minute,
+	},
+	{
+		name: "two restarts at the same time", domains: []string{"d1: a b c d", "d2: e f g h"},
+		groups: []string{"g1 4", "g2 4"},
+		events: []event{{5 * time.Minute, "down b f"}, {6 * time.Minute, "up b f"}},
+		length: 30 * time.Minute,
+	},
+	{
+		name: "two long losses without spares", domains: []string{"d1: a b c d", "d2: e f g h"},
+		groups: []string{"g1 4", "g2 4"},
+		events: []event{{5 * time.Minute, "down b"}, {6 * time.Minute, "down f"}, {4 * time.Hour, "up b f"}},
+		length: 5 * time.Hour,
+	},
+	{
+		name: "a spare that flaps", domains: []string{"d1: a b c d e f g"},
+		groups: []string{"g1 4"},
+		events: flaps("b", 8, event{13*time.Minute + 40*time.Second, "down c"}),
+		length: 40 * time.Minute,
+	},
+	{
+		name: "a dark domain for a short time", domains: []string{"d1: a b c d", "d2: e f g h", "d3: i j k l"},
+		groups: []string{"g1 4", "g2 4", "g3 4"},
+		events: []event{{5 * time.Minute, "down a b c d"}, {8 * time.Minute, "up a b c d"}},
+		length: 30 * time.Minute,
+	},
+	{
+		name: "a dark domain with room elsewhere", domains: []string{"d1: a b c d", "d2: e f g h", "d3: i j k l m"},
+		groups: []string{"g1 4", "g2 4"},
+		events: []event{{5 * time.Minute, "down a b c d"}, {65 * time.Minute, "up a b c d"}},
+		length: 2 * time.Hour,
+	},
+	{
+		name: "uneven domains", domains: []string{"d1: a b c d e f", "d2: g h i j", "d3: k l"},
+		groups: []string{"g1 4 one", "g2 2 one", "g3 6 one"},
+		length: time.Hour,
+	},
+	{
+		name: "uneven domains and a loss", domains: []string{"d1: a b c d e f g", "d2: h i j k"},
+		groups: []string{"g1 4 one", "g2 6 one"},
+		events: []event{{10 * time.Minute, "down a"}, {40 * time.Minute, "up a"}},
+		length: time.Hour,
+	},
+	{
+		name: "mixed ages", domains: []string{"d1: a*1 b*0.5 c*1 d*0.5", "d2: e*1 f*0.5 g*1 h*0.5"},
+		groups: []string{"g1 2", "g2 2", "g3 2", "g4 2"},
+		events: []event{{10 * time.Minute, "down a"}, {30 * time.Minute, "up a"}},
+		length: time.Hour,
+	},
+	{
+		name: "growth", domains: []string{"d1: a b c d e f g h", "d2: i j k l m n o p"},
+		groups: []string{"g1 4"},
+		events: []event{
+			{5 * time.Minute, "group g2 4"}, {10 * time.Minute, "group g3 2"}, {15 * time.Minute, "group g4 2"}, {20 * time.Minute, "group g5 4"},
+		},
+		length: time.Hour,
+	},
+	{
+		name: "a day of losses", domains: []string{"d1: a1 a2 a3 a4 a5 a6 a7 a8 a9", "d2: b1 b2 b3 b4 b5 b6 b7 b8 b9", "d3: c1 c2 c3 c4 c5 c6 c7 c8 c9"},
+		groups: []string{"g1 4 one", "g2 4 one", "g3 4 one", "g4 4 one", "g5 4 one", "g6 4 one"},
+		events: []event{
+			{time.Hour, "down a2"}, {2 * time.Hour, "up a2"}, {3 * time.Hour, "down b3"}, {4 * time.Hour, "up b3"}, {5 * time.Hour, "down c1"},
+			{6 * time.Hour, "up c1"}, {7 * time.Hour, "down a7"}, {8 * time.Hour, "up a7"}, {9 * time.Hour, "down b8"}, {10 * time.Hour, "up b8"},
+		},
+		length: 11 * time.Hour,
+	},
+	{
+		name: "a cold start", domains: []string{"d1: a b c d e f g h", "d2: i j k l m n o p", "d3: q r s t u v w x"},
+		groups: []string{"g1 8 one", "g2 4 one", "g3 4 one", "g4 8 one"},
+		length: 20 * time.Minute,
+	},
+}
+
+// flaps makes a VM come and go, with one other event in between.
+func flaps(name string, times int, other event) []event {
+	events := []event{other}
+	at := 6 * time.Minute
+	for range times {
+		events = append(events, event{at, "down " + name}, event{at + 30*time.Second, "up " + name})
+		at += 3 * time.Minute
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	return events
+}
+
+// strategy decides on a world; the planner is one, the baselines are the others.
+type strategy func(w *planner.World) []planner.Action
+
+// table is the running state of one sequence under one strategy.
+type table struct {
+	t        *testing.T
+	at       pace
+	state    *fleet.State
+	revision ident.Revision
+	now      time.Duration
+	down     map[ident.VM]time.Duration
+	changed  map[ident.VM]time.Duration
+	losses   map[ident.VM]int
+	stale    map[ident.VM]bool // was away while it was a member
+	loaded   map[ident.VM]string
+	loading  map[ident.VM]time.Duration // attention still needed
+	broken   map[ident.Group]time.Duration
+	downtime time.Duration
+	stranded time.Duration
+}
+
+// pace is how long things take; with everything at once a run shows what no strategy can avoid.
+type pace struct {
+	load, loss time.Duration
+	inTurn     bool
+}
+
+func run(t *testing.T, q *sequence, decide strategy, at pace) (downtime, stranded time.Duration) {
+	t.Helper()
+	x := &table{
+		t: t, at: at, state: site(t, q.domains...), down: map[ident.VM]time.Duration{}, changed: map[ident.VM]time.Duration{}, losses: map[ident.VM]int{},
+		stale: map[ident.VM]bool{}, loaded: map[ident.VM]string{}, loading: map[ident.VM]time.Duration{}, broken: map[ident.Group]time.Duration{},
+	}
+	for _, g := range q.groups {
+		x.happen("group " + g)
+	}
+	events := slices.Clone(q.events)
+	for x.now = 0; x.now < q.length; x.now += tick {
+		for len(events) > 0 && events[0].at <= x.now {
+			x.happen(events[0].what)
+			events = events[1:]
+		}
+		x.act(decide(x.world()))
+		x.load()
+		x.count()
+	}
+	return x.downtime, x.stranded
+}
+
+func (x *table) apply(c *fleet.Command) {
+	x.t.Helper()
+	x.revision++
+	if a := x.state.Apply(x.revision, c); a.Code != result.OK {
+		x.t.Fatalf("%s: %s", x.now, a.Text)
+	}
+}
+
+func (x *table) happen(what string) {
+	words := strings.Fields(what)
+	switch words[0] {
+	case "group":
+		spec := &fleet.GroupSpec{Name: ident.Group(words[1]), Model: "m", OneDomain: len(words) > 3}
+		if _, err := fmt.Sscan(words[2], &spec.Size); err != nil {
+			x.t.Fatal(err)
+		}
+		x.apply(&fleet.Command{Kind: fleet.KindCreateGroup, Spec: spec})
+	case "down":
+		for _, w := range words[1:] {
+			name := ident.VM(w)
+			x.down[name], x.changed[name] = x.now, x.now
+			x.losses[name]++
+			x.stale[name] = x.state.VMs[name].Phase != fleet.VMFree
+			x.loaded[name] = ""
+		}
+	case "up":
+		for _, w := range words[1:] {
+			delete(x.down, ident.VM(w))
+			x.changed[ident.VM(w)] = x.now
+		}
+	}
+}
+
+func (x *table) world() *planner.World {
+	w := planner.NewWorld(x.state.Clone())
+	for i := range w.VMs {
+		v := &w.VMs[i]
+		v.Flaps, v.Stable = x.losses[v.Name], x.now-x.changed[v.Name]
+		since, down := x.down[v.Name]
+		switch {
+		case down && x.now-since >= x.at.loss:
+			v.Condition = planner.ConditionLost
+		case down:
+			v.Condition = planner.ConditionSuspect
+		case x.stale[v.Name] && v.Phase == fleet.VMJoined:
+			v.Condition = planner.ConditionRestarted
+		}
+	}
+	for i := range w.Groups {
+		g := &w.Groups[i]
+		g.Drained = true
+		if since, ok := x.broken[g.Spec.Name]; ok {
+			g.Down = x.now - since
+		}
+	}
+	return w
+}
+
+func (x *table) act(actions []planner.Action) {
+	for _, a := range actions {
+		kind := map[planner.ActionKind]fleet.Kind{
+			planner.ActionAssign: fleet.KindAssign, planner.ActionDrain: fleet.KindDrainGroup, planner.ActionBreak: fleet.KindBreakGroup,
+		}[a.Kind]
+		x.apply(&fleet.Command{Kind: kind, Assign: &fleet.Assign{Group: a.Group, Base: a.Base, Members: a.Members}})
+	}
+	for _, v := range x.state.SortedVMs() {
+		_, down := x.down[v.Name]
+		if v.Phase == fleet.VMLeaving && !down {
+			x.apply(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: v.Name, Epoch: v.Epoch, Left: true}}})
+			x.stale[v.Name] = false
+		}
+		if v.Phase != fleet.VMJoining {
+			delete(x.loading, v.Name)
+		}
+	}
+}
+
+// load spreads the weight store's attention: in turn, as control.Orders does, or evenly over all that load. A VM that
+// has the weights needs none of it.
+func (x *table) load() {
+	var hungry []*fleet.VM
+	for _, v := range x.state.SortedVMs() {
+		if _, down := x.down[v.Name]; v.Phase != fleet.VMJoining || down {
+			continue
+		}
+		if x.loaded[v.Name] == "m" {
+			x.confirm(v)
+			continue
+		}
+		if _, ok := x.loading[v.Name]; !ok {
+			x.loading[v.Name] = x.at.load
+		}
+		hungry = append(hungry, v)
+	}
+	share := tick
+	if x.at.inTurn {
+		hungry = started(hungry)
+	}
+	if len(hungry) > feeds {
+		share = tick * feeds / time.Duration(len(hungry))
+	}
+	for _, v := range hungry {
+		if x.loading[v.Name] -= share; x.loading[v.Name] <= 0 {
+			x.loaded[v.Name] = "m"
+			x.confirm(v)
+		}
+	}
+}
+
+// started keeps the VMs whose group control would have started to load.
+func started(hungry []*fleet.VM) []*fleet.VM {
+	missing := map[ident.Group]int{}
+	for _, v := range hungry {
+		missing[v.Group]++
+	}
+	slices.SortStableFunc(hungry, func(a, b *fleet.VM) int {
+		return cmp.Or(missing[a.Group]-missing[b.Group], int(a.Epoch)-int(b.Epoch))
+	})
+	var list []*fleet.VM
+	groups := map[ident.Group]bool{}
+	for _, v := range hungry {
+		if !groups[v.Group] && !control.StartNow(len(list), len(groups), missing[v.Group], feeds) {
+			continue
+		}
+		groups[v.Group] = true
+		list = append(list, v)
+	}
+	return list
+}
+
+func (x *table) confirm(v *fleet.VM) {
+	x.stale[v.Name] = false
+	delete(x.loading, v.Name)
+	x.apply(&fleet.Command{Kind: fleet.KindConfirm, Confirms: []fleet.Confirm{{VM: v.Name, Epoch: v.Epoch, Incarnation: "i"}}})
+}
+
+func (x *table) count() {
+	used := map[ident.VM]bool{}
+	for _, g := range x.state.SortedGroups() {
+		whole := g.Phase == fleet.GroupServing
+		for _, name := range g.Members {
+			_, down := x.down[name]
+			whole = whole && !down && !x.stale[name]
+		}
+		if !whole {
+			x.downtime += tick
+			if _, ok := x.broken[g.Spec.Name]; !ok {
+				x.broken[g.Spec.Name] = x.now
+			}
+			continue
+		}
+		delete(x.broken, g.Spec.Name)
+		for _, name := range g.Members {
+			used[name] = true
+		}
+	}
+	for _, v := range x.state.SortedVMs() {
+		if _, down := x.down[v.Name]; !down && !used[v.Name] {
+			x.stranded += tick * time.Duration(v.Accelerators)
+		}
+	}
+}
+
+// firstFit gives each group that lacks members the first free VMs by name, in any domain unless one is declared, at
+// once and without regard for the weight store.
+func firstFit(w *planner.World) []planner.Action {
+	var actions []planner.Action
+	taken := map[ident.VM]bool{}
+	for i := range w.Groups {
+		g := &w.Groups[i]
+		var kept []ident.VM
+		again := g.Phase == fleet.GroupBroken
+		for _, name := range g.Members {
+			if c := w.VM(name).Condition; c != planner.ConditionLost {
+				kept = append(kept, name)
+				again = again || c == planner.ConditionRestarted
+			}
+		}
+		if len(kept) == g.Spec.Size && !again {
+			continue
+		}
+		members := fill(w, g, kept, taken)
+		if members == nil {
+			continue
+		}
+		actions = append(actions, planner.Action{Kind: planner.ActionAssign, Group: g.Spec.Name, Base: g.Epoch, Members: members})
+	}
+	return actions
+}
+
+func fill(w *planner.World, g *planner.Group, kept []ident.VM, taken map[ident.VM]bool) []ident.VM {
+	var domains []ident.Domain
+	for i := range w.VMs {
+		if !slices.Contains(domains, w.VMs[i].Domain) {
+			domains = append(domains, w.VMs[i].Domain)
+		}
+	}
+	if !g.Spec.OneDomain {
+		domains = []ident.Domain{""}
+	} else if len(kept) > 0 {
+		domains = []ident.Domain{w.VM(kept[0]).Domain}
+	}
+	for _, d := range domains {
+		members := slices.Clone(kept)
+		for i := range w.VMs {
+			v := &w.VMs[i]
+			free := v.Phase == fleet.VMFree && v.Condition == planner.ConditionPresent && !taken[v.Name]
+			if free && (d == "" || v.Domain == d) && len(members) < g.Spec.Size {
+				members = append(members, v.Name)
+			}
+		}
+		if len(members) == g.Spec.Size {
+			for _, m := range members {
+				taken[m] = true
+			}
+			return members
+		}
+	}
+	return nil
+}
+
+// reformAll packs every group anew whenever anything is amiss: the largest first, each into the domain that it fills best.
+func reformAll(w *planner.World) []planner.Action {
+	amiss := false
+	for i := range w.Groups {
+		g := &w.Groups[i]
+		amiss = amiss || g.Phase == fleet.GroupPending || g.Phase == fleet.GroupBroken
+		for _, name := range g.Members {
+			c := w.VM(name).Condition
+			amiss = amiss || c == planner.ConditionLost || c == planner.ConditionRestarted
+		}
+	}
+	if !amiss {
+		return nil
+	}
+	free := map[ident.Domain][]ident.VM{}
+	for i := range w.VMs {
+		if v := &w.VMs[i]; v.Condition != planner.ConditionLost && v.Condition != planner.ConditionSuspect {
+			free[v.Domain] = append(free[v.Domain], v.Name)
+		}
+	}
+	order := make([]*planner.Group, len(w.Groups))
+	for i := range w.Groups {
+		order[i] = &w.Groups[i]
+	}
+	slices.SortStableFunc(order, func(a, b *planner.Group) int { return b.Spec.Size - a.Spec.Size })
+	var releases, actions []planner.Action
+	for _, g := range order {
+		members := pack(free, g)
+		same := members != nil && sameSet(members, g.Members) && (g.Phase == fleet.GroupServing || g.Phase == fleet.GroupForming)
+		for _, name := range g.Members {
+			same = same && w.VM(name).Condition == planner.ConditionPresent
+		}
+		if same {
+			continue
+		}
+		available := members != nil
+		for _, m := range members {
+			v := w.VM(m)
+			available = available && (v.Phase == fleet.VMFree || v.Group == g.Spec.Name && v.Phase != fleet.VMLeaving)
+		}
+		if available {
+			actions = append(actions, planner.Action{Kind: planner.ActionAssign, Group: g.Spec.Name, Base: g.Epoch, Members: members})
+		} else if len(g.Members) > 0 {
+			releases = append(releases, planner.Action{Kind: planner.ActionAssign, Group: g.Spec.Name, Base: g.Epoch})
+		}
+	}
+	return append(releases, actions...)
+}
+
+func sameSet(a, b []ident.VM) bool {
+	x, y := slices.Clone(a), slices.Clone(b)
+	slices.Sort(x)
+	slices.Sort(y)
+	return slices.Equal(x, y)
+}
+
+func pack(free map[ident.Domain][]ident.VM, g *planner.Group) []ident.VM {
+	best := ident.Domain("")
+	var names []ident.Domain
+	for d := range free {
+		names = append(names, d)
+	}
+	slices.Sort(names)
+	for _, d := range names {
+		if len(free[d]) >= g.Spec.Size && (best == "" || len(free[d]) < len(free[best])) {
+			best = d
+		}
+	}
+	if best != "" {
+		members := free[best][:g.Spec.Size]
+		free[best] = free[best][g.Spec.Size:]
+		return members
+	}
+	total := 0
+	for _, d := range names {
+		total += len(free[d])
+	}
+	if g.Spec.OneDomain || total < g.Spec.Size {
+		return nil
+	}
+	var members []ident.VM
+	for _, d := range names {
+		n := min(g.Spec.Size-len(members), len(free[d]))
+		members = append(members, free[d][:n]...)
+		free[d] = free[d][n:]
+	}
+	return members
+}
+
+// user is one of the two deployments with its weights.
+type user struct {
+	name               string
+	downtime, stranded float64
+}
+
+var users = []user{{"wetterhaus", 4, 1}, {"dakar", 1, 4}}
+
+// perAccelerator makes a second of a stranded VM weigh like a second of downtime of a group of one VM.
+const perAccelerator = 1.0 / 8
+
+func (u *user) cost(downtime, stranded time.Duration) float64 {
+	return u.downtime*downtime.Seconds() + u.stranded*stranded.Seconds()*perAccelerator
+}
+
+func (u *user) planned(w *planner.World) []planner.Action {
+	p := planner.DefaultPolicy()
+	p.Downtime, p.Stranded, p.LoadTime = u.downtime, u.stranded, loadTime
+	return planner.Plan(w, p)
+}
+
+func TestPolicyTable(t *testing.T) {
+	for i := range users {
+		u := &users[i]
+		sum, best := 0.0, 0.0
+		fixed := 0.0
+		var downSum, downBest time.Duration
+		for j := range sequences {
+			q := &sequences[j]
+			row := [3]float64{}
+			var downs [3]time.Duration
+			text := ""
+			for k, decide := range []strategy{u.planned, firstFit, reformAll} {
+				downtime, stranded := run(t, q, decide, pace{loadTime, lossAfter, k == 0})
+				row[k], downs[k] = u.cost(downtime, stranded), downtime
+				text += fmt.Sprintf(" | %6.0f %7.0f %7.0f", downtime.Seconds(), stranded.Seconds(), row[k])
+			}
+			better := min(row[1], row[2])
+			fixed += u.cost(run(t, q, u.planned, pace{}))
+			t.Logf("%-10s %-38s%s", u.name, q.name, text)
+			if row[0] > better {
+				t.Errorf("%s, %s: cost %.0f, the better baseline has %.0f", u.name, q.name, row[0], better)
+			}
+			sum += row[0]
+			best += better
+			downSum += downs[0]
+			downBest += min(downs[1], downs[2])
+		}
+		t.Logf("%-10s sum %.0f of %.0f: ratio %.2f; downtime alone %s of %s: ratio %.2f; beyond what instant loads cost: %.0f of %.0f: ratio %.2f",
+			u.name, sum, best, sum/best, downSum, downBest, downSum.Seconds()/downBest.Seconds(), sum-fixed, best-fixed, (sum-fixed)/(best-fixed))
+	}
+}
