--- a/control/judge.go
+++ b/control/judge.go
@@ -26,6 +26,9 @@
 	condition planner.Condition
 	since     time.Time
 	losses    []time.Time
+	// joined is when the VM was first found joined in epoch; what was seen before says nothing about it.
+	epoch  ident.Epoch
+	joined time.Time
 }
 
 // flapMemory is how long a loss counts as recent.
@@ -40,7 +43,8 @@
 func (j *Judge) Assess(now time.Time, w *planner.World) {
 	for i := range w.VMs {
 		v := &w.VMs[i]
-		t := j.follow(now, v.Name, j.condition(now, v.VM))
+		t := j.track(now, v.VM)
+		t.turn(now, j.condition(now, v.VM, t))
 		v.Condition = t.condition
 		v.Stable = now.Sub(t.since)
 		v.Flaps = len(t.losses)
@@ -53,11 +57,11 @@
 	return !ok || age > j.Presence
 }
 
-func (j *Judge) condition(now time.Time, v *fleet.VM) planner.Condition {
+func (j *Judge) condition(now time.Time, v *fleet.VM, t *track) planner.Condition {
 	cell := j.Table.Cell(v.Name)
 	age, ok := cell.PositiveAge(now)
 	if ok && age <= j.Loss {
-		return j.met(cell.Seen(), v)
+		return met(cell.Seen(), v, t)
 	}
 	report, reported := cell.ReportAge(now)
 	if !reported || report > j.Loss {
@@ -70,23 +74,31 @@
 	return planner.ConditionLost
 }
 
-// met tells a member that is as it was confirmed from one that has started anew or forgotten its group.
-func (j *Judge) met(s *presence.Seen, v *fleet.VM) planner.Condition {
+// met tells a member that is as it was confirmed from one that has started anew or forgotten its group since.
+func met(s *presence.Seen, v *fleet.VM, t *track) planner.Condition {
 	if s == nil || s.Sight != presence.SightAnswer {
 		return planner.ConditionSuspect
 	}
-	if v.Phase == fleet.VMJoined && (s.Incarnation != v.Incarnation || s.Epoch != v.Epoch) {
+	if v.Phase == fleet.VMJoined && s.At.After(t.joined) && (s.Incarnation != v.Incarnation || s.Epoch != v.Epoch) {
 		return planner.ConditionRestarted
 	}
 	return planner.ConditionPresent
 }
 
-func (j *Judge) follow(now time.Time, name ident.VM, c planner.Condition) *track {
-	t := j.tracks[name]
+func (j *Judge) track(now time.Time, v *fleet.VM) *track {
+	t := j.tracks[v.Name]
 	if t == nil {
-		t = &track{condition: c, since: now}
-		j.tracks[name] = t
+		t = &track{condition: planner.ConditionUnknown, since: now}
+		j.tracks[v.Name] = t
 	}
+	if v.Phase == fleet.VMJoined && t.epoch != v.Epoch {
+		t.epoch, t.joined = v.Epoch, now
+	}
+	return t
+}
+
+// turn notes the newest condition and forgets losses that are no longer recent.
+func (t *track) turn(now time.Time, c planner.Condition) {
 	if t.condition != c {
 		if c == planner.ConditionLost {
 			t.losses = append(t.losses, now)
@@ -96,5 +108,4 @@
 	for len(t.losses) > 0 && now.Sub(t.losses[0]) > flapMemory {
 		t.losses = t.losses[1:]
 	}
-	return t
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/dunlinquay/dunlinquay/routing"
 	"github.com/dunlinquay/dunlinquay/service"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 const (
@@ -44,9 +45,8 @@
 type Daemon struct {
 	// Log receives JSON lines.
 	Log logr.Logger
-	// Dial replaces the way to other daemons; nil is TCP, with TLS when the settings name certificates.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
 
+	network     Network
 	cfg         *settings.Settings
 	incarnation ident.Incarnation
 	tasks       *park.Group
@@ -80,14 +80,28 @@
 	failed     chan error
 }
 
+// Network is the way to other processes; tests and the demo replace it to cut daemons off.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   transport.Dial
+}
+
+// TCP returns the usual network.
+func TCP() Network {
+	return Network{
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   transport.TCP(),
+	}
+}
+
 // New opens the data folder and the listeners that cfg names; Run starts the work.
-func New(cfg *settings.Settings) (*Daemon, error) {
+func New(cfg *settings.Settings, network Network) (*Daemon, error) {
 	d := &Daemon{
-		Log: logr.Discard(), cfg: cfg, incarnation: ident.NewIncarnation(), tasks: park.New(), now: time.Now,
+		Log: logr.Discard(), network: network, cfg: cfg, incarnation: ident.NewIncarnation(), tasks: park.New(), now: time.Now,
 		machine: fleet.NewMachine(),
 		members: presence.NewMembers(cfg.Times.Beat.Std() * liveBeats),
 		table:   presence.NewTable(),
-		engines: engine.NewClient(),
+		engines: engine.NewClient(network.Dial),
 		peers:   map[ident.Daemon]*peer.Client{}, listeners: map[string]net.Listener{},
 		failed: make(chan error, 1),
 	}
@@ -105,7 +119,7 @@
 	d.probes = newProbes(d)
 	d.platform = newPlatformWatch(d)
 	if err := d.open(); err != nil {
-		d.closeListeners()
+		d.discard()
 		return nil, err
 	}
 	d.start()
@@ -124,16 +138,22 @@
 		}
 	}
 	d.buildPeers(tlsConfig)
-	if d.peerServer, err = peer.Listen(d.cfg.Addresses.Peers, tlsConfig, d.handlers()); err != nil {
+	if err := d.listen(); err != nil {
 		return err
 	}
+	d.peerServer, err = peer.NewServer(d.listeners["peers"], tlsConfig, d.handlers())
+	return err
+}
+
+func (d *Daemon) listen() error {
+	a := &d.cfg.Addresses
 	for name, address := range map[string]string{
-		"callers": d.cfg.Addresses.Callers, "operators": d.cfg.Addresses.Operators, "metrics": d.cfg.Addresses.Metrics,
+		"callers": a.Callers, "operators": a.Operators, "peers": a.Peers, "metrics": a.Metrics,
 	} {
 		if address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", address)
+		ln, err := d.network.Listen(address)
 		if err != nil {
 			return result.Wrap(err, result.StartFailed, "%s address %s cannot be opened", name, address)
 		}
@@ -142,22 +162,24 @@
 	return nil
 }
 
-func (d *Daemon) closeListeners() {
+// discard gives back what a daemon that cannot start has opened.
+func (d *Daemon) discard() {
 	for _, ln := range d.listeners {
 		ln.Close()
 	}
+	for _, c := range d.peers {
+		c.Discard()
+	}
+	if d.control != nil {
+		d.control.discard()
+	}
+	d.metrics.close()
 }
 
 func (d *Daemon) buildPeers(tlsConfig *tls.Config) {
 	for _, p := range d.cfg.Peers {
-		client := peer.NewClient(p.Address, tlsConfig)
-		standard := client.Dial
-		client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			if d.Dial != nil {
-				return d.Dial(ctx, address)
-			}
-			return standard(ctx, address)
-		}
+		client := peer.NewClient(p.Address)
+		client.Dial, client.TLS = d.network.Dial, tlsConfig
 		d.peers[p.Name] = client
 	}
 }
@@ -180,7 +202,7 @@
 	d.shares = newShares(d)
 	d.dispatch = dispatch.NewDispatcher()
 	d.dispatch.Services = &dispatch.Services{
-		Pools: pools, Send: service.NewClient(int64(d.cfg.Limits.BodyBytes)).Send, Random: d.routes.Random,
+		Pools: pools, Send: service.NewClient(d.network.Dial, int64(d.cfg.Limits.BodyBytes)).Send, Random: d.routes.Random,
 	}
 }
 
@@ -230,6 +252,7 @@
 	s.Change, s.Admit = d.change, d.admitMember
 	s.Machine = d.machine
 	s.Status, s.Explain, s.InForce = d.status, d.explain, d.inForce
+	s.Whole = d.whole
 	d.operators = s
 }
 
@@ -293,6 +316,7 @@
 	case <-ctx.Done():
 	}
 	<-done
+	d.metrics.close()
 	return err
 }
 
--- a/daemon/force.go
+++ b/daemon/force.go
@@ -28,6 +28,9 @@
 	// known is the highest revision that a member reported, behind since when the own one is lower.
 	known  ident.Revision
 	behind time.Time
+	// caughtUp is set once this daemon has been at the newest known revision: one that starts, or was cut off for
+	// longer than the bound, has to get there first.
+	caughtUp bool
 }
 
 func newForce(cfg *settings.Settings) *force {
@@ -56,12 +59,17 @@
 		}
 	}
 	if fresh <= len(f.members)/2 {
+		f.caughtUp = false
 		return result.New(result.ControlUnreachable, "%d of %d control members answered within %s", fresh, len(f.members), f.bound)
 	}
 	if revision >= f.known {
 		f.behind = time.Time{}
+		f.caughtUp = true
 		return nil
 	}
+	if !f.caughtUp {
+		return result.New(result.ControlUnreachable, "catching up: at revision %d, revision %d is in force", revision, f.known)
+	}
 	if f.behind.IsZero() {
 		f.behind = now
 	}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -107,6 +107,14 @@
 	wg.Wait()
 }
 
+// discard gives back what a member that will not run has opened.
+func (m *member) discard() {
+	m.store.Close()
+	for _, n := range m.nodes {
+		n.Discard()
+	}
+}
+
 func (m *member) deliver(messages []quorum.Message) {
 	var byInstance [instanceCount][]quorum.Message
 	for i := range messages {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +21,7 @@
 // from what operators declare.
 type metrics struct {
 	scope    tally.Scope
+	closer   io.Closer
 	reporter prometheus.Reporter
 
 	mu     sync.Mutex
@@ -47,17 +49,22 @@
 	// A registry of its own lets several daemons live in one process, as in the demo.
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {}})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "dunlinquay", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &metrics{scope: scope, reporter: reporter, series: map[seriesKey]*series{}}
+	return &metrics{scope: scope, closer: closer, reporter: reporter, series: map[seriesKey]*series{}}
 }
 
 func (m *metrics) http() *http.Server {
 	return &http.Server{Handler: m.reporter.HTTPHandler(), ReadHeaderTimeout: metricsHeaderTime}
 }
 
+// close ends the reporting goroutine.
+func (m *metrics) close() {
+	_ = m.closer.Close()
+}
+
 func (m *metrics) of(customer ident.Customer, class ident.Class) *series {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -145,7 +145,7 @@
 }
 
 // add counts the time since the last look by what is seen now.
-func (g *groupClock) add(now time.Time, w *planner.World) groupTotals {
+func (g *groupClock) add(now time.Time, w *planner.World, whole func(name ident.Group, epoch ident.Epoch) bool) groupTotals {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var since time.Duration
@@ -156,7 +156,8 @@
 	g.sum.whole, g.sum.stranded = 0, 0
 	inWhole := map[ident.VM]bool{}
 	for i := range w.Groups {
-		g.countGroup(w, &w.Groups[i], since, inWhole)
+		group := &w.Groups[i]
+		g.countGroup(group, since, group.Phase == fleet.GroupServing && whole(group.Spec.Name, group.Epoch), inWhole)
 	}
 	for i := range w.VMs {
 		if v := &w.VMs[i]; v.Condition == planner.ConditionPresent && v.Eligible() && !inWhole[v.Name] {
@@ -167,11 +168,7 @@
 	return g.sum
 }
 
-func (g *groupClock) countGroup(w *planner.World, group *planner.Group, since time.Duration, inWhole map[ident.VM]bool) {
-	whole := group.Phase == fleet.GroupServing
-	for _, name := range group.Members {
-		whole = whole && w.VM(name).Condition == planner.ConditionPresent
-	}
+func (g *groupClock) countGroup(group *planner.Group, since time.Duration, whole bool, inWhole map[ident.VM]bool) {
 	if !whole {
 		if !group.Deleted {
 			g.sum.downTime += since
@@ -184,7 +181,12 @@
 	}
 }
 
+// whole reports whether this daemon would send requests to the group now.
+func (d *Daemon) whole(name ident.Group, epoch ident.Epoch) bool {
+	return d.view.whole(d.now(), name, epoch)
+}
+
 // measureGroups counts group downtime and stranded accelerators.
 func (d *Daemon) measureGroups() {
-	d.metrics.groups(d.clock.add(d.now(), d.leader.World()))
+	d.metrics.groups(d.clock.add(d.now(), d.leader.World(), d.whole))
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -21,7 +21,7 @@
 func newPlatformWatch(d *Daemon) *platformWatch {
 	p := &platformWatch{d: d}
 	if d.cfg.Platform.URL != "" {
-		p.client = platform.NewClient(d.cfg.Platform.URL)
+		p.client = platform.NewClient(d.network.Dial, d.cfg.Platform.URL)
 	}
 	return p
 }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -57,9 +58,11 @@
 	}
 	var serving []*routing.Target
 	names := map[ident.Model]bool{}
+	var declared []ident.Model
 	v.draining = map[ident.Group]bool{}
 	for _, g := range s.SortedGroups() {
 		names[g.Spec.Model] = true
+		declared = append(declared, g.Spec.Model)
 		for _, a := range g.Spec.Adapters {
 			names[g.Spec.Model+":"+ident.Model(a)] = true
 		}
@@ -70,7 +73,7 @@
 			v.draining[g.Spec.Name] = true
 		}
 	}
-	v.routes.Replace(serving)
+	v.routes.Replace(serving, declared)
 	v.forget(serving)
 	v.names = v.names[:0:0]
 	for name := range names {
@@ -107,6 +110,14 @@
 	return t
 }
 
+// whole reports whether requests can go to the group now, as this daemon sees it.
+func (v *view) whole(now time.Time, name ident.Group, epoch ident.Epoch) bool {
+	v.mu.Lock()
+	t := v.targets[targetKey{name, epoch}]
+	v.mu.Unlock()
+	return t != nil && t.Whole(now, v.routes.Bound)
+}
+
 // forget drops targets that serve no more and have no request in progress.
 func (v *view) forget(serving []*routing.Target) {
 	for key, t := range v.targets {
--- a/demo/network.go
+++ b/demo/network.go
@@ -27,13 +27,14 @@
 func (n *network) dialer(from ident.Daemon) func(ctx context.Context, address string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		to := n.owner(address)
-		if n.isCut(from) || n.isCut(to) {
+		// Upstreams have no owner: the way to them stays open.
+		if to != "" && (n.isCut(from) || n.isCut(to)) {
 			return nil, errCut
 		}
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, err
+		if err != nil || to == "" {
+			return conn, err
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/demo/site.go
+++ b/demo/site.go
@@ -230,11 +230,12 @@
 }
 
 func (s *site) startDaemon(cfg *settings.Settings) error {
-	d, err := daemon.New(cfg)
+	way := daemon.TCP()
+	way.Dial = s.network.dialer(cfg.Name)
+	d, err := daemon.New(cfg, way)
 	if err != nil {
 		return err
 	}
-	d.Dial = s.network.dialer(cfg.Name)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{cfg: cfg, daemon: d, cancel: cancel, done: make(chan struct{}), client: operator.NewClient("http://"+d.Operators(), s.operator)}
 	go func() {
--- a/engine/client.go
+++ b/engine/client.go
@@ -40,8 +40,8 @@
 }
 
 // NewClient returns a client that keeps connections and follows no redirects.
-func NewClient() *Client {
-	return &Client{HTTP: transport.New(transport.Kept)}
+func NewClient(dial transport.Dial) *Client {
+	return &Client{HTTP: transport.New(transport.Kept, dial)}
 }
 
 // State probes the engine at address.
--- a/engine/standin.go
+++ b/engine/standin.go
@@ -42,6 +42,8 @@
 	TokenTime   time.Duration
 	PrefillTime time.Duration
 	LoadTime    time.Duration
+	// Listen opens the address; tests replace it.
+	Listen func(address string) (net.Listener, error)
 	// ChecksOrders makes it refuse the orders of older leaders.
 	ChecksOrders bool
 	// PeersPresent tells whether all members of the replica are there; nil means they are.
@@ -78,6 +80,7 @@
 	return &StandIn{
 		Slots:        4,
 		TokenTime:    time.Millisecond,
+		Listen:       func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		ChecksOrders: true,
 		OnRun:        func(ident.Request, string) {},
 		cancels:      map[ident.Request]context.CancelFunc{},
@@ -87,7 +90,7 @@
 
 // Start listens on address (host:port, port 0 for any) with a new incarnation and nothing loaded.
 func (s *StandIn) Start(address string) error {
-	ln, err := net.Listen("tcp", address)
+	ln, err := s.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -37,6 +37,8 @@
 	// Explain returns the planner's words and its view of the fleet.
 	Explain func() (*planner.World, planner.Policy)
 	InForce func(revision ident.Revision) InForce
+	// Whole tells whether requests can go to a group's epoch now.
+	Whole func(name ident.Group, epoch ident.Epoch) bool
 }
 
 // NewServer returns a server without operators.
@@ -166,16 +168,14 @@
 	w, _ := s.Explain()
 	list := []GroupView{}
 	for i := range w.Groups {
-		list = append(list, groupView(w, &w.Groups[i]))
+		list = append(list, s.view(&w.Groups[i]))
 	}
 	return list, nil
 }
 
-func groupView(w *planner.World, g *planner.Group) GroupView {
-	v := GroupView{Group: *g.Group, Phase: g.Phase.String(), Whole: g.Phase == fleet.GroupServing}
-	for _, name := range g.Members {
-		v.Whole = v.Whole && w.VM(name).Condition == planner.ConditionPresent
-	}
+func (s *Server) view(g *planner.Group) GroupView {
+	v := GroupView{Group: *g.Group, Phase: g.Phase.String()}
+	v.Whole = g.Phase == fleet.GroupServing && s.Whole(g.Spec.Name, g.Epoch)
 	if v.Members == nil {
 		v.Members = []ident.VM{}
 	}
@@ -188,7 +188,7 @@
 	if g == nil {
 		return nil, result.New(result.ChangeNotFound, "there is no group %s", r.PathValue("name"))
 	}
-	return groupView(w, g), nil
+	return s.view(g), nil
 }
 
 func (s *Server) explain(r *http.Request, _ string) (any, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,10 +15,10 @@
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 const (
-	dialTimeout    = time.Second
 	deliverTimeout = 2 * time.Second
 	queueLength    = 256
 	maxDeliver     = 64
@@ -27,28 +27,25 @@
 // Client calls one other daemon over a connection that it opens when needed; exported fields are set before Run.
 type Client struct {
 	Address string
-	// Dial opens a connection; tests and the demo replace it to cut daemons off.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Dial opens a connection; with TLS set the connection is then secured.
+	Dial transport.Dial
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
 
 	tasks *park.Group
 	queue chan quorum.Message
 	sent  atomic.Int64
 	got   atomic.Int64
 
-	mu  sync.Mutex
-	rpc *rpc.Client
+	// dialing is held by the one call that opens the connection; the others wait no longer than they have time.
+	dialing chan struct{}
+	mu      sync.Mutex
+	rpc     *rpc.Client
 }
 
-// NewClient returns a client of the daemon at address; cfg nil means no TLS.
-func NewClient(address string, cfg *tls.Config) *Client {
-	c := &Client{Address: address, tasks: park.New(), queue: make(chan quorum.Message, queueLength)}
-	c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		if cfg == nil {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
-		return (&tls.Dialer{NetDialer: dialer, Config: cfg}).DialContext(ctx, "tcp", address)
-	}
+// NewClient returns a client of the daemon at address.
+func NewClient(address string) *Client {
+	c := &Client{Address: address, Dial: transport.TCP(), tasks: park.New(), queue: make(chan quorum.Message, queueLength), dialing: make(chan struct{}, 1)}
 	c.tasks.Go(func(ctx context.Context) { c.deliverLoop(ctx) })
 	return c
 }
@@ -63,6 +60,11 @@
 	}
 }
 
+// Discard ends a client that will not run.
+func (c *Client) Discard() {
+	c.tasks.Discard()
+}
+
 // Bytes returns how many bytes were sent to and received from the peer by this client.
 func (c *Client) Bytes() (sent, received int64) {
 	return c.sent.Load(), c.got.Load()
@@ -164,19 +166,47 @@
 }
 
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.rpc != nil {
-		return c.rpc, nil
+	select {
+	case c.dialing <- struct{}{}:
+		defer func() { <-c.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if open := c.open(); open != nil {
+		return open, nil
 	}
 	conn, err := c.Dial(ctx, c.Address)
 	if err != nil {
 		return nil, err
 	}
+	if c.TLS != nil {
+		if conn, err = c.secure(ctx, conn); err != nil {
+			return nil, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.rpc = rpc.NewClient(&countedConn{conn, c})
 	return c.rpc, nil
 }
 
+func (c *Client) open() *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rpc
+}
+
+func (c *Client) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	cfg := c.TLS.Clone()
+	cfg.ServerName, _, _ = net.SplitHostPort(c.Address)
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 func (c *Client) drop(conn *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -74,12 +74,8 @@
 	closed bool
 }
 
-// Listen opens address (host:port); cfg nil means no TLS.
-func Listen(address string, cfg *tls.Config, handlers *Handlers) (*Server, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, result.Wrap(err, result.StartFailed, "peer address %s cannot be opened", address)
-	}
+// NewServer returns a server on ln; cfg nil means no TLS.
+func NewServer(ln net.Listener, cfg *tls.Config, handlers *Handlers) (*Server, error) {
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -136,17 +136,16 @@
 
 func (p *plan) decide(i int) {
 	g := &p.world.Groups[i]
-	sound := p.world.sound(g)
+	alive := p.world.alive(g)
 	switch {
+	case g.Phase == fleet.GroupDraining && !g.Drained && alive:
+		// Requests in progress end in peace, also at members that are no longer wanted.
 	case g.Deleted:
-		if g.Phase != fleet.GroupDraining || g.Drained || !sound {
-			p.assign(g, nil, "dissolved")
-		}
+		p.assign(g, nil, "dissolved")
 	case g.Phase == fleet.GroupPending:
 		p.form(i, g)
-	case g.Phase == fleet.GroupServing && sound:
+	case g.Phase == fleet.GroupServing && alive:
 		p.act(Action{Kind: ActionDrain, Group: g.Spec.Name, Base: g.Epoch, Reason: "declared load or members changed"})
-	case g.Phase == fleet.GroupDraining && !g.Drained && sound:
 	case g.Phase == fleet.GroupDraining || g.Reform:
 		p.reform(i, g)
 	default:
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -250,6 +250,32 @@
 			name: "another version: drain, then load it where it is", domains: []string{"d1: a b"},
 			declare: func(s *fleet.State) { serve(s, "g", "a b").Reform = true }, want: []string{"drain g"},
 		},
+		{
+			name: "a member is no longer wanted: drain first", domains: []string{"d1: a b c"},
+			declare: func(s *fleet.State) {
+				serve(s, "g", "a b").Reform = true
+				s.VMs["b"].Drained = true
+			},
+			want: []string{"drain g"},
+		},
+		{
+			name: "a member that leaves has requests in progress", domains: []string{"d1: a b c"},
+			declare: func(s *fleet.State) {
+				g := serve(s, "g", "a b")
+				g.Phase, g.Reform = fleet.GroupDraining, true
+				s.VMs["b"].Listing = fleet.ListingLeaving
+			},
+			want: []string{},
+		},
+		{
+			name: "a member that leaves has none any more", domains: []string{"d1: a b c"},
+			declare: func(s *fleet.State) {
+				g := serve(s, "g", "a b")
+				g.Phase, g.Reform = fleet.GroupDraining, true
+				s.VMs["b"].Listing = fleet.ListingLeaving
+			},
+			see: func(w *planner.World) { w.Group("g").Drained = true }, want: []string{"assign g a c"},
+		},
 		{
 			name: "deleted while it serves requests", domains: []string{"d1: a b"},
 			declare: func(s *fleet.State) {
--- a/planner/world.go
+++ b/planner/world.go
@@ -147,6 +147,16 @@
 	return len(g.members) == g.Spec.Size
 }
 
+// alive reports whether the formation can still answer requests, whether or not its members are the wanted ones.
+func (w *World) alive(g *Group) bool {
+	for _, i := range g.members {
+		if c := w.VMs[i].Condition; c == ConditionLost || c == ConditionRestarted {
+			return false
+		}
+	}
+	return len(g.members) > 0
+}
+
 // split reports whether the VMs lie in more than one fabric domain.
 func (w *World) split(members []int) bool {
 	return slices.ContainsFunc(members, func(i int) bool {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -123,6 +123,11 @@
 	n.tasks.Run(ctx)
 }
 
+// Discard ends a node that will not run.
+func (n *Node) Discard() {
+	n.tasks.Discard()
+}
+
 // Ready is closed once the state of the disk has been restored.
 func (n *Node) Ready() <-chan struct{} {
 	return n.ready
--- a/routing/table.go
+++ b/routing/table.go
@@ -63,13 +63,16 @@
 // NewTable returns an empty table for a daemon in hall with the presence bound.
 func NewTable(hall ident.Hall, bound time.Duration) *Table {
 	t := &Table{Hall: hall, Bound: bound, Costs: DefaultCosts(), Record: NewRecord(defaultRecordSize), Random: rand.IntN}
-	t.Replace(nil)
+	t.Replace(nil, nil)
 	return t
 }
 
-// Replace makes targets the whole content of the table.
-func (t *Table) Replace(targets []*Target) {
+// Replace makes targets the whole content of the table; a model that is declared and has none is not whole, others are unknown.
+func (t *Table) Replace(targets []*Target, declared []ident.Model) {
 	ix := &index{byModel: models{}, byID: make(map[uint64]*Target, len(targets))}
+	for _, model := range declared {
+		ix.byModel[model] = nil
+	}
 	for _, target := range targets {
 		ix.byModel[target.Model] = append(ix.byModel[target.Model], target)
 		ix.byID[target.id] = target
@@ -96,10 +99,13 @@
 // Take chooses a target and counts one request in flight there, which Done gives back.
 func (t *Table) Take(now time.Time, ask *Ask) (*Target, Verdict) {
 	ix := t.current.Load()
-	targets := ix.byModel[ask.Model]
-	if len(targets) == 0 {
+	targets, declared := ix.byModel[ask.Model]
+	if !declared {
 		return nil, UnknownModel
 	}
+	if len(targets) == 0 {
+		return nil, NotWhole
+	}
 	warm, depth := t.Record.find(ix, ask.Prefixes)
 	best := t.best(now, ask, targets, warm, depth)
 	if best == nil {
--- a/service/client.go
+++ b/service/client.go
@@ -26,8 +26,8 @@
 }
 
 // NewClient returns a client that follows no redirects and accepts bodies up to maxReply bytes.
-func NewClient(maxReply int64) *Client {
-	return &Client{Kept: transport.New(transport.Kept), Fresh: transport.New(transport.Fresh), MaxReply: maxReply}
+func NewClient(dial transport.Dial, maxReply int64) *Client {
+	return &Client{Kept: transport.New(transport.Kept, dial), Fresh: transport.New(transport.Fresh, dial), MaxReply: maxReply}
 }
 
 // hopByHop are the headers that belong to one connection.
--- a/service/standin.go
+++ b/service/standin.go
@@ -26,6 +26,8 @@
 
 // StandIn is a small plain service that counts how often each body arrived.
 type StandIn struct {
+	// Listen opens the address; tests replace it.
+	Listen func(address string) (net.Listener, error)
 	// Delay is how long each call takes.
 	Delay time.Duration
 
@@ -37,12 +39,15 @@
 
 // NewStandIn returns a stand-in that answers at once.
 func NewStandIn() *StandIn {
-	return &StandIn{runs: map[string]int{}}
+	return &StandIn{
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		runs:   map[string]int{},
+	}
 }
 
 // Start listens on address (host:port, port 0 for any).
 func (s *StandIn) Start(address string) error {
-	ln, err := net.Listen("tcp", address)
+	ln, err := s.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -36,12 +36,24 @@
 	idleTimeout     = 30 * time.Second
 )
 
-// New returns a client that follows no redirects and asks for no compression.
-func New(reuse Reuse) *http.Client {
+// Dial opens a TCP connection to address (host:port).
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// TCP returns the usual way to open connections.
+func TCP() Dial {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
+// New returns a client that follows no redirects and asks for no compression; connections come from dial.
+func New(reuse Reuse, dial Dial) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return dial(ctx, address)
+			},
 			DisableKeepAlives:   reuse == Fresh,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: idlePerUpstream,
