--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -251,7 +251,9 @@
 	for _, name := range names {
 		if r := s.running[name]; r != nil {
 			r.cancel()
-			_ = <-r.done
+			if err := <-r.done; err != nil {
+				s.t.Errorf("%s ended with: %v", name, err)
+			}
 			delete(s.running, name)
 		}
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -39,6 +39,9 @@
 // EndToEnd returns a copy of h without the headers that belong to one connection.
 func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			out.Del(strings.TrimSpace(name))
--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,166 @@
+package service_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/service"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// breaker answers the first request and closes the connection on the second one, which is when net/http likes to send again.
+func breaker(t *testing.T) (address string, requests *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if requests.Add(1) == 2 {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), requests
+}
+
+// Calls that look replayable to net/http are sent once all the same when they must not be repeated.
+func TestNotRepeatableCallsAreSentOnce(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		body   string
+		key    string
+	}{
+		{http.MethodGet, "", ""},
+		{http.MethodGet, "", "k"},
+		{http.MethodDelete, "", "k"},
+		{http.MethodPost, "charge", ""},
+		{http.MethodPost, "charge", "k"},
+		{http.MethodPost, "", "k"},
+	} {
+		t.Run(fmt.Sprintf("%s %q key %q", c.method, c.body, c.key), func(t *testing.T) {
+			address, requests := breaker(t)
+			client := service.NewClient(transport.TCP(), 1<<20)
+			call := &dispatch.Call{Method: c.method, Path: "/x", Body: []byte(c.body), Header: http.Header{}, Once: true}
+			if c.key != "" {
+				call.Header["Idempotency-Key"] = []string{c.key}
+			}
+			if _, err := client.Send(t.Context(), address, call); err != nil {
+				t.Fatalf("the first call: %v", err)
+			}
+			_, err := client.Send(t.Context(), address, call)
+			if code := result.CodeOf(err); code != result.UpstreamFailed {
+				t.Errorf("the broken call: code %d: %v", code, err)
+			}
+			if n := requests.Load(); n != 2 {
+				t.Errorf("%d requests arrived, 2 were sent", n)
+			}
+		})
+	}
+}
+
+func TestCallsPassFaithfully(t *testing.T) {
+	var seen *http.Request
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:gosec // a test's server
+		seen = r.Clone(r.Context())
+		w.Header().Set("X-Reply", "1")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "short and stout")
+	})}
+	go func() { _ = server.Serve(ln) }()
+	defer server.Close()
+	reply, err := service.NewClient(transport.TCP(), 1<<20).Send(t.Context(), ln.Addr().String(), &dispatch.Call{
+		Method: http.MethodPut, Path: "/a%2Fb/c", Query: "x=1&y=%20", Body: []byte("body"), Repeatable: true,
+		Header: http.Header{
+			"X-Asked": {"1", "2"}, "Authorization": {"Bearer secret"}, "Connection": {"close, X-Gone"}, "X-Gone": {"1"}, "Te": {"trailers"},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if seen.Method != http.MethodPut || seen.RequestURI != "/a%2Fb/c?x=1&y=%20" {
+		t.Errorf("arrived as %s %s", seen.Method, seen.RequestURI)
+	}
+	if diff := cmp.Diff([]string{"1", "2"}, seen.Header["X-Asked"]); diff != "" {
+		t.Errorf("header (-want +got):\n%s", diff)
+	}
+	for _, name := range []string{"Authorization", "X-Gone", "Te"} {
+		if v := seen.Header.Get(name); v != "" {
+			t.Errorf("header %s: %q went on", name, v)
+		}
+	}
+	if reply.Status != http.StatusTeapot || string(reply.Body) != "short and stout" || http.Header(reply.Header).Get("X-Reply") != "1" {
+		t.Errorf("reply %d %q %v", reply.Status, reply.Body, reply.Header)
+	}
+	if v := http.Header(reply.Header).Get("X-Hop"); v != "" {
+		t.Errorf("a header of the connection came back: %q", v)
+	}
+}
+
+func TestRepliesAreWholeOrFail(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply string
+		code  result.Code
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", result.OK},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", result.UpstreamFailed},
+		{"chunks without their end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", result.UpstreamFailed},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + fmt.Sprintf("%0200d", 1), result.UpstreamFailed},
+		{"not HTTP", "hello", result.UpstreamFailed},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, c.reply)
+			}
+		}()
+		_, err = service.NewClient(transport.TCP(), 100).Send(t.Context(), ln.Addr().String(), &dispatch.Call{Method: http.MethodPost, Path: "/"})
+		if code := result.CodeOf(err); code != c.code {
+			t.Errorf("%s: code %d, want %d: %v", c.name, code, c.code, err)
+		}
+		ln.Close()
+	}
+}
