--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,369 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/dunlinquay/dunlinquay/caller"
+	"github.com/dunlinquay/dunlinquay/dispatch"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/keys"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+// front is a server whose requests end in the test.
+type front struct {
+	*caller.Server
+	url   string
+	last  *dispatch.Request
+	call  *dispatch.Call
+	serve func(sink dispatch.Sink) (*dispatch.Answer, error)
+}
+
+var words = []string{"snow ", "above ", "1200 ", "\"m\"\n", "Zugspitze ❄"}
+
+func newFront(t *testing.T) *front {
+	t.Helper()
+	f := &front{Server: caller.NewServer()}
+	f.Customers.Add(keys.Hash("secret"), "c")
+	f.Classes = settings.Default().Classes
+	f.Limits = settings.Default().Limits
+	f.Limits.BodyBytes = 10_000
+	f.Services = []settings.Service{{Name: "pay", NotRepeatable: []string{"POST /charges", "* /void/*"}}}
+	f.Models = func() []ident.Model { return []ident.Model{"m", "m:alps"} }
+	f.serve = func(sink dispatch.Sink) (*dispatch.Answer, error) { return speak(sink, words) }
+	f.Serve = func(_ context.Context, r *dispatch.Request, sink dispatch.Sink) (*dispatch.Answer, error) {
+		f.last = r
+		return f.serve(sink)
+	}
+	f.ServeCall = func(_ context.Context, c *dispatch.Call) (*dispatch.Reply, error) {
+		f.call = c
+		return &dispatch.Reply{Status: http.StatusAccepted, Header: map[string][]string{"X-Reply": {"1"}}, Body: []byte("done")}, nil
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = f.HTTP()
+	server.Start()
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func speak(sink dispatch.Sink, words []string) (*dispatch.Answer, error) {
+	for i, w := range words {
+		if sink == nil {
+			break
+		}
+		if err := sink(w, i%2 == 0); err != nil {
+			return nil, err
+		}
+	}
+	return &dispatch.Answer{Text: strings.Join(words, ""), Finish: "stop", Tokens: len(words), PromptTokens: 3}, nil
+}
+
+func (f *front) client() openai.Client {
+	return openai.NewClient(option.WithBaseURL(f.url+"/v1"), option.WithAPIKey("secret"), option.WithMaxRetries(0))
+}
+
+func chat() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model: "m", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Will it snow?")},
+		MaxTokens: openai.Int(50), Temperature: openai.Float(0), TopP: openai.Float(0.9),
+	}
+}
+
+// The published client of the interface, unmodified.
+func TestPublishedClient(t *testing.T) {
+	f := newFront(t)
+	client := f.client()
+	whole := strings.Join(words, "")
+
+	plain, err := client.Chat.Completions.New(t.Context(), chat())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(whole, plain.Choices[0].Message.Content); diff != "" || plain.Choices[0].FinishReason != "stop" || plain.Usage.TotalTokens != 8 {
+		t.Errorf("plain chat: %+v\n%s", plain, diff)
+	}
+	if r := f.last; r.MaxTokens != 50 || !r.Deterministic || !r.Chat || string(r.Options) != `{"temperature":0,"top_p":0.9}` {
+		t.Errorf("request %+v with options %s", r, r.Options)
+	}
+
+	params := chat()
+	params.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(whole, acc.Choices[0].Message.Content); diff != "" || acc.Choices[0].FinishReason != "stop" || acc.Usage.TotalTokens != 8 {
+		t.Errorf("streamed chat: %+v\n%s", acc.ChatCompletion, diff)
+	}
+
+	text, err := client.Completions.New(t.Context(), openai.CompletionNewParams{
+		Model: "m:alps", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("Will it")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text.Choices[0].Text != whole || f.last.Adapter != "alps" || f.last.Model != "m" {
+		t.Errorf("completion %q of model %q with adapter %q", text.Choices[0].Text, f.last.Model, f.last.Adapter)
+	}
+
+	models, err := client.Models.List(t.Context())
+	if err != nil || len(models.Data) != 2 || models.Data[1].ID != "m:alps" {
+		t.Errorf("models %+v, error %v", models, err)
+	}
+}
+
+func TestErrorsInTheClientsShape(t *testing.T) {
+	f := newFront(t)
+	client := f.client()
+	for _, code := range []result.Code{result.LimitExceeded, result.NoWholeGroup, result.TimedOut, result.OutcomeUnknown, result.ModelUnknown} {
+		f.serve = func(dispatch.Sink) (*dispatch.Answer, error) { return nil, result.New(code, "because") }
+		_, err := client.Chat.Completions.New(t.Context(), chat())
+		var apiError *openai.Error
+		info := result.Lookup(code)
+		if !errors.As(err, &apiError) || apiError.StatusCode != info.Status || apiError.Code != info.Name || apiError.Message != "because" {
+			t.Errorf("code %d: %v", code, err)
+			continue
+		}
+		if got := apiError.Response.Header.Get(caller.HeaderNotRun); got != fmt.Sprint(info.NotRun) {
+			t.Errorf("code %d: not run %s", code, got)
+		}
+	}
+}
+
+// A stream that fails after its beginning never looks like a normal end.
+func TestABrokenStreamIsAnError(t *testing.T) {
+	f := newFront(t)
+	f.serve = func(sink dispatch.Sink) (*dispatch.Answer, error) {
+		if _, err := speak(sink, words[:2]); err != nil {
+			return nil, err
+		}
+		return nil, result.New(result.UpstreamFailed, "because")
+	}
+	client := f.client()
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chat())
+	for stream.Next() {
+		if c := stream.Current(); len(c.Choices) > 0 && c.Choices[0].FinishReason != "" {
+			t.Errorf("the broken stream has the finish reason %q", c.Choices[0].FinishReason)
+		}
+	}
+	if stream.Err() == nil {
+		t.Error("the client takes the broken stream for ended")
+	}
+	w := f.post(t, "/v1/completions", `{"model":"m","prompt":"p","stream":true}`, nil)
+	body, err := io.ReadAll(w.Body)
+	w.Body.Close()
+	if err == nil || strings.Contains(string(body), "[DONE]") || !strings.Contains(string(body), `"result-code":2014`) {
+		t.Errorf("error %v after %q", err, body)
+	}
+}
+
+func (f *front) post(t *testing.T, path, body string, header map[string]string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer secret")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func TestBadRequestsGetNumberedErrors(t *testing.T) {
+	f := newFront(t)
+	const path, good = "/v1/completions", `{"model":"m","prompt":"p"}`
+	for _, c := range []struct {
+		name   string
+		path   string
+		body   string
+		header map[string]string
+		code   result.Code
+		notRun bool
+	}{
+		{"good", path, good, nil, 0, false},
+		{"no key", path, good, map[string]string{"Authorization": ""}, result.Unauthorized, true},
+		{"a wrong key", path, good, map[string]string{"Authorization": "Bearer other"}, result.Unauthorized, true},
+		{"no such path", "/v2/x", good, nil, result.NotFound, true},
+		{"not JSON", path, `{"model":`, nil, result.BadRequest, true},
+		{"two values", path, good + good, nil, result.BadRequest, true},
+		{"a list", path, `[]`, nil, result.BadRequest, true},
+		{"no model", path, `{"prompt":"p"}`, nil, result.BadRequest, true},
+		{"no prompt", path, `{"model":"m"}`, nil, result.BadRequest, true},
+		{"null for a prompt", path, `{"model":"m","prompt":null}`, nil, result.BadRequest, true},
+		{"two prompts", path, `{"model":"m","prompt":["a","b"]}`, nil, result.BadRequest, true},
+		{"no messages", "/v1/chat/completions", `{"model":"m","messages":[]}`, nil, result.BadRequest, true},
+		{"messages that are none", "/v1/chat/completions", `{"model":"m","messages":"x"}`, nil, result.BadRequest, true},
+		{"a key twice", path, `{"model":"m","prompt":"p","Model":"n"}`, nil, result.BadRequest, true},
+		{"two answers asked for", path, `{"model":"m","prompt":"p","n":2}`, nil, result.BadRequest, true},
+		{"no tokens asked for", path, `{"model":"m","prompt":"p","max_tokens":0}`, nil, result.BadRequest, true},
+		{"too large", path, `{"model":"m","prompt":"` + strings.Repeat("x", 10_000) + `"}`, nil, result.TooLarge, true},
+		{"an unknown class", path, good, map[string]string{caller.HeaderClass: "x"}, result.BadRequest, true},
+		{"a deadline that is none", path, good, map[string]string{caller.HeaderDeadline: "soon"}, result.BadRequest, true},
+		{"a deadline in the past", path, good, map[string]string{caller.HeaderDeadline: "-1s"}, result.BadRequest, true},
+		{"not repeatable without a key", path, good, map[string]string{caller.HeaderNotRepeatable: "true"}, result.KeyRequired, true},
+		{"neither true nor false", path, good, map[string]string{caller.HeaderNotRepeatable: "maybe"}, result.BadRequest, true},
+		{"a key that is too long", path, good, map[string]string{caller.HeaderKey: strings.Repeat("k", 300)}, result.BadRequest, false},
+		{"a bad request with a key may have run before", path, `{`, map[string]string{caller.HeaderKey: "k"}, result.BadRequest, false},
+		{"no such service", "/services/x/y", "", nil, result.ServiceUnknown, true},
+		{"a not repeatable route without a key", "/services/pay/charges", "", nil, result.KeyRequired, true},
+		{"the same route written differently", "/services/pay/x/..//charges/", "", nil, result.KeyRequired, true},
+		{"the same route with an escape", "/services/pay/%63harges", "", nil, result.KeyRequired, true},
+		{"below a not repeatable route", "/services/pay/void/7", "", nil, result.KeyRequired, true},
+	} {
+		w := f.post(t, c.path, c.body, c.header)
+		body, _ := io.ReadAll(w.Body)
+		w.Body.Close()
+		if c.code == 0 {
+			if w.StatusCode != http.StatusOK {
+				t.Errorf("%s: status %d: %s", c.name, w.StatusCode, body)
+			}
+			continue
+		}
+		var e struct {
+			Error struct {
+				Number int  `json:"result-code"`
+				NotRun bool `json:"not-run"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal(body, &e); err != nil || result.Code(e.Error.Number) != c.code || e.Error.NotRun != c.notRun {
+			t.Errorf("%s: status %d, want code %d and not run %t: %s", c.name, w.StatusCode, c.code, c.notRun, body)
+		}
+	}
+}
+
+func TestHeadersReachTheRequest(t *testing.T) {
+	f := newFront(t)
+	w := f.post(t, "/v1/completions", `{"model":"m","prompt":"p"}`, map[string]string{
+		caller.HeaderClass: "batch", caller.HeaderDeadline: "90s", caller.HeaderKey: "k1",
+	})
+	w.Body.Close()
+	r := f.last
+	if r.Class != "batch" || r.Priority != 1 || r.Customer != "c" || r.Repeatable || r.Key != "k1" {
+		t.Errorf("request %+v", r)
+	}
+	if left := time.Until(r.Deadline); left > 90*time.Second || left < 30*time.Second {
+		t.Errorf("deadline in %s", left)
+	}
+	if id := w.Header.Get(caller.HeaderRequest); id == "" || id != string(r.ID) {
+		t.Errorf("request id %q, the request has %q", id, r.ID)
+	}
+	first := r.Digest
+	w = f.post(t, "/v1/completions", `{"model":"m","prompt":"q"}`, map[string]string{caller.HeaderKey: "k1"})
+	w.Body.Close()
+	if f.last.Digest == first {
+		t.Error("two bodies have the same digest")
+	}
+}
+
+func TestServicesPassThrough(t *testing.T) {
+	f := newFront(t)
+	w := f.post(t, "/services/pay/charges?x=1", "body", map[string]string{caller.HeaderKey: "k1", "X-Asked": "1"})
+	body, _ := io.ReadAll(w.Body)
+	w.Body.Close()
+	if w.StatusCode != http.StatusAccepted || string(body) != "done" || w.Header.Get("X-Reply") != "1" {
+		t.Errorf("status %d, body %q, header %v", w.StatusCode, body, w.Header)
+	}
+	c := f.call
+	if c.Path != "/charges" || c.Query != "x=1" || c.Method != http.MethodPost || string(c.Body) != "body" || !c.Once || c.Repeatable || c.Header["X-Asked"][0] != "1" {
+		t.Errorf("call %+v", c)
+	}
+	w = f.post(t, "/services/pay/other", "", nil)
+	w.Body.Close()
+	if f.call.Once || f.call.Repeatable {
+		t.Errorf("a POST that nothing is said of: once %t, repeatable %t", f.call.Once, f.call.Repeatable)
+	}
+}
+
+func TestBalancerPaths(t *testing.T) {
+	f := newFront(t)
+	f.Ready = func() error { return result.New(result.ControlUnreachable, "cut off") }
+	for _, c := range []struct {
+		path   string
+		status int
+	}{{"/healthz", 200}, {"/readyz", 503}} {
+		w, err := http.Get(f.url + c.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Body.Close()
+		if w.StatusCode != c.status {
+			t.Errorf("%s: status %d", c.path, w.StatusCode)
+		}
+	}
+}
+
+// What arrives on the socket by hand: two lengths, a body that another reader might take for a second request, huge headers.
+func TestRawRequests(t *testing.T) {
+	f := newFront(t)
+	address := strings.TrimPrefix(f.url, "http://")
+	const head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n"
+	for _, c := range []struct {
+		name    string
+		request string
+		status  string
+	}{
+		{"two lengths", head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", "400"},
+		{"a length that is none", head + "Content-Length: x\r\n\r\n{}", "400"},
+		{"an unknown transfer encoding", head + "Transfer-Encoding: strange\r\n\r\n{}", "501"},
+		{"a space before the colon", head + "Content-Length : 2\r\n\r\n{}", "400"},
+		{"huge headers", head + "X: " + strings.Repeat("y", 100_000) + "\r\n\r\n", "431"},
+		{"no HTTP", "hello\r\n\r\n", "400"},
+	} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.WriteString(conn, c.request) }()
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		conn.Close()
+		if err != nil || !strings.Contains(line, " "+c.status+" ") {
+			t.Errorf("%s: %q, error %v; want %s", c.name, line, err, c.status)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`{"model":"m","prompt":"p","stream":true,"stream_options":{"include_usage":true}}`, false)
+	f.Add(`{"model":"m:a","messages":[{"role":"user","content":"x"}],"max_tokens":1,"seed":3,"stop":["x"]}`, true)
+	f.Add(`{"model":"m","prompt":["p"],"n":1}`, false)
+	f.Add(`{"a":{"b":[1,2,{"c":null}]},"model":"m"}`, true)
+	f.Fuzz(func(t *testing.T, body string, chat bool) {
+		p, err := caller.Parse([]byte(body), chat)
+		if err != nil {
+			if code := result.CodeOf(err); code != result.BadRequest {
+				t.Fatalf("code %d: %v", code, err)
+			}
+			return
+		}
+		r := &p.Request
+		if r.Model == "" || len(r.Prompt) == 0 || r.MaxTokens < 1 || !json.Valid(r.Prompt) || len(r.Options) > 0 && !json.Valid(r.Options) {
+			t.Fatalf("passed as %+v", r)
+		}
+	})
+}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,307 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/control"
+	"github.com/dunlinquay/dunlinquay/engine"
+	"github.com/dunlinquay/dunlinquay/fleet"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/planner"
+	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+var start = time.Unix(1000, 0)
+
+// What is seen of a member, when, and what the leader concludes.
+func TestJudge(t *testing.T) {
+	answer := presence.Observation{VM: "w", Sight: presence.SightAnswer, Incarnation: "i", Epoch: 7}
+	refused := presence.Observation{VM: "w", Sight: presence.SightRefused}
+	silent := presence.Observation{VM: "w", Sight: presence.SightSilence}
+	type seen struct {
+		at time.Duration
+		o  presence.Observation
+	}
+	for _, c := range []struct {
+		name  string
+		phase fleet.VMPhase
+		seen  []seen
+		at    time.Duration
+		want  planner.Condition
+	}{
+		{"nobody has looked", fleet.VMJoined, nil, time.Hour, planner.ConditionUnknown},
+		{"present", fleet.VMJoined, []seen{{time.Second, answer}}, 2 * time.Second, planner.ConditionPresent},
+		{"silent, not yet for the loss bound", fleet.VMJoined, []seen{{time.Second, answer}, {3 * time.Second, silent}}, 3 * time.Second, planner.ConditionPresent},
+		{"silent for the loss bound, and somebody looks", fleet.VMJoined, []seen{{time.Second, answer}, {4 * time.Second, silent}}, 4 * time.Second, planner.ConditionLost},
+		{"silent for the loss bound, and nobody looks", fleet.VMJoined, []seen{{time.Second, answer}}, time.Minute, planner.ConditionUnknown},
+		{"refused a moment ago", fleet.VMJoined, []seen{{time.Second, answer}, {2 * time.Second, refused}}, 2 * time.Second, planner.ConditionSuspect},
+		{"refused for the loss bound", fleet.VMJoined, []seen{{time.Second, answer}, {4 * time.Second, refused}}, 4 * time.Second, planner.ConditionLost},
+		{"one watcher is cut off, the other one sees it", fleet.VMJoined, []seen{{3 * time.Second, answer}, {4 * time.Second, silent}}, 4 * time.Second, planner.ConditionPresent},
+		{"another incarnation", fleet.VMJoined, []seen{{time.Second, presence.Observation{VM: "w", Sight: presence.SightAnswer, Incarnation: "j", Epoch: 7}}}, 2 * time.Second, planner.ConditionRestarted},
+		{"the old epoch, seen after it joined", fleet.VMJoined, []seen{{time.Second, presence.Observation{VM: "w", Sight: presence.SightAnswer, Incarnation: "i", Epoch: 6}}}, 2 * time.Second, planner.ConditionRestarted},
+		{"the old epoch, seen before it joined", fleet.VMJoined, []seen{{0, presence.Observation{VM: "w", Sight: presence.SightAnswer, Incarnation: "i", Epoch: 6}}}, time.Second, planner.ConditionPresent},
+		{"a free VM that never answered", fleet.VMFree, []seen{{time.Second, refused}}, 2 * time.Second, planner.ConditionSuspect},
+	} {
+		table := presence.NewTable()
+		j := control.NewJudge(table, time.Second, 2*time.Second)
+		s := fleet.NewState()
+		s.VMs["w"] = &fleet.VM{Name: "w", Phase: c.phase, Epoch: 7, Incarnation: "i"}
+		w := planner.NewWorld(s)
+		j.Assess(start, w)
+		for _, x := range c.seen {
+			table.Observe(start.Add(x.at), []presence.Observation{x.o})
+		}
+		j.Assess(start.Add(c.at), w)
+		if got := w.VM("w").Condition; got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestJudgeCountsFlaps(t *testing.T) {
+	table := presence.NewTable()
+	j := control.NewJudge(table, time.Second, 2*time.Second)
+	s := fleet.NewState()
+	s.VMs["w"] = &fleet.VM{Name: "w"}
+	w := planner.NewWorld(s)
+	now := start
+	for range 3 {
+		table.Observe(now, []presence.Observation{{VM: "w", Sight: presence.SightAnswer}})
+		j.Assess(now, w)
+		now = now.Add(5 * time.Second)
+		table.Observe(now, []presence.Observation{{VM: "w", Sight: presence.SightRefused}})
+		j.Assess(now, w)
+	}
+	if got := w.VM("w").Flaps; got != 3 {
+		t.Errorf("%d flaps, want 3", got)
+	}
+	now = now.Add(11 * time.Minute)
+	j.Assess(now, w)
+	if got := w.VM("w").Flaps; got != 0 {
+		t.Errorf("%d flaps after eleven minutes, want 0", got)
+	}
+}
+
+// desk records the orders that are given; answers come from a function of the test.
+type desk struct {
+	*control.Orders
+	mu        sync.Mutex
+	given     []string
+	fences    []engine.Fence
+	confirmed []fleet.Confirm
+	authority control.Authority
+	answer    func(o *engine.Order) (engine.OrderAnswer, error)
+}
+
+func newDesk() *desk {
+	d := &desk{Orders: control.NewOrders(), authority: control.Authority{Leads: true, Term: 3, Unchecked: true, Until: time.Now().Add(time.Hour)}}
+	d.Deadline = time.Second
+	d.answer = func(*engine.Order) (engine.OrderAnswer, error) {
+		return engine.OrderAnswer{Incarnation: "i", Done: true}, nil
+	}
+	d.Authority = func() control.Authority { return d.authority }
+	d.Confirmed = func(c fleet.Confirm) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.confirmed = append(d.confirmed, c)
+	}
+	d.Give = func(_ context.Context, address string, o *engine.Order) (engine.OrderAnswer, error) {
+		d.mu.Lock()
+		d.given = append(d.given, fmt.Sprintf("%s %s %d rank %d", address, o.Kind, o.Epoch, o.Rank))
+		d.fences = append(d.fences, o.Fence)
+		d.mu.Unlock()
+		return d.answer(o)
+	}
+	return d
+}
+
+// forming returns a state with a group of two VMs that join in epoch 7 and one VM that leaves epoch 5.
+func forming(checks bool) *fleet.State {
+	s := fleet.NewState()
+	for i, name := range []ident.VM{"w0", "w1", "w2"} {
+		s.VMs[name] = &fleet.VM{Name: name, Address: string(name), ChecksOrders: checks, Group: "g", Epoch: 7, Phase: fleet.VMJoining}
+		if i == 2 {
+			s.VMs[name].Epoch, s.VMs[name].Phase = 5, fleet.VMLeaving
+		}
+	}
+	s.Groups["g"] = &fleet.Group{Spec: fleet.GroupSpec{Name: "g", Model: "m", Size: 2}, Epoch: 7, Phase: fleet.GroupForming, Members: []ident.VM{"w1", "w0"}}
+	return s
+}
+
+func TestOrdersFollowFromTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk()
+		d.Reconcile(t.Context(), forming(true))
+		d.Wait()
+		want := map[string]bool{"w2 leave 5 rank 0": true, "w0 join 7 rank 1": true, "w1 join 7 rank 0": true}
+		got := map[string]bool{}
+		for _, g := range d.given {
+			got[g] = true
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("orders (-want +got):\n%s", diff)
+		}
+		if len(d.confirmed) != 3 {
+			t.Errorf("confirmed: %v", d.confirmed)
+		}
+		for i := 1; i < len(d.fences); i++ {
+			if d.fences[i].Term != 3 || d.fences[i] == d.fences[i-1] {
+				t.Errorf("fences %v", d.fences)
+			}
+		}
+	})
+}
+
+func TestWhoMayOrderWhom(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		authority control.Authority
+		checks    bool
+		want      int
+	}{
+		{"no leader, engines check", control.Authority{}, true, 0},
+		{"leader without a lease, engines check", control.Authority{Leads: true}, true, 3},
+		{"leader without a lease, engines do not check", control.Authority{Leads: true}, false, 0},
+		{"leader with a lease, engines do not check", control.Authority{Leads: true, Unchecked: true, Until: start.Add(time.Second)}, false, 3},
+		{"leader whose lease has just ended, engines do not check", control.Authority{Leads: true, Unchecked: true, Until: start}, false, 0},
+	} {
+		d := newDesk()
+		d.Now = func() time.Time { return start }
+		d.authority = c.authority
+		d.Reconcile(t.Context(), forming(c.checks))
+		d.Wait()
+		if got := len(d.given); got != c.want {
+			t.Errorf("%s: %d orders, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// An order to an engine that does not check must not be on its way when the lease ends.
+func TestOrdersEndWithTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk()
+		d.authority.Until = time.Now().Add(300 * time.Millisecond)
+		began := time.Now()
+		var took time.Duration
+		d.Give = func(ctx context.Context, _ string, _ *engine.Order) (engine.OrderAnswer, error) {
+			<-ctx.Done()
+			d.mu.Lock()
+			took = time.Since(began)
+			d.mu.Unlock()
+			return engine.OrderAnswer{}, ctx.Err()
+		}
+		d.Reconcile(t.Context(), forming(false))
+		d.Wait()
+		if took > 300*time.Millisecond {
+			t.Errorf("an order was on its way for %s, the lease ended after 300ms", took)
+		}
+	})
+}
+
+func TestOrdersAreRepeatedUntilConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk()
+		tries := 0
+		d.answer = func(*engine.Order) (engine.OrderAnswer, error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			switch tries++; {
+			case tries < 3:
+				return engine.OrderAnswer{}, result.New(result.TimedOut, "lost")
+			case tries < 6:
+				return engine.OrderAnswer{}, nil
+			}
+			return engine.OrderAnswer{Incarnation: "i", Done: true}, nil
+		}
+		s := forming(true)
+		delete(s.VMs, "w2")
+		s.VMs["w0"].Phase = fleet.VMJoined
+		for range 100 {
+			if len(d.confirmed) > 0 {
+				break
+			}
+			d.Reconcile(t.Context(), s)
+			d.Wait()
+			time.Sleep(50 * time.Millisecond)
+		}
+		if diff := cmp.Diff([]fleet.Confirm{{VM: "w1", Epoch: 7, Incarnation: "i"}}, d.confirmed); diff != "" {
+			t.Errorf("confirmed after %d tries (-want +got):\n%s", tries, diff)
+		}
+	})
+}
+
+// The weight store feeds four VMs at full rate; groups load one after another, and a dead VM holds nobody up.
+func TestLoadsComeInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk()
+		d.Loads = 4
+		d.answer = func(*engine.Order) (engine.OrderAnswer, error) { return engine.OrderAnswer{}, nil }
+		s := fleet.NewState()
+		add := func(name ident.Group, epoch ident.Epoch, vms ...ident.VM) {
+			s.Groups[name] = &fleet.Group{Spec: fleet.GroupSpec{Name: name, Size: len(vms)}, Epoch: epoch, Phase: fleet.GroupForming, Members: vms}
+			for _, v := range vms {
+				s.VMs[v] = &fleet.VM{Name: v, Address: string(v), ChecksOrders: true, Group: name, Epoch: epoch, Phase: fleet.VMJoining}
+			}
+		}
+		add("large", 1, "l1", "l2", "l3", "l4")
+		add("small", 2, "s1", "s2", "s3")
+		ordered := func() map[string]bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			got := map[string]bool{}
+			for _, g := range d.given {
+				got[g[:2]] = true
+			}
+			return got
+		}
+		for range 5 {
+			d.Reconcile(t.Context(), s)
+			d.Wait()
+			time.Sleep(200 * time.Millisecond)
+		}
+		if diff := cmp.Diff(map[string]bool{"s1": true, "s2": true, "s3": true}, ordered()); diff != "" {
+			t.Errorf("while the small group loads (-want +got):\n%s", diff)
+		}
+		// One of the small group's VMs dies: what is left of it does not load, and the large group gets its turn.
+		d.answer = func(o *engine.Order) (engine.OrderAnswer, error) {
+			if o.Group == "small" {
+				return engine.OrderAnswer{}, result.New(result.NeverSent, "dead")
+			}
+			return engine.OrderAnswer{}, nil
+		}
+		for range 5 {
+			d.Reconcile(t.Context(), s)
+			d.Wait()
+			time.Sleep(3 * time.Second)
+		}
+		if !ordered()["l4"] {
+			t.Errorf("the large group never had its turn: %v", ordered())
+		}
+	})
+}
+
+func TestStartNow(t *testing.T) {
+	for _, c := range []struct {
+		vms, groups, more, limit int
+		want                     bool
+	}{
+		{0, 0, 100, 8, true},
+		{4, 1, 4, 8, true},
+		{4, 1, 6, 8, true},
+		{8, 2, 8, 8, false},
+		{8, 1, 1, 8, true},
+		{8, 1, 8, 8, false},
+	} {
+		if got := control.StartNow(c.vms, c.groups, c.more, c.limit); got != c.want {
+			t.Errorf("%d VMs of %d groups load, %d more with room for %d: %t, want %t", c.vms, c.groups, c.more, c.limit, got, c.want)
+		}
+	}
+}
--- a/control/orders.go
+++ b/control/orders.go
@@ -65,8 +65,9 @@
 	epoch   ident.Epoch
 	kind    engine.OrderKind
 	running bool
-	// loads is set while the engine says that it loads.
+	// loads is set while the engine says that it loads, failed after an order that was not obeyed.
 	loads   bool
+	failed  bool
 	next    time.Time
 	backoff time.Duration
 }
@@ -104,7 +105,9 @@
 		if a.running || now.Before(a.next) || running >= maxRunning {
 			continue
 		}
-		if order.Kind == engine.OrderJoin && !loading.admit(v.Group, missing[v.Group], o.Loads) || !o.mayOrder(v, order, now) {
+		// A VM whose last order failed is asked again without a turn: it does not load, and must not keep others from it.
+		turn := order.Kind == engine.OrderJoin && !a.failed
+		if turn && !loading.admit(v.Group, missing[v.Group], o.Loads) || !o.mayOrder(v, order, now) {
 			continue
 		}
 		running++
@@ -188,7 +191,7 @@
 		if a.running {
 			running++
 		}
-		if called && (a.loads || a.running && a.kind == engine.OrderJoin) {
+		if called && (a.loads || a.running && !a.failed && a.kind == engine.OrderJoin) {
 			loads[v.Group]++
 		}
 	}
@@ -264,6 +267,7 @@
 	o.mu.Lock()
 	a.running = false
 	// A VM that cannot be reached must not keep others from loading.
+	a.failed = err != nil
 	a.loads = err == nil && !answer.Done && order.Kind == engine.OrderJoin
 	if err == nil && !answer.Done {
 		// Loading takes its time; the question is repeated at an even pace.
--- /dev/null
+++ b/ledger/machine_test.go
@@ -0,0 +1,121 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+func apply(t *testing.T, m *ledger.Machine, c *ledger.Command) ledger.Answer {
+	t.Helper()
+	data, err := ledger.Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.Apply(data)
+}
+
+var key = ledger.Key{Customer: "c", ID: "k"}
+
+func claim(at int64, change func(c *ledger.Command)) *ledger.Command {
+	c := &ledger.Command{
+		Kind: ledger.KindClaim, Key: key, At: at, Deadline: at + 10, Retention: 100, Daemon: "a", Incarnation: "1", Attempt: "first",
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func second(c *ledger.Command) { c.Attempt = "second" }
+
+func TestClaims(t *testing.T) {
+	outcome := &ledger.Command{Kind: ledger.KindOutcome, Key: key, Attempt: "first", Answer: []byte("answer")}
+	for _, c := range []struct {
+		name   string
+		before []*ledger.Command
+		claim  *ledger.Command
+		want   ledger.Answer
+	}{
+		{"a new key", nil, claim(0, nil), ledger.Answer{Verdict: ledger.Granted}},
+		{"the same proposal again", []*ledger.Command{claim(0, nil)}, claim(1, nil), ledger.Answer{Verdict: ledger.Granted}},
+		{"another attempt while the first runs", []*ledger.Command{claim(0, nil)}, claim(5, second), ledger.Answer{Verdict: ledger.InProgress}},
+		{"another attempt after the deadline", []*ledger.Command{claim(0, nil)}, claim(11, second), ledger.Answer{Verdict: ledger.Unknown}},
+		{"the daemon has started anew", []*ledger.Command{claim(0, nil)},
+			claim(5, func(c *ledger.Command) { c.Attempt, c.Incarnation = "second", "2" }), ledger.Answer{Verdict: ledger.Unknown}},
+		{"another daemon heard that it has started anew",
+			[]*ledger.Command{claim(0, nil), {Kind: ledger.KindOrphan, Daemon: "a", Incarnation: "2"}},
+			claim(5, func(c *ledger.Command) { c.Attempt, c.Daemon = "second", "b" }), ledger.Answer{Verdict: ledger.Unknown}},
+		{"an orphaning of another daemon's claims", []*ledger.Command{claim(0, nil), {Kind: ledger.KindOrphan, Daemon: "b", Incarnation: "2"}},
+			claim(5, second), ledger.Answer{Verdict: ledger.InProgress}},
+		{"answered", []*ledger.Command{claim(0, nil), outcome}, claim(5, second), ledger.Answer{Verdict: ledger.Stored, Data: []byte("answer")}},
+		{"answered, too large to keep",
+			[]*ledger.Command{claim(0, nil), {Kind: ledger.KindOutcome, Key: key, Attempt: "first", Dropped: true}},
+			claim(5, second), ledger.Answer{Verdict: ledger.NotKept}},
+		{"answered late, after it was called unknown",
+			[]*ledger.Command{claim(0, nil), {Kind: ledger.KindUnknown, Key: key, Attempt: "first"}, outcome},
+			claim(5, second), ledger.Answer{Verdict: ledger.Stored, Data: []byte("answer")}},
+		{"an outcome of another attempt changes nothing",
+			[]*ledger.Command{claim(0, nil), {Kind: ledger.KindOutcome, Key: key, Attempt: "x", Answer: []byte("stranger")}},
+			claim(5, second), ledger.Answer{Verdict: ledger.InProgress}},
+		{"unknown", []*ledger.Command{claim(0, nil), {Kind: ledger.KindUnknown, Key: key, Attempt: "first"}}, claim(5, second), ledger.Answer{Verdict: ledger.Unknown}},
+		{"not run", []*ledger.Command{claim(0, nil), {Kind: ledger.KindRelease, Key: key, Attempt: "first"}}, claim(5, second), ledger.Answer{Verdict: ledger.Granted}},
+		{"a late word of not run after the answer",
+			[]*ledger.Command{claim(0, nil), outcome, {Kind: ledger.KindRelease, Key: key, Attempt: "first"}},
+			claim(5, second), ledger.Answer{Verdict: ledger.Stored, Data: []byte("answer")}},
+		{"another request under the same key", []*ledger.Command{claim(0, nil)},
+			claim(5, func(c *ledger.Command) { c.Attempt, c.Digest = "second", ledger.Digest{1} }), ledger.Answer{Verdict: ledger.OtherRequest}},
+		{"another customer's same key", []*ledger.Command{claim(0, nil)},
+			claim(5, func(c *ledger.Command) { c.Attempt, c.Key.Customer = "second", "other" }), ledger.Answer{Verdict: ledger.Granted}},
+		{"within the retention", []*ledger.Command{claim(0, nil), outcome}, claim(100, second), ledger.Answer{Verdict: ledger.Stored, Data: []byte("answer")}},
+		{"after the retention", []*ledger.Command{claim(0, nil), outcome}, claim(101, second), ledger.Answer{Verdict: ledger.Granted}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := ledger.NewMachine()
+			for _, b := range c.before {
+				apply(t, m, b)
+			}
+			// The same must hold after a restart from a snapshot.
+			snapshot, err := m.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			restored := ledger.NewMachine()
+			if err := restored.Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, apply(t, m, c.claim)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.want, apply(t, restored, c.claim)); diff != "" {
+				t.Errorf("answer after a restart (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRetentionForgets(t *testing.T) {
+	m := ledger.NewMachine()
+	for i := range 1000 {
+		c := claim(int64(i), nil)
+		c.Key.ID = string(rune('a'+i%26)) + string(rune('0'+i/26))
+		apply(t, m, c)
+	}
+	// Retention is 100 and one claim comes every millisecond.
+	if n := m.Len(); n < 90 || n > 110 {
+		t.Errorf("%d keys are remembered, want about 100", n)
+	}
+}
+
+func TestDamagedCommandsAndSnapshots(t *testing.T) {
+	m := ledger.NewMachine()
+	if a := m.Apply([]byte{0xff, 0x00}); a.Verdict != 0 || m.Len() != 0 {
+		t.Errorf("an unreadable command gave %v", a)
+	}
+	if code := result.CodeOf(m.Restore([]byte{0xff})); code != result.StorageDamaged {
+		t.Errorf("an unreadable snapshot gave code %d", code)
+	}
+}
--- a/planner/policy_test.go
+++ b/planner/policy_test.go
@@ -121,10 +121,11 @@
 		name: "a day of losses", domains: []string{"d1: a1 a2 a3 a4 a5 a6 a7 a8 a9", "d2: b1 b2 b3 b4 b5 b6 b7 b8 b9", "d3: c1 c2 c3 c4 c5 c6 c7 c8 c9"},
 		groups: []string{"g1 4 one", "g2 4 one", "g3 4 one", "g4 4 one", "g5 4 one", "g6 4 one"},
 		events: []event{
-			{time.Hour, "down a2"}, {2 * time.Hour, "up a2"}, {3 * time.Hour, "down b3"}, {4 * time.Hour, "up b3"}, {5 * time.Hour, "down c1"},
-			{6 * time.Hour, "up c1"}, {7 * time.Hour, "down a7"}, {8 * time.Hour, "up a7"}, {9 * time.Hour, "down b8"}, {10 * time.Hour, "up b8"},
+			{30 * time.Minute, "down a2"}, {time.Hour, "up a2"}, {90 * time.Minute, "down b3"}, {2 * time.Hour, "up b3"},
+			{150 * time.Minute, "down c1"}, {3 * time.Hour, "up c1"}, {210 * time.Minute, "down a7"}, {4 * time.Hour, "up a7"},
+			{270 * time.Minute, "down b8"}, {5 * time.Hour, "up b8"},
 		},
-		length: 11 * time.Hour,
+		length: 5*time.Hour + 30*time.Minute,
 	},
 	{
 		name: "a cold start", domains: []string{"d1: a b c d e f g h", "d2: i j k l m n o p", "d3: q r s t u v w x"},
--- /dev/null
+++ b/presence/presence_test.go
@@ -0,0 +1,136 @@
+package presence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/presence"
+)
+
+var start = time.Unix(1000, 0)
+
+const bound = time.Second
+
+func TestPresent(t *testing.T) {
+	answer := presence.Observation{Sight: presence.SightAnswer, Incarnation: "i", Epoch: 7}
+	with := func(change func(o *presence.Observation)) presence.Observation {
+		o := answer
+		change(&o)
+		return o
+	}
+	type seen struct {
+		at time.Duration
+		presence.Observation
+	}
+	for _, c := range []struct {
+		name   string
+		seen   []seen
+		failed time.Duration
+		at     time.Duration
+		want   bool
+	}{
+		{"never seen", nil, 0, 0, false},
+		{"just seen", []seen{{0, answer}}, 0, 0, true},
+		{"seen within the bound", []seen{{0, answer}}, 0, bound, true},
+		{"seen too long ago", []seen{{0, answer}}, 0, bound + 1, false},
+		{"an old observation that arrived now", []seen{{bound, with(func(o *presence.Observation) { o.Age = 1500 })}}, 0, bound, false},
+		{"another incarnation", []seen{{0, with(func(o *presence.Observation) { o.Incarnation = "j" })}}, 0, 0, false},
+		{"another epoch", []seen{{0, with(func(o *presence.Observation) { o.Epoch = 6 })}}, 0, 0, false},
+		{"leaving by its own word", []seen{{0, with(func(o *presence.Observation) { o.Leaving = true })}}, 0, 0, false},
+		{"refused after it was seen", []seen{{0, answer}, {100 * time.Millisecond, presence.Observation{Sight: presence.SightRefused}}}, 0, 200 * time.Millisecond, false},
+		{"seen again after a refusal", []seen{{0, presence.Observation{Sight: presence.SightRefused}}, {100 * time.Millisecond, answer}}, 0, 200 * time.Millisecond, true},
+		{"one watcher's silence does not outweigh the other's answer", []seen{{0, answer}, {100 * time.Millisecond, presence.Observation{Sight: presence.SightSilence}}}, 0, 200 * time.Millisecond, true},
+		{"an older refusal that arrives later", []seen{{100 * time.Millisecond, answer}, {200 * time.Millisecond, presence.Observation{Sight: presence.SightRefused, Age: 150}}}, 0, 200 * time.Millisecond, true},
+		{"a passive failure after it was seen", []seen{{0, answer}}, 100 * time.Millisecond, 200 * time.Millisecond, false},
+		{"seen again after the passive failure", []seen{{0, answer}, {300 * time.Millisecond, answer}}, 100 * time.Millisecond, 300 * time.Millisecond, true},
+		{"an answer from before the failure that arrives after it", []seen{{0, answer}, {300 * time.Millisecond, with(func(o *presence.Observation) { o.Age = 250 })}}, 100 * time.Millisecond, 300 * time.Millisecond, false},
+	} {
+		table := presence.NewTable()
+		cell := table.Cell("w")
+		for _, s := range c.seen {
+			cell.Observe(start.Add(s.at), &s.Observation)
+		}
+		if c.failed != 0 {
+			cell.Fail(start.Add(c.failed))
+		}
+		m := presence.Member{Cell: cell, Incarnation: "i", Epoch: 7}
+		if got := m.Present(start.Add(c.at), bound); got != c.want {
+			t.Errorf("%s: present %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+func daemons(n int, hall ident.Hall) []presence.Watcher {
+	var list []presence.Watcher
+	for i := range n {
+		list = append(list, presence.Watcher{Name: ident.Daemon(fmt.Sprint(hall, i)), Hall: hall})
+	}
+	return list
+}
+
+func TestWatchers(t *testing.T) {
+	near, far := daemons(4, "near"), daemons(4, "far")
+	all := append(append([]presence.Watcher{}, near...), far...)
+	const vms = 1000
+	load := map[ident.Daemon]int{}
+	moved := 0
+	gone := near[2].Name
+	var left []presence.Watcher
+	for _, w := range all {
+		if w.Name != gone {
+			left = append(left, w)
+		}
+	}
+	for i := range vms {
+		vm := ident.VM(fmt.Sprint("w", i))
+		got := presence.Watchers(vm, "near", all)
+		if len(got) != 2 || got[0] == got[1] || got[0][:4] != "near" || got[1][:4] != "near" {
+			t.Fatalf("%s is watched by %v", vm, got)
+		}
+		after := presence.Watchers(vm, "near", left)
+		for _, w := range got {
+			load[w]++
+			if w != gone && w != after[0] && w != after[1] {
+				moved++
+			}
+		}
+	}
+	for _, w := range near {
+		if n := load[w.Name]; n < vms/2*8/10 || n > vms/2*12/10 {
+			t.Errorf("%s watches %d of %d", w.Name, n, vms)
+		}
+	}
+	if moved != 0 {
+		t.Errorf("%d shares of daemons that stayed have moved", moved)
+	}
+	if diff := cmp.Diff([]ident.Daemon{"far0"}, presence.Watchers("w", "near", far[:1])); diff != "" {
+		t.Errorf("only one daemon, of another hall (-want +got):\n%s", diff)
+	}
+	if got := presence.Watchers("w", "near", nil); len(got) != 0 {
+		t.Errorf("nobody lives and %v watch", got)
+	}
+}
+
+func TestMembers(t *testing.T) {
+	m := presence.NewMembers(time.Second)
+	m.Hear(presence.Peer{Name: "a", Incarnation: "1", Revision: 5, Heard: start})
+	m.Hear(presence.Peer{Name: "b", Incarnation: "1", Revision: 5, Heard: start.Add(-2 * time.Second)})
+	m.Hear(presence.Peer{Name: "a", Incarnation: "1", Revision: 3, Heard: start})
+	if p, _ := m.Get("a"); p.Revision != 5 {
+		t.Errorf("a late beat took the revision back to %d", p.Revision)
+	}
+	m.Hear(presence.Peer{Name: "a", Incarnation: "2", Revision: 1, Heard: start})
+	if p, _ := m.Get("a"); p.Revision != 1 {
+		t.Errorf("a daemon that started anew has revision %d, its own word is 1", p.Revision)
+	}
+	if live := m.Live(start); len(live) != 1 || live[0].Name != "a" {
+		t.Errorf("live: %v", live)
+	}
+	if all := m.All(); len(all) != 2 {
+		t.Errorf("all: %v", all)
+	}
+}
--- a/result/error.go
+++ b/result/error.go
@@ -21,7 +21,7 @@
 	return quiet.New("%s", fmt.Sprintf(format, args...)).WithProperty(codeProperty, code)
 }
 
-// Wrap returns an error that carries code and keeps cause for errors.Is and errors.As.
+// Wrap returns an error that carries code and shows cause in its message; errors.Is does not look through it.
 func Wrap(cause error, code Code, format string, args ...any) error {
 	return quiet.Wrap(cause, "%s", fmt.Sprintf(format, args...)).WithProperty(codeProperty, code)
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -41,6 +41,9 @@
 	return Costs{Service: 2, PrefillPerToken: 0.0002, AdapterLoad: 1, OtherHall: 0.002}
 }
 
+// nearlyEqual is the number of seconds by which a cost has to be lower to count.
+const nearlyEqual = 0.0005
+
 type models map[ident.Model][]*Target
 
 type index struct {
@@ -138,7 +141,8 @@
 			continue
 		}
 		cost, ok := t.cost(now, ask, c, cachedShare(c == warm, depth, len(ask.Prefixes)))
-		if ok && (best == nil || cost < lowest) {
+		// Of nearly equal ones the first stays, which is random, so that a trace of a difference does not draw everybody.
+		if ok && (best == nil || cost < lowest-nearlyEqual) {
 			best, lowest = c, cost
 		}
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -102,7 +102,7 @@
 		_, _ = io.WriteString(w, "short and stout")
 	})}
 	go func() { _ = server.Serve(ln) }()
-	defer server.Close()
+	defer func() { _ = server.Close() }()
 	reply, err := service.NewClient(transport.TCP(), 1<<20).Send(t.Context(), ln.Addr().String(), &dispatch.Call{
 		Method: http.MethodPut, Path: "/a%2Fb/c", Query: "x=1&y=%20", Body: []byte("body"), Repeatable: true,
 		Header: http.Header{
--- a/settings/check.go
+++ b/settings/check.go
@@ -149,7 +149,7 @@
 	seen := map[ident.Daemon]bool{}
 	for i, name := range c.cfg.ControlMembers {
 		path := fmt.Sprintf("control-members[%d]", i)
-		if !known[name] {
+		if !known[name] && c.wellTyped("name") {
 			c.conflictf(path, "%q is neither this daemon nor one of its peers", name)
 		}
 		if seen[name] {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -197,6 +197,9 @@
 		return nil, d.faults
 	}
 	d.value(v, "", reflect.ValueOf(&cfg).Elem())
+	if v.Value.Kind() != '{' {
+		return nil, d.faults
+	}
 	checker{d: d, cfg: &cfg}.check()
 	if len(d.faults) > 0 {
 		return nil, d.faults.sorted()
