--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,26 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/routing"
+)
+
+func BenchmarkAdmit(b *testing.B) {
+	gate := admission.NewController()
+	gate.SetShares(map[ident.Customer]admission.Share{"c": {Concurrent: 100, RequestsPerSecond: 1e9, TokensPerSecond: 1e12}})
+	a := &admission.Ask{
+		Customer: "c", Class: "interactive", Model: "m", Tokens: 100, Deadline: time.Now().Add(time.Hour),
+		Reserve: func(time.Time) routing.Verdict { return routing.Chosen },
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := gate.Admit(b.Context(), a); err != nil {
+			b.Fatal(err)
+		}
+		gate.Done(a, time.Millisecond, 10)
+	}
+}
--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,31 @@
+package routing_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/routing"
+)
+
+func BenchmarkTake(b *testing.B) {
+	prefixes := routing.Prefixes([]byte(strings.Repeat("a prompt of some length ", 400)))
+	for _, groups := range []int{4, 64, 1250} {
+		for _, members := range []int{1, 8} {
+			b.Run(fmt.Sprint(groups, "-groups-of-", members), func(b *testing.B) {
+				var places []*place
+				for i := range groups {
+					places = append(places, newPlace(ident.Group(fmt.Sprint("g", i)), members))
+				}
+				table := newTable(1, places...)
+				ask := &routing.Ask{Model: "m", Prefixes: prefixes, PromptTokens: 2000}
+				b.ReportAllocs()
+				for b.Loop() {
+					target, _ := table.Take(now, ask)
+					table.Done(target)
+				}
+			})
+		}
+	}
+}
