Write streamed tokens without an encoder and set the write deadline once a second

Change: the token's string is appended by the library codec; the write deadline moves once a second; the text of a repeatable stream is no longer gathered for nobody.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	fast "github.com/segmentio/encoding/json"
+
 	"github.com/dunlinquay/dunlinquay/dispatch"
 )
 
@@ -19,8 +21,9 @@
 	started bool
 	// head and tail surround the JSON string of one token; they are the same for every event of a stream.
 	head, tail []byte
-	line       bytes.Buffer
-	encoder    *json.Encoder
+	line       []byte
+	// extended is when the write deadline was set last.
+	extended time.Time
 }
 
 type choice struct {
@@ -53,10 +56,7 @@
 }
 
 func newWriter(w http.ResponseWriter, p *Parsed, now time.Time) *writer {
-	out := &writer{w: w, control: http.NewResponseController(w), p: p, created: since(now)}
-	out.encoder = json.NewEncoder(&out.line)
-	out.encoder.SetEscapeHTML(false)
-	return out
+	return &writer{w: w, control: http.NewResponseController(w), p: p, created: since(now)}
 }
 
 func (out *writer) envelope(object string, choices ...choice) completion {
@@ -93,6 +93,9 @@
 	return out.event(out.envelope(out.chunkObject(), choice{Delta: &message{Role: "assistant", Content: &empty}}))
 }
 
+// extendEvery is how often the write deadline of a stream is moved.
+const extendEvery = time.Second
+
 // mark stands for the token's text while head and tail are cut from a whole event.
 const mark = "\x01"
 
@@ -115,21 +118,18 @@
 
 // token is the sink of a streamed answer; more says that the next token has arrived already.
 func (out *writer) token(text string, more bool) error {
-	_ = out.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	out.extendDeadline()
 	if !out.started {
 		if err := out.start(); err != nil {
 			return err
 		}
 	}
-	out.line.Reset()
-	out.line.Write(out.head)
-	if err := out.encoder.Encode(text); err != nil {
+	line, err := fast.Append(append(out.line[:0], out.head...), text, 0)
+	if err != nil {
 		return err
 	}
-	// The encoder ends its value with a newline that does not belong here.
-	out.line.Truncate(out.line.Len() - 1)
-	out.line.Write(out.tail)
-	if _, err := out.w.Write(out.line.Bytes()); err != nil {
+	out.line = append(line, out.tail...)
+	if _, err := out.w.Write(out.line); err != nil {
 		return err
 	}
 	if more {
@@ -138,6 +138,16 @@
 	return out.control.Flush()
 }
 
+// extendDeadline gives a caller that reads more time; setting it for every token would cost more than the token.
+func (out *writer) extendDeadline() {
+	now := time.Now()
+	if now.Sub(out.extended) < extendEvery {
+		return
+	}
+	out.extended = now
+	_ = out.control.SetWriteDeadline(now.Add(writeTimeout))
+}
+
 func (out *writer) event(v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -184,7 +194,7 @@
 	v := out.envelope(object, c)
 	v.Usage = u
 	out.w.Header().Set("Content-Type", "application/json")
-	_ = out.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	out.extendDeadline()
 	_ = json.NewEncoder(out.w).Encode(v)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -189,7 +189,9 @@
 			return &Answer{Text: j.text.String(), Finish: token.Finish, Tokens: j.tokens, PromptTokens: token.PromptTokens}, nil
 		}
 		j.tokens++
-		j.text.WriteString(token.Text)
+		if j.sink == nil || !j.r.Repeatable {
+			j.text.WriteString(token.Text)
+		}
 		if err := j.pass(token.Text, stream.Buffered()); err != nil {
 			return nil, err
 		}
