--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 format: bin/golangci-lint
 	./bin/golangci-lint fmt
 
-bench: build
-	go run ./bench
+bench:
+	cd measure && go run ./bench
 
 slopes:
-	cd slopes && go run .
+	cd measure && go run ./slopes --json ../out/slopes.json --plots ../out
