Lay the fleet out once for each revision and plan only when something has changed

Change: control.Leader keeps the view of a revision, judges conditions in place and plans only when state, conditions, drains or passed times differ from what the last plan saw; the operators' interface reads through the same view. Ruled out: a longer tick, which would lengthen every repair.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -128,7 +128,8 @@
 	if err != nil {
 		return err
 	}
-	out.line = append(line, out.tail...)
+	line = append(line, out.tail...)
+	out.line = line
 	if _, err := out.w.Write(out.line); err != nil {
 		return err
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,10 @@
 	confirms []fleet.Confirm
 	down     map[ident.Group]time.Time
 	drains   map[ident.Group]drainWatch
+	// world is the planner's view of revision laid; planned is what of it the last plan had seen.
+	world   *planner.World
+	laid    ident.Revision
+	planned []uint8
 }
 
 type drainWatch struct {
@@ -146,18 +152,59 @@
 	return err
 }
 
-// World returns the planner's view at this moment, for planning and for explain.
-func (l *Leader) World() *planner.World {
-	var w *planner.World
+// View calls fn with the planner's view at this moment, which fn must not keep. Laying a fleet out costs far more than
+// judging it, so that is done once for each revision.
+func (l *Leader) View(fn func(w *planner.World)) {
 	now := l.Now()
-	l.Machine.Read(func(s *fleet.State) {
-		w = planner.NewWorld(s.Clone())
-	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Judge.Assess(now, w)
-	l.judgeGroups(now, w)
-	return w
+	if revision := l.Machine.Revision(); l.world == nil || revision != l.laid {
+		l.Machine.Read(func(s *fleet.State) {
+			l.laid = s.Revision
+			l.world = planner.NewWorld(s.Clone())
+		})
+	}
+	l.Judge.Assess(now, l.world)
+	l.judgeGroups(now, l.world)
+	fn(l.world)
+}
+
+// Actions returns what the planner wants, or nothing when all that it decides by is as it was at the last plan.
+func (l *Leader) Actions() (actions []planner.Action) {
+	l.View(func(w *planner.World) {
+		seen := fingerprint(w, l.Policy.Patience, l.laid)
+		if slices.Equal(seen, l.planned) {
+			return
+		}
+		actions = planner.Plan(w, l.Policy)
+		l.planned = seen
+	})
+	return actions
+}
+
+// fingerprint notes everything that a plan depends on beside the state: conditions, drains, and the passing of times.
+func fingerprint(w *planner.World, patience time.Duration, revision ident.Revision) []uint8 {
+	seen := binary.LittleEndian.AppendUint64(make([]uint8, 0, len(w.VMs)+len(w.Groups)), uint64(revision))
+	for i := range w.VMs {
+		v := &w.VMs[i]
+		mark := uint8(v.Condition) << 1
+		if v.Steady() {
+			mark |= 1
+		}
+		seen = append(seen, mark)
+	}
+	for i := range w.Groups {
+		g := &w.Groups[i]
+		mark := uint8(0)
+		if g.Drained {
+			mark |= 1
+		}
+		if g.Down >= patience {
+			mark |= 2
+		}
+		seen = append(seen, mark)
+	}
+	return seen
 }
 
 func (l *Leader) judgeGroups(now time.Time, w *planner.World) {
@@ -213,10 +260,11 @@
 }
 
 func (l *Leader) plan(ctx context.Context) error {
-	w := l.World()
-	for _, a := range planner.Plan(w, l.Policy) {
+	for _, a := range l.Actions() {
 		answer, err := l.Propose(ctx, commandFor(&a))
 		if err != nil {
+			// What was not written has to be planned again.
+			l.forgetPlan()
 			return err
 		}
 		l.Log.Info("planned", "group", a.Group, "members", a.Members, "reason", a.Reason,
@@ -225,6 +273,12 @@
 	return nil
 }
 
+func (l *Leader) forgetPlan() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planned = nil
+}
+
 func commandFor(a *planner.Action) *fleet.Command {
 	kinds := map[planner.ActionKind]fleet.Kind{
 		planner.ActionAssign: fleet.KindAssign, planner.ActionDrain: fleet.KindDrainGroup, planner.ActionBreak: fleet.KindBreakGroup,
--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -210,8 +210,16 @@
 // The same answer of 1 and of 100 tokens from the same engine, directly, through the standard library's reverse proxy,
 // and through a daemon.
 func BenchmarkThrough(b *testing.B) {
-	for _, tokens := range []int{1, streamTokens} {
+	for _, c := range []struct {
+		tokens int
+		pace   time.Duration
+	}{{1, 0}, {streamTokens, 0}, {streamTokens, time.Millisecond}} {
+		tokens, name := c.tokens, fmt.Sprint(c.tokens, "-tokens")
+		if c.pace > 0 {
+			name += "-one-by-one"
+		}
 		l := newLoopback(b, 1, 1)
+		l.engines[0].TokenTime = c.pace
 		l.serve("g")
 		g, err := l.client(l.daemons[0]).Group(context.Background(), "g")
 		l.must(err)
@@ -231,7 +239,7 @@
 			{"proxy", "http://" + ln.Addr().String() + engine.PathGenerate, direct},
 			{"daemon", "http://" + l.daemons[0].Callers() + "/v1/completions", asked},
 		} {
-			b.Run(fmt.Sprintf("%d-tokens/%s", tokens, way.name), func(b *testing.B) { measure(b, way.url, l.key, way.body) })
+			b.Run(name+"/"+way.name, func(b *testing.B) { measure(b, way.url, l.key, way.body) })
 		}
 		_ = proxy.Close()
 		l.stop()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,8 +114,8 @@
 	d.buildGate()
 	d.buildDispatch()
 	d.buildCallers()
-	d.buildOperators()
 	d.buildLeader()
+	d.buildOperators()
 	d.probes = newProbes(d)
 	d.platform = newPlatformWatch(d)
 	if err := d.open(); err != nil {
@@ -251,8 +251,8 @@
 	}
 	s.Change, s.Admit = d.change, d.admitMember
 	s.Machine = d.machine
-	s.Status, s.Explain, s.InForce = d.status, d.explain, d.inForce
-	s.Whole = d.whole
+	s.Status, s.InForce = d.status, d.inForce
+	s.Whole, s.View, s.Policy = d.whole, d.leader.View, d.leader.Policy
 	d.operators = s
 }
 
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -78,10 +78,6 @@
 	return err
 }
 
-func (d *Daemon) explain() (*planner.World, planner.Policy) {
-	return d.leader.World(), d.leader.Policy
-}
-
 func (d *Daemon) status() operator.Status {
 	now := d.now()
 	s := operator.Status{
@@ -95,8 +91,7 @@
 		s.Reason = result.Text(err)
 	}
 	s.Serving = s.Reason == ""
-	w := d.leader.World()
-	s.VMs, s.Groups = len(w.VMs), len(w.Groups)
+	d.machine.Read(func(st *fleet.State) { s.VMs, s.Groups = len(st.VMs), len(st.Groups) })
 	c := d.metrics.counted()
 	s.Whole, s.Stranded, s.StrandedMillis, s.DownMillis = c.whole, c.stranded, c.strandedTime.Milliseconds(), c.downTime.Milliseconds()
 	for _, p := range d.members.All() {
@@ -188,5 +183,7 @@
 
 // measureGroups counts group downtime and stranded accelerators.
 func (d *Daemon) measureGroups() {
-	d.metrics.groups(d.clock.add(d.now(), d.leader.World(), d.whole))
+	d.leader.View(func(w *planner.World) {
+		d.metrics.groups(d.clock.add(d.now(), w, d.whole))
+	})
 }
--- a/measure/bench/main.go
+++ b/measure/bench/main.go
@@ -33,7 +33,8 @@
 	{"./quorum", "Changes|Restart", "1s"},
 	{"./quorum", "LeaderLoss", "5x"},
 	{"./daemon", "InForce", "5x"},
-	{"./daemon", "Through", "1000x"},
+	{"./daemon", "Through/.*-tokens/", "1000x"},
+	{"./daemon", "Through/.*one-by-one/", "20x"},
 	{"./daemon", "Claims", "2000x"},
 }
 
@@ -64,6 +65,8 @@
 	{name: "Through/1-tokens/daemon", unit: "first-byte-µs", baseline: "Through/1-tokens/engine"},
 	{name: "Through/100-tokens/proxy", unit: "cpu-µs/op", baseline: "Through/100-tokens/engine"},
 	{name: "Through/100-tokens/daemon", unit: "cpu-µs/op", baseline: "Through/100-tokens/proxy"},
+	{name: "Through/100-tokens-one-by-one/proxy", unit: "cpu-µs/op", baseline: "Through/100-tokens-one-by-one/engine"},
+	{name: "Through/100-tokens-one-by-one/daemon", unit: "cpu-µs/op", baseline: "Through/100-tokens-one-by-one/proxy"},
 	{name: "Claims/1-at-once", unit: "claims/s"},
 	{name: "Claims/256-at-once", unit: "claims/s", baseline: "Claims/1-at-once"},
 }
--- a/measure/slopes/series.go
+++ b/measure/slopes/series.go
@@ -49,6 +49,8 @@
 		newSeries("planning view", "VMs", "µs", vmCounts, worldTime),
 		newSeries("planning without work", "VMs", "µs", vmCounts, planTime),
 		newSeries("judging", "VMs", "µs", vmCounts, judgeTime),
+		newSeries("leader's look", "VMs", "µs, nothing has changed", vmCounts, func(n float64) float64 { return lookTime(n, false) }),
+		newSeries("leader's look after a change", "VMs", "µs", vmCounts, func(n float64) float64 { return lookTime(n, true) }),
 		newSeries("log bytes", "changes", "bytes on disk", []float64{100, 1000, 5000}, logBytes),
 		newSeries("ledger memory", "keys", "bytes of heap, answers of 1 KB", []float64{1000, 10_000, 50_000}, ledgerMemory),
 		newSeries("ledger command bytes", "size of the answer", "bytes for claim and outcome", []float64{100, 1000, 10_000}, ledgerBytes),
@@ -367,6 +369,25 @@
 	return timed(func() { j.Assess(time.Now(), w) })
 }
 
+// lookTime is what the leader spends in each tick before it orders anything.
+func lookTime(n float64, changes bool) float64 {
+	l := control.NewLeader()
+	l.Machine = fleet.NewMachine()
+	if err := l.Machine.Restore(1, must(state(int(n)).Marshal())); err != nil {
+		panic(err)
+	}
+	l.Members = presence.NewMembers(time.Second)
+	l.Judge = control.NewJudge(presence.NewTable(), time.Second, 2*time.Second)
+	revision := ident.Revision(1)
+	return timed(func() {
+		if changes {
+			revision++
+			l.Machine.Apply(revision, labelChange(int(revision)))
+		}
+		l.Actions()
+	})
+}
+
 // logBytes is what changes one by one add to the shared log of a single member.
 func logBytes(n float64) float64 {
 	root := must(os.MkdirTemp("", "dunlinquay-slopes-"))
--- a/operator/server.go
+++ b/operator/server.go
@@ -34,8 +34,9 @@
 	Change func(ctx context.Context, c *fleet.Command) (fleet.Answer, error)
 	Admit  func(ctx context.Context, member ident.Daemon) error
 	Status func() Status
-	// Explain returns the planner's words and its view of the fleet.
-	Explain func() (*planner.World, planner.Policy)
+	// View calls fn with the planner's view of the fleet, which fn must not keep.
+	View    func(fn func(w *planner.World))
+	Policy  planner.Policy
 	InForce func(revision ident.Revision) InForce
 	// Whole tells whether requests can go to a group's epoch now.
 	Whole func(name ident.Group, epoch ident.Epoch) bool
@@ -165,11 +166,12 @@
 }
 
 func (s *Server) groups(*http.Request, string) (any, error) {
-	w, _ := s.Explain()
 	list := []GroupView{}
-	for i := range w.Groups {
-		list = append(list, s.view(&w.Groups[i]))
-	}
+	s.View(func(w *planner.World) {
+		for i := range w.Groups {
+			list = append(list, s.view(&w.Groups[i]))
+		}
+	})
 	return list, nil
 }
 
@@ -183,17 +185,25 @@
 }
 
 func (s *Server) group(r *http.Request, _ string) (any, error) {
-	w, _ := s.Explain()
-	g := w.Group(ident.Group(r.PathValue("name")))
-	if g == nil {
+	var v *GroupView
+	s.View(func(w *planner.World) {
+		if g := w.Group(ident.Group(r.PathValue("name"))); g != nil {
+			found := s.view(g)
+			v = &found
+		}
+	})
+	if v == nil {
 		return nil, result.New(result.ChangeNotFound, "there is no group %s", r.PathValue("name"))
 	}
-	return s.view(g), nil
+	return v, nil
 }
 
 func (s *Server) explain(r *http.Request, _ string) (any, error) {
-	w, policy := s.Explain()
-	e, ok := planner.Explain(w, policy, ident.Group(r.PathValue("name")))
+	var e planner.Explanation
+	var ok bool
+	s.View(func(w *planner.World) {
+		e, ok = planner.Explain(w, s.Policy, ident.Group(r.PathValue("name")))
+	})
 	if !ok {
 		return nil, result.New(result.ChangeNotFound, "there is no group %s", r.PathValue("name"))
 	}
@@ -201,11 +211,12 @@
 }
 
 func (s *Server) vms(*http.Request, string) (any, error) {
-	w, _ := s.Explain()
 	list := []VMView{}
-	for i := range w.VMs {
-		list = append(list, vmView(&w.VMs[i]))
-	}
+	s.View(func(w *planner.World) {
+		for i := range w.VMs {
+			list = append(list, vmView(&w.VMs[i]))
+		}
+	})
 	return list, nil
 }
 
@@ -214,12 +225,17 @@
 }
 
 func (s *Server) vm(r *http.Request, _ string) (any, error) {
-	w, _ := s.Explain()
-	v := w.VM(ident.VM(r.PathValue("name")))
-	if v == nil {
+	var view *VMView
+	s.View(func(w *planner.World) {
+		if v := w.VM(ident.VM(r.PathValue("name"))); v != nil {
+			found := vmView(v)
+			view = &found
+		}
+	})
+	if view == nil {
 		return nil, result.New(result.ChangeNotFound, "there is no VM %s", r.PathValue("name"))
 	}
-	return vmView(v), nil
+	return view, nil
 }
 
 func (s *Server) limits(*http.Request, string) (any, error) {
--- a/planner/fit.go
+++ b/planner/fit.go
@@ -43,6 +43,11 @@
 	return min(flapBase<<min(flaps, flapShift), flapLimit)
 }
 
+// Steady reports whether the VM has been there for long enough to be used again.
+func (v *VM) Steady() bool {
+	return v.Stable >= steadyFor(v.Flaps)
+}
+
 // free says whether VM i could be given to any group at all.
 func (w *World) free(i int) Fit {
 	v := &w.VMs[i]
@@ -57,7 +62,7 @@
 		return FitHeld
 	case v.Condition != ConditionPresent:
 		return FitAbsent
-	case v.Stable < steadyFor(v.Flaps):
+	case !v.Steady():
 		return FitFlapping
 	}
 	return FitYes
