Read the engines' cache events, so that every entry knows where a prefix is

Cause: routing could take cache events, but no daemon fetched them: an entry VM knew only of the prompts that it had sent itself. Change: each daemon asks the engines that it routes to once a second for events after the last one it has; an answer that begins later voids what was believed; an engine that publishes none is left alone for half a minute.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -273,6 +273,7 @@
 	d.tasks.Go(d.beatLoop)
 	d.tasks.Go(d.viewLoop)
 	d.tasks.Go(d.lookLoop)
+	d.tasks.Go(d.cacheLoop)
 	d.tasks.Go(d.probes.run)
 	if d.control != nil {
 		d.tasks.Go(d.control.run)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -377,3 +378,33 @@
 		}
 	})
 }
+
+// A daemon learns from cache events what another one has sent where, and forgets it when events are missed.
+func TestCacheEventsReachOtherDaemons(t *testing.T) {
+	bubble(t, []string{"d1: w1 w2 w3 w4 w5 w6"}, func(t *testing.T, s *site) {
+		for _, name := range []ident.Group{"g", "h", "i", "j", "k", "l"} {
+			spec := fleet.GroupSpec{Name: name, Model: "model-g", Size: 1}
+			_, err := s.change("a", &operator.Change{Create: &spec})
+			s.must(err)
+		}
+		for _, at := range s.names {
+			for _, name := range []ident.Group{"g", "h", "i", "j", "k", "l"} {
+				s.awaitWhole(at, name)
+			}
+		}
+		prompt := strings.Repeat("a long common beginning ", 2000)
+		if a := s.ask("a", "g", prompt, 2, nil); a.status != 200 {
+			t.Fatalf("status %d, code %s", a.status, a.code)
+		}
+		first := s.ran(prompt)
+		time.Sleep(3 * time.Second)
+		// Every prompt with that beginning follows, also through the daemons that have not seen the first one.
+		for i := range 10 {
+			again := prompt + fmt.Sprint(i)
+			s.ask(s.names[i%3], "g", again, 2, nil)
+			if at := s.ran(again); at != first {
+				t.Errorf("prompt %d went to %s through %s, the first one to %s", i, at, s.names[i%3], first)
+			}
+		}
+	})
+}
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -158,6 +158,8 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// where names the VM that ran a prompt last.
+	where map[string]ident.VM
 }
 
 type running struct {
@@ -173,7 +175,7 @@
 	t.Helper()
 	s := &site{
 		t: t, wire: newWire(), root: t.TempDir(), names: []ident.Daemon{"a", "b", "c"}, running: map[ident.Daemon]*running{},
-		engines: map[ident.VM]*engine.StandIn{}, service: service.NewStandIn(), key: keys.New(), op: keys.New(), runs: map[string]int{},
+		engines: map[ident.VM]*engine.StandIn{}, service: service.NewStandIn(), key: keys.New(), op: keys.New(), runs: map[string]int{}, where: map[string]ident.VM{},
 	}
 	s.http = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, a string) (net.Conn, error) { return s.wire.dial("")(ctx, a) },
@@ -204,6 +206,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.runs[prompt]++
+		s.where[prompt] = name
 	}
 	s.must(e.Start(string(name) + ":1"))
 	s.engines[name] = e
@@ -388,6 +391,14 @@
 	return engine.ExpectedText(quoted, tokens)
 }
 
+// ran names the VM that ran a prompt.
+func (s *site) ran(prompt string) ident.VM {
+	quoted, _ := json.Marshal(prompt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.where[string(quoted)]
+}
+
 func (s *site) runsOf(prompt string) int {
 	quoted, _ := json.Marshal(prompt)
 	s.mu.Lock()
