--- a/caller/openai.go
+++ b/caller/openai.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -257,8 +256,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(list)
 }
-
-// since returns the interface's notion of a point in time, in seconds since 1970.
-func since(t time.Time) int64 {
-	return t.Unix()
-}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -56,7 +56,7 @@
 }
 
 func newWriter(w http.ResponseWriter, p *Parsed, now time.Time) *writer {
-	return &writer{w: w, control: http.NewResponseController(w), p: p, created: since(now)}
+	return &writer{w: w, control: http.NewResponseController(w), p: p, created: now.Unix()}
 }
 
 func (out *writer) envelope(object string, choices ...choice) completion {
--- a/daemon/cache.go
+++ b/daemon/cache.go
@@ -14,7 +14,8 @@
 // engine. An engine that publishes nothing costs one refused call in a while.
 
 const (
-	cacheInterval = time.Second
+	cacheInterval = 5 * time.Second
+	cacheTimeout  = time.Second
 	cacheRest     = 30 * time.Second
 )
 
@@ -48,7 +49,7 @@
 	if d.now().Before(r.rest) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, cacheInterval)
+	ctx, cancel := context.WithTimeout(ctx, cacheTimeout)
 	defer cancel()
 	events, err := d.engines.Events(ctx, t.Head, r.next)
 	if err != nil {
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// Server is an HTTP listener that can be killed and started again; Listen is set before Start.
+type Server struct {
+	// Listen opens the address; tests replace it.
+	Listen func(address string) (net.Listener, error)
+
+	mu      sync.Mutex
+	server  *http.Server
+	address string
+}
+
+// NewServer returns a server on TCP that does not listen yet.
+func NewServer() *Server {
+	return &Server{Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) }}
+}
+
+// Serve listens on address (host:port, port 0 for any) and answers by h until Kill.
+func (s *Server) Serve(address string, h http.Handler) error {
+	ln, err := s.Listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address, s.server = ln.Addr().String(), server
+	go func() { _ = server.Serve(ln) }()
+	return nil
+}
+
+// Address returns host:port of the newest listener.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Kill closes the listener and every connection at once.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		_ = s.server.Close()
+		s.server = nil
+	}
+}
+
+// Listening reports whether the server has been started and not killed since.
+func (s *Server) Listening() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server != nil
+}
