--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -22,8 +22,10 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/keys"
 	"github.com/dunlinquay/dunlinquay/operator"
+	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/service"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/standin"
 )
 
 // wire is a network in memory, so that whole daemons run in a synctest bubble under its clock.
@@ -156,6 +158,10 @@
 	upstream []settings.Upstream
 	adjust   func(cfg *settings.Settings)
 
+	// stays is what the platform's list says.
+	platform *standin.Server
+	stays    []platform.Entry
+
 	mu   sync.Mutex
 	runs map[string]int
 	// where names the VM that ran a prompt last.
@@ -180,6 +186,13 @@
 	s.http = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, a string) (net.Conn, error) { return s.wire.dial("")(ctx, a) },
 	}}
+	s.platform = standin.NewServer()
+	s.platform.Listen = s.wire.listen
+	s.must(s.platform.Serve("platform:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(platform.List{VMs: s.stays})
+	})))
 	s.service.Listen = s.wire.listen
 	s.must(s.service.Start(serviceName + ":1"))
 	for _, d := range domains {
@@ -230,6 +243,7 @@
 	cfg.Customers = []settings.Customer{{Name: "cust", KeyHashes: []string{keys.Hash(s.key)}}}
 	cfg.Operators = []settings.Operator{{Name: "op", KeyHash: keys.Hash(s.op)}}
 	cfg.Upstreams = s.upstream
+	cfg.Platform = settings.Platform{URL: "http://platform:1", Interval: settings.Duration(500 * time.Millisecond)}
 	cfg.Services = []settings.Service{{Name: serviceName, Addresses: []string{serviceName + ":1"}, NotRepeatable: []string{"POST /charges"}}}
 	if s.adjust != nil {
 		s.adjust(&cfg)
@@ -270,6 +284,7 @@
 		e.Kill()
 	}
 	s.service.Kill()
+	s.platform.Kill()
 	s.http.CloseIdleConnections()
 	time.Sleep(time.Minute)
 }
@@ -391,6 +406,13 @@
 	return engine.ExpectedText(quoted, tokens)
 }
 
+// listAs makes the platform say something of a VM.
+func (s *site) listAs(vm ident.VM, stay platform.Stay) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stays = []platform.Entry{{Upstream: settings.Upstream{Name: vm}, Stay: stay}}
+}
+
 // ran names the VM that ran a prompt.
 func (s *site) ran(prompt string) ident.VM {
 	quoted, _ := json.Marshal(prompt)
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,254 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/gob"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/peer"
+	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+// serve runs a server whose beats are answered with revision 7.
+func serve(t *testing.T, cfg *settings.TLS, handlers *peer.Handlers) (address string, stop func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tlsConfig, err := peer.TLS(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := peer.NewServer(ln, tlsConfig, handlers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	return s.Address(), func() {
+		cancel()
+		<-done
+	}
+}
+
+func beats() *peer.Handlers {
+	return &peer.Handlers{
+		Beat:  func(*peer.Beat) peer.BeatReply { return peer.BeatReply{Revision: 7} },
+		Hello: func() (peer.HelloReply, error) { return peer.HelloReply{}, result.New(result.PeerRefused, "no") },
+	}
+}
+
+func newClient(t *testing.T, address string, cfg *settings.TLS) *peer.Client {
+	t.Helper()
+	c := peer.NewClient(address)
+	tlsConfig, err := peer.TLS(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.TLS = tlsConfig
+	t.Cleanup(c.Discard)
+	return c
+}
+
+func beat(c *peer.Client, timeout time.Duration) (ident.Revision, error) {
+	reply, err := c.Beat(context.Background(), timeout, &peer.Beat{From: "a"})
+	return reply.Revision, err
+}
+
+func TestCallsAndTheirFailures(t *testing.T) {
+	address, stop := serve(t, nil, beats())
+	c := newClient(t, address, nil)
+	if revision, err := beat(c, time.Minute); err != nil || revision != 7 {
+		t.Fatalf("revision %d, error %v", revision, err)
+	}
+	if _, err := c.Hello(context.Background(), time.Minute); result.CodeOf(err) != result.PeerRefused {
+		t.Errorf("a refusal: %v", err)
+	}
+	if _, err := beat(c, time.Minute); err != nil {
+		t.Errorf("after a refusal: %v", err)
+	}
+	stop()
+	if _, err := beat(c, time.Minute); result.CodeOf(err) != result.DaemonUnreached {
+		t.Errorf("after the peer has gone: %v", err)
+	}
+	// It comes back at the same address.
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := peer.NewServer(ln, nil, beats())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx)
+	if revision, err := beat(c, time.Minute); err != nil || revision != 7 {
+		t.Errorf("after it has come back: revision %d, error %v", revision, err)
+	}
+}
+
+func TestASilentPeerCostsNoMoreThanTheTimeout(t *testing.T) {
+	handlers := beats()
+	hold := make(chan struct{})
+	handlers.Beat = func(*peer.Beat) peer.BeatReply {
+		<-hold
+		return peer.BeatReply{}
+	}
+	address, stop := serve(t, nil, handlers)
+	defer stop()
+	defer close(hold)
+	if _, err := beat(newClient(t, address, nil), 10*time.Millisecond); result.CodeOf(err) != result.DaemonUnreached {
+		t.Errorf("a silent peer: %v", err)
+	}
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	got := make(chan uint64, 1000)
+	handlers := beats()
+	handlers.Deliver = func(c *peer.DeliverCall) {
+		for i := range c.Messages {
+			got <- c.Messages[i].Round
+		}
+	}
+	address, stop := serve(t, nil, handlers)
+	defer stop()
+	c := peer.NewClient(address)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		c.Run(ctx)
+		close(done)
+	}()
+	const messages = 200
+	for i := range uint64(messages) {
+		c.Enqueue(&quorum.Message{Round: i})
+	}
+	for i := range uint64(messages) {
+		if round := <-got; round != i {
+			t.Fatalf("message %d arrived where %d was due", round, i)
+		}
+	}
+	cancel()
+	<-done
+}
+
+// certificates writes an authority and a certificate for 127.0.0.1 by it.
+func certificates(t *testing.T) *settings.TLS {
+	t.Helper()
+	folder := t.TempDir()
+	write := func(name, kind string, b []byte) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	key := func() *ecdsa.PrivateKey {
+		k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	template := func(serial int64, ca bool) *x509.Certificate {
+		return &x509.Certificate{
+			SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+			IsCA: ca, BasicConstraintsValid: ca, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}, IPAddresses: []net.IP{net.ParseIP("127.0.0.1")},
+		}
+	}
+	authority, own := key(), key()
+	root, err := x509.CreateCertificate(rand.Reader, template(1, true), template(1, true), &authority.PublicKey, authority)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.CreateCertificate(rand.Reader, template(2, false), template(1, true), &own.PublicKey, authority)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &settings.TLS{
+		Certificate: write("cert.pem", "CERTIFICATE", leaf), Key: write("key.pem", "EC PRIVATE KEY", private), Authority: write("root.pem", "CERTIFICATE", root),
+	}
+}
+
+func TestMutualTLS(t *testing.T) {
+	ours, strangers := certificates(t), certificates(t)
+	address, stop := serve(t, ours, beats())
+	defer stop()
+	for _, c := range []struct {
+		name string
+		cfg  *settings.TLS
+		code result.Code
+	}{
+		{"a daemon of ours", ours, result.OK},
+		{"a stranger's certificate", strangers, result.DaemonUnreached},
+		{"a stranger that trusts us", &settings.TLS{Certificate: strangers.Certificate, Key: strangers.Key, Authority: ours.Authority}, result.DaemonUnreached},
+		{"no TLS", nil, result.DaemonUnreached},
+	} {
+		if _, err := beat(newClient(t, address, c.cfg), 5*time.Second); result.CodeOf(err) != c.code {
+			t.Errorf("%s: %v, want code %d", c.name, err, c.code)
+		}
+	}
+	if _, err := peer.TLS(&settings.TLS{Certificate: "none", Key: "none", Authority: "none"}); result.CodeOf(err) != result.SettingsValue {
+		t.Errorf("files that are missing: %v", err)
+	}
+}
+
+// conn is a connection that gives what it was made with and takes everything.
+type conn struct {
+	io.Reader
+	io.Writer
+}
+
+// Close does nothing.
+func (conn) Close() error { return nil }
+
+func FuzzServe(f *testing.F) {
+	var call bytes.Buffer
+	e := gob.NewEncoder(&call)
+	_ = e.Encode(rpc.Request{ServiceMethod: "Peer.Beat", Seq: 1})
+	_ = e.Encode(peer.Beat{From: "a", Revision: 3})
+	f.Add(call.Bytes())
+	f.Add(call.Bytes()[:20])
+	f.Add([]byte{0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, input []byte) {
+		s := rpc.NewServer()
+		_ = s.RegisterName("Peer", peer.NewService(&peer.Handlers{
+			Deliver: func(*peer.DeliverCall) {},
+			Beat:    func(*peer.Beat) peer.BeatReply { return peer.BeatReply{} },
+			Follow:  func(*peer.FollowCall) (peer.FollowReply, error) { return peer.FollowReply{}, nil },
+			Propose: func(*peer.ProposeCall) peer.ProposeReply { return peer.ProposeReply{} },
+			Hello:   func() (peer.HelloReply, error) { return peer.HelloReply{}, nil },
+			Admit:   func(*peer.AdmitCall) peer.AdmitReply { return peer.AdmitReply{} },
+		}))
+		// Whatever arrives must neither end the process nor keep it.
+		s.ServeConn(conn{bytes.NewReader(input), io.Discard})
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,11 @@
 	handlers *Handlers
 }
 
+// NewService returns the receiver that passes calls to handlers.
+func NewService(handlers *Handlers) *Service {
+	return &Service{handlers}
+}
+
 // Deliver takes log messages.
 func (s *Service) Deliver(c *DeliverCall, _ *Nothing) error {
 	s.handlers.Deliver(c)
@@ -80,7 +85,7 @@
 		ln = tls.NewListener(ln, cfg)
 	}
 	s := &Server{listener: ln, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
-	if err := s.rpc.RegisterName(serviceName, &Service{handlers}); err != nil {
+	if err := s.rpc.RegisterName(serviceName, NewService(handlers)); err != nil {
 		ln.Close()
 		return nil, result.Wrap(err, result.StartFailed, "peer service cannot be registered")
 	}
