Test metrics and logs, and mend what was silent or misread in them

Cause: nothing read the metrics or the logs but a person once. The first test of them failed on three points: requests were never logged (the callers' server kept the discarding logger that it was made with); values such as bad-request and office-1 read bad_request and office_1; a control member that was just about to be formed said that it had no vote. Change: the daemon hands its logger on when it runs; label values keep dashes and dots; a member says that it has no vote after it has been found so fifteen times in a row. Downtime is reported for each group beside the sum. Conclusion: neither a key nor a prompt stands in logs or metrics in that test.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -303,6 +303,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	d.callers.Log = d.Log
 	d.Log.Info("daemon starts", "daemon", d.cfg.Name, "incarnation", d.incarnation, "callers", d.Callers(), "operators", d.Operators())
 	done := make(chan struct{})
 	go func() {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,7 +1,9 @@
 package daemon_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -17,6 +19,7 @@
 	"github.com/dunlinquay/dunlinquay/operator"
 	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
 )
 
 // bubble runs fn with a site whose daemons are up and have a leader.
@@ -410,3 +413,50 @@
 		}
 	})
 }
+
+// Metrics and logs tell what happened, and neither a key nor a prompt.
+func TestMetricsAndLogs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "d1: w1 w2")
+		defer s.end()
+		s.adjust = func(cfg *settings.Settings) { cfg.Addresses.Metrics = string(cfg.Name) + ":4" }
+		s.start(s.names...)
+		s.awaitServing(s.names...)
+		s.create("g", 2)
+		s.ask("a", "g", "a secret prompt", 3, nil)
+		s.send("a", "/v1/completions", "{", nil)
+		time.Sleep(3 * time.Second)
+		w, err := s.http.Get("http://a:4/metrics")
+		s.must(err)
+		defer w.Body.Close()
+		body, err := io.ReadAll(w.Body)
+		s.must(err)
+		for _, want := range []string{
+			`dunlinquay_request_count{class="interactive",customer="cust"} 1`,
+			`dunlinquay_first_token_count{class="interactive",customer="cust"} 1`,
+			`dunlinquay_admission_wait_count{class="interactive",customer="cust"} 1`,
+			`dunlinquay_requests{code="0",customer="cust",result="ok"} 1`,
+			`dunlinquay_requests{code="2001",customer="cust",result="bad-request"} 1`,
+			`dunlinquay_groups_whole 1`,
+			`dunlinquay_group_downtime_seconds{group="g"}`,
+			`dunlinquay_stranded_accelerators 0`,
+		} {
+			if !strings.Contains(string(body), want) {
+				t.Errorf("metrics lack %s:\n%s", want, body)
+			}
+		}
+		for _, line := range strings.Split(strings.TrimSpace(s.logged()), "\n") {
+			if !json.Valid([]byte(line)) {
+				t.Errorf("a log line is no JSON: %s", line)
+			}
+		}
+		for _, secret := range []string{s.key, s.op, "secret prompt"} {
+			if strings.Contains(s.logged()+string(body), secret) {
+				t.Errorf("%q stands in logs or metrics", secret)
+			}
+		}
+		if !strings.Contains(s.logged(), `"customer":"cust"`) || !strings.Contains(s.logged(), `"group":"g"`) {
+			t.Errorf("logs tell of neither customer nor group:\n%s", s.logged())
+		}
+	})
+}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -32,8 +32,8 @@
 	store  *quorum.Store
 	nodes  [instanceCount]*quorum.Node
 	ledger *ledger.Machine
-	// told is set once the log has said that this member has no vote.
-	told bool
+	// strange counts the looks in a row that found this member without a vote among formed ones.
+	strange int
 }
 
 func newMember(d *Daemon) (*member, error) {
@@ -164,6 +164,7 @@
 		m.tell()
 		return
 	}
+	m.strange = 0
 	if len(others) < len(cfg.ControlMembers)-1 {
 		return
 	}
@@ -184,12 +185,14 @@
 	return false
 }
 
+// strangeLooks is how many looks it takes until a member without a vote is not just about to be formed.
+const strangeLooks = 15
+
 // tell says once that this member waits for an operator.
 func (m *member) tell() {
-	if m.told {
+	if m.strange++; m.strange != strangeLooks {
 		return
 	}
-	m.told = true
 	advice := "dunlinquay control admit " + string(m.d.cfg.Name)
 	if m.hello().Expelled {
 		advice = "stop this daemon, empty its data folder, start it, then: " + advice
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -51,11 +51,18 @@
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "dunlinquay", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: sanitizer(), OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &metrics{scope: scope, closer: closer, reporter: reporter, series: map[seriesKey]*series{}}
 }
 
+// sanitizer keeps names as Prometheus wants them, and values as they are: a customer called office-1 must not read office_1.
+func sanitizer() *tally.SanitizeOptions {
+	opts := prometheus.DefaultSanitizerOpts
+	opts.ValueCharacters = tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.'}}
+	return &opts
+}
+
 func (m *metrics) http() *http.Server {
 	return &http.Server{Handler: m.reporter.HTTPHandler(), ReadHeaderTimeout: metricsHeaderTime}
 }
@@ -124,7 +131,10 @@
 	m.scope.Gauge("groups_whole").Update(float64(t.whole))
 	m.scope.Gauge("stranded_accelerators").Update(float64(t.stranded))
 	m.scope.Gauge("stranded_accelerator_seconds").Update(t.strandedTime.Seconds())
-	m.scope.Gauge("group_downtime_seconds").Update(t.downTime.Seconds())
+	m.scope.Gauge("groups_downtime_seconds").Update(t.downTime.Seconds())
+	for name, down := range t.byGroup {
+		m.scope.Tagged(map[string]string{"group": string(name)}).Gauge("group_downtime_seconds").Update(down.Seconds())
+	}
 }
 
 func (m *metrics) counted() groupTotals {
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -131,6 +131,8 @@
 	stranded     ident.Accelerators
 	strandedTime time.Duration
 	downTime     time.Duration
+	// byGroup is the downtime of each group that is declared now.
+	byGroup map[ident.Group]time.Duration
 }
 
 type groupClock struct {
@@ -149,9 +151,12 @@
 	}
 	g.last = now
 	g.sum.whole, g.sum.stranded = 0, 0
+	before := g.sum.byGroup
+	g.sum.byGroup = make(map[ident.Group]time.Duration, len(w.Groups))
 	inWhole := map[ident.VM]bool{}
 	for i := range w.Groups {
 		group := &w.Groups[i]
+		g.sum.byGroup[group.Spec.Name] = before[group.Spec.Name]
 		g.countGroup(group, since, group.Phase == fleet.GroupServing && whole(group.Spec.Name, group.Epoch), inWhole)
 	}
 	for i := range w.VMs {
@@ -167,6 +172,7 @@
 	if !whole {
 		if !group.Deleted {
 			g.sum.downTime += since
+			g.sum.byGroup[group.Spec.Name] += since
 		}
 		return
 	}
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"github.com/dunlinquay/dunlinquay/caller"
 	"github.com/dunlinquay/dunlinquay/daemon"
 	"github.com/dunlinquay/dunlinquay/engine"
@@ -166,6 +168,8 @@
 	runs map[string]int
 	// where names the VM that ran a prompt last.
 	where map[string]ident.VM
+	// logs holds every line that the daemons have logged.
+	logs strings.Builder
 }
 
 type running struct {
@@ -256,6 +260,7 @@
 	for _, name := range names {
 		d, err := daemon.New(s.settings(name), daemon.Network{Listen: s.wire.listen, Dial: s.wire.dial(name)})
 		s.must(err)
+		d.Log = funcr.NewJSON(s.logLine, funcr.Options{Verbosity: 1})
 		ctx, cancel := context.WithCancel(s.t.Context())
 		r := &running{daemon: d, cancel: cancel, done: make(chan error, 1)}
 		go func() { r.done <- d.Run(ctx) }()
@@ -263,6 +268,18 @@
 	}
 }
 
+func (s *site) logLine(line string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logs.WriteString(line + "\n")
+}
+
+func (s *site) logged() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logs.String()
+}
+
 // kill ends a daemon without any farewell.
 func (s *site) kill(names ...ident.Daemon) {
 	for _, name := range names {
