Let a drain wait for daemons that a fresh leader has not heard of yet

Cause: found by reading: a leader that had just started counted only daemons that it had heard; one that it cannot hear and that still serves could have a request in progress, which the end of the drain would cut off. Change: a daemon of the settings that was never heard counts as busy until it may no longer serve. A reply of a plain service gets a deadline for writing, so that a caller that does not read cannot hold up a planned stop. Ruled out: a write deadline that survives into the next request on a kept connection; net/http clears it, which a test now holds. Measured: the table of eight cases; the row 'never heard of it' was answered 'drained' before.

--- a/caller/services.go
+++ b/caller/services.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"path"
 	"strings"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -34,6 +35,7 @@
 	for name, values := range reply.Header {
 		h[name] = values
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -305,3 +305,52 @@
 		}
 	}
 }
+
+// A drain waits for every daemon that may still have a request in progress.
+func TestDrainWaitsForWhoMayStillServe(t *testing.T) {
+	const bound = 8 * time.Second
+	beat := func(heard time.Duration, revision ident.Revision, inFlight int) *presence.Peer {
+		return &presence.Peer{Name: "b", Heard: start.Add(heard), Revision: revision, InFlight: map[ident.Group]int{"g": inFlight}}
+	}
+	for _, c := range []struct {
+		name string
+		peer *presence.Peer
+		at   time.Duration
+		want bool
+	}{
+		{"it knows of the drain and has none", beat(0, 9, 0), time.Second, true},
+		{"it has one in progress", beat(0, 9, 1), time.Second, false},
+		{"it does not know of the drain yet", beat(0, 8, 0), time.Second, false},
+		{"it has been silent, not yet for the bound", beat(0, 8, 1), bound, false},
+		{"it has been silent for so long that it refuses", beat(0, 8, 1), bound + 1, true},
+		{"this leader has never heard of it", nil, bound, false},
+		{"never heard of, for longer than it may serve", nil, bound + 1, true},
+		{"the drain's own bound has passed", beat(time.Hour, 9, 1), time.Hour + time.Minute, true},
+	} {
+		l := control.NewLeader()
+		l.Machine, l.Members = fleet.NewMachine(), presence.NewMembers(time.Second)
+		l.Judge = control.NewJudge(presence.NewTable(), time.Second, 2*time.Second)
+		l.Daemons, l.Started, l.ControlBound, l.DrainBound = []ident.Daemon{"b"}, start, bound, 30*time.Minute
+		s := fleet.NewState()
+		s.Revision = 9
+		s.Groups["g"] = &fleet.Group{Spec: fleet.GroupSpec{Name: "g", Size: 1}, Epoch: 5, Phase: fleet.GroupDraining, DrainedFrom: 9}
+		data, err := s.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Machine.Restore(9, data); err != nil {
+			t.Fatal(err)
+		}
+		if c.peer != nil {
+			l.Members.Hear(*c.peer)
+		}
+		l.Now = func() time.Time { return start }
+		l.View(func(*planner.World) {})
+		l.Now = func() time.Time { return start.Add(c.at) }
+		l.View(func(w *planner.World) {
+			if got := w.Group("g").Drained; got != c.want {
+				t.Errorf("%s: drained %t, want %t", c.name, got, c.want)
+			}
+		})
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -21,6 +21,9 @@
 	Machine *fleet.Machine
 	Judge   *Judge
 	Members *presence.Members
+	// Daemons names every daemon that may serve, Started is when this process began to hear of them.
+	Daemons []ident.Daemon
+	Started time.Time
 	Orders  *Orders
 	Policy  planner.Policy
 	// DrainBound is how long a drain waits for requests in progress, ControlBound how long a silent daemon may still serve.
@@ -248,17 +251,27 @@
 	if now.Sub(d.since) > l.DrainBound {
 		return true
 	}
-	for _, p := range l.Members.All() {
-		if now.Sub(p.Heard) > l.ControlBound {
-			continue
-		}
-		if p.Revision < g.DrainedFrom || p.InFlight[g.Spec.Name] > 0 {
+	for _, name := range l.Daemons {
+		if !l.done(now, name, g) {
 			return false
 		}
 	}
 	return true
 }
 
+// done reports whether one daemon can have no request in progress at g. One that this process has not heard of yet may
+// be serving all the same, for as long as it may without control.
+func (l *Leader) done(now time.Time, name ident.Daemon, g *planner.Group) bool {
+	p, heard := l.Members.Get(name)
+	if !heard {
+		return now.Sub(l.Started) > l.ControlBound
+	}
+	if now.Sub(p.Heard) > l.ControlBound {
+		return true
+	}
+	return p.Revision >= g.DrainedFrom && p.InFlight[g.Spec.Name] == 0
+}
+
 func (l *Leader) plan(ctx context.Context) error {
 	for _, a := range l.Actions() {
 		answer, err := l.Propose(ctx, commandFor(&a))
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -460,3 +460,24 @@
 		}
 	})
 }
+
+// The deadline for writing one answer must not cut off the next one on the same connection.
+func TestAKeptConnectionOutlivesItsWriteDeadline(t *testing.T) {
+	bubble(t, []string{"d1: w1"}, func(t *testing.T, s *site) {
+		s.create("g", 1)
+		for _, c := range []struct {
+			name, path, body string
+			status           int
+		}{
+			{"an answer", "/v1/completions", `{"model":"model-g","prompt":"p","max_tokens":2}`, 200},
+			{"a refusal", "/v1/completions", `{`, 400},
+			{"a reply of a service", "/services/" + serviceName + "/x", "b", 200},
+			{"an answer again", "/v1/completions", `{"model":"model-g","prompt":"p","max_tokens":2,"stream":true}`, 200},
+		} {
+			if a := s.send("a", c.path, c.body, nil); a.status != c.status || a.err != nil {
+				t.Errorf("%s: status %d, error %v", c.name, a.status, a.err)
+			}
+			time.Sleep(40 * time.Second)
+		}
+	})
+}
--- a/daemon/lead.go
+++ b/daemon/lead.go
@@ -21,6 +21,7 @@
 	l := control.NewLeader()
 	times := &d.cfg.Times
 	l.Machine, l.Members = d.machine, d.members
+	l.Daemons, l.Started = d.cfg.DaemonNames(), d.started
 	l.Judge = control.NewJudge(d.table, times.PresenceBound.Std(), times.LossBound.Std())
 	l.Policy = planner.DefaultPolicy()
 	l.Policy.Downtime, l.Policy.Stranded = d.cfg.Policy.Downtime, d.cfg.Policy.Stranded
