Keep ages on the monotonic clock, lock the data folder, sync what names a new file

Cause: found by reading. Presence kept times as nanoseconds of the wall clock: one that is set back would make an old answer young again and keep an incomplete group in service. Two processes on one data folder would have torn each other's log. A new log file and a new data folder were not synced in the folders that name them. Change: presence.stamp keeps the time with its monotonic reading; disk takes a lock that ends with the process; the folders are synced. The clock's jump itself cannot be provoked in a test here; the lock has a test.

--- a/disk/file.go
+++ b/disk/file.go
@@ -29,6 +29,10 @@
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, result.Wrap(err, result.StartFailed, "data folder %s cannot be made", path)
 	}
+	parent := &Folder{Path: filepath.Dir(path), Sync: (*os.File).Sync}
+	if err := parent.syncFolder(); err != nil {
+		return nil, err
+	}
 	return &Folder{Path: path, Sync: (*os.File).Sync, WriteAt: (*os.File).WriteAt}, nil
 }
 
@@ -82,6 +86,21 @@
 	return nil
 }
 
+const lockName = "lock"
+
+// lock keeps every other process out of the folder for as long as the returned file is open.
+func (d *Folder) lock() (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(d.Path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, result.Wrap(err, result.StartFailed, "data folder %s is in use by another process", d.Path)
+	}
+	return f, nil
+}
+
 // classify gives a full disk its own code, because it is the one write failure that a member survives.
 func classify(err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
--- a/disk/log.go
+++ b/disk/log.go
@@ -58,6 +58,7 @@
 // Log appends records in synced frames; fields are set before Run.
 type Log struct {
 	folder *Folder
+	lock   *os.File
 	tasks  *park.Group
 	calls  chan appendCall
 
@@ -70,27 +71,49 @@
 
 // OpenLog reads the log in folder, cuts a torn tail, and returns the log with every record in order.
 func OpenLog(folder *Folder) (*Log, []Record, error) {
-	f, err := os.OpenFile(filepath.Join(folder.Path, logName), os.O_CREATE|os.O_RDWR, fileMode)
+	lock, err := folder.lock()
 	if err != nil {
-		return nil, nil, classify(err)
+		return nil, nil, err
+	}
+	l := &Log{folder: folder, lock: lock, tasks: park.New(), calls: make(chan appendCall, maxBatch)}
+	records, err := l.read()
+	if err != nil {
+		l.closeFiles()
+		return nil, nil, err
+	}
+	l.tasks.Go(func(ctx context.Context) { l.commitLoop(ctx) })
+	return l, records, nil
+}
+
+// read opens the file, takes its records and cuts a torn tail.
+func (l *Log) read() ([]Record, error) {
+	f, err := os.OpenFile(filepath.Join(l.folder.Path, logName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, classify(err)
+	}
+	l.file = f
+	// A new file lasts only once the folder that names it is synced.
+	if err := l.folder.syncFolder(); err != nil {
+		return nil, err
 	}
 	content, err := io.ReadAll(f)
 	if err != nil {
-		f.Close()
-		return nil, nil, classify(err)
+		return nil, classify(err)
 	}
 	records, good, err := Decode(content)
 	if err != nil {
-		f.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	l := &Log{folder: folder, tasks: park.New(), calls: make(chan appendCall, maxBatch), file: f, size: good}
-	if err := l.cut(int64(len(content))); err != nil {
-		f.Close()
-		return nil, nil, err
+	l.size = good
+	return records, l.cut(int64(len(content)))
+}
+
+func (l *Log) closeFiles() {
+	if l.file != nil {
+		l.file.Close()
 	}
-	l.tasks.Go(func(ctx context.Context) { l.commitLoop(ctx) })
-	return l, records, nil
+	// Closing gives the lock back.
+	l.lock.Close()
 }
 
 // cut removes a torn tail and syncs, so that later frames follow the last good one.
@@ -112,7 +135,7 @@
 	l.tasks.Run(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.file.Close()
+	l.closeFiles()
 }
 
 // Close closes a log that was opened and will not run.
@@ -120,7 +143,7 @@
 	l.tasks.Discard()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.file.Close()
+	l.closeFiles()
 }
 
 // Append returns after records are on disk and synced; records of concurrent calls share one sync.
--- a/disk/log_test.go
+++ b/disk/log_test.go
@@ -289,3 +289,14 @@
 		}
 	})
 }
+
+func TestAFolderHasOneUser(t *testing.T) {
+	folder := newFolder(t)
+	_, _, stop := openLog(t, folder)
+	if _, _, err := disk.OpenLog(folder); result.CodeOf(err) != result.StartFailed {
+		t.Errorf("a second user of the folder: %v", err)
+	}
+	stop()
+	_, _, stop = openLog(t, folder)
+	stop()
+}
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -17,7 +17,13 @@
 type Worker struct {
 	Address   string
 	inFlight  atomic.Int64
-	restUntil atomic.Int64
+	restUntil atomic.Pointer[time.Time]
+}
+
+// rests reports whether the worker could not be reached a moment ago.
+func (w *Worker) rests(now time.Time) bool {
+	until := w.restUntil.Load()
+	return until != nil && now.Before(*until)
 }
 
 // ServicePool is the workers of one plain service.
@@ -71,7 +77,7 @@
 	verdict := routing.NotWhole
 	for i := range p.Workers {
 		w := p.Workers[(start+i)%len(p.Workers)]
-		if w == avoid && len(p.Workers) > 1 || now.UnixNano() < w.restUntil.Load() {
+		if w == avoid && len(p.Workers) > 1 || w.rests(now) {
 			continue
 		}
 		if int(w.inFlight.Load()) >= p.Slots {
@@ -171,7 +177,8 @@
 		err = d.named(ctx, err)
 		ran = ran || !NotRun(err)
 		if result.CodeOf(err) == result.NeverSent {
-			worker.restUntil.Store(d.Now().Add(workerRest).UnixNano())
+			until := d.Now().Add(workerRest)
+			worker.restUntil.Store(&until)
 		}
 		if !d.mayCallAgain(ctx, c, err, t.Tries) {
 			return nil, finalCall(err, ran)
--- a/presence/table.go
+++ b/presence/table.go
@@ -59,20 +59,50 @@
 // Cell holds what is known of one VM; its methods may be called concurrently.
 type Cell struct {
 	seen     atomic.Pointer[Seen]
-	positive atomic.Int64 // unix nanoseconds of the newest answer
-	reported atomic.Int64 // unix nanoseconds of the newest report of any kind
-	failed   atomic.Int64 // unix nanoseconds of the newest passive failure
+	positive stamp // the newest answer
+	reported stamp // the newest report of any kind
+	failed   stamp // the newest passive failure
+}
+
+// stamp is a point in time that only moves forward. It keeps the monotonic clock's reading, which a plain number of
+// nanoseconds would lose: a wall clock that is set back must not make an old answer young again.
+type stamp struct {
+	at atomic.Pointer[time.Time]
+}
+
+func (s *stamp) raise(to time.Time) {
+	for {
+		old := s.at.Load()
+		if old != nil && !to.After(*old) || s.at.CompareAndSwap(old, &to) {
+			return
+		}
+	}
+}
+
+// age returns how long ago the point was; ok is false when there was none.
+func (s *stamp) age(now time.Time) (age time.Duration, ok bool) {
+	at := s.at.Load()
+	if at == nil {
+		return 0, false
+	}
+	return now.Sub(*at), true
+}
+
+// before reports whether the point lies before t; one that never was does.
+func (s *stamp) before(t time.Time) bool {
+	at := s.at.Load()
+	return at == nil || at.Before(t)
 }
 
 // Observe takes an observation that arrived at now.
 func (c *Cell) Observe(now time.Time, o *Observation) {
 	at := now.Add(-time.Duration(o.Age) * time.Millisecond)
-	raise(&c.reported, at.UnixNano())
+	c.reported.raise(at)
 	if o.Sight == SightSilence {
 		return
 	}
 	if o.Sight == SightAnswer {
-		raise(&c.positive, at.UnixNano())
+		c.positive.raise(at)
 	}
 	for {
 		old := c.seen.Load()
@@ -85,18 +115,9 @@
 	}
 }
 
-func raise(v *atomic.Int64, to int64) {
-	for {
-		old := v.Load()
-		if to <= old || v.CompareAndSwap(old, to) {
-			return
-		}
-	}
-}
-
 // Fail notes a failure met while using the VM; only an observation made after it counts again.
 func (c *Cell) Fail(now time.Time) {
-	raise(&c.failed, now.UnixNano())
+	c.failed.raise(now)
 }
 
 // Seen returns the newest definite observation, or nil.
@@ -106,14 +127,12 @@
 
 // PositiveAge returns how long ago the VM answered a probe; ok is false when it never did.
 func (c *Cell) PositiveAge(now time.Time) (age time.Duration, ok bool) {
-	at := c.positive.Load()
-	return time.Duration(now.UnixNano() - at), at != 0
+	return c.positive.age(now)
 }
 
 // ReportAge returns how long ago any watcher reported on the VM; ok is false when none ever did.
 func (c *Cell) ReportAge(now time.Time) (age time.Duration, ok bool) {
-	at := c.reported.Load()
-	return time.Duration(now.UnixNano() - at), at != 0
+	return c.reported.age(now)
 }
 
 // Present reports whether the VM is there, in the wanted incarnation and epoch, as of at most bound ago.
@@ -122,7 +141,7 @@
 	if s == nil || s.Sight != SightAnswer || s.Leaving {
 		return false
 	}
-	if now.Sub(s.At) > bound || s.At.UnixNano() <= m.Cell.failed.Load() {
+	if now.Sub(s.At) > bound || !m.Cell.failed.before(s.At) {
 		return false
 	}
 	return s.Incarnation == m.Incarnation && s.Epoch == m.Epoch
