Log each request with its group, epoch, revision and times

Change: the daemon logs what dispatch observed, failures always and the others at verbosity 1; the callers' adapter no longer logs. Measured: the test of metrics and logs looks for the line. Conclusion: one line a request, in one place.

--- a/caller/openai.go
+++ b/caller/openai.go
@@ -198,7 +198,6 @@
 		sink = out.token
 	}
 	answer, err := s.Serve(r.Context(), req, sink)
-	s.log(req, err)
 	switch {
 	case err == nil:
 		out.end(answer)
@@ -230,15 +229,6 @@
 	return p, nil
 }
 
-func (s *Server) log(r *dispatch.Request, err error) {
-	if err == nil {
-		s.Log.V(1).Info("request answered", "request", r.ID, "customer", r.Customer, "class", r.Class)
-		return
-	}
-	s.Log.Info("request ended", "request", r.ID, "customer", r.Customer, "class", r.Class,
-		"code", int(result.CodeOf(err)), "result", result.Lookup(result.CodeOf(err)).Name)
-}
-
 func (s *Server) handleModels(w http.ResponseWriter, _ *http.Request, _ ident.Customer) {
 	type model struct {
 		ID      ident.Model `json:"id"`
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/keys"
@@ -53,7 +51,6 @@
 	Ready func() error
 	// Refused is told of requests that ended before they reached Serve.
 	Refused func(customer ident.Customer, code result.Code)
-	Log     logr.Logger
 
 	inProgress atomic.Int64
 	stopping   atomic.Bool
@@ -67,7 +64,6 @@
 		Models:    func() []ident.Model { return nil },
 		Ready:     func() error { return nil },
 		Refused:   func(ident.Customer, result.Code) {},
-		Log:       logr.Discard(),
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -220,7 +220,7 @@
 	x.Budget = dispatch.NewBudget(d.cfg.Limits.RetryShare)
 	x.Generate, x.Cancel = d.engines.Generate, d.engines.Cancel
 	x.InForce = func() error { return d.force.check(d.now(), d.view.revision()) }
-	x.Observe, x.Dropped = d.metrics.observe, d.metrics.dropped
+	x.Observe, x.Dropped = d.observe, d.metrics.dropped
 	x.Book = &ledger.Book{
 		Daemon: d.cfg.Name, Incarnation: d.incarnation,
 		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: d.now,
@@ -228,6 +228,19 @@
 	}
 }
 
+// observe counts one request and logs it: every one that failed, the others only when asked for.
+func (d *Daemon) observe(t *dispatch.Timing) {
+	d.metrics.observe(t)
+	log := d.Log.V(1)
+	if t.Err != nil {
+		log = d.Log
+	}
+	code := result.CodeOf(t.Err)
+	log.Info("request ended", "request", t.Request, "customer", t.Customer, "class", t.Class, "group", t.Group, "epoch", t.Epoch,
+		"revision", d.view.revision(), "code", int(code), "result", result.Lookup(code).Name, "tries", t.Tries,
+		"wait-ms", t.Wait.Milliseconds(), "first-ms", t.First.Milliseconds(), "total-ms", t.Total.Milliseconds(), "tokens", t.Tokens)
+}
+
 func (d *Daemon) buildCallers() {
 	s := caller.NewServer()
 	for i := range d.cfg.Customers {
@@ -303,7 +316,6 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.callers.Log = d.Log
 	d.Log.Info("daemon starts", "daemon", d.cfg.Name, "incarnation", d.incarnation, "callers", d.Callers(), "operators", d.Operators())
 	done := make(chan struct{})
 	go func() {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -455,8 +455,8 @@
 				t.Errorf("%q stands in logs or metrics", secret)
 			}
 		}
-		if !strings.Contains(s.logged(), `"customer":"cust"`) || !strings.Contains(s.logged(), `"group":"g"`) {
-			t.Errorf("logs tell of neither customer nor group:\n%s", s.logged())
+		if ended := `"customer":"cust","class":"interactive","group":"g","epoch":`; !strings.Contains(s.logged(), ended) {
+			t.Errorf("logs lack %s:\n%s", ended, s.logged())
 		}
 	})
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -68,7 +68,7 @@
 	started := d.Now()
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 	defer cancel()
-	t := &Timing{Customer: r.Customer, Class: r.Class}
+	t := &Timing{Request: r.ID, Customer: r.Customer, Class: r.Class}
 	answer, err := d.claimed(ctx, r, sink, t)
 	t.Total = d.Now().Sub(started)
 	t.Err = err
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -129,7 +129,7 @@
 func (j *job) try(ctx context.Context) (*Answer, error) {
 	target := j.target
 	defer j.d.Table.Done(target)
-	j.t.Group = target.Group
+	j.t.Group, j.t.Epoch = target.Group, target.Epoch
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer j.d.watched.add(&try{target: target, cancel: cancel})()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -69,11 +69,14 @@
 	Body   []byte              `json:"body"`
 }
 
-// Timing is what one request took, for metrics.
+// Timing is what one request took, for metrics and logs.
 type Timing struct {
+	Request  ident.Request
 	Customer ident.Customer
 	Class    ident.Class
-	Group    ident.Group
+	// Group and Epoch are those of the last try.
+	Group ident.Group
+	Epoch ident.Epoch
 	// Wait is the time until admission, First until the first token, Total until the end.
 	Wait  time.Duration
 	First time.Duration
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -100,7 +100,7 @@
 	started := d.Now()
 	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, errDeadline)
 	defer cancel()
-	t := &Timing{Customer: c.Customer, Class: c.Class, Group: ident.Group(ServiceModel(c.Service))}
+	t := &Timing{Request: c.ID, Customer: c.Customer, Class: c.Class, Group: ident.Group(ServiceModel(c.Service))}
 	reply, err := d.claimedCall(ctx, c, t)
 	t.Total = d.Now().Sub(started)
 	t.First = t.Total
