Serve after a restart of all daemons only when the state is known to be the current one

Cause: killing three daemon processes with SIGKILL after 150 changes and starting them again showed one serving by revision 0 after 116 ms: a log read from disk does not tell how much of it was committed, so nothing contradicted the empty state. Change: a control member answers for what is in force only after it has, since its start, applied an entry that a leader committed in its own term (quorum Status.Current); daemons that follow take nothing from others. Ruled out: waiting for any leader (its first heartbeats carry an older commit); waiting a fixed time. The older test looked only after a leader was known, which hid it.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -88,7 +88,7 @@
 
 // answerSelf counts this control member among those that know what is in force.
 func (d *Daemon) answerSelf() {
-	if d.control == nil || !d.control.formed() {
+	if d.control == nil || !d.control.current() {
 		return
 	}
 	d.force.answered(d.cfg.Name, d.now(), d.machine.Revision())
@@ -112,8 +112,7 @@
 	if d.control == nil {
 		return reply
 	}
-	reply.Control = true
-	reply.Formed = d.control.formed()
+	reply.Current = d.control.current()
 	reply.Leaders = d.control.leaders()
 	if d.control.leads() {
 		reply.Shares = d.shares.grant(d.now(), b.From)
@@ -122,7 +121,7 @@
 }
 
 func (d *Daemon) takeReply(name ident.Daemon, sent time.Time, reply *peer.BeatReply) {
-	if !reply.Control || !reply.Formed {
+	if !reply.Current {
 		return
 	}
 	d.force.answered(name, sent, reply.Revision)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -64,6 +64,15 @@
 		}
 		s.kill(s.names...)
 		s.start(s.names...)
+		// From the first moment on whoever says that it serves does so by the newest revision.
+		for range 100 {
+			for _, name := range s.names {
+				if st := s.status(name); st.Serving && st.Revision < last {
+					t.Fatalf("%s serves by revision %d after the restart, %d was accepted", name, st.Revision, last)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
 		s.awaitServing(s.names...)
 		for _, name := range s.names {
 			v, err := s.client(name).VM(t.Context(), "w1")
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -19,8 +19,8 @@
 
 // handleFollow answers a daemon that keeps up with the log.
 func (d *Daemon) handleFollow(c *peer.FollowCall) (peer.FollowReply, error) {
-	if d.control == nil || !d.control.formed() {
-		return peer.FollowReply{}, result.New(result.PeerRefused, "not a formed control member")
+	if d.control == nil || !d.control.current() {
+		return peer.FollowReply{}, result.New(result.PeerRefused, "not a control member that is current")
 	}
 	changed := d.machine.Changed()
 	entries, ok := d.machine.Since(c.After, followBatch)
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -141,6 +141,11 @@
 	return true
 }
 
+// current reports whether this member has known everything that was accepted, at some time since it started.
+func (m *member) current() bool {
+	return m.formed() && m.nodes[instanceFleet].Status().Current
+}
+
 func (m *member) hello() peer.HelloReply {
 	s := m.nodes[instanceFleet].Status()
 	reply := peer.HelloReply{ID: m.store.ID(), Formed: s.Formed, Expelled: s.Expelled, Members: s.Members}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -25,9 +25,8 @@
 // BeatReply is the receiver's side; Shares come from the control leader only.
 type BeatReply struct {
 	Incarnation ident.Incarnation
-	Control     bool
-	// Formed tells whether the receiver, as a control member, knows its members and follows or leads.
-	Formed   bool
+	// Current is set by a control member that has known everything accepted at some time since it started.
+	Current  bool
 	Revision ident.Revision
 	// Leaders names the leader of each instance as far as the receiver knows.
 	Leaders map[quorum.Instance]ident.Daemon
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -68,15 +68,18 @@
 	timing   Timing
 	random   *rand.Rand
 
-	hard      HardState
-	snapshot  Snapshot // Data is left out; the driver keeps it.
-	entries   []Entry  // entries[0].Index == snapshot.Index+1
-	formed    bool
-	members   []Member
-	memberAt  Index
-	commit    Index
-	handed    Index // up to here Ready has handed out committed entries
-	persisted Index
+	hard     HardState
+	snapshot Snapshot // Data is left out; the driver keeps it.
+	entries  []Entry  // entries[0].Index == snapshot.Index+1
+	formed   bool
+	members  []Member
+	memberAt Index
+	commit   Index
+	handed   Index // up to here Ready has handed out committed entries
+	// currentFrom is the first commit of a leader's own term that was seen since the start; applying it makes this
+	// member know everything that was committed before.
+	currentFrom Index
+	persisted   Index
 
 	role     Role
 	leader   MemberID
@@ -147,7 +150,7 @@
 func (c *Core) Status() Status {
 	return Status{
 		ID: c.id, Formed: c.formed, Role: c.role, Term: c.hard.Term, Leader: c.leader.Name, Commit: c.commit,
-		Members: c.members, Expelled: c.hard.Expelled, Lease: c.lease, Elected: c.elected, Heard: c.heard,
+		Members: c.members, Current: c.currentFrom > 0, Expelled: c.hard.Expelled, Lease: c.lease, Elected: c.elected, Heard: c.heard,
 	}
 }
 
@@ -541,6 +544,15 @@
 func (c *Core) advanceCommit() {
 	if i := c.majorityMatch(); i > c.commit && c.termAt(i) == c.hard.Term {
 		c.commit = i
+		c.noteCurrent()
+	}
+}
+
+// noteCurrent remembers the first commit of the present term. A leader commits an entry of its own term only after
+// everything that was committed before it.
+func (c *Core) noteCurrent() {
+	if c.currentFrom == 0 && c.termAt(c.commit) == c.hard.Term {
+		c.currentFrom = c.commit
 	}
 }
 
--- a/quorum/lease_test.go
+++ b/quorum/lease_test.go
@@ -188,3 +188,27 @@
 		t.Errorf("commit %d with two synced copies of three, want 1", got)
 	}
 }
+
+// A member that starts does not know how much of its log was committed, until a leader's own entry is.
+func TestWhenAMemberIsCurrent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	log := []quorum.Entry{{Index: 1, Term: 3}, {Index: 2, Term: 3}, {Index: 3, Term: 3}}
+	for _, c := range []struct {
+		name string
+		m    quorum.Message
+		want bool
+	}{
+		{"a heartbeat that tells no commit", quorum.Message{Term: 3, LastIndex: 3, LastTerm: 3}, false},
+		{"a new leader's commit of an earlier term", quorum.Message{Term: 4, LastIndex: 3, LastTerm: 3, Commit: 2}, false},
+		{"more is committed than is here", quorum.Message{Term: 3, LastIndex: 3, LastTerm: 3, Commit: 9}, false},
+		{"the same leader's commit", quorum.Message{Term: 3, LastIndex: 3, LastTerm: 3, Commit: 3}, true},
+		{"a new leader's commit of its own entry", quorum.Message{Term: 4, LastIndex: 3, LastTerm: 3, Entries: []quorum.Entry{{Index: 4, Term: 4}}, Commit: 4}, true},
+	} {
+		core, ids := direct(quorum.HardState{Term: 3}, log, now)
+		c.m.Kind, c.m.From, c.m.To = quorum.MessageAppend, ids[1], ids[0]
+		core.Step(now, &c.m)
+		if got := core.Status().Current; got != c.want {
+			t.Errorf("%s: current %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -34,6 +34,9 @@
 	Commit  Index
 	Applied Index
 	Members []Member
+	// Current is set once since the start of the process this member has known everything that was committed before: a
+	// log read from disk alone does not tell how much of it is.
+	Current bool
 	// Expelled is set when the leader proved that this folder lost synced entries.
 	Expelled bool
 	// Lease is the end of the leader's lease, Elected the moment it was elected; both zero on others.
@@ -479,6 +482,7 @@
 func (n *Node) publish() {
 	s := n.core.Status()
 	s.Applied = n.applied
+	s.Current = s.Current && n.applied >= n.core.currentFrom
 	n.status.Store(&s)
 }
 
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -97,6 +97,9 @@
 	}
 	last := c.adopt(m)
 	c.commit = max(c.commit, min(m.Commit, last))
+	if m.Commit > 0 && c.commit >= m.Commit {
+		c.noteCurrent()
+	}
 	c.reply(m, true, last)
 }
 
