Recognise a resend whose client has read the group again in between

Cause: found by reading the command line as an operator: 'group change' reads the group, and takes its revision as condition. Sent again with the printed change id after a lost answer it carries a newer revision, and was refused as a reused id (3006). Change: the condition does not belong to what makes two changes the same. Measured: the new row of the table gave 3006 before and the first answer after. Conclusion: kept; other content under the same id is still refused.

--- a/fleet/apply_test.go
+++ b/fleet/apply_test.go
@@ -233,6 +233,7 @@
 		{"one of two racing operators", change("c3", 2, first.Revision), result.OK, 2, 0},
 		{"the other one", change("c4", 3, first.Revision), result.ChangeConflict, 2, 0},
 		{"the first one's resend after a lost answer", change("c3", 2, first.Revision), result.OK, 2, first.Revision + 4},
+		{"the resend by a client that has read the group again in between", change("c3", 2, first.Revision+4), result.OK, 2, first.Revision + 4},
 		{"an id used for something else", change("c3", 4, 0), result.ChangeIDReused, 2, 0},
 		{"without a condition the last one counts", change("c5", 4, 0), result.OK, 4, 0},
 	} {
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -126,10 +126,11 @@
 	return c, nil
 }
 
-// digest tells a resend from another change that reuses its id; the time of sending does not count.
+// digest tells a resend from another change that reuses its id. The time of sending does not count, nor the condition: a
+// client that reads the object again before it sends again finds its own change there.
 func (c *Command) digest() uint64 {
 	same := *c
-	same.At = 0
+	same.At, same.IfRevision = 0, 0
 	data, err := encoding.Marshal(&same)
 	if err != nil {
 		return 0
