--- a/demo/demo.go
+++ b/demo/demo.go
@@ -403,6 +403,9 @@
 // keep prints where everything is and waits for an interrupt.
 func (d *Demo) keep(ctx context.Context) {
 	for _, h := range d.site.hosts {
+		if h.away {
+			continue
+		}
 		fmt.Fprintf(d.Out, "daemon %s: callers http://%s, operators http://%s\n", h.cfg.Name, h.daemon.Callers(), h.daemon.Operators())
 	}
 	for customer, key := range d.site.keys {
