Refuse claims that are dated far from the leader's clock

Change: the ledger's leader refuses claims dated more than five minutes from its own clock, before they reach the log; they surely did not run. Ruled out: dating claims at the leader, which would make a resent proposal another one. Conclusion: a leader whose own clock is wrong refuses all others' claims, which is loud and safe.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -252,7 +252,12 @@
 	if c.Instance >= instanceCount {
 		return peer.ProposeReply{Code: result.PeerRefused, Text: "no such instance"}
 	}
-	value, index, err := m.nodes[c.Instance].Propose(ctx, c.Data)
+	var value any
+	var index quorum.Index
+	err := m.checkClock(c)
+	if err == nil {
+		value, index, err = m.nodes[c.Instance].Propose(ctx, c.Data)
+	}
 	if err != nil {
 		return peer.ProposeReply{Code: result.CodeOf(err), Text: result.Message(err)}
 	}
@@ -263,6 +268,13 @@
 	return peer.ProposeReply{Answer: answer, Index: index}
 }
 
+func (m *member) checkClock(c *peer.ProposeCall) error {
+	if c.Instance != instanceLedger {
+		return nil
+	}
+	return ledger.CheckClock(c.Data, m.d.now())
+}
+
 // admit takes a member with a new data folder in the place of the one with the same name, first without a vote.
 func (m *member) admit(ctx context.Context, c *peer.AdmitCall) peer.AdmitReply {
 	err := m.tryAdmit(ctx, c)
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -14,6 +14,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -129,6 +130,26 @@
 	return cbor.Marshal(c)
 }
 
+// MaxClockOffset is how far a claiming daemon's wall clock may be from the leader's.
+const MaxClockOffset = 5 * time.Minute
+
+// CheckClock refuses a claim that is dated far from now. Retention goes by the dates in the log, so that one clock far in the
+// future would forget keys of which another daemon still sends again.
+func CheckClock(data []byte, now time.Time) error {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return result.Wrap(err, result.PeerRefused, "a ledger command cannot be decoded")
+	}
+	if c.Kind != KindClaim {
+		return nil
+	}
+	offset := time.UnixMilli(c.At).Sub(now)
+	if offset.Abs() <= MaxClockOffset {
+		return nil
+	}
+	return result.New(result.PeerRefused, "the clock of daemon %s is %s from the leader's", c.Daemon, offset.Round(time.Second))
+}
+
 // Apply executes one command of the log; a command that cannot be decoded changes nothing.
 func (m *Machine) Apply(data []byte) Answer {
 	var c Command
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -119,3 +120,27 @@
 		t.Errorf("an unreadable snapshot gave code %d", code)
 	}
 }
+
+func TestClaimsFromAWrongClockAreRefused(t *testing.T) {
+	now := time.UnixMilli(1_000_000_000)
+	for _, c := range []struct {
+		name   string
+		kind   ledger.Kind
+		offset time.Duration
+		code   result.Code
+	}{
+		{"the same time", ledger.KindClaim, 0, result.OK},
+		{"a minute ahead", ledger.KindClaim, time.Minute, result.OK},
+		{"an hour ahead", ledger.KindClaim, time.Hour, result.PeerRefused},
+		{"an hour behind", ledger.KindClaim, -time.Hour, result.PeerRefused},
+		{"an outcome has no date", ledger.KindOutcome, -time.Hour, result.OK},
+	} {
+		data, err := ledger.Encode(&ledger.Command{Kind: c.kind, Key: key, At: now.Add(c.offset).UnixMilli(), Daemon: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if code := result.CodeOf(ledger.CheckClock(data, now)); code != c.code {
+			t.Errorf("%s: code %d, want %d", c.name, code, c.code)
+		}
+	}
+}
