Keep the platform's word for a leaving VM when the platform cannot be read

A leader that had not read the platform's list, for example after a restart while the platform was away, took every VM listed as leaving for live again, and gave it new work. Beside it, the cached view kept a group's old downtime after it was whole again, and a recreated group took over the one of its namesake. Change: with a platform only its own word makes a leaving VM live again; the downtime is cleared, and forgotten with the group. The downtime has no test of its own. An engine that takes back its own word waits for the platform's, where there is one.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -354,3 +354,56 @@
 		})
 	}
 }
+
+// The platform's last word stays when the platform cannot be read, also for a leader that has only just started.
+func TestListingsFollowWhoSaidThem(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		before      fleet.Listing
+		said        map[ident.VM]fleet.Listing
+		hasPlatform bool
+		leaving     bool
+		want        fleet.Listing
+	}{
+		{"the engine says that it leaves", fleet.ListingLive, nil, true, true, fleet.ListingLeaving},
+		{"the platform says live, the engine that it leaves", fleet.ListingLive, map[ident.VM]fleet.Listing{"w": fleet.ListingLive}, true, true, fleet.ListingLeaving},
+		{"listed as leaving, and the platform cannot be read", fleet.ListingLeaving, nil, true, false, fleet.ListingLeaving},
+		{"listed as leaving, and the platform says live", fleet.ListingLeaving, map[ident.VM]fleet.Listing{"w": fleet.ListingLive}, true, false, fleet.ListingLive},
+		{"without a platform the engine takes its word back", fleet.ListingLeaving, nil, false, false, fleet.ListingLive},
+	} {
+		l := control.NewLeader()
+		l.Machine, l.Members, l.Orders = fleet.NewMachine(), presence.NewMembers(time.Second), control.NewOrders()
+		l.Orders.Authority = func() control.Authority { return control.Authority{} }
+		l.HasPlatform = c.hasPlatform
+		table := presence.NewTable()
+		table.Observe(time.Now(), []presence.Observation{{VM: "w", Sight: presence.SightAnswer, Leaving: c.leaving}})
+		l.Judge = control.NewJudge(table, time.Second, 2*time.Second)
+		l.Listings = func() map[ident.VM]fleet.Listing { return c.said }
+		s := fleet.NewState()
+		s.VMs["w"] = &fleet.VM{Name: "w", Listing: c.before, Accelerators: 1}
+		data, err := s.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Machine.Restore(1, data); err != nil {
+			t.Fatal(err)
+		}
+		revision := ident.Revision(1)
+		l.Propose = func(_ context.Context, command *fleet.Command) (fleet.Answer, error) {
+			data, err := fleet.Encode(command)
+			if err != nil {
+				return fleet.Answer{}, err
+			}
+			revision++
+			return l.Machine.Apply(revision, data), nil
+		}
+		if err := l.Tick(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		l.Machine.Read(func(s *fleet.State) {
+			if got := s.VMs["w"].Listing; got != c.want {
+				t.Errorf("%s: %s, want %s", c.name, got, c.want)
+			}
+		})
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -34,7 +35,9 @@
 	// Registered returns the VMs that settings and platform name, Listings what is said of their stay.
 	Registered func() []fleet.VM
 	Listings   func() map[ident.VM]fleet.Listing
-	Log        logr.Logger
+	// HasPlatform is set when a platform lists VMs; without one only the engines themselves do.
+	HasPlatform bool
+	Log         logr.Logger
 
 	mu       sync.Mutex
 	confirms []fleet.Confirm
@@ -140,7 +143,8 @@
 			}
 			if seen := l.Judge.Table.Cell(v.Name).Seen(); seen != nil && seen.Leaving && listing == fleet.ListingLive {
 				listing = fleet.ListingLeaving
-			} else if !ok && seen != nil && !seen.Leaving && listing == fleet.ListingLeaving {
+			} else if !ok && !l.HasPlatform && seen != nil && !seen.Leaving && listing == fleet.ListingLeaving {
+				// With a platform its silence proves nothing: a leader that has not read the list yet must not take its word back.
 				listing = fleet.ListingLive
 			}
 			if listing != v.Listing {
@@ -166,6 +170,9 @@
 			l.laid = s.Revision
 			l.world = planner.NewWorld(s.Clone())
 		})
+		// A name that is declared again later starts without the past of the one before.
+		maps.DeleteFunc(l.down, func(name ident.Group, _ time.Time) bool { return l.world.Group(name) == nil })
+		maps.DeleteFunc(l.drains, func(name ident.Group, _ drainWatch) bool { return l.world.Group(name) == nil })
 	}
 	l.Judge.Assess(now, l.world)
 	l.judgeGroups(now, l.world)
@@ -216,6 +223,7 @@
 		g.Drained = l.drained(now, g)
 		if g.Phase == fleet.GroupServing && l.allPresent(w, g) {
 			delete(l.down, g.Spec.Name)
+			g.Down = 0
 			continue
 		}
 		since, ok := l.down[g.Spec.Name]
--- a/daemon/lead.go
+++ b/daemon/lead.go
@@ -28,6 +28,7 @@
 	l.DrainBound, l.ControlBound = times.DrainBound.Std(), times.ControlBound.Std()
 	l.Propose = d.proposeFleet
 	l.Registered = func() []fleet.VM { return d.platform.registered() }
+	l.HasPlatform = d.cfg.Platform.URL != ""
 	l.Listings = func() map[ident.VM]fleet.Listing { return d.platform.listings() }
 	o := control.NewOrders()
 	o.Loads = d.cfg.WeightStore.ConcurrentLoads
