Call keyed requests not run only after their claim was granted

Which refusals may say 'not run' of a keyed request was a list of exceptions, and new codes were missing from it: a full disk (4003), a refused clock (4008), an unknown service (2018) said 'not run' of a key whose request may have run earlier. Change: the list is turned round: the five refusals that follow a granted claim may say it, every other code may not. A code added later is silent about earlier runs unless it is put on the list.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -151,6 +151,26 @@
 	}
 }
 
+// A keyed request may be called not run only when its claim was granted; every refusal that came before says nothing of
+// earlier runs with that key.
+func TestNotRunOfKeyedRequests(t *testing.T) {
+	f := newFront(t)
+	afterClaim := map[result.Code]bool{
+		result.LimitExceeded: true, result.Overloaded: true, result.DeadlineUnreachable: true, result.NoWholeGroup: true, result.ModelUnknown: true,
+	}
+	for _, info := range result.Table() {
+		if info.Code == result.OK || info.Status == 0 {
+			continue
+		}
+		f.serve = func(dispatch.Sink) (*dispatch.Answer, error) { return nil, result.New(info.Code, "because") }
+		w := f.post(t, "/v1/completions", `{"model":"m","prompt":"p"}`, map[string]string{caller.HeaderKey: "k"})
+		w.Body.Close()
+		if got := w.Header.Get(caller.HeaderNotRun) == "true"; got != afterClaim[info.Code] {
+			t.Errorf("%d %s with a key: not run %t, want %t", info.Code, info.Name, got, afterClaim[info.Code])
+		}
+	}
+}
+
 // A stream that fails after its beginning never looks like a normal end.
 func TestABrokenStreamIsAnError(t *testing.T) {
 	f := newFront(t)
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -29,19 +29,18 @@
 func described(err error, e *envelope) errorAnswer {
 	code := result.CodeOf(err)
 	info := result.Lookup(code)
-	notRun := info.NotRun && !speaksOfKey(code, e)
+	keyed := e != nil && e.key != ""
+	notRun := info.NotRun && (!keyed || afterClaim(code))
 	return errorAnswer{errorBody{
 		Message: result.Message(err), Type: kindOf(info.Status), Code: info.Name, Number: int(code), NotRun: notRun,
 	}}
 }
 
-// speaksOfKey is true for refusals that may meet a key whose request ran before.
-func speaksOfKey(code result.Code, e *envelope) bool {
-	if e == nil || e.key == "" {
-		return false
-	}
+// afterClaim is true for the refusals that the dispatcher gives only once a request's claim was granted: nothing ran with
+// that key before. Every other refusal of a keyed request, whichever it is, may meet a key whose request ran earlier.
+func afterClaim(code result.Code) bool {
 	switch code {
-	case result.BadRequest, result.TooLarge, result.ControlUnreachable, result.Stopping, result.KeyReused, result.NoLeader:
+	case result.LimitExceeded, result.Overloaded, result.DeadlineUnreachable, result.NoWholeGroup, result.ModelUnknown:
 		return true
 	}
 	return false
