Grant no shares while an earlier leader's leases may be in use

Cause: found by reading the change again. A daemon also counted its lease from the reply instead of from its question. Change: an allotment begins with each term and grants nothing for the length of a lease; daemons keep what they have and then fall back to an even part. The lease runs from the question. Conclusion: kept.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -325,22 +325,30 @@
 	}
 }
 
-// The shares that daemons may use at any moment never add up to more than the limit.
+// The shares that daemons may use at any moment never add up to more than the limit, also when the leader changes: the next
+// one knows nothing of what the last one has granted.
 func TestLeasedSharesNeverExceedTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const life = time.Second
 		limit := admission.Limit{Concurrent: rapid.IntRange(1, 20).Draw(t, "limit"), RequestsPerSecond: 100}
 		names := []ident.Daemon{"a", "b", "c", "d"}
-		allot := admission.NewAllotment(life)
 		now := time.Unix(1000, 0)
+		allot := admission.NewAllotment(life)
+		allot.Begin(now)
 		held := map[ident.Daemon]admission.Share{}
 		until := map[ident.Daemon]time.Time{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "new leader") == 0 {
+				allot = admission.NewAllotment(life)
+				allot.Begin(now)
+			}
 			d := rapid.SampledFrom(names).Draw(t, "daemon")
 			live := names[:rapid.IntRange(1, len(names)).Draw(t, "live")]
 			allot.Report(d, []admission.Demand{{Customer: "c", Concurrent: rapid.IntRange(0, 30).Draw(t, "want"), Requests: rapid.IntRange(0, 50).Draw(t, "requests")}})
-			held[d], until[d] = allot.Grant(now, d, live, "c", limit), now.Add(life)
+			if allot.MayGrant(now) {
+				held[d], until[d] = allot.Grant(now, d, live, "c", limit), now.Add(life)
+			}
 			concurrent, rate := 0, 0.0
 			for name, share := range held {
 				if !now.After(until[name]) {
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -50,6 +50,8 @@
 	Lease  time.Duration
 	Period time.Duration
 
+	// quiet is until when leases of an earlier leader may still be in use.
+	quiet     time.Time
 	divisions map[ident.Customer]*division
 	held      map[ident.Customer]*holdings
 	demands   map[ident.Customer]map[ident.Daemon]Demand
@@ -79,6 +81,19 @@
 	}
 }
 
+// Begin starts the reign of a leader at now. What its predecessor has granted is not known here, so nothing is granted until
+// that has run out; daemons keep their leases meanwhile, and then fall back.
+func (a *Allotment) Begin(now time.Time) {
+	a.quiet = now.Add(a.Lease)
+	a.divisions = map[ident.Customer]*division{}
+	a.held = map[ident.Customer]*holdings{}
+}
+
+// MayGrant reports whether every lease of an earlier leader has run out.
+func (a *Allotment) MayGrant(now time.Time) bool {
+	return now.After(a.quiet)
+}
+
 // Report takes a daemon's demands; what it does not name it does not want.
 func (a *Allotment) Report(d ident.Daemon, demands []Demand) {
 	for _, byDaemon := range a.demands {
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -127,7 +127,8 @@
 	d.force.answered(name, sent, reply.Revision)
 	d.learnLeaders(reply.Leaders)
 	if reply.Shares != nil {
-		d.shares.take(d.now(), reply.Shares)
+		// The lease runs from the question, which came before the leader counted it.
+		d.shares.take(sent, reply.Shares)
 	}
 }
 
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -6,6 +6,7 @@
 
 	"github.com/dunlinquay/dunlinquay/admission"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quorum"
 )
 
 // shares is this daemon's part of its customers' limits, and as leader the division among all daemons.
@@ -14,8 +15,10 @@
 
 	mu        sync.Mutex
 	allotment *admission.Allotment
-	leased    map[ident.Customer]admission.Share
-	until     time.Time
+	// reign is the term for which the allotment was begun.
+	reign  quorum.Term
+	leased map[ident.Customer]admission.Share
+	until  time.Time
 }
 
 const leaseBeats = 6
@@ -46,7 +49,7 @@
 	return limits
 }
 
-// grant divides every limit for one daemon, as leader.
+// grant divides every limit for one daemon, as leader; nothing while an earlier leader's leases may be in use.
 func (s *shares) grant(now time.Time, to ident.Daemon) map[ident.Customer]admission.Share {
 	var live []ident.Daemon
 	for _, p := range s.d.members.Live(now) {
@@ -57,6 +60,13 @@
 	limits := s.limits()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if term := s.d.control.nodes[instanceFleet].Status().Term; term != s.reign {
+		s.reign = term
+		s.allotment.Begin(now)
+	}
+	if !s.allotment.MayGrant(now) {
+		return nil
+	}
 	granted := map[ident.Customer]admission.Share{}
 	for name, l := range limits {
 		granted[name] = s.allotment.Grant(now, to, live, name, l)
@@ -76,8 +86,10 @@
 func (s *shares) refresh() {
 	now := s.d.now()
 	if s.d.control != nil && s.d.control.leads() {
-		s.take(now, s.grant(now, s.d.cfg.Name))
-		return
+		if granted := s.grant(now, s.d.cfg.Name); granted != nil {
+			s.take(now, granted)
+			return
+		}
 	}
 	s.mu.Lock()
 	stale := s.leased == nil || now.After(s.until)
