Choose watchers in one pass and only when something has changed

A view's update compared every target with every serving one. Change: presence.Watchers keeps the two best in one pass; the share is worked out anew only when the revision or the live daemons have changed; the view uses a set. An unused field of admission.Ask is gone.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -22,8 +22,6 @@
 	Tokens   ident.Tokens
 	Deadline time.Time
 	Reserve  func(now time.Time) routing.Verdict
-
-	admitted time.Time
 }
 
 // Controller is the gate of one daemon; exported fields are set before use.
@@ -228,7 +226,6 @@
 func (c *Controller) tryNow(now time.Time, a *Ask) (bool, error) {
 	switch a.Reserve(now) {
 	case routing.Chosen:
-		a.admitted = now
 		return true, nil
 	case routing.UnknownModel:
 		return false, refuse(result.ModelUnknown, 0, "no group serves model %q", a.Model)
--- a/daemon/probes.go
+++ b/daemon/probes.go
@@ -20,6 +20,11 @@
 	mu   sync.Mutex
 	seen map[ident.VM]sighting
 	busy map[ident.VM]bool
+
+	// mine is this daemon's share among live for the VMs of revision at; only run uses it.
+	mine []watched
+	live []presence.Watcher
+	at   ident.Revision
 }
 
 type sighting struct {
@@ -58,16 +63,15 @@
 // share returns the VMs that this daemon has to watch now.
 func (p *probes) share() []watched {
 	now := p.d.now()
-	live := p.watchers(now)
-	leads := p.d.control != nil && p.d.control.leads()
-	var list []watched
+	p.divide(p.watchers(now))
+	if p.d.control == nil || !p.d.control.leads() {
+		return p.mine
+	}
+	list := slices.Clone(p.mine)
 	p.d.machine.Read(func(s *fleet.State) {
 		for name, v := range s.VMs {
-			if v.Listing == fleet.ListingGone {
-				continue
-			}
-			mine := slices.Contains(presence.Watchers(name, v.Hall, live), p.d.cfg.Name)
-			if mine || leads && p.d.leader.Judge.Absent(now, v) {
+			// One that is in the list already is being probed when its second turn comes.
+			if v.Listing != fleet.ListingGone && p.d.leader.Judge.Absent(now, v) {
 				list = append(list, watched{name, v.Address})
 			}
 		}
@@ -75,6 +79,21 @@
 	return list
 }
 
+// divide works out the share anew when the VMs or the live daemons have changed, which is seldom beside the probes.
+func (p *probes) divide(live []presence.Watcher) {
+	p.d.machine.Read(func(s *fleet.State) {
+		if p.at == s.Revision && slices.Equal(p.live, live) {
+			return
+		}
+		p.at, p.live, p.mine = s.Revision, live, nil
+		for name, v := range s.VMs {
+			if v.Listing != fleet.ListingGone && slices.Contains(presence.Watchers(name, v.Hall, live), p.d.cfg.Name) {
+				p.mine = append(p.mine, watched{name, v.Address})
+			}
+		}
+	})
+}
+
 func (p *probes) watchers(now time.Time) []presence.Watcher {
 	var live []presence.Watcher
 	for _, peer := range p.d.members.Live(now) {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -120,8 +120,12 @@
 
 // forget drops targets that serve no more and have no request in progress.
 func (v *view) forget(serving []*routing.Target) {
+	kept := make(map[*routing.Target]bool, len(serving))
+	for _, t := range serving {
+		kept[t] = true
+	}
 	for key, t := range v.targets {
-		if !slices.Contains(serving, t) && t.InFlight() == 0 {
+		if !kept[t] && t.InFlight() == 0 {
 			delete(v.targets, key)
 		}
 	}
--- a/measure/slopes/series.go
+++ b/measure/slopes/series.go
@@ -51,6 +51,7 @@
 		newSeries("judging", "VMs", "µs", vmCounts, judgeTime),
 		newSeries("leader's look", "VMs", "µs, nothing has changed", vmCounts, func(n float64) float64 { return lookTime(n, false) }),
 		newSeries("leader's look after a change", "VMs", "µs", vmCounts, func(n float64) float64 { return lookTime(n, true) }),
+		newSeries("choosing watchers", "daemons", "µs for one VM", []float64{9, 71, 710}, watchersTime),
 		newSeries("log bytes", "changes", "bytes on disk", []float64{100, 1000, 5000}, logBytes),
 		newSeries("ledger memory", "keys", "bytes of heap, answers of 1 KB", []float64{1000, 10_000, 50_000}, ledgerMemory),
 		newSeries("ledger command bytes", "size of the answer", "bytes for claim and outcome", []float64{100, 1000, 10_000}, ledgerBytes),
@@ -389,6 +390,15 @@
 	})
 }
 
+// watchersTime is what one daemon spends on asking who watches one VM, among daemons of 21 halls.
+func watchersTime(n float64) float64 {
+	var live []presence.Watcher
+	for i := range int(n) {
+		live = append(live, presence.Watcher{Name: ident.Daemon(fmt.Sprint("entry-", i)), Hall: ident.Hall(fmt.Sprint("hall-", i%21))})
+	}
+	return timed(func() { presence.Watchers("worker-1", "hall-3", live) })
+}
+
 // logBytes is what changes one by one add to the shared log of a single member.
 func logBytes(n float64) float64 {
 	root := must(os.MkdirTemp("", "dunlinquay-slopes-"))
--- a/presence/watch.go
+++ b/presence/watch.go
@@ -1,8 +1,6 @@
 package presence
 
 import (
-	"sort"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -17,29 +15,47 @@
 	Hall ident.Hall
 }
 
+// rated is a daemon with its claim to watch one VM.
+type rated struct {
+	name   ident.Daemon
+	near   bool
+	weight uint64
+}
+
+// before puts daemons of the VM's hall first, then those with the higher hash of both names.
+func (a rated) before(b rated) bool {
+	if a.near != b.near {
+		return a.near
+	}
+	if a.weight != b.weight {
+		return a.weight > b.weight
+	}
+	return a.name < b.name
+}
+
 // Watchers returns the daemons that probe vm: those of its hall first, among them the ones with the highest hash of both
 // names, so that a daemon that comes or goes moves only its own share.
 func Watchers(vm ident.VM, hall ident.Hall, live []Watcher) []ident.Daemon {
-	type rated struct {
-		Watcher
-		weight uint64
-	}
-	all := make([]rated, len(live))
-	for i, w := range live {
-		all[i] = rated{w, xxhash.Sum64String(string(w.Name) + "\x00" + string(vm))}
-	}
-	sort.Slice(all, func(i, j int) bool {
-		if a, b := all[i].Hall == hall, all[j].Hall == hall; a != b {
-			return a
+	var first, second rated
+	var digest xxhash.Digest
+	for _, w := range live {
+		digest.Reset()
+		_, _ = digest.WriteString(string(w.Name))
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(string(vm))
+		r := rated{w.Name, w.Hall == hall, digest.Sum64()}
+		switch {
+		case first.name == "" || r.before(first):
+			first, second = r, first
+		case second.name == "" || r.before(second):
+			second = r
 		}
-		if all[i].weight != all[j].weight {
-			return all[i].weight > all[j].weight
+	}
+	names := make([]ident.Daemon, 0, WatchersPerVM)
+	for _, r := range []rated{first, second} {
+		if r.name != "" {
+			names = append(names, r.name)
 		}
-		return all[i].Name < all[j].Name
-	})
-	var names []ident.Daemon
-	for i := range min(WatchersPerVM, len(all)) {
-		names = append(names, all[i].Name)
 	}
 	return names
 }
