Move the client of the VM list to package vmlist

Cause: the package name platform is needed for the adapter to the prepared platform; what stood there reads a list of VMs and nothing else. Ruled out: keeping both in one package, because the list is not part of the new platform. Change: package vmlist, with its tests; no behaviour changed.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -17,9 +17,9 @@
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/operator"
-	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/vmlist"
 )
 
 // bubble runs fn with a site whose daemons are up and have a leader.
@@ -262,7 +262,7 @@
 		leave func(s *site, vm ident.VM)
 	}{
 		{"its own word", func(s *site, vm ident.VM) { s.engines[vm].SetLeaving(true) }},
-		{"the platform's list", func(s *site, vm ident.VM) { s.listAs(vm, platform.StayLeaving) }},
+		{"the platform's list", func(s *site, vm ident.VM) { s.listAs(vm, vmlist.StayLeaving) }},
 		{"an operator's change", func(s *site, vm ident.VM) {
 			_, err := s.change("b", &operator.Change{Drain: &operator.DrainChange{VM: vm, Drain: true}})
 			s.must(err)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,22 +6,22 @@
 
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
-	"github.com/dunlinquay/dunlinquay/platform"
+	"github.com/dunlinquay/dunlinquay/vmlist"
 )
 
 // platformWatch keeps the newest list of the platform beside the upstreams of the settings.
 type platformWatch struct {
 	d      *Daemon
-	client *platform.Client
+	client *vmlist.Client
 
 	mu   sync.Mutex
-	list platform.List
+	list vmlist.List
 }
 
 func newPlatformWatch(d *Daemon) *platformWatch {
 	p := &platformWatch{d: d}
 	if d.cfg.Platform.URL != "" {
-		p.client = platform.NewClient(d.network.Dial, d.cfg.Platform.URL)
+		p.client = vmlist.NewClient(d.network.Dial, d.cfg.Platform.URL)
 	}
 	return p
 }
@@ -54,12 +54,12 @@
 	for i := range p.list.VMs {
 		if e := &p.list.VMs[i]; e.Valid() {
 			named[e.Name] = true
-			vms = append(vms, platform.VM(&e.Upstream))
+			vms = append(vms, vmlist.VM(&e.Upstream))
 		}
 	}
 	for i := range p.d.cfg.Upstreams {
 		if u := &p.d.cfg.Upstreams[i]; !named[u.Name] {
-			vms = append(vms, platform.VM(u))
+			vms = append(vms, vmlist.VM(u))
 		}
 	}
 	return vms
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -24,10 +24,10 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/keys"
 	"github.com/dunlinquay/dunlinquay/operator"
-	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/service"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/standin"
+	"github.com/dunlinquay/dunlinquay/vmlist"
 )
 
 // wire is a network in memory, so that whole daemons run in a synctest bubble under its clock.
@@ -162,7 +162,7 @@
 
 	// stays is what the platform's list says.
 	platform *standin.Server
-	stays    []platform.Entry
+	stays    []vmlist.Entry
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -195,7 +195,7 @@
 	s.must(s.platform.Serve("platform:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(platform.List{VMs: s.stays})
+		_ = json.NewEncoder(w).Encode(vmlist.List{VMs: s.stays})
 	})))
 	s.service.Listen = s.wire.listen
 	s.must(s.service.Start(serviceName + ":1"))
@@ -424,10 +424,10 @@
 }
 
 // listAs makes the platform say something of a VM.
-func (s *site) listAs(vm ident.VM, stay platform.Stay) {
+func (s *site) listAs(vm ident.VM, stay vmlist.Stay) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stays = []platform.Entry{{Upstream: settings.Upstream{Name: vm}, Stay: stay}}
+	s.stays = []vmlist.Entry{{Upstream: settings.Upstream{Name: vm}, Stay: stay}}
 }
 
 // ran names the VM that ran a prompt.
--- a/platform/client.go
+++ b/vmlist/client.go
@@ -1,4 +1,4 @@
-package platform
+package vmlist
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/vmlist/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package vmlist_test
 
 import (
 	"io"
@@ -9,9 +9,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dunlinquay/dunlinquay/fleet"
-	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
+	"github.com/dunlinquay/dunlinquay/vmlist"
 )
 
 func TestList(t *testing.T) {
@@ -38,7 +38,7 @@
 			w.WriteHeader(c.status)
 			_, _ = io.WriteString(w, c.body)
 		}))
-		list, err := platform.NewClient(transport.TCP(), server.URL).List(t.Context())
+		list, err := vmlist.NewClient(transport.TCP(), server.URL).List(t.Context())
 		server.Close()
 		if code := result.CodeOf(err); code != c.code {
 			t.Errorf("%s: code %d, want %d: %v", c.name, code, c.code, err)
