Put survivors together across domains, stage weights ahead, probe members of groups that stand still

Ruled out: earlier reports, the platform sets their pace. Change: domains keep to one model, leftovers form groups across domains, upstreams without weights stage them, members of a standing group are probed, members of a dead head leave first.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -75,6 +75,9 @@
 		}
 	}
 	head := c.Upstreams[g.Head()]
+	if g.Far {
+		head.Slots = min(head.Slots, farSlots)
+	}
 	models := f.groups[g.Service]
 	if models == nil {
 		models = map[ident.Model][]target{}
@@ -87,6 +90,9 @@
 	sortTargets(models[g.Model])
 }
 
+// farSlots is how many requests a group across domains gets: with more, its pauses grow past the usual aims.
+const farSlots = 7
+
 func sortTargets(list []target) {
 	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
 }
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -61,42 +62,53 @@
 	f.Note(&g, string(g.Phase), "reported by its members, unknown to this leader")
 }
 
-// begin starts groups from the upstreams that are free.
+// begin starts groups from the upstreams that are free, and stages weights on those that lack them.
 func (f *Formation) begin() {
-	s := f.situation()
-	for _, choice := range Plan(s) {
-		f.loads -= float64(choice.Loads)
-		epoch := f.NextEpoch()
-		g := roster.Group{
-			Name:    ident.Group("g" + strconv.FormatUint(uint64(epoch), 36)),
-			Epoch:   epoch,
-			Service: f.Service,
-			Model:   choice.Model,
-			Members: choice.Members,
-			Phase:   roster.PhaseForming,
-			Far:     choice.Far,
-			Since:   f.world.Now,
-		}
-		f.Roster.PutGroup(&g)
-		f.Note(&g, "begun", "expected to be ready in "+choice.Ready.String())
-		for _, id := range g.Members {
-			f.order(&g, id, ActionJoin)
-		}
+	d := Plan(f.situation())
+	for i := range d.Groups {
+		f.beginGroup(&d.Groups[i])
+	}
+	for _, s := range d.Stage {
+		f.loads--
+		f.staging[s.ID] = staged{s.Model, f.world.Now}
+		f.Send(Order{To: s.ID, Address: f.byID[s.ID].Address, Action: ActionStage, Model: s.Model, Fence: f.Fence})
+	}
+}
+
+func (f *Formation) beginGroup(choice *Choice) {
+	f.loads -= float64(choice.Loads)
+	epoch := f.NextEpoch()
+	g := roster.Group{
+		Name:    ident.Group("g" + strconv.FormatUint(uint64(epoch), 36)),
+		Epoch:   epoch,
+		Service: f.Service,
+		Model:   choice.Model,
+		Members: choice.Members,
+		Phase:   roster.PhaseForming,
+		Far:     choice.Far,
+		Since:   f.world.Now,
+	}
+	f.Roster.PutGroup(&g)
+	f.Note(&g, "begun", "expected to be ready in "+choice.Ready.String())
+	for _, id := range g.Members {
+		f.order(&g, id, ActionJoin)
 	}
 }
 
 func (f *Formation) situation() *Situation {
-	s := &Situation{Engine: f.engine, Groups: map[ident.Model]int{}, Demand: f.world.Demand, Patience: patience, Early: f.Early}
+	s := &Situation{
+		Engine: f.engine, Groups: map[ident.Model]int{}, Homes: map[ident.Domain]map[ident.Model]int{},
+		Demand: f.world.Demand, Early: f.Early,
+	}
 	taken := map[ident.Incarnation]bool{}
 	for _, g := range f.groups() {
+		f.countGroup(s, &g)
 		for _, id := range g.Members {
 			taken[id] = true
 		}
-		if g.Phase == roster.PhaseForming || g.Phase == roster.PhaseOpening || g.Phase == roster.PhaseOpen {
-			s.Groups[g.Model]++
-		}
 	}
-	for _, u := range f.world.Upstreams {
+	for i := range f.world.Upstreams {
+		u := &f.world.Upstreams[i]
 		if u.Service != f.Service || u.Draining || u.Silent {
 			continue
 		}
@@ -105,20 +117,60 @@
 			delete(f.free, u.ID)
 			continue
 		}
-		if f.world.Ages[u.ID] >= missedReport {
+		if f.world.Ages[u.ID] >= missedReport || f.world.Dead[u.ID] {
 			continue
 		}
-		if _, ok := f.free[u.ID]; !ok {
-			f.free[u.ID] = f.world.Now
-		}
-		s.Free = append(s.Free, Candidate{
-			ID: u.ID, Domain: u.Domain, Last: f.last[u.ID], Staged: u.Staged, FreeFor: f.world.Now.Sub(f.free[u.ID]),
-		})
+		s.Free = append(s.Free, f.candidate(u))
 	}
 	s.Loads = f.loadsNow()
 	return s
 }
 
+func (f *Formation) candidate(u *roster.Upstream) Candidate {
+	now := f.world.Now
+	if _, ok := f.free[u.ID]; !ok {
+		f.free[u.ID] = now
+	}
+	c := Candidate{
+		ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: f.last[u.ID], Staged: u.Staged, FreeFor: now.Sub(f.free[u.ID]),
+	}
+	if st, ok := f.staging[u.ID]; ok {
+		if roster.Has(u.Staged, st.model) || now.Sub(st.at) > f.loadLimit(st.model) {
+			delete(f.staging, u.ID)
+		} else {
+			c.Staging = st.model
+		}
+	}
+	return c
+}
+
+// loadLimit is how long a load may take until it is taken for lost.
+func (f *Formation) loadLimit(model ident.Model) time.Duration {
+	if m, ok := f.engine.Model(model); ok {
+		return loadFactor*m.Load + loadSlack
+	}
+	return loadSlack
+}
+
+func (f *Formation) countGroup(s *Situation, g *roster.Group) {
+	switch g.Phase {
+	case roster.PhaseForming, roster.PhaseOpening, roster.PhaseOpen:
+		s.Groups[g.Model]++
+	default:
+		return
+	}
+	for _, id := range g.Members {
+		u := f.byID[id]
+		if u == nil {
+			continue
+		}
+		if s.Homes[u.Domain] == nil {
+			s.Homes[u.Domain] = map[ident.Model]int{}
+		}
+		s.Homes[u.Domain][g.Model]++
+	}
+}
+
 // loadsNow returns how many loads may begin; before the first request they are cheap, but still share the weight store.
 func (f *Formation) loadsNow() int {
 	now := f.world.Now
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -28,8 +28,9 @@
 	resendAfter = time.Second
 	// repeatAfter is how long an order that was taken may stay without effect in the reports; reports come with each change.
 	repeatAfter = 3 * time.Second
-	// formSlack is added to three times the load time before a group that does not form is given up.
-	formSlack = 10 * time.Second
+	// loadFactor and loadSlack bound a load: past some at once, each takes longer.
+	loadFactor = 3
+	loadSlack  = 5 * time.Second
 	// closeLimit is how long a group may finish its work; an engine that leaves stays for 10 s at most.
 	closeLimit = 10 * time.Second
 	// stallAlone is how long a group may show no sign of life when all its members report.
@@ -38,11 +39,11 @@
 	stallWithSilent = 700 * time.Millisecond
 	// missedReport is the age from which on a report counts as missed.
 	missedReport = 1700 * time.Millisecond
+	// stallWithDead is the same when a member does not take connections.
+	stallWithDead = 250 * time.Millisecond
 	// deadAfter is how long a head must be silent to control and to all entries until its group is certainly over: an
 	// engine breaks a group that stands still for 5 s.
-	deadAfter = 8 * time.Second
-	// patience is how long a free upstream waits for its own model.
-	patience = 6 * time.Second
+	deadAfter = 6500 * time.Millisecond
 	// loadBurst is how many loads may begin at once, beyond the rate of the weight store.
 	loadBurst = 4
 	// loadShare is the part of the weight store's rate that is used; late orders may shift loads in time.
@@ -56,6 +57,11 @@
 	waiting bool
 }
 
+type staged struct {
+	model ident.Model
+	at    time.Time
+}
+
 type orderKey struct {
 	to     ident.Incarnation
 	action Action
@@ -82,6 +88,8 @@
 	orders map[orderKey]*sentOrder
 	last   map[ident.Incarnation]ident.Model
 	free   map[ident.Incarnation]time.Time
+	// staging holds the orders to stage whose weights are not on the host yet.
+	staging map[ident.Incarnation]staged
 	// left holds groups that are certainly over although a report may still name them.
 	left     map[ident.Group]bool
 	loads    float64
@@ -91,12 +99,13 @@
 // NewFormation returns a formation without any history.
 func NewFormation() *Formation {
 	return &Formation{
-		Note:   func(*roster.Group, string, string) {},
-		orders: map[orderKey]*sentOrder{},
-		last:   map[ident.Incarnation]ident.Model{},
-		free:   map[ident.Incarnation]time.Time{},
-		left:   map[ident.Group]bool{},
-		loads:  loadBurst,
+		Note:    func(*roster.Group, string, string) {},
+		orders:  map[orderKey]*sentOrder{},
+		last:    map[ident.Incarnation]ident.Model{},
+		free:    map[ident.Incarnation]time.Time{},
+		left:    map[ident.Group]bool{},
+		staging: map[ident.Incarnation]staged{},
+		loads:   loadBurst,
 	}
 }
 
@@ -134,17 +143,16 @@
 			delete(f.orders, key)
 		}
 	}
-	for id := range f.last {
+	for id := range f.free {
 		if f.byID[id] == nil {
 			delete(f.last, id)
 			delete(f.free, id)
+			delete(f.staging, id)
 		}
 	}
 	for id, u := range f.byID {
-		if u.Member.State == roster.MemberReady || u.Member.State == roster.MemberOpen {
-			for _, m := range u.Loaded {
-				f.last[id] = m
-			}
+		for _, m := range u.Loaded {
+			f.last[id] = m
 		}
 	}
 }
@@ -183,6 +191,8 @@
 			return "member " + string(id) + " is leaving"
 		case u.Silent:
 			return "member " + string(id) + " is silent"
+		case f.world.Dead[id]:
+			return "member " + string(id) + " takes no connections"
 		}
 		if o := f.orders[orderKey{id, ActionJoin}]; o != nil && o.epoch == g.Epoch && !o.waiting && hopeless(o.outcome) {
 			return "member " + string(id) + " answered the order to join: " + string(o.outcome)
@@ -200,7 +210,7 @@
 		f.drop(g, why)
 		return
 	}
-	if f.world.Now.Sub(g.Since) > f.formLimit(g) {
+	if f.world.Now.Sub(g.Since) > f.loadLimit(g.Model) {
 		f.drop(g, "not formed in time")
 		return
 	}
@@ -221,13 +231,6 @@
 	f.order(g, g.Head(), ActionOpen)
 }
 
-func (f *Formation) formLimit(g *roster.Group) time.Duration {
-	if m, ok := f.engine.Model(g.Model); ok {
-		return 3*m.Load + formSlack
-	}
-	return formSlack
-}
-
 func (f *Formation) advanceOpening(g *roster.Group) {
 	if why := f.unfit(g); why != "" {
 		f.phase(g, roster.PhaseLeaving, why)
@@ -277,7 +280,7 @@
 // does not reach may serve.
 func (f *Formation) broken(g *roster.Group) string {
 	sight := f.world.Sights[g.Name]
-	missed := false
+	missed, dead := false, false
 	for _, id := range g.Members {
 		u := f.byID[id]
 		if u == nil {
@@ -287,10 +290,13 @@
 			return "member " + string(id) + " is in another group"
 		}
 		missed = missed || f.world.Ages[id] >= missedReport
+		dead = dead || f.world.Dead[id]
 	}
 	switch {
 	case sight.Blamed != "" && contains(g.Members, sight.Blamed):
 		return "the head blames member " + string(sight.Blamed)
+	case dead && sight.Stalled >= stallWithDead:
+		return "stands still, and a member takes no connections"
 	case missed && sight.Stalled >= stallWithSilent:
 		return "stands still, and a member is silent"
 	case sight.Stalled >= stallAlone:
@@ -333,9 +339,32 @@
 		f.drop(g, "the head is silent to everyone")
 		return
 	}
+	if f.world.Dead[head.ID] && f.membersLeft(g) {
+		f.drop(g, "the head takes no connections, the others have left")
+		return
+	}
 	f.order(g, head.ID, ActionLeave)
 }
 
+// membersLeft takes the members out of a group whose head does not answer, and reports whether none is left in it. A
+// member that has left belongs to no group, whatever its old head does.
+func (f *Formation) membersLeft(g *roster.Group) bool {
+	left := true
+	for _, id := range g.Members[1:] {
+		u := f.byID[id]
+		if u == nil || f.world.Dead[id] {
+			continue
+		}
+		o := f.orders[orderKey{id, ActionLeave}]
+		if o != nil && o.epoch == g.Epoch && !o.waiting && settled(o.outcome) {
+			continue
+		}
+		left = false
+		f.order(g, id, ActionLeave)
+	}
+	return left
+}
+
 // settled reports whether an order to leave that came to this outcome ends the group for certain.
 func settled(o Outcome) bool {
 	return o == OutcomeTaken || o == OutcomeRefused || o == OutcomeStranger || o == OutcomeUnreached
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -1,14 +1,16 @@
 package replicaset
 
 // Plan is a pure function: from the free upstreams and the groups that exist
-// it chooses the groups to begin. It prefers, in this order, the model that is
-// furthest below its target, the members that are ready soonest (an engine
-// remembers its last model, a host keeps staged weights), and the domain that
-// keeps the fewest odd upstreams over.
+// it chooses the groups to begin and the weights to stage.
+//
+// A load takes longer than many a group lives, so after the start groups are
+// formed only of upstreams that have the weights, and upstreams that lack them
+// stage them meanwhile, beside all else. What is left over in each domain is
+// put together across domains: such a group is slower, but better than idle
+// accelerators.
 //
 // Targets come from the declared shares at first and from measured demand
-// later. They are whole numbers of groups, so rounding is done by giving the
-// next group to the model whose groups are the most loaded.
+// later; each next group goes to the model whose groups are the most loaded.
 
 import (
 	"sort"
@@ -19,15 +21,23 @@
 	"github.com/dunlinquay/dunlinquay/roster"
 )
 
-// rejoinTime is how long an engine takes to join when its last group had the same model.
-const rejoinTime = 200 * time.Millisecond
+const (
+	// rejoinTime is how long an engine takes to join when its last group had the same model.
+	rejoinTime = 200 * time.Millisecond
+	// demandWeight is how far measured demand moves the targets away from the declared shares.
+	demandWeight = 0.5
+	// strandedAfter is how long an upstream with weights is free before it stages those of another model.
+	strandedAfter = 3 * time.Second
+)
 
-// Candidate is an upstream that may be given to a group.
+// Candidate is an upstream without a group.
 type Candidate struct {
 	ID      ident.Incarnation
+	Hall    ident.Hall
 	Domain  ident.Domain
 	Last    ident.Model
 	Staged  []ident.Model
+	Staging ident.Model
 	FreeFor time.Duration
 }
 
@@ -40,21 +50,33 @@
 	Ready   time.Duration
 }
 
+// Staging is an upstream that shall fetch weights to its host.
+type Staging struct {
+	ID    ident.Incarnation
+	Model ident.Model
+}
+
+// Decision is what Plan wants begun, the most wanted first.
+type Decision struct {
+	Groups []Choice
+	Stage  []Staging
+}
+
 // Situation is what Plan decides on.
 type Situation struct {
 	Engine *httproute.Engine
-	// Free are the upstreams without a group.
+	// Free are the upstreams without a group, in the order of their ids.
 	Free []Candidate
 	// Groups counts the groups of each model that serve or will serve.
 	Groups map[ident.Model]int
+	// Homes counts the upstreams of each domain that are in groups of each model.
+	Homes map[ident.Domain]map[ident.Model]int
 	// Total is the number of usable upstreams, free or not.
 	Total int
 	// Demand is as in World.
 	Demand map[ident.Model]float64
 	// Loads is how many loads may begin now.
 	Loads int
-	// Patience is how long a free upstream waits for its own model before it is given to another one.
-	Patience time.Duration
 	// Early is set before the first request, while loads are cheap.
 	Early bool
 }
@@ -85,9 +107,6 @@
 	}
 }
 
-// demandWeight is how far measured demand moves the targets away from the declared shares.
-const demandWeight = 0.5
-
 func weightsOf(s *Situation) map[ident.Model]float64 {
 	weights := map[ident.Model]float64{}
 	shares, demand := 0.0, 0.0
@@ -109,36 +128,47 @@
 	return weights
 }
 
-// Plan returns the groups to begin now, the most wanted first.
-func Plan(s *Situation) []Choice {
-	targets := Targets(s)
-	groups := map[ident.Model]int{}
+// plan is the work on one decision.
+type plan struct {
+	*Situation
+	targets map[ident.Model]int
+	groups  map[ident.Model]int
+	free    []Candidate
+	loads   int
+}
+
+// Plan returns what to begin now.
+func Plan(s *Situation) Decision {
+	p := &plan{Situation: s, targets: Targets(s), groups: map[ident.Model]int{}, loads: s.Loads}
+	p.free = append(p.free, s.Free...)
 	for name, n := range s.Groups {
-		groups[name] = n
+		p.groups[name] = n
 	}
-	free := append([]Candidate(nil), s.Free...)
-	loads := s.Loads
-	var choices []Choice
+	var d Decision
 	for {
-		choice, ok := next(s, targets, groups, free, loads)
+		choice, ok := p.next()
 		if !ok {
-			return choices
+			break
 		}
-		choices = append(choices, choice)
-		groups[choice.Model]++
-		loads -= choice.Loads
-		free = without(free, choice.Members)
+		d.Groups = append(d.Groups, choice)
+		p.groups[choice.Model]++
+		p.loads -= choice.Loads
+		p.take(choice.Members)
+	}
+	if !s.Early {
+		d.Stage = p.stage()
 	}
+	return d
 }
 
-func without(free []Candidate, taken []ident.Incarnation) []Candidate {
+func (p *plan) take(members []ident.Incarnation) {
 	var rest []Candidate
-	for _, c := range free {
-		if !contains(taken, c.ID) {
+	for _, c := range p.free {
+		if !contains(members, c.ID) {
 			rest = append(rest, c)
 		}
 	}
-	return rest
+	p.free = rest
 }
 
 func contains(list []ident.Incarnation, id ident.Incarnation) bool {
@@ -151,10 +181,18 @@
 }
 
 // next returns the best group of the model that is furthest below its target and can be formed.
-func next(s *Situation, targets, groups map[ident.Model]int, free []Candidate, loads int) (Choice, bool) {
-	for _, m := range byNeed(s.Engine.Models, targets, groups) {
-		need := need(targets[m.Name], groups[m.Name])
-		if choice, ok := bestIn(s, m, free, loads, need); ok {
+func (p *plan) next() (Choice, bool) {
+	models := p.byNeed()
+	for _, m := range models {
+		if choice, ok := p.near(m); ok {
+			return choice, true
+		}
+	}
+	if p.Early {
+		return Choice{}, false
+	}
+	for _, m := range models {
+		if choice, ok := p.far(m); ok {
 			return choice, true
 		}
 	}
@@ -162,99 +200,192 @@
 }
 
 // need is the part of a model's groups that is missing; 0 or less when it has enough.
-func need(target, have int) float64 {
-	if target == 0 {
+func (p *plan) need(m ident.Model) float64 {
+	if p.targets[m] == 0 {
 		return 0
 	}
-	return float64(target-have) / float64(target)
+	return float64(p.targets[m]-p.groups[m]) / float64(p.targets[m])
 }
 
-func byNeed(models []httproute.Model, targets, groups map[ident.Model]int) []*httproute.Model {
+func (p *plan) byNeed() []*httproute.Model {
 	var list []*httproute.Model
-	for i := range models {
-		list = append(list, &models[i])
+	for i := range p.Engine.Models {
+		list = append(list, &p.Engine.Models[i])
 	}
-	sort.SliceStable(list, func(i, j int) bool {
-		return need(targets[list[i].Name], groups[list[i].Name]) > need(targets[list[j].Name], groups[list[j].Name])
-	})
+	sort.SliceStable(list, func(i, j int) bool { return p.need(list[i].Name) > p.need(list[j].Name) })
 	return list
 }
 
-// urgentNeed is the missing part from which on upstreams are taken over from another model without waiting, and groups
-// span domains.
-const urgentNeed = 0.4
+// usable reports whether c may be given to a group of m now.
+func (p *plan) usable(m *httproute.Model, c *Candidate) bool {
+	if readyIn(m, c) <= m.Warm {
+		return true
+	}
+	return p.Early && p.need(m.Name) > 0
+}
 
-// bestIn returns the best members for one group of m among free.
-func bestIn(s *Situation, m *httproute.Model, free []Candidate, loads int, need float64) (Choice, bool) {
+// near returns the best group of m within one domain: the soonest ready, in a domain that holds m already, with the
+// fewest upstreams left over.
+func (p *plan) near(m *httproute.Model) (Choice, bool) {
 	domains := map[ident.Domain][]Candidate{}
-	var names []ident.Domain
-	for _, c := range free {
-		if !allowed(s, m, c, need) {
-			continue
-		}
-		if _, ok := domains[c.Domain]; !ok {
-			names = append(names, c.Domain)
+	for i := range p.free {
+		if c := &p.free[i]; p.usable(m, c) {
+			domains[c.Domain] = append(domains[c.Domain], *c)
 		}
-		domains[c.Domain] = append(domains[c.Domain], c)
 	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	var best Choice
+	var bestRank rank
 	found := false
-	bestLeft := 0
-	for _, name := range names {
+	for _, name := range sortedDomains(domains) {
 		list := domains[name]
 		if len(list) < m.Size {
 			continue
 		}
 		choice := soonest(m, list)
-		left := len(list) - m.Size
-		if choice.Loads > loads {
+		if choice.Loads > p.loads {
 			continue
 		}
-		if !found || choice.Ready < best.Ready || choice.Ready == best.Ready && left < bestLeft {
-			best, bestLeft, found = choice, left, true
+		r := rank{choice.Ready, p.strangers(name, m.Name), len(list) - m.Size}
+		if !found || r.less(bestRank) {
+			best, bestRank, found = choice, r, true
 		}
 	}
-	if found || need < urgentNeed {
-		return best, found
+	return best, found
+}
+
+// rank orders choices; lower is better.
+type rank struct {
+	ready     time.Duration
+	strangers int
+	left      int
+}
+
+func (r rank) less(o rank) bool {
+	if r.ready != o.ready {
+		return r.ready < o.ready
+	}
+	if r.strangers != o.strangers {
+		return r.strangers < o.strangers
 	}
-	return acrossDomains(s, m, free, loads)
+	return r.left < o.left
 }
 
-// allowed reports whether c may be given to m. An upstream that still holds another model waits for that model first.
-func allowed(s *Situation, m *httproute.Model, c Candidate, need float64) bool {
-	if readyIn(m, c) <= m.Warm || s.Early {
-		return readyIn(m, c) <= m.Warm || need > 0
+// strangers counts the upstreams of a domain that work for other models. Domains of one model can put the survivors of
+// two broken groups together.
+func (p *plan) strangers(name ident.Domain, model ident.Model) int {
+	n := 0
+	for other, count := range p.Homes[name] {
+		if other != model {
+			n += count
+		}
 	}
-	if need <= 0 {
-		return false
+	for i := range p.free {
+		if c := &p.free[i]; c.Domain == name && c.Last != "" && c.Last != model {
+			n++
+		}
 	}
-	fresh := c.Last == "" && len(c.Staged) == 0
-	return fresh || c.FreeFor >= s.Patience || need >= urgentNeed
+	return n
 }
 
-// acrossDomains forms a slower group, when the time to do so is short and nothing better can be had.
-func acrossDomains(s *Situation, m *httproute.Model, free []Candidate, loads int) (Choice, bool) {
-	var near []Candidate
-	for _, c := range free {
-		if readyIn(m, c) <= m.Warm && c.FreeFor >= s.Patience {
-			near = append(near, c)
+func sortedDomains(domains map[ident.Domain][]Candidate) []ident.Domain {
+	var names []ident.Domain
+	for name := range domains {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// far puts together what is left over in several domains, those of one hall first.
+func (p *plan) far(m *httproute.Model) (Choice, bool) {
+	if p.need(m.Name) <= 0 {
+		return Choice{}, false
+	}
+	halls := map[ident.Hall]int{}
+	var ready []Candidate
+	for i := range p.free {
+		if c := &p.free[i]; readyIn(m, c) <= m.Warm {
+			ready = append(ready, *c)
+			halls[c.Hall]++
 		}
 	}
-	if len(near) < m.Size {
+	if len(ready) < m.Size {
 		return Choice{}, false
 	}
-	choice := soonest(m, near)
+	sort.SliceStable(ready, func(i, j int) bool {
+		if a, b := halls[ready[i].Hall], halls[ready[j].Hall]; a != b {
+			return a > b
+		}
+		return ready[i].Hall < ready[j].Hall
+	})
+	choice := soonest(m, ready[:m.Size])
 	choice.Far = true
-	return choice, choice.Loads <= loads
+	return choice, true
+}
+
+// stage chooses weights for the upstreams that have none of use: first those that complete a group in their domain.
+func (p *plan) stage() []Staging {
+	var list []Staging
+	have := map[ident.Domain]map[ident.Model]int{}
+	for i := range p.free {
+		c := &p.free[i]
+		if have[c.Domain] == nil {
+			have[c.Domain] = map[ident.Model]int{}
+		}
+		for _, m := range p.Engine.Models {
+			if readyIn(&m, c) <= m.Warm || c.Staging == m.Name {
+				have[c.Domain][m.Name]++
+			}
+		}
+	}
+	for i := range p.free {
+		c := &p.free[i]
+		if c.Staging != "" || p.loads < 1 || p.serves(c) {
+			continue
+		}
+		m := p.missing(c, have[c.Domain])
+		if m == "" || c.Last == m || roster.Has(c.Staged, m) {
+			continue
+		}
+		list = append(list, Staging{c.ID, m})
+		have[c.Domain][m]++
+		p.loads--
+	}
+	return list
+}
+
+// serves reports whether c keeps the weights that it has for a while.
+func (p *plan) serves(c *Candidate) bool {
+	fresh := c.Last == "" && len(c.Staged) == 0
+	return !fresh && c.FreeFor < strandedAfter
+}
+
+// missing returns the model that c is most useful for in its domain.
+func (p *plan) missing(c *Candidate, have map[ident.Model]int) ident.Model {
+	best := ident.Model("")
+	bestScore := 0.0
+	for i := range p.Engine.Models {
+		m := &p.Engine.Models[i]
+		score := p.need(m.Name)
+		if score <= 0 {
+			continue
+		}
+		// A group that lacks one member is worth more than one that lacks all.
+		score += float64(have[m.Name]%m.Size+1) / float64(m.Size)
+		if score > bestScore {
+			best, bestScore = m.Name, score
+		}
+	}
+	return best
 }
 
 // soonest takes the members that are ready first.
 func soonest(m *httproute.Model, list []Candidate) Choice {
 	sorted := append([]Candidate(nil), list...)
-	sort.SliceStable(sorted, func(i, j int) bool { return readyIn(m, sorted[i]) < readyIn(m, sorted[j]) })
+	sort.SliceStable(sorted, func(i, j int) bool { return readyIn(m, &sorted[i]) < readyIn(m, &sorted[j]) })
 	choice := Choice{Model: m.Name}
-	for _, c := range sorted[:m.Size] {
+	for i := range sorted[:m.Size] {
+		c := &sorted[i]
 		choice.Members = append(choice.Members, c.ID)
 		choice.Ready = max(choice.Ready, readyIn(m, c))
 		if readyIn(m, c) > m.Warm {
@@ -265,7 +396,7 @@
 }
 
 // readyIn returns how long c takes to join a group of m.
-func readyIn(m *httproute.Model, c Candidate) time.Duration {
+func readyIn(m *httproute.Model, c *Candidate) time.Duration {
 	switch {
 	case c.Last == m.Name:
 		return rejoinTime
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -70,6 +70,8 @@
 	// Ages are the times since the last reports.
 	Ages   map[ident.Incarnation]time.Duration
 	Sights map[ident.Group]Sight
+	// Dead are upstreams that took no connection and have not reported since.
+	Dead map[ident.Incarnation]bool
 	// Demand is the work asked for by model, in upstream-seconds a second; nil while unknown.
 	Demand map[ident.Model]float64
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -21,7 +21,7 @@
 
 const (
 	// leadInterval is how often the leader looks at its groups when nothing changes.
-	leadInterval = 100 * time.Millisecond
+	leadInterval = 50 * time.Millisecond
 	// leadPause gathers the changes of one moment.
 	leadPause = 10 * time.Millisecond
 	// settleReports is how many report intervals a leader without a copy waits until it believes its roster.
@@ -65,6 +65,7 @@
 	counter    uint64
 	answers    chan orderAnswer
 	early      bool
+	probes     *probes
 
 	mu      sync.Mutex
 	entries map[string]*entryState
@@ -87,6 +88,7 @@
 		totals:     map[ident.Incarnation]int{},
 		demand:     map[ident.Model]*rate{},
 		early:      c.Settings.FirstStart,
+		probes:     newProbes(c.Dial),
 	}
 	report := c.Settings.Times.Report.Std()
 	r.roster.SilentAfter = time.Duration(silentReports * float64(report))
