Keep an upstream that signed off in its group, evidence of stalls, and far groups only while needed

Ruled out: shorter probe time-outs. Change: Leave marks an upstream as leaving; a lane keeps counting a stall until a sign; homes are counted within a plan; far groups close when a domain has enough members; fresh entries get a partial roster.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -48,7 +48,7 @@
 	}
 	for name := range c.Groups {
 		g := c.Groups[name]
-		f.addGroup(c, &g)
+		f.addGroup(c, table, &g)
 	}
 	for _, list := range f.plain {
 		sortTargets(list)
@@ -65,8 +65,8 @@
 }
 
 // addGroup adds an open group all of whose members stay.
-func (f *fleet) addGroup(c *roster.Copy, g *roster.Group) {
-	if g.Phase != roster.PhaseOpen {
+func (f *fleet) addGroup(c *roster.Copy, table *httproute.Table, g *roster.Group) {
+	if g.Phase != roster.PhaseOpen || table == nil {
 		return
 	}
 	for _, id := range g.Members {
@@ -76,7 +76,7 @@
 	}
 	head := c.Upstreams[g.Head()]
 	if g.Far {
-		head.Slots = min(head.Slots, farSlots)
+		head.Slots = min(head.Slots, farSlotsOf(table, g))
 	}
 	models := f.groups[g.Service]
 	if models == nil {
@@ -90,9 +90,21 @@
 	sortTargets(models[g.Model])
 }
 
-// farSlots is how many requests a group across domains gets: with more, its pauses grow past the usual aims.
+// farSlots is how many requests a group across domains gets at pace 1: with more, its pauses grow past the usual aims.
 const farSlots = 7
 
+func farSlotsOf(table *httproute.Table, g *roster.Group) int {
+	s := table.Service(g.Service)
+	if s == nil || s.Engine == nil {
+		return farSlots
+	}
+	m, ok := s.Engine.Model(g.Model)
+	if !ok || m.Pace <= 0 {
+		return farSlots
+	}
+	return int(farSlots / m.Pace)
+}
+
 func sortTargets(list []target) {
 	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
 }
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -13,6 +13,8 @@
 	calmAfter = 2 * time.Second
 	// suspectFor is how long a lane that failed is avoided.
 	suspectFor = 1500 * time.Millisecond
+	// stalledFor is how long the wait of a request that was moved away goes on counting.
+	stalledFor = 2 * time.Second
 	// outcomesNeeded is the number of outcomes from which on a failure rate is believed.
 	outcomesNeeded = 4
 )
@@ -23,6 +25,8 @@
 	inflight int
 	// waitingSince is when the first of the requests that wait without any sign began to wait.
 	waitingSince time.Time
+	// stalled is set when a request was moved away because nothing came; its wait goes on counting until something does.
+	stalled time.Time
 	// answered is when the upstream last sent anything.
 	answered time.Time
 	// gap is the average time between events, failures the average share of failed requests.
@@ -39,7 +43,7 @@
 }
 
 func (l *lane) begin(now time.Time) {
-	if l.inflight == 0 {
+	if l.inflight == 0 && l.stalled.IsZero() {
 		l.waitingSince = now
 	}
 	l.inflight++
@@ -53,6 +57,7 @@
 func (l *lane) sign(now time.Time) {
 	l.answered = now
 	l.waitingSince = now
+	l.stalled = time.Time{}
 	l.refused = false
 	l.blamed = ""
 }
@@ -93,7 +98,10 @@
 
 // silence is how long requests have waited there without any sign.
 func (l *lane) silence(now time.Time) time.Duration {
-	if l.inflight == 0 {
+	if now.Sub(l.stalled) > stalledFor {
+		l.stalled = time.Time{}
+	}
+	if l.inflight == 0 && l.stalled.IsZero() {
 		return 0
 	}
 	return now.Sub(l.waitingSince)
--- a/relay/run.go
+++ b/relay/run.go
@@ -125,9 +125,13 @@
 		l.outcome(now, true)
 	case verdictFailed:
 		l.outcome(now, false)
-	case verdictBroken, verdictStalled, verdictNeverSent:
+	case verdictBroken, verdictNeverSent:
 		l.outcome(now, false)
 		l.fail(now)
+	case verdictStalled:
+		l.outcome(now, false)
+		l.fail(now)
+		l.stalled = now
 	}
 }
 
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -15,8 +16,8 @@
 }
 
 // adopt takes over groups that engines report and the roster lacks, as after the loss of a leader. A whole one goes on
-// serving; the head of any other is told to leave.
-func (f *Formation) adopt() {
+// serving; the head of any other is told to leave, once all is known.
+func (f *Formation) adopt(allKnown bool) {
 	known := map[ident.Group]bool{}
 	for _, g := range f.groups() {
 		known[g.Name] = true
@@ -34,7 +35,7 @@
 		if head.Member.Rank != 0 || !serving(head.Member.State) {
 			continue
 		}
-		f.takeOver(key, members)
+		f.takeOver(key, members, allKnown)
 	}
 }
 
@@ -42,7 +43,7 @@
 	return s == roster.MemberOpen || s == roster.MemberClosing
 }
 
-func (f *Formation) takeOver(key groupKey, members []*roster.Upstream) {
+func (f *Formation) takeOver(key groupKey, members []*roster.Upstream, allKnown bool) {
 	head := members[0]
 	g := roster.Group{Name: key.name, Epoch: key.epoch, Service: f.Service, Phase: roster.PhaseOpen, Since: f.world.Now}
 	for _, m := range head.Loaded {
@@ -56,6 +57,9 @@
 	}
 	model, ok := f.engine.Model(g.Model)
 	if !whole || !ok || model.Size != len(members) {
+		if !allKnown {
+			return
+		}
 		g.Phase = roster.PhaseLeaving
 	}
 	f.Roster.PutGroup(&g)
@@ -64,14 +68,16 @@
 
 // begin starts groups from the upstreams that are free, and stages weights on those that lack them.
 func (f *Formation) begin() {
-	d := Plan(f.situation())
+	s := f.situation()
+	f.bringHome(s)
+	d := Plan(s)
 	for i := range d.Groups {
 		f.beginGroup(&d.Groups[i])
 	}
-	for _, s := range d.Stage {
+	for _, st := range d.Stage {
 		f.loads--
-		f.staging[s.ID] = staged{s.Model, f.world.Now}
-		f.Send(Order{To: s.ID, Address: f.byID[s.ID].Address, Action: ActionStage, Model: s.Model, Fence: f.Fence})
+		f.staging[st.ID] = staged{st.Model, f.world.Now}
+		f.Send(Order{To: st.ID, Address: f.byID[st.ID].Address, Action: ActionStage, Model: st.Model, Fence: f.Fence})
 	}
 }
 
@@ -98,7 +104,7 @@
 func (f *Formation) situation() *Situation {
 	s := &Situation{
 		Engine: f.engine, Groups: map[ident.Model]int{}, Homes: map[ident.Domain]map[ident.Model]int{},
-		Demand: f.world.Demand, Early: f.Early,
+		Loose: map[ident.Domain]map[ident.Model]int{}, Demand: f.world.Demand, Early: f.Early,
 	}
 	taken := map[ident.Incarnation]bool{}
 	for _, g := range f.groups() {
@@ -164,11 +170,48 @@
 		if u == nil {
 			continue
 		}
-		if s.Homes[u.Domain] == nil {
-			s.Homes[u.Domain] = map[ident.Model]int{}
+		count(s.Homes, u.Domain, g.Model)
+		if g.Far {
+			count(s.Loose, u.Domain, g.Model)
+		}
+	}
+}
+
+func count(counts map[ident.Domain]map[ident.Model]int, domain ident.Domain, model ident.Model) {
+	if counts[domain] == nil {
+		counts[domain] = map[ident.Model]int{}
+	}
+	counts[domain][model]++
+}
+
+// bringHome closes one group that spans domains when a domain of its members has enough upstreams for a whole one.
+func (f *Formation) bringHome(s *Situation) {
+	p := &plan{Situation: s}
+	p.free = s.Free
+	have := p.collected()
+	for _, g := range f.groups() {
+		m, ok := f.engine.Model(g.Model)
+		if !ok || !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
+			continue
+		}
+		for _, id := range g.Members {
+			if u := f.byID[id]; u != nil && s.Loose[u.Domain][g.Model] > 0 && f.enough(s, u.Domain, m, have) {
+				f.phase(&g, roster.PhaseClosing, "domain "+string(u.Domain)+" has enough members for a whole group")
+				return
+			}
+		}
+	}
+}
+
+// enough reports whether a domain has the members of a whole group that are ready soon; upstreams that still stage are not.
+func (f *Formation) enough(s *Situation, domain ident.Domain, m *httproute.Model, have map[ident.Domain]map[ident.Model]int) bool {
+	n := have[domain][m.Name]
+	for i := range s.Free {
+		if c := &s.Free[i]; c.Domain == domain && readyIn(m, c) > m.Warm && c.Staging == m.Name {
+			n--
 		}
-		s.Homes[u.Domain][g.Model]++
 	}
+	return n >= m.Size
 }
 
 // loadsNow returns how many loads may begin; before the first request they are cheap, but still share the weight store.
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -44,6 +44,8 @@
 	// deadAfter is how long a head must be silent to control and to all entries until its group is certainly over: an
 	// engine breaks a group that stands still for 5 s.
 	deadAfter = 6500 * time.Millisecond
+	// farAtLeast is how long a group that spans domains serves before it may be brought home.
+	farAtLeast = time.Second
 	// loadBurst is how many loads may begin at once, beyond the rate of the weight store.
 	loadBurst = 4
 	// loadShare is the part of the weight store's rate that is used; late orders may shift loads in time.
@@ -111,6 +113,22 @@
 
 // Step takes every group one step further and begins new ones.
 func (f *Formation) Step(w *World, engine *httproute.Engine) {
+	f.look(w, engine)
+	f.forget()
+	f.adopt(true)
+	for _, g := range f.groups() {
+		f.advance(&g)
+	}
+	f.begin()
+}
+
+// Adopt takes over the whole groups that engines report and orders nothing, as long as not all upstreams may be known.
+func (f *Formation) Adopt(w *World, engine *httproute.Engine) {
+	f.look(w, engine)
+	f.adopt(false)
+}
+
+func (f *Formation) look(w *World, engine *httproute.Engine) {
 	f.world, f.engine = w, engine
 	f.byID = map[ident.Incarnation]*roster.Upstream{}
 	for i := range w.Upstreams {
@@ -118,12 +136,6 @@
 			f.byID[u.ID] = u
 		}
 	}
-	f.forget()
-	f.adopt()
-	for _, g := range f.groups() {
-		f.advance(&g)
-	}
-	f.begin()
 }
 
 func (f *Formation) groups() []roster.Group {
@@ -194,8 +206,8 @@
 		case f.world.Dead[id]:
 			return "member " + string(id) + " takes no connections"
 		}
-		if o := f.orders[orderKey{id, ActionJoin}]; o != nil && o.epoch == g.Epoch && !o.waiting && hopeless(o.outcome) {
-			return "member " + string(id) + " answered the order to join: " + string(o.outcome)
+		if o := f.outcome(g, id, ActionJoin); hopeless(o) {
+			return "member " + string(id) + " answered the order to join: " + string(o)
 		}
 	}
 	return ""
@@ -309,6 +321,10 @@
 
 func (f *Formation) advanceClosing(g *roster.Group) {
 	head := f.byID[g.Head()]
+	if head == nil || f.outcome(g, head.ID, ActionClose) == OutcomeUnreached {
+		f.drop(g, "the head has ended")
+		return
+	}
 	switch in(head, g) {
 	case roster.MemberReady, roster.MemberNone, roster.MemberBroken, roster.MemberJoining:
 		f.drop(g, "has finished its work")
@@ -325,14 +341,23 @@
 	f.order(g, g.Head(), ActionClose)
 }
 
+// outcome returns what became of the last order of that kind for g, or nothing while it is not known.
+func (f *Formation) outcome(g *roster.Group, to ident.Incarnation, action Action) Outcome {
+	o := f.orders[orderKey{to, action}]
+	if o == nil || o.epoch != g.Epoch || o.waiting {
+		return ""
+	}
+	return o.outcome
+}
+
 func (f *Formation) advanceLeaving(g *roster.Group) {
 	head := f.byID[g.Head()]
 	if head == nil {
 		f.drop(g, "the head has ended")
 		return
 	}
-	if o := f.orders[orderKey{head.ID, ActionLeave}]; o != nil && o.epoch == g.Epoch && !o.waiting && settled(o.outcome) {
-		f.drop(g, "the head has left: "+string(o.outcome))
+	if o := f.outcome(g, head.ID, ActionLeave); settled(o) {
+		f.drop(g, "the head has left: "+string(o))
 		return
 	}
 	if f.world.Ages[head.ID] >= deadAfter && f.world.Sights[g.Name].Answered >= deadAfter {
@@ -355,8 +380,7 @@
 		if u == nil || f.world.Dead[id] {
 			continue
 		}
-		o := f.orders[orderKey{id, ActionLeave}]
-		if o != nil && o.epoch == g.Epoch && !o.waiting && settled(o.outcome) {
+		if settled(f.outcome(g, id, ActionLeave)) {
 			continue
 		}
 		left = false
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -69,8 +69,10 @@
 	Free []Candidate
 	// Groups counts the groups of each model that serve or will serve.
 	Groups map[ident.Model]int
-	// Homes counts the upstreams of each domain that are in groups of each model.
+	// Homes counts the upstreams of each domain that are in groups of each model, Loose those of them in groups that span
+	// domains.
 	Homes map[ident.Domain]map[ident.Model]int
+	Loose map[ident.Domain]map[ident.Model]int
 	// Total is the number of usable upstreams, free or not.
 	Total int
 	// Demand is as in World.
@@ -133,14 +135,29 @@
 	*Situation
 	targets map[ident.Model]int
 	groups  map[ident.Model]int
+	homes   map[ident.Domain]map[ident.Model]int
 	free    []Candidate
 	loads   int
 }
 
+// settle counts n more upstreams of a domain as working for model.
+func (p *plan) settle(domain ident.Domain, model ident.Model, n int) {
+	if p.homes[domain] == nil {
+		p.homes[domain] = map[ident.Model]int{}
+	}
+	p.homes[domain][model] += n
+}
+
 // Plan returns what to begin now.
 func Plan(s *Situation) Decision {
 	p := &plan{Situation: s, targets: Targets(s), groups: map[ident.Model]int{}, loads: s.Loads}
 	p.free = append(p.free, s.Free...)
+	p.homes = map[ident.Domain]map[ident.Model]int{}
+	for domain, models := range s.Homes {
+		for model, n := range models {
+			p.settle(domain, model, n)
+		}
+	}
 	for name, n := range s.Groups {
 		p.groups[name] = n
 	}
@@ -153,7 +170,7 @@
 		d.Groups = append(d.Groups, choice)
 		p.groups[choice.Model]++
 		p.loads -= choice.Loads
-		p.take(choice.Members)
+		p.take(&choice)
 	}
 	if !s.Early {
 		d.Stage = p.stage()
@@ -161,12 +178,14 @@
 	return d
 }
 
-func (p *plan) take(members []ident.Incarnation) {
+func (p *plan) take(choice *Choice) {
 	var rest []Candidate
 	for _, c := range p.free {
-		if !contains(members, c.ID) {
-			rest = append(rest, c)
+		if contains(choice.Members, c.ID) {
+			p.settle(c.Domain, choice.Model, 1)
+			continue
 		}
+		rest = append(rest, c)
 	}
 	p.free = rest
 }
@@ -274,7 +293,7 @@
 // two broken groups together.
 func (p *plan) strangers(name ident.Domain, model ident.Model) int {
 	n := 0
-	for other, count := range p.Homes[name] {
+	for other, count := range p.homes[name] {
 		if other != model {
 			n += count
 		}
@@ -326,18 +345,7 @@
 // stage chooses weights for the upstreams that have none of use: first those that complete a group in their domain.
 func (p *plan) stage() []Staging {
 	var list []Staging
-	have := map[ident.Domain]map[ident.Model]int{}
-	for i := range p.free {
-		c := &p.free[i]
-		if have[c.Domain] == nil {
-			have[c.Domain] = map[ident.Model]int{}
-		}
-		for _, m := range p.Engine.Models {
-			if readyIn(&m, c) <= m.Warm || c.Staging == m.Name {
-				have[c.Domain][m.Name]++
-			}
-		}
-	}
+	have := p.collected()
 	for i := range p.free {
 		c := &p.free[i]
 		if c.Staging != "" || p.loads < 1 || p.serves(c) {
@@ -354,6 +362,29 @@
 	return list
 }
 
+// collected counts, for each domain and model, the upstreams that could make up a group there.
+func (p *plan) collected() map[ident.Domain]map[ident.Model]int {
+	have := map[ident.Domain]map[ident.Model]int{}
+	for domain, models := range p.Loose {
+		have[domain] = map[ident.Model]int{}
+		for model, n := range models {
+			have[domain][model] = n
+		}
+	}
+	for i := range p.free {
+		c := &p.free[i]
+		if have[c.Domain] == nil {
+			have[c.Domain] = map[ident.Model]int{}
+		}
+		for _, m := range p.Engine.Models {
+			if readyIn(&m, c) <= m.Warm || c.Staging == m.Name {
+				have[c.Domain][m.Name]++
+			}
+		}
+	}
+	return have
+}
+
 // serves reports whether c keeps the weights that it has for a while.
 func (p *plan) serves(c *Candidate) bool {
 	fresh := c.Last == "" && len(c.Staged) == 0
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -21,6 +21,9 @@
 // rememberGone is how long an ended id is remembered; reports arrive seconds late at most.
 const rememberGone = 2 * time.Minute
 
+// forgetLeft is how long an upstream that has signed off is kept; it finishes within ten seconds.
+const forgetLeft = 15 * time.Second
+
 // reportsToReturn is how many newer reports bring back a life that another one at its address had replaced.
 const reportsToReturn = 2
 
@@ -29,6 +32,8 @@
 	sequence uint64
 	heard    time.Time
 	revision Revision
+	// left is set when it has signed off and will not report again.
+	left bool
 }
 
 type groupRecord struct {
@@ -165,14 +170,22 @@
 	r.gone[old] = ended
 }
 
-// Leave ends an upstream that said it is gone.
+// Leave notes that an upstream has signed off. It may go on with what it has for a while, so it stays, as one that gets
+// nothing new, until it is silent.
 func (r *Roster) Leave(now time.Time, id ident.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if u := r.upstreams[id]; u != nil && r.byAddress[u.Address] == id {
-		delete(r.byAddress, u.Address)
+	rec := r.upstreams[id]
+	if rec == nil {
+		r.end(now, id)
+		return
+	}
+	rec.left = true
+	rec.heard = now
+	if !rec.Draining {
+		rec.Draining = true
+		rec.revision = r.touch()
 	}
-	r.end(now, id)
 }
 
 func (r *Roster) end(now time.Time, id ident.Incarnation) {
@@ -186,7 +199,7 @@
 	defer r.mu.Unlock()
 	for id, rec := range r.upstreams {
 		age := now.Sub(rec.heard)
-		if age >= r.ForgetAfter {
+		if age >= r.ForgetAfter || rec.left && age >= forgetLeft {
 			if r.byAddress[rec.Address] == id {
 				delete(r.byAddress, rec.Address)
 			}
--- a/site/calls.go
+++ b/site/calls.go
@@ -135,9 +135,9 @@
 	c.waitForNews(r, call)
 	reply := SyncReply{
 		Leader: string(c.self.Name), Controls: c.controls(), Reign: r.name, Others: others, Entries: entries,
-		Settled: r.settled(time.Now()),
+		Counts: r.counts(call),
 	}
-	if reply.Settled {
+	if reply.Counts {
 		since := call.Revision
 		if call.Reign != r.name {
 			since = 0
@@ -152,13 +152,19 @@
 	return reply
 }
 
+// counts reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
+// copy of the whole.
+func (r *reign) counts(call *SyncCall) bool {
+	return call.Reign == "" || call.Reign == r.name || r.settled(time.Now())
+}
+
 // waitForNews returns when something is new for the caller, or after syncHold.
 func (c *Control) waitForNews(r *reign, call *SyncCall) {
 	c.mu.Lock()
 	renewed := c.renewed
 	c.mu.Unlock()
 	revision, changed := r.roster.Changed()
-	behind := r.settled(time.Now()) && (call.Reign != r.name || call.Revision < revision)
+	behind := r.counts(call) && (call.Reign != r.name || call.Revision < revision)
 	if behind || c.machine.Held().Version > call.Version {
 		return
 	}
--- a/site/control.go
+++ b/site/control.go
@@ -271,7 +271,7 @@
 }
 
 func (c *Control) applySync(_ time.Time, r *SyncReply) {
-	if !r.Settled {
+	if !r.Counts {
 		return
 	}
 	c.mu.Lock()
--- a/site/messages.go
+++ b/site/messages.go
@@ -61,8 +61,9 @@
 	Leader   string
 	Controls []string
 	Reign    Reign
-	// Settled is set once the leader has heard of all upstreams that report; Changes count only then.
-	Settled bool
+	// Counts is set when Changes are to be applied: a leader that has not heard of all upstreams yet knows less than a
+	// copy of its predecessor's roster.
+	Counts  bool
 	Changes roster.Delta
 	// Version and Config are set when the caller's version is older.
 	Version httproute.Version
--- a/site/probes.go
+++ b/site/probes.go
@@ -48,7 +48,8 @@
 	}
 	for i := range groups {
 		g := &groups[i]
-		if w.Sights[g.Name].Stalled < probeAfter && g.Phase != roster.PhaseLeaving {
+		ending := g.Phase == roster.PhaseLeaving || g.Phase == roster.PhaseClosing
+		if !ending && w.Sights[g.Name].Stalled < probeAfter {
 			continue
 		}
 		for _, id := range g.Members {
--- a/site/reign.go
+++ b/site/reign.go
@@ -179,7 +179,7 @@
 		r.answered(&a)
 	}
 	now := time.Now()
-	if !r.c.leads() || !r.settled(now) {
+	if !r.c.leads() {
 		return
 	}
 	r.roster.Expire(now)
@@ -197,6 +197,10 @@
 		}
 		f := r.formation(s.Name)
 		f.Early = r.early
+		if !r.settled(now) {
+			f.Adopt(w, s.Engine)
+			continue
+		}
 		f.Step(w, s.Engine)
 	}
 }
