Leave groups that a former leader may have opened before their members are used again

Ruled out: late orders, the log shows all were answered at once. Change: a new leader uses only upstreams that reported to it, takes over whole open groups from reports and has every other reported group left before its members join again; groups that were forming are not inherited.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -16,7 +15,8 @@
 }
 
 // adopt takes over groups that engines report and the roster lacks, as after the loss of a leader. A whole one goes on
-// serving; the head of any other is told to leave, once all is known.
+// serving; any other is dissolved once all is known: its former leader may have ordered it to open, and an order may be
+// carried out late.
 func (f *Formation) adopt(allKnown bool) {
 	known := map[ident.Group]bool{}
 	for _, g := range f.groups() {
@@ -31,11 +31,12 @@
 	}
 	for key, members := range reported {
 		sort.Slice(members, func(i, j int) bool { return members[i].Member.Rank < members[j].Member.Rank })
-		head := members[0]
-		if head.Member.Rank != 0 || !serving(head.Member.State) {
+		g := f.reportedGroup(key, members)
+		if g.Phase != roster.PhaseOpen && !allKnown {
 			continue
 		}
-		f.takeOver(key, members, allKnown)
+		f.Roster.PutGroup(g)
+		f.Note(g, string(g.Phase), "reported by its members, unknown to this leader")
 	}
 }
 
@@ -43,9 +44,11 @@
 	return s == roster.MemberOpen || s == roster.MemberClosing
 }
 
-func (f *Formation) takeOver(key groupKey, members []*roster.Upstream, allKnown bool) {
+// reportedGroup puts a group together from its members' reports, in the order of their ranks. Unless it is whole and open
+// it is to be left; its first member is then the head, if the head reported at all.
+func (f *Formation) reportedGroup(key groupKey, members []*roster.Upstream) *roster.Group {
 	head := members[0]
-	g := roster.Group{Name: key.name, Epoch: key.epoch, Service: f.Service, Phase: roster.PhaseOpen, Since: f.world.Now}
+	g := &roster.Group{Name: key.name, Epoch: key.epoch, Service: f.Service, Phase: roster.PhaseOpen, Since: f.world.Now}
 	for _, m := range head.Loaded {
 		g.Model = m
 	}
@@ -57,13 +60,10 @@
 	}
 	model, ok := f.engine.Model(g.Model)
 	if !whole || !ok || model.Size != len(members) {
-		if !allKnown {
-			return
-		}
 		g.Phase = roster.PhaseLeaving
+		f.headless[g.Name] = head.Member.Rank != 0
 	}
-	f.Roster.PutGroup(&g)
-	f.Note(&g, string(g.Phase), "reported by its members, unknown to this leader")
+	return g
 }
 
 // begin starts groups from the upstreams that are free, and stages weights on those that lack them.
@@ -119,7 +119,7 @@
 			continue
 		}
 		s.Total++
-		if taken[u.ID] || serving(u.Member.State) && !f.left[u.Member.Group] {
+		if taken[u.ID] || u.Member.State != roster.MemberNone && !f.left[u.Member.Group] {
 			delete(f.free, u.ID)
 			continue
 		}
@@ -184,34 +184,32 @@
 	counts[domain][model]++
 }
 
-// bringHome closes one group that spans domains when a domain of its members has enough upstreams for a whole one.
+// bringHome closes one group that spans domains when a domain has enough upstreams for a whole one among its members and
+// those that are free.
 func (f *Formation) bringHome(s *Situation) {
-	p := &plan{Situation: s}
-	p.free = s.Free
-	have := p.collected()
 	for _, g := range f.groups() {
 		m, ok := f.engine.Model(g.Model)
 		if !ok || !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
 			continue
 		}
+		here := map[ident.Domain]int{}
 		for _, id := range g.Members {
-			if u := f.byID[id]; u != nil && s.Loose[u.Domain][g.Model] > 0 && f.enough(s, u.Domain, m, have) {
-				f.phase(&g, roster.PhaseClosing, "domain "+string(u.Domain)+" has enough members for a whole group")
-				return
+			if u := f.byID[id]; u != nil {
+				here[u.Domain]++
 			}
 		}
-	}
-}
-
-// enough reports whether a domain has the members of a whole group that are ready soon; upstreams that still stage are not.
-func (f *Formation) enough(s *Situation, domain ident.Domain, m *httproute.Model, have map[ident.Domain]map[ident.Model]int) bool {
-	n := have[domain][m.Name]
-	for i := range s.Free {
-		if c := &s.Free[i]; c.Domain == domain && readyIn(m, c) > m.Warm && c.Staging == m.Name {
-			n--
+		for i := range s.Free {
+			if c := &s.Free[i]; here[c.Domain] > 0 && readyIn(m, c) <= m.Warm {
+				here[c.Domain]++
+			}
+		}
+		for domain, n := range here {
+			if n >= m.Size {
+				f.phase(&g, roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
+				return
+			}
 		}
 	}
-	return n >= m.Size
 }
 
 // loadsNow returns how many loads may begin; before the first request they are cheap, but still share the weight store.
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -92,6 +92,8 @@
 	free   map[ident.Incarnation]time.Time
 	// staging holds the orders to stage whose weights are not on the host yet.
 	staging map[ident.Incarnation]staged
+	// headless holds groups whose head has not reported; their members leave one by one.
+	headless map[ident.Group]bool
 	// left holds groups that are certainly over although a report may still name them.
 	left     map[ident.Group]bool
 	loads    float64
@@ -101,13 +103,14 @@
 // NewFormation returns a formation without any history.
 func NewFormation() *Formation {
 	return &Formation{
-		Note:    func(*roster.Group, string, string) {},
-		orders:  map[orderKey]*sentOrder{},
-		last:    map[ident.Incarnation]ident.Model{},
-		free:    map[ident.Incarnation]time.Time{},
-		left:    map[ident.Group]bool{},
-		staging: map[ident.Incarnation]staged{},
-		loads:   loadBurst,
+		Note:     func(*roster.Group, string, string) {},
+		orders:   map[orderKey]*sentOrder{},
+		last:     map[ident.Incarnation]ident.Model{},
+		free:     map[ident.Incarnation]time.Time{},
+		left:     map[ident.Group]bool{},
+		headless: map[ident.Group]bool{},
+		staging:  map[ident.Incarnation]staged{},
+		loads:    loadBurst,
 	}
 }
 
@@ -351,6 +354,12 @@
 }
 
 func (f *Formation) advanceLeaving(g *roster.Group) {
+	if f.headless[g.Name] {
+		if f.membersLeft(g, 0) {
+			f.drop(g, "its members have left")
+		}
+		return
+	}
 	head := f.byID[g.Head()]
 	if head == nil {
 		f.drop(g, "the head has ended")
@@ -364,18 +373,18 @@
 		f.drop(g, "the head is silent to everyone")
 		return
 	}
-	if f.world.Dead[head.ID] && f.membersLeft(g) {
+	if f.world.Dead[head.ID] && f.membersLeft(g, 1) {
 		f.drop(g, "the head takes no connections, the others have left")
 		return
 	}
 	f.order(g, head.ID, ActionLeave)
 }
 
-// membersLeft takes the members out of a group whose head does not answer, and reports whether none is left in it. A
+// membersLeft takes the members from an index on out of a group whose head does not answer, and reports whether none is left in it. A
 // member that has left belongs to no group, whatever its old head does.
-func (f *Formation) membersLeft(g *roster.Group) bool {
+func (f *Formation) membersLeft(g *roster.Group, from int) bool {
 	left := true
-	for _, id := range g.Members[1:] {
+	for _, id := range g.Members[from:] {
 		u := f.byID[id]
 		if u == nil || f.world.Dead[id] {
 			continue
@@ -403,6 +412,7 @@
 
 func (f *Formation) drop(g *roster.Group, why string) {
 	f.left[g.Name] = true
+	delete(f.headless, g.Name)
 	f.Roster.DropGroup(f.world.Now, g.Name)
 	f.Note(g, "dropped", why)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -34,6 +34,8 @@
 	revision Revision
 	// left is set when it has signed off and will not report again.
 	left bool
+	// reported is set once it has reported to this roster, and not only to one that this one was seeded from.
+	reported bool
 }
 
 type groupRecord struct {
@@ -120,6 +122,7 @@
 	next := report.Upstream
 	if rec != nil {
 		rec.heard = now
+		rec.reported = true
 		rec.sequence = report.Sequence
 		// An upstream that has announced its end does not take it back.
 		next.Draining = next.Draining || rec.Draining
@@ -130,7 +133,7 @@
 		rec.revision = r.touch()
 		return true
 	}
-	r.upstreams[report.ID] = &upstreamRecord{Upstream: next, sequence: report.Sequence, heard: now, revision: r.touch()}
+	r.upstreams[report.ID] = &upstreamRecord{Upstream: next, sequence: report.Sequence, heard: now, reported: true, revision: r.touch()}
 	return true
 }
 
@@ -239,6 +242,9 @@
 	r.dropped[name] = goneRecord{at: now, revision: r.touch()}
 }
 
+// unreported is the least age of a report that only an earlier roster has seen; things may have changed since.
+const unreported = 2 * time.Second
+
 // Upstreams returns every upstream in the order of ids, and the age of each one's last report.
 func (r *Roster) Upstreams(now time.Time) ([]Upstream, map[ident.Incarnation]time.Duration) {
 	r.mu.Lock()
@@ -248,6 +254,9 @@
 	for id, rec := range r.upstreams {
 		list = append(list, rec.Upstream)
 		ages[id] = now.Sub(rec.heard)
+		if !rec.reported {
+			ages[id] = max(ages[id], unreported)
+		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list, ages
