--- a/quorum/core.go
+++ b/quorum/core.go
@@ -39,6 +39,12 @@
 	Lease     time.Duration
 }
 
+// promised is how long a member that has just started withholds its vote: it may have supported a leader's lease right
+// before, and has forgotten that.
+func (t Timing) promised() time.Duration {
+	return min(t.Election, time.Duration(driftFactor*float64(t.Lease)))
+}
+
 // Ready is what the driver has to do after a step, in the order of its fields.
 type Ready struct {
 	Appends   []Message
@@ -109,7 +115,7 @@
 		timing:   timing,
 		random:   rand.New(rand.NewPCG(seed, uint64(instance))),
 		hard:     hard,
-		heard:    now,
+		heard:    now.Add(timing.promised() - timing.Election),
 		votes:    map[MemberID]bool{},
 		progress: map[MemberID]*progress{},
 	}
@@ -123,6 +129,8 @@
 	c.persisted = c.lastIndex()
 	c.findMembers()
 	c.resetDeadline(now)
+	// Members that all start anew have nobody to wait for but the lease that they may have supported.
+	c.deadline = c.deadline.Add(timing.promised() - timing.Election)
 	return c
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,13 +17,14 @@
 
 const (
 	// retryFull and retryNone are when a caller shall come back after a refusal: slots free up every 70 ms, a group
-	// forms in about a second.
-	retryFull = 300 * time.Millisecond
-	retryNone = 700 * time.Millisecond
+	// forms in about a second. retryBlind is for a daemon that has no configuration or no word from the leader: daemons
+	// that start together need two seconds.
+	retryFull  = 300 * time.Millisecond
+	retryNone  = 700 * time.Millisecond
+	retryBlind = 1800 * time.Millisecond
 	// retrySpread is the part of it by which callers are spread.
 	retrySpread = 0.5
-	// sizeBytes bounds the text of refusals.
-	jsonType = "application/json"
+	jsonType    = "application/json"
 )
 
 // exchange is one request on its way through the relay.
@@ -53,8 +54,10 @@
 	// started is set once the head of the answer went to the caller.
 	started   bool
 	lastEvent string
+	lastAt    time.Time
 	events    int
 	first     time.Duration
+	gap       time.Duration
 	retry     time.Duration
 	status    int
 }
@@ -208,10 +211,7 @@
 	info := result.Lookup(result.CodeOf(err))
 	h := x.w.Header()
 	if info.Status == http.StatusServiceUnavailable {
-		x.retry = retryNone
-		if info.Code == result.Overloaded {
-			x.retry = retryFull
-		}
+		x.retry = retryAfter(info.Code)
 		x.retry += time.Duration(retrySpread * rand.Float64() * float64(x.retry))
 		h.Set("Retry-After", strconv.FormatFloat(x.retry.Seconds(), 'f', 3, 64))
 	}
@@ -228,6 +228,16 @@
 	}
 }
 
+func retryAfter(code result.Code) time.Duration {
+	switch code {
+	case result.Overloaded:
+		return retryFull
+	case result.ControlUnreachable:
+		return retryBlind
+	}
+	return retryNone
+}
+
 // closeIfStopping tells the caller to open its next connection elsewhere.
 func (x *exchange) closeIfStopping() {
 	if x.s.stopping.Load() {
@@ -238,7 +248,7 @@
 func (x *exchange) record(err error) *Record {
 	rec := &Record{
 		ID: x.id, Model: x.model, Code: result.CodeOf(err), Status: x.status, WordAge: x.s.WordAge(), Tries: x.tries,
-		Events: x.events, First: x.first, Total: x.s.Now().Sub(x.began), Retry: x.retry,
+		Events: x.events, First: x.first, Gap: x.gap, Total: x.s.Now().Sub(x.began), Retry: x.retry,
 	}
 	if err != nil {
 		rec.Text = result.Message(err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,7 +220,9 @@
 	Tries    []Try
 	Events   int
 	First    time.Duration
-	Total    time.Duration
+	// Gap is the longest pause between two events.
+	Gap   time.Duration
+	Total time.Duration
 	// Retry is when the caller was told to come back.
 	Retry time.Duration
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -176,9 +176,12 @@
 	if x.events == 0 {
 		x.first = now.Sub(x.began)
 		f.lane.sign(now)
+		x.lastAt = now
 	} else {
 		f.lane.event(now, now.Sub(f.waited))
 	}
+	x.gap = max(x.gap, now.Sub(x.lastAt))
+	x.lastAt = now
 	f.waited = now
 	x.events++
 	if ev.id != "" {
--- a/roster/copy.go
+++ b/roster/copy.go
@@ -36,3 +36,15 @@
 	}
 	c.Revision = d.Revision
 }
+
+// Whole returns the copy as a delta that replaces another copy.
+func (c *Copy) Whole() Delta {
+	d := Delta{Full: true, Revision: c.Revision}
+	for _, u := range c.Upstreams {
+		d.Upstreams = append(d.Upstreams, u)
+	}
+	for _, g := range c.Groups {
+		d.Groups = append(d.Groups, g)
+	}
+	return d
+}
--- a/settings/site.go
+++ b/settings/site.go
@@ -73,9 +73,9 @@
 		Bounds:   SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
 		Retries:  Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
 		Times: SiteTimes{
-			Heartbeat: Duration(150 * time.Millisecond),
-			Election:  Duration(900 * time.Millisecond),
-			Lease:     Duration(700 * time.Millisecond),
+			Heartbeat: Duration(90 * time.Millisecond),
+			Election:  Duration(550 * time.Millisecond),
+			Lease:     Duration(350 * time.Millisecond),
 			Report:    Duration(1200 * time.Millisecond),
 		},
 	}
@@ -127,12 +127,17 @@
 	if cfg.Listen.Callers == "" && cfg.Listen.Control == "" {
 		d.atf("listen", result.SettingsMissing, "wants callers or control")
 	}
-	if cfg.Times.Lease >= cfg.Times.Election {
-		d.atf("times.lease", result.SettingsConflict, "wants less than times.election")
+	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
+		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
 	}
 }
 
-const maxPort = 65535
+const (
+	maxPort = 65535
+	// leasePart is the longest lease in parts of the election time: a lease must be over, on any clock, before another
+	// member can be elected.
+	leasePart = 0.8
+)
 
 // PeerAddress returns the address on which this daemon listens for its peers.
 func (cfg *Site) PeerAddress() string {
--- a/site/control.go
+++ b/site/control.go
@@ -46,6 +46,7 @@
 	Reread func() (*settings.Site, error)
 
 	self      quorum.MemberID
+	folder    *disk.Folder
 	store     *quorum.Store
 	node      *quorum.Node
 	machine   *catalog.Machine
@@ -55,8 +56,11 @@
 
 	mu     sync.Mutex
 	copied *roster.Copy
-	// copiedAt is when the copy was last confirmed by a leader.
+	// copiedAt is when the copy was last confirmed by the leader of copiedOf; recalled is set when it comes from the last
+	// life.
 	copiedAt time.Time
+	copiedOf Reign
+	recalled bool
 	table    *httproute.Table
 	// renewed is closed when another configuration counts.
 	renewed   chan struct{}
@@ -77,7 +81,7 @@
 	}
 	c := &Control{
 		Settings: cfg, Log: logr.Discard(), Dial: transport.TCP(),
-		self: store.ID(), store: store, node: quorum.NewNode(store), machine: catalog.NewMachine(),
+		self: store.ID(), folder: folder, store: store, node: quorum.NewNode(store), machine: catalog.NewMachine(),
 		directory: newDirectory(cfg.SeedPeers()), failed: make(chan error, 1),
 		copied: roster.NewCopy(), renewed: make(chan struct{}), strangers: map[quorum.MemberID]time.Time{},
 	}
@@ -91,6 +95,7 @@
 	defer end()
 	c.peers = newPeers(ctx, c.Dial)
 	c.prepareNode()
+	c.recall()
 	server, err := c.listenPeers()
 	if err != nil {
 		return err
@@ -106,6 +111,7 @@
 	wg.Go(func() { c.memberLoop(ctx) })
 	wg.Go(func() { c.leadLoop(ctx) })
 	wg.Go(func() { c.followLoop(ctx) })
+	wg.Go(func() { c.rememberLoop(ctx) })
 	c.Log.Info("control daemon started", "name", c.Settings.Name, "member", c.self, "seeds", c.Settings.Seeds, "first-start", c.Settings.FirstStart)
 	select {
 	case <-ctx.Done():
@@ -200,11 +206,11 @@
 	c.Log.Info("configuration in force", "version", d.Version, "routes", len(cfg.Routes), "services", len(cfg.Services))
 }
 
-// leads reports whether this daemon may act as leader now: it holds the lease, every earlier lease is over, and it knows
-// everything that was committed.
+// leads reports whether this daemon may act as leader now: it holds the lease and knows everything that was committed.
+// Earlier leases are over: each of its voters had not heard another leader for the election time, which is longer than a
+// lease, and a leader that hands over gives its lease up first.
 func (c *Control) leads() bool {
-	now := time.Now()
-	return c.node.HoldsLease(now) && c.node.OutlivedPredecessors(now) && c.node.Status().Current
+	return c.node.HoldsLease(time.Now()) && c.node.Status().Current
 }
 
 // leader returns the peers' address of the leader that this daemon knows, or nothing.
@@ -278,6 +284,7 @@
 	defer c.mu.Unlock()
 	c.copied.Apply(&r.Changes)
 	c.copiedAt = time.Now()
+	c.copiedOf = r.Reign
 }
 
 func (c *Control) reread() {
--- a/site/follow.go
+++ b/site/follow.go
@@ -12,7 +12,7 @@
 
 const (
 	// askPause is the pause before the next control daemon is asked for the leader.
-	askPause = 60 * time.Millisecond
+	askPause = 30 * time.Millisecond
 	// seedsAfter is how long no leader was found until the settings are read again for other seeds.
 	seedsAfter = 2 * time.Second
 )
--- /dev/null
+++ b/site/memory.go
@@ -0,0 +1,88 @@
+package site
+
+// A daemon that restarts together with all others would wait for the reports
+// of every upstream before it could route again. Each control daemon therefore
+// keeps its newest copy of the roster in its data folder. What it reads there
+// after a start may be old, so it is used like the copy of a follower: entries
+// may try it, and nothing is decided on an upstream until it has reported.
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+const (
+	memoryName = "roster"
+	// memoryInterval is the least time between two writes; members of groups are lost every few seconds.
+	memoryInterval = 700 * time.Millisecond
+)
+
+// remembered is what the file holds.
+type remembered struct {
+	Upstreams []roster.Upstream `cbor:"1,keyasint"`
+	Groups    []roster.Group    `cbor:"2,keyasint"`
+}
+
+// rememberLoop writes the roster when it has changed.
+func (c *Control) rememberLoop(ctx context.Context) {
+	var written roster.Revision
+	var reign Reign
+	for ctx.Err() == nil {
+		pause(ctx, memoryInterval)
+		name, d := c.newestRoster()
+		if d == nil || name == reign && d.Revision == written {
+			continue
+		}
+		if err := c.remember(d); err != nil {
+			c.Log.Error(err, "roster not written, a restart will wait for reports", "code", int(result.CodeOf(err)))
+			continue
+		}
+		reign, written = name, d.Revision
+	}
+}
+
+// newestRoster returns what this daemon leads by, or its copy.
+func (c *Control) newestRoster() (Reign, *roster.Delta) {
+	if r := c.reign.Load(); r != nil {
+		d := r.roster.Since(0)
+		return r.name, &d
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.copiedAt.IsZero() {
+		return "", nil
+	}
+	d := c.copied.Whole()
+	return c.copiedOf, &d
+}
+
+func (c *Control) remember(d *roster.Delta) error {
+	content, err := cbor.Marshal(remembered{d.Upstreams, d.Groups})
+	if err != nil {
+		return err
+	}
+	return c.folder.WriteFile(memoryName, content)
+}
+
+// recall reads the roster of the last life; a file that can't be read is as good as none.
+func (c *Control) recall() {
+	content, err := c.folder.ReadFile(memoryName)
+	if err != nil || content == nil {
+		return
+	}
+	var m remembered
+	if err := cbor.Unmarshal(content, &m); err != nil {
+		c.Log.Error(err, "remembered roster cannot be read")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.copied.Apply(&roster.Delta{Full: true, Upstreams: m.Upstreams, Groups: m.Groups})
+	c.recalled = true
+	c.Log.Info("roster of the last life read", "upstreams", len(m.Upstreams), "groups", len(m.Groups))
+}
--- a/site/reign.go
+++ b/site/reign.go
@@ -96,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fresh := !c.copiedAt.IsZero() && now.Sub(c.copiedAt) < copyFresh
-	if fresh {
+	if fresh || c.recalled && c.copiedAt.IsZero() {
 		r.seed(now, c.copied)
 	}
 	if !fresh && !c.Settings.FirstStart {
