Probe the members of groups that stand still, and form the first groups of all upstreams

Ruled out: the faster elections themselves. Change: as in the subject; free upstreams of a domain are kept for the whole group that a closing one makes room for.

--- a/relay/lane.go
+++ b/relay/lane.go
@@ -21,6 +21,8 @@
 
 // lane is what this entry knows of one life of an upstream; it is guarded by the relay's mutex.
 type lane struct {
+	// group is the group that the upstream was the head of when the lane was last used.
+	group ident.Group
 	// inflight counts the requests that this entry has there.
 	inflight int
 	// waitingSince is when the first of the requests that wait without any sign began to wait.
@@ -42,6 +44,17 @@
 	full time.Time
 }
 
+// belong forgets what was seen when the upstream was the head of another group.
+func (l *lane) belong(group ident.Group) {
+	if l.group == group {
+		return
+	}
+	*l = lane{group: group, inflight: l.inflight, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince}
+	if l.inflight == 0 {
+		l.waitingSince = time.Time{}
+	}
+}
+
 func (l *lane) begin(now time.Time) {
 	if l.inflight == 0 && l.stalled.IsZero() {
 		l.waitingSince = now
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,6 +99,9 @@
 	}
 	f := newFleet(s.copied, s.table.Load())
 	s.fleet = f
+	for group, head := range f.heads {
+		s.lane(head).belong(group)
+	}
 	for id, l := range s.lanes {
 		if !f.lives[id] && l.inflight == 0 {
 			delete(s.lanes, id)
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -70,6 +70,7 @@
 func (f *Formation) begin() {
 	s := f.situation()
 	f.bringHome(s)
+	s.Free = f.unreserved(s.Free)
 	d := Plan(s)
 	for i := range d.Groups {
 		f.beginGroup(&d.Groups[i])
@@ -184,9 +185,27 @@
 	counts[domain][model]++
 }
 
+// unreserved leaves out the upstreams of domains in which a whole group is about to be formed.
+func (f *Formation) unreserved(free []Candidate) []Candidate {
+	var rest []Candidate
+	for i := range free {
+		reserved := false
+		for _, domain := range f.homing {
+			reserved = reserved || free[i].Domain == domain
+		}
+		if !reserved {
+			rest = append(rest, free[i])
+		}
+	}
+	return rest
+}
+
 // bringHome closes one group that spans domains when a domain has enough upstreams for a whole one among its members and
 // those that are free.
 func (f *Formation) bringHome(s *Situation) {
+	if len(f.homing) > 0 {
+		return
+	}
 	for _, g := range f.groups() {
 		m, ok := f.engine.Model(g.Model)
 		if !ok || !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
@@ -205,6 +224,7 @@
 		}
 		for domain, n := range here {
 			if n >= m.Size {
+				f.homing[g.Name] = domain
 				f.phase(&g, roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
 				return
 			}
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -92,6 +92,8 @@
 	free   map[ident.Incarnation]time.Time
 	// staging holds the orders to stage whose weights are not on the host yet.
 	staging map[ident.Incarnation]staged
+	// homing holds groups that close so that a domain gets a whole group instead.
+	homing map[ident.Group]ident.Domain
 	// headless holds groups whose head has not reported; their members leave one by one.
 	headless map[ident.Group]bool
 	// left holds groups that are certainly over although a report may still name them.
@@ -108,6 +110,7 @@
 		last:     map[ident.Incarnation]ident.Model{},
 		free:     map[ident.Incarnation]time.Time{},
 		left:     map[ident.Group]bool{},
+		homing:   map[ident.Group]ident.Domain{},
 		headless: map[ident.Group]bool{},
 		staging:  map[ident.Incarnation]staged{},
 		loads:    loadBurst,
@@ -413,6 +416,7 @@
 func (f *Formation) drop(g *roster.Group, why string) {
 	f.left[g.Name] = true
 	delete(f.headless, g.Name)
+	delete(f.homing, g.Name)
 	f.Roster.DropGroup(f.world.Now, g.Name)
 	f.Note(g, "dropped", why)
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -31,6 +31,9 @@
 	forgetReports = 40
 	// copyFresh is the age up to which a follower's copy is a start for a new leader.
 	copyFresh = 10 * time.Second
+	// arrivalPause is how long no new upstream may have come before the first groups are formed, arrivalLimit bounds that wait.
+	arrivalPause = 400 * time.Millisecond
+	arrivalLimit = 2 * time.Second
 	// entryAway is how long an entry that does not call still counts as one.
 	entryAway = 3 * time.Second
 	// orderTimeout bounds an order; engines answer at once.
@@ -66,6 +69,9 @@
 	answers    chan orderAnswer
 	early      bool
 	probes     *probes
+	// arrived is when an upstream was last seen for the first time, known how many there were.
+	arrived time.Time
+	known   int
 
 	mu      sync.Mutex
 	entries map[string]*entryState
@@ -201,7 +207,7 @@
 		}
 		f := r.formation(s.Name)
 		f.Early = r.early
-		if !r.settled(now) {
+		if !r.settled(now) || r.arriving(now, len(w.Upstreams)) {
 			f.Adopt(w, s.Engine)
 			continue
 		}
@@ -209,6 +215,19 @@
 	}
 }
 
+// arriving reports whether upstreams still come in for the first time at the start of a site: groups that are formed of
+// the first few would be spread over the domains badly.
+func (r *reign) arriving(now time.Time, upstreams int) bool {
+	if !r.early {
+		return false
+	}
+	if upstreams > r.known {
+		r.known = upstreams
+		r.arrived = now
+	}
+	return now.Sub(r.arrived) < arrivalPause && now.Sub(r.began) < arrivalLimit
+}
+
 func (r *reign) formation(service ident.Service) *replicaset.Formation {
 	f := r.formations[service]
 	if f != nil {
@@ -255,6 +274,8 @@
 		r.early = false
 	}
 	w := &replicaset.World{Now: now, Upstreams: upstreams, Ages: ages, Sights: r.sights(now), Demand: map[ident.Model]float64{}}
+	r.probes.look(w, r.roster.Groups())
+	w.Dead = r.probes.dead(now, ages)
 	for model, d := range r.demand {
 		w.Demand[model] = d.at(now)
 	}
