--- a/relay/answer.go
+++ b/relay/answer.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		f.conn.Close()
 		x.ran()
-		return f.verdict(verdictBroken)
+		return f.broken()
 	}
 	f.sign()
 	if f.refusedByUpstream(resp) {
@@ -122,7 +122,7 @@
 	body, err := readWhole(resp)
 	if err != nil {
 		f.conn.Close()
-		return f.verdict(verdictBroken)
+		return f.broken()
 	}
 	x.s.pool.put(f.conn, resp)
 	signed := resp.Header.Get(x.s.Names.Signature) != ""
--- a/relay/request.go
+++ b/relay/request.go
@@ -17,7 +17,7 @@
 // writeRequest writes the caller's request, with what the relay sets itself.
 func (x *exchange) writeRequest(conn *upstreamConn, t *target) error {
 	bw := conn.bw
-	bw.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\n")
+	text(bw, x.r.Method, " ", x.r.RequestURI, " HTTP/1.1\r\n")
 	writeHeader(bw, "Host", x.r.Host)
 	names := &x.s.Names
 	own := map[string]bool{
@@ -48,17 +48,22 @@
 	if len(x.body) > 0 || x.r.Method != http.MethodGet && x.r.Method != http.MethodHead {
 		writeHeader(bw, "Content-Length", strconv.Itoa(len(x.body)))
 	}
-	bw.WriteString("\r\n")
-	bw.Write(x.body)
+	text(bw, "\r\n")
+	if _, err := bw.Write(x.body); err != nil {
+		return err
+	}
 	return bw.Flush()
 }
 
 func writeHeader(bw *bufio.Writer, name, value string) {
-	// Errors of a bufio.Writer stay until Flush returns them.
-	bw.WriteString(name)
-	bw.WriteString(": ")
-	bw.WriteString(value)
-	bw.WriteString("\r\n")
+	text(bw, name, ": ", value, "\r\n")
+}
+
+// text writes parts; an error of a bufio.Writer stays until Flush returns it.
+func text(bw *bufio.Writer, parts ...string) {
+	for _, part := range parts {
+		_, _ = bw.WriteString(part)
+	}
 }
 
 // namedByConnection returns the headers that the caller's Connection header names.
--- a/relay/run.go
+++ b/relay/run.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"os"
 	"syscall"
 	"time"
 
@@ -159,7 +157,7 @@
 		x.mayHaveRun = true
 		x.runs++
 		conn.Close()
-		return f.verdict(verdictBroken)
+		return f.broken()
 	}
 	return f.follow()
 }
@@ -272,8 +270,8 @@
 	f.lane.sign(f.waited)
 }
 
-// verdict corrects v when the connection was ended from here.
-func (f *follower) verdict(v verdict) verdict {
+// broken is the verdict on a connection that failed: it may have been ended from here.
+func (f *follower) broken() verdict {
 	x := f.x
 	if x.r.Context().Err() != nil {
 		return verdictGone
@@ -287,11 +285,5 @@
 	case x.left() <= 0:
 		return verdictExpired
 	}
-	return v
-}
-
-// timedOut reports whether err is a deadline of the connection.
-func timedOut(err error) bool {
-	var ne net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+	return verdictBroken
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,8 +16,6 @@
 	"io"
 	"net/http"
 	"strconv"
-
-	"github.com/dunlinquay/dunlinquay/httproute"
 )
 
 // maxEvent bounds one event.
@@ -91,7 +89,7 @@
 	}
 	if err != nil {
 		f.conn.Close()
-		return f.verdict(verdictBroken)
+		return f.broken()
 	}
 	x.s.pool.put(f.conn, resp)
 	return verdictDone
@@ -153,20 +151,23 @@
 
 // check reports whether ev was passed on before; an event that leaves others out is an error.
 func (x *exchange) check(ev *event) (skip bool, err error) {
-	if ev.id == "" || x.lastEvent == "" {
-		return false, nil
-	}
-	last, err1 := strconv.ParseInt(x.lastEvent, 10, 64)
-	now, err2 := strconv.ParseInt(ev.id, 10, 64)
-	if err1 != nil || err2 != nil {
+	last, known := eventNumber(x.lastEvent)
+	now, numbered := eventNumber(ev.id)
+	switch {
+	case !known || !numbered:
 		return false, nil
-	}
-	if now > last+1 && x.route.Kind == httproute.KindStream {
+	case now > last+1:
 		return false, errGap
 	}
 	return now <= last, nil
 }
 
+// eventNumber reads the id of an event; ids that are not numbers are passed on unchecked.
+func eventNumber(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil
+}
+
 // event notes that ev went to the caller.
 func (f *follower) event(ev *event) {
 	x, s := f.x, f.x.s
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -40,10 +40,6 @@
 	}
 }
 
-func serving(s roster.MemberState) bool {
-	return s == roster.MemberOpen || s == roster.MemberClosing
-}
-
 // reportedGroup puts a group together from its members' reports, in the order of their ranks. Unless it is whole and open
 // it is to be left; its first member is then the head, if the head reported at all.
 func (f *Formation) reportedGroup(key groupKey, members []*roster.Upstream) *roster.Group {
@@ -207,29 +203,40 @@
 		return
 	}
 	for _, g := range f.groups() {
-		m, ok := f.engine.Model(g.Model)
-		if !ok || !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
+		if !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
 			continue
 		}
-		here := map[ident.Domain]int{}
-		for _, id := range g.Members {
-			if u := f.byID[id]; u != nil {
-				here[u.Domain]++
-			}
+		if domain, ok := f.home(s, &g); ok {
+			f.homing[g.Name] = domain
+			f.phase(&g, roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
+			return
 		}
-		for i := range s.Free {
-			if c := &s.Free[i]; here[c.Domain] > 0 && readyIn(m, c) <= m.Warm {
-				here[c.Domain]++
-			}
+	}
+}
+
+// home returns the domain in which the members of g and the free upstreams could make up a whole group.
+func (f *Formation) home(s *Situation, g *roster.Group) (ident.Domain, bool) {
+	m, ok := f.engine.Model(g.Model)
+	if !ok {
+		return "", false
+	}
+	here := map[ident.Domain]int{}
+	for _, id := range g.Members {
+		if u := f.byID[id]; u != nil {
+			here[u.Domain]++
 		}
-		for domain, n := range here {
-			if n >= m.Size {
-				f.homing[g.Name] = domain
-				f.phase(&g, roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
-				return
-			}
+	}
+	for i := range s.Free {
+		if c := &s.Free[i]; here[c.Domain] > 0 && readyIn(m, c) <= m.Warm {
+			here[c.Domain]++
+		}
+	}
+	for domain, n := range here {
+		if n >= m.Size {
+			return domain, true
 		}
 	}
+	return "", false
 }
 
 // loadsNow returns how many loads may begin; before the first request they are cheap, but still share the weight store.
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -297,7 +297,6 @@
 // broken returns why an open group can't serve any more, or nothing. Silence alone proves nothing: a member that control
 // does not reach may serve.
 func (f *Formation) broken(g *roster.Group) string {
-	sight := f.world.Sights[g.Name]
 	missed, dead := false, false
 	for _, id := range g.Members {
 		u := f.byID[id]
@@ -310,6 +309,12 @@
 		missed = missed || f.world.Ages[id] >= missedReport
 		dead = dead || f.world.Dead[id]
 	}
+	return f.standsStill(g, missed, dead)
+}
+
+// standsStill weighs what entries see of a group, given whether a member missed a report or takes no connections.
+func (f *Formation) standsStill(g *roster.Group, missed, dead bool) string {
+	sight := f.world.Sights[g.Name]
 	switch {
 	case sight.Blamed != "" && contains(g.Members, sight.Blamed):
 		return "the head blames member " + string(sight.Blamed)
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -351,7 +351,7 @@
 		if c.Staging != "" || p.loads < 1 || p.serves(c) {
 			continue
 		}
-		m := p.missing(c, have[c.Domain])
+		m := p.missing(have[c.Domain])
 		if m == "" || c.Last == m || roster.Has(c.Staged, m) {
 			continue
 		}
@@ -391,8 +391,8 @@
 	return !fresh && c.FreeFor < strandedAfter
 }
 
-// missing returns the model that c is most useful for in its domain.
-func (p *plan) missing(c *Candidate, have map[ident.Model]int) ident.Model {
+// missing returns the model for which one more upstream is most useful in a domain that has those in have.
+func (p *plan) missing(have map[ident.Model]int) ident.Model {
 	best := ident.Model("")
 	bestScore := 0.0
 	for i := range p.Engine.Models {
--- a/site/control.go
+++ b/site/control.go
@@ -120,7 +120,7 @@
 	}
 	c.handOver()
 	end()
-	calls.Close()
+	_ = calls.Close()
 	wg.Wait()
 	c.peers.wait()
 	c.Log.Info("control daemon stopped")
--- a/site/entry.go
+++ b/site/entry.go
@@ -97,7 +97,7 @@
 	}
 	end()
 	for _, s := range servers {
-		s.Close()
+		_ = s.Close()
 	}
 	wg.Wait()
 	p.wait()
