Prove the relay against upstreams' faults, and take a stream without events for broken

Cause: the first table of stream faults showed that an answer of no events passed as a whole stream. Ruled out: nothing.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,6 +24,7 @@
 var (
 	errPartEvent = errors.New("the stream ends within an event")
 	errLongEvent = errors.New("an event is too long")
+	errEmpty     = errors.New("the stream has no event")
 	errGap       = errors.New("events are missing")
 	errUnsigned  = errors.New("the answer has no signature")
 	errCaller    = errors.New("the caller does not read")
@@ -108,6 +109,9 @@
 	events := &eventReader{br: bufio.NewReaderSize(resp.Body, readBuffer)}
 	for {
 		ev, err := events.next()
+		if errors.Is(err, io.EOF) && x.lastEvent == "" {
+			return errEmpty
+		}
 		if errors.Is(err, io.EOF) {
 			f.startOnce(resp)
 			return nil
--- /dev/null
+++ b/relay/upstream_test.go
@@ -0,0 +1,139 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// upstream is a worker that answers over raw connections, so that every fault of a connection can be played.
+type upstream struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu   sync.Mutex
+	seen []seen
+	// play answers one request on a connection; returning false closes it.
+	play func(c net.Conn, r *http.Request, n int) bool
+	wg   sync.WaitGroup
+}
+
+// seen is what arrived of one request.
+type seen struct {
+	ID, Method, Path, Body, Customer, Key, Event, Incarnation string
+}
+
+func newUpstream(t *testing.T, play func(c net.Conn, r *http.Request, n int) bool) *upstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{t: t, ln: ln, play: play}
+	u.wg.Go(u.accept)
+	t.Cleanup(func() { ln.Close() })
+	return u
+}
+
+func (u *upstream) address() string { return u.ln.Addr().String() }
+
+func (u *upstream) accept() {
+	for {
+		c, err := u.ln.Accept()
+		if err != nil {
+			return
+		}
+		u.wg.Go(func() { u.serve(c) })
+	}
+}
+
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.seen = append(u.seen, seen{
+			r.Header.Get("Request"), r.Method, r.RequestURI, string(body), r.Header.Get("Customer"), r.Header.Get("Key"),
+			r.Header.Get("Event"), r.Header.Get("Life"),
+		})
+		n := len(u.seen)
+		u.mu.Unlock()
+		if !u.play(c, r, n) {
+			return
+		}
+	}
+}
+
+func (u *upstream) arrivals() []seen {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]seen(nil), u.seen...)
+}
+
+// head returns the head of an answer to r.
+func head(r *http.Request, status int, extra ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest: %s\r\n%s\r\n", status, r.Header.Get("Request"), strings.Join(append(extra, ""), "\r\n"))
+}
+
+const signature = "Signature: s"
+
+// whole answers r with a body that is derived from its id.
+func whole(c net.Conn, r *http.Request) bool {
+	body := "answer to " + r.Header.Get("Request")
+	_, err := io.WriteString(c, head(r, 200, signature, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+	return err == nil
+}
+
+func notRun(c net.Conn, r *http.Request) bool {
+	_, err := io.WriteString(c, head(r, 503, "Not-Run: 1", "Content-Length: 0"))
+	return err == nil
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// stream answers with the events from one to another; ended tells whether the stream ends properly.
+func stream(c net.Conn, r *http.Request, from, to int, ended bool) bool {
+	text := events(from, to)
+	out := head(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked") +
+		fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	if ended {
+		out += "0\r\n\r\n"
+	}
+	_, err := io.WriteString(c, out)
+	return err == nil && ended
+}
+
+// reset breaks a connection so that the other side sees an error and not an end.
+func reset(c net.Conn) bool {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
+
+// silent waits until the other side gives up.
+func silent(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
