Bound the loads in flight, and do not charge the loads of the start to later ones

Cause: the 48 loads of the start left the allowance at -44, so nothing was staged for the first 15 s after it; and more loads at once than the store serves only take longer. Ruled out: nothing. Change: as in the subject; the stand-in engines close over some seconds, and joining beside a closing head counts as a fault.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -93,14 +93,14 @@
 		f.beginGroup(&d.Groups[i])
 	}
 	for _, st := range d.Stage {
-		f.loads--
+		f.spend(1)
 		f.staging[st.ID] = staged{st.Model, f.world.Now}
 		f.Send(Order{To: st.ID, Address: f.byID[st.ID].Address, Action: ActionStage, Model: st.Model, Fence: f.Fence})
 	}
 }
 
 func (f *Formation) beginGroup(choice *Choice) {
-	f.loads -= float64(choice.Loads)
+	f.spend(choice.Loads)
 	epoch := f.NextEpoch()
 	g := roster.Group{
 		Name:    ident.Group("g" + strconv.FormatUint(uint64(epoch), 36)),
@@ -260,6 +260,13 @@
 	return "", false
 }
 
+// spend takes loads out of the allowance, which counts only after the start.
+func (f *Formation) spend(loads int) {
+	if !f.Early {
+		f.loads -= float64(loads)
+	}
+}
+
 // loadsNow returns how many loads may begin; before the first request they are cheap, but still share the weight store.
 func (f *Formation) loadsNow() int {
 	now := f.world.Now
@@ -276,5 +283,6 @@
 		f.loads = min(loadBurst, f.loads+now.Sub(f.loadedAt).Seconds()*f.engine.LoadsPerSecond*loadShare)
 	}
 	f.loadedAt = now
-	return int(f.loads)
+	// Past the number that the store serves at once, each load only takes longer.
+	return max(0, min(int(f.loads), f.engine.ConcurrentLoads-len(f.staging)))
 }
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -33,7 +33,7 @@
 	members  []ident.Incarnation
 	model    ident.Model
 	readyAt  time.Time
-	openAt   time.Time
+	closedAt time.Time
 	last     ident.Model
 	staged   ident.Model
 	stageAt  time.Time
@@ -190,7 +190,8 @@
 		return f.open(e)
 	case replicaset.ActionClose:
 		if e.member.State == roster.MemberOpen {
-			e.member.State = roster.MemberReady
+			e.member.State = roster.MemberClosing
+			e.closedAt = f.now.Add(time.Duration(f.random.Int64N(int64(3 * time.Second))))
 			e.changed = true
 		}
 	case replicaset.ActionLeave:
@@ -212,8 +213,9 @@
 		// A head that opened by a late order a moment ago and has not been able to report it can't be known to be open.
 		head := f.byID[e.members[0]]
 		unknown := head.lateOpen && head.changed
-		if head.alive && head.member.Group == e.member.Group && head.member.State == roster.MemberOpen && !unknown {
-			f.faultf("%s joins %s while the head %s of its group %s is open", e.id, o.Group, head.id, e.member.Group)
+		serves := head.member.State == roster.MemberOpen || head.member.State == roster.MemberClosing
+		if head.alive && head.member.Group == e.member.Group && serves && !unknown {
+			f.faultf("%s joins %s while the head %s of its group %s is %s", e.id, o.Group, head.id, e.member.Group, head.member.State)
 		}
 	}
 	m, _ := f.model.Model(o.Model)
@@ -304,6 +306,10 @@
 		e.last, e.staged = e.model, e.model
 		e.changed = true
 	}
+	if e.member.State == roster.MemberClosing && !f.now.Before(e.closedAt) {
+		e.member.State = roster.MemberReady
+		e.changed = true
+	}
 	if e.staging != "" && !f.now.Before(e.stageAt) {
 		e.staged, e.staging = e.staging, ""
 		e.changed = true
@@ -323,7 +329,7 @@
 
 // standStill breaks a group whose head lacks a member for long enough.
 func (f *fleet) standStill(e *engine) {
-	if e.member.State != roster.MemberOpen {
+	if e.member.State != roster.MemberOpen && e.member.State != roster.MemberClosing {
 		e.stoodAt = time.Time{}
 		return
 	}
