Form a whole group before the next far one closes, and bound how long a far one may close

Ruled out: the number of free upstreams. Change: groups are begun before the next closing, a closing for a whole group lasts 1.2 s, what is left is continued elsewhere.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -86,7 +86,6 @@
 // begin starts groups from the upstreams that are free, and stages weights on those that lack them.
 func (f *Formation) begin() {
 	s := f.situation()
-	f.bringHome(s)
 	s.Free = f.unreserved(s.Free)
 	d := Plan(s)
 	for i := range d.Groups {
@@ -97,6 +96,7 @@
 		f.staging[st.ID] = staged{st.Model, f.world.Now}
 		f.Send(Order{To: st.ID, Address: f.byID[st.ID].Address, Action: ActionStage, Model: st.Model, Fence: f.Fence})
 	}
+	f.bringHome(f.situation())
 }
 
 func (f *Formation) beginGroup(choice *Choice) {
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -35,6 +35,9 @@
 	loadSlack  = 5 * time.Second
 	// closeLimit is how long a group may finish its work; an engine that leaves stays for 10 s at most.
 	closeLimit = 10 * time.Second
+	// homeLimit is the same for a group that makes room for a better one: the upstreams of a whole domain wait for it, and
+	// its requests can be continued elsewhere.
+	homeLimit = 1200 * time.Millisecond
 	// stallAlone is how long a group may show no sign of life when all its members report.
 	stallAlone = 1500 * time.Millisecond
 	// stallWithSilent is the same when a member has missed a report.
@@ -353,7 +356,7 @@
 		f.drop(g, "has finished its work")
 		return
 	}
-	if why := f.broken(g); why != "" || f.world.Now.Sub(g.Since) > closeLimit {
+	if why := f.broken(g); why != "" || f.world.Now.Sub(g.Since) > f.closeLimit(g) {
 		if why == "" {
 			why = "did not finish in time"
 		}
@@ -364,6 +367,14 @@
 	f.order(g, g.Head(), ActionClose)
 }
 
+// closeLimit is how long g may finish its work.
+func (f *Formation) closeLimit(g *roster.Group) time.Duration {
+	if _, ok := f.homing[g.Name]; ok {
+		return homeLimit
+	}
+	return closeLimit
+}
+
 // outcome returns what became of the last order of that kind for g, or nothing while it is not known.
 func (f *Formation) outcome(g *roster.Group, to ident.Incarnation, action Action) Outcome {
 	o := f.orders[orderKey{to, action, g.Epoch}]
