--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -8,6 +8,9 @@
 //	v7 -> held 7;  v7 again -> held 7;  v5 -> held 7;  v9 -> held 9
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,10 +19,42 @@
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
-// Document is one configuration as an operator sent it; Body is opaque to this package.
+// Document is one configuration as an operator sent it, compressed: with many routes it is large, and it goes to every daemon.
 type Document struct {
 	Version httproute.Version `cbor:"1,keyasint"`
-	Body    []byte            `cbor:"2,keyasint"`
+	Packed  []byte            `cbor:"2,keyasint"`
+}
+
+// maxBody bounds a configuration after it is unpacked, in bytes.
+const maxBody = 64 << 20
+
+// NewDocument packs body, which is opaque to this package.
+func NewDocument(version httproute.Version, body []byte) (Document, error) {
+	var packed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return Document{}, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return Document{}, err
+	}
+	if err := w.Close(); err != nil {
+		return Document{}, err
+	}
+	return Document{Version: version, Packed: packed.Bytes()}, nil
+}
+
+// Unpack returns the body of a packed document.
+func Unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, result.Wrap(err, result.StorageDamaged, "a configuration cannot be unpacked")
+	}
+	body, err := io.ReadAll(io.LimitReader(r, maxBody))
+	if err != nil {
+		return nil, result.Wrap(err, result.StorageDamaged, "a configuration cannot be unpacked")
+	}
+	return body, nil
 }
 
 // Answer tells what a proposed document did.
--- a/catalog/machine_test.go
+++ b/catalog/machine_test.go
@@ -11,7 +11,11 @@
 
 func encode(t *testing.T, version httproute.Version, body string) []byte {
 	t.Helper()
-	data, err := catalog.Encode(catalog.Document{Version: version, Body: []byte(body)})
+	d, err := catalog.NewDocument(version, []byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := catalog.Encode(d)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,8 +44,9 @@
 		if diff := cmp.Diff(c.want, m.Apply(encode(t, c.version, c.body))); diff != "" {
 			t.Errorf("%s: answer (-want +got):\n%s", c.name, diff)
 		}
-		if got := string(m.Held().Body); got != c.held {
-			t.Errorf("%s: holds %q, want %q", c.name, got, c.held)
+		got, err := catalog.Unpack(m.Held().Packed)
+		if err != nil || string(got) != c.held {
+			t.Errorf("%s: holds %q (%v), want %q", c.name, got, err, c.held)
 		}
 	}
 	if diff := cmp.Diff([]httproute.Version{7, 19}, changes); diff != "" {
@@ -79,3 +84,18 @@
 		t.Error("a damaged snapshot is taken")
 	}
 }
+
+func TestDamagedDocuments(t *testing.T) {
+	d, err := catalog.NewDocument(1, []byte("a configuration with some length"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, packed := range map[string][]byte{
+		"nothing": nil, "no packed form": []byte("text"), "cut": d.Packed[:len(d.Packed)-4],
+		"changed": append(append([]byte(nil), d.Packed[:len(d.Packed)-1]...), d.Packed[len(d.Packed)-1]^1),
+	} {
+		if _, err := catalog.Unpack(packed); err == nil {
+			t.Errorf("%s: unpacked without an error", name)
+		}
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,7 +151,7 @@
 	}{
 		{"sound", always(whole), 200, 200, true},
 		{"refuses", always(notRun), 200, 200, false},
-		{"is another life", func(c net.Conn, r *http.Request, _ int) bool {
+		{"is another life", func(c net.Conn, _ *http.Request, _ int) bool {
 			_, err := io.WriteString(c, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
 			return err == nil
 		}, 200, 200, false},
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -1,7 +1,6 @@
 package replicaset_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -187,6 +186,6 @@
 	before := f.orders
 	f.run(20*time.Second, nil)
 	if got := f.orders - before; got > 0 {
-		t.Error(fmt.Sprintf("%d orders while nothing happens", got))
+		t.Errorf("%d orders while nothing happens", got)
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestReports(t *testing.T) {
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	for _, c := range []struct {
 		name string
 		do   func(r *roster.Roster)
--- a/site/calls.go
+++ b/site/calls.go
@@ -103,7 +103,11 @@
 	if held := c.machine.Held().Version; call.Version <= held {
 		return nil
 	}
-	data, err := catalog.Encode(catalog.Document{Version: call.Version, Body: call.Body})
+	d, err := catalog.NewDocument(call.Version, call.Body)
+	if err != nil {
+		return result.Wrap(err, result.ChangeInvalid, "the configuration cannot be packed")
+	}
+	data, err := catalog.Encode(d)
 	if err != nil {
 		return result.Wrap(err, result.ChangeInvalid, "the configuration cannot be encoded")
 	}
@@ -122,7 +126,8 @@
 	if held.Version == 0 {
 		return PassReply{}, result.New(result.NoLeader, "there is no configuration yet")
 	}
-	return PassReply{Body: held.Body}, nil
+	body, err := catalog.Unpack(held.Packed)
+	return PassReply{Body: body}, err
 }
 
 // sync answers a daemon that follows, at once when there is news for it and after a moment otherwise.
@@ -145,7 +150,7 @@
 		reply.Changes = r.roster.Since(since)
 	}
 	if held := c.machine.Held(); held.Version > call.Version {
-		reply.Version, reply.Config = held.Version, held.Body
+		reply.Version, reply.Config = held.Version, held.Packed
 	}
 	// Looked at last: what stands in the reply was then the newest that anyone had accepted.
 	reply.Leads = c.leads()
--- a/site/control.go
+++ b/site/control.go
@@ -61,7 +61,9 @@
 	copiedAt time.Time
 	copiedOf Reign
 	recalled bool
-	table    *httproute.Table
+	// table is the configuration of tableOf laid out; only a leader needs it.
+	table   *httproute.Table
+	tableOf httproute.Version
 	// renewed is closed when another configuration counts.
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
@@ -189,21 +191,41 @@
 	}
 }
 
-// configChanged lays a new configuration out and wakes those who wait for it.
+// configChanged wakes those who wait for a new configuration.
 func (c *Control) configChanged(d catalog.Document) {
-	cfg, err := c.DecodeConfig(d.Body)
-	if err != nil {
-		// It was checked before it was accepted, so this is a fault of this build.
-		c.Log.Error(err, "accepted configuration cannot be read", "version", d.Version)
-		return
-	}
-	table := httproute.NewTable(cfg)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table = table
 	close(c.renewed)
 	c.renewed = make(chan struct{})
-	c.Log.Info("configuration in force", "version", d.Version, "routes", len(cfg.Routes), "services", len(cfg.Services))
+	c.Log.Info("configuration held", "version", d.Version, "packed-bytes", len(d.Packed))
+}
+
+// newestTable returns the newest configuration laid out, or nil before the first.
+func (c *Control) newestTable() *httproute.Table {
+	held := c.machine.Held()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held.Version == c.tableOf {
+		return c.table
+	}
+	cfg, err := decodePacked(held.Packed, c.DecodeConfig)
+	c.tableOf = held.Version
+	if err != nil {
+		// It was checked before it was accepted, so this is a fault of this build.
+		c.Log.Error(err, "accepted configuration cannot be read", "version", held.Version)
+		return c.table
+	}
+	c.table = httproute.NewTable(cfg)
+	return c.table
+}
+
+// decodePacked reads a packed configuration.
+func decodePacked(packed []byte, decode func(body []byte) (*httproute.Config, error)) (*httproute.Config, error) {
+	body, err := catalog.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	return decode(body)
 }
 
 // leads reports whether this daemon may act as leader now: it holds the lease and knows everything that was committed.
--- a/site/entry.go
+++ b/site/entry.go
@@ -169,7 +169,7 @@
 // apply puts the leader's word in force; began is the moment up to which it is certainly the newest.
 func (e *Entry) apply(began time.Time, r *SyncReply) {
 	if r.Config != nil {
-		cfg, err := e.DecodeConfig(r.Config)
+		cfg, err := decodePacked(r.Config, e.DecodeConfig)
 		if err != nil {
 			// It was checked before it was accepted; without it this daemon can't be sure of anything newer.
 			e.Log.Error(err, "accepted configuration cannot be read", "version", r.Version)
--- a/site/members.go
+++ b/site/members.go
@@ -62,6 +62,27 @@
 	return s.Formed && (s.Commit > 0 || s.Leader != "")
 }
 
+// Voters returns how many members the control quorum has, as this daemon knows it.
+func (c *Control) Voters() int {
+	n := 0
+	for _, m := range c.node.Status().Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// IsVoter reports whether this daemon has a vote, as it knows itself.
+func (c *Control) IsVoter() bool {
+	for _, m := range c.node.Status().Members {
+		if m.ID == c.self {
+			return m.Voter
+		}
+	}
+	return false
+}
+
 func isMember(s *quorum.Status, id quorum.MemberID) bool {
 	for _, m := range s.Members {
 		if m.ID == id {
--- a/site/messages.go
+++ b/site/messages.go
@@ -65,7 +65,7 @@
 	// copy of its predecessor's roster.
 	Counts  bool
 	Changes roster.Delta
-	// Version and Config are set when the caller's version is older.
+	// Version and Config, which is packed, are set when the caller's version is older.
 	Version httproute.Version
 	Config  []byte
 	// Others counts the requests of all other entries at each upstream.
--- a/site/reign.go
+++ b/site/reign.go
@@ -191,9 +191,7 @@
 		return
 	}
 	r.roster.Expire(now)
-	r.c.mu.Lock()
-	table := r.c.table
-	r.c.mu.Unlock()
+	table := r.c.newestTable()
 	if table == nil {
 		return
 	}
@@ -373,9 +371,7 @@
 
 // work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
 func (r *reign) work(model ident.Model, d relay.Demand) float64 {
-	r.c.mu.Lock()
-	table := r.c.table
-	r.c.mu.Unlock()
+	table := r.c.newestTable()
 	if table == nil {
 		return 0
 	}
--- /dev/null
+++ b/site/site_test.go
@@ -0,0 +1,305 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/platform"
+	"github.com/dunlinquay/dunlinquay/replicaset"
+	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// eventually is how long a condition may take on a busy machine; no verdict depends on how long it took.
+const eventually = 60 * time.Second
+
+// daemons are the processes of a site on loopback addresses, with one folder each.
+type daemons struct {
+	t       *testing.T
+	dir     string
+	port    int
+	ports   map[string]int
+	seeds   []string
+	running map[string]*running
+}
+
+type running struct {
+	control *site.Control
+	end     context.CancelFunc
+	done    chan struct{}
+}
+
+func newDaemons(t *testing.T) *daemons {
+	t.Helper()
+	d := &daemons{t: t, dir: t.TempDir(), ports: map[string]int{}, running: map[string]*running{}}
+	d.port = freePort(t)
+	for _, host := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.2.1"} {
+		d.ports[host] = freePort(t)
+	}
+	for _, host := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		d.seeds = append(d.seeds, d.address(host))
+	}
+	t.Cleanup(func() {
+		for host := range d.running {
+			d.kill(host)
+		}
+	})
+	return d
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func (d *daemons) address(host string) string {
+	return fmt.Sprintf("%s:%d", host, d.ports[host])
+}
+
+func (d *daemons) settings(host string, first bool) *settings.Site {
+	cfg := settings.DefaultSite()
+	cfg.Name = "daemon"
+	cfg.Listen.Host = host
+	cfg.PeerPort = d.port
+	cfg.Seeds = d.seeds
+	cfg.FirstStart = first
+	return &cfg
+}
+
+func (d *daemons) start(host string, run func(ctx context.Context) error) {
+	ctx, end := context.WithCancel(context.Background())
+	r := &running{end: end, done: make(chan struct{})}
+	d.running[host] = r
+	go func() {
+		defer close(r.done)
+		if err := run(ctx); err != nil {
+			d.t.Errorf("%s: %v", host, err)
+		}
+	}()
+}
+
+func (d *daemons) control(host string, first bool) {
+	d.t.Helper()
+	cfg := d.settings(host, first)
+	cfg.Listen.Control = d.address(host)
+	cfg.DataFolder = filepath.Join(d.dir, host)
+	c, err := site.NewControl(cfg)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	c.DecodeConfig = platform.DecodeConfig
+	c.GiveOrder = func(context.Context, *replicaset.Order) replicaset.Outcome { return replicaset.OutcomeRefused }
+	c.Handler = (&platform.Control{Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read}).Handler()
+	c.Reread = func() (*settings.Site, error) { return cfg, nil }
+	d.start(host, c.Run)
+	d.running[host].control = c
+}
+
+// voters waits until a daemon knows of so many voters.
+func (d *daemons) voters(host string, n int) {
+	d.t.Helper()
+	d.until(fmt.Sprintf("%d voters", n), func() bool { return d.running[host].control.Voters() == n })
+}
+
+func (d *daemons) entry(host string) {
+	cfg := d.settings(host, false)
+	cfg.Listen.Callers = d.address(host)
+	e := site.NewEntry(cfg, platform.Names(), transport.TCP())
+	e.DecodeConfig = platform.DecodeConfig
+	e.Ready = platform.Ready
+	e.Reread = func() (*settings.Site, error) { return cfg, nil }
+	d.start(host, e.Run)
+}
+
+// kill ends a daemon and waits until it is gone.
+func (d *daemons) kill(host string) {
+	if r := d.running[host]; r != nil {
+		r.end()
+		<-r.done
+		delete(d.running, host)
+	}
+}
+
+func (d *daemons) call(method, host, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+d.address(host)+path, strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// until waits for a condition and ends the test when it never holds.
+func (d *daemons) until(what string, holds func() bool) {
+	d.t.Helper()
+	for limit := time.Now().Add(eventually); time.Now().Before(limit); {
+		if holds() {
+			return
+		}
+		wait := time.NewTimer(20 * time.Millisecond)
+		<-wait.C
+	}
+	d.t.Fatalf("never: %s", what)
+}
+
+func configOf(version httproute.Version) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":"/v%d/","kind":"safe","timeoutMs":1000,"service":"s","public":true}],
+"services":[{"name":"s"}],"limits":{},"tenants":[]}`, version, version)
+}
+
+func (d *daemons) replace(host string, version httproute.Version) {
+	d.t.Helper()
+	d.until(fmt.Sprintf("version %d is accepted", version), func() bool {
+		status, _ := d.call("POST", host, "/Config.Replace", configOf(version))
+		return status == 200
+	})
+}
+
+func (d *daemons) reads(host string, version httproute.Version) {
+	d.t.Helper()
+	d.until(fmt.Sprintf("version %d is read", version), func() bool {
+		status, body := d.call("GET", host, "/Config.Get", "")
+		return status == 200 && body == configOf(version)
+	})
+}
+
+// A site forms itself from its seeds, grows, loses folders and members, and restarts as a whole, and what it accepted is
+// there after each.
+func TestControlFormsAndHealsItself(t *testing.T) {
+	d := newDaemons(t)
+	// The last seed comes late, the others are not seeds.
+	for _, host := range []string{"127.0.1.5", "127.0.1.2", "127.0.1.1", "127.0.1.4", "127.0.1.3"} {
+		d.control(host, true)
+	}
+	d.replace("127.0.1.4", 3)
+	for host := range d.running {
+		d.reads(host, 3)
+	}
+	d.voters("127.0.1.5", 5)
+	d.entry("127.0.2.1")
+	d.until("the entry has the configuration", func() bool {
+		status, _ := d.call("GET", "127.0.2.1", "/v3/x", "")
+		return status == 503 // There is a route, and nothing that serves it.
+	})
+
+	t.Log("two folders are lost at once")
+	for _, host := range []string{"127.0.1.1", "127.0.1.2"} {
+		d.kill(host)
+		if err := os.RemoveAll(filepath.Join(d.dir, host)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.replace("127.0.1.5", 7)
+	for _, host := range []string{"127.0.1.1", "127.0.1.2"} {
+		d.control(host, false)
+	}
+	d.reads("127.0.1.1", 7)
+	d.until("both vote in place of their old folders", func() bool {
+		return d.running["127.0.1.1"].control.IsVoter() && d.running["127.0.1.2"].control.IsVoter() && d.running["127.0.1.5"].control.Voters() == 5
+	})
+
+	t.Log("two others are gone for good, one is replaced at another address")
+	d.kill("127.0.1.3")
+	d.control("127.0.1.6", false)
+	d.replace("127.0.1.6", 9)
+	d.until("the replacement votes", func() bool { return d.running["127.0.1.6"].control.IsVoter() })
+	d.kill("127.0.1.4")
+	d.replace("127.0.1.6", 12)
+
+	t.Log("all restart")
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.5", "127.0.1.6"}
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		r := d.running[host]
+		wg.Go(func() { r.end(); <-r.done })
+	}
+	wg.Wait()
+	for _, host := range hosts {
+		d.control(host, false)
+	}
+	for _, host := range hosts {
+		d.reads(host, 12)
+	}
+	if status, _ := d.call("POST", "127.0.1.2", "/Config.Replace", configOf(9)); status != 200 {
+		t.Errorf("an older version again: status %d", status)
+	}
+	d.reads("127.0.1.5", 12)
+	d.until("the entry follows", func() bool {
+		status, _ := d.call("GET", "127.0.2.1", "/v12/x", "")
+		return status == 503
+	})
+}
+
+// An empty folder never forms a quorum of its own after the first start.
+func TestEmptyFoldersDoNotFormTwice(t *testing.T) {
+	d := newDaemons(t)
+	for _, host := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		d.control(host, false)
+	}
+	for range 20 {
+		if status, _ := d.call("POST", "127.0.1.1", "/Config.Replace", configOf(1)); status == 200 {
+			t.Fatal("accepted a configuration without a quorum")
+		}
+	}
+}
+
+// An upstream reports to any control daemon; one without a majority acknowledges nothing.
+func TestReports(t *testing.T) {
+	d := newDaemons(t)
+	for _, host := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		d.control(host, true)
+	}
+	d.replace("127.0.1.1", 1)
+	report := `{"service":"s","address":"127.0.0.1:1","zone":"z","slots":4,"state":"ready","sequence":1}`
+	leader := ""
+	for _, host := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		d.until("a report is taken", func() bool {
+			status, body := d.call("POST", host, "/Instances.Heartbeat/i-1", report)
+			if status == 200 && !strings.Contains(body, "heartbeatUrl") {
+				leader = host
+			}
+			return status == 200
+		})
+	}
+	if leader == "" {
+		t.Fatal("every daemon names another one for later reports")
+	}
+	for host := range d.running {
+		if host != leader {
+			d.kill(host)
+		}
+	}
+	d.until("a daemon without a majority stops acknowledging", func() bool {
+		status, _ := d.call("POST", leader, "/Instances.Heartbeat/i-1", report)
+		return status == 503
+	})
+	if status, _ := d.call("GET", leader, "/Config.Get", ""); status != 503 {
+		t.Errorf("a read without a majority: status %d", status)
+	}
+}
