Count groups, stranded upstreams, calls and orders at control daemons; test the entry by its routes

Cause: control daemons served no metrics. Ruled out: a fault of the entry, which answered 404 as it must. Change: tallies on the metrics address of control daemons.

--- a/site/calls.go
+++ b/site/calls.go
@@ -80,6 +80,12 @@
 
 // answer does what call asks for, as leader.
 func (c *Control) answer(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
+	reply, err := c.answerAsLeader(ctx, timeout, call)
+	c.tallies.call(call.Kind, err)
+	return reply, err
+}
+
+func (c *Control) answerAsLeader(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
 	r := c.reign.Load()
 	if r == nil || !c.leads() {
 		return PassReply{}, result.New(result.NoLeader, "this daemon does not lead, or not surely")
--- a/site/control.go
+++ b/site/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/dunlinquay/dunlinquay/disk"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -52,6 +54,8 @@
 	machine   *catalog.Machine
 	peers     *peers
 	directory *directory
+	meter     *meter.Meter
+	tallies   *tallies
 	failed    chan error
 
 	mu     sync.Mutex
@@ -88,6 +92,8 @@
 		copied: roster.NewCopy(), renewed: make(chan struct{}), strangers: map[quorum.MemberID]time.Time{},
 	}
 	c.machine.Changed = c.configChanged
+	c.meter = meter.New()
+	c.tallies = newTallies(c.meter.Scope)
 	return c, nil
 }
 
@@ -102,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	calls, err := c.listenCalls()
+	servers, err := c.listenCalls()
 	if err != nil {
 		return err
 	}
@@ -122,11 +128,13 @@
 	}
 	c.handOver()
 	end()
-	_ = calls.Close()
+	for _, s := range servers {
+		_ = s.Close()
+	}
 	wg.Wait()
 	c.peers.wait()
 	c.Log.Info("control daemon stopped")
-	return err
+	return errors.Join(err, c.meter.Close())
 }
 
 func (c *Control) prepareNode() {
@@ -168,14 +176,11 @@
 // serverRunner is a server of links.
 type serverRunner interface{ Run(ctx context.Context) }
 
-func (c *Control) listenCalls() (*http.Server, error) {
-	ln, err := net.Listen("tcp", c.Settings.Listen.Control)
-	if err != nil {
-		return nil, result.Wrap(err, result.StartFailed, "control address cannot be used")
-	}
-	server := &http.Server{Handler: c.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
-	go func() { _ = server.Serve(ln) }()
-	return server, nil
+func (c *Control) listenCalls() ([]*http.Server, error) {
+	return serveAll(c.Log, []listener{
+		{c.Settings.Listen.Control, &http.Server{Handler: c.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+		{c.Settings.Listen.Metrics, c.meter.HTTP()},
+	})
 }
 
 // handOver gives the lead to another member before this one stops.
--- a/site/entry.go
+++ b/site/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,7 +12,6 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/relay"
-	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
@@ -110,33 +107,11 @@
 		Handler: e.relay, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	list := []struct {
-		address string
-		server  *http.Server
-	}{
+	return serveAll(e.Log, []listener{
 		{e.Settings.Listen.Callers, callers},
 		{e.Settings.Listen.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: callerHeaderTime}},
 		{e.Settings.Listen.Metrics, e.meter.HTTP()},
-	}
-	var servers []*http.Server
-	for _, l := range list {
-		if l.address == "" {
-			continue
-		}
-		ln, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return nil, result.Wrap(err, result.StartFailed, "address %s cannot be used", l.address)
-		}
-		servers = append(servers, l.server)
-		go e.serve(l.server, ln)
-	}
-	return servers, nil
-}
-
-func (e *Entry) serve(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		e.Log.Error(err, "listener failed", "address", ln.Addr().String())
-	}
+	})
 }
 
 func (e *Entry) ready() bool {
--- /dev/null
+++ b/site/listen.go
@@ -0,0 +1,38 @@
+package site
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// listener is an address and what is served there; without an address nothing is.
+type listener struct {
+	address string
+	server  *http.Server
+}
+
+// serveAll serves every listener in the background and returns the servers in the same order.
+func serveAll(log logr.Logger, list []listener) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, l := range list {
+		if l.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, result.Wrap(err, result.StartFailed, "address %s cannot be used", l.address)
+		}
+		servers = append(servers, l.server)
+		go func() {
+			if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				log.Error(err, "listener failed", "address", ln.Addr().String())
+			}
+		}()
+	}
+	return servers, nil
+}
--- a/site/reign.go
+++ b/site/reign.go
@@ -177,6 +177,7 @@
 	if f := r.formations[a.service]; f != nil {
 		f.Answered(&a.order, a.outcome)
 	}
+	r.c.tallies.order(a.order.Action, a.outcome)
 	r.c.Log.Info("order answered", "to", a.order.To, "action", a.order.Action, "group", a.order.Group, "epoch", a.order.Epoch, "outcome", a.outcome)
 }
 
@@ -196,6 +197,7 @@
 		return
 	}
 	w := r.world(now)
+	r.c.tallies.count(now, r.roster.Groups(), w.Upstreams)
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
 		if s.Engine == nil {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -143,6 +143,8 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	// The host of every route of configOf.
+	r.Host = "h"
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err.Error()
@@ -155,6 +157,12 @@
 	return resp.StatusCode, string(text)
 }
 
+// routed reports whether an entry has the route of a version: there is one, and nothing that serves it.
+func (d *daemons) routed(host string, version httproute.Version) bool {
+	_, body := d.call("GET", host, fmt.Sprintf("/v%d/x", version), "")
+	return strings.Contains(body, `"result":"no-whole-group"`)
+}
+
 // until waits for a condition and ends the test when it never holds.
 func (d *daemons) until(what string, holds func() bool) {
 	d.t.Helper()
@@ -204,8 +212,7 @@
 	d.voters("127.0.1.5", 5)
 	d.entry("127.0.2.1")
 	d.until("the entry has the configuration", func() bool {
-		status, _ := d.call("GET", "127.0.2.1", "/v3/x", "")
-		return status == 503 // There is a route, and nothing that serves it.
+		return d.routed("127.0.2.1", 3)
 	})
 
 	t.Log("two folders are lost at once")
@@ -251,8 +258,7 @@
 	}
 	d.reads("127.0.1.5", 12)
 	d.until("the entry follows", func() bool {
-		status, _ := d.call("GET", "127.0.2.1", "/v12/x", "")
-		return status == 503
+		return d.routed("127.0.2.1", 12) && !d.routed("127.0.2.1", 3)
 	})
 }
 
