--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,110 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+const benchEvents = 27
+
+// benchUpstream answers plain requests, and streams of benchEvents events that each go out by themselves.
+func benchUpstream(b *testing.B) *httptest.Server {
+	b.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request", r.Header.Get("Request"))
+		w.Header().Set("Signature", "s")
+		if r.URL.Path == "/safe/x" {
+			_, _ = io.WriteString(w, "an answer of some bytes")
+			return
+		}
+		for i := 1; i <= benchEvents; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: sixty-five bytes of an answer, more or less, as engines send them\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}))
+	b.Cleanup(s.Close)
+	return s
+}
+
+func benchRelay(b *testing.B, address string) *httptest.Server {
+	b.Helper()
+	s := relay.New(names(), transport.TCP())
+	s.KeysLapse = time.Hour
+	s.Budget = relay.NewBudget(relay.BudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
+	cfg := config()
+	for i := range cfg.Routes {
+		cfg.Routes[i].Kind = httproute.KindSafe
+		if cfg.Routes[i].Name == "stream" {
+			cfg.Routes[i].Kind = httproute.KindStream
+		}
+	}
+	s.SetConfig(cfg)
+	s.SetRoster(&roster.Delta{
+		Full: true, Revision: 1,
+		Upstreams: []roster.Upstream{
+			{ID: "p", Service: "plain", Address: address, Slots: 100},
+			{ID: "h", Service: "model", Address: address, Slots: 100},
+		},
+		Groups: []roster.Group{{Name: "g", Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{"h"}}},
+	})
+	s.SetWord(time.Now())
+	front := httptest.NewServer(s)
+	b.Cleanup(front.Close)
+	return front
+}
+
+// Each front is measured against the standard library's reverse proxy in the same run; time is wall time of one caller.
+func BenchmarkRequests(b *testing.B) {
+	upstream := benchUpstream(b)
+	target, err := url.Parse(upstream.URL)
+	if err != nil {
+		b.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	proxy.FlushInterval = -1
+	bare := httptest.NewServer(proxy)
+	b.Cleanup(bare.Close)
+	own := benchRelay(b, upstream.Listener.Addr().String())
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		for name, front := range map[string]*httptest.Server{"relay": own, "reverse-proxy": bare, "none": upstream} {
+			b.Run(name+path, func(b *testing.B) { benchCalls(b, front.URL+path) })
+		}
+	}
+}
+
+func benchCalls(b *testing.B, address string) {
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext}}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r, err := http.NewRequest(http.MethodPost, address, http.NoBody)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set("Request", fmt.Sprint(i))
+		r.Header.Set("Key", "secret")
+		r.Header.Set("Model", "m")
+		resp, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK || n == 0 {
+			b.Fatalf("status %d, %d bytes, %v", resp.StatusCode, n, err)
+		}
+	}
+}
--- a/result/code.go
+++ b/result/code.go
@@ -142,7 +142,7 @@
 	{OperatorForbidden, "operator-forbidden", http.StatusUnauthorized, exitRefused, true, "The operator key is missing or not known.", "Present a valid operator key."},
 
 	{NoLeader, "no-leader", http.StatusServiceUnavailable, exitFailed, false, "No control leader confirmed the change in time; it may still be accepted.", "Send the change again with the same change id."},
-	{StorageDamaged, "storage-damaged", 0, exitStorage, false, "The data folder is damaged before its last record.", "Replace the member; see docs/OPERATORS.md."},
+	{StorageDamaged, "storage-damaged", 0, exitStorage, false, "The data folder is damaged before its last record.", "Replace the member; see docs/OPERATIONS.md."},
 	{StorageFull, "storage-full", http.StatusInsufficientStorage, exitStorage, true, "The disk is full; changes are refused and serving goes on.", "Free space in the data folder."},
 	{SyncFailed, "sync-failed", 0, exitStorage, false, "A sync of the data folder failed; what is on disk is not known.", "Replace the disk and the member."},
 	{NotAdmitted, "not-admitted", http.StatusServiceUnavailable, exitStorage, true, "This member's data folder is new or old and has no vote.", "Run control admit with the member's name."},
