--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -1,10 +1,12 @@
 package replicaset
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -157,6 +159,7 @@
 	}
 	c := Candidate{
 		ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: f.last[u.ID], Staged: u.Staged, FreeFor: now.Sub(f.free[u.ID]),
+		Stood: f.stood[u.ID],
 	}
 	if st, ok := f.staging[u.ID]; ok {
 		if roster.Has(u.Staged, st.model) || now.Sub(st.at) > f.loadLimit(st.model) {
@@ -217,47 +220,82 @@
 	return rest
 }
 
-// bringHome closes one group that spans domains when a domain has enough upstreams for a whole one among its members and
+// bringHome closes groups that span domains when one domain has enough upstreams for a whole one among their members and
 // those that are free.
 func (f *Formation) bringHome(s *Situation) {
 	if len(f.homing) > 0 {
 		return
 	}
-	for _, g := range f.groups() {
-		if !g.Far || g.Phase != roster.PhaseOpen || f.world.Now.Sub(g.Since) < farAtLeast {
-			continue
-		}
-		if domain, ok := f.home(s, &g); ok {
-			f.homing[g.Name] = domain
-			f.phase(&g, roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
-			return
+	for i := range f.engine.Models {
+		m := &f.engine.Models[i]
+		far := f.farGroups(m)
+		for _, domain := range f.looseDomains(far) {
+			groups := f.home(s, m, domain, far)
+			for j := range groups {
+				f.homing[groups[j].Name] = domain
+				f.phase(&groups[j], roster.PhaseClosing, "domain "+string(domain)+" has enough members for a whole group")
+			}
+			if len(groups) > 0 {
+				return
+			}
 		}
 	}
 }
 
-// home returns the domain in which the members of g and the free upstreams could make up a whole group.
-func (f *Formation) home(s *Situation, g *roster.Group) (ident.Domain, bool) {
-	m, ok := f.engine.Model(g.Model)
-	if !ok {
-		return "", false
+// farGroups returns the open groups of m that span domains and have served for a while.
+func (f *Formation) farGroups(m *httproute.Model) []roster.Group {
+	var list []roster.Group
+	for _, g := range f.groups() {
+		if g.Far && g.Model == m.Name && g.Phase == roster.PhaseOpen && f.world.Now.Sub(g.Since) >= farAtLeast {
+			list = append(list, g)
+		}
 	}
-	here := map[ident.Domain]int{}
-	for _, id := range g.Members {
-		if u := f.byID[id]; u != nil {
-			here[u.Domain]++
+	return list
+}
+
+// looseDomains returns the domains of the groups' members, in order.
+func (f *Formation) looseDomains(groups []roster.Group) []ident.Domain {
+	found := map[ident.Domain]bool{}
+	for i := range groups {
+		for _, id := range groups[i].Members {
+			if u := f.byID[id]; u != nil {
+				found[u.Domain] = true
+			}
 		}
 	}
+	return sortedKeys(found)
+}
+
+// home returns the groups to close so that domain has the members of a whole one, those with the most members there
+// first; nothing when they would not suffice.
+func (f *Formation) home(s *Situation, m *httproute.Model, domain ident.Domain, far []roster.Group) []roster.Group {
+	n := 0
 	for i := range s.Free {
-		if c := &s.Free[i]; here[c.Domain] > 0 && readyIn(m, c) <= m.Warm {
-			here[c.Domain]++
+		if c := &s.Free[i]; c.Domain == domain && readyIn(m, c) <= m.Warm {
+			n++
 		}
 	}
-	for domain, n := range here {
+	there := func(g *roster.Group) int {
+		count := 0
+		for _, id := range g.Members {
+			if u := f.byID[id]; u != nil && u.Domain == domain {
+				count++
+			}
+		}
+		return count
+	}
+	far = slices.Clone(far)
+	sort.SliceStable(far, func(i, j int) bool { return there(&far[i]) > there(&far[j]) })
+	for i := range far {
 		if n >= m.Size {
-			return domain, true
+			return far[:i]
 		}
+		n += there(&far[i])
+	}
+	if n >= m.Size {
+		return far
 	}
-	return "", false
+	return nil
 }
 
 // spend takes loads out of the allowance, which counts only after the start.
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -101,6 +101,8 @@
 	staging map[ident.Incarnation]staged
 	// homing holds groups that close so that a domain gets a whole group instead.
 	homing map[ident.Group]ident.Domain
+	// stood holds heads of groups that stood still although all their members reported.
+	stood map[ident.Incarnation]bool
 	// headless holds groups whose head has not reported; their members leave one by one.
 	headless map[ident.Group]bool
 	// lost holds when groups were given up whose heads may still be there.
@@ -121,6 +123,7 @@
 		lost:     map[ident.Group]time.Time{},
 		over:     map[ident.Group]time.Time{},
 		homing:   map[ident.Group]ident.Domain{},
+		stood:    map[ident.Incarnation]bool{},
 		headless: map[ident.Group]bool{},
 		staging:  map[ident.Incarnation]staged{},
 		loads:    loadBurst,
@@ -176,6 +179,7 @@
 			delete(f.last, id)
 			delete(f.free, id)
 			delete(f.staging, id)
+			delete(f.stood, id)
 		}
 	}
 	for id, u := range f.byID {
@@ -333,6 +337,7 @@
 	case missed && sight.Stalled >= stallWithSilent:
 		return "stands still, and a member is silent"
 	case sight.Stalled >= stallAlone:
+		f.stood[g.Head()] = true
 		return "stands still"
 	case sight.Refused && f.world.Ages[g.Head()] >= missedReport:
 		return "the head refuses connections"
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -13,6 +13,9 @@
 // later; each next group goes to the model whose groups are the most loaded.
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +42,8 @@
 	Staged  []ident.Model
 	Staging ident.Model
 	FreeFor time.Duration
+	// Stood is set when the upstream was the head of a group that stood still although all its members reported.
+	Stood bool
 }
 
 // Choice is a group to begin; Loads is how many members fetch weights from the store.
@@ -255,7 +260,7 @@
 	var best Choice
 	var bestRank rank
 	found := false
-	for _, name := range sortedDomains(domains) {
+	for _, name := range sortedKeys(domains) {
 		list := domains[name]
 		if len(list) < m.Size {
 			continue
@@ -306,13 +311,9 @@
 	return n
 }
 
-func sortedDomains(domains map[ident.Domain][]Candidate) []ident.Domain {
-	var names []ident.Domain
-	for name := range domains {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
+// sortedKeys makes the order in which a map is gone through the same in each run.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
 }
 
 // far puts together what is left over in several domains, those of one hall first.
@@ -415,6 +416,8 @@
 	sorted := append([]Candidate(nil), list...)
 	sort.SliceStable(sorted, func(i, j int) bool { return readyIn(m, &sorted[i]) < readyIn(m, &sorted[j]) })
 	choice := Choice{Model: m.Name}
+	// A head that takes requests and sends nothing serves best as another member.
+	sort.SliceStable(sorted[:m.Size], func(i, j int) bool { return !sorted[i].Stood && sorted[j].Stood })
 	for i := range sorted[:m.Size] {
 		c := &sorted[i]
 		choice.Members = append(choice.Members, c.ID)
