--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -471,7 +471,7 @@
 func (f *Formation) remove(g *roster.Group, why string) {
 	delete(f.headless, g.Name)
 	delete(f.homing, g.Name)
-	f.Roster.DropGroup(f.world.Now, g.Name)
+	f.Roster.DropGroup(g.Name)
 	f.Note(g, "dropped", why)
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,9 +5,9 @@
 // has ended: an id that has left is remembered, and of two ids at one address
 // only one counts.
 //
-// Every record carries the revision at which it last changed. A copy asks for
-// what changed after the revision that it has, so a change costs the same
-// however large the roster is.
+// Every change has a revision and stands in a journal. A copy asks for what
+// changed after the revision that it has, so a change costs the same however
+// large the roster is.
 
 import (
 	"reflect"
@@ -31,21 +31,23 @@
 	Upstream
 	sequence uint64
 	heard    time.Time
-	revision Revision
 	// left is set when it has signed off and will not report again.
 	left bool
 	// reported is set once it has reported to this roster, and not only to one that this one was seeded from.
 	reported bool
 }
 
-type groupRecord struct {
-	Group
-	revision Revision
+// change is what one revision changed: an upstream or a group.
+type change struct {
+	upstream ident.Incarnation
+	group    ident.Group
 }
 
+// journalLength is the number of changes that are kept; a copy that is further behind gets everything.
+const journalLength = 8192
+
 type goneRecord struct {
-	at       time.Time
-	revision Revision
+	at time.Time
 	// replaced is set when another life reported from the same address, sequence is then the last one seen.
 	replaced bool
 	sequence uint64
@@ -64,11 +66,11 @@
 	revision  Revision
 	upstreams map[ident.Incarnation]*upstreamRecord
 	byAddress map[string]ident.Incarnation
-	groups    map[ident.Group]*groupRecord
+	groups    map[ident.Group]Group
 	gone      map[ident.Incarnation]goneRecord
-	dropped   map[ident.Group]goneRecord
-	// oldest is the revision before which ended records may have been forgotten.
-	oldest  Revision
+	// journal holds the changes after revision base, one for each revision.
+	journal []change
+	base    Revision
 	changed chan struct{}
 }
 
@@ -77,33 +79,37 @@
 	return &Roster{
 		upstreams: map[ident.Incarnation]*upstreamRecord{},
 		byAddress: map[string]ident.Incarnation{},
-		groups:    map[ident.Group]*groupRecord{},
+		groups:    map[ident.Group]Group{},
 		gone:      map[ident.Incarnation]goneRecord{},
-		dropped:   map[ident.Group]goneRecord{},
 		changed:   make(chan struct{}),
 	}
 }
 
-// touch returns the next revision and wakes everyone who waits.
-func (r *Roster) touch() Revision {
+// touch notes a change and wakes everyone who waits.
+func (r *Roster) touch(c change) {
 	r.revision++
+	r.journal = append(r.journal, c)
+	if len(r.journal) >= 2*journalLength {
+		r.base += journalLength
+		r.journal = append([]change(nil), r.journal[journalLength:]...)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
-	return r.revision
 }
 
 // Seed fills an empty roster from a copy, as a new leader does; the upstreams count as heard at now.
 func (r *Roster) Seed(now time.Time, upstreams []Upstream, groups []Group) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	revision := r.touch()
 	for _, u := range upstreams {
-		r.upstreams[u.ID] = &upstreamRecord{Upstream: u, heard: now, revision: revision}
+		r.upstreams[u.ID] = &upstreamRecord{Upstream: u, heard: now}
 		r.byAddress[u.Address] = u.ID
+		r.touch(change{upstream: u.ID})
 	}
 	for _, g := range groups {
 		g.Since = now
-		r.groups[g.Name] = &groupRecord{Group: g, revision: revision}
+		r.groups[g.Name] = g
+		r.touch(change{group: g.Name})
 	}
 }
 
@@ -130,10 +136,11 @@
 			return false
 		}
 		rec.Upstream = next
-		rec.revision = r.touch()
+		r.touch(change{upstream: report.ID})
 		return true
 	}
-	r.upstreams[report.ID] = &upstreamRecord{Upstream: next, sequence: report.Sequence, heard: now, reported: true, revision: r.touch()}
+	r.upstreams[report.ID] = &upstreamRecord{Upstream: next, sequence: report.Sequence, heard: now, reported: true}
+	r.touch(change{upstream: report.ID})
 	return true
 }
 
@@ -169,8 +176,8 @@
 		ended.sequence = rec.sequence
 	}
 	delete(r.upstreams, old)
-	ended.revision = r.touch()
 	r.gone[old] = ended
+	r.touch(change{upstream: old})
 }
 
 // Leave notes that an upstream has signed off. It may go on with what it has for a while, so it stays, as one that gets
@@ -187,13 +194,14 @@
 	rec.heard = now
 	if !rec.Draining {
 		rec.Draining = true
-		rec.revision = r.touch()
+		r.touch(change{upstream: id})
 	}
 }
 
 func (r *Roster) end(now time.Time, id ident.Incarnation) {
 	delete(r.upstreams, id)
-	r.gone[id] = goneRecord{at: now, revision: r.touch()}
+	r.gone[id] = goneRecord{at: now}
+	r.touch(change{upstream: id})
 }
 
 // Expire marks silent upstreams, drops those that were silent for long, and forgets old ends.
@@ -211,18 +219,12 @@
 		}
 		if silent := age >= r.SilentAfter; silent != rec.Silent {
 			rec.Silent = silent
-			rec.revision = r.touch()
+			r.touch(change{upstream: id})
 		}
 	}
-	forget(r.gone, now, &r.oldest)
-	forget(r.dropped, now, &r.oldest)
-}
-
-func forget[K comparable](records map[K]goneRecord, now time.Time, oldest *Revision) {
-	for key, rec := range records {
+	for id, rec := range r.gone {
 		if now.Sub(rec.at) >= rememberGone {
-			*oldest = max(*oldest, rec.revision)
-			delete(records, key)
+			delete(r.gone, id)
 		}
 	}
 }
@@ -231,15 +233,16 @@
 func (r *Roster) PutGroup(g *Group) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.groups[g.Name] = &groupRecord{Group: *g, revision: r.touch()}
+	r.groups[g.Name] = *g
+	r.touch(change{group: g.Name})
 }
 
 // DropGroup forgets a group.
-func (r *Roster) DropGroup(now time.Time, name ident.Group) {
+func (r *Roster) DropGroup(name ident.Group) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.groups, name)
-	r.dropped[name] = goneRecord{at: now, revision: r.touch()}
+	r.touch(change{group: name})
 }
 
 // unreported is the least age of a report that only an earlier roster has seen; things may have changed since.
@@ -267,8 +270,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]Group, 0, len(r.groups))
-	for _, rec := range r.groups {
-		list = append(list, rec.Group)
+	for _, g := range r.groups {
+		list = append(list, g)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
@@ -285,34 +288,44 @@
 func (r *Roster) Since(revision Revision) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := Delta{Revision: r.revision}
-	d.Full = revision == 0 || revision < r.oldest || revision > r.revision
-	if d.Full {
-		revision = 0
+	if revision == 0 || revision < r.base || revision > r.revision {
+		return r.whole()
 	}
-	for _, rec := range r.upstreams {
-		if rec.revision > revision {
-			d.Upstreams = append(d.Upstreams, rec.Upstream)
+	d := Delta{Revision: r.revision}
+	told := map[change]bool{}
+	for _, c := range r.journal[revision-r.base:] {
+		if !told[c] {
+			told[c] = true
+			r.tell(&d, c)
 		}
 	}
-	for _, rec := range r.groups {
-		if rec.revision > revision {
-			d.Groups = append(d.Groups, rec.Group)
+	return d
+}
+
+// tell adds the present state of what c changed.
+func (r *Roster) tell(d *Delta, c change) {
+	if c.group != "" {
+		if g, ok := r.groups[c.group]; ok {
+			d.Groups = append(d.Groups, g)
+			return
 		}
+		d.Dropped = append(d.Dropped, c.group)
+		return
 	}
-	if !d.Full {
-		d.Gone = endedAfter(r.gone, revision)
-		d.Dropped = endedAfter(r.dropped, revision)
+	if rec := r.upstreams[c.upstream]; rec != nil {
+		d.Upstreams = append(d.Upstreams, rec.Upstream)
+		return
 	}
-	return d
+	d.Gone = append(d.Gone, c.upstream)
 }
 
-func endedAfter[K comparable](records map[K]goneRecord, revision Revision) []K {
-	var keys []K
-	for key, rec := range records {
-		if rec.revision > revision {
-			keys = append(keys, key)
-		}
+func (r *Roster) whole() Delta {
+	d := Delta{Full: true, Revision: r.revision}
+	for _, rec := range r.upstreams {
+		d.Upstreams = append(d.Upstreams, rec.Upstream)
 	}
-	return keys
+	for _, g := range r.groups {
+		d.Groups = append(d.Groups, g)
+	}
+	return d
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"sort"
 	"testing"
 	"time"
@@ -151,7 +152,7 @@
 		},
 		func() { r.Leave(start, "a") },
 		func() { r.Take(start, report("c", "y", 1)) },
-		func() { r.DropGroup(start, "g") },
+		func() { r.DropGroup("g") },
 		func() { r.Expire(start.Add(4 * time.Second)) },
 		func() { r.Expire(start.Add(20 * time.Second)) },
 		func() { r.Expire(start.Add(200 * time.Second)) },
@@ -198,3 +199,42 @@
 		t.Errorf("changed upstreams (-want +got):\n%s", diff)
 	}
 }
+
+// A copy that is further behind than the journal reaches gets everything.
+func TestACopyFarBehind(t *testing.T) {
+	r := newRoster()
+	r.Take(start, report("a", "x", 1))
+	c := roster.NewCopy()
+	d := r.Since(0)
+	c.Apply(&d)
+	for i := range 40000 {
+		r.PutGroup(&roster.Group{Name: "g", Epoch: ident.Epoch(i)})
+	}
+	d = r.Since(c.Revision)
+	if !d.Full {
+		t.Error("a delta over a journal that was cut")
+	}
+	c.Apply(&d)
+	if c.Groups["g"].Epoch != 39999 || len(c.Upstreams) != 1 {
+		t.Errorf("copy %+v", c)
+	}
+	if d = r.Since(c.Revision); !d.Empty() {
+		t.Errorf("delta %+v after nothing happened", d)
+	}
+}
+
+func BenchmarkSinceOneChange(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRoster()
+			for i := range n {
+				r.Take(start, report(ident.Incarnation(fmt.Sprint(i)), fmt.Sprint(i), 1))
+			}
+			before, _ := r.Changed()
+			r.PutGroup(&roster.Group{Name: "g"})
+			for b.Loop() {
+				r.Since(before)
+			}
+		})
+	}
+}
