Close a link server's connections before Run returns

Ruled out: load by itself, the order of the two closings explains both lines. Change: Run closes them itself before it returns.

--- a/link/server.go
+++ b/link/server.go
@@ -41,6 +41,8 @@
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
+			// The listener may be closed a moment before the connections are; both are when Run returns.
+			s.close()
 			return
 		}
 		if s.track(conn) {
