Lend groups by load, and keep cut streams for the first word of an entry that has just started

Change: a group of another model ends when the highest of the two loads becomes lower by 0.08; a stream that its caller takes up again waits up to 1.5 s after the entry's start for a configuration and the leader's word; new requests do not wait. Tests: TestPlan (by load), TestTheFirstWord.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -71,6 +71,7 @@
 
 // admit finds out what the request is and whether it may run.
 func (x *exchange) admit() error {
+	x.awaitStart()
 	if x.table == nil {
 		return result.New(result.ControlUnreachable, "no configuration has arrived yet")
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,9 @@
 	word     atomic.Pointer[time.Time]
 	stopping atomic.Bool
 	working  sync.WaitGroup
+	// began is when this relay was made, informed is closed with the first word from control.
+	began    time.Time
+	informed chan struct{}
 
 	mu     sync.Mutex
 	copied *roster.Copy
@@ -66,6 +69,7 @@
 		lanes:  map[ident.Incarnation]*lane{},
 		others: map[ident.Incarnation]int{},
 		demand: map[ident.Model]Demand{},
+		began:  time.Now(), informed: make(chan struct{}),
 	}
 	s.fleet = newFleet(s.copied, nil)
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
@@ -79,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet = newFleet(s.copied, table)
+	s.inform()
 }
 
 // Version returns the version in force, 0 when there is none.
@@ -121,6 +126,9 @@
 // SetWord notes that everything the leader had confirmed at that moment is in force here.
 func (s *Relay) SetWord(at time.Time) {
 	s.word.Store(&at)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inform()
 }
 
 // WordAge returns how old the leader's newest word is; it is very large before the first.
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -41,10 +41,11 @@
 	// farNeed is the part of a model's groups that must be missing until one across domains is formed: it takes the spares
 	// of several domains and carries a third of a whole one.
 	farNeed = 0.4
-	// groupLoad is the load of a group, in parts of its throughput at the usual batch, that is planned for; beyond
-	// crowdedLoad batches grow until first tokens are late (worked out from the published step times).
-	groupLoad   = 0.95
-	crowdedLoad = 1.15
+	// groupLoad is the load of a group, in parts of its throughput at the usual batch, that is planned for: beyond it
+	// batches grow until first tokens are late (worked out from the published step times).
+	groupLoad = 0.95
+	// moveGain is how much lower the highest load has to become for a group to end for one of another model.
+	moveGain = 0.08
 )
 
 // Candidate is an upstream as a possible member of a group.
@@ -251,17 +252,24 @@
 
 // settle counts a group of a model in a domain.
 func (p *plan) settle(model ident.Model, far bool, domain ident.Domain) {
+	p.served[model] += p.part(far)
 	if far {
-		p.served[model] += 1 / max(1, p.Engine.FarFactor)
 		return
 	}
-	p.served[model]++
 	if p.homes[domain] == nil {
 		p.homes[domain] = map[ident.Model]int{}
 	}
 	p.homes[domain][model]++
 }
 
+// part is what a group carries, in parts of a whole one.
+func (p *plan) part(far bool) float64 {
+	if far {
+		return 1 / max(1, p.Engine.FarFactor)
+	}
+	return 1
+}
+
 // take removes members from the free upstreams and returns the domain of the last one.
 func (p *plan) take(members []ident.Incarnation) ident.Domain {
 	var rest []Candidate
@@ -299,9 +307,17 @@
 	return len(p.needs) > 0 && p.need(m) > 0
 }
 
-// crowded reports whether m has so few groups that requests are late.
-func (p *plan) crowded(m *httproute.Model) bool {
-	return p.Demand[m.Name] > p.served[m.Name]*float64(m.Size)*crowdedLoad
+// load is the part of the throughput of m's groups that is asked for, if it had so many more of them.
+func (p *plan) load(m *httproute.Model, more float64) float64 {
+	demand := p.Demand[m.Name]
+	groups := p.served[m.Name] + more
+	switch {
+	case demand <= 0:
+		return 0
+	case groups <= 0:
+		return math.Inf(1)
+	}
+	return demand / (groups * float64(m.Size))
 }
 
 func (p *plan) anyShort() bool {
@@ -407,7 +423,7 @@
 
 // far puts together what is left over in several domains, those of one hall first, for a model that lacks groups.
 func (p *plan) far(m *httproute.Model) (Choice, bool) {
-	if !p.crowded(m) || p.need(m.Name) < farNeed {
+	if p.load(m, 0) <= groupLoad || p.need(m.Name) < farNeed {
 		return Choice{}, false
 	}
 	halls := map[ident.Hall]int{}
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -135,8 +135,12 @@
 			groups: placed("small a:ww", "small b:ww"), demand: groupsOf(2, 1), want: []string{"close g0 for a"},
 		},
 		{
-			name: "no group ends where the other model needs it", free: candidates("a:WWW"),
-			groups: placed("small a:ww", "small b:ww"), demand: groupsOf(2, 2), want: []string{},
+			name: "no group ends where the other model needs it more", free: candidates("a:WWW"),
+			groups: placed("small a:ww", "small b:ww", "large b:WWWW"), demand: groupsOf(1.5, 2), want: []string{},
+		},
+		{
+			name: "a group ends for one of a model that lacks it more", free: candidates("a:WWW"),
+			groups: placed("small a:ww", "small b:ww", "small c:ww", "large b:WWWW"), demand: groupsOf(2, 3), want: []string{"close g0 for a"},
 		},
 		{
 			name: "no group ends in vain", free: candidates("a:W"),
--- a/replicaset/room.go
+++ b/replicaset/room.go
@@ -2,9 +2,9 @@
 
 // Groups are closed for better ones in two cases: groups that span domains,
 // when a domain has the members of a whole one among theirs and those that are
-// free; and groups of a model that has more than it needs, when another model
-// lacks one. Both happen one domain at a time, and only when the members
-// suffice.
+// free; and groups of another model, when the highest load of the two models
+// becomes lower by it. Both happen one domain at a time, and only when the
+// members suffice.
 
 import (
 	"slices"
@@ -36,23 +36,13 @@
 	return best
 }
 
-// closable returns the groups that may end for one of m: those of m across domains, and where m is crowded those of
-// models that have more than they need.
+// closable returns the groups that may end for one of m: those of m across domains, and where m is short those of the
+// other models.
 func (p *plan) closable(m *httproute.Model) []*Placed {
-	surplus := map[ident.Model]int{}
-	if p.crowded(m) {
-		for name, served := range p.served {
-			surplus[name] = int(served) - p.needs[name]
-		}
-	}
 	var list []*Placed
 	for i := range p.Groups {
 		g := &p.Groups[i]
-		switch {
-		case !g.Settled:
-		case g.Far && g.Model == m.Name:
-			list = append(list, g)
-		case g.Model != m.Name && surplus[g.Model] > 0:
+		if g.Settled && (g.Model != m.Name && p.short(m.Name) || g.Model == m.Name && g.Far) {
 			list = append(list, g)
 		}
 	}
@@ -78,16 +68,17 @@
 		return countReady(m, domain, b.Members) - countReady(m, domain, a.Members)
 	})
 	var list []Closing
-	left := map[ident.Model]int{}
+	ended := map[ident.Model]float64{}
 	for _, g := range there {
 		gain := countReady(m, domain, g.Members)
 		if n >= m.Size || gain == 0 {
 			break
 		}
-		if g.Model != m.Name && left[g.Model] >= int(p.served[g.Model])-p.needs[g.Model] {
+		part := p.part(g.Far)
+		if g.Model != m.Name && !p.pays(m, g.Model, ended[g.Model]+part) {
 			continue
 		}
-		left[g.Model]++
+		ended[g.Model] += part
 		n += gain
 		list = append(list, Closing{g.Name, domain})
 	}
@@ -97,6 +88,12 @@
 	return list
 }
 
+// pays reports whether the highest load becomes clearly lower if m gets a group and the other model loses so many.
+func (p *plan) pays(m *httproute.Model, other ident.Model, lost float64) bool {
+	o, ok := p.Engine.Model(other)
+	return ok && max(p.load(m, 1), p.load(o, -lost)) < p.load(m, 0)-moveGain
+}
+
 // countReady counts the upstreams of a domain that can join a group of m without a load.
 func countReady(m *httproute.Model, domain ident.Domain, list []Candidate) int {
 	n := 0
