--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -68,6 +68,8 @@
 	lateNow   bool
 	lateShare float64
 	lostShare float64
+	// lose tells which orders never arrive.
+	lose      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
 	demand    map[ident.Model]float64
 	orders    int
@@ -158,7 +160,7 @@
 		answer(replicaset.OutcomeUnknown)
 	case !e.alive:
 		answer(replicaset.OutcomeUnreached)
-	case e.cut, chance < f.lostShare:
+	case e.cut, f.lose != nil && f.lose(&o), chance < f.lostShare:
 		answer(replicaset.OutcomeUnknown)
 	case chance < f.lostShare+f.lateShare:
 		after := 2*time.Second + time.Duration(f.random.Int64N(int64(10*time.Second)))
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -244,7 +244,10 @@
 			ready++
 		case roster.MemberJoining:
 		default:
-			f.order(g, id, ActionJoin)
+			// It may have been put back into an earlier group by orders that were carried out late.
+			if f.out(f.byID[id]) {
+				f.order(g, id, ActionJoin)
+			}
 		}
 	}
 	if ready < len(g.Members) {
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
 
@@ -151,6 +152,42 @@
 	}
 }
 
+// Orders of a group that ended are carried out late, while the order to join the next one is lost: its member is then the
+// open head of the old group again, and has to leave that before it joins.
+func TestLateOrdersOfAGroupThatEnded(t *testing.T) {
+	f := newFleet(t, 5, 1, 4)
+	f.run(12*time.Second, nil)
+	head := f.byID["i-001"]
+	old := head.member
+	join := replicaset.Order{To: head.id, Action: replicaset.ActionJoin, Group: old.Group, Epoch: old.Epoch, Model: "large", Members: head.members}
+	open := join
+	open.Action = replicaset.ActionOpen
+	lost := replicaset.ActionJoin
+	f.lose = func(o *replicaset.Order) bool { return o.To == head.id && o.Action == lost }
+	f.kill(f.byID[head.members[3]])
+	back := f.add("domain-0", "hall-0", "")
+	back.staged = "large"
+	f.run(1500*time.Millisecond, nil)
+	if head.member.State != roster.MemberNone {
+		t.Fatalf("the head has not left: %+v", head.member)
+	}
+	f.carryOut(head, &join)
+	f.run(400*time.Millisecond, nil)
+	lost = replicaset.ActionLeave
+	f.lateNow = true
+	f.carryOut(head, &open)
+	f.lateNow = false
+	f.run(3*time.Second, nil)
+	f.lose = nil
+	f.run(10*time.Second, nil)
+	if len(f.faults) > 0 {
+		t.Error(f.faults)
+	}
+	if diff := cmp.Diff(map[ident.Model]int{"large": 1}, f.serving()); diff != "" {
+		t.Errorf("groups that serve (-want +got):\n%s", diff)
+	}
+}
+
 // Random series of losses, cuts, late and lost orders, sign-offs and new leaders, with what must always hold checked at
 // every order.
 func TestNoMemberIsInTwoGroupsWhateverHappens(t *testing.T) {
