Let members leave a group that its head may open again before they join elsewhere

Change: when the head has left, and any order to join or open it has no known outcome or was given by an earlier leader, the other members leave too before they are free. One more round trip in such cases.

--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -67,6 +67,8 @@
 	answered time.Time
 	outcome  Outcome
 	waiting  bool
+	// doubtful is set when one of the tries has no known outcome: it may be carried out late.
+	doubtful bool
 }
 
 // staged is an order to load weights to a host; until is when it is taken for lost.
@@ -401,6 +403,9 @@
 		return
 	}
 	if f.hasLeft(head, g.Epoch) {
+		if f.mayReopen(g) && !f.membersLeft(g, 1) {
+			return
+		}
 		f.drop(g, "the head has left: "+string(f.outcome(g, head.ID, ActionLeave)))
 		return
 	}
@@ -415,6 +420,18 @@
 	f.order(g, head.ID, ActionLeave)
 }
 
+// mayReopen reports whether the head may join and open g again by orders that are carried out late: those of an earlier
+// leader, or without a known outcome. Its members are then free only after they have left it themselves.
+func (f *Formation) mayReopen(g *roster.Group) bool {
+	for _, action := range []Action{ActionJoin, ActionOpen} {
+		o := f.orders[orderKey{g.Head(), action, g.Epoch}]
+		if o != nil && o.doubtful || o == nil && action == ActionJoin {
+			return true
+		}
+	}
+	return false
+}
+
 // membersLeft takes the members from an index on out of a group whose head does not answer, and reports whether none is left in it. A
 // member that has left belongs to no group, whatever its old head does.
 func (f *Formation) membersLeft(g *roster.Group, from int) bool {
@@ -491,7 +508,8 @@
 	if u == nil {
 		return
 	}
-	f.orders[key] = &sentOrder{at: now, waiting: true}
+	doubtful := f.orders[key] != nil && f.orders[key].doubtful
+	f.orders[key] = &sentOrder{at: now, waiting: true, doubtful: doubtful}
 	f.Send(Order{
 		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
 		Model: g.Model, Members: g.Members, Fence: f.Fence,
@@ -511,6 +529,7 @@
 	sent.waiting = false
 	sent.answered = f.world.Now
 	sent.outcome = outcome
+	sent.doubtful = sent.doubtful || outcome == OutcomeUnknown
 }
 
 func (f *Formation) stageAnswered(o *Order, outcome Outcome) {
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -188,6 +188,37 @@
 	}
 }
 
+// A head that has left joins and opens its group again by late orders of an earlier leader; the other members must be out of
+// that group before they join elsewhere.
+func TestAHeadThatReopensAfterItsLeaderIsGone(t *testing.T) {
+	f := newFleet(t, 5, 1, 6)
+	f.run(12*time.Second, nil)
+	head := f.byID["i-001"]
+	join := replicaset.Order{To: head.id, Action: replicaset.ActionJoin, Group: head.member.Group, Epoch: head.member.Epoch, Model: "large", Members: head.members}
+	open := join
+	open.Action = replicaset.ActionOpen
+	f.elect(f.copied())
+	f.run(200*time.Millisecond, nil)
+	other := f.byID[head.members[2]]
+	other.draining, other.changed = true, true
+	// The group closes and its head leaves; then the late orders arrive before the next order to the head.
+	f.lose = func(o *replicaset.Order) bool { return o.To == head.id && o.Action == replicaset.ActionJoin }
+	for head.member.State != roster.MemberNone {
+		f.run(step, nil)
+	}
+	f.lateNow = true
+	f.carryOut(head, &join)
+	head.readyAt = f.now
+	f.progress(head)
+	f.carryOut(head, &open)
+	f.lateNow = false
+	head.changed = false
+	f.run(3*time.Second, nil)
+	if len(f.faults) > 0 {
+		t.Error(f.faults)
+	}
+}
+
 // Random series of losses, cuts, late and lost orders, sign-offs and new leaders, with what must always hold checked at
 // every order.
 func TestNoMemberIsInTwoGroupsWhateverHappens(t *testing.T) {
