Send each request to the better of two targets drawn at random

All 58 entries get the same loads from the leader ten times a second and took the best two targets: 35 requests of a tenth of a second went to two of 18 groups. Ruled out: too few groups alone (18 of 21 needed). Change: an entry draws two sound targets and takes the one with the lower score. Test: TestRequestsSpread (before, the least loaded of five got every request).

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -2,12 +2,12 @@
 
 // A target's score is an estimate of how long it takes from here: its load, the
 // pace at which its events come, failures seen lately, and a little for
-// another hall. What other entries have there is known from the leader, a
-// moment late, so the choice is made between two good ones at random: else all
-// entries would turn to the one that was free a moment ago.
+// another hall. What other entries have there is known from the leader, up to
+// two tenths of a second late; in that time all entries together send more
+// requests than there are groups. So an entry does not take the best target,
+// which would be everyone's, but the better one of two drawn at random.
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -27,8 +27,6 @@
 	farFactor = 3.0
 	// suspectScore puts a lane that failed a moment ago behind all others.
 	suspectScore = 100
-	// closeScores are so near to each other that chance decides.
-	closeScores = 0.08
 	// queuePart is the part of the slots that may wait at an engine beyond those that it works on.
 	queuePart = 0.2
 	// plainQueue is the same for a plain worker, in requests for each slot.
@@ -55,32 +53,45 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	list := s.fleet.targets(x.service, x.model)
-	var best, second scored
+	var sound, suspect []scored
 	full := 0
 	for i := range list {
 		t := &list[i]
 		if x.wasTried(t.id) {
 			continue
 		}
-		c := s.rate(x, t, now)
-		if c.load >= 1+queueOf(x.service) {
+		switch c := s.rate(x, t, now); {
+		case c.load >= 1+queueOf(x.service):
 			full++
-			continue
-		}
-		switch {
-		case best.target == nil || c.score < best.score:
-			best, second = c, best
-		case second.target == nil || c.score < second.score:
-			second = c
+		case c.score >= suspectScore:
+			suspect = append(suspect, c)
+		default:
+			sound = append(sound, c)
 		}
 	}
-	if best.target == nil {
+	if len(sound) == 0 {
+		sound = suspect
+	}
+	if len(sound) == 0 {
 		return nil, noTarget(len(list), full)
 	}
-	if second.target != nil && second.score-best.score < closeScores && rand.IntN(2) == 0 {
-		best = second
+	return s.betterOfTwo(sound).target, nil
+}
+
+// betterOfTwo draws two different targets and returns the one with the lower score.
+func (s *Relay) betterOfTwo(list []scored) scored {
+	first := s.Draw(len(list))
+	if len(list) == 1 {
+		return list[first]
+	}
+	second := s.Draw(len(list) - 1)
+	if second >= first {
+		second++
+	}
+	if list[second].score < list[first].score {
+		return list[second]
 	}
-	return best.target, nil
+	return list[first]
 }
 
 func queueOf(s *httproute.Service) float64 {
--- /dev/null
+++ b/relay/choose_test.go
@@ -0,0 +1,47 @@
+package relay_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// All entries hear of loads at the same late moment: what is best then must not get all of their requests, and what is worst
+// gets none.
+func TestRequestsSpread(t *testing.T) {
+	const targets = 5
+	var upstreams []*upstream
+	for range targets {
+		upstreams = append(upstreams, newUpstream(t, always(whole)))
+	}
+	s := newSite(t, upstreams, nil)
+	s.relay.Draw = rand.New(rand.NewPCG(1, 1)).IntN
+	others := map[ident.Incarnation]int{}
+	for i := range targets {
+		others[ident.Incarnation("p"+strconv.Itoa(i))] = i
+	}
+	s.relay.SetOthers(others)
+	const requests = 300
+	for i := range requests {
+		s.do(s.request("GET", "/safe/x", strconv.Itoa(i), ""))
+	}
+	got := map[ident.Incarnation]int{}
+	for _, r := range s.records {
+		got[r.Tries[0].To]++
+	}
+	if got["p0"] > requests/2 || got["p0"] < requests/4 {
+		t.Errorf("the least loaded of %d got %d of %d requests, want between a quarter and half", targets, got["p0"], requests)
+	}
+	if got["p4"] > 0 {
+		t.Errorf("the most loaded got %d requests", got["p4"])
+	}
+	delete(got, "p4")
+	order := []bool{got["p0"] > got["p1"], got["p1"] > got["p2"], got["p2"] > got["p3"], got["p3"] > 0}
+	if diff := cmp.Diff([]bool{true, true, true, true}, order); diff != "" {
+		t.Errorf("a lower load gets more requests (-want +got), %v:\n%s", got, diff)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	KeysLapse time.Duration
 	// Observe takes each finished request; it must not block.
 	Observe func(r *Record)
+	// Draw returns a random number below n.
+	Draw func(n int) int
 
 	pool     *pool
 	table    atomic.Pointer[httproute.Table]
@@ -64,7 +67,7 @@
 // New returns a relay that knows no configuration yet.
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
-		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {},
+		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Draw: rand.IntN,
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
 		others: map[ident.Incarnation]int{},
