Let the members of a head that is forgotten leave it before they join elsewhere

Ruled out: late orders. Change: where the head is gone, its members leave the group before they are free; taking a group apart has one function. Test: TestAHeadThatSignedOffAndIsCutOff, which failed first (three members joined while the head was open).

--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -256,8 +256,7 @@
 		return
 	}
 	if g.WarmUp {
-		f.phase(g, roster.PhaseLeaving, "the spare is warm")
-		f.advanceLeaving(g)
+		f.leave(g, "the spare is warm")
 		return
 	}
 	f.phase(g, roster.PhaseOpening, "every member is ready")
@@ -266,8 +265,7 @@
 
 func (f *Formation) advanceOpening(g *roster.Group) {
 	if why := f.unfit(g); why != "" {
-		f.phase(g, roster.PhaseLeaving, why)
-		f.advanceLeaving(g)
+		f.leave(g, why)
 		return
 	}
 	switch in(f.byID[g.Head()], g) {
@@ -283,7 +281,7 @@
 func (f *Formation) advanceOpen(g *roster.Group) {
 	head := f.byID[g.Head()]
 	if head == nil {
-		f.drop(g, "the head has ended")
+		f.leave(g, "the head has ended")
 		return
 	}
 	switch in(head, g) {
@@ -291,13 +289,11 @@
 		f.drop(g, "the head says that the group is broken")
 		return
 	case roster.MemberNone:
-		f.phase(g, roster.PhaseLeaving, "the head is in another group")
-		f.advanceLeaving(g)
+		f.leave(g, "the head is in another group")
 		return
 	}
 	if why := f.broken(g); why != "" {
-		f.phase(g, roster.PhaseLeaving, why)
-		f.advanceLeaving(g)
+		f.leave(g, why)
 		return
 	}
 	for _, id := range g.Members {
@@ -349,14 +345,13 @@
 func (f *Formation) advanceClosing(g *roster.Group) {
 	head := f.byID[g.Head()]
 	if head == nil || f.outcome(g, head.ID, ActionClose) == OutcomeUnreached {
-		f.drop(g, "the head has ended")
+		f.leave(g, "the head has ended")
 		return
 	}
 	switch in(head, g) {
 	case roster.MemberReady:
 		// An order to open it that was taken for lost may still come; a head that has left refuses it.
-		f.phase(g, roster.PhaseLeaving, "has finished its work")
-		f.advanceLeaving(g)
+		f.leave(g, "has finished its work")
 		return
 	case roster.MemberNone, roster.MemberBroken, roster.MemberJoining:
 		f.drop(g, "has finished its work")
@@ -366,8 +361,7 @@
 		if why == "" {
 			why = "did not finish in time"
 		}
-		f.phase(g, roster.PhaseLeaving, why)
-		f.advanceLeaving(g)
+		f.leave(g, why)
 		return
 	}
 	f.order(g, g.Head(), ActionClose)
@@ -390,6 +384,12 @@
 	return o.outcome
 }
 
+// leave begins to take g apart.
+func (f *Formation) leave(g *roster.Group, why string) {
+	f.phase(g, roster.PhaseLeaving, why)
+	f.advanceLeaving(g)
+}
+
 func (f *Formation) advanceLeaving(g *roster.Group) {
 	if f.headless[g.Name] {
 		if f.membersLeft(g, 0) {
@@ -399,7 +399,10 @@
 	}
 	head := f.byID[g.Head()]
 	if head == nil {
-		f.drop(g, "the head has ended")
+		// One that signed off and is cut off from here may still serve; who has left it is free all the same.
+		if f.membersLeft(g, 1) {
+			f.drop(g, "the head has ended")
+		}
 		return
 	}
 	if f.hasLeft(head, g.Epoch) {
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// A head that signed off and that control does not reach any more is forgotten, but may serve on; its members leave it before
+// they join elsewhere.
+func TestAHeadThatSignedOffAndIsCutOff(t *testing.T) {
+	f := newFleet(t, 5, 1, 6)
+	f.run(12*time.Second, nil)
+	head := f.byID["i-001"]
+	head.left, head.cut = true, true
+	f.roster.Leave(f.now, head.id)
+	f.run(40*time.Second, nil)
+	if len(f.faults) > 0 {
+		t.Error(f.faults)
+	}
+	if diff := cmp.Diff(map[ident.Model]int{"large": 1}, f.serving()); diff != "" {
+		t.Errorf("groups that serve (-want +got):\n%s", diff)
+	}
+}
+
 // Random series of losses, cuts, late and lost orders, sign-offs and new leaders, with what must always hold checked at
 // every order.
 func TestNoMemberIsInTwoGroupsWhateverHappens(t *testing.T) {
