--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,86 @@
+// Command soak runs dunlinquay's daemons through random series of faults and checks the promises meanwhile.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dunlinquay/dunlinquay/soak"
+)
+
+// plannedEvery is how many seeds there are for each one in which only planned things happen.
+const plannedEvery = 4
+
+func main() {
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := newRoot().ExecuteContext(ctx)
+	end()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	var first, seeds uint64
+	plan := soak.Plan{}
+	folder := ""
+	cmd := &cobra.Command{
+		Use: "soak", Short: "Play random series of faults on the real program, one run for each seed", Args: cobra.NoArgs, SilenceUsage: true,
+		Long: "Each run starts a site's daemons as processes on loopback addresses, with stand-ins of callers, upstreams and an\n" +
+			"operator, breaks things from outside and checks the promises by what callers and upstreams see. In every fourth\n" +
+			"seed only planned things happen, and nothing may be cut off at all. Logs of runs that break a promise are kept.",
+		Example: "  make build && go run ./cmd/soak --binary bin/dunlinquay --first 1 --seeds 50 --length 20s",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), &plan, folder, first, seeds)
+		},
+	}
+	f := cmd.Flags()
+	f.Uint64Var(&first, "first", 1, "the first seed")
+	f.Uint64Var(&seeds, "seeds", 1, "how many seeds to play")
+	f.DurationVar(&plan.Length, "length", 20*time.Second, "how long things are broken in each run")
+	f.StringVar(&plan.Binary, "binary", "bin/dunlinquay", "the program")
+	f.StringVar(&folder, "folder", "out/soak", "takes settings, logs and data")
+	f.IntVar(&plan.Controls, "controls", 5, "control daemons")
+	f.IntVar(&plan.Entries, "entries", 3, "entries")
+	f.IntVar(&plan.Engines, "engines", 16, "model engines")
+	f.IntVar(&plan.Plains, "plains", 3, "plain upstreams")
+	return cmd
+}
+
+func run(ctx context.Context, plan *soak.Plan, parent string, first, seeds uint64) error {
+	failed := 0
+	for seed := first; seed < first+seeds && ctx.Err() == nil; seed++ {
+		folder, err := soak.Folder(parent, seed)
+		if err != nil {
+			return err
+		}
+		p := *plan
+		p.Seed, p.Folder, p.Planned = seed, folder, seed%plannedEvery == 0
+		report, err := soak.Run(ctx, &p)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d, planned only %v: %d promises broken, answers %v\n", seed, p.Planned, len(report.Broken), report.Answers)
+		if len(report.Broken) == 0 {
+			_ = os.RemoveAll(folder)
+			continue
+		}
+		failed++
+		text := "broken:\n" + strings.Join(report.Broken, "\n") + "\n\ndone:\n" + strings.Join(report.Notes, "\n") + "\n"
+		fmt.Println(text)
+		if err := os.WriteFile(filepath.Join(folder, "report.txt"), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", failed, seeds)
+	}
+	return nil
+}
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -108,6 +108,8 @@
 	homing map[ident.Group]ident.Domain
 	// stood holds heads of groups that stood still although all their members reported.
 	stood map[ident.Incarnation]bool
+	// headed holds the model of the group that an upstream was last the head of.
+	headed map[ident.Incarnation]ident.Model
 	// headless holds groups whose head has not reported; their members leave one by one.
 	headless map[ident.Group]bool
 	// lost holds when groups were given up whose heads may still be there.
@@ -128,6 +130,7 @@
 		homing:   map[ident.Group]ident.Domain{},
 		stood:    map[ident.Incarnation]bool{},
 		headless: map[ident.Group]bool{},
+		headed:   map[ident.Incarnation]ident.Model{},
 		staging:  map[ident.Incarnation]staged{},
 		loads:    loadBurst,
 	}
@@ -179,6 +182,7 @@
 	}
 	gone := func(id ident.Incarnation) bool { return f.byID[id] == nil }
 	maps.DeleteFunc(f.staging, func(id ident.Incarnation, _ staged) bool { return gone(id) })
+	maps.DeleteFunc(f.headed, func(id ident.Incarnation, _ ident.Model) bool { return gone(id) })
 	maps.DeleteFunc(f.stood, func(id ident.Incarnation, _ bool) bool { return gone(id) })
 }
 
@@ -270,6 +274,7 @@
 	}
 	switch in(f.byID[g.Head()], g) {
 	case roster.MemberOpen:
+		f.headed[g.Head()] = g.Model
 		f.phase(g, roster.PhaseOpen, "the head serves")
 	case roster.MemberReady:
 		f.order(g, g.Head(), ActionOpen)
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -58,6 +58,8 @@
 	Staging ident.Model
 	// Stood is set when the upstream was the head of a group that stood still although all its members reported.
 	Stood bool
+	// Headed is the model of the group that it was last the head of.
+	Headed ident.Model
 }
 
 // Placed is a group that serves or will serve.
@@ -453,8 +455,7 @@
 	sorted := append([]Candidate(nil), list...)
 	sort.SliceStable(sorted, func(i, j int) bool { return readyIn(m, &sorted[i]) < readyIn(m, &sorted[j]) })
 	choice := Choice{Model: m.Name}
-	// A head that takes requests and sends nothing serves best as another member.
-	sort.SliceStable(sorted[:m.Size], func(i, j int) bool { return !sorted[i].Stood && sorted[j].Stood })
+	sort.SliceStable(sorted[:m.Size], func(i, j int) bool { return unlikelyHead(m, &sorted[i]) < unlikelyHead(m, &sorted[j]) })
 	for i := range sorted[:m.Size] {
 		c := &sorted[i]
 		choice.Members = append(choice.Members, c.ID)
@@ -466,6 +467,18 @@
 	return choice
 }
 
+// unlikelyHead is higher for a worse head of a group of m: one that took requests and sent nothing, and one to which entries
+// that have not heard of the change yet still send requests for another model.
+func unlikelyHead(m *httproute.Model, c *Candidate) int {
+	switch {
+	case c.Stood:
+		return 2
+	case c.Headed != "" && c.Headed != m.Name:
+		return 1
+	}
+	return 0
+}
+
 // readyIn returns how long c takes to join a group of m.
 func readyIn(m *httproute.Model, c *Candidate) time.Duration {
 	switch {
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+// Who headed a group of another model gets late requests for that one, and who stood still gets none done: they are the
+// last choice for a head.
+func TestHeads(t *testing.T) {
+	free := candidates("a:wwwwwwww")
+	free[0].Stood = true
+	free[1].Headed = "large"
+	free[2].Headed = "small"
+	for _, c := range []struct {
+		name string
+		free []replicaset.Candidate
+		want ident.Incarnation
+	}{
+		{"a new one", free[:4], "a-2"},
+		{"one that headed another model rather than one that stood still", free[:2], "a-1"},
+	} {
+		d := replicaset.Plan(&replicaset.Situation{Engine: models(), Free: c.free, Groups: placed("large b:WWWW"), Total: 48, Demand: groupsOf(0.5, 1)})
+		if len(d.Groups) == 0 || d.Groups[0].Members[0] != c.want {
+			t.Errorf("%s: %v, want %s as head", c.name, text(&d), c.want)
+		}
+	}
+}
+
 func TestTargets(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/settings/site.go
+++ b/settings/site.go
@@ -37,8 +37,10 @@
 	Ready   string `json:"ready"`
 	// Control takes the calls of upstreams and operators.
 	Control string `json:"control"`
-	// Host is the address that peers use.
+	// Host is the address that peers use, Peers the one to listen on for them when it is another (host:port), as behind a
+	// forwarder.
 	Host    string `json:"host"`
+	Peers   string `json:"peers"`
 	Metrics string `json:"metrics"`
 }
 
@@ -116,6 +118,9 @@
 	if len(cfg.Seeds) == 0 {
 		d.atf("seeds", result.SettingsMissing, "wants the address of at least one control daemon")
 	}
+	if _, _, err := net.SplitHostPort(cfg.PeerListen()); err != nil {
+		d.atf("listen.peers", result.SettingsValue, "%s is not host:port", cfg.Listen.Peers)
+	}
 	for i, seed := range cfg.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
 			d.atf("seeds["+strconv.Itoa(i)+"]", result.SettingsValue, "%s is not host:port", seed)
@@ -144,6 +149,14 @@
 	return net.JoinHostPort(cfg.Listen.Host, strconv.Itoa(cfg.PeerPort))
 }
 
+// PeerListen returns the address to listen on for peers.
+func (cfg *Site) PeerListen() string {
+	if cfg.Listen.Peers != "" {
+		return cfg.Listen.Peers
+	}
+	return cfg.PeerAddress()
+}
+
 // SeedPeers returns the peers' addresses of the seeds.
 func (cfg *Site) SeedPeers() []string {
 	var list []string
--- a/site/control.go
+++ b/site/control.go
@@ -166,7 +166,7 @@
 }
 
 func (c *Control) listenPeers() (serverRunner, error) {
-	ln, err := net.Listen("tcp", c.Settings.PeerAddress())
+	ln, err := net.Listen("tcp", c.Settings.PeerListen())
 	if err != nil {
 		return nil, result.Wrap(err, result.StartFailed, "peers' address cannot be used")
 	}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,244 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+const (
+	faultPause = 350 * time.Millisecond
+	// wipeGap is the least time between two lost folders, so that the first one is made good.
+	wipeGap = 8 * time.Second
+	// calmBefore is how long all other control daemons must have run when a folder is lost.
+	calmBefore = 3 * time.Second
+)
+
+// fault is one thing that can go wrong, or be done by plan; it returns what it did.
+type fault struct {
+	name    string
+	planned bool
+	weight  int
+	do      func(s *soak, ctx context.Context, random *rand.Rand) string
+}
+
+var faults = []fault{
+	{"stop an entry", true, 3, (*soak).stopEntry},
+	{"stop a control daemon", true, 2, (*soak).stopControl},
+	{"read settings again", true, 3, (*soak).hangUp},
+	{"an upstream leaves", true, 3, (*soak).drainUpstream},
+	{"an upstream comes", true, 2, (*soak).addUpstream},
+	{"kill an entry", false, 3, (*soak).killEntry},
+	{"kill a control daemon", false, 3, (*soak).killControl},
+	{"kill all control daemons", false, 1, (*soak).killControls},
+	{"lose a folder", false, 1, (*soak).loseFolder},
+	{"pause a process", false, 4, (*soak).freeze},
+	{"weather on a link", false, 8, (*soak).storm},
+	{"reset connections", false, 3, (*soak).resets},
+	{"an upstream crashes", false, 5, (*soak).crashUpstream},
+	{"answers get lost", false, 3, (*soak).loseAnswers},
+}
+
+// trouble does one thing after the other, so that their effects overlap.
+func (s *soak) trouble(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(random.Int64N(int64(2*faultPause))))
+		f := s.pickFault(random)
+		if what := f.do(s, ctx, random); what != "" {
+			s.notef("%s: %s", f.name, what)
+		}
+	}
+}
+
+func (s *soak) pickFault(random *rand.Rand) *fault {
+	total := 0
+	for i := range faults {
+		if faults[i].planned || !s.Planned {
+			total += faults[i].weight
+		}
+	}
+	n := random.IntN(total)
+	for i := range faults {
+		if !faults[i].planned && s.Planned {
+			continue
+		}
+		if n -= faults[i].weight; n < 0 {
+			return &faults[i]
+		}
+	}
+	return &faults[0]
+}
+
+// between draws a time.
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
+func one[T any](random *rand.Rand, list []T) T {
+	return list[random.IntN(len(list))]
+}
+
+// stop sends SIGTERM and starts the process again once it is gone.
+func (s *soak) stop(ctx context.Context, d *daemon) string {
+	if life, _, stopping := d.state(); life == 0 || stopping {
+		return ""
+	}
+	ended := d.signal(syscall.SIGTERM)
+	s.tasks.Go(func() {
+		<-ended
+		s.restart(ctx, d)
+	})
+	return string(d.name)
+}
+
+func (s *soak) stopEntry(ctx context.Context, random *rand.Rand) string {
+	return s.stop(ctx, one(random, s.entries))
+}
+
+func (s *soak) stopControl(ctx context.Context, random *rand.Rand) string {
+	return s.stop(ctx, one(random, s.controls))
+}
+
+func (s *soak) hangUp(_ context.Context, random *rand.Rand) string {
+	d := one(random, s.daemons())
+	d.signal(syscall.SIGHUP)
+	return string(d.name)
+}
+
+func (s *soak) drainUpstream(ctx context.Context, random *rand.Rand) string {
+	e := s.someEngine(random)
+	if e == nil {
+		return ""
+	}
+	e.drain()
+	s.replaceLater(ctx, e, between(random, time.Second, 3*time.Second))
+	return string(e.id)
+}
+
+func (s *soak) addUpstream(ctx context.Context, random *rand.Rand) string {
+	if len(s.alive()) > s.Engines+s.Plains+extraUpstreams {
+		return ""
+	}
+	return s.add(ctx, modelService, random.IntN(domainCount))
+}
+
+func (s *soak) crashUpstream(ctx context.Context, random *rand.Rand) string {
+	e := s.someEngine(random)
+	if e == nil {
+		return ""
+	}
+	e.crash()
+	s.replaceLater(ctx, e, between(random, 200*time.Millisecond, 3*time.Second))
+	return string(e.id)
+}
+
+func (s *soak) loseAnswers(ctx context.Context, random *rand.Rand) string {
+	e := s.someEngine(random)
+	if e == nil {
+		return ""
+	}
+	set := func(part float64) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loses = part
+	}
+	set(0.1)
+	s.after(ctx, between(random, time.Second, 4*time.Second), func() { set(0) })
+	return string(e.id)
+}
+
+func (s *soak) killEntry(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.entries)
+	d.kill()
+	s.after(ctx, between(random, 100*time.Millisecond, 2*time.Second), func() { s.restart(ctx, d) })
+	return string(d.name)
+}
+
+func (s *soak) killControl(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.controls)
+	d.kill()
+	s.after(ctx, between(random, 100*time.Millisecond, 3*time.Second), func() { s.restart(ctx, d) })
+	return string(d.name)
+}
+
+func (s *soak) killControls(ctx context.Context, random *rand.Rand) string {
+	for _, d := range s.controls {
+		d.kill()
+	}
+	for _, d := range s.controls {
+		s.after(ctx, between(random, 100*time.Millisecond, time.Second), func() { s.restart(ctx, d) })
+	}
+	return "all"
+}
+
+// loseFolder kills a control daemon and starts it again with an empty folder, when all others are there.
+func (s *soak) loseFolder(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.controls)
+	for _, other := range s.controls {
+		life, since, stopping := other.state()
+		if life == 0 || stopping || time.Since(since) < calmBefore {
+			return ""
+		}
+	}
+	if time.Since(s.wiped) < wipeGap || len(s.controls) < 3 {
+		return ""
+	}
+	s.wiped = time.Now()
+	d.kill()
+	if err := d.wipe(); err != nil {
+		return err.Error()
+	}
+	s.restart(ctx, d)
+	return string(d.name)
+}
+
+func (s *soak) freeze(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.daemons())
+	d.signal(syscall.SIGSTOP)
+	wait := between(random, 200*time.Millisecond, 7*time.Second)
+	s.after(ctx, wait, func() { d.signal(syscall.SIGCONT) })
+	return fmt.Sprintf("%s for %v", d.name, wait)
+}
+
+// links are all links, by what is behind them.
+func (s *soak) links() map[ident.Daemon]*link {
+	all := map[ident.Daemon]*link{}
+	for _, d := range s.daemons() {
+		all[d.name] = d.link
+		if d.calls != nil {
+			all[d.name+" calls"] = d.calls
+		}
+	}
+	for _, e := range s.alive() {
+		all[ident.Daemon(e.id)] = e.link
+	}
+	return all
+}
+
+func (s *soak) someLink(random *rand.Rand) (ident.Daemon, *link) {
+	all := s.links()
+	name := one(random, sortedNames(all))
+	return name, all[name]
+}
+
+func (s *soak) storm(ctx context.Context, random *rand.Rand) string {
+	name, l := s.someLink(random)
+	w := one(random, []weather{
+		{delay: between(random, 5*time.Millisecond, 100*time.Millisecond)}, {delay: between(random, 100*time.Millisecond, 3*time.Second)},
+		{muteTo: true}, {muteFrom: true}, {muteTo: true, muteFrom: true}, {refuse: true},
+	})
+	l.set(w)
+	wait := between(random, 300*time.Millisecond, 5*time.Second)
+	s.after(ctx, wait, func() { l.set(weather{}) })
+	return fmt.Sprintf("%s %+v for %v", name, w, wait)
+}
+
+func (s *soak) resets(_ context.Context, random *rand.Rand) string {
+	name, l := s.someLink(random)
+	l.reset()
+	return string(name)
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,371 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+const (
+	domainCount    = 2
+	extraUpstreams = 6
+	seedCount      = 3
+	// formLimit and healLimit bound the wait until a site serves, at first and after all faults have ended; they are long
+	// because the machine may be busy.
+	formLimit = 90 * time.Second
+	healLimit = 90 * time.Second
+	stopGrace = 6 * time.Second
+)
+
+// Plan says what one run of the soak does; everything random follows from Seed.
+type Plan struct {
+	Seed   uint64
+	Length time.Duration
+	// Binary is the program, Folder takes settings, logs and data.
+	Binary string
+	Folder string
+	// Planned leaves out everything that no operator would do on purpose.
+	Planned bool
+	// Untimed leaves out what depends on the speed of the machine.
+	Untimed bool
+	// Block chooses the loopback addresses; runs of one seed at the same time want different ones.
+	Block    int
+	Controls int
+	Entries  int
+	Engines  int
+	Plains   int
+}
+
+// Report is what a run came to.
+type Report struct {
+	// Broken are the promises that were broken, Answers how many requests ended in each way, Notes what was done.
+	Broken  []string
+	Answers map[string]int
+	Notes   []string
+}
+
+// soak is one run.
+type soak struct {
+	Plan
+
+	ctx      context.Context
+	truth    *truth
+	controls []*daemon
+	entries  []*daemon
+	prober   *http.Client
+	tasks    sync.WaitGroup
+	offered  atomic.Uint64
+	wiped    time.Time
+
+	mu          sync.Mutex
+	notes       []string
+	count       int
+	lastAcked   uint64
+	lastAckedAt time.Time
+}
+
+// Run plays one run and returns what it came to.
+func Run(ctx context.Context, plan *Plan) (*Report, error) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	s := &soak{Plan: *plan, truth: newTruth(), prober: transport.New(transport.Fresh, transport.TCP()), wiped: time.Now()}
+	s.ctx = ctx
+	err := s.start(ctx)
+	if err == nil {
+		s.play(ctx)
+	}
+	for _, d := range s.daemons() {
+		d.signal(syscall.SIGCONT)
+		d.kill()
+	}
+	end()
+	s.tasks.Wait()
+	s.truth.mu.Lock()
+	defer s.truth.mu.Unlock()
+	return &Report{Broken: s.truth.broken, Answers: s.truth.answers, Notes: s.notes}, err
+}
+
+// play serves, breaks things, heals them, and looks whether everything serves again.
+func (s *soak) play(ctx context.Context) {
+	load, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	s.tasks.Go(func() { s.change(load, s.random(1)) })
+	for i := range callerCount {
+		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
+		s.tasks.Go(func() { c.run(load) })
+	}
+	for i, d := range s.entries {
+		s.tasks.Go(func() { s.probe(load, d, s.random(uint64(200+i))) })
+	}
+	s.tasks.Go(func() {
+		random := s.random(2)
+		for load.Err() == nil {
+			s.readBack(load, random)
+		}
+	})
+	if !s.serves(ctx, "at first", formLimit) {
+		return
+	}
+	trouble, endTrouble := context.WithTimeout(ctx, s.Length)
+	s.trouble(trouble, s.random(3))
+	endTrouble()
+	s.heal(ctx)
+	s.serves(ctx, "after all faults ended", healLimit)
+	s.lastWord(ctx)
+}
+
+func (s *soak) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(s.Seed, part))
+}
+
+func (s *soak) notef(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, fmt.Sprintf("%.2f s: ", time.Since(s.truth.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *soak) daemons() []*daemon {
+	return append(slices.Clone(s.controls), s.entries...)
+}
+
+// start starts the upstreams and the processes.
+func (s *soak) start(ctx context.Context) error {
+	if err := s.lay(ctx); err != nil {
+		return err
+	}
+	for i := range s.Engines {
+		s.add(ctx, modelService, i%domainCount)
+	}
+	for i := range s.Plains {
+		s.add(ctx, plainService, i%domainCount)
+	}
+	var errs []error
+	for _, d := range s.daemons() {
+		errs = append(errs, d.start(true))
+	}
+	return errors.Join(errs...)
+}
+
+// The ports of every daemon; runs of different seeds have different addresses.
+const (
+	peerPort  = 7000
+	callPort  = 7001
+	otherPort = 7002
+	// addressSeeds is how many seeds have addresses of their own.
+	addressSeeds = 250
+	firstBlock   = 77
+)
+
+// lay chooses addresses. Every daemon has two loopback addresses of its own: one at which links listen for others, and one
+// for the process itself.
+func (s *soak) lay(ctx context.Context) error {
+	var seeds []string
+	for i := range s.Controls + s.Entries {
+		outside := fmt.Sprintf("127.%d.%d.%d", firstBlock+2*s.Block, s.Seed%addressSeeds, i+1)
+		inside := fmt.Sprintf("127.%d.%d.%d", firstBlock+2*s.Block+1, s.Seed%addressSeeds, i+1)
+		cfg := settings.DefaultSite()
+		cfg.Hall = ident.Hall("hall-" + strconv.Itoa(i%domainCount))
+		cfg.PeerPort, cfg.Listen.Host = peerPort, outside
+		cfg.Bounds = settings.SiteBounds{KeysRevoked: settings.Duration(keyBound), StopGrace: settings.Duration(stopGrace)}
+		cfg.Times.Report = settings.Duration(reportEvery)
+		if i < seedCount {
+			seeds = append(seeds, address(outside, callPort))
+		}
+		cfg.Seeds = seeds
+		d, err := s.layDaemon(ctx, &cfg, i, inside)
+		if err != nil {
+			return err
+		}
+		if d.control() {
+			s.controls = append(s.controls, d)
+		} else {
+			s.entries = append(s.entries, d)
+		}
+	}
+	for _, d := range s.daemons() {
+		d.cfg.Seeds = seeds
+	}
+	return nil
+}
+
+func (s *soak) layDaemon(ctx context.Context, cfg *settings.Site, i int, inside string) (*daemon, error) {
+	d := &daemon{bin: s.Binary, dir: s.Folder}
+	var err error
+	if i < s.Controls {
+		cfg.Name = ident.Daemon("control-" + strconv.Itoa(i))
+		cfg.DataFolder = filepath.Join(s.Folder, string(cfg.Name)+"-data")
+		cfg.Listen.Control, cfg.Listen.Peers = address(inside, callPort), address(inside, otherPort)
+		if d.calls, err = newLink(ctx, address(cfg.Listen.Host, callPort), cfg.Listen.Control); err != nil {
+			return nil, err
+		}
+		d.link, err = newLink(ctx, cfg.PeerAddress(), cfg.Listen.Peers)
+	} else {
+		cfg.Name = ident.Daemon("entry-" + strconv.Itoa(i-s.Controls))
+		cfg.Listen.Callers, cfg.Listen.Ready = address(inside, callPort), address(inside, otherPort)
+		d.link, err = newLink(ctx, address(cfg.Listen.Host, callPort), cfg.Listen.Callers)
+	}
+	d.name, d.cfg = cfg.Name, *cfg
+	return d, err
+}
+
+func address(host string, port int) string {
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// add starts an upstream and returns its name.
+func (s *soak) add(ctx context.Context, service ident.Service, place int) string {
+	s.mu.Lock()
+	s.count++
+	id := ident.Incarnation(fmt.Sprintf("%s-%d-%d", service, place, s.count))
+	s.mu.Unlock()
+	turn := s.random(hashOf(string(id)))
+	var mu sync.Mutex
+	reports := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		var list []string
+		for _, i := range turn.Perm(len(s.controls)) {
+			list = append(list, s.controls[i].calls.address())
+		}
+		return list
+	}
+	e, err := newEngine(ctx, s.truth, id, service, place, reports)
+	if err != nil {
+		s.notef("upstream %s cannot start: %v", id, err)
+		return ""
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.watched = s.Planned && !s.Untimed
+	return string(id)
+}
+
+// alive returns the upstreams that have not ended, in the order of their names.
+func (s *soak) alive() []*engine {
+	s.truth.mu.Lock()
+	defer s.truth.mu.Unlock()
+	var list []*engine
+	for _, id := range slices.Sorted(maps.Keys(s.truth.engines)) {
+		if e := s.truth.engines[id]; e.ctx.Err() == nil {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// someEngine returns an upstream that is not leaving, unless too few are left.
+func (s *soak) someEngine(random *rand.Rand) *engine {
+	var list []*engine
+	for _, e := range s.alive() {
+		e.mu.Lock()
+		if !e.draining {
+			list = append(list, e)
+		}
+		e.mu.Unlock()
+	}
+	if len(list) <= (s.Engines+s.Plains)/2 {
+		return nil
+	}
+	return one(random, list)
+}
+
+// replaceLater starts another upstream in the place of e.
+func (s *soak) replaceLater(ctx context.Context, e *engine, wait time.Duration) {
+	place := 0
+	if e.domain != "domain-0" {
+		place = 1
+	}
+	s.after(ctx, wait, func() { s.add(s.ctx, e.service, place) })
+}
+
+// after does something after a while, or at once when ctx ends: whatever was broken is mended then.
+func (s *soak) after(ctx context.Context, wait time.Duration, do func()) {
+	s.tasks.Go(func() {
+		pause(ctx, wait)
+		if s.ctx.Err() == nil {
+			do()
+		}
+	})
+}
+
+func (s *soak) restart(_ context.Context, d *daemon) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	if err := d.start(false); err != nil {
+		s.truth.breaksf("%s cannot be started: %v", d.name, err)
+	}
+}
+
+// heal ends every fault.
+func (s *soak) heal(ctx context.Context) {
+	for _, l := range s.links() {
+		l.set(weather{})
+	}
+	for _, d := range s.daemons() {
+		d.signal(syscall.SIGCONT)
+		if _, _, stopping := d.state(); !stopping {
+			s.restart(ctx, d)
+		}
+	}
+	s.notef("all faults have ended")
+}
+
+// serves waits until every entry gives whole answers of both services.
+func (s *soak) serves(ctx context.Context, when string, limit time.Duration) bool {
+	for _, d := range s.entries {
+		c := &caller{s: s, name: "check-" + strconv.Itoa(len(when)) + "-" + string(d.name), random: s.random(uint64(len(when)))}
+		until := time.Now().Add(limit)
+		for _, k := range []kind{kinds[0], kinds[2]} {
+			for !c.check(ctx, d, k) {
+				if ctx.Err() != nil || time.Now().After(until) {
+					s.truth.breaksf("%s does not serve %s %s", d.name, k.path, when)
+					return false
+				}
+				pause(ctx, 10*probePause)
+			}
+		}
+	}
+	s.notef("every entry serves, %s", when)
+	return true
+}
+
+// lastWord reads the configuration back until a daemon has it.
+func (s *soak) lastWord(ctx context.Context) {
+	random := s.random(4)
+	for until := time.Now().Add(healLimit); ; {
+		if version, ok := s.readBack(ctx, random); ok && version >= s.truth.newestAccepted() {
+			return
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			s.truth.breaksf("the configuration does not come back, %d was accepted", s.truth.newestAccepted())
+			return
+		}
+	}
+}
+
+func sortedNames(m map[ident.Daemon]*link) []ident.Daemon {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// Folder makes the folder of a run.
+func Folder(parent string, seed uint64) (string, error) {
+	folder := filepath.Join(parent, fmt.Sprintf("seed-%d", seed))
+	return folder, os.MkdirAll(folder, 0o700)
+}
