--- a/roster/roster.go
+++ b/roster/roster.go
@@ -271,6 +271,23 @@
 	return list, ages
 }
 
+// Len returns the number of upstreams.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.upstreams)
+}
+
+// Upstream returns the upstream called id.
+func (r *Roster) Upstream(id ident.Incarnation) (Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.upstreams[id]; rec != nil {
+		return rec.Upstream, true
+	}
+	return Upstream{}, false
+}
+
 // Groups returns every group in the order of names.
 func (r *Roster) Groups() []Group {
 	r.mu.Lock()
--- /dev/null
+++ b/roster/view_test.go
@@ -0,0 +1,116 @@
+package roster_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+func plain(service ident.Service) bool { return service == "plain" }
+
+// shown is what a view ought to have of a roster.
+func shown(r *roster.Roster) (upstreams []ident.Incarnation, groups []ident.Group) {
+	for _, g := range r.Groups() {
+		if g.Phase == roster.PhaseOpen {
+			groups = append(groups, g.Name)
+			if _, ok := r.Upstream(g.Head()); ok {
+				upstreams = append(upstreams, g.Head())
+			}
+		}
+	}
+	all, _ := r.Upstreams(start)
+	for i := range all {
+		if plain(all[i].Service) {
+			upstreams = append(upstreams, all[i].ID)
+		}
+	}
+	slices.Sort(upstreams)
+	return slices.Compact(upstreams), groups
+}
+
+// An entry's copy has the plain upstreams and the heads of open groups, whatever happens in whatever order, also when the view
+// was not looked at for long.
+func TestTheViewOfEntries(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	r := newRoster()
+	v := roster.NewView(r)
+	copied := roster.NewCopy()
+	for i := range 30000 {
+		change(r, random, i)
+		if random.IntN(40) != 0 && i%2500 != 0 || i > 2600 && i < 28000 {
+			continue // for a while nobody looks
+		}
+		v.Follow(plain)
+		d := v.Since(copied.Revision)
+		copied.Apply(&d)
+		wantUpstreams, wantGroups := shown(r)
+		var upstreams []ident.Incarnation
+		for id := range copied.Upstreams {
+			upstreams = append(upstreams, id)
+		}
+		slices.Sort(upstreams)
+		var groups []ident.Group
+		for name, g := range copied.Groups {
+			groups = append(groups, name)
+			if len(g.Members) != 1 {
+				t.Fatalf("%s has %d members in the view", name, len(g.Members))
+			}
+		}
+		sort.Slice(groups, func(i, j int) bool { return groups[i] < groups[j] })
+		if diff := cmp.Diff(wantUpstreams, upstreams); diff != "" {
+			t.Fatalf("after %d changes, upstreams (-want +got):\n%s", i, diff)
+		}
+		if diff := cmp.Diff(wantGroups, groups); diff != "" {
+			t.Fatalf("after %d changes, groups (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// change does one random thing to a roster.
+func change(r *roster.Roster, random *rand.Rand, i int) {
+	id := ident.Incarnation("u" + strconv.Itoa(random.IntN(30)))
+	name := ident.Group("g" + strconv.Itoa(random.IntN(10)))
+	switch random.IntN(4) {
+	case 0, 1:
+		rep := report(id, string(id), uint64(i+1))
+		rep.Service = "plain"
+		if id[1] != '1' {
+			rep.Service = "model"
+		}
+		rep.Slots = random.IntN(3)
+		r.Take(start.Add(time.Duration(i)*time.Millisecond), rep)
+	case 2:
+		phase := []roster.Phase{roster.PhaseForming, roster.PhaseOpen, roster.PhaseOpen, roster.PhaseClosing}[random.IntN(4)]
+		r.PutGroup(&roster.Group{Name: name, Service: "model", Phase: phase, Members: []ident.Incarnation{"u2" + ident.Incarnation(name[1:]), id}})
+	case 3:
+		r.DropGroup(name)
+	}
+}
+
+// What members of a group do is no news for entries.
+func TestMembersAreNoNewsForEntries(t *testing.T) {
+	r := newRoster()
+	v := roster.NewView(r)
+	for _, id := range []ident.Incarnation{"a", "b"} {
+		r.Take(start, report(id, string(id), 1))
+	}
+	r.PutGroup(&roster.Group{Name: "g", Service: "s", Phase: roster.PhaseOpen, Members: []ident.Incarnation{"a", "b"}})
+	v.Follow(plain)
+	before, _ := v.Changed()
+	member := report("b", "b", 2)
+	member.Staged = []ident.Model{"m"}
+	r.Take(start, member)
+	r.PutGroup(&roster.Group{Name: "h", Service: "s", Phase: roster.PhaseForming, Members: []ident.Incarnation{"b"}})
+	v.Follow(plain)
+	if after, _ := v.Changed(); after != before {
+		t.Errorf("revision %d after %d", after, before)
+	}
+}
--- a/site/calls.go
+++ b/site/calls.go
@@ -20,10 +20,27 @@
 
 // Report takes the report of an upstream; it returns the address for later reports when this daemon does not lead.
 func (c *Control) Report(ctx context.Context, r *roster.Report) (string, error) {
-	reply, err := c.call(ctx, passTimeout, &PassCall{Kind: CallReport, Report: r})
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	address, err := c.report(ctx, r)
 	if err == nil && r.Draining {
 		c.Log.Info("upstream leaves", "upstream", r.ID, "service", r.Service, "sequence", r.Sequence)
 	}
+	return address, err
+}
+
+// report takes a report here when this daemon leads, and passes it on with others otherwise.
+func (c *Control) report(ctx context.Context, r *roster.Report) (string, error) {
+	if c.leader() != string(c.self.Name) {
+		return c.reports.take(ctx, r)
+	}
+	_, err := c.answer(ctx, passTimeout, &PassCall{Kind: CallReport, Reports: []*roster.Report{r}})
+	return "", err
+}
+
+// passReports hands reports to the leader; it returns the address for later ones.
+func (c *Control) passReports(ctx context.Context, list []*roster.Report) (string, error) {
+	reply, err := c.call(ctx, passTimeout, &PassCall{Kind: CallReport, Reports: list})
 	return reply.Address, err
 }
 
@@ -72,7 +89,7 @@
 	if err != nil {
 		return PassReply{Code: result.CodeOf(err), Text: result.Message(err)}
 	}
-	if call.Kind == CallReport {
+	if r := c.reign.Load(); call.Kind == CallReport && r != nil && r.roster.Len() <= sentOnMost {
 		reply.Address = c.Settings.Listen.Control
 	}
 	return reply
@@ -92,7 +109,9 @@
 	}
 	switch call.Kind {
 	case CallReport:
-		r.roster.Take(time.Now(), call.Report)
+		for _, report := range call.Reports {
+			r.roster.Take(time.Now(), report)
+		}
 		return PassReply{}, nil
 	case CallLeave:
 		r.roster.Leave(time.Now(), call.Upstream)
@@ -143,17 +162,17 @@
 		return SyncReply{Leader: c.leader(), Controls: c.controls()}
 	}
 	others, entries := r.note(call)
-	c.waitForNews(r, call)
+	c.waitForNews(r, call, entries)
 	reply := SyncReply{
 		Leader: string(c.self.Name), Controls: c.controls(), Reign: r.name, Others: others, Entries: entries,
-		Counts: r.counts(call),
+		Usable: r.usable(call),
 	}
-	if reply.Counts {
+	if reply.Usable {
 		since := call.Revision
 		if call.Reign != r.name {
 			since = 0
 		}
-		reply.Changes = r.roster.Since(since)
+		reply.Changes = r.shown(call).Since(since)
 	}
 	if held := c.machine.Held(); held.Version > call.Version {
 		reply.Version, reply.Config = held.Version, held.Packed
@@ -163,27 +182,38 @@
 	return reply
 }
 
-// counts reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
+// usable reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
 // copy of the whole.
-func (r *reign) counts(call *SyncCall) bool {
+func (r *reign) usable(call *SyncCall) bool {
 	return call.Reign == "" || call.Reign == r.name || r.settled(time.Now())
 }
 
-// waitForNews returns when something is new for the caller, or after syncHold.
-func (c *Control) waitForNews(r *reign, call *SyncCall) {
+// shown is what the caller gets of the roster.
+func (r *reign) shown(call *SyncCall) *roster.Roster {
+	if call.Entry {
+		return r.view.Roster
+	}
+	return r.roster
+}
+
+// waitForNews returns when something is new for the caller, or after a while in which entries tell nothing. News are
+// gathered for a moment that grows with the number of entries: all of them ask again after each answer.
+func (c *Control) waitForNews(r *reign, call *SyncCall, entries int) {
 	c.mu.Lock()
 	renewed := c.renewed
 	c.mu.Unlock()
-	revision, changed := r.roster.Changed()
-	behind := r.counts(call) && (call.Reign != r.name || call.Revision < revision)
+	revision, changed := r.shown(call).Changed()
+	behind := r.usable(call) && (call.Reign != r.name || call.Revision < revision)
 	if behind || c.machine.Held().Version > call.Version {
+		pause(context.Background(), min(syncGatherMost, time.Duration(entries)*syncGather))
 		return
 	}
-	timer := time.NewTimer(syncHold)
+	timer := time.NewTimer(min(syncHoldMost, max(syncHold, time.Duration(entries)*syncHoldEach)))
 	defer timer.Stop()
 	select {
 	case <-renewed:
 	case <-changed:
+		pause(context.Background(), min(syncGatherMost, time.Duration(entries)*syncGather))
 	case <-timer.C:
 	}
 }
--- a/site/control.go
+++ b/site/control.go
@@ -72,7 +72,8 @@
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
 
-	reign atomic.Pointer[reign]
+	reign   atomic.Pointer[reign]
+	reports *reports
 }
 
 // NewControl opens the data folder that cfg names.
@@ -92,6 +93,7 @@
 		copied: roster.NewCopy(), renewed: make(chan struct{}), strangers: map[quorum.MemberID]time.Time{},
 	}
 	c.machine.Changed = c.configChanged
+	c.reports = newReports(c.passReports)
 	c.meter = meter.New()
 	c.tallies = newTallies(c.meter.Scope)
 	return c, nil
@@ -117,6 +119,7 @@
 	wg.Go(func() { c.node.Run(ctx) })
 	wg.Go(func() { server.Run(ctx) })
 	wg.Go(func() { c.memberLoop(ctx) })
+	wg.Go(func() { c.reports.run(ctx) })
 	wg.Go(func() { c.leadLoop(ctx) })
 	wg.Go(func() { c.followLoop(ctx) })
 	wg.Go(func() { c.rememberLoop(ctx) })
@@ -304,7 +307,7 @@
 }
 
 func (c *Control) applySync(_ time.Time, r *SyncReply) {
-	if !r.Counts {
+	if !r.Usable {
 		return
 	}
 	c.mu.Lock()
--- a/site/entry.go
+++ b/site/entry.go
@@ -153,7 +153,7 @@
 		e.relay.SetConfig(cfg)
 		e.Log.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes))
 	}
-	if r.Counts {
+	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
 	e.relay.SetOthers(r.Others)
--- a/site/follow.go
+++ b/site/follow.go
@@ -72,7 +72,7 @@
 
 // take remembers what this daemon then has; nothing goes back within its life.
 func (f *follower) take(r *SyncReply) {
-	if r.Counts {
+	if r.Usable {
 		f.reign = r.Reign
 		f.revision = r.Changes.Revision
 	}
--- a/site/messages.go
+++ b/site/messages.go
@@ -61,9 +61,9 @@
 	Leader   string
 	Controls []string
 	Reign    Reign
-	// Counts is set when Changes are to be applied: a leader that has not heard of all upstreams yet knows less than a
+	// Usable is set when Changes are to be applied: a leader that has not heard of all upstreams yet knows less than a
 	// copy of its predecessor's roster.
-	Counts  bool
+	Usable  bool
 	Changes roster.Delta
 	// Version and Config, which is packed, are set when the caller's version is older.
 	Version httproute.Version
@@ -87,7 +87,7 @@
 // PassCall is one call that the leader must answer.
 type PassCall struct {
 	Kind     CallKind
-	Report   *roster.Report
+	Reports  []*roster.Report
 	Upstream ident.Incarnation
 	Version  httproute.Version
 	Body     []byte
@@ -101,5 +101,14 @@
 	Body    []byte
 }
 
-// syncHold is how long the leader keeps a call for news; entries tell their load as often.
-const syncHold = 100 * time.Millisecond
+const (
+	// syncHold is how long the leader keeps a call for news, as often entries tell their load; syncHoldEach is the same for
+	// each entry where there are many, syncHoldMost bounds it: at 300 entries a tenth of a second each filled the leader's
+	// link.
+	syncHold     = 100 * time.Millisecond
+	syncHoldEach = 1500 * time.Microsecond
+	syncHoldMost = 500 * time.Millisecond
+	// syncGather is how long news are gathered for each entry, syncGatherMost bounds it.
+	syncGather     = 300 * time.Microsecond
+	syncGatherMost = 150 * time.Millisecond
+)
--- a/site/peers.go
+++ b/site/peers.go
@@ -155,7 +155,7 @@
 
 func (p *peers) sync(address string, call *SyncCall) (SyncReply, error) {
 	var reply SyncReply
-	err := p.to(address).Call(p.ctx, syncHold+callTimeout, "Sync", call, &reply)
+	err := p.to(address).Call(p.ctx, syncHoldMost+syncGatherMost+callTimeout, "Sync", call, &reply)
 	return reply, err
 }
 
--- a/site/reign.go
+++ b/site/reign.go
@@ -63,6 +63,8 @@
 	term   quorum.Term
 	began  time.Time
 	roster *roster.Roster
+	// view is what entries get of the roster.
+	view *roster.View
 	// settleAt is when the roster is believed.
 	settleAt time.Time
 
@@ -99,6 +101,7 @@
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 	}
+	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
 	r.roster.SilentAfter = time.Duration(silentReports * float64(report))
 	r.roster.ForgetAfter = forgetReports * report
@@ -199,6 +202,7 @@
 	if table == nil {
 		return
 	}
+	defer r.show(table)
 	w := r.world(now)
 	r.c.tallies.count(now, r.roster.Groups(), w.Upstreams)
 	for i := range table.Config.Services {
@@ -216,6 +220,14 @@
 	}
 }
 
+// show brings the view for entries up to date.
+func (r *reign) show(table *httproute.Table) {
+	r.view.Follow(func(name ident.Service) bool {
+		s := table.Service(name)
+		return s == nil || s.Engine == nil
+	})
+}
+
 // arriving reports whether upstreams still come in for the first time at the start of a site: groups that are formed of
 // the first few would be spread over the domains badly.
 func (r *reign) arriving(now time.Time, upstreams int) bool {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -62,6 +62,9 @@
 }
 
 func (c *caller) moveAway() {
+	if c.client == nil {
+		return
+	}
 	c.client.CloseIdleConnections()
 	c.entry, c.client = nil, nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -364,8 +364,11 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
-// Folder makes the folder of a run.
+// Folder makes the folder of a run, empty: what an earlier run left there would be taken for a site that was formed before.
 func Folder(parent string, seed uint64) (string, error) {
 	folder := filepath.Join(parent, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(folder); err != nil {
+		return "", err
+	}
 	return folder, os.MkdirAll(folder, 0o700)
 }
