Keep a request at an entry's start when its caller could not come back in time

Change: what waits for an entry's first word are streams that are taken up again and requests whose callers have less than three times the wait that a refusal would tell; for 0.4 of their time at most. Test: TestTheFirstWord (three rows more).

--- a/relay/start.go
+++ b/relay/start.go
@@ -1,19 +1,28 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 )
 
-// startHold is how long after its start an entry keeps streams that go on for its first word from control, which was seen
-// to come 0.3 to 0.9 s after the start when everything is started again at once.
-const startHold = 1500 * time.Millisecond
+const (
+	// startHold is how long after its start an entry keeps requests for its first word from control, which was seen to come
+	// 0.3 to 0.9 s after the start when everything is started again at once.
+	startHold = 1500 * time.Millisecond
+	// patience is the part of their time that callers wait before they come back, by the platform's word.
+	patience = 1.0 / 3
+	// startHoldPart is the part of its time that a request is kept at most.
+	startHoldPart = 0.4
+)
 
-// awaitStart keeps a stream that its caller takes up again while this entry has not heard from control since its start:
-// its answer was cut off and is late already, and callers come back only so often. A new request is refused at once with a
-// time to come back at which it is served without waiting.
+// awaitStart keeps a request that comes while this entry has not heard from control since its start, if a refusal would be
+// its end: a stream that its caller takes up again, because callers come back only so often; and one whose caller has less
+// time than it would be told to wait. Any other is refused at once with a time to come back at which it is served without
+// waiting.
 func (x *exchange) awaitStart() {
 	s := x.s
-	if x.r.Header.Get(s.Names.EventID) == "" {
+	left := x.told()
+	if x.r.Header.Get(s.Names.EventID) == "" && (left <= 0 || float64(left)*patience >= float64(retryBlind)) {
 		return
 	}
 	select {
@@ -22,6 +31,9 @@
 	default:
 	}
 	rest := s.began.Add(startHold).Sub(s.Now())
+	if left > 0 {
+		rest = min(rest, time.Duration(startHoldPart*float64(left)))
+	}
 	if rest <= 0 {
 		return
 	}
@@ -35,6 +47,13 @@
 	x.table = s.table.Load()
 }
 
+// told is how long the caller says that it waits, 0 when it does not say.
+func (x *exchange) told() time.Duration {
+	// A number that can't be read is refused when the request is admitted.
+	ms, _ := strconv.Atoi(x.r.Header.Get(x.s.Names.Deadline))
+	return time.Duration(ms) * time.Millisecond
+}
+
 // inform lets requests that wait for the first word go on once there is a configuration with it; the mutex is held.
 func (s *Relay) inform() {
 	if s.table.Load() == nil || s.word.Load() == nil {
--- a/relay/start_test.go
+++ b/relay/start_test.go
@@ -16,13 +16,17 @@
 	for _, c := range []struct {
 		name     string
 		event    string
+		deadline string
 		word     time.Duration
 		status   int
 		answered time.Duration
 	}{
-		{"a new request", "", 300 * time.Millisecond, 503, 0},
-		{"a stream that goes on", "4", 300 * time.Millisecond, 401, 300 * time.Millisecond},
-		{"a stream that goes on, and no word comes", "4", time.Hour, 503, 1500 * time.Millisecond},
+		{"a new request", "", "", 300 * time.Millisecond, 503, 0},
+		{"a request with time to come back", "", "6000", 300 * time.Millisecond, 503, 0},
+		{"a request without time to come back", "", "3000", 300 * time.Millisecond, 401, 300 * time.Millisecond},
+		{"one that cannot wait for long either", "", "500", 300 * time.Millisecond, 503, 200 * time.Millisecond},
+		{"a stream that goes on", "4", "6000", 300 * time.Millisecond, 401, 300 * time.Millisecond},
+		{"a stream that goes on, and no word comes", "4", "6000", time.Hour, 503, 1500 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -38,6 +42,7 @@
 				r := httptest.NewRequest("POST", "/stream/x", nil)
 				r.Host = "h"
 				r.Header.Set("Event", c.event)
+				r.Header.Set("Deadline", c.deadline)
 				w := httptest.NewRecorder()
 				s.ServeHTTP(w, r)
 				if got := time.Since(start); w.Code != c.status || got != c.answered {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -119,11 +119,11 @@
 	return string(e.id)
 }
 
-func (s *soak) addUpstream(ctx context.Context, random *rand.Rand) string {
+func (s *soak) addUpstream(_ context.Context, random *rand.Rand) string {
 	if len(s.alive()) > s.Engines+s.Plains+extraUpstreams {
 		return ""
 	}
-	return s.add(ctx, modelService, random.IntN(domainCount))
+	return s.add(modelService, random.IntN(domainCount))
 }
 
 func (s *soak) crashUpstream(ctx context.Context, random *rand.Rand) string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -150,10 +150,10 @@
 		return err
 	}
 	for i := range s.Engines {
-		s.add(ctx, modelService, i%domainCount)
+		s.add(modelService, i%domainCount)
 	}
 	for i := range s.Plains {
-		s.add(ctx, plainService, i%domainCount)
+		s.add(plainService, i%domainCount)
 	}
 	var errs []error
 	for _, d := range s.daemons() {
@@ -228,8 +228,8 @@
 	return net.JoinHostPort(host, strconv.Itoa(port))
 }
 
-// add starts an upstream and returns its name.
-func (s *soak) add(ctx context.Context, service ident.Service, place int) string {
+// add starts an upstream, which lives until it ends or the run does, and returns its name.
+func (s *soak) add(service ident.Service, place int) string {
 	s.mu.Lock()
 	s.count++
 	id := ident.Incarnation(fmt.Sprintf("%s-%d-%d", service, place, s.count))
@@ -245,7 +245,7 @@
 		}
 		return list
 	}
-	e, err := newEngine(ctx, s.truth, id, service, place, reports)
+	e, err := newEngine(s.ctx, s.truth, id, service, place, reports)
 	if err != nil {
 		s.notef("upstream %s cannot start: %v", id, err)
 		return ""
@@ -291,7 +291,7 @@
 	if e.domain != "domain-0" {
 		place = 1
 	}
-	s.after(ctx, wait, func() { s.add(s.ctx, e.service, place) })
+	s.after(ctx, wait, func() { s.add(e.service, place) })
 }
 
 // after does something after a while, or at once when ctx ends: whatever was broken is mended then.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -393,22 +393,23 @@
 	return true
 }
 
-// standsStill waits while a member is missing, and reports whether the group is broken by it.
-func (e *engine) standsStill(r *http.Request) bool {
+// standsStill waits while a member is missing, and reports whether the group is broken by it or gone.
+func (e *engine) standsStill(r *http.Request, epoch ident.Epoch) bool {
 	for limit := time.Now().Add(standTime); !e.whole(); {
 		if time.Now().After(limit) || r.Context().Err() != nil {
 			return true
 		}
 		pause(e.ctx, eventTime)
 	}
-	return false
+	return e.place().Epoch != epoch
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	names := platform.Names()
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
-	if r.Header.Get(names.Incarnation) != string(e.id) || !e.admits(ident.Model(r.Header.Get(names.Model))) {
+	epoch, admitted := e.admits(ident.Model(r.Header.Get(names.Model)))
+	if r.Header.Get(names.Incarnation) != string(e.id) || !admitted {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -430,19 +431,20 @@
 		e.servePlain(w, r, id)
 		return
 	}
-	if e.standsStill(r) {
+	if e.standsStill(r, epoch) {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	e.serveStream(w, r, id)
+	e.serveStream(w, r, id, epoch)
 }
 
-// admits reports whether requests are for this upstream: engines take those for their model as head of an open group.
-func (e *engine) admits(model ident.Model) bool {
+// admits reports whether requests are for this upstream, and the epoch of the group that then works on them: engines take
+// those for their model as head of an open group.
+func (e *engine) admits(model ident.Model) (ident.Epoch, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.service == plainService || e.member.State == roster.MemberOpen && e.member.Rank == 0 && e.model == model
+	return e.member.Epoch, e.service == plainService || e.member.State == roster.MemberOpen && e.member.Rank == 0 && e.model == model
 }
 
 // late returns how long after its acknowledged leaving the upstream is, once nothing new may come.
@@ -503,7 +505,7 @@
 	return fmt.Sprintf("id: %d\ndata: %x\n\n", n, hashOf(id+"/"+strconv.Itoa(n)))
 }
 
-func (e *engine) serveStream(w http.ResponseWriter, r *http.Request, id string) {
+func (e *engine) serveStream(w http.ResponseWriter, r *http.Request, id string, epoch ident.Epoch) {
 	model, _ := (&httproute.Engine{Models: models}).Model(ident.Model(r.Header.Get(platform.Names().Model)))
 	e.truth.serves(e, model.Size)
 	e.truth.runs(id, e.id)
@@ -513,7 +515,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventsOf(id); n++ {
 		pause(r.Context(), eventTime)
-		if r.Context().Err() != nil || e.standsStill(r) || e.loss() {
+		if r.Context().Err() != nil || e.standsStill(r, epoch) || e.loss() {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := io.WriteString(w, eventOf(id, n)); err != nil {
