--- /dev/null
+++ b/replicaset/ending.go
@@ -0,0 +1,148 @@
+package replicaset
+
+// A group ends in one of three ways: its head has finished and left, its head
+// is gone or broken, or nobody reaches its head and the others have left. What
+// is told apart here is whether a member is certainly free for another group.
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+func (f *Formation) advanceClosing(g *roster.Group) {
+	head := f.byID[g.Head()]
+	if head == nil || f.outcome(g, head.ID, ActionClose) == OutcomeUnreached {
+		f.leave(g, "the head has ended")
+		return
+	}
+	switch in(head, g) {
+	case roster.MemberReady:
+		// An order to open it that was taken for lost may still come; a head that has left refuses it.
+		f.leave(g, "has finished its work")
+		return
+	case roster.MemberNone, roster.MemberBroken, roster.MemberJoining:
+		f.drop(g, "has finished its work")
+		return
+	}
+	if why := f.broken(g); why != "" || f.world.Now.Sub(g.Since) > f.closeLimit(g) {
+		if why == "" {
+			why = "did not finish in time"
+		}
+		f.leave(g, why)
+		return
+	}
+	f.order(g, g.Head(), ActionClose)
+}
+
+// leave begins to take g apart.
+func (f *Formation) leave(g *roster.Group, why string) {
+	f.phase(g, roster.PhaseLeaving, why)
+	f.advanceLeaving(g)
+}
+
+func (f *Formation) advanceLeaving(g *roster.Group) {
+	if f.headless[g.Name] {
+		if f.membersLeft(g, 0) {
+			f.lose(g, "its members have left")
+		}
+		return
+	}
+	head := f.byID[g.Head()]
+	if head == nil {
+		// One that signed off and is cut off from here may still serve; who has left it is free all the same.
+		if f.membersLeft(g, 1) {
+			f.drop(g, "the head has ended")
+		}
+		return
+	}
+	if f.hasLeft(head, g.Epoch) {
+		if f.mayReopen(g) && !f.membersLeft(g, 1) {
+			return
+		}
+		f.drop(g, "the head has left: "+string(f.outcome(g, head.ID, ActionLeave)))
+		return
+	}
+	if f.world.Ages[head.ID] >= deadAfter && f.world.Sights[g.Name].Answered >= deadAfter {
+		f.lose(g, "the head is silent to everyone")
+		return
+	}
+	if f.world.Dead[head.ID] && f.membersLeft(g, 1) {
+		f.lose(g, "the head takes no connections, the others have left")
+		return
+	}
+	f.order(g, head.ID, ActionLeave)
+}
+
+// mayReopen reports whether the head may join and open g again by orders that are carried out late: those of an earlier
+// leader, or without a known outcome. Its members are then free only after they have left it themselves.
+func (f *Formation) mayReopen(g *roster.Group) bool {
+	for _, action := range []Action{ActionJoin, ActionOpen} {
+		o := f.orders[orderKey{g.Head(), action, g.Epoch}]
+		if o != nil && o.doubtful || o == nil && action == ActionJoin {
+			return true
+		}
+	}
+	return false
+}
+
+// membersLeft takes the members from an index on out of a group whose head does not answer, and reports whether none is left in it. A
+// member that has left belongs to no group, whatever its old head does.
+func (f *Formation) membersLeft(g *roster.Group, from int) bool {
+	left := true
+	for _, id := range g.Members[from:] {
+		u := f.byID[id]
+		if u == nil || f.world.Dead[id] {
+			continue
+		}
+		if in(u, g) == roster.MemberNone && f.world.Ages[id] < missedReport || f.hasLeft(u, g.Epoch) {
+			continue
+		}
+		left = false
+		f.order(g, id, ActionLeave)
+	}
+	return left
+}
+
+// hasLeft reports whether u has left the group of that epoch. A report that is newer than its answer and still names the
+// group comes from an order to join that was carried out late.
+func (f *Formation) hasLeft(u *roster.Upstream, epoch ident.Epoch) bool {
+	o := f.orders[orderKey{u.ID, ActionLeave, epoch}]
+	if o == nil || o.waiting || !settled(o.outcome) {
+		return false
+	}
+	return u.Member.Epoch != epoch || f.world.Ages[u.ID] >= f.world.Now.Sub(o.answered)
+}
+
+// settled reports whether an order to leave that came to this outcome ends the group for certain.
+func settled(o Outcome) bool {
+	return o == OutcomeTaken || o == OutcomeRefused || o == OutcomeStranger || o == OutcomeUnreached
+}
+
+// drop forgets a group that is certainly over.
+func (f *Formation) drop(g *roster.Group, why string) {
+	f.over[g.Name] = f.world.Now
+	f.remove(g, why)
+}
+
+// lose forgets a group whose head may still be there: whoever reports it again has to leave it.
+func (f *Formation) lose(g *roster.Group, why string) {
+	f.lost[g.Name] = f.world.Now
+	f.remove(g, why)
+}
+
+func (f *Formation) remove(g *roster.Group, why string) {
+	delete(f.headless, g.Name)
+	delete(f.homing, g.Name)
+	f.Roster.DropGroup(g.Name)
+	f.Note(g, "dropped", why)
+}
+
+// closeLimit is how long g may finish its work.
+func (f *Formation) closeLimit(g *roster.Group) time.Duration {
+	if _, ok := f.homing[g.Name]; ok {
+		return homeLimit
+	}
+	return closeLimit
+}
--- /dev/null
+++ b/replicaset/orders.go
@@ -0,0 +1,82 @@
+package replicaset
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// sentOrder is what became of an order.
+type sentOrder struct {
+	at time.Time
+	// answered is when the outcome was known.
+	answered time.Time
+	outcome  Outcome
+	waiting  bool
+	// doubtful is set when one of the tries has no known outcome: it may be carried out late.
+	doubtful bool
+}
+
+// orderKey names an order: engines take the same one twice as one.
+type orderKey struct {
+	to     ident.Incarnation
+	action Action
+	epoch  ident.Epoch
+}
+
+// outcome returns what became of the last order of that kind for g, or nothing while it is not known.
+func (f *Formation) outcome(g *roster.Group, to ident.Incarnation, action Action) Outcome {
+	o := f.orders[orderKey{to, action, g.Epoch}]
+	if o == nil || o.waiting {
+		return ""
+	}
+	return o.outcome
+}
+
+// order sends an order unless the same one is on its way or was taken a moment ago.
+func (f *Formation) order(g *roster.Group, to ident.Incarnation, action Action) {
+	key := orderKey{to, action, g.Epoch}
+	now := f.world.Now
+	if o := f.orders[key]; o != nil {
+		wait := resendAfter
+		if o.outcome == OutcomeTaken && !o.waiting {
+			wait = repeatAfter
+		}
+		if now.Sub(o.at) < wait {
+			return
+		}
+	}
+	u := f.byID[to]
+	if u == nil {
+		return
+	}
+	doubtful := f.orders[key] != nil && f.orders[key].doubtful
+	f.orders[key] = &sentOrder{at: now, waiting: true, doubtful: doubtful}
+	f.Send(Order{
+		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
+		Model: g.Model, Members: g.Members, Fence: f.Fence,
+	})
+}
+
+// Answered takes the outcome of an order.
+func (f *Formation) Answered(o *Order, outcome Outcome) {
+	if o.Action == ActionStage {
+		f.stageAnswered(o, outcome)
+		return
+	}
+	sent := f.orders[orderKey{o.To, o.Action, o.Epoch}]
+	if sent == nil {
+		return
+	}
+	sent.waiting = false
+	sent.answered = f.world.Now
+	sent.outcome = outcome
+	sent.doubtful = sent.doubtful || outcome == OutcomeUnknown
+}
+
+func (f *Formation) stageAnswered(o *Order, outcome Outcome) {
+	if st, ok := f.staging[o.To]; ok && outcome != OutcomeTaken {
+		f.staging[o.To] = staged{st.model, f.world.Now.Add(stageAgain)}
+	}
+}
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -22,7 +22,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -121,66 +120,6 @@
 	Early bool
 }
 
-// Targets returns the number of groups that each model would have if all upstreams were used: by declared shares, or in
-// proportion to demand where it is known.
-func Targets(s *Situation) map[ident.Model]int {
-	weights := weightsOf(s)
-	targets := map[ident.Model]int{}
-	left := s.Total
-	for {
-		best := -1
-		bestScore := 0.0
-		for i := range s.Engine.Models {
-			m := &s.Engine.Models[i]
-			if m.Size > left || weights[m.Name] <= 0 {
-				continue
-			}
-			score := weights[m.Name] / float64((targets[m.Name]+1)*m.Size)
-			if best < 0 || score > bestScore {
-				best, bestScore = i, score
-			}
-		}
-		if best < 0 {
-			return targets
-		}
-		targets[s.Engine.Models[best].Name]++
-		left -= s.Engine.Models[best].Size
-	}
-}
-
-func weightsOf(s *Situation) map[ident.Model]float64 {
-	weights := map[ident.Model]float64{}
-	shares := 0.0
-	for i := range s.Engine.Models {
-		shares += s.Engine.Models[i].Share
-	}
-	for i := range s.Engine.Models {
-		m := &s.Engine.Models[i]
-		weights[m.Name] = 1 / float64(len(s.Engine.Models))
-		if shares > 0 {
-			weights[m.Name] = m.Share / shares
-		}
-	}
-	return weights
-}
-
-// Needs returns how many whole groups of each model carry the demand; nothing while no demand is known.
-func Needs(s *Situation) map[ident.Model]int {
-	demand := 0.0
-	for _, work := range s.Demand {
-		demand += work
-	}
-	needs := map[ident.Model]int{}
-	if demand <= 0 {
-		return needs
-	}
-	for i := range s.Engine.Models {
-		m := &s.Engine.Models[i]
-		needs[m.Name] = max(1, int(math.Ceil(s.Demand[m.Name]/float64(m.Size)/groupLoad)))
-	}
-	return needs
-}
-
 // plan is the work on one decision.
 type plan struct {
 	*Situation
@@ -264,14 +203,6 @@
 	p.homes[domain][model]++
 }
 
-// part is what a group carries, in parts of a whole one.
-func (p *plan) part(far bool) float64 {
-	if far {
-		return 1 / max(1, p.Engine.FarFactor)
-	}
-	return 1
-}
-
 // take removes members from the free upstreams and returns the domain of the last one.
 func (p *plan) take(members []ident.Incarnation) ident.Domain {
 	var rest []Candidate
@@ -287,62 +218,6 @@
 	return domain
 }
 
-// need is the part of a model's groups that is missing; 0 or less when it has enough.
-func (p *plan) need(m ident.Model) float64 {
-	wanted := p.wanted(m)
-	if wanted == 0 {
-		return 0
-	}
-	return (wanted - p.served[m]) / wanted
-}
-
-// wanted is the number of groups that m should have.
-func (p *plan) wanted(m ident.Model) float64 {
-	if len(p.needs) > 0 {
-		return float64(p.needs[m])
-	}
-	return float64(p.targets[m])
-}
-
-// short reports whether m is known to have fewer groups than its demand needs.
-func (p *plan) short(m ident.Model) bool {
-	return len(p.needs) > 0 && p.need(m) > 0
-}
-
-// load is the part of the throughput of m's groups that is asked for, if it had so many more of them.
-func (p *plan) load(m *httproute.Model, more float64) float64 {
-	demand := p.Demand[m.Name]
-	groups := p.served[m.Name] + more
-	switch {
-	case demand <= 0:
-		return 0
-	case groups <= 0:
-		return math.Inf(1)
-	}
-	return demand / (groups * float64(m.Size))
-}
-
-func (p *plan) anyShort() bool {
-	for i := range p.Engine.Models {
-		if p.short(p.Engine.Models[i].Name) {
-			return true
-		}
-	}
-	return false
-}
-
-// byNeed returns the models, the neediest first; of equal ones the one with the larger groups, which are harder to place.
-func (p *plan) byNeed() []*httproute.Model {
-	var list []*httproute.Model
-	for i := range p.Engine.Models {
-		list = append(list, &p.Engine.Models[i])
-	}
-	slices.SortStableFunc(list, func(a, b *httproute.Model) int {
-		return cmp.Or(cmp.Compare(p.need(b.Name), p.need(a.Name)), cmp.Compare(b.Size, a.Size))
-	})
-	return list
-}
-
 // near returns the best group of m within one domain: the soonest ready, in a domain with the fewest groups of m, with the
 // fewest upstreams left over.
 func (p *plan) near(m *httproute.Model) (Choice, bool) {
@@ -452,10 +327,14 @@
 
 // soonest takes the members that are ready first.
 func soonest(m *httproute.Model, list []Candidate) Choice {
-	sorted := append([]Candidate(nil), list...)
-	sort.SliceStable(sorted, func(i, j int) bool { return readyIn(m, &sorted[i]) < readyIn(m, &sorted[j]) })
+	sorted := slices.Clone(list)
+	slices.SortStableFunc(sorted, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(readyIn(m, &a), readyIn(m, &b)), cmp.Compare(unlikelyHead(m, &a), unlikelyHead(m, &b)))
+	})
 	choice := Choice{Model: m.Name}
-	sort.SliceStable(sorted[:m.Size], func(i, j int) bool { return unlikelyHead(m, &sorted[i]) < unlikelyHead(m, &sorted[j]) })
+	slices.SortStableFunc(sorted[:m.Size], func(a, b Candidate) int {
+		return cmp.Compare(unlikelyHead(m, &a), unlikelyHead(m, &b))
+	})
 	for i := range sorted[:m.Size] {
 		c := &sorted[i]
 		choice.Members = append(choice.Members, c.ID)
