Put requests that are late already behind those that can be in time

Engines take the more urgent requests first, and the relay raised requests with their age, also when they could no longer be in time. Change: what waited at the start, is taken up again, or is past its aim has a priority below all others. Test: TestPriorities.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -60,6 +60,8 @@
 	gap       time.Duration
 	retry     time.Duration
 	status    int
+	// kept is set when the request waited for the entry's first word.
+	kept bool
 }
 
 func (s *Relay) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- /dev/null
+++ b/relay/priority_test.go
@@ -0,0 +1,51 @@
+package relay_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// What is late whatever the engine does goes behind what can still be in time.
+func TestPriorities(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		event string
+		took  time.Duration
+		want  string
+	}{
+		{"new", "", 0, "3"},
+		{"held up for a while", "", 450 * time.Millisecond, "0"},
+		{"over its aim", "", 3 * time.Second, "5"},
+		{"taken up again", "2", 0, "5"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := make(chan string, 1)
+			u := newUpstream(t, always(func(conn net.Conn, r *http.Request) bool {
+				got <- r.Header.Get("Priority")
+				return stream(conn, r, 3, 4, true)
+			}))
+			s := newSite(t, nil, []*upstream{u})
+			// The second look at the clock is the one at which the request is sent on.
+			start := time.Now()
+			var looks atomic.Int64
+			s.relay.Now = func() time.Time {
+				if looks.Add(1) == 1 {
+					return start
+				}
+				return start.Add(c.took)
+			}
+			s.relay.SetWord(start.Add(c.took))
+			r := s.request("POST", "/stream/x", "1", "")
+			r.Header.Set("Event", c.event)
+			s.do(r)
+			if diff := cmp.Diff(c.want, <-got); diff != "" {
+				t.Errorf("priority (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -94,9 +94,27 @@
 	if x.customer != nil && x.customer.HasPriority {
 		p = x.customer.Priority
 	}
-	p += priorityRoom - int(x.s.Now().Sub(x.began)/agingStep)
+	if x.late() {
+		p += priorityLate
+	} else {
+		p += priorityRoom - int(x.s.Now().Sub(x.began)/agingStep)
+	}
 	return min(lowestPriority, max(highestPriority, p))
 }
 
+// late reports whether the answer misses the route's aim whatever an engine does: those that can still make it go first.
+func (x *exchange) late() bool {
+	if x.kept || x.r.Header.Get(x.s.Names.EventID) != "" {
+		return true
+	}
+	if x.events == 0 {
+		return x.s.Now().Sub(x.began) > x.route.Aim
+	}
+	return x.route.GapAim > 0 && x.s.Now().Sub(x.lastAt) > x.route.GapAim
+}
+
+// priorityLate puts requests that are late behind those that are not.
+const priorityLate = 5
+
 // priorityRoom leaves ranks above the declared ones for requests that were held up.
 const priorityRoom = 3
--- a/relay/start.go
+++ b/relay/start.go
@@ -37,6 +37,7 @@
 	if rest <= 0 {
 		return
 	}
+	x.kept = true
 	timer := time.NewTimer(rest)
 	defer timer.Stop()
 	select {
