--- a/soak/faults.go
+++ b/soak/faults.go
@@ -83,24 +83,24 @@
 }
 
 // stop sends SIGTERM and starts the process again once it is gone.
-func (s *soak) stop(ctx context.Context, d *daemon) string {
+func (s *soak) stop(d *daemon) string {
 	if life, _, stopping := d.state(); life == 0 || stopping {
 		return ""
 	}
 	ended := d.signal(syscall.SIGTERM)
 	s.tasks.Go(func() {
 		<-ended
-		s.restart(ctx, d)
+		s.restart(d)
 	})
 	return string(d.name)
 }
 
-func (s *soak) stopEntry(ctx context.Context, random *rand.Rand) string {
-	return s.stop(ctx, one(random, s.entries))
+func (s *soak) stopEntry(_ context.Context, random *rand.Rand) string {
+	return s.stop(one(random, s.entries))
 }
 
-func (s *soak) stopControl(ctx context.Context, random *rand.Rand) string {
-	return s.stop(ctx, one(random, s.controls))
+func (s *soak) stopControl(_ context.Context, random *rand.Rand) string {
+	return s.stop(one(random, s.controls))
 }
 
 func (s *soak) hangUp(_ context.Context, random *rand.Rand) string {
@@ -154,14 +154,14 @@
 func (s *soak) killEntry(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.entries)
 	d.kill()
-	s.after(ctx, between(random, 100*time.Millisecond, 2*time.Second), func() { s.restart(ctx, d) })
+	s.after(ctx, between(random, 100*time.Millisecond, 2*time.Second), func() { s.restart(d) })
 	return string(d.name)
 }
 
 func (s *soak) killControl(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.controls)
 	d.kill()
-	s.after(ctx, between(random, 100*time.Millisecond, 3*time.Second), func() { s.restart(ctx, d) })
+	s.after(ctx, between(random, 100*time.Millisecond, 3*time.Second), func() { s.restart(d) })
 	return string(d.name)
 }
 
@@ -170,13 +170,13 @@
 		d.kill()
 	}
 	for _, d := range s.controls {
-		s.after(ctx, between(random, 100*time.Millisecond, time.Second), func() { s.restart(ctx, d) })
+		s.after(ctx, between(random, 100*time.Millisecond, time.Second), func() { s.restart(d) })
 	}
 	return "all"
 }
 
 // loseFolder kills a control daemon and starts it again with an empty folder, when all others are there.
-func (s *soak) loseFolder(ctx context.Context, random *rand.Rand) string {
+func (s *soak) loseFolder(_ context.Context, random *rand.Rand) string {
 	d := one(random, s.controls)
 	for _, other := range s.controls {
 		life, since, stopping := other.state()
@@ -192,7 +192,7 @@
 	if err := d.wipe(); err != nil {
 		return err.Error()
 	}
-	s.restart(ctx, d)
+	s.restart(d)
 	return string(d.name)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -125,7 +125,7 @@
 	trouble, endTrouble := context.WithTimeout(ctx, s.Length)
 	s.trouble(trouble, s.random(3))
 	endTrouble()
-	s.heal(ctx)
+	s.heal()
 	s.serves(ctx, "after all faults ended", healLimit)
 	s.lastWord(ctx)
 }
@@ -304,7 +304,7 @@
 	})
 }
 
-func (s *soak) restart(_ context.Context, d *daemon) {
+func (s *soak) restart(d *daemon) {
 	if s.ctx.Err() != nil {
 		return
 	}
@@ -314,14 +314,14 @@
 }
 
 // heal ends every fault.
-func (s *soak) heal(ctx context.Context) {
+func (s *soak) heal() {
 	for _, l := range s.links() {
 		l.set(weather{})
 	}
 	for _, d := range s.daemons() {
 		d.signal(syscall.SIGCONT)
 		if _, _, stopping := d.state(); !stopping {
-			s.restart(ctx, d)
+			s.restart(d)
 		}
 	}
 	s.notef("all faults have ended")
