Form groups of upstreams that have the weights, however quick these are

Cause: whether an upstream joins without a load was told by comparing times, 'ready in <= time from the host'. One whose last group had the model counts with 200 ms, the soak's models say 100 ms from the host, so it counted as one that must load and no group was formed of it, for good. The other way round, where weights take longer from the host than from the store, upstreams without weights counted as ready.

Change: the planner asks whether the weights are in use or on the host.

Conclusion: a fault of the product, not of the check.

--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -255,20 +255,39 @@
 }
 
 // Random series of losses, cuts, late and lost orders, sign-offs and new leaders, with what must always hold checked at
-// every order.
+// every order; once they end, every model is served again, however quickly its weights come from a host.
 func TestNoMemberIsInTwoGroupsWhateverHappens(t *testing.T) {
 	for seed := uint64(1); seed <= 60; seed++ {
 		f := newFleet(t, seed, 4, 8)
 		f.lateShare = 0.15
 		f.lostShare = 0.05
+		for i := range f.model.Models {
+			f.model.Models[i].Warm = time.Duration(f.random.Int64N(int64(2 * time.Second)))
+		}
 		f.run(12*time.Second, nil)
 		// Spares only, as many groups as there are upstreams for, or more than there are.
 		f.demand = groupsOf(float64(seed%3+2), float64(seed%5+3))
 		copied := f.copied()
 		f.run(40*time.Second, func() { f.trouble(&copied) })
+		f.calm()
+		f.run(40*time.Second, nil)
 		if len(f.faults) > 0 {
 			t.Fatalf("seed %d: %v", seed, f.faults)
 		}
+		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
+			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
+		}
+	}
+}
+
+// calm ends all trouble and makes sure that there is a domain with enough upstreams.
+func (f *fleet) calm() {
+	f.lateShare, f.lostShare = 0, 0
+	for _, e := range f.engines {
+		e.cut = false
+	}
+	for range 8 {
+		f.add("domain-0", "hall-0", "")
 	}
 }
 
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -229,7 +229,7 @@
 	var bestRank rank
 	found := false
 	all := byDomain(p.free, func(*Candidate) bool { return true })
-	usable := byDomain(p.free, func(c *Candidate) bool { return p.Early || readyIn(m, c) <= m.Warm })
+	usable := byDomain(p.free, func(c *Candidate) bool { return p.Early || hasWeights(m, c) })
 	for _, name := range sortedKeys(usable) {
 		list := usable[name]
 		if len(list) < m.Size || !short && !p.sparesStay(name, len(all[name])-m.Size) {
@@ -306,7 +306,7 @@
 	halls := map[ident.Hall]int{}
 	var ready []Candidate
 	for i := range p.free {
-		if c := &p.free[i]; readyIn(m, c) <= m.Warm {
+		if c := &p.free[i]; hasWeights(m, c) {
 			ready = append(ready, *c)
 			halls[c.Hall]++
 		}
@@ -339,7 +339,7 @@
 		c := &sorted[i]
 		choice.Members = append(choice.Members, c.ID)
 		choice.Ready = max(choice.Ready, readyIn(m, c))
-		if readyIn(m, c) > m.Warm {
+		if !hasWeights(m, c) {
 			choice.Loads++
 		}
 	}
@@ -358,6 +358,11 @@
 	return 0
 }
 
+// hasWeights reports whether c joins a group of m without a load from the store.
+func hasWeights(m *httproute.Model, c *Candidate) bool {
+	return c.Last == m.Name || roster.Has(c.Staged, m.Name)
+}
+
 // readyIn returns how long c takes to join a group of m.
 func readyIn(m *httproute.Model, c *Candidate) time.Duration {
 	switch {
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -174,6 +174,33 @@
 	}
 }
 
+// Upstreams that have the weights form groups however quickly an engine says that it takes them from its host.
+func TestPlanWithQuickWeights(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		free   []replicaset.Candidate
+		groups []replicaset.Placed
+		want   []string
+	}{
+		{"in use", candidates("a:LLLLSS"), nil, []string{"large a-0 a-1 a-2 a-3", "small a-4 a-5"}},
+		{"on the host", candidates("a:llll"), placed("small b:ww"), []string{"large a-0 a-1 a-2 a-3"}},
+		{"across domains", candidates("a:LLL", "b:L"), placed("small c:ww"), []string{"large far a-0 a-1 a-2 b-0"}},
+		{"for a group that ends", candidates("a:LLL"), placed("small a:Ww", "small b:ww"), []string{"close g0 for a"}},
+		{"no weights", candidates("a:****"), placed("small b:ww"), []string{}},
+	} {
+		for _, warm := range []time.Duration{0, 100 * time.Millisecond, time.Minute} {
+			engine := models()
+			for i := range engine.Models {
+				engine.Models[i].Warm = warm
+			}
+			d := replicaset.Plan(&replicaset.Situation{Engine: engine, Free: c.free, Groups: c.groups, Demand: groupsOf(1, 1), Total: 48})
+			if diff := cmp.Diff(c.want, text(&d)); diff != "" {
+				t.Errorf("weights %s, %v from the host (-want +got):\n%s", c.name, warm, diff)
+			}
+		}
+	}
+}
+
 // Who headed a group of another model gets late requests for that one, and who stood still gets none done: they are the
 // last choice for a head.
 func TestHeads(t *testing.T) {
--- a/replicaset/room.go
+++ b/replicaset/room.go
@@ -98,7 +98,7 @@
 func countReady(m *httproute.Model, domain ident.Domain, list []Candidate) int {
 	n := 0
 	for i := range list {
-		if c := &list[i]; c.Domain == domain && readyIn(m, c) <= m.Warm {
+		if c := &list[i]; c.Domain == domain && hasWeights(m, c) {
 			n++
 		}
 	}
--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -113,7 +113,7 @@
 			have[c.Domain] = map[ident.Model]int{}
 		}
 		for i := range p.Engine.Models {
-			if m := &p.Engine.Models[i]; readyIn(m, c) <= m.Warm || c.Staging == m.Name {
+			if m := &p.Engine.Models[i]; hasWeights(m, c) || c.Staging == m.Name {
 				have[c.Domain][m.Name]++
 			}
 		}
