Order models that lack groups by load

Change: of models that lack groups the one with the higher load comes first.

Test: a row of TestPlan that began a group and closed another one of the same model before.

--- a/replicaset/needs.go
+++ b/replicaset/needs.go
@@ -100,13 +100,18 @@
 	return false
 }
 
-// byNeed returns the models, the neediest first; of equal ones the one with the larger groups, which are harder to place.
+// byNeed returns the models, those that lack groups first and of these the one with the highest load: where the last
+// missing group of each is worth differently, a group that is begun must not have to end for one of another model. Of equal
+// ones the one with the larger groups comes first, which are harder to place.
 func (p *plan) byNeed() []*httproute.Model {
 	var list []*httproute.Model
 	for i := range p.Engine.Models {
 		list = append(list, &p.Engine.Models[i])
 	}
 	slices.SortStableFunc(list, func(a, b *httproute.Model) int {
+		if p.short(a.Name) && p.short(b.Name) {
+			return cmp.Or(cmp.Compare(p.load(b, 0), p.load(a, 0)), cmp.Compare(b.Size, a.Size))
+		}
 		return cmp.Or(cmp.Compare(p.need(b.Name), p.need(a.Name)), cmp.Compare(b.Size, a.Size))
 	})
 	return list
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -118,6 +118,10 @@
 			groups: placed("small b:ww", "small c:ww"), demand: groupsOf(1, 2), want: []string{},
 		},
 		{name: "the needy model first", free: candidates("a:wwWWWW"), groups: placed("small b:ww"), demand: groupsOf(1, 4), want: []string{"large a-2 a-3 a-4 a-5", "small a-0 a-1"}},
+		{
+			name: "the model with the higher load first where both lack one group", free: candidates("a:WWWW"),
+			groups: placed("large b:WWWW", "large c:WWWW", "small d:ww", "small e:ww"), demand: groupsOf(2.1, 2.9), want: []string{"small a-0 a-1"},
+		},
 		{name: "those who join soonest", free: candidates("a:llWWWW"), want: []string{"large a-2 a-3 a-4 a-5", "warm large a-0", "warm large a-1"}},
 		{name: "across domains where most groups lack", free: candidates("a:WWW", "b:W"), demand: groupsOf(2, 0.1), want: []string{"small a-0 a-1"}},
 		{
