Let operators ask a site for its groups and their reasons

Cause: the reasons of a site's leader stood only in its log; an operator had to know which daemon led, and groups that were not formed left no line at all.

Ruled out: an HTTP page at the control daemons (no authentication there, and net/rpc between our processes is the house's way); declaring groups by hand (the configuration declares models with shares).

Change: replicaset.Explain says, from what the planner sees, what each model has, needs and lacks, domain by domain, and what each upstream does; site.Inspect asks any control daemon, which asks the leader; the leader keeps its last 500 decisions. Commands 'site groups' and 'site explain'.

The look at the groups holds one more mutex; nothing was measured.

--- /dev/null
+++ b/cmd/dunlinquay/inspect.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// decisionsShown is how many of the newest decisions a table shows; JSON has all.
+const decisionsShown = 20
+
+// inspection is what the commands that look at a site share.
+type inspection struct {
+	session
+	file    string
+	control string
+}
+
+func (q *inspection) flags(cmd *cobra.Command) *cobra.Command {
+	f := cmd.Flags()
+	f.StringVar(&q.file, "settings", "", "settings file of any daemon of the site; its seeds are asked")
+	f.StringVar(&q.control, "control", "", "peers' address (HOST:PORT) of a control daemon, in place of the seeds")
+	f.StringVarP(&q.output, "output", "o", "table", "table or json")
+	cmd.MarkFlagsOneRequired("settings", "control")
+	return cmd
+}
+
+// state asks the leader of the site, through the control daemons that are known.
+func (q *inspection) state(cmd *cobra.Command) (*site.State, error) {
+	if q.control != "" {
+		return site.Inspect(cmd.Context(), transport.Guarded(), []string{q.control})
+	}
+	cfg, err := settings.LoadSite(q.file)
+	if err != nil {
+		return nil, err
+	}
+	return site.Inspect(cmd.Context(), transport.Guarded(), cfg.SeedPeers())
+}
+
+func siteGroups() *cobra.Command {
+	q := &inspection{}
+	return q.flags(&cobra.Command{
+		Use: "groups", Short: "List the groups of a site, and what each model has and needs", Args: cobra.NoArgs,
+		Example: "  dunlinquay site groups --settings /etc/dunlinquay/site.json",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := q.state(cmd)
+			if err != nil {
+				return err
+			}
+			return q.print(cmd.OutOrStdout(), s, func(t io.Writer) { groupsTable(t, s) })
+		},
+	})
+}
+
+func groupsTable(t io.Writer, s *site.State) {
+	settled := ""
+	if !s.Settled {
+		settled = "; it still waits for reports and orders nothing"
+	}
+	fmt.Fprintf(t, "leader %s since %s, configuration %d, %d control daemons, %d entries%s\n\n",
+		s.Leader, s.Since.Format(time.TimeOnly), s.Config, len(s.Controls), s.Entries, settled)
+	fmt.Fprintln(t, "MODEL\tSIZE\tSERVING\tWANTED\tLOAD\tWHY")
+	for i := range s.Models {
+		modelRow(t, &s.Models[i])
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "GROUP\tEPOCH\tMODEL\tPHASE\tFOR\tFAR\tMEMBERS")
+	for i := range s.Groups {
+		siteGroupRow(t, &s.Groups[i])
+	}
+}
+
+func modelRow(t io.Writer, m *site.ModelState) {
+	fmt.Fprintf(t, "%s\t%d\t%.1f\t%.0f\t%.2f\t%s\n", m.Model, m.Size, m.Serving, m.Wanted, m.Load, m.Why)
+}
+
+func siteGroupRow(t io.Writer, g *site.GroupState) {
+	since := (time.Duration(g.ForMS) * time.Millisecond).Round(100 * time.Millisecond)
+	fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%t\t%s\n", g.Name, g.Epoch, g.Model, g.Phase, since, g.Far, joinUpstreams(g.Members))
+}
+
+func joinUpstreams(list []ident.Incarnation) string {
+	var names []string
+	for _, id := range list {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, ",")
+}
+
+func siteExplain() *cobra.Command {
+	q := &inspection{}
+	return q.flags(&cobra.Command{
+		Use: "explain NAME", Short: "Say what a model, a group or an upstream of a site does, and why", Args: cobra.ExactArgs(1),
+		Long: "Say what a model, a group or an upstream of a site does, and why: for a model what keeps it from having more groups,\n" +
+			"domain by domain; for a group its members and the decisions on it, also after it has ended; for an upstream what it\n" +
+			"does and the decisions on its groups.",
+		Example: "  dunlinquay site explain prosa-large --settings /etc/dunlinquay/site.json",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := q.state(cmd)
+			if err != nil {
+				return err
+			}
+			part := partOf(s, args[0])
+			if len(part.Models)+len(part.Groups)+len(part.Upstreams)+len(part.Decisions) == 0 {
+				return result.New(result.ChangeNotFound, "the site knows no model, group or upstream %q", args[0])
+			}
+			return q.print(cmd.OutOrStdout(), part, func(t io.Writer) { explainTable(t, part) })
+		},
+	})
+}
+
+// partOf returns what the state says of one name: of a model its groups too, of a group its members.
+func partOf(s *site.State, name string) *site.State {
+	part := *s
+	part.Models, part.Groups, part.Upstreams, part.Decisions = nil, nil, nil, nil
+	for i := range s.Models {
+		if string(s.Models[i].Model) == name {
+			part.Models = append(part.Models, s.Models[i])
+		}
+	}
+	members := map[ident.Incarnation]bool{ident.Incarnation(name): true}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		if string(g.Name) == name {
+			for _, id := range g.Members {
+				members[id] = true
+			}
+		}
+		if string(g.Name) == name || string(g.Model) == name || slices.Contains(g.Members, ident.Incarnation(name)) {
+			part.Groups = append(part.Groups, *g)
+		}
+	}
+	for i := range s.Upstreams {
+		if members[s.Upstreams[i].ID] {
+			part.Upstreams = append(part.Upstreams, s.Upstreams[i])
+		}
+	}
+	for i := range s.Decisions {
+		d := &s.Decisions[i]
+		if string(d.Group) == name || string(d.Model) == name || slices.Contains(d.Members, ident.Incarnation(name)) {
+			part.Decisions = append(part.Decisions, *d)
+		}
+	}
+	return &part
+}
+
+func explainTable(t io.Writer, s *site.State) {
+	for i := range s.Models {
+		m := &s.Models[i]
+		fmt.Fprintln(t, "MODEL\tSIZE\tSERVING\tWANTED\tLOAD\tWHY")
+		modelRow(t, m)
+		fmt.Fprintln(t, "\nDOMAIN\tFREE, READY\tLOADING\tWITHOUT WEIGHTS")
+		for _, r := range m.Rooms {
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", r.Domain, r.Ready, r.Loading, r.Other)
+		}
+		fmt.Fprintln(t)
+	}
+	if len(s.Groups) > 0 {
+		fmt.Fprintln(t, "GROUP\tEPOCH\tMODEL\tPHASE\tFOR\tFAR\tMEMBERS")
+	}
+	for i := range s.Groups {
+		siteGroupRow(t, &s.Groups[i])
+	}
+	if len(s.Upstreams) > 0 {
+		fmt.Fprintln(t, "\nUPSTREAM\tHALL\tDOMAIN\tADDRESS\tREPORT AGE\tDOES")
+	}
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Hall, u.Domain, u.Address, time.Duration(u.AgeMS)*time.Millisecond, u.Place)
+	}
+	if len(s.Decisions) > 0 {
+		fmt.Fprintln(t, "\nAT\tGROUP\tDECISION\tREASON")
+	}
+	for _, d := range s.Decisions[max(0, len(s.Decisions)-decisionsShown):] {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", d.At.Format("15:04:05.000"), d.Group, d.Decision, d.Reason)
+	}
+}
--- a/cmd/dunlinquay/main_test.go
+++ b/cmd/dunlinquay/main_test.go
@@ -42,6 +42,11 @@
 		{[]string{"vm", "label", "w", "x", "--daemon", nobody}, 2},
 		{[]string{"wait", "soon", "--daemon", nobody}, 2},
 		{[]string{"standin", "--kind", "other"}, 2},
+		{[]string{"site", "groups"}, 2},
+		{[]string{"site", "groups", "--settings", bad}, 3},
+		{[]string{"site", "groups", "--control", "127.0.0.1:1"}, 1},
+		{[]string{"site", "explain", "--control", "127.0.0.1:1"}, 2},
+		{[]string{"site", "explain", "g", "--control", "127.0.0.1:1"}, 1},
 	} {
 		if exit := execute(t.Context(), c.args); exit != c.exit {
 			t.Errorf("%v: exit code %d, want %d", c.args, exit, c.exit)
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -41,6 +41,7 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "the settings file")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(siteGroups(), siteExplain())
 	return cmd
 }
 
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -446,3 +446,25 @@
 	c.Apply(&d)
 	return c
 }
+
+// spare returns an upstream that is in no group.
+func (f *fleet) spare() *engine {
+	for _, e := range f.engines {
+		if e.alive && e.member.State == roster.MemberNone {
+			return e
+		}
+	}
+	f.t.Fatal("no spare")
+	return nil
+}
+
+// headOf returns the head of an open group of model.
+func (f *fleet) headOf(model ident.Model) *engine {
+	for _, e := range f.engines {
+		if e.alive && e.member.State == roster.MemberOpen && e.model == model {
+			return e
+		}
+	}
+	f.t.Fatal("no open group")
+	return nil
+}
--- /dev/null
+++ b/replicaset/explain.go
@@ -0,0 +1,153 @@
+package replicaset
+
+// What operators ask for: what each model has and needs, what keeps it from
+// having more, and what every upstream does. It is worked out from what the
+// planner works on, so it says what the planner sees.
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// Room counts the free upstreams of a domain as members of a group of one model.
+type Room struct {
+	Domain ident.Domain `json:"domain"`
+	// Ready have the weights, Loading are getting them, Other would have to.
+	Ready   int `json:"ready"`
+	Loading int `json:"loading"`
+	Other   int `json:"other"`
+}
+
+// Outlook tells what a model has and needs and what keeps it from having more.
+type Outlook struct {
+	Model ident.Model `json:"model"`
+	Size  int         `json:"size"`
+	// Serving counts the groups that serve or are about to, one across domains as the part of a whole one that it carries.
+	Serving float64 `json:"serving"`
+	Wanted  float64 `json:"wanted"`
+	// Load is the demand in parts of what these groups carry, 0 while it is not known or nothing serves.
+	Load  float64 `json:"load"`
+	Rooms []Room  `json:"rooms"`
+	Why   string  `json:"why"`
+}
+
+// Outlook returns the outlook of every model, or nothing before the first step.
+func (f *Formation) Outlook() []Outlook {
+	if f.world == nil {
+		return nil
+	}
+	return Explain(f.situation())
+}
+
+// Explain returns the outlook of every model.
+func Explain(s *Situation) []Outlook {
+	p := newPlan(s)
+	var list []Outlook
+	for i := range s.Engine.Models {
+		m := &s.Engine.Models[i]
+		o := Outlook{Model: m.Name, Size: m.Size, Serving: p.served[m.Name], Wanted: p.wanted(m.Name), Rooms: p.rooms(m)}
+		if o.Serving > 0 {
+			o.Load = p.load(m, 0)
+		}
+		o.Why = p.outlook(m, o.Rooms)
+		list = append(list, o)
+	}
+	return list
+}
+
+func (p *plan) rooms(m *httproute.Model) []Room {
+	domains := byDomain(p.free, func(*Candidate) bool { return true })
+	var rooms []Room
+	for _, name := range sortedKeys(domains) {
+		r := Room{Domain: name}
+		for i := range domains[name] {
+			switch c := &domains[name][i]; {
+			case hasWeights(m, c):
+				r.Ready++
+			case c.Staging == m.Name:
+				r.Loading++
+			default:
+				r.Other++
+			}
+		}
+		rooms = append(rooms, r)
+	}
+	return rooms
+}
+
+// outlook says why m has the groups that it has.
+func (p *plan) outlook(m *httproute.Model, rooms []Room) string {
+	ready, loading, other := 0, 0, 0
+	for _, r := range rooms {
+		if r.Ready >= m.Size && p.need(m.Name) > 0 {
+			return fmt.Sprintf("domain %s has the members of a group, it is begun unless a model lacks groups more", r.Domain)
+		}
+		ready += r.Ready
+		loading += r.Loading
+		other += r.Other
+	}
+	switch {
+	case p.need(m.Name) <= 0:
+		return "has the groups that it needs"
+	case len(p.roomFor(m)) > 0:
+		return "groups end so that a domain has the members of a better one"
+	case ready >= m.Size:
+		return fmt.Sprintf("no domain has %d free upstreams with the weights; one across domains is formed when %.0f%% of the groups lack", m.Size, farNeed*100)
+	case ready+loading+other >= m.Size:
+		return fmt.Sprintf("of %d free upstreams %d have the weights and %d are getting them", ready+loading+other, ready, loading)
+	}
+	return fmt.Sprintf("only %d upstreams are free", ready+loading+other)
+}
+
+// Place tells what an upstream does, and if it is in no group, why.
+func (f *Formation) Place(id ident.Incarnation) string {
+	u := f.byID[id]
+	if u == nil {
+		return "unknown"
+	}
+	for _, g := range f.groups() {
+		if rank := slices.Index(g.Members, id); rank >= 0 {
+			return fmt.Sprintf("member %d of %d of %s, which is %s", rank+1, len(g.Members), g.Name, g.Phase)
+		}
+	}
+	return f.freeBecause(u)
+}
+
+func (f *Formation) freeBecause(u *roster.Upstream) string {
+	c := f.candidate(u)
+	switch {
+	case u.Draining:
+		return "leaves"
+	case u.Silent:
+		return "silent"
+	case f.world.Dead[u.ID]:
+		return "takes no connections"
+	case f.world.Ages[u.ID] >= missedReport:
+		return "has missed a report"
+	case !f.out(u):
+		return "has not left " + string(u.Member.Group) + " yet"
+	case f.reserved(u.Domain):
+		return "waits for a group of its domain that ends for a better one"
+	case c.Staging != "":
+		return "free, gets the weights of " + string(c.Staging)
+	case fresh(&c):
+		return "free, without weights"
+	}
+	return "free, with the weights of " + strings.Join(weightsAt(&c), " and ")
+}
+
+// weightsAt names the models that c joins without a load.
+func weightsAt(c *Candidate) []string {
+	var names []string
+	for _, m := range append([]ident.Model{c.Last}, c.Staged...) {
+		if m != "" && !slices.Contains(names, string(m)) {
+			names = append(names, string(m))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/replicaset/explain_test.go
@@ -0,0 +1,72 @@
+package replicaset_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/replicaset"
+)
+
+func TestExplain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		free   []replicaset.Candidate
+		groups []replicaset.Placed
+		demand map[ident.Model]float64
+		// want tells, for the large model, groups, load, rooms and the reason.
+		want string
+	}{
+		{"enough", candidates("a:W"), placed("large b:WWWW", "small b:ww"), groupsOf(1, 1), "1.0 of 1, load 0.94, [{a 1 0 0}]: has the groups that it needs"},
+		{"about to begin", candidates("a:WWWW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 4 0 0}]: domain a has the members of a group, it is begun unless a model lacks groups more"},
+		{
+			"in several domains", candidates("a:WWW", "b:W"), placed("large c:WWWW", "large d:WWWW", "small d:ww"), groupsOf(3, 0.1),
+			"2.0 of 3, load 1.41, [{a 3 0 0} {b 1 0 0}]: no domain has 4 free upstreams with the weights; one across domains is formed when 40% of the groups lack",
+		},
+		{"without weights", candidates("a:WW**"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 2}]: of 4 free upstreams 2 have the weights and 0 are getting them"},
+		{"too few", candidates("a:WW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0}]: only 2 upstreams are free"},
+		{"groups end for it", candidates("a:WWW"), placed("small a:ww", "small b:ww"), groupsOf(2, 1), "0.0 of 2, load 0.00, [{a 3 0 0}]: groups end so that a domain has the members of a better one"},
+	} {
+		o := replicaset.Explain(&replicaset.Situation{Engine: models(), Free: c.free, Groups: c.groups, Demand: c.demand, Total: 48})[0]
+		got := fmt.Sprintf("%.1f of %.0f, load %.2f, %v: %s", o.Serving, o.Wanted, o.Load, o.Rooms, o.Why)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// Every upstream has a place, whatever happened to it.
+func TestPlace(t *testing.T) {
+	f := newFleet(t, 9, 2, 8)
+	f.run(20*time.Second, nil)
+	f.demand = groupsOf(2, 2)
+	free := f.spare()
+	if got := f.formation.Place(free.id); got != "free, with the weights of large and small" && got != "free, with the weights of small and large" {
+		t.Errorf("a spare: %s", got)
+	}
+	head := f.headOf("large")
+	if got, want := f.formation.Place(head.members[1]), fmt.Sprintf("member 2 of 4 of %s, which is open", head.member.Group); got != want {
+		t.Errorf("a member: %s, want %s", got, want)
+	}
+	free.draining, free.changed = true, true
+	late := f.add("domain-0", "hall-0", "")
+	f.run(step, nil)
+	if got := f.formation.Place(free.id); got != "leaves" {
+		t.Errorf("one that leaves: %s", got)
+	}
+	f.run(100*time.Millisecond, nil)
+	if got := f.formation.Place(late.id); got != "free, gets the weights of large" && got != "free, gets the weights of small" {
+		t.Errorf("a new one: %s", got)
+	}
+	f.kill(late)
+	f.run(4*time.Second, nil)
+	if got := f.formation.Place(late.id); got != "silent" && got != "takes no connections" {
+		t.Errorf("a dead one: %s", got)
+	}
+	if got := f.formation.Place("nobody"); got != "unknown" {
+		t.Errorf("an unknown one: %s", got)
+	}
+}
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -58,15 +58,6 @@
 
 // Each fault strikes a formed fleet; what must hold always is checked by the engines, what must hold in the end by the table.
 func TestFaults(t *testing.T) {
-	groupOf := func(f *fleet, model ident.Model) *engine {
-		for _, e := range f.engines {
-			if e.alive && e.member.State == roster.MemberOpen && e.model == model {
-				return e
-			}
-		}
-		t.Fatal("no open group")
-		return nil
-	}
 	for _, c := range []struct {
 		name   string
 		strike func(f *fleet)
@@ -76,10 +67,10 @@
 		small  int
 	}{
 		{"nothing", func(*fleet) {}, time.Second, 6, 6},
-		{"a member dies", func(f *fleet) { f.kill(f.byID[groupOf(f, "large").members[2]]) }, 2 * time.Second, 6, 6},
-		{"a head dies", func(f *fleet) { f.kill(groupOf(f, "large")) }, 2 * time.Second, 6, 6},
+		{"a member dies", func(f *fleet) { f.kill(f.byID[f.headOf("large").members[2]]) }, 2 * time.Second, 6, 6},
+		{"a head dies", func(f *fleet) { f.kill(f.headOf("large")) }, 2 * time.Second, 6, 6},
 		{"two members of different groups of one domain die", func(f *fleet) {
-			head := groupOf(f, "large")
+			head := f.headOf("large")
 			f.kill(head)
 			for _, e := range f.engines {
 				if e.alive && e.domain == head.domain && e.member.State == roster.MemberOpen {
@@ -89,7 +80,7 @@
 			}
 		}, 4 * time.Second, 6, 6},
 		{"a whole domain dies", func(f *fleet) {
-			domain := groupOf(f, "large").domain
+			domain := f.headOf("large").domain
 			for _, e := range f.engines {
 				if e.domain == domain {
 					f.kill(e)
@@ -97,7 +88,7 @@
 			}
 		}, 4 * time.Second, 5, 6},
 		{"a whole domain restarts with what is on its hosts", func(f *fleet) {
-			domain := groupOf(f, "large").domain
+			domain := f.headOf("large").domain
 			for _, e := range slices.Clone(f.engines) {
 				if e.domain == domain {
 					f.kill(e)
@@ -106,16 +97,16 @@
 			}
 		}, 6 * time.Second, 6, 6},
 		{"a head signs off and goes on for a while", func(f *fleet) {
-			e := groupOf(f, "large")
+			e := f.headOf("large")
 			e.left = true
 			f.roster.Leave(f.now, e.id)
 		}, 12 * time.Second, 6, 6},
 		{"a member drains", func(f *fleet) {
-			e := f.byID[groupOf(f, "small").members[1]]
+			e := f.byID[f.headOf("small").members[1]]
 			e.draining, e.changed = true, true
 		}, 4 * time.Second, 6, 6},
 		{"control does not reach a group that serves", func(f *fleet) {
-			for _, id := range groupOf(f, "large").members {
+			for _, id := range f.headOf("large").members {
 				f.byID[id].cut = true
 			}
 		}, 8 * time.Second, 6, 6},
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -133,8 +133,7 @@
 	loads int
 }
 
-// Plan returns what to begin now.
-func Plan(s *Situation) Decision {
+func newPlan(s *Situation) *plan {
 	p := &plan{
 		Situation: s, targets: Targets(s), needs: Needs(s), loads: s.Loads,
 		served: map[ident.Model]float64{}, homes: map[ident.Domain]map[ident.Model]int{},
@@ -144,6 +143,12 @@
 		g := &s.Groups[i]
 		p.settle(g.Model, g.Far, g.Members[0].Domain)
 	}
+	return p
+}
+
+// Plan returns what to begin now.
+func Plan(s *Situation) Decision {
+	p := newPlan(s)
 	var d Decision
 	d.Groups = p.begin((*plan).near)
 	if !s.Early {
--- a/site/calls.go
+++ b/site/calls.go
@@ -120,6 +120,9 @@
 		return PassReply{}, c.replace(ctx, timeout, call)
 	case CallRead:
 		return c.read()
+	case CallInspect:
+		s := r.state(time.Now())
+		return PassReply{State: &s}, nil
 	}
 	return PassReply{}, result.New(result.PeerRefused, "unknown call %s", call.Kind)
 }
--- a/site/control.go
+++ b/site/control.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.StartFailed, "peers' address cannot be used")
 	}
-	return newServer(ln, &Handlers{Deliver: c.node.Deliver, Hello: c.hello, Join: c.join, Sync: c.sync, Pass: c.pass})
+	return newServer(ln, &Handlers{Deliver: c.node.Deliver, Hello: c.hello, Join: c.join, Sync: c.sync, Pass: c.pass, Inspect: c.inspect})
 }
 
 // serverRunner is a server of links.
--- /dev/null
+++ b/site/inspect.go
@@ -0,0 +1,175 @@
+package site
+
+// What operators see of a site: the state of the leader, asked for through any
+// control daemon. It changes nothing.
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/link"
+	"github.com/dunlinquay/dunlinquay/replicaset"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// decisionsKept bounds the decisions that a leader remembers for operators: some minutes of a troubled day.
+const decisionsKept = 500
+
+// State is what the leader of a site knows and wants at one moment.
+type State struct {
+	Leader string            `json:"leader"`
+	Reign  Reign             `json:"reign"`
+	Since  time.Time         `json:"since"`
+	Config httproute.Version `json:"config-version"`
+	// Settled is unset while a new leader waits until all upstreams have reported; it orders nothing then.
+	Settled   bool            `json:"settled"`
+	Controls  []string        `json:"controls"`
+	Entries   int             `json:"entries"`
+	Models    []ModelState    `json:"models"`
+	Groups    []GroupState    `json:"groups"`
+	Upstreams []UpstreamState `json:"upstreams"`
+	Decisions []GroupDecision `json:"decisions"`
+}
+
+// ModelState is what a model of a service has and needs.
+type ModelState struct {
+	Service ident.Service `json:"service"`
+	replicaset.Outlook
+}
+
+// GroupState is one group and how long it has been in its phase.
+type GroupState struct {
+	Name    ident.Group         `json:"group"`
+	Epoch   ident.Epoch         `json:"epoch"`
+	Service ident.Service       `json:"service"`
+	Model   ident.Model         `json:"model"`
+	Phase   roster.Phase        `json:"phase"`
+	ForMS   int64               `json:"for-ms"`
+	Far     bool                `json:"far"`
+	Members []ident.Incarnation `json:"members"`
+}
+
+// UpstreamState is one upstream, how old its last report is, and what it does.
+type UpstreamState struct {
+	ID      ident.Incarnation `json:"upstream"`
+	Service ident.Service     `json:"service"`
+	Address string            `json:"address"`
+	Hall    ident.Hall        `json:"hall"`
+	Domain  ident.Domain      `json:"domain"`
+	AgeMS   int64             `json:"report-age-ms"`
+	Place   string            `json:"place"`
+}
+
+// GroupDecision is one decision on a group and its reason.
+type GroupDecision struct {
+	At       time.Time           `json:"at"`
+	Group    ident.Group         `json:"group"`
+	Model    ident.Model         `json:"model"`
+	Members  []ident.Incarnation `json:"members"`
+	Decision string              `json:"decision"`
+	Reason   string              `json:"reason"`
+}
+
+// InspectReply is the state of the leader; Code is 0 when there is one.
+type InspectReply struct {
+	Code  result.Code
+	Text  string
+	State State
+}
+
+// Inspect asks the control daemons at addresses (host:port of their peers' listeners) for the state of the site, one after
+// the other until one knows it.
+func Inspect(ctx context.Context, dial transport.Dial, addresses []string) (*State, error) {
+	err := result.New(result.Usage, "no control daemon is named")
+	for _, address := range addresses {
+		client := link.NewClient(address, serviceName)
+		client.Dial = dial
+		var reply InspectReply
+		callErr := client.Call(ctx, passTimeout+callTimeout, "Inspect", &Nothing{}, &reply)
+		client.Close()
+		switch {
+		case callErr != nil:
+			err = result.Wrap(callErr, result.DaemonUnreached, "%s does not answer", address)
+		case reply.Code != result.OK:
+			err = result.New(reply.Code, "%s: %s", address, reply.Text)
+		default:
+			return &reply.State, nil
+		}
+	}
+	return nil, err
+}
+
+// inspect gives the state of this daemon's reign, or that of the leader's.
+func (c *Control) inspect() InspectReply {
+	reply, err := c.call(context.Background(), passTimeout, &PassCall{Kind: CallInspect})
+	if err != nil {
+		return InspectReply{Code: result.CodeOf(err), Text: result.Message(err)}
+	}
+	return InspectReply{State: *reply.State}
+}
+
+// state describes the reign; what it tells of groups is from the last look at them.
+func (r *reign) state(now time.Time) State {
+	r.looking.Lock()
+	defer r.looking.Unlock()
+	s := State{
+		Leader: string(r.c.self.Name), Reign: r.name, Since: r.began, Config: r.c.machine.Held().Version, Settled: r.settled(now),
+		Controls: r.c.controls(), Decisions: r.decisions.list(),
+	}
+	r.mu.Lock()
+	s.Entries = len(r.entries)
+	r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
+		for _, o := range r.formations[name].Outlook() {
+			s.Models = append(s.Models, ModelState{name, o})
+		}
+	}
+	for _, g := range r.roster.Groups() {
+		s.Groups = append(s.Groups, GroupState{g.Name, g.Epoch, g.Service, g.Model, g.Phase, now.Sub(g.Since).Milliseconds(), g.Far, g.Members})
+	}
+	upstreams, ages := r.roster.Upstreams(now)
+	for i := range upstreams {
+		u := &upstreams[i]
+		s.Upstreams = append(s.Upstreams, UpstreamState{u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u)})
+	}
+	return s
+}
+
+func (r *reign) place(u *roster.Upstream) string {
+	if f := r.formations[u.Service]; f != nil && u.Domain != "" {
+		return f.Place(u.ID)
+	}
+	switch {
+	case u.Draining:
+		return "leaves"
+	case u.Silent:
+		return "silent"
+	}
+	return "serves by itself"
+}
+
+// decisions keeps the newest decisions, in a ring.
+type decisions struct {
+	ring []GroupDecision
+	next int
+}
+
+func (d *decisions) add(g *GroupDecision) {
+	if len(d.ring) < decisionsKept {
+		d.ring = append(d.ring, *g)
+		return
+	}
+	d.ring[d.next] = *g
+	d.next = (d.next + 1) % decisionsKept
+}
+
+// list returns the decisions, the oldest first.
+func (d *decisions) list() []GroupDecision {
+	return append(append([]GroupDecision(nil), d.ring[d.next:]...), d.ring[:d.next]...)
+}
--- a/site/messages.go
+++ b/site/messages.go
@@ -82,6 +82,7 @@
 	CallLeave   CallKind = "leave"
 	CallReplace CallKind = "replace"
 	CallRead    CallKind = "read"
+	CallInspect CallKind = "inspect"
 )
 
 // PassCall is one call that the leader must answer.
@@ -99,6 +100,8 @@
 	Text    string
 	Address string
 	Body    []byte
+	// State answers CallInspect.
+	State *State
 }
 
 const (
--- a/site/peers.go
+++ b/site/peers.go
@@ -28,6 +28,7 @@
 	Join    func(c *JoinCall) JoinReply
 	Sync    func(c *SyncCall) SyncReply
 	Pass    func(c *PassCall) PassReply
+	Inspect func() InspectReply
 }
 
 // Service is the receiver that net/rpc calls; its methods are the wire interface.
@@ -65,6 +66,12 @@
 	return nil
 }
 
+// Inspect tells operators the state of the site.
+func (s *Service) Inspect(_ *Nothing, reply *InspectReply) error {
+	*reply = s.handlers.Inspect()
+	return nil
+}
+
 // newServer serves handlers on ln.
 func newServer(ln net.Listener, handlers *Handlers) (*link.Server, error) {
 	return link.NewServer(ln, serviceName, &Service{handlers})
--- a/site/reign.go
+++ b/site/reign.go
@@ -68,7 +68,10 @@
 	// settleAt is when the roster is believed.
 	settleAt time.Time
 
+	// looking is held during each look at the groups; formations and decisions belong to it.
+	looking    sync.Mutex
 	formations map[ident.Service]*replicaset.Formation
+	decisions  decisions
 	counter    uint64
 	answers    chan orderAnswer
 	early      bool
@@ -175,6 +178,8 @@
 	case <-changed:
 		pause(ctx, leadPause)
 	case a := <-r.answers:
+		r.looking.Lock()
+		defer r.looking.Unlock()
 		r.answered(&a)
 	}
 }
@@ -189,6 +194,8 @@
 
 // step looks at every service with engines; without the lease nothing is ordered.
 func (r *reign) step() {
+	r.looking.Lock()
+	defer r.looking.Unlock()
 	for range len(r.answers) {
 		a := <-r.answers
 		r.answered(&a)
@@ -260,6 +267,7 @@
 	}
 	f.Send = func(o replicaset.Order) { r.order(service, o) }
 	f.Note = func(g *roster.Group, decision, reason string) {
+		r.decisions.add(&GroupDecision{time.Now(), g.Name, g.Model, g.Members, decision, reason})
 		r.c.Log.Info("group "+decision, "group", g.Name, "epoch", g.Epoch, "model", g.Model, "members", g.Members, "far", g.Far, "reason", reason)
 	}
 	r.formations[service] = f
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -190,8 +190,10 @@
 		return nil, err
 	}
 	return &httproute.Config{
-		Version:  httproute.Version(version),
-		Services: []httproute.Service{{Name: "s"}},
+		Version: httproute.Version(version),
+		Services: []httproute.Service{{Name: "s"}, {Name: "m", Engine: &httproute.Engine{
+			LoadsPerSecond: 9, ConcurrentLoads: 9, Models: []httproute.Model{{Name: "one", Size: 1, Share: 1, Pace: 1, Load: time.Hour}},
+		}}},
 		Routes: []httproute.Route{{
 			Name: "r", Host: "h", Prefix: fmt.Sprintf("/v%d/", version), Kind: httproute.KindSafe, Timeout: time.Second, Public: true,
 			Attempts: 1, Split: []httproute.Share{{Service: "s", Weight: 1}},
@@ -339,3 +341,46 @@
 		t.Errorf("a read without a majority: %v", err)
 	}
 }
+
+// Any control daemon tells operators what the leader knows and decided; without a leader none does.
+func TestInspect(t *testing.T) {
+	d := newDaemons(t)
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	peers := func(host string) string { return fmt.Sprintf("%s:%d", host, d.port) }
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	d.until("an upstream is taken", func() bool {
+		r := &roster.Report{Upstream: roster.Upstream{ID: "i-1", Service: "m", Address: "127.0.0.1:1", Domain: "d", Slots: 4}, Sequence: 1}
+		_, err := d.running[hosts[0]].control.Report(context.Background(), r)
+		return err == nil
+	})
+	for _, host := range hosts {
+		var s *site.State
+		d.until("a group is begun", func() bool {
+			var err error
+			s, err = site.Inspect(context.Background(), transport.TCP(), []string{peers("127.0.2.1"), peers(host)})
+			return err == nil && len(s.Groups) == 1 && len(s.Decisions) == 1
+		})
+		g := s.Groups[0]
+		if g.Model != "one" || g.Phase != roster.PhaseForming || len(g.Members) != 1 || g.Members[0] != "i-1" {
+			t.Errorf("%s: group %+v", host, g)
+		}
+		if d := s.Decisions[0]; d.Group != g.Name || d.Decision != "begun" || d.Reason == "" {
+			t.Errorf("%s: decision %+v", host, d)
+		}
+		if want := fmt.Sprintf("member 1 of 1 of %s, which is forming", g.Name); len(s.Upstreams) != 1 || s.Upstreams[0].Place != want {
+			t.Errorf("%s: upstreams %+v, want %s", host, s.Upstreams, want)
+		}
+		if len(s.Models) != 1 || s.Models[0].Service != "m" || s.Models[0].Why == "" || s.Config != 1 || s.Leader == "" {
+			t.Errorf("%s: %+v", host, s)
+		}
+	}
+	d.kill(hosts[1])
+	d.kill(hosts[2])
+	d.until("a daemon without a majority tells nothing", func() bool {
+		_, err := site.Inspect(context.Background(), transport.TCP(), []string{peers(hosts[0])})
+		return result.CodeOf(err) == result.NoLeader
+	})
+}
