Let several domains make room for groups at the same time

And with 15 groups and more one further group lowers the load by less than moveGain, so the planner stopped short of what it needs: the new test got 15 of 18 groups before that was looked at.

Ruled out: loads from the store (all members had the weights), losses of the heads of new groups.

Change: domains in which groups end count as having what comes of it, so others may make room too; a move must bring moveGain or half of what one group brings.

Test: TestDomainsMakeRoomTogether (13 of 18 large groups before), three rows of TestPlan.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -122,15 +122,12 @@
 	}
 }
 
-// close begins to close groups, unless others are about to end for a better one.
+// close begins to close groups for better ones.
 func (f *Formation) close(list []Closing, why string) {
-	if len(f.homing) > 0 {
-		return
-	}
 	for _, g := range f.groups() {
 		for _, c := range list {
 			if c.Group == g.Name {
-				f.homing[g.Name] = c.Domain
+				f.homing[g.Name] = c
 				f.phase(&g, roster.PhaseClosing, "domain "+string(c.Domain)+" has enough members for a better one; groups now: "+why)
 			}
 		}
@@ -144,7 +141,10 @@
 }
 
 func (f *Formation) situation() *Situation {
-	s := &Situation{Engine: f.engine, Demand: f.world.Demand, Early: f.Early}
+	s := &Situation{Engine: f.engine, Demand: f.world.Demand, Early: f.Early, Coming: map[ident.Domain]ident.Model{}}
+	for _, c := range f.homing {
+		s.Coming[c.Domain] = c.Model
+	}
 	taken := map[ident.Incarnation]bool{}
 	for _, g := range f.groups() {
 		for _, id := range g.Members {
@@ -188,8 +188,8 @@
 
 // reserved reports whether a group closes so that a better one can be formed in domain.
 func (f *Formation) reserved(domain ident.Domain) bool {
-	for _, d := range f.homing {
-		if d == domain {
+	for _, c := range f.homing {
+		if c.Domain == domain {
 			return true
 		}
 	}
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -89,7 +89,7 @@
 	// staging holds the orders to stage whose weights are not on the host yet.
 	staging map[ident.Incarnation]staged
 	// homing holds groups that close so that a domain gets a whole group instead.
-	homing map[ident.Group]ident.Domain
+	homing map[ident.Group]Closing
 	// stood holds heads of groups that stood still although all their members reported.
 	stood map[ident.Incarnation]bool
 	// headed holds the model of the group that an upstream was last the head of.
@@ -111,7 +111,7 @@
 		orders:   map[orderKey]*sentOrder{},
 		lost:     map[ident.Group]time.Time{},
 		over:     map[ident.Group]time.Time{},
-		homing:   map[ident.Group]ident.Domain{},
+		homing:   map[ident.Group]Closing{},
 		stood:    map[ident.Incarnation]bool{},
 		headless: map[ident.Group]bool{},
 		headed:   map[ident.Incarnation]ident.Model{},
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -43,8 +43,10 @@
 	// groupLoad is the load of a group, in parts of its throughput at the usual batch, that is planned for: beyond it
 	// batches grow until first tokens are late (worked out from the published step times).
 	groupLoad = 0.95
-	// moveGain is how much lower the highest load has to become for a group to end for one of another model.
+	// moveGain is how much lower the highest load has to become for a group to end for one of another model, movePart the
+	// same in parts of what one group more brings, where that is less.
 	moveGain = 0.08
+	movePart = 0.5
 )
 
 // Candidate is an upstream as a possible member of a group.
@@ -86,10 +88,11 @@
 	Model ident.Model
 }
 
-// Closing is a group that shall end so that Domain gets a better one.
+// Closing is a group that shall end so that Domain gets a better one, of Model.
 type Closing struct {
 	Group  ident.Group
 	Domain ident.Domain
+	Model  ident.Model
 }
 
 // Decision is what Plan wants begun, the most wanted first.
@@ -110,6 +113,8 @@
 	Free []Candidate
 	// Groups are the groups that serve or will serve, in the order of their names.
 	Groups []Placed
+	// Coming are the domains in which groups end now, with the model of the group that they end for.
+	Coming map[ident.Domain]ident.Model
 	// Total is the number of usable upstreams, free or not.
 	Total int
 	// Demand is as in World.
@@ -143,6 +148,9 @@
 		g := &s.Groups[i]
 		p.settle(g.Model, g.Far, g.Members[0].Domain)
 	}
+	for domain, model := range s.Coming {
+		p.settle(model, false, domain)
+	}
 	return p
 }
 
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -97,6 +97,7 @@
 		name   string
 		free   []replicaset.Candidate
 		groups []replicaset.Placed
+		coming map[ident.Domain]ident.Model
 		demand map[ident.Model]float64
 		loads  int
 		early  bool
@@ -154,6 +155,18 @@
 			name: "a group across domains ends for a whole one", free: candidates("a:WW"),
 			groups: placed("large a:WW b:WW", "small c:ww"), demand: groupsOf(1, 1), want: []string{"close g0 for a"},
 		},
+		{
+			name: "groups end in a second domain while those of another one do", free: candidates("b:WW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			groups: placed("small b:ww", "small c:ww"), demand: groupsOf(2, 1), want: []string{"close g0 for b"},
+		},
+		{
+			name: "no group ends when what comes suffices", free: candidates("b:WW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			groups: placed("small b:ww", "small c:ww"), demand: groupsOf(1, 1), want: []string{},
+		},
+		{
+			name: "no further group ends in a domain that makes room", free: candidates("a:WWW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			groups: placed("small a:ww", "small b:ww"), demand: groupsOf(2, 1), want: []string{},
+		},
 		{name: "weights for the one that completes a group", free: candidates("a:WWW*"), groups: placed("small b:ww"), loads: 9, want: []string{"stage large a-3"}},
 		{name: "no loads left", free: candidates("a:WWW*"), groups: placed("small a:ww", "large b:WWWW"), demand: groupsOf(1, 1), want: []string{"small a-0 a-1"}},
 		{name: "no group that has to load", free: candidates("a:****"), loads: 3, want: []string{"stage small a-0", "stage small a-1", "stage small a-2"}},
@@ -169,7 +182,7 @@
 		{name: "all at once before the first request", free: candidates("a:********"), early: true, loads: 8, want: []string{"large a-0 a-1 a-2 a-3", "small a-4 a-5", "warm large a-6", "warm small a-7"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &replicaset.Situation{Engine: models(), Free: c.free, Groups: c.groups, Demand: c.demand, Total: 48, Loads: c.loads, Early: c.early}
+			s := &replicaset.Situation{Engine: models(), Free: c.free, Groups: c.groups, Coming: c.coming, Demand: c.demand, Total: 48, Loads: c.loads, Early: c.early}
 			d := replicaset.Plan(s)
 			if diff := cmp.Diff(c.want, text(&d)); diff != "" {
 				t.Errorf("decision (-want +got):\n%s", diff)
@@ -311,3 +324,19 @@
 		t.Error(f.faults)
 	}
 }
+
+// A model whose demand grows by several groups gets them at once, not one domain after the other.
+func TestDomainsMakeRoomTogether(t *testing.T) {
+	f := newFleet(t, 13, 12, 8)
+	f.run(12*time.Second, nil)
+	f.demand = groupsOf(12, 12)
+	f.run(60*time.Second, nil)
+	f.demand = groupsOf(18, 6)
+	f.run(3600*time.Millisecond, nil)
+	if got := f.serving(); got["large"] != 18 || got["small"] != 6 {
+		t.Errorf("%d large and %d small groups serve, want 18 and 6", got["large"], got["small"])
+	}
+	if len(f.faults) > 0 {
+		t.Error(f.faults)
+	}
+}
--- a/replicaset/room.go
+++ b/replicaset/room.go
@@ -3,8 +3,9 @@
 // Groups are closed for better ones in two cases: groups that span domains,
 // when a domain has the members of a whole one among theirs and those that are
 // free; and groups of another model, when the highest load of the two models
-// becomes lower by it. Both happen one domain at a time, and only when the
-// members suffice.
+// becomes lower by it. Both happen only when the members suffice. While the
+// groups of one domain end, others may begin to: what comes of it counts as
+// there.
 
 import (
 	"slices"
@@ -28,6 +29,9 @@
 	closable := p.closable(m)
 	var best []Closing
 	for _, domain := range domainsOf(closable) {
+		if p.Coming[domain] != "" {
+			continue
+		}
 		list := p.roomIn(m, domain, closable)
 		if len(list) > 0 && (best == nil || len(list) < len(best)) {
 			best = list
@@ -80,7 +84,7 @@
 		}
 		ended[g.Model] += part
 		n += gain
-		list = append(list, Closing{g.Name, domain})
+		list = append(list, Closing{g.Name, domain, m.Name})
 	}
 	if n < m.Size {
 		return nil
@@ -91,7 +95,13 @@
 // pays reports whether the highest load becomes clearly lower if m gets a group and the other model loses so many.
 func (p *plan) pays(m *httproute.Model, other ident.Model, lost float64) bool {
 	o, ok := p.Engine.Model(other)
-	return ok && max(p.load(m, 1), p.load(o, -lost)) < p.load(m, 0)-moveGain
+	if !ok {
+		return false
+	}
+	before, after := p.load(m, 0), p.load(m, 1)
+	// One group among many brings little, however much the model lacks.
+	least := min(moveGain, movePart*(before-after))
+	return max(after, p.load(o, -lost)) < before-least
 }
 
 // countReady counts the upstreams of a domain that can join a group of m without a load.
