Work out what requests take from passes and slots

Cause: on grown wvf a third of the first events of long prompts was late while nearly no short prompt was, with 6 to 7 groups of 9 for the one and 20 of 22 for the other. The need was worked out as if a token step were shared by 12 sequences; but a step's own cost does not grow with the requests. By the published figures a group of the small model that is called full serves in 31 ms passes with a third of its slots, one of the large model in 140 ms passes with nearly all slots.

Models are ordered by load also when none lacks groups. Out of reign.go.

--- a/replicaset/needs.go
+++ b/replicaset/needs.go
@@ -100,23 +100,31 @@
 	return false
 }
 
-// byNeed returns the models, those that lack groups first and of these the one with the highest load: where the last
-// missing group of each is worth differently, a group that is begun must not have to end for one of another model. Of equal
-// ones the one with the larger groups comes first, which are harder to place.
+// byNeed returns the models, the neediest first: those that lack groups, then the one with the highest load, so that no group
+// is begun and another one of its model ends for a model that needs it more. While demand is not known the part of the groups
+// that is missing decides. Of equal ones the one with the larger groups comes first, which are harder to place.
 func (p *plan) byNeed() []*httproute.Model {
 	var list []*httproute.Model
 	for i := range p.Engine.Models {
 		list = append(list, &p.Engine.Models[i])
 	}
 	slices.SortStableFunc(list, func(a, b *httproute.Model) int {
-		if p.short(a.Name) && p.short(b.Name) {
-			return cmp.Or(cmp.Compare(p.load(b, 0), p.load(a, 0)), cmp.Compare(b.Size, a.Size))
+		if len(p.needs) == 0 {
+			return cmp.Or(cmp.Compare(p.need(b.Name), p.need(a.Name)), cmp.Compare(b.Size, a.Size))
 		}
-		return cmp.Or(cmp.Compare(p.need(b.Name), p.need(a.Name)), cmp.Compare(b.Size, a.Size))
+		return cmp.Or(p.lacks(b)-p.lacks(a), cmp.Compare(p.load(b, 0), p.load(a, 0)), cmp.Compare(b.Size, a.Size))
 	})
 	return list
 }
 
+// lacks is 1 for a model that lacks groups, for sorting.
+func (p *plan) lacks(m *httproute.Model) int {
+	if p.short(m.Name) {
+		return 1
+	}
+	return 0
+}
+
 // part is what a group carries, in parts of a whole one.
 func (p *plan) part(far bool) float64 {
 	if far {
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -40,8 +40,7 @@
 	// farNeed is the part of a model's groups that must be missing until one across domains is formed: it takes the spares
 	// of several domains and carries a third of a whole one.
 	farNeed = 0.4
-	// groupLoad is the load of a group, in parts of its throughput at the usual batch, that is planned for: beyond it
-	// batches grow until first tokens are late (worked out from the published step times).
+	// groupLoad is the load of a group, in parts of a full one (see Work), that is planned for.
 	groupLoad = 0.95
 	// moveGain is how much lower the highest load has to become for a group to end for one of another model, movePart the
 	// same in parts of what one group more brings, where that is less.
--- a/site/reign.go
+++ b/site/reign.go
@@ -410,20 +410,8 @@
 			continue
 		}
 		if m, ok := e.Model(model); ok {
-			return workOf(e, m, d)
+			return replicaset.Work(e, m, d.Prompt, d.Answer)
 		}
 	}
 	return 0
 }
-
-// usualBatch is the number of requests among which a token step is shared in the estimate.
-const usualBatch = 12
-
-func workOf(e *httproute.Engine, m *httproute.Model, d relay.Demand) float64 {
-	token := e.Step.Seconds()/usualBatch + e.PerSequence.Seconds()
-	read := 0.0
-	if e.ReadRate > 0 {
-		read = float64(d.Prompt) / e.ReadRate
-	}
-	return float64(m.Size) * m.Pace * (read + float64(d.Answer)*token)
-}
