Let control daemons that start together take turns in asking for votes

Cause: after a restart of everything control had a leader 0.6 to 1.4 s after its start, and every request until then was late.

Ruled out: disks (5 ms a sync), finding each other from seeds (members call each other by the list on their disks), the lease that they may have supported (0.385 s, stays).

Change: until a member hears of a leader it asks in its turn, a twelfth of the election time after the one before it in the list, again once all have had their turn, and gives way to an earlier one that asks at the same time; three times, then at random as before. Votes, terms and leases are as they were.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -20,6 +20,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +31,13 @@
 	maxEntriesPerMessage = 512
 	maxBytesPerMessage   = 1 << 20
 	driftFactor          = 1.1
+	// quickTries is how many times a member that starts tries after the part 1/quickPart of the election time, past which a
+	// vote with its syncs and answers is usually decided; after that disks may be slow, and it waits as long as any other.
+	quickTries = 3
+	quickPart  = 3
+	// turnPart is the part 1/turnPart of the election time by which members that start ask for votes after each other: some
+	// times the time that a vote takes.
+	turnPart = 12
 )
 
 // Timing holds the intervals of one instance.
@@ -91,6 +99,8 @@
 	leader   MemberID
 	heard    time.Time // when a leader was heard last, or the start
 	deadline time.Time
+	// quick counts the short deadlines that are left to a member that has not heard of a leader since its start.
+	quick    int
 	votes    map[MemberID]bool
 	transfer bool
 	elected  time.Time
@@ -128,9 +138,9 @@
 	}
 	c.persisted = c.lastIndex()
 	c.findMembers()
-	c.resetDeadline(now)
 	// Members that all start anew have nobody to wait for but the lease that they may have supported.
-	c.deadline = c.deadline.Add(timing.promised() - timing.Election)
+	c.quick = quickTries
+	c.deadline = now.Add(timing.promised() + c.turn())
 	return c
 }
 
@@ -205,6 +215,11 @@
 		return
 	}
 	c.resetDeadline(now)
+	if c.quick > 0 {
+		c.quick--
+		// Everyone keeps its turn: some may have started a moment later and withheld their votes.
+		c.deadline = now.Add(c.allTurns())
+	}
 	c.transfer = false
 	if c.mayLead() {
 		c.campaign(now, RolePreCandidate)
@@ -400,6 +415,7 @@
 	reply := Message{Kind: MessageVoteReply, To: m.From, Granted: grant}
 	if pre {
 		reply.Kind = MessagePreVoteReply
+		c.giveWay(now, m.From, grant)
 	} else if grant {
 		c.hard.Vote = m.From
 		c.hardDirty = true
@@ -411,6 +427,15 @@
 	}
 }
 
+// giveWay ends the candidacy of a member that has just started for one before it in the list: if both went on, they would
+// split the votes.
+func (c *Core) giveWay(now time.Time, to MemberID, granted bool) {
+	if granted && c.quick > 0 && c.role == RolePreCandidate && c.rank(to) < c.rank(c.id) {
+		c.role = RoleFollower
+		c.deadline = now.Add(c.allTurns())
+	}
+}
+
 func (c *Core) upToDate(m *Message) bool {
 	last := c.termAt(c.lastIndex())
 	return m.LastTerm > last || m.LastTerm == last && m.LastIndex >= c.lastIndex()
@@ -503,11 +528,32 @@
 	c.resetDeadline(now)
 }
 
+// resetDeadline sets the time of the next election: at random after the loss of a leader that all heard until the same moment,
+// and in turn after a start, where random times often met and each such vote was lost by all.
 func (c *Core) resetDeadline(now time.Time) {
+	if c.quick > 0 {
+		c.deadline = now.Add(c.timing.Election/quickPart + c.turn())
+		return
+	}
 	spread := c.random.Int64N(int64(c.timing.Election))
 	c.deadline = now.Add(c.timing.Election + time.Duration(spread))
 }
 
+// turn is how long this member lets those before it in the list of members ask for votes first.
+func (c *Core) turn() time.Duration {
+	return time.Duration(max(0, c.rank(c.id))) * c.timing.Election / turnPart
+}
+
+// allTurns is the time in which every member has its turn.
+func (c *Core) allTurns() time.Duration {
+	return time.Duration(len(c.members)) * c.timing.Election / turnPart
+}
+
+// rank is the place of a member in the list, which all members have in the same order.
+func (c *Core) rank(id MemberID) int {
+	return slices.IndexFunc(c.members, func(m Member) bool { return m.ID == id })
+}
+
 // mayLead is false for a member that has no vote, or that cannot yet know whether it promised it away.
 func (c *Core) mayLead() bool {
 	return c.formed && !c.hard.Expelled && c.isVoter(c.id)
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -118,6 +118,7 @@
 	c.role = RoleFollower
 	c.leader = m.From
 	c.transfer = false
+	c.quick = 0
 	c.resetDeadline(now)
 }
 
