Weigh a move between models by what serves now and all that it brings

Their logs, from second 12 on (a third more short prompts, and a new leader at 13.9): at 15.4 the new leader counted 1 group needed for the large model, whose first request it had seen a moment after the small one's, and closed two; then four large groups closed in all where one gives two small ones; then two small ones closed for a large one while 7 of the 21 that counted were still forming.

Ruled out: the estimate of work (18 groups at a load of 0.8 serve in time before the burst), time of the moves themselves.

Change: rates of all models count from the same request on; a domain counts with all groups that it gets; the model that gives is rated by its groups that serve; a move that leaves it short must bring moveGain as before.

Tests: TestRatesDoNotStartLow; three rows of TestPlan (each mutation back to the old rule fails one).

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -141,9 +141,9 @@
 }
 
 func (f *Formation) situation() *Situation {
-	s := &Situation{Engine: f.engine, Demand: f.world.Demand, Early: f.Early, Coming: map[ident.Domain]ident.Model{}}
+	s := &Situation{Engine: f.engine, Demand: f.world.Demand, Early: f.Early, Coming: map[ident.Domain]Coming{}}
 	for _, c := range f.homing {
-		s.Coming[c.Domain] = c.Model
+		s.Coming[c.Domain] = c.Coming
 	}
 	taken := map[ident.Incarnation]bool{}
 	for _, g := range f.groups() {
@@ -174,6 +174,7 @@
 	switch g.Phase {
 	case roster.PhaseForming, roster.PhaseOpening:
 	case roster.PhaseOpen:
+		p.Open = true
 		p.Settled = f.world.Now.Sub(g.Since) >= settledAfter
 	default:
 		return p, false
--- a/replicaset/needs.go
+++ b/replicaset/needs.go
@@ -135,8 +135,16 @@
 
 // load is the part of the throughput of m's groups that is asked for, if it had so many more of them.
 func (p *plan) load(m *httproute.Model, more float64) float64 {
+	return p.loadOf(m, p.served[m.Name]+more)
+}
+
+// loadNow is the same for the groups that serve already.
+func (p *plan) loadNow(m *httproute.Model, more float64) float64 {
+	return p.loadOf(m, p.open[m.Name]+more)
+}
+
+func (p *plan) loadOf(m *httproute.Model, groups float64) float64 {
 	demand := p.Demand[m.Name]
-	groups := p.served[m.Name] + more
 	switch {
 	case demand <= 0:
 		return 0
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -68,7 +68,8 @@
 	Model   ident.Model
 	Far     bool
 	Members []Candidate
-	// Settled is set when the group has served for long enough to be closed for a better one.
+	// Open is set when the group serves, Settled when it has done so for long enough to be closed for a better one.
+	Open    bool
 	Settled bool
 }
 
@@ -87,11 +88,17 @@
 	Model ident.Model
 }
 
-// Closing is a group that shall end so that Domain gets a better one, of Model.
+// Closing is a group that shall end so that Domain gets better ones: so many of Model.
 type Closing struct {
 	Group  ident.Group
 	Domain ident.Domain
+	Coming Coming
+}
+
+// Coming are groups that a domain gets once others of it have ended.
+type Coming struct {
 	Model  ident.Model
+	Groups int
 }
 
 // Decision is what Plan wants begun, the most wanted first.
@@ -112,8 +119,8 @@
 	Free []Candidate
 	// Groups are the groups that serve or will serve, in the order of their names.
 	Groups []Placed
-	// Coming are the domains in which groups end now, with the model of the group that they end for.
-	Coming map[ident.Domain]ident.Model
+	// Coming is what the domains get in which groups end now.
+	Coming map[ident.Domain]Coming
 	// Total is the number of usable upstreams, free or not.
 	Total int
 	// Demand is as in World.
@@ -131,6 +138,8 @@
 	needs   map[ident.Model]int
 	// served counts the groups of each model; one across domains counts for as much as it carries.
 	served map[ident.Model]float64
+	// open is the part of served that serves already.
+	open map[ident.Model]float64
 	// homes counts the groups of each model within a domain.
 	homes map[ident.Domain]map[ident.Model]int
 	free  []Candidate
@@ -140,15 +149,20 @@
 func newPlan(s *Situation) *plan {
 	p := &plan{
 		Situation: s, targets: Targets(s), needs: Needs(s), loads: s.Loads,
-		served: map[ident.Model]float64{}, homes: map[ident.Domain]map[ident.Model]int{},
+		served: map[ident.Model]float64{}, open: map[ident.Model]float64{}, homes: map[ident.Domain]map[ident.Model]int{},
 	}
 	p.free = append(p.free, s.Free...)
 	for i := range s.Groups {
 		g := &s.Groups[i]
 		p.settle(g.Model, g.Far, g.Members[0].Domain)
+		if g.Open {
+			p.open[g.Model] += p.part(g.Far)
+		}
 	}
-	for domain, model := range s.Coming {
-		p.settle(model, false, domain)
+	for domain, c := range s.Coming {
+		for range c.Groups {
+			p.settle(c.Model, false, domain)
+		}
 	}
 	return p
 }
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -60,7 +60,11 @@
 		list = append(list, string(g.Model)+far+" "+strings.Join(ids, " "))
 	}
 	for _, c := range d.Close {
-		list = append(list, "close "+string(c.Group)+" for "+string(c.Domain))
+		end := "close " + string(c.Group) + " for " + string(c.Domain)
+		if c.Coming.Groups > 1 {
+			end += fmt.Sprintf(" (%d)", c.Coming.Groups)
+		}
+		list = append(list, end)
 	}
 	for _, s := range d.Stage {
 		list = append(list, "stage "+string(s.Model)+" "+string(s.ID))
@@ -71,12 +75,14 @@
 	return list
 }
 
-// placed reads "large a:WWWW" as a settled group of large in domain a; its name is its place in the list.
+// placed reads "large a:WWWW" as a settled group of large in domain a, "forming large a:WWWW" as one that does not serve yet;
+// its name is its place in the list.
 func placed(groups ...string) []replicaset.Placed {
 	var list []replicaset.Placed
 	for i, text := range groups {
-		model, members, _ := strings.Cut(text, " ")
-		g := replicaset.Placed{Name: ident.Group(fmt.Sprintf("g%d", i)), Model: ident.Model(model), Settled: true}
+		rest, forming := strings.CutPrefix(text, "forming ")
+		model, members, _ := strings.Cut(rest, " ")
+		g := replicaset.Placed{Name: ident.Group(fmt.Sprintf("g%d", i)), Model: ident.Model(model), Open: !forming, Settled: !forming}
 		g.Members = candidates(strings.Fields(members)...)
 		for j := range g.Members {
 			g.Members[j].ID = ident.Incarnation(fmt.Sprintf("%s-%d", g.Name, j))
@@ -97,7 +103,7 @@
 		name   string
 		free   []replicaset.Candidate
 		groups []replicaset.Placed
-		coming map[ident.Domain]ident.Model
+		coming map[ident.Domain]replicaset.Coming
 		demand map[ident.Model]float64
 		loads  int
 		early  bool
@@ -147,6 +153,18 @@
 			name: "a group ends for one of a model that lacks it more", free: candidates("a:WWW"),
 			groups: placed("small a:ww", "small b:ww", "small c:ww", "large b:WWWW"), demand: groupsOf(2, 3), want: []string{"close g0 for a"},
 		},
+		{
+			name: "no group ends while others of its model still form", free: candidates("a:WW"),
+			groups: placed("small a:ww", "small b:ww", "forming small c:ww", "large b:WWWW"), demand: groupsOf(2, 3), want: []string{},
+		},
+		{
+			name: "a large group ends for two small ones", groups: placed("large a:WWWW", "large b:WWWW", "small c:ww"), demand: groupsOf(0.9, 2.9),
+			want: []string{"close g0 for a (2)"},
+		},
+		{
+			name: "no further group ends when two come", groups: placed("large b:WWWW", "large d:WWWW", "small c:ww"), demand: groupsOf(1.5, 2.9),
+			coming: map[ident.Domain]replicaset.Coming{"a": {Model: "small", Groups: 2}}, want: []string{},
+		},
 		{
 			name: "no group ends in vain", free: candidates("a:W"),
 			groups: placed("small a:ww", "small b:ww"), demand: groupsOf(1, 1), want: []string{},
@@ -156,15 +174,15 @@
 			groups: placed("large a:WW b:WW", "small c:ww"), demand: groupsOf(1, 1), want: []string{"close g0 for a"},
 		},
 		{
-			name: "groups end in a second domain while those of another one do", free: candidates("b:WW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			name: "groups end in a second domain while those of another one do", free: candidates("b:WW"), coming: map[ident.Domain]replicaset.Coming{"a": {Model: "large", Groups: 1}},
 			groups: placed("small b:ww", "small c:ww"), demand: groupsOf(2, 1), want: []string{"close g0 for b"},
 		},
 		{
-			name: "no group ends when what comes suffices", free: candidates("b:WW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			name: "no group ends when what comes suffices", free: candidates("b:WW"), coming: map[ident.Domain]replicaset.Coming{"a": {Model: "large", Groups: 1}},
 			groups: placed("small b:ww", "small c:ww"), demand: groupsOf(1, 1), want: []string{},
 		},
 		{
-			name: "no further group ends in a domain that makes room", free: candidates("a:WWW"), coming: map[ident.Domain]ident.Model{"a": "large"},
+			name: "no further group ends in a domain that makes room", free: candidates("a:WWW"), coming: map[ident.Domain]replicaset.Coming{"a": {Model: "large", Groups: 1}},
 			groups: placed("small a:ww", "small b:ww"), demand: groupsOf(2, 1), want: []string{},
 		},
 		{name: "weights for the one that completes a group", free: candidates("a:WWW*"), groups: placed("small b:ww"), loads: 9, want: []string{"stage large a-3"}},
--- a/replicaset/room.go
+++ b/replicaset/room.go
@@ -29,7 +29,7 @@
 	closable := p.closable(m)
 	var best []Closing
 	for _, domain := range domainsOf(closable) {
-		if p.Coming[domain] != "" {
+		if p.Coming[domain].Groups > 0 {
 			continue
 		}
 		list := p.roomIn(m, domain, closable)
@@ -64,44 +64,56 @@
 }
 
 // roomIn returns the groups to close so that domain has the members of a whole group of m, those with the most members
-// there first; nothing when they would not suffice.
+// there first; nothing when they would not suffice, or when it does not pay.
 func (p *plan) roomIn(m *httproute.Model, domain ident.Domain, closable []*Placed) []Closing {
 	n := countReady(m, domain, p.free)
 	there := slices.Clone(closable)
 	slices.SortStableFunc(there, func(a, b *Placed) int {
 		return countReady(m, domain, b.Members) - countReady(m, domain, a.Members)
 	})
-	var list []Closing
-	ended := map[ident.Model]float64{}
+	var ending []*Placed
 	for _, g := range there {
 		gain := countReady(m, domain, g.Members)
 		if n >= m.Size || gain == 0 {
 			break
 		}
-		part := p.part(g.Far)
-		if g.Model != m.Name && !p.pays(m, g.Model, ended[g.Model]+part) {
+		if g.Model != m.Name && !p.pays(m, (n+gain)/m.Size, append(ending, g)) {
 			continue
 		}
-		ended[g.Model] += part
 		n += gain
-		list = append(list, Closing{g.Name, domain, m.Name})
+		ending = append(ending, g)
 	}
 	if n < m.Size {
 		return nil
 	}
+	var list []Closing
+	for _, g := range ending {
+		list = append(list, Closing{g.Name, domain, Coming{m.Name, n / m.Size}})
+	}
 	return list
 }
 
-// pays reports whether the highest load becomes clearly lower if m gets a group and the other model loses so many.
-func (p *plan) pays(m *httproute.Model, other ident.Model, lost float64) bool {
+// pays reports whether the highest load becomes clearly lower if m gets so many groups and the model of the last group in
+// ending loses its groups there. What forms does not help that model yet, so only its groups that serve count.
+func (p *plan) pays(m *httproute.Model, more int, ending []*Placed) bool {
+	other := ending[len(ending)-1].Model
 	o, ok := p.Engine.Model(other)
 	if !ok {
 		return false
 	}
-	before, after := p.load(m, 0), p.load(m, 1)
-	// One group among many brings little, however much the model lacks.
-	least := min(moveGain, movePart*(before-after))
-	return max(after, p.load(o, -lost)) < before-least
+	lost := 0.0
+	for _, g := range ending {
+		if g.Model == other {
+			lost += p.part(g.Far)
+		}
+	}
+	before, after, donor := p.load(m, 0), p.load(m, float64(max(1, more))), p.loadNow(o, -lost)
+	least := moveGain
+	if donor <= groupLoad {
+		// One group among many brings little, however many m lacks; it is still worth the move if the other model can spare it.
+		least = min(moveGain, movePart*(before-after))
+	}
+	return max(after, donor) < before-least
 }
 
 // countReady counts the upstreams of a domain that can join a group of m without a load.
--- a/site/rate.go
+++ b/site/rate.go
@@ -3,44 +3,54 @@
 import (
 	"math"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
 )
 
 const (
 	// rateHalf is the time after which work that was asked for counts half: prompts differ by ten times in size, so the
 	// work of a few seconds says little.
 	rateHalf = 6 * time.Second
-	// rateKnown is how long work is counted until its rate is known.
+	// rateKnown is how long work is counted until its rates are known.
 	rateKnown = 1500 * time.Millisecond
 )
 
-// Rate is an average of work a second that fades with time.
-type Rate struct {
-	value float64
-	began time.Time
-	last  time.Time
+// Rates are averages of the work a second that was asked of each model; they fade with time. All count from the first request
+// on: a model whose first request comes a little later than another's is not one that nobody asks for.
+type Rates struct {
+	values map[ident.Model]float64
+	began  time.Time
+	last   time.Time
 }
 
-// Add counts work that was asked for at now.
-func (r *Rate) Add(now time.Time, work float64) {
+// Add counts work that was asked of a model at now.
+func (r *Rates) Add(now time.Time, model ident.Model, work float64) {
 	r.fade(now)
-	r.value += work * math.Ln2 / rateHalf.Seconds()
+	r.values[model] += work * math.Ln2 / rateHalf.Seconds()
 }
 
-// At returns the rate, 0 until it is known.
-func (r *Rate) At(now time.Time) float64 {
-	r.fade(now)
+// At returns the rates, nothing until they are known.
+func (r *Rates) At(now time.Time) map[ident.Model]float64 {
 	age := now.Sub(r.began)
-	if age < rateKnown {
-		return 0
+	if r.began.IsZero() || age < rateKnown {
+		return nil
 	}
-	// What came before the count began is not known, so it is left out of the average.
-	return r.value / (1 - math.Exp2(-float64(age)/float64(rateHalf)))
+	r.fade(now)
+	rates := map[ident.Model]float64{}
+	for model, value := range r.values {
+		// What came before the count began is not known, so it is left out of the average.
+		rates[model] = value / (1 - math.Exp2(-float64(age)/float64(rateHalf)))
+	}
+	return rates
 }
 
-func (r *Rate) fade(now time.Time) {
+func (r *Rates) fade(now time.Time) {
 	if r.began.IsZero() {
 		r.began, r.last = now, now
+		r.values = map[ident.Model]float64{}
+	}
+	for model := range r.values {
+		r.values[model] *= math.Exp2(-float64(now.Sub(r.last)) / float64(rateHalf))
 	}
-	r.value *= math.Exp2(-float64(now.Sub(r.last)) / float64(rateHalf))
 	r.last = now
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -84,7 +84,7 @@
 	mu      sync.Mutex
 	entries map[string]*entryState
 	totals  map[ident.Incarnation]int
-	demand  map[ident.Model]*Rate
+	demand  Rates
 	served  bool
 }
 
@@ -100,7 +100,6 @@
 		answers:    make(chan orderAnswer, answersLength),
 		entries:    map[string]*entryState{},
 		totals:     map[ident.Incarnation]int{},
-		demand:     map[ident.Model]*Rate{},
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 	}
@@ -298,12 +297,9 @@
 	if r.served {
 		r.early = false
 	}
-	w := &replicaset.World{Now: now, Upstreams: upstreams, Ages: ages, Sights: r.sights(now), Demand: map[ident.Model]float64{}}
+	w := &replicaset.World{Now: now, Upstreams: upstreams, Ages: ages, Sights: r.sights(now), Demand: r.demand.At(now)}
 	r.probes.look(w, r.roster.Groups())
 	w.Dead = r.probes.dead(now, ages)
-	for model, d := range r.demand {
-		w.Demand[model] = d.At(now)
-	}
 	return w
 }
 
@@ -390,12 +386,7 @@
 
 func (r *reign) countDemand(now time.Time, model ident.Model, d relay.Demand) {
 	r.served = true
-	at := r.demand[model]
-	if at == nil {
-		at = &Rate{}
-		r.demand[model] = at
-	}
-	at.Add(now, r.work(model, d))
+	r.demand.Add(now, model, r.work(model, d))
 }
 
 // work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
