Count the work of each entry from its first word on

Entries came to it one after the other, and the rate counted from the first one's first word.

Ruled out: a lump of work that was not told while there was no leader (each failed call loses it).

Change: each entry has its own rate and beginning; the sum is known once no entry has been new for a second, or after five seconds.

--- a/site/reign.go
+++ b/site/reign.go
@@ -313,6 +313,7 @@
 		late := now.Sub(e.at)
 		if late > entryAway {
 			r.forgetEntry(name)
+			r.demand.Forget(name)
 			continue
 		}
 		for _, seen := range e.seen {
@@ -357,9 +358,7 @@
 		own[seen.ID] = seen.Inflight
 		r.totals[seen.ID] += seen.Inflight
 	}
-	for model, d := range call.Demand {
-		r.countDemand(now, model, d)
-	}
+	r.countDemand(now, call)
 	others := map[ident.Incarnation]int{}
 	for id, total := range r.totals {
 		if rest := total - own[id]; rest > 0 {
@@ -384,9 +383,13 @@
 	delete(r.entries, name)
 }
 
-func (r *reign) countDemand(now time.Time, model ident.Model, d relay.Demand) {
-	r.served = true
-	r.demand.Add(now, model, r.work(model, d))
+func (r *reign) countDemand(now time.Time, call *SyncCall) {
+	work := map[ident.Model]float64{}
+	for model, d := range call.Demand {
+		r.served = true
+		work[model] = r.work(model, d)
+	}
+	r.demand.Hear(now, call.From, work)
 }
 
 // work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
