End a group that closes when its head takes no connections

Ruled out: entries' sight (nothing new is sent to a group that closes, so nothing stands still there), probes (they had found the heads dead).

Change: a group that closes is left when its head takes no connections.

Test: two rows of TestFaults, 5 of 6 large groups after 5 s before; the model of entries no longer sees stalls at groups that close.

--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -26,6 +26,11 @@
 		f.drop(g, "has finished its work")
 		return
 	}
+	if f.world.Dead[head.ID] {
+		// Entries send nothing there any more, so nothing else tells.
+		f.leave(g, "the head takes no connections")
+		return
+	}
 	if why := f.broken(g); why != "" || f.world.Now.Sub(g.Since) > f.closeLimit(g) {
 		if why == "" {
 			why = "did not finish in time"
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -388,7 +388,10 @@
 		switch {
 		case !head.alive:
 			sight.Answered = f.now.Sub(f.deadSince[head.id])
-			sight.Stalled = sight.Answered
+			// Streams at a group that closes break off with its head, and nothing new is sent there that could stand still.
+			if g.Phase == roster.PhaseOpen {
+				sight.Stalled = sight.Answered
+			}
 		case !head.stoodAt.IsZero():
 			sight.Answered = f.now.Sub(head.stoodAt)
 			sight.Stalled = sight.Answered
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -105,6 +105,22 @@
 			e := f.byID[f.headOf("small").members[1]]
 			e.draining, e.changed = true, true
 		}, 4 * time.Second, 6, 6},
+		{"a member drains and the head dies before it has finished", func(f *fleet) {
+			head := f.headOf("large")
+			e := f.byID[head.members[2]]
+			e.draining, e.changed = true, true
+			f.run(200*time.Millisecond, nil)
+			head.closedAt = f.now.Add(time.Hour)
+			f.kill(head)
+		}, 5 * time.Second, 6, 6},
+		{"a head drains and ends before it has finished", func(f *fleet) {
+			head := f.headOf("large")
+			head.draining, head.changed = true, true
+			f.run(200*time.Millisecond, nil)
+			head.closedAt = f.now.Add(time.Hour)
+			f.kill(head)
+			f.roster.Leave(f.now, head.id)
+		}, 5 * time.Second, 6, 6},
 		{"control does not reach a group that serves", func(f *fleet) {
 			for _, id := range f.headOf("large").members {
 				f.byID[id].cut = true
