Leave slow upstreams out of groups

Change: entries tell the pauses between events; the leader asks members of groups that pause longer than a full group (worked out from the published figures), or that stand still, for their pace: again after 0.4 s while they stand still, each second while slow, else after 3 s. Upstreams 1.5 times slower and more are left out of groups while others suffice; a group with one counts for as much as it carries, ends when its domain has the members of a whole one, and is marked so that entries rate it as slower.

Conclusion: slow members cost three seconds instead of as long as they are.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -117,7 +117,7 @@
 	slots := float64(max(1, t.slots))
 	load := float64(l.inflight+s.others[t.id]) / slots
 	score := load
-	if t.far {
+	if t.far || t.slow {
 		score = slowdown(x.service) * (score + 1/slots)
 	}
 	if t.hall != s.Hall {
@@ -141,7 +141,7 @@
 	return scored{t, score, load}
 }
 
-// slowdown is how many times slower a group across domains is.
+// slowdown is how many times slower a group across domains is, or one with a member that is slow.
 func slowdown(s *httproute.Service) float64 {
 	if s.Engine != nil && s.Engine.FarFactor > 0 {
 		return s.Engine.FarFactor
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -16,6 +16,7 @@
 	slots   int
 	group   ident.Group
 	far     bool
+	slow    bool
 	silent  bool
 }
 
@@ -84,7 +85,7 @@
 		f.groups[g.Service] = models
 	}
 	models[g.Model] = append(models[g.Model], target{
-		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, silent: head.Silent,
+		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, slow: g.Slow, silent: head.Silent,
 	})
 	f.heads[g.Name] = head.ID
 	sortTargets(models[g.Model])
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -36,6 +36,9 @@
 	failures float64
 	outcomes int
 	observed time.Time
+	// events and pauses are the number of events and the time between them since the leader was told.
+	events int
+	pauses time.Duration
 	// suspect is until when the lane is avoided.
 	suspect time.Time
 	refused bool
@@ -79,6 +82,8 @@
 func (l *lane) event(now time.Time, gap time.Duration) {
 	l.sign(now)
 	l.gap += time.Duration(smoothing * float64(gap-l.gap))
+	l.events++
+	l.pauses += gap
 	l.observed = now
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -174,6 +174,9 @@
 	Silence  time.Duration
 	Refused  bool
 	Blamed   ident.Incarnation
+	// Events and Pauses are the events that came since the last look and the time between them, over all streams.
+	Events int
+	Pauses time.Duration
 }
 
 // Look returns what was seen of every upstream, and the demand since the last look.
@@ -191,6 +194,8 @@
 			continue
 		}
 		one := Seen{ID: id, Group: groups[id], Inflight: l.inflight, Answered: -1, Silence: l.silence(now), Refused: l.refused, Blamed: l.blamed}
+		one.Events, one.Pauses = l.events, l.pauses
+		l.events, l.pauses = 0, 0
 		if !l.answered.IsZero() {
 			one.Answered = now.Sub(l.answered)
 		}
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -198,7 +198,7 @@
 }
 
 func (f *Formation) candidate(u *roster.Upstream) Candidate {
-	c := Candidate{ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: u.Last, Staged: u.Staged, Stood: f.stood[u.ID], Headed: f.headed[u.ID]}
+	c := Candidate{ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: u.Last, Staged: u.Staged, Stood: f.stood[u.ID], Headed: f.headed[u.ID], Pace: f.world.Paces[u.ID]}
 	if st, ok := f.staging[u.ID]; ok {
 		if roster.Has(u.Staged, st.model) || f.world.Now.After(st.until) {
 			delete(f.staging, u.ID)
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -44,6 +44,8 @@
 	told     time.Time
 	changed  bool
 	lateOpen bool
+	// pace is how many times slower it is.
+	pace float64
 }
 
 type lateOrder struct {
@@ -382,6 +384,12 @@
 func (f *fleet) world() *replicaset.World {
 	upstreams, ages := f.roster.Upstreams(f.now)
 	w := &replicaset.World{Now: f.now, Upstreams: upstreams, Ages: ages, Sights: map[ident.Group]replicaset.Sight{}, Dead: map[ident.Incarnation]bool{}, Demand: f.demand}
+	w.Paces = map[ident.Incarnation]float64{}
+	for _, e := range f.engines {
+		if e.alive && e.pace > 1 {
+			w.Paces[e.id] = e.pace
+		}
+	}
 	for _, g := range f.roster.Groups() {
 		head := f.byID[g.Head()]
 		sight := replicaset.Sight{}
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -285,6 +285,7 @@
 		f.leave(g, why)
 		return
 	}
+	f.noteSlow(g)
 	for _, id := range g.Members {
 		if f.byID[id].Draining {
 			f.phase(g, roster.PhaseClosing, "member "+string(id)+" is leaving")
@@ -294,6 +295,21 @@
 	}
 }
 
+// noteSlow lets entries know of a group with a slow member.
+func (f *Formation) noteSlow(g *roster.Group) {
+	slow := slices.ContainsFunc(g.Members, func(id ident.Incarnation) bool { return f.world.Paces[id] >= slowPace })
+	if slow == g.Slow {
+		return
+	}
+	g.Slow = slow
+	f.Roster.PutGroup(g)
+	if slow {
+		f.Note(g, "slow", "a member says that it is slow")
+		return
+	}
+	f.Note(g, "as usual", "no member is slow any more")
+}
+
 // broken returns why an open group can't serve any more, or nothing. Silence alone proves nothing: a member that control
 // does not reach may serve.
 func (f *Formation) broken(g *roster.Group) string {
--- a/replicaset/needs.go
+++ b/replicaset/needs.go
@@ -125,12 +125,26 @@
 	return 0
 }
 
-// part is what a group carries, in parts of a whole one.
-func (p *plan) part(far bool) float64 {
-	if far {
-		return 1 / max(1, p.Engine.FarFactor)
+// part is what a group carries, in parts of a whole one: it runs at its slowest member's pace.
+func (p *plan) part(g *Placed) float64 {
+	pace := 1.0
+	for i := range g.Members {
+		pace = max(pace, g.Members[i].Pace)
 	}
-	return 1
+	if g.Far {
+		return p.farPart() / pace
+	}
+	return 1 / pace
+}
+
+// farPart is what a group across domains carries.
+func (p *plan) farPart() float64 {
+	return 1 / max(1, p.Engine.FarFactor)
+}
+
+// lame reports whether a group is worth ending for a whole one of its model: it spans domains or has a slow member.
+func lame(g *Placed) bool {
+	return g.Far || slices.ContainsFunc(g.Members, func(c Candidate) bool { return !quick(&c) })
 }
 
 // load is the part of the throughput of m's groups that is asked for, if it had so many more of them.
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -60,6 +60,8 @@
 	Stood bool
 	// Headed is the model of the group that it was last the head of.
 	Headed ident.Model
+	// Pace is how many times longer all takes than it should; 0 and 1 are as usual.
+	Pace float64
 }
 
 // Placed is a group that serves or will serve.
@@ -154,14 +156,14 @@
 	p.free = append(p.free, s.Free...)
 	for i := range s.Groups {
 		g := &s.Groups[i]
-		p.settle(g.Model, g.Far, g.Members[0].Domain)
+		p.settle(g.Model, p.part(g), g.Far, g.Members[0].Domain)
 		if g.Open {
-			p.open[g.Model] += p.part(g.Far)
+			p.open[g.Model] += p.part(g)
 		}
 	}
 	for domain, c := range s.Coming {
 		for range c.Groups {
-			p.settle(c.Model, false, domain)
+			p.settle(c.Model, 1, false, domain)
 		}
 	}
 	return p
@@ -204,7 +206,11 @@
 		}
 		list = append(list, choice)
 		p.loads -= choice.Loads
-		p.settle(choice.Model, choice.Far, p.take(choice.Members))
+		part := 1.0
+		if choice.Far {
+			part = p.farPart()
+		}
+		p.settle(choice.Model, part, choice.Far, p.take(choice.Members))
 	}
 }
 
@@ -217,9 +223,9 @@
 	return Choice{}, false
 }
 
-// settle counts a group of a model in a domain.
-func (p *plan) settle(model ident.Model, far bool, domain ident.Domain) {
-	p.served[model] += p.part(far)
+// settle counts a group of a model in a domain, which carries part of what a whole one does.
+func (p *plan) settle(model ident.Model, part float64, far bool, domain ident.Domain) {
+	p.served[model] += part
 	if far {
 		return
 	}
@@ -251,11 +257,20 @@
 	if !short && p.othersFirst(m) {
 		return Choice{}, false
 	}
+	if choice, ok := p.nearOf(m, short, quick); ok || p.served[m.Name] > 0 {
+		return choice, ok
+	}
+	// A slow group is better than none.
+	return p.nearOf(m, short, func(*Candidate) bool { return true })
+}
+
+// nearOf is near among the upstreams that fit.
+func (p *plan) nearOf(m *httproute.Model, short bool, fits func(c *Candidate) bool) (Choice, bool) {
 	var best Choice
 	var bestRank rank
 	found := false
-	all := byDomain(p.free, func(*Candidate) bool { return true })
-	usable := byDomain(p.free, func(c *Candidate) bool { return p.Early || hasWeights(m, c) })
+	all := byDomain(p.free, fits)
+	usable := byDomain(p.free, func(c *Candidate) bool { return fits(c) && (p.Early || hasWeights(m, c)) })
 	for _, name := range sortedKeys(usable) {
 		list := usable[name]
 		if len(list) < m.Size || !short && !p.sparesStay(name, len(all[name])-m.Size) {
@@ -332,7 +347,7 @@
 	halls := map[ident.Hall]int{}
 	var ready []Candidate
 	for i := range p.free {
-		if c := &p.free[i]; hasWeights(m, c) {
+		if c := &p.free[i]; quick(c) && hasWeights(m, c) {
 			ready = append(ready, *c)
 			halls[c.Hall]++
 		}
@@ -384,6 +399,13 @@
 	return 0
 }
 
+// slowPace is the pace from which on an upstream is left out of groups: at less a group still answers in time.
+const slowPace = 1.5
+
+func quick(c *Candidate) bool {
+	return c.Pace < slowPace
+}
+
 // hasWeights reports whether c joins a group of m without a load from the store.
 func hasWeights(m *httproute.Model, c *Candidate) bool {
 	return c.Last == m.Name || roster.Has(c.Staged, m.Name)
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -358,3 +358,60 @@
 		t.Error(f.faults)
 	}
 }
+
+// quick counts the open groups of a model without a slow member.
+func (f *fleet) quick(model ident.Model) int {
+	n := 0
+	for _, e := range f.engines {
+		if !e.alive || e.model != model || e.member.State != roster.MemberOpen || !f.whole(e) {
+			continue
+		}
+		slow := false
+		for _, id := range e.members {
+			slow = slow || f.byID[id].pace > 1
+		}
+		if !slow {
+			n++
+		}
+	}
+	return n
+}
+
+// Groups with a slow member are formed again of the others where these suffice; a model is served by slow ones rather than not
+// at all.
+func TestSlowUpstreams(t *testing.T) {
+	f := newFleet(t, 15, 6, 8)
+	f.run(12*time.Second, nil)
+	f.demand = groupsOf(6, 6)
+	f.run(40*time.Second, nil)
+	for i, e := range f.engines {
+		if i%8 == 1 {
+			e.pace = 6
+		}
+	}
+	f.run(4*time.Second, nil)
+	if large, small := f.quick("large"), f.quick("small"); large < 6 || small < 6 {
+		t.Errorf("%d large and %d small groups without slow members serve, want 6 and 6", large, small)
+	}
+	for _, g := range f.roster.Groups() {
+		if g.Slow {
+			t.Errorf("group %s is still slow", g.Name)
+		}
+	}
+	f.decisions = 0
+	f.run(10*time.Second, nil)
+	if f.decisions > 0 {
+		t.Errorf("%d decisions while nothing changes", f.decisions)
+	}
+	for _, e := range f.engines {
+		e.pace = 6
+	}
+	f.kill(f.headOf("large"))
+	f.run(5*time.Second, nil)
+	if got := f.serving(); got["large"] < 5 || got["small"] < 6 {
+		t.Errorf("%v groups serve when all are slow, want 5 large and 6 small ones", got)
+	}
+	if len(f.faults) > 0 {
+		t.Error(f.faults)
+	}
+}
--- a/replicaset/room.go
+++ b/replicaset/room.go
@@ -1,8 +1,8 @@
 package replicaset
 
-// Groups are closed for better ones in two cases: groups that span domains,
-// when a domain has the members of a whole one among theirs and those that are
-// free; and groups of another model, when the highest load of the two models
+// Groups are closed for better ones in two cases: groups that span domains or
+// have slow members, when a domain has the members of a whole one among theirs
+// and those that are free; and groups of another model, when the highest load of the two models
 // becomes lower by it. Both happen only when the members suffice. While the
 // groups of one domain end, others may begin to: what comes of it counts as
 // there.
@@ -40,13 +40,13 @@
 	return best
 }
 
-// closable returns the groups that may end for one of m: those of m across domains, and where m is short those of the
-// other models.
+// closable returns the groups that may end for one of m: those of m across domains or with slow members, and where m is short
+// those of the other models.
 func (p *plan) closable(m *httproute.Model) []*Placed {
 	var list []*Placed
 	for i := range p.Groups {
 		g := &p.Groups[i]
-		if g.Settled && (g.Model != m.Name && p.short(m.Name) || g.Model == m.Name && g.Far) {
+		if g.Settled && (g.Model != m.Name && p.short(m.Name) || g.Model == m.Name && lame(g)) {
 			list = append(list, g)
 		}
 	}
@@ -104,7 +104,7 @@
 	lost := 0.0
 	for _, g := range ending {
 		if g.Model == other {
-			lost += p.part(g.Far)
+			lost += p.part(g)
 		}
 	}
 	before, after, donor := p.load(m, 0), p.load(m, float64(max(1, more))), p.loadNow(o, -lost)
@@ -116,11 +116,11 @@
 	return max(after, donor) < before-least
 }
 
-// countReady counts the upstreams of a domain that can join a group of m without a load.
+// countReady counts the upstreams of a domain that can join a whole group of m without a load.
 func countReady(m *httproute.Model, domain ident.Domain, list []Candidate) int {
 	n := 0
 	for i := range list {
-		if c := &list[i]; c.Domain == domain && hasWeights(m, c) {
+		if c := &list[i]; c.Domain == domain && quick(c) && hasWeights(m, c) {
 			n++
 		}
 	}
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -59,6 +59,8 @@
 	Stalled time.Duration
 	// Refused is set when a connection to the head was refused after it last answered.
 	Refused bool
+	// Pause is the mean time between events of the group's streams of late, 0 when too few came.
+	Pause time.Duration
 	// Blamed is the member that the head named as the cause of a failure.
 	Blamed ident.Incarnation
 }
@@ -72,6 +74,8 @@
 	Sights map[ident.Group]Sight
 	// Dead are upstreams that took no connection and have not reported since.
 	Dead map[ident.Incarnation]bool
+	// Paces are those of the upstreams that say that they are slow: how many times longer all takes.
+	Paces map[ident.Incarnation]float64
 	// Demand is the work asked for by model, in upstream-seconds a second; nil while unknown.
 	Demand map[ident.Model]float64
 }
--- a/replicaset/work.go
+++ b/replicaset/work.go
@@ -11,6 +11,8 @@
 //   - requests stay until all slots are taken.
 
 import (
+	"time"
+
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
@@ -32,3 +34,13 @@
 	steps := float64(answer) * e.Step.Seconds() / (slotsPart * float64(max(1, e.Slots)))
 	return float64(m.Size) * m.Pace * max(own/busyPart, own+steps)
 }
+
+// FullPause returns the time between events of a stream at a full group of m: longer ones mean that it is slow, or overloaded.
+func FullPause(e *httproute.Engine, m *httproute.Model, far bool) time.Duration {
+	step := e.Step.Seconds() + e.PerSequence.Seconds()*slotsPart*float64(e.Slots)
+	pause := float64(max(1, e.Stride)) * step / (1 - busyPart) * m.Pace
+	if far {
+		pause *= max(1, e.FarFactor)
+	}
+	return time.Duration(pause * float64(time.Second))
+}
--- a/roster/types.go
+++ b/roster/types.go
@@ -86,8 +86,9 @@
 	Model   ident.Model
 	Members []ident.Incarnation
 	Phase   Phase
-	// Far groups span domains and are slower.
-	Far bool
+	// Far groups span domains and are slower, Slow ones have a member that says that it is slow.
+	Far  bool
+	Slow bool
 	// WarmUp groups are never opened: their only member gets weights ready.
 	WarmUp bool
 	// Since is when the phase began, on the leader's clock; it is not passed on.
--- a/site/control.go
+++ b/site/control.go
@@ -42,6 +42,8 @@
 	DecodeConfig func(body []byte) (*httproute.Config, error)
 	// GiveOrder sends an order to an engine, once.
 	GiveOrder func(ctx context.Context, o *replicaset.Order) replicaset.Outcome
+	// AskPace asks an engine how many times longer than usual all takes there; nil when engines can't be asked.
+	AskPace func(ctx context.Context, address string, id ident.Incarnation) (float64, error)
 	// Handler serves the calls of upstreams and operators.
 	Handler http.Handler
 	// Reread reads the settings again.
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -2,7 +2,14 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
 
@@ -24,3 +31,19 @@
 func (r Reports) Take(ctx context.Context, report *roster.Report) (string, error) {
 	return r.queue.take(ctx, report)
 }
+
+// Paces is what a leader knows of how fast groups and upstreams are.
+type Paces struct{ paces *paces }
+
+// NewPaces asks upstreams by ask.
+func NewPaces(ask func(ctx context.Context, address string, id ident.Incarnation) (float64, error)) Paces {
+	return Paces{newPaces(ask, logr.Discard())}
+}
+
+// Note takes what an entry saw.
+func (p Paces) Note(now time.Time, seen []relay.Seen) { p.paces.note(now, seen) }
+
+// Look adds what is known to w and asks for more.
+func (p Paces) Look(w *replicaset.World, groups []roster.Group, table *httproute.Table) {
+	p.paces.look(w, groups, table)
+}
--- a/site/reign.go
+++ b/site/reign.go
@@ -76,6 +76,7 @@
 	answers    chan orderAnswer
 	early      bool
 	probes     *probes
+	paces      *paces
 	// known is how many upstreams there were, firstArrived and lastArrived when the first and the newest one was seen.
 	known        int
 	firstArrived time.Time
@@ -102,6 +103,7 @@
 		totals:     map[ident.Incarnation]int{},
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
+		paces:      newPaces(c.AskPace, c.Log),
 	}
 	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
@@ -210,6 +212,7 @@
 	}
 	defer r.show(table)
 	w := r.world(now)
+	r.paces.look(w, r.roster.Groups(), table)
 	r.c.tallies.count(now, r.roster.Groups(), w.Upstreams)
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
@@ -353,6 +356,7 @@
 	}
 	now := time.Now()
 	r.entries[call.From] = &entryState{now, call.Seen}
+	r.paces.note(now, call.Seen)
 	own := map[ident.Incarnation]int{}
 	for _, seen := range call.Seen {
 		own[seen.ID] = seen.Inflight
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -41,6 +41,7 @@
 	{"reset connections", false, 3, (*soak).resets},
 	{"an upstream crashes", false, 5, (*soak).crashUpstream},
 	{"answers get lost", false, 3, (*soak).loseAnswers},
+	{"an upstream turns slow", false, 3, (*soak).slowUpstream},
 }
 
 // trouble does one thing after the other, so that their effects overlap.
@@ -151,6 +152,23 @@
 	return string(e.id)
 }
 
+func (s *soak) slowUpstream(ctx context.Context, random *rand.Rand) string {
+	e := s.someEngine(random)
+	if e == nil {
+		return ""
+	}
+	set := func(pace float64) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.pace = pace
+	}
+	pace := 2 + 6*random.Float64()
+	set(pace)
+	wait := between(random, time.Second, 5*time.Second)
+	s.after(ctx, wait, func() { set(1) })
+	return fmt.Sprintf("%s, %.1f times for %v", e.id, pace, wait)
+}
+
 func (s *soak) killEntry(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.entries)
 	d.kill()
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -1,8 +1,8 @@
 package soak
 
-// Stand-ins of upstreams: model engines that form groups by orders, and plain
-// services. They speak what the adapter of the platform speaks, and tell the
-// truth what they run.
+// Stand-ins of upstreams: model engines that form groups by orders (orders.go),
+// and plain services. They speak what the adapter of the platform speaks, and
+// tell the truth what they run (serve.go).
 
 import (
 	"bytes"
@@ -13,14 +13,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/platform"
-	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
 
@@ -79,8 +77,9 @@
 	running  int
 	// stood is since when the group stands still for want of a member.
 	stood time.Time
-	// loses is the part of the answers that are lost.
+	// loses is the part of the answers that are lost, pace how many times slower the engine is.
 	loses    float64
+	pace     float64
 	random   *rand.Rand
 	wasReady map[membership]bool
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
@@ -102,6 +101,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platform.OrderPath, e.order)
+	mux.HandleFunc("GET "+platform.StatePath, e.tell)
 	mux.HandleFunc("/", e.serve)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	context.AfterFunc(e.ctx, func() { _ = server.Close() })
@@ -243,285 +243,3 @@
 	answer, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, answer, err
 }
-
-func (e *engine) order(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	o, err := platform.DecodeOrder(body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	outcome := replicaset.OutcomeStranger
-	if r.Header.Get(platform.Names().Incarnation) == string(e.id) {
-		outcome = e.carryOut(o)
-	}
-	w.WriteHeader(platform.OrderStatus(outcome))
-}
-
-func (e *engine) carryOut(o *replicaset.Order) replicaset.Outcome {
-	switch o.Action {
-	case replicaset.ActionStage:
-		e.later(loadTime, func() { e.staged = o.Model })
-		return replicaset.OutcomeTaken
-	case replicaset.ActionJoin:
-		return e.join(o)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.member.Group != o.Group || e.member.Epoch != o.Epoch {
-		return replicaset.OutcomeRefused
-	}
-	switch o.Action {
-	case replicaset.ActionOpen:
-		if e.member.State != roster.MemberReady && e.member.State != roster.MemberOpen {
-			return replicaset.OutcomeRefused
-		}
-		e.member.State = roster.MemberOpen
-	case replicaset.ActionClose:
-		if e.member.State == roster.MemberOpen {
-			e.member.State = roster.MemberClosing
-			go e.finish(o.Epoch)
-		}
-	case replicaset.ActionLeave:
-		e.member, e.members = roster.Membership{}, nil
-	}
-	e.change()
-	return replicaset.OutcomeTaken
-}
-
-// finish makes a closing group ready again when its work is done.
-func (e *engine) finish(epoch ident.Epoch) {
-	for e.ctx.Err() == nil {
-		pause(e.ctx, eventTime)
-		e.mu.Lock()
-		over := e.running == 0 || e.member.Epoch != epoch
-		if over && e.member.Epoch == epoch && e.member.State == roster.MemberClosing {
-			e.member.State = roster.MemberReady
-		}
-		e.mu.Unlock()
-		if over {
-			e.change()
-			return
-		}
-	}
-}
-
-func (e *engine) join(o *replicaset.Order) replicaset.Outcome {
-	e.mu.Lock()
-	same := e.member.Group == o.Group && e.member.Epoch == o.Epoch
-	low := o.Epoch < e.highest
-	e.mu.Unlock()
-	switch {
-	case same:
-		return replicaset.OutcomeTaken
-	case low:
-		return replicaset.OutcomeFenced
-	}
-	e.truth.joins(e, o.Group)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	rank := 0
-	for i, id := range o.Members {
-		if id == e.id {
-			rank = i
-		}
-	}
-	e.highest, e.members, e.model = o.Epoch, o.Members, o.Model
-	e.member = roster.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: roster.MemberJoining}
-	wait := loadTime
-	switch o.Model {
-	case e.last:
-		wait = rejoinTime
-	case e.staged:
-		wait = warmTime
-	}
-	epoch := o.Epoch
-	e.later(wait, func() {
-		if e.member.Epoch != epoch || e.member.State != roster.MemberJoining {
-			return
-		}
-		e.member.State = roster.MemberReady
-		if e.last != o.Model && e.staged != o.Model {
-			e.staged = o.Model
-		}
-		e.last = o.Model
-		e.wasReady[membership{o.Group, epoch}] = true
-	})
-	e.change()
-	return replicaset.OutcomeTaken
-}
-
-// ready reports whether the engine was ever ready in that group.
-func (e *engine) ready(m membership) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.wasReady[m]
-}
-
-// later does something after a while, with the mutex held.
-func (e *engine) later(wait time.Duration, do func()) {
-	time.AfterFunc(wait, func() {
-		if e.ctx.Err() != nil {
-			return
-		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		do()
-		e.change()
-	})
-}
-
-// whole reports whether every member of the group is there and in it.
-func (e *engine) whole() bool {
-	e.mu.Lock()
-	members, place := e.members, e.member
-	e.mu.Unlock()
-	for _, id := range members {
-		e.truth.mu.Lock()
-		other := e.truth.engines[id]
-		e.truth.mu.Unlock()
-		if other == nil {
-			return false
-		}
-		if p := other.place(); p.Group != place.Group || p.Epoch != place.Epoch {
-			return false
-		}
-	}
-	return true
-}
-
-// standsStill waits while a member is missing, and reports whether the group is broken by it or gone.
-func (e *engine) standsStill(r *http.Request, epoch ident.Epoch) bool {
-	for limit := time.Now().Add(standTime); !e.whole(); {
-		if time.Now().After(limit) || r.Context().Err() != nil {
-			return true
-		}
-		pause(e.ctx, eventTime)
-	}
-	return e.place().Epoch != epoch
-}
-
-func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	names := platform.Names()
-	id := r.Header.Get(names.RequestID)
-	w.Header().Set(names.RequestID, id)
-	epoch, admitted := e.admits(ident.Model(r.Header.Get(names.Model)))
-	if r.Header.Get(names.Incarnation) != string(e.id) || !admitted {
-		w.Header().Set(names.NotRun, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if !e.takeSlot() {
-		w.Header().Set(names.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer e.freeSlot()
-	if late := e.late(); late > 0 {
-		e.truth.breaksf("%s gets request %s %v after its leaving was acknowledged", e.id, id, late)
-	}
-	// The body is read before work begins; a request that does not arrive whole does not run.
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if e.service == plainService {
-		e.servePlain(w, r, id)
-		return
-	}
-	if e.standsStill(r, epoch) {
-		w.Header().Set(names.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	e.serveStream(w, r, id, epoch)
-}
-
-// admits reports whether requests are for this upstream, and the epoch of the group that then works on them: engines take
-// those for their model as head of an open group.
-func (e *engine) admits(model ident.Model) (ident.Epoch, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.member.Epoch, e.service == plainService || e.member.State == roster.MemberOpen && e.member.Rank == 0 && e.model == model
-}
-
-// late returns how long after its acknowledged leaving the upstream is, once nothing new may come.
-func (e *engine) late() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if after := time.Since(e.drained); e.watched && !e.drained.IsZero() && after > drainGrace {
-		return after
-	}
-	return 0
-}
-
-func (e *engine) takeSlot() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.running >= slots {
-		return false
-	}
-	e.running++
-	return true
-}
-
-func (e *engine) freeSlot() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running--
-}
-
-// loss reports whether this answer gets lost.
-func (e *engine) loss() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.random.Float64() < e.loses
-}
-
-func (e *engine) servePlain(w http.ResponseWriter, r *http.Request, id string) {
-	e.truth.runs(id, e.id)
-	pause(r.Context(), workTime)
-	if e.loss() {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set(platform.Names().Signature, "s-"+string(e.id))
-	_, _ = io.WriteString(w, plainBody(id))
-}
-
-// plainBody is the whole answer of the plain service.
-func plainBody(id string) string {
-	return fmt.Sprintf("%s:%x", id, hashOf(id))
-}
-
-// eventsOf is the number of events of a request's stream.
-func eventsOf(id string) int {
-	return 3 + int(hashOf(id)%20)
-}
-
-// eventOf is one event of it.
-func eventOf(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %x\n\n", n, hashOf(id+"/"+strconv.Itoa(n)))
-}
-
-func (e *engine) serveStream(w http.ResponseWriter, r *http.Request, id string, epoch ident.Epoch) {
-	model, _ := (&httproute.Engine{Models: models}).Model(ident.Model(r.Header.Get(platform.Names().Model)))
-	e.truth.serves(e, model.Size)
-	e.truth.runs(id, e.id)
-	// A stream that starts anew has no last event.
-	last, _ := strconv.Atoi(r.Header.Get(platform.Names().EventID))
-	w.Header().Set(platform.Names().Signature, "s-"+string(e.id))
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := last + 1; n <= eventsOf(id); n++ {
-		pause(r.Context(), eventTime)
-		if r.Context().Err() != nil || e.standsStill(r, epoch) || e.loss() {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := io.WriteString(w, eventOf(id, n)); err != nil {
-			return
-		}
-		// A caller that is gone shows in the next event.
-		_ = http.NewResponseController(w).Flush()
-	}
-}
