--- a/replicaset/work.go
+++ b/replicaset/work.go
@@ -22,7 +22,7 @@
 	// 2.5 times as long as with nothing to do (worked out from the published figures).
 	busyPart = 0.6
 	// slotsPart is the part of the slots that may be taken on average, so that most requests find one.
-	slotsPart = 0.8
+	slotsPart = 0.65
 )
 
 // Work returns the time that requests with so many tokens in all take of upstreams of m, in upstream-seconds of a full group.
