Tell a member that control does not reach from a dead one

Change: a member whose report is older than the group's last sign to an entry by a report interval and some slack would have reported had control been reached, so its silence and its refused probes say nothing; its group then has to stand still for as long as one whose members all report. A group that closes is left early only when its head answers entries no more either.

--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -26,8 +26,8 @@
 		f.drop(g, "has finished its work")
 		return
 	}
-	if f.world.Dead[head.ID] {
-		// Entries send nothing there any more, so nothing else tells.
+	if f.world.Dead[head.ID] && f.world.Sights[g.Name].Answered >= stallAlone {
+		// Entries send nothing there any more, so nothing else tells; one that still answers them is only cut off from here.
 		f.leave(g, "the head takes no connections")
 		return
 	}
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -40,6 +40,8 @@
 	staging  ident.Model
 	highest  ident.Epoch
 	stoodAt  time.Time
+	// pausedAt is since when a group that is whole sends nothing.
+	pausedAt time.Time
 	sequence uint64
 	told     time.Time
 	changed  bool
@@ -400,12 +402,20 @@
 			if g.Phase == roster.PhaseOpen {
 				sight.Stalled = sight.Answered
 			}
+		case !head.pausedAt.IsZero():
+			sight.Answered = f.now.Sub(head.pausedAt)
+			sight.Stalled = sight.Answered
 		case !head.stoodAt.IsZero():
 			sight.Answered = f.now.Sub(head.stoodAt)
 			sight.Stalled = sight.Answered
 		}
 		w.Sights[g.Name] = sight
 	}
+	for _, e := range f.engines {
+		if e.alive && e.cut {
+			w.Dead[e.id] = true
+		}
+	}
 	for id, at := range f.deadSince {
 		if f.now.Sub(at) > 300*time.Millisecond && f.now.Sub(at) < 5*time.Second {
 			w.Dead[id] = true
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -48,6 +48,9 @@
 	missedReport = 1700 * time.Millisecond
 	// stallWithDead is the same when a member does not take connections.
 	stallWithDead = 250 * time.Millisecond
+	// cutAfter is the age of a report at which, by the group's last sign to entries, its member must have reported again if
+	// control reached it: a report interval and some slack.
+	cutAfter = 1500 * time.Millisecond
 	// deadAfter is how long a head must be silent to control and to all entries until its group is certainly over: an
 	// engine breaks a group that stands still for 5 s.
 	deadAfter = 6500 * time.Millisecond
@@ -322,12 +325,21 @@
 		if s := in(u, g); s == roster.MemberNone && u.Member.Epoch > g.Epoch {
 			return "member " + string(id) + " is in another group"
 		}
+		if f.cutOff(g, id) {
+			continue
+		}
 		missed = missed || f.world.Ages[id] >= missedReport
 		dead = dead || f.world.Dead[id]
 	}
 	return f.standsStill(g, missed, dead)
 }
 
+// cutOff reports whether a member does not reach control but works: a dead one would have reported before, and the group has
+// answered entries since.
+func (f *Formation) cutOff(g *roster.Group, id ident.Incarnation) bool {
+	return f.world.Ages[id]-f.world.Sights[g.Name].Answered >= cutAfter
+}
+
 // standsStill weighs what entries see of a group, given whether a member missed a report or takes no connections.
 func (f *Formation) standsStill(g *roster.Group, missed, dead bool) string {
 	sight := f.world.Sights[g.Name]
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -159,6 +159,36 @@
 	}
 }
 
+// Control does not reach a member of a group that serves: a short pause of that group does not mean that the member is dead.
+func TestAPauseOfAGroupThatControlDoesNotReach(t *testing.T) {
+	for _, rank := range []int{0, 2} {
+		f := newFleet(t, 17, 6, 8)
+		f.run(12*time.Second, nil)
+		f.demand = groupsOf(6, 6)
+		f.run(20*time.Second, nil)
+		head := f.headOf("large")
+		name := head.member.Group
+		f.byID[head.members[rank]].cut = true
+		f.run(4*time.Second, nil)
+		head.pausedAt = f.now
+		f.run(800*time.Millisecond, nil)
+		head.pausedAt = time.Time{}
+		f.run(2*time.Second, nil)
+		if head.member.Group != name || head.member.State != roster.MemberOpen {
+			t.Errorf("member %d not reached: the head is %+v, want it open in %s", rank, head.member, name)
+		}
+		// A stall that lasts shows that the member is lost, wherever control is.
+		f.kill(f.byID[head.members[2]])
+		f.run(6*time.Second, nil)
+		if got := f.serving(); got["large"] < 6 {
+			t.Errorf("member %d not reached, then lost: %d large groups serve", rank, got["large"])
+		}
+		if len(f.faults) > 0 {
+			t.Error(f.faults)
+		}
+	}
+}
+
 // A leader that was cut off opens a group that its successor's copy shows as still forming, or not at all.
 func TestASuccessorLeavesWhatItsPredecessorOpened(t *testing.T) {
 	f := newFleet(t, 3, 2, 8)
