Keep turns and rates only of models that there are

Cause, found by reading the change: a caller names the model of its request, and for each name an entry kept a turn and the leader a rate for its reign.

Ruled out: refusing unknown models at the entry (the engine's answer is passed on today, which callers may rely on).

Change: no turn and no rate for a model that the configuration does not name.

--- a/relay/start.go
+++ b/relay/start.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -61,6 +62,10 @@
 	if !x.kept || x.service.Engine == nil {
 		return
 	}
+	m, ok := x.service.Engine.Model(x.model)
+	if !ok {
+		return // nothing serves it, and callers must not make up turns
+	}
 	turn := x.s.turn(x.model)
 	timer := time.NewTimer(time.Duration(startHoldPart * float64(x.left())))
 	defer timer.Stop()
@@ -71,7 +76,7 @@
 	case <-x.r.Context().Done():
 		return
 	}
-	time.AfterFunc(x.turnTime(), func() { <-turn })
+	time.AfterFunc(x.turnTime(m), func() { <-turn })
 }
 
 // turn returns what the stream of a model whose turn it is holds.
@@ -86,12 +91,11 @@
 
 // turnTime is how long the next held stream waits: this one's work on all groups of the model, times the entries that send
 // them some.
-func (x *exchange) turnTime() time.Duration {
-	m, ok := x.service.Engine.Model(x.model)
+func (x *exchange) turnTime(m *httproute.Model) time.Duration {
 	x.s.mu.Lock()
 	groups := len(x.s.fleet.targets(x.service, x.model))
 	x.s.mu.Unlock()
-	if !ok || groups == 0 {
+	if groups == 0 {
 		return 0
 	}
 	prompt, answer := x.tokens()
--- a/site/reign.go
+++ b/site/reign.go
@@ -391,7 +391,9 @@
 	work := map[ident.Model]float64{}
 	for model, d := range call.Demand {
 		r.served = true
-		work[model] = r.work(model, d)
+		if w := r.work(model, d); w > 0 {
+			work[model] = w // callers may name any model, rates are kept for those that there are
+		}
 	}
 	r.demand.Hear(now, call.From, work)
 }
