Measure what idle daemons of a site cost

measure/idle: five control daemons and one entry as processes of the program, the other entries in the measuring process, peers through forwarders that count.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make demo shows the product, make test proves it; the rest is for developers.
-.PHONY: build demo test lint format bench slopes
+.PHONY: build demo test lint format bench idle slopes
 
 build:
 	go build -o bin/dunlinquay ./cmd/dunlinquay
@@ -22,5 +22,8 @@
 bench:
 	cd measure && go run ./bench
 
+idle: build
+	cd measure && go run ./idle --binary ../bin/dunlinquay
+
 slopes:
 	cd measure && go run ./slopes --json ../out/slopes.json --plots ../out
