--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -295,16 +295,21 @@
 
 // near counts the large groups that serve within one domain.
 func (f *fleet) near() int {
+	return f.count("large", func(head, member *engine) bool { return member.domain == head.domain })
+}
+
+// count counts the groups of a model that serve and all of whose members fit.
+func (f *fleet) count(model ident.Model, fits func(head, member *engine) bool) int {
 	n := 0
 	for _, e := range f.engines {
-		if !e.alive || e.model != "large" || e.member.State != roster.MemberOpen || !f.whole(e) {
+		if !e.alive || e.model != model || e.member.State != roster.MemberOpen || !f.whole(e) {
 			continue
 		}
-		same := true
+		all := true
 		for _, id := range e.members {
-			same = same && f.byID[id].domain == e.domain
+			all = all && fits(e, f.byID[id])
 		}
-		if same {
+		if all {
 			n++
 		}
 	}
@@ -359,22 +364,9 @@
 	}
 }
 
-// quick counts the open groups of a model without a slow member.
+// quick counts the groups of a model that serve without a slow member.
 func (f *fleet) quick(model ident.Model) int {
-	n := 0
-	for _, e := range f.engines {
-		if !e.alive || e.model != model || e.member.State != roster.MemberOpen || !f.whole(e) {
-			continue
-		}
-		slow := false
-		for _, id := range e.members {
-			slow = slow || f.byID[id].pace > 1
-		}
-		if !slow {
-			n++
-		}
-	}
-	return n
+	return f.count(model, func(_, member *engine) bool { return member.pace <= 1 })
 }
 
 // Groups with a slow member are formed again of the others where these suffice; a model is served by slow ones rather than not
