Place requests by the estimated time to their first word

Ruled out: full groups - loads of the late requests were those of the others (4 to 20 of 26). Change: package estimate works out the time to the first word from the engine's published figures; the relay keeps the unread tokens of its own requests at each group and rates groups by that time against the route's aim. Requests are logged with prompt size, estimate and what it was worked out from; histograms by model hold expected against seen first words. Other entries' prompts are still not known.

--- /dev/null
+++ b/estimate/estimate.go
@@ -0,0 +1,81 @@
+package estimate
+
+// An engine works in passes. A pass reads the prompts that wait, then plays
+// Stride token steps for every sequence that writes, and its events go out at
+// its end:
+//
+//	| read a, b, c | steps for all | read d | steps for all | ...
+//	               first words of a, b, c   first word of d
+//
+// So what a request waits for are the prompts that are read in the same pass,
+// and so do all streams of the group: their pause is the length of a pass. The
+// number of requests says little, because prompts differ by ten times in size.
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Group is what the engine publishes of a group of one model, in the form that the estimates need.
+type Group struct {
+	// perToken is the time to read one token of a prompt, steps that of the token steps of a pass without any sequence,
+	// perSequence what each sequence adds to a pass.
+	perToken    float64
+	steps       float64
+	perSequence float64
+	slots       int
+	// stay is how long an answer of usual length keeps its slot when few write.
+	stay float64
+}
+
+// Load is what is known to be at a group.
+type Load struct {
+	// Unread are the tokens of prompts that were sent and of which no word came yet.
+	Unread ident.Tokens
+	// Requests are all requests there, read or not.
+	Requests int
+}
+
+// Of returns the figures of groups of m; all takes slowdown times as long, 1 for a group that runs as it should.
+func Of(e *httproute.Engine, m *httproute.Model, slowdown float64) Group {
+	pace := m.Pace * slowdown
+	stride := float64(max(1, e.Stride))
+	g := Group{
+		steps:       stride * float64(e.Step) * pace,
+		perSequence: stride * float64(e.PerSequence) * pace,
+		slots:       max(1, e.Slots),
+	}
+	if e.ReadRate > 0 {
+		g.perToken = float64(time.Second) / e.ReadRate * pace
+	}
+	g.stay = float64(e.Usual.Answer) / stride * g.steps
+	return g
+}
+
+// Pass returns the length of a pass that reads so many tokens while so many requests write, which is also the pause that all
+// streams of the group make.
+func (g *Group) Pass(read ident.Tokens, writing int) time.Duration {
+	return time.Duration(g.pass(float64(read), writing))
+}
+
+func (g *Group) pass(read float64, writing int) float64 {
+	return read*g.perToken + g.steps + g.perSequence*float64(min(writing, g.slots))
+}
+
+// FirstWord returns the time until the first event of a request whose prompt has so many tokens: half of the pass that is in
+// progress when it comes, a slot when none is free, and the pass that reads it along with what else waits.
+func (g *Group) FirstWord(l Load, prompt ident.Tokens) time.Duration {
+	running := g.pass(0, l.Requests) / 2
+	return time.Duration(running + g.slotWait(l.Requests) + g.pass(float64(l.Unread+prompt), l.Requests+1))
+}
+
+// slotWait is the time until a slot is free: slots free up one after the other over the time of an answer.
+func (g *Group) slotWait(requests int) float64 {
+	beyond := requests + 1 - g.slots
+	if beyond <= 0 {
+		return 0
+	}
+	return float64(beyond) / float64(g.slots) * g.stay
+}
--- /dev/null
+++ b/estimate/estimate_test.go
@@ -0,0 +1,93 @@
+package estimate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/estimate"
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// engine reads 50 tokens a ms and plays 5 steps of 6 ms in a pass; each of 20 sequences adds 0.2 ms to a step.
+func engine() *httproute.Engine {
+	return &httproute.Engine{
+		Slots: 20, Step: 6 * time.Millisecond, PerSequence: 200 * time.Microsecond, ReadRate: 50_000, Stride: 5,
+		Models: []httproute.Model{{Name: "large", Size: 4, Pace: 1}, {Name: "small", Size: 2, Pace: 0.5}},
+		Usual:  httproute.Usual{Prompt: 1000, Answer: 100},
+	}
+}
+
+func TestPass(t *testing.T) {
+	e := engine()
+	tests := []struct {
+		name     string
+		model    int
+		slowdown float64
+		read     ident.Tokens
+		writing  int
+		want     time.Duration
+	}{
+		{"nothing to do", 0, 1, 0, 0, 30 * time.Millisecond},
+		{"reading only", 0, 1, 2000, 0, 70 * time.Millisecond},
+		{"writing only", 0, 1, 0, 10, 40 * time.Millisecond},
+		{"both", 0, 1, 2000, 10, 80 * time.Millisecond},
+		{"no more write than there are slots", 0, 1, 0, 50, 50 * time.Millisecond},
+		{"a model that runs at half the time", 1, 1, 2000, 10, 40 * time.Millisecond},
+		{"a group across domains", 0, 3, 2000, 10, 240 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := estimate.Of(e, &e.Models[tt.model], tt.slowdown)
+			if diff := cmp.Diff(tt.want, g.Pass(tt.read, tt.writing).Round(time.Microsecond)); diff != "" {
+				t.Errorf("length of a pass (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFirstWord(t *testing.T) {
+	e := engine()
+	g := estimate.Of(e, &e.Models[0], 1)
+	tests := []struct {
+		name   string
+		load   estimate.Load
+		prompt ident.Tokens
+		want   time.Duration
+	}{
+		{"nothing there", estimate.Load{}, 0, 46 * time.Millisecond},
+		{"a long prompt", estimate.Load{}, 5000, 146 * time.Millisecond},
+		{"behind a long prompt", estimate.Load{Unread: 5000, Requests: 1}, 500, 157500 * time.Microsecond},
+		{"beside ten that write", estimate.Load{Requests: 10}, 500, 71 * time.Millisecond},
+		{"the last slot", estimate.Load{Requests: 19}, 0, 74500 * time.Microsecond},
+		{"two must leave first", estimate.Load{Requests: 21}, 0, 135 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, g.FirstWord(tt.load, tt.prompt).Round(time.Microsecond)); diff != "" {
+				t.Errorf("time to the first word (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// An engine that publishes nothing but its slots gives estimates that order groups by their requests.
+func TestFiguresThatAreMissing(t *testing.T) {
+	e := &httproute.Engine{Models: []httproute.Model{{Name: "m", Size: 1, Pace: 1}}}
+	g := estimate.Of(e, &e.Models[0], 1)
+	if diff := cmp.Diff(time.Duration(0), g.FirstWord(estimate.Load{Requests: 3}, 100)); diff != "" {
+		t.Errorf("time to the first word (-want +got):\n%s", diff)
+	}
+}
+
+func BenchmarkFirstWord(b *testing.B) {
+	e := engine()
+	g := estimate.Of(e, &e.Models[0], 1)
+	l := estimate.Load{Unread: 3000, Requests: 12}
+	b.ReportAllocs()
+	for b.Loop() {
+		g.FirstWord(l, 1000)
+	}
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -8,8 +8,10 @@
 // which would be everyone's, but the better one of two drawn at random.
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -37,6 +39,9 @@
 	*target
 	score float64
 	load  float64
+	// first is the time to the first word by the estimate, 0 where there is none; at is what it was worked out from.
+	first time.Duration
+	at    estimate.Load
 }
 
 // targets returns where a request for service and model can go.
@@ -48,7 +53,7 @@
 }
 
 // choose picks a target that was not tried yet and has room, or says why there is none.
-func (s *Relay) choose(x *exchange) (*target, error) {
+func (s *Relay) choose(x *exchange) (scored, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
@@ -73,9 +78,9 @@
 		sound = suspect
 	}
 	if len(sound) == 0 {
-		return nil, noTarget(len(list), full)
+		return scored{}, noTarget(len(list), full)
 	}
-	return s.betterOfTwo(sound).target, nil
+	return s.betterOfTwo(sound), nil
 }
 
 // betterOfTwo draws two different targets and returns the one with the lower score.
@@ -115,11 +120,11 @@
 	l := s.lane(t.id)
 	l.calm(now)
 	slots := float64(max(1, t.slots))
-	load := float64(l.inflight+s.others[t.id]) / slots
-	score := load
-	if t.far || t.slow {
-		score = slowdown(x.service) * (score + 1/slots)
-	}
+	requests := l.inflight + s.others[t.id]
+	load := float64(requests) / slots
+	at := estimate.Load{Unread: l.unread, Requests: requests}
+	first := t.times.FirstWord(at, x.prompt)
+	score := x.waitScore(t, first, load)
 	if t.hall != s.Hall {
 		score += otherHallScore
 	}
@@ -138,9 +143,24 @@
 	if now.Before(l.full) {
 		load = max(load, 1+queueOf(x.service))
 	}
-	return scored{t, score, load}
+	return scored{t, score, load, first, at}
+}
+
+// waitScore is the time to the first word in parts of the route's aim. Where the engine does not publish its figures, and at
+// plain workers, the load stands for it.
+func (x *exchange) waitScore(t *target, first time.Duration, load float64) float64 {
+	if first > 0 {
+		return float64(first) / float64(cmp.Or(x.route.Aim, usualAim))
+	}
+	if t.far || t.slow {
+		return slowdown(x.service) * (load + 1/float64(max(1, t.slots)))
+	}
+	return load
 }
 
+// usualAim stands for the aim of a route that declares none.
+const usualAim = time.Second
+
 // slowdown is how many times slower a group across domains is, or one with a member that is slow.
 func slowdown(s *httproute.Service) float64 {
 	if s.Engine != nil && s.Engine.FarFactor > 0 {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -41,6 +41,11 @@
 	model    ident.Model
 	body     []byte
 	id       string
+	// prompt and answer are the tokens that it brings and those that are expected of the answer.
+	prompt ident.Tokens
+	answer ident.Tokens
+	// unread is the part of the prompt that counts as unread at the lane of the present try.
+	unread ident.Tokens
 
 	tries    []Try
 	tried    map[ident.Incarnation]bool
@@ -57,9 +62,11 @@
 	lastAt    time.Time
 	events    int
 	first     time.Duration
-	gap       time.Duration
-	retry     time.Duration
-	status    int
+	// expected is when the first word was to come by the estimate of the first try.
+	expected time.Duration
+	gap      time.Duration
+	retry    time.Duration
+	status   int
 	// kept is set when the request waited for the entry's first word.
 	kept bool
 }
@@ -165,13 +172,13 @@
 	if x.service.Engine == nil {
 		return
 	}
-	prompt, answer := x.tokens()
+	x.prompt, x.answer = x.tokens()
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	d := x.s.demand[x.model]
 	d.Requests++
-	d.Prompt += prompt
-	d.Answer += answer
+	d.Prompt += x.prompt
+	d.Answer += x.answer
 	x.s.demand[x.model] = d
 }
 
@@ -267,7 +274,7 @@
 func (x *exchange) record(err error) *Record {
 	rec := &Record{
 		ID: x.id, Model: x.model, Code: result.CodeOf(err), Status: x.status, WordAge: x.s.WordAge(), Tries: x.tries,
-		Events: x.events, First: x.first, Gap: x.gap, Total: x.s.Now().Sub(x.began), Retry: x.retry,
+		Prompt: x.prompt, Events: x.events, First: x.first, Expected: x.expected, Gap: x.gap, Total: x.s.Now().Sub(x.began), Retry: x.retry,
 	}
 	if err != nil {
 		rec.Text = result.Message(err)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -18,6 +19,8 @@
 	far     bool
 	slow    bool
 	silent  bool
+	// times are the figures of a group of engines; a plain worker has none.
+	times estimate.Group
 }
 
 // fleet lays a copy of the roster out for routing; it is never changed after newFleet.
@@ -86,11 +89,28 @@
 	}
 	models[g.Model] = append(models[g.Model], target{
 		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, slow: g.Slow, silent: head.Silent,
+		times: timesOf(table, g),
 	})
 	f.heads[g.Name] = head.ID
 	sortTargets(models[g.Model])
 }
 
+// timesOf returns the figures by which requests at g are rated, none for a model that the engine does not publish.
+func timesOf(table *httproute.Table, g *roster.Group) estimate.Group {
+	s := table.Service(g.Service)
+	if s == nil || s.Engine == nil {
+		return estimate.Group{}
+	}
+	m, ok := s.Engine.Model(g.Model)
+	if !ok {
+		return estimate.Group{}
+	}
+	if g.Far || g.Slow {
+		return estimate.Of(s.Engine, m, slowdown(s))
+	}
+	return estimate.Of(s.Engine, m, 1)
+}
+
 // farSlots is how many requests a group across domains gets at pace 1: with more, its pauses grow past the usual aims.
 const farSlots = 7
 
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -25,6 +25,8 @@
 	group ident.Group
 	// inflight counts the requests that this entry has there.
 	inflight int
+	// unread are the tokens of the prompts among them of which no word came yet.
+	unread ident.Tokens
 	// waitingSince is when the first of the requests that wait without any sign began to wait.
 	waitingSince time.Time
 	// stalled is set when a request was moved away because nothing came; its wait goes on counting until something does.
@@ -52,17 +54,18 @@
 	if l.group == group {
 		return
 	}
-	*l = lane{group: group, inflight: l.inflight, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince}
+	*l = lane{group: group, inflight: l.inflight, unread: l.unread, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince}
 	if l.inflight == 0 {
 		l.waitingSince = time.Time{}
 	}
 }
 
-func (l *lane) begin(now time.Time) {
+func (l *lane) begin(now time.Time, prompt ident.Tokens) {
 	if l.inflight == 0 && l.stalled.IsZero() {
 		l.waitingSince = now
 	}
 	l.inflight++
+	l.unread += prompt
 }
 
 func (l *lane) end() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -240,8 +240,11 @@
 	Revision roster.Revision
 	WordAge  time.Duration
 	Tries    []Try
+	Prompt   ident.Tokens
 	Events   int
 	First    time.Duration
+	// Expected is when the first word was to come by the estimate of the first try, 0 where there is none.
+	Expected time.Duration
 	// Gap is the longest pause between two events.
 	Gap   time.Duration
 	Total time.Duration
@@ -256,4 +259,8 @@
 	Result string            `json:"result"`
 	// AtMS is when it began, in ms after the request came.
 	AtMS int64 `json:"at-ms"`
+	// FirstMS is the estimated time to the first word in ms, Unread and Requests are what this entry knew to be there.
+	FirstMS  int64        `json:"first-ms,omitempty"`
+	Unread   ident.Tokens `json:"unread,omitempty"`
+	Requests int          `json:"requests,omitempty"`
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -47,7 +47,7 @@
 		if x.arrivals > 0 && !x.s.Budget.Repeat(x.service.Name) {
 			return x.noneLeft(result.New(result.Overloaded, "the budget for repeats is used up"))
 		}
-		v := x.attempt(t)
+		v := x.attempt(&t)
 		switch v {
 		case verdictDone:
 			return nil
@@ -96,25 +96,46 @@
 }
 
 // attempt sends the request to t and follows the answer.
-func (x *exchange) attempt(t *target) verdict {
+func (x *exchange) attempt(t *scored) verdict {
 	x.tried[t.id] = true
-	at := x.s.Now().Sub(x.began).Milliseconds()
-	x.tries = append(x.tries, Try{To: t.id, Group: t.group, AtMS: at})
-	l := x.s.enter(t.id)
-	v := x.send(t, l)
+	at := x.s.Now().Sub(x.began)
+	if len(x.tries) == 0 && t.first > 0 {
+		x.expected = at + t.first
+	}
+	x.tries = append(x.tries, Try{
+		To: t.id, Group: t.group, AtMS: at.Milliseconds(), FirstMS: t.first.Milliseconds(), Unread: t.at.Unread, Requests: t.at.Requests,
+	})
+	l := x.enter(t.id)
+	v := x.send(t.target, l)
+	x.read(l)
 	x.s.leave(x.s.Now(), l, v)
 	x.tries[len(x.tries)-1].Result = string(v)
 	return v
 }
 
-func (s *Relay) enter(id ident.Incarnation) *lane {
+func (x *exchange) enter(id ident.Incarnation) *lane {
+	s := x.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.lane(id)
-	l.begin(s.Now())
+	l.begin(s.Now(), x.prompt)
+	x.unread = x.prompt
 	return l
 }
 
+// read notes that the prompt was read, or that the try has ended.
+func (x *exchange) read(l *lane) {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	x.readAt(l)
+}
+
+// readAt is read for callers that hold the mutex.
+func (x *exchange) readAt(l *lane) {
+	l.unread -= x.unread
+	x.unread = 0
+}
+
 func (s *Relay) leave(now time.Time, l *lane, v verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/start.go
+++ b/relay/start.go
@@ -98,8 +98,7 @@
 	if groups == 0 {
 		return 0
 	}
-	prompt, answer := x.tokens()
-	seconds := x.service.Engine.Work(m, prompt, answer) / float64(m.Size) / float64(groups) / heldPart
+	seconds := x.service.Engine.Work(m, x.prompt, x.answer) / float64(m.Size) / float64(groups) / heldPart
 	return time.Duration(seconds * float64(x.s.Budget.Entries()) * float64(time.Second))
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -178,6 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
+	x.readAt(f.lane)
 	if x.events == 0 {
 		x.first = now.Sub(x.began)
 		f.lane.sign(now)
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -37,10 +37,18 @@
 
 	mu     sync.Mutex
 	series map[seriesKey]*series
+	models map[ident.Model]*words
+}
+
+// words are the first words of one model: when they were expected, when they came, and how far apart the two were.
+type words struct {
+	expected tally.Histogram
+	seen     tally.Histogram
+	off      tally.Histogram
 }
 
 func newNumbers(scope tally.Scope) *numbers {
-	return &numbers{scope: scope, series: map[seriesKey]*series{}}
+	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}}
 }
 
 func (n *numbers) observe(r *relay.Record) {
@@ -57,6 +65,27 @@
 		s.first.RecordDuration(r.First)
 	}
 	s.total.RecordDuration(r.Total)
+	// Only models that the configuration declares have an expectation, so callers can't make up series.
+	if r.Expected > 0 && r.First > 0 && len(r.Tries) == 1 {
+		w := n.words(r.Model)
+		w.expected.RecordDuration(r.Expected)
+		w.seen.RecordDuration(r.First)
+		w.off.RecordDuration((r.First - r.Expected).Abs())
+	}
+}
+
+func (n *numbers) words(model ident.Model) *words {
+	w := n.models[model]
+	if w == nil {
+		scope := n.scope.Tagged(map[string]string{"model": string(model)})
+		w = &words{
+			expected: scope.Histogram("first_word_expected", meter.Durations()),
+			seen:     scope.Histogram("first_word_seen", meter.Durations()),
+			off:      scope.Histogram("first_word_off", meter.Durations()),
+		}
+		n.models[model] = w
+	}
+	return w
 }
 
 func (n *numbers) of(key seriesKey) *series {
@@ -85,6 +114,6 @@
 	e.numbers.observe(r)
 	e.Requests.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model,
 		"code", int(r.Code), "status", r.Status, "text", r.Text, "version", r.Version, "revision", r.Revision,
-		"word-age-ms", r.WordAge.Milliseconds(), "tries", r.Tries, "events", r.Events,
+		"word-age-ms", r.WordAge.Milliseconds(), "tries", r.Tries, "prompt", int(r.Prompt), "events", r.Events,
 		"first-ms", r.First.Milliseconds(), "gap-ms", r.Gap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "retry-ms", r.Retry.Milliseconds())
 }
