Let entries tell each other of the prompts that they send

Cause: an entry knew only its own part, an eighth, of the prompts that wait at a group; the leader's numbers are 0.1 to 0.2 s old, by which time a prompt is read. Ruled out: the best of all groups in place of the better of two. Change: an entry sends one datagram for each prompt to each other entry, whose list comes with the leader's word. What was heard counts as unread until the estimate says that it is read. Lost datagrams are not sent again. What it costs at 61 entries is to be measured.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -122,7 +122,7 @@
 	slots := float64(max(1, t.slots))
 	requests := l.inflight + s.others[t.id]
 	load := float64(requests) / slots
-	at := estimate.Load{Unread: l.unread, Requests: requests}
+	at := estimate.Load{Unread: l.unreadNow(now), Requests: requests}
 	first := t.times.FirstWord(at, x.prompt)
 	score := x.waitScore(t, first, load)
 	if t.hall != s.Hall {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -30,6 +30,8 @@
 	addresses map[string]bool
 	lives     map[ident.Incarnation]bool
 	heads     map[ident.Group]ident.Incarnation
+	// times are the figures of the groups by their heads.
+	times map[ident.Incarnation]estimate.Group
 }
 
 func newFleet(c *roster.Copy, table *httproute.Table) *fleet {
@@ -39,6 +41,7 @@
 		addresses: map[string]bool{},
 		lives:     map[ident.Incarnation]bool{},
 		heads:     map[ident.Group]ident.Incarnation{},
+		times:     map[ident.Incarnation]estimate.Group{},
 	}
 	for id, u := range c.Upstreams {
 		f.addresses[u.Address] = true
@@ -87,9 +90,10 @@
 		models = map[ident.Model][]target{}
 		f.groups[g.Service] = models
 	}
+	f.times[head.ID] = timesOf(table, g)
 	models[g.Model] = append(models[g.Model], target{
 		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, slow: g.Slow, silent: head.Silent,
-		times: timesOf(table, g),
+		times: f.times[head.ID],
 	})
 	f.heads[g.Name] = head.ID
 	sortTargets(models[g.Model])
--- /dev/null
+++ b/relay/heard.go
@@ -0,0 +1,61 @@
+package relay
+
+// A prompt is read within a tenth of a second or two, so what the leader tells
+// of other entries comes too late to say what waits at a group. Entries
+// therefore tell each other of every prompt when they send it; what is lost on
+// the way only makes an estimate worse.
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/estimate"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Sent is the news that an entry sent a prompt to the head of a group.
+type Sent struct {
+	Head   ident.Incarnation `cbor:"1,keyasint"`
+	Prompt ident.Tokens      `cbor:"2,keyasint"`
+}
+
+const (
+	// heardTokens bounds what is believed of one prompt, heardMost the prompts remembered of one head: several times what
+	// fits into a pass.
+	heardTokens = 1 << 20
+	heardMost   = 128
+)
+
+// heard is a prompt that another entry sent, until it is probably read.
+type heard struct {
+	prompt ident.Tokens
+	until  time.Time
+}
+
+// Hear takes the news that another entry sent a prompt.
+func (s *Relay) Hear(n Sent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.lanes[n.Head]
+	times, known := s.fleet.times[n.Head]
+	if l == nil || !known || n.Prompt <= 0 || len(l.heard) >= heardMost {
+		return
+	}
+	now := s.Now()
+	prompt := min(n.Prompt, heardTokens)
+	first := times.FirstWord(estimate.Load{Unread: l.unreadNow(now), Requests: l.inflight}, prompt)
+	l.heard = append(l.heard, heard{prompt, now.Add(first)})
+}
+
+// unreadNow returns the tokens of this entry's prompts and of those heard of that are not read yet.
+func (l *lane) unreadNow(now time.Time) ident.Tokens {
+	unread := l.unread
+	kept := l.heard[:0]
+	for _, h := range l.heard {
+		if now.Before(h.until) {
+			kept = append(kept, h)
+			unread += h.prompt
+		}
+	}
+	l.heard = kept
+	return unread
+}
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -27,6 +27,8 @@
 	inflight int
 	// unread are the tokens of the prompts among them of which no word came yet.
 	unread ident.Tokens
+	// heard are prompts that other entries sent there.
+	heard []heard
 	// waitingSince is when the first of the requests that wait without any sign began to wait.
 	waitingSince time.Time
 	// stalled is set when a request was moved away because nothing came; its wait goes on counting until something does.
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
 )
 
 // timedConfig is config with an engine that reads 50 tokens a ms and plays passes of 30 ms.
@@ -62,3 +63,38 @@
 		t.Errorf("short prompts beside the long one (-want +got):\n%s", diff)
 	}
 }
+
+// What another entry sent a moment ago counts like an own prompt, until it is read.
+func TestRequestsAvoidPromptsOfOthers(t *testing.T) {
+	heads, arrived, release := holding(t, 2)
+	s := newSite(t, nil, heads)
+	cfg := timedConfig()
+	cfg.Routes[2].Attempts = 1
+	s.relay.SetConfig(cfg)
+	var told []relay.Sent
+	s.relay.Tell = func(n relay.Sent) { told = append(told, n) }
+	now := time.Now()
+	s.relay.Now = func() time.Time { return now }
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer release()
+	send := func(id string) ident.Incarnation {
+		r := s.request("POST", "/stream/x", id, "")
+		r.Header.Set("Tokens", "2000,10")
+		wg.Go(func() { s.do(r) })
+		return <-arrived
+	}
+	for _, n := range []relay.Sent{{"h0", 20_000}, {"unknown", 5}, {"h1", -70_000}} {
+		s.relay.Hear(n)
+	}
+	got := []ident.Incarnation{send("a"), send("b")}
+	now = now.Add(time.Second)
+	got = append(got, send("c"))
+	if diff := cmp.Diff([]ident.Incarnation{"h1", "h1", "h0"}, got); diff != "" {
+		t.Errorf("where requests went beside 20,000 tokens of another entry at h0 (-want +got):\n%s", diff)
+	}
+	want := []relay.Sent{{"h1", 2000}, {"h1", 2000}, {"h0", 2000}}
+	if diff := cmp.Diff(want, told); diff != "" {
+		t.Errorf("what the other entries are told (-want +got):\n%s", diff)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,8 @@
 	KeysLapse time.Duration
 	// Observe takes each finished request; it must not block.
 	Observe func(r *Record)
+	// Tell passes on to the other entries that a prompt was sent; it must not block.
+	Tell func(n Sent)
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -69,7 +71,7 @@
 // New returns a relay that knows no configuration yet.
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
-		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Draw: rand.IntN,
+		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(Sent) {}, Draw: rand.IntN,
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
 		others: map[ident.Incarnation]int{},
--- a/relay/run.go
+++ b/relay/run.go
@@ -120,6 +120,9 @@
 	l := s.lane(id)
 	l.begin(s.Now(), x.prompt)
 	x.unread = x.prompt
+	if x.prompt > 0 {
+		s.Tell(Sent{id, x.prompt})
+	}
 	return l
 }
 
--- a/site/calls.go
+++ b/site/calls.go
@@ -177,6 +177,9 @@
 		}
 		reply.Changes = r.shown(call).Since(since)
 	}
+	if call.Entry {
+		reply.Neighbours = r.neighbours(call)
+	}
 	if held := c.machine.Held(); held.Version > call.Version {
 		reply.Version, reply.Config = held.Version, held.Packed
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -43,11 +43,13 @@
 
 	relay     *relay.Relay
 	directory *directory
-	meter     *meter.Meter
-	numbers   *numbers
-	stop      chan struct{}
-	stopOnce  sync.Once
-	wasReady  atomic.Bool
+	// neighbours are the other entries.
+	neighbours *neighbours
+	meter      *meter.Meter
+	numbers    *numbers
+	stop       chan struct{}
+	stopOnce   sync.Once
+	wasReady   atomic.Bool
 }
 
 // NewEntry returns an entry whose callers and upstreams use names.
@@ -64,6 +66,8 @@
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
 	})
 	e.relay.Observe = e.observe
+	e.neighbours = newNeighbours(e.relay.Hear)
+	e.relay.Tell = e.neighbours.tell
 	return e
 }
 
@@ -80,12 +84,18 @@
 	if err != nil {
 		return err
 	}
+	e.neighbours.log = e.Log
+	conn, err := listenDatagrams(e.Settings.PeerListen())
+	if err != nil {
+		return err
+	}
 	p := newPeers(ctx, e.Dial)
 	f := &follower{
 		peers: p, directory: e.directory, log: e.Log, describe: e.describe, apply: e.apply, reread: e.reread,
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { f.run(ctx) })
+	wg.Go(func() { e.neighbours.run(ctx, conn) })
 	e.Log.Info("entry started", "name", e.Settings.Name, "hall", e.Settings.Hall, "seeds", e.Settings.Seeds)
 	select {
 	case <-ctx.Done():
@@ -139,6 +149,7 @@
 	call.From = e.Settings.PeerAddress()
 	call.Entry = true
 	call.Seen, call.Demand = e.relay.Look()
+	call.Neighbours = e.neighbours.known()
 }
 
 // apply puts the leader's word in force; began is the moment up to which it is certainly the newest.
@@ -156,6 +167,9 @@
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
+	if len(r.Neighbours) > 0 {
+		e.neighbours.set(r.Neighbours)
+	}
 	e.relay.SetOthers(r.Others)
 	e.relay.Budget.SetEntries(r.Entries)
 	e.relay.SetWord(began)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -47,3 +48,30 @@
 func (p Paces) Look(w *replicaset.World, groups []roster.Group, table *httproute.Table) {
 	p.paces.look(w, groups, table)
 }
+
+// Neighbours passes news between entries.
+type Neighbours struct {
+	*neighbours
+	conn *net.UDPConn
+}
+
+// NewNeighbours listens on a free port of the loopback.
+func NewNeighbours(hear func(n relay.Sent)) (Neighbours, error) {
+	conn, err := listenDatagrams("127.0.0.1:0")
+	return Neighbours{newNeighbours(hear), conn}, err
+}
+
+// Address is where the others send to.
+func (n Neighbours) Address() string { return n.conn.LocalAddr().String() }
+
+// Set replaces the list of neighbours.
+func (n Neighbours) Set(addresses ...string) { n.set(addresses) }
+
+// Tell sends news to all neighbours.
+func (n Neighbours) Tell(news relay.Sent) { n.tell(news) }
+
+// Run sends and takes news until ctx ends.
+func (n Neighbours) Run(ctx context.Context) { n.run(ctx, n.conn) }
+
+// NameList returns the digest of a list.
+var NameList = nameList
--- a/site/messages.go
+++ b/site/messages.go
@@ -53,8 +53,13 @@
 	Version  httproute.Version
 	Seen     []relay.Seen
 	Demand   map[ident.Model]relay.Demand
+	// Neighbours names the list of neighbours that the entry has.
+	Neighbours ListName
 }
 
+// ListName is a digest of a list of addresses, 0 of none.
+type ListName uint64
+
 // SyncReply is what is new at the leader. Unless Leads is set, only Leader and Controls count.
 type SyncReply struct {
 	Leads    bool
@@ -71,6 +76,8 @@
 	// Others counts the requests of all other entries at each upstream.
 	Others  map[ident.Incarnation]int
 	Entries int
+	// Neighbours are the peers' addresses of the other entries, set when the caller has another list.
+	Neighbours []string
 }
 
 // CallKind says which call of an upstream or an operator is passed on.
