Pass over groups that are silent for longer than a pass can take

Cause: a lost member shows in nothing but silence. An entry avoided a group after 0.5 s of it and moved requests after 0.9 s; one without a stream of its own there found out last, and sent up to 0.6 s on. Connections to a dead head were waited for 0.5 s. Change: the estimate says when a sign is due.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -23,6 +23,9 @@
 	// failureScore weighs the share of failures, slowScore the pause between events against the route's aim.
 	failureScore = 3.0
 	slowScore    = 0.6
+	// overdueScore weighs the time for which a group has been silent beyond the estimate, against the route's aim: a group
+	// that lost a member is passed over a tenth of a second after its pass should have ended.
+	overdueScore = 3.0
 	// silentScore puts an upstream that does not report behind those that do.
 	silentScore = 0.5
 	// farFactor is how many times slower a group across domains is taken to be when the engine does not say.
@@ -125,6 +128,9 @@
 	at := estimate.Load{Unread: l.unreadNow(now), Requests: requests}
 	first := t.times.FirstWord(at, x.prompt)
 	score := x.waitScore(t, first, load)
+	if first > 0 {
+		score += overdueScore * x.partOfAim(l.overdue(&t.times, at, s.launchOf(x.model), now))
+	}
 	if t.hall != s.Hall {
 		score += otherHallScore
 	}
@@ -150,7 +156,7 @@
 // plain workers, the load stands for it.
 func (x *exchange) waitScore(t *target, first time.Duration, load float64) float64 {
 	if first > 0 {
-		return float64(first) / float64(cmp.Or(x.route.Aim, usualAim))
+		return x.partOfAim(first)
 	}
 	if t.far || t.slow {
 		return slowdown(x.service) * (load + 1/float64(max(1, t.slots)))
@@ -158,6 +164,11 @@
 	return load
 }
 
+// partOfAim returns d in parts of the route's aim.
+func (x *exchange) partOfAim(d time.Duration) float64 {
+	return float64(d) / float64(cmp.Or(x.route.Aim, usualAim))
+}
+
 // usualAim stands for the aim of a route that declares none.
 const usualAim = time.Second
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -30,8 +30,9 @@
 	addresses map[string]bool
 	lives     map[ident.Incarnation]bool
 	heads     map[ident.Group]ident.Incarnation
-	// times are the figures of the groups by their heads.
-	times map[ident.Incarnation]estimate.Group
+	// times are the figures of the groups by their heads, models what they serve.
+	times  map[ident.Incarnation]estimate.Group
+	models map[ident.Incarnation]ident.Model
 }
 
 func newFleet(c *roster.Copy, table *httproute.Table) *fleet {
@@ -42,6 +43,7 @@
 		lives:     map[ident.Incarnation]bool{},
 		heads:     map[ident.Group]ident.Incarnation{},
 		times:     map[ident.Incarnation]estimate.Group{},
+		models:    map[ident.Incarnation]ident.Model{},
 	}
 	for id, u := range c.Upstreams {
 		f.addresses[u.Address] = true
@@ -90,6 +92,7 @@
 		models = map[ident.Model][]target{}
 		f.groups[g.Service] = models
 	}
+	f.models[head.ID] = g.Model
 	f.times[head.ID] = timesOf(table, g)
 	models[g.Model] = append(models[g.Model], target{
 		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, slow: g.Slow, silent: head.Silent,
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -71,8 +71,8 @@
 	cfg := timedConfig()
 	cfg.Routes[2].Attempts = 1
 	s.relay.SetConfig(cfg)
-	var told []relay.Sent
-	s.relay.Tell = func(n relay.Sent) { told = append(told, n) }
+	var told []relay.News
+	s.relay.Tell = func(n relay.News) { told = append(told, n) }
 	now := time.Now()
 	s.relay.Now = func() time.Time { return now }
 	var wg sync.WaitGroup
@@ -84,7 +84,7 @@
 		wg.Go(func() { s.do(r) })
 		return <-arrived
 	}
-	for _, n := range []relay.Sent{{"h0", 20_000}, {"unknown", 5}, {"h1", -70_000}} {
+	for _, n := range []relay.News{{Head: "h0", Prompt: 20_000}, {Head: "unknown", Prompt: 5}, {Head: "h1", Prompt: -70_000}} {
 		s.relay.Hear(n)
 	}
 	got := []ident.Incarnation{send("a"), send("b")}
@@ -93,7 +93,7 @@
 	if diff := cmp.Diff([]ident.Incarnation{"h1", "h1", "h0"}, got); diff != "" {
 		t.Errorf("where requests went beside 20,000 tokens of another entry at h0 (-want +got):\n%s", diff)
 	}
-	want := []relay.Sent{{"h1", 2000}, {"h1", 2000}, {"h0", 2000}}
+	want := []relay.News{{Head: "h1", Prompt: 2000}, {Head: "h1", Prompt: 2000}, {Head: "h0", Prompt: 2000}}
 	if diff := cmp.Diff(want, told); diff != "" {
 		t.Errorf("what the other entries are told (-want +got):\n%s", diff)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,7 +26,7 @@
 	// lookAgain is how long a stalled stream waits before it looks for another group again.
 	lookAgain = 100 * time.Millisecond
 	// dialTimeout bounds the opening of a connection; it takes a few milliseconds within a region.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// maxArrivals bounds how often one request is sent, refusals included.
 	maxArrivals = 4
 	// unknownAfter is the age of the newest word from the leader from which on an unknown route or key may be a new one.
@@ -45,7 +45,7 @@
 	// Observe takes each finished request; it must not block.
 	Observe func(r *Record)
 	// Tell passes on to the other entries that a prompt was sent; it must not block.
-	Tell func(n Sent)
+	Tell func(n News)
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -64,6 +64,8 @@
 	lanes  map[ident.Incarnation]*lane
 	others map[ident.Incarnation]int
 	demand map[ident.Model]Demand
+	// launch is what first words took beyond the estimate, by model.
+	launch map[ident.Model]time.Duration
 	// turns hold the stream whose turn it is, of those that were held at the start.
 	turns map[ident.Model]chan struct{}
 }
@@ -71,11 +73,12 @@
 // New returns a relay that knows no configuration yet.
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
-		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(Sent) {}, Draw: rand.IntN,
+		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(News) {}, Draw: rand.IntN,
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
 		others: map[ident.Incarnation]int{},
 		demand: map[ident.Model]Demand{},
+		launch: map[ident.Model]time.Duration{},
 		turns:  map[ident.Model]chan struct{}{},
 		began:  time.Now(), informed: make(chan struct{}),
 	}
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -56,7 +56,7 @@
 }
 
 // NewNeighbours listens on a free port of the loopback.
-func NewNeighbours(hear func(n relay.Sent)) (Neighbours, error) {
+func NewNeighbours(hear func(n relay.News)) (Neighbours, error) {
 	conn, err := listenDatagrams("127.0.0.1:0")
 	return Neighbours{newNeighbours(hear), conn}, err
 }
@@ -68,7 +68,7 @@
 func (n Neighbours) Set(addresses ...string) { n.set(addresses) }
 
 // Tell sends news to all neighbours.
-func (n Neighbours) Tell(news relay.Sent) { n.tell(news) }
+func (n Neighbours) Tell(news relay.News) { n.tell(news) }
 
 // Run sends and takes news until ctx ends.
 func (n Neighbours) Run(ctx context.Context) { n.run(ctx, n.conn) }
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -47,20 +47,20 @@
 // neighbours sends news to the other entries and takes theirs. Fields are set before run.
 type neighbours struct {
 	// hear takes what another entry sent.
-	hear func(n relay.Sent)
+	hear func(n relay.News)
 	log  logr.Logger
 
-	waiting chan relay.Sent
+	waiting chan relay.News
 	list    atomic.Pointer[[]netip.AddrPort]
 	name    atomic.Uint64
 }
 
-func newNeighbours(hear func(n relay.Sent)) *neighbours {
-	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan relay.Sent, newsWaiting)}
+func newNeighbours(hear func(n relay.News)) *neighbours {
+	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan relay.News, newsWaiting)}
 }
 
 // tell sends n to the neighbours in the background.
-func (b *neighbours) tell(n relay.Sent) {
+func (b *neighbours) tell(n relay.News) {
 	if b.list.Load() == nil {
 		return
 	}
@@ -123,7 +123,7 @@
 	}
 }
 
-func (b *neighbours) sendToAll(conn *net.UDPConn, n relay.Sent) {
+func (b *neighbours) sendToAll(conn *net.UDPConn, n relay.News) {
 	data, err := cbor.Marshal(n)
 	if err != nil {
 		b.log.Error(err, "news cannot be encoded", "head", n.Head)
@@ -147,7 +147,7 @@
 			pause(ctx, askPause)
 			continue
 		}
-		var news relay.Sent
+		var news relay.News
 		if err := cbor.Unmarshal(buf[:n], &news); err != nil {
 			b.log.Info("a datagram is no news", "from", from.String(), "error", err.Error())
 			continue
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -12,10 +12,10 @@
 	"github.com/dunlinquay/dunlinquay/site"
 )
 
-func startNeighbours(t *testing.T) (site.Neighbours, chan relay.Sent) {
+func startNeighbours(t *testing.T) (site.Neighbours, chan relay.News) {
 	t.Helper()
-	heard := make(chan relay.Sent, 8)
-	n, err := site.NewNeighbours(func(s relay.Sent) { heard <- s })
+	heard := make(chan relay.News, 8)
+	n, err := site.NewNeighbours(func(s relay.News) { heard <- s })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,13 +42,13 @@
 	if _, err := conn.Write([]byte("no news")); err != nil {
 		t.Fatal(err)
 	}
-	a.Tell(relay.Sent{Head: "lost", Prompt: 1}) // there are no neighbours yet
+	a.Tell(relay.News{Head: "lost", Prompt: 1}) // there are no neighbours yet
 	a.Set(b.Address(), "no address", "127.0.0.1:1", c.Address())
 	c.Set(a.Address())
-	a.Tell(relay.Sent{Head: "h", Prompt: 700})
-	c.Tell(relay.Sent{Head: "g", Prompt: 20})
-	got := []relay.Sent{<-heardByA, <-heardByB, <-heardByC}
-	want := []relay.Sent{{Head: "g", Prompt: 20}, {Head: "h", Prompt: 700}, {Head: "h", Prompt: 700}}
+	a.Tell(relay.News{Head: "h", Prompt: 700})
+	c.Tell(relay.News{Head: "g", Prompt: 20})
+	got := []relay.News{<-heardByA, <-heardByB, <-heardByC}
+	want := []relay.News{{Head: "g", Prompt: 20}, {Head: "h", Prompt: 700}, {Head: "h", Prompt: 700}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("heard (-want +got):\n%s", diff)
 	}
