Shorten elections and leases of a site's control

Change: heartbeats 90 to 50 ms, elections 550 to 330 ms, leases 350 to 200 ms. The order between them is the same, so are the checks of the settings.

--- a/settings/site.go
+++ b/settings/site.go
@@ -75,9 +75,9 @@
 		Bounds:   SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
 		Retries:  Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
 		Times: SiteTimes{
-			Heartbeat: Duration(90 * time.Millisecond),
-			Election:  Duration(550 * time.Millisecond),
-			Lease:     Duration(350 * time.Millisecond),
+			Heartbeat: Duration(50 * time.Millisecond),
+			Election:  Duration(330 * time.Millisecond),
+			Lease:     Duration(200 * time.Millisecond),
 			Report:    Duration(1200 * time.Millisecond),
 		},
 	}
