Let requests wait for room at the entry

Cause: nothing bounded what groups were sent. After all daemons had lost power, and in bursts, groups had 30,000 and more unread tokens, passes of 0.3 to 0.9 s, and all requests were late together; slots are the engine's only bound and say nothing of time. Ruled out: lost groups - all of them served in these seconds. Change: a request goes to a group only while its pass, worked out with the request in it, stays within the aim for pauses; one that is late whatever happens only into half of that. What finds no room looks again every 25 ms for twice its aim, then is refused as not run; the time to come back grows with the time for which there has been no room. TestARequestWaitsForRoom and TestARequestThatFindsNoRoom fail before. What comes back after a refusal is not told apart yet.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -45,6 +45,8 @@
 	// first is the time to the first word by the estimate, 0 where there is none; at is what it was worked out from.
 	first time.Duration
 	at    estimate.Load
+	// fits is set when there is room.
+	fits bool
 }
 
 // targets returns where a request for service and model can go.
@@ -83,9 +85,23 @@
 	if len(sound) == 0 {
 		return scored{}, noTarget(len(list), full)
 	}
+	if roomy := fitting(sound); len(roomy) > 0 {
+		sound = roomy
+	}
 	return s.betterOfTwo(sound), nil
 }
 
+// fitting returns those that have room.
+func fitting(list []scored) []scored {
+	roomy := make([]scored, 0, len(list))
+	for _, c := range list {
+		if c.fits {
+			roomy = append(roomy, c)
+		}
+	}
+	return roomy
+}
+
 // betterOfTwo draws two different targets and returns the one with the lower score.
 func (s *Relay) betterOfTwo(list []scored) scored {
 	first := s.Draw(len(list))
@@ -149,7 +165,7 @@
 	if now.Before(l.full) {
 		load = max(load, 1+queueOf(x.service))
 	}
-	return scored{t, score, load, first, at}
+	return scored{t, score, load, first, at, x.fits(t, at, first, now)}
 }
 
 // waitScore is the time to the first word in parts of the route's aim. Where the engine does not publish its figures, and at
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -66,6 +66,8 @@
 	expected time.Duration
 	gap      time.Duration
 	retry    time.Duration
+	// comeBack is the least time after which the caller shall come back, when that is known.
+	comeBack time.Duration
 	status   int
 	// kept is set when the request waited for the entry's first word.
 	kept bool
@@ -237,7 +239,7 @@
 	info := result.Lookup(result.CodeOf(err))
 	h := x.w.Header()
 	if info.Status == http.StatusServiceUnavailable {
-		x.retry = retryAfter(info.Code)
+		x.retry = max(x.comeBack, retryAfter(info.Code))
 		x.retry += time.Duration(retrySpread * rand.Float64() * float64(x.retry))
 		h.Set("Retry-After", strconv.FormatFloat(x.retry.Seconds(), 'f', 3, 64))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,6 +66,7 @@
 	demand map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]time.Duration
+	crowds map[ident.Model]crowd
 	// turns hold the stream whose turn it is, of those that were held at the start.
 	turns map[ident.Model]chan struct{}
 }
@@ -79,6 +80,7 @@
 		others: map[ident.Incarnation]int{},
 		demand: map[ident.Model]Demand{},
 		launch: map[ident.Model]time.Duration{},
+		crowds: map[ident.Model]crowd{},
 		turns:  map[ident.Model]chan struct{}{},
 		began:  time.Now(), informed: make(chan struct{}),
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -104,13 +104,18 @@
 
 // late reports whether the answer misses the route's aim whatever an engine does: those that can still make it go first.
 func (x *exchange) late() bool {
+	return x.lateAt(x.s.Now())
+}
+
+// lateAt reports the same for an answer that goes on at that time.
+func (x *exchange) lateAt(at time.Time) bool {
 	if x.kept || x.r.Header.Get(x.s.Names.EventID) != "" {
 		return true
 	}
 	if x.events == 0 {
-		return x.s.Now().Sub(x.began) > x.route.Aim
+		return at.Sub(x.began) > x.route.Aim
 	}
-	return x.route.GapAim > 0 && x.s.Now().Sub(x.lastAt) > x.route.GapAim
+	return x.route.GapAim > 0 && at.Sub(x.lastAt) > x.route.GapAim
 }
 
 // priorityLate puts requests that are late behind those that are not.
--- a/relay/run.go
+++ b/relay/run.go
@@ -41,7 +41,7 @@
 		if x.left() <= 0 {
 			return x.expired()
 		}
-		t, err := x.s.choose(x)
+		t, err := x.place()
 		if err != nil {
 			return x.noneLeft(err)
 		}
