Store the watch's timer before it can fire

Cause: TestStreams failed once under the race detector: the first look at a silent group came after 25 ms instead of 900, and could run before watch had stored the timer. Change: watch stores it under the mutex that the look takes.

--- a/relay/run.go
+++ b/relay/run.go
@@ -224,6 +224,9 @@
 		f.interrupt()
 	}
 	if f.x.route.Repeatable() && f.x.runs+1 < f.x.route.Attempts {
+		// The timer may fire before it is stored.
+		f.x.s.mu.Lock()
+		defer f.x.s.mu.Unlock()
 		f.timer = time.AfterFunc(min(f.limit(), overdueLook), f.look)
 	}
 }
