Give up connections to daemons that do not open soon

Cause: after a loss of power entries started 0.1 to 0.4 s before the control daemons. Ruled out: the election and the configuration's way.

--- a/link/client.go
+++ b/link/client.go
@@ -16,6 +16,10 @@
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
+// DialTimeout bounds the opening of a connection. A peer that has no power yet does not answer, and what opens the connection
+// is sent again only after a second: daemons that start just before a peer would hear from it a second late.
+const DialTimeout = 250 * time.Millisecond
+
 // Client calls one service of one other daemon; exported fields are set before the first call.
 type Client struct {
 	Address string
@@ -84,7 +88,7 @@
 	if open := c.open(); open != nil {
 		return open, nil
 	}
-	conn, err := c.Dial(ctx, c.Address)
+	conn, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -99,6 +103,12 @@
 	return c.rpc, nil
 }
 
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	return c.Dial(ctx, c.Address)
+}
+
 func (c *Client) open() *rpc.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
