--- a/relay/room.go
+++ b/relay/room.go
@@ -22,9 +22,9 @@
 	roomPartLate = 0.5
 	// roomLook is how often a request that waits looks for room: a few times in a pass.
 	roomLook = 25 * time.Millisecond
-	// roomWait is how long a request waits for room at most, in parts of the route's aim. Callers leave a stream without an
-	// event after four times the aim at the earliest.
-	roomWait = 2.0
+	// roomWait is how long a request waits for room at most: callers leave a stream without an event after two seconds at the
+	// earliest, and a first word at a group with room takes 0.2 to 0.4 s.
+	roomWait = 1400 * time.Millisecond
 )
 
 // fits reports whether t has room for the request with what is known to be there.
@@ -51,7 +51,7 @@
 			return t, err
 		}
 		waited := x.s.Now().Sub(x.began)
-		if float64(waited) > roomWait*float64(x.route.Aim) {
+		if waited > roomWait {
 			return scored{}, x.noRoom()
 		}
 		if !x.pause(roomLook) {
--- a/relay/room_test.go
+++ b/relay/room_test.go
@@ -80,7 +80,7 @@
 // One that finds none in time is refused as not run, and told to come back.
 func TestARequestThatFindsNoRoom(t *testing.T) {
 	s, second, reached, elapse, _ := crowded(t)
-	elapse(4500 * time.Millisecond)
+	elapse(1500 * time.Millisecond)
 	got := <-second
 	if diff := cmp.Diff([]any{503, false}, []any{got.Status, reached.Load()}); diff != "" {
 		t.Fatalf("status, sent (-want +got):\n%s", diff)
