--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -17,10 +17,11 @@
 // Room counts the free upstreams of a domain as members of a group of one model.
 type Room struct {
 	Domain ident.Domain `json:"domain"`
-	// Ready have the weights, Loading are getting them, Other would have to.
+	// Ready have the weights, Loading are getting them, Other would have to; Slow are left out, whatever they have.
 	Ready   int `json:"ready"`
 	Loading int `json:"loading"`
 	Other   int `json:"other"`
+	Slow    int `json:"slow"`
 }
 
 // Outlook tells what a model has and needs and what keeps it from having more.
@@ -67,6 +68,8 @@
 		r := Room{Domain: name}
 		for i := range domains[name] {
 			switch c := &domains[name][i]; {
+			case !quick(c):
+				r.Slow++
 			case hasWeights(m, c):
 				r.Ready++
 			case c.Staging == m.Name:
@@ -82,7 +85,7 @@
 
 // outlook says why m has the groups that it has.
 func (p *plan) outlook(m *httproute.Model, rooms []Room) string {
-	ready, loading, other := 0, 0, 0
+	ready, loading, other, slow := 0, 0, 0, 0
 	for _, r := range rooms {
 		if r.Ready >= m.Size && p.need(m.Name) > 0 {
 			return fmt.Sprintf("domain %s has the members of a group, it is begun unless a model lacks groups more", r.Domain)
@@ -90,6 +93,7 @@
 		ready += r.Ready
 		loading += r.Loading
 		other += r.Other
+		slow += r.Slow
 	}
 	switch {
 	case p.need(m.Name) <= 0:
@@ -100,6 +104,8 @@
 		return fmt.Sprintf("no domain has %d free upstreams with the weights; one across domains is formed when %.0f%% of the groups lack", m.Size, farNeed*100)
 	case ready+loading+other >= m.Size:
 		return fmt.Sprintf("of %d free upstreams %d have the weights and %d are getting them", ready+loading+other, ready, loading)
+	case slow > 0:
+		return fmt.Sprintf("only %d upstreams are free, and %d that are slow", ready+loading+other, slow)
 	}
 	return fmt.Sprintf("only %d upstreams are free", ready+loading+other)
 }
--- a/replicaset/explain_test.go
+++ b/replicaset/explain_test.go
@@ -20,15 +20,16 @@
 		// want tells, for the large model, groups, load, rooms and the reason.
 		want string
 	}{
-		{"enough", candidates("a:W"), placed("large b:WWWW", "small b:ww"), groupsOf(1, 1), "1.0 of 1, load 0.94, [{a 1 0 0}]: has the groups that it needs"},
-		{"about to begin", candidates("a:WWWW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 4 0 0}]: domain a has the members of a group, it is begun unless a model lacks groups more"},
+		{"enough", candidates("a:W"), placed("large b:WWWW", "small b:ww"), groupsOf(1, 1), "1.0 of 1, load 0.94, [{a 1 0 0 0}]: has the groups that it needs"},
+		{"about to begin", candidates("a:WWWW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 4 0 0 0}]: domain a has the members of a group, it is begun unless a model lacks groups more"},
 		{
 			"in several domains", candidates("a:WWW", "b:W"), placed("large c:WWWW", "large d:WWWW", "small d:ww"), groupsOf(3, 0.1),
-			"2.0 of 3, load 1.41, [{a 3 0 0} {b 1 0 0}]: no domain has 4 free upstreams with the weights; one across domains is formed when 40% of the groups lack",
+			"2.0 of 3, load 1.41, [{a 3 0 0 0} {b 1 0 0 0}]: no domain has 4 free upstreams with the weights; one across domains is formed when 40% of the groups lack",
 		},
-		{"without weights", candidates("a:WW**"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 2}]: of 4 free upstreams 2 have the weights and 0 are getting them"},
-		{"too few", candidates("a:WW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0}]: only 2 upstreams are free"},
-		{"groups end for it", candidates("a:WWW"), placed("small a:ww", "small b:ww"), groupsOf(2, 1), "0.0 of 2, load 0.00, [{a 3 0 0}]: groups end so that a domain has the members of a better one"},
+		{"without weights", candidates("a:WW**"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 2 0}]: of 4 free upstreams 2 have the weights and 0 are getting them"},
+		{"too few", candidates("a:WW"), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 0}]: only 2 upstreams are free"},
+		{"slow ones", slowed(candidates("a:WWWW"), 2), placed("small b:ww"), groupsOf(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 2}]: only 2 upstreams are free, and 2 that are slow"},
+		{"groups end for it", candidates("a:WWW"), placed("small a:ww", "small b:ww"), groupsOf(2, 1), "0.0 of 2, load 0.00, [{a 3 0 0 0}]: groups end so that a domain has the members of a better one"},
 	} {
 		o := replicaset.Explain(&replicaset.Situation{Engine: models(), Free: c.free, Groups: c.groups, Demand: c.demand, Total: 48})[0]
 		got := fmt.Sprintf("%.1f of %.0f, load %.2f, %v: %s", o.Serving, o.Wanted, o.Load, o.Rooms, o.Why)
@@ -38,6 +39,14 @@
 	}
 }
 
+// slowed makes the first n upstreams of a list six times as slow.
+func slowed(list []replicaset.Candidate, n int) []replicaset.Candidate {
+	for i := range n {
+		list[i].Pace = 6
+	}
+	return list
+}
+
 // Every upstream has a place, whatever happened to it.
 func TestPlace(t *testing.T) {
 	f := newFleet(t, 9, 2, 8)
@@ -70,3 +79,21 @@
 		t.Errorf("an unknown one: %s", got)
 	}
 }
+
+// A leader does not keep the names of all groups of its reign.
+func TestEndedGroupsAreForgotten(t *testing.T) {
+	f := newFleet(t, 9, 2, 8)
+	f.run(20*time.Second, nil)
+	f.demand = groupsOf(2, 2)
+	for range 6 {
+		f.kill(f.headOf("large"))
+		f.run(10*time.Second, nil)
+	}
+	if f.formation.Ended() == 0 {
+		t.Fatal("no group has ended")
+	}
+	f.run(3*time.Minute, nil)
+	if got := f.formation.Ended(); got != 0 {
+		t.Errorf("%d groups are remembered three minutes after the last one ended", got)
+	}
+}
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -30,6 +30,9 @@
 	resendAfter = time.Second
 	// rememberOrders is how long an order is remembered; none is carried out later than that.
 	rememberOrders = time.Minute
+	// rememberEnded is how long a group that ended is remembered at least: an upstream that was cut off may report it again
+	// until the roster has forgotten that upstream. Kept for good, each takes a leader about 100 bytes.
+	rememberEnded = 2 * time.Minute
 	// repeatAfter is how long an order that was taken may stay without effect in the reports; reports come with each change.
 	repeatAfter = 3 * time.Second
 	// loadFactor and loadSlack bound a load: past some at once, each takes longer.
@@ -171,6 +174,18 @@
 	maps.DeleteFunc(f.staging, func(id ident.Incarnation, _ staged) bool { return gone(id) })
 	maps.DeleteFunc(f.headed, func(id ident.Incarnation, _ ident.Model) bool { return gone(id) })
 	maps.DeleteFunc(f.stood, func(id ident.Incarnation, _ bool) bool { return gone(id) })
+	f.forgetEnded()
+}
+
+// forgetEnded drops groups that ended long ago and that no upstream reports any more.
+func (f *Formation) forgetEnded() {
+	reported := map[ident.Group]bool{}
+	for _, u := range f.byID {
+		reported[u.Member.Group] = true
+	}
+	old := func(g ident.Group, at time.Time) bool { return !reported[g] && f.world.Now.Sub(at) > rememberEnded }
+	maps.DeleteFunc(f.over, old)
+	maps.DeleteFunc(f.lost, old)
 }
 
 func (f *Formation) advance(g *roster.Group) {
@@ -300,7 +315,7 @@
 
 // noteSlow lets entries know of a group with a slow member.
 func (f *Formation) noteSlow(g *roster.Group) {
-	slow := slices.ContainsFunc(g.Members, func(id ident.Incarnation) bool { return f.world.Paces[id] >= slowPace })
+	slow := slices.ContainsFunc(g.Members, func(id ident.Incarnation) bool { return f.world.Paces[id] >= SlowPace })
 	if slow == g.Slow {
 		return
 	}
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -399,11 +399,11 @@
 	return 0
 }
 
-// slowPace is the pace from which on an upstream is left out of groups: at less a group still answers in time.
-const slowPace = 1.5
+// SlowPace is the pace from which on an upstream is left out of groups: at less a group still answers in time.
+const SlowPace = 1.5
 
 func quick(c *Candidate) bool {
-	return c.Pace < slowPace
+	return c.Pace < SlowPace
 }
 
 // hasWeights reports whether c joins a group of m without a load from the store.
--- a/site/paces.go
+++ b/site/paces.go
@@ -35,8 +35,6 @@
 	paceFor = 2500 * time.Millisecond
 	// paceTimeout bounds a question; engines answer at once.
 	paceTimeout = 500 * time.Millisecond
-	// slowSaid is the pace that is worth a line in the log.
-	slowSaid = 1.5
 )
 
 type paceAnswer struct {
@@ -122,7 +120,7 @@
 	}
 	w.Paces = map[ident.Incarnation]float64{}
 	for id, a := range p.answers {
-		if a.pace < slowSaid || w.Now.Sub(a.told) > paceFor {
+		if a.pace < replicaset.SlowPace || w.Now.Sub(a.told) > paceFor {
 			continue
 		}
 		w.Paces[id] = a.pace
@@ -198,7 +196,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.answers[id]
-	if (pace >= slowSaid) != (a.pace >= slowSaid) {
+	if (pace >= replicaset.SlowPace) != (a.pace >= replicaset.SlowPace) {
 		p.log.Info("pace of an upstream changed", "upstream", id, "from", a.pace, "to", pace)
 	}
 	a.told, a.pace = time.Now(), pace
