--- /dev/null
+++ b/relay/flood_test.go
@@ -0,0 +1,222 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+const (
+	floodGroups = 3
+	floodEvents = 8
+	// floodRate is about what the groups carry in time, floodTime how long it lasts.
+	floodRate = 60
+	floodTime = 10 * time.Second
+)
+
+// passEngine works as the published engine model says: each pass reads all that waits, then every sequence has an event.
+type passEngine struct {
+	mu      sync.Mutex
+	waiting []*sequence
+	writing []*sequence
+	conns   []net.Conn
+}
+
+type sequence struct {
+	prompt int
+	left   int
+	event  chan int
+}
+
+func (e *passEngine) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		read := e.waiting
+		e.waiting = nil
+		e.writing = append(e.writing, read...)
+		n := len(e.writing)
+		e.mu.Unlock()
+		if n == 0 {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		pass := 30*time.Millisecond + time.Duration(n)*time.Millisecond
+		for _, s := range read {
+			pass += time.Duration(s.prompt) * time.Second / 50_000
+		}
+		time.Sleep(pass)
+		e.endPass()
+	}
+}
+
+func (e *passEngine) endPass() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var rest []*sequence
+	for _, s := range e.writing {
+		s.event <- floodEvents - s.left + 1
+		s.left--
+		if s.left > 0 {
+			rest = append(rest, s)
+		}
+	}
+	e.writing = rest
+}
+
+func (e *passEngine) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conns = append(e.conns, far)
+	go e.serve(far)
+	return near, nil
+}
+
+func (e *passEngine) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		before, _, _ := strings.Cut(r.Header.Get("Tokens"), ",")
+		prompt, err := strconv.Atoi(before)
+		if err != nil {
+			return
+		}
+		s := &sequence{prompt, floodEvents, make(chan int, floodEvents)}
+		e.mu.Lock()
+		e.waiting = append(e.waiting, s)
+		e.mu.Unlock()
+		if !s.write(c, r) {
+			return
+		}
+	}
+}
+
+func (s *sequence) write(c net.Conn, r *http.Request) bool {
+	text := head(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	for range floodEvents {
+		n := <-s.event
+		piece := events(n, n)
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		if n == floodEvents {
+			text += "0\r\n\r\n"
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return false
+		}
+		text = ""
+	}
+	return true
+}
+
+func (e *passEngine) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.conns {
+		c.Close()
+	}
+}
+
+// inAim plays so many times the usual traffic and returns how many requests were answered within both aims.
+func inAim(t *testing.T, times float64) int {
+	t.Helper()
+	var (
+		mu   sync.Mutex
+		good int
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		engines := map[string]*passEngine{}
+		cfg := timedConfig()
+		cfg.Services[1].Engine.Slots = 26
+		cfg.Services[1].Engine.PerSequence = 200 * time.Microsecond
+		cfg.Routes = []httproute.Route{routeOf("stream", httproute.KindStream, "model", 1)}
+		cfg.Routes[0].Aim = 400 * time.Millisecond
+		d := roster.Delta{Full: true, Revision: 1}
+		for i := range floodGroups {
+			id := "h" + strconv.Itoa(i)
+			e := &passEngine{}
+			engines[id] = e
+			running.Go(func() { e.run(ctx) })
+			d.Upstreams = append(d.Upstreams, roster.Upstream{ID: ident.Incarnation(id), Service: "model", Address: id, Slots: 26})
+			d.Groups = append(d.Groups, roster.Group{
+				Name: ident.Group("g" + id), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{ident.Incarnation(id)},
+			})
+		}
+		s := relay.New(names(), func(ctx context.Context, address string) (net.Conn, error) { return engines[address].dial(ctx, address) })
+		s.KeysLapse = time.Hour
+		s.Budget = relay.NewBudget(relay.BudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
+		s.Draw = rand.New(rand.NewPCG(1, 1)).IntN
+		s.Observe = func(r *relay.Record) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Code == 0 && r.First <= 400*time.Millisecond && r.Gap <= 200*time.Millisecond {
+				good++
+			}
+		}
+		s.SetConfig(cfg)
+		s.SetRoster(&d)
+		s.SetWord(time.Now())
+		flood(s, times)
+		for _, e := range engines {
+			e.close()
+		}
+		cancel()
+		running.Wait()
+	})
+	return good
+}
+
+// flood sends requests at random moments, with prompts that differ by twenty times in size, and waits for their ends.
+func flood(s *relay.Relay, times float64) {
+	random := rand.New(rand.NewPCG(2, 2))
+	prompts := []int{200, 400, 800, 1600, 4000}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for n := 0; time.Since(began) < floodTime; n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / (floodRate * times) * float64(time.Second)))
+		r := httptest.NewRequest(http.MethodPost, "/stream/x", http.NoBody)
+		r.Host = "h"
+		r.Header.Set("Request", strconv.Itoa(n))
+		r.Header.Set("Key", "secret")
+		r.Header.Set("Model", "m")
+		r.Header.Set("Tokens", strconv.Itoa(prompts[random.IntN(len(prompts))])+",40")
+		wg.Go(func() {
+			defer func() { _ = recover() }() // an answer that is cut off ends in a panic, as in net/http
+			s.ServeHTTP(httptest.NewRecorder(), r)
+		})
+	}
+	wg.Wait()
+}
+
+// In a flood as many requests are answered in time as at full load.
+func TestAFlood(t *testing.T) {
+	full := inAim(t, 1)
+	if full < floodRate*int(floodTime.Seconds())*8/10 {
+		t.Fatalf("%d requests are in time at full load: the test asks for too much", full)
+	}
+	for _, times := range []float64{2, 3} {
+		if got := inAim(t, times); float64(got) < 0.95*float64(full) {
+			t.Errorf("%d requests in time at %v times the traffic, %d without", got, times, full)
+		}
+	}
+}
