Choose among groups without allocating

Cause: each choice made its lists of candidates anew: 6 allocations among 16 groups. Change: the lists are kept between choices, under the mutex that a choice holds anyway. What has room, what is sound and what is suspect are three lists in place of two and a filter. Figures (medians of three, beside a busy machine): among 16 groups 3.1 us and 6 allocations before, 1.6 us and none after; among 200 groups 36 us and 10 before, 28 us and none after. Conclusion: kept; at 200 groups the look-ups of lanes and other entries' numbers by id remain.

--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -108,3 +108,32 @@
 		}
 	}
 }
+
+// BenchmarkChoose is one choice of a group among many, beside a busy machine. With lists made for each choice: 3.1 µs and 6
+// allocations among 16 groups, 36 µs and 10 among 200; with lists that are kept: 1.6 µs and 28 µs, no allocation (medians of
+// three).
+func BenchmarkChoose(b *testing.B) {
+	for _, groups := range []int{16, 200} {
+		b.Run(fmt.Sprintf("%d-groups", groups), func(b *testing.B) {
+			s := relay.New(names(), transport.TCP())
+			cfg := timedConfig()
+			s.SetConfig(cfg)
+			d := roster.Delta{Full: true, Revision: 1}
+			for i := range groups {
+				id := ident.Incarnation(fmt.Sprintf("i-%08x", i))
+				d.Upstreams = append(d.Upstreams, roster.Upstream{ID: id, Service: "model", Address: "a", Slots: 26})
+				d.Groups = append(d.Groups, roster.Group{
+					Name: ident.Group(id), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{id},
+				})
+			}
+			s.SetRoster(&d)
+			choose := relay.Chooser(s, &cfg.Routes[2], "m", 1000)
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := choose(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -63,43 +63,57 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	list := s.fleet.targets(x.service, x.model)
-	var sound, suspect []scored
+	c := &s.candidates
+	c.reset()
 	full := 0
 	for i := range list {
 		t := &list[i]
 		if x.wasTried(t.id) {
 			continue
 		}
-		switch c := s.rate(x, t, now); {
-		case c.load >= 1+queueOf(x.service):
+		rated := s.rate(x, t, now)
+		if rated.load >= 1+queueOf(x.service) {
 			full++
-		case c.score >= suspectScore:
-			suspect = append(suspect, c)
-		default:
-			sound = append(sound, c)
+			continue
 		}
+		c.add(rated)
 	}
-	if len(sound) == 0 {
-		sound = suspect
-	}
-	if len(sound) == 0 {
+	best := c.best()
+	if len(best) == 0 {
 		return scored{}, noTarget(len(list), full)
 	}
-	if roomy := fitting(sound); len(roomy) > 0 {
-		sound = roomy
+	return s.betterOfTwo(best), nil
+}
+
+// candidates are the targets of one choice that are not full; the lists are used again for the next one.
+type candidates struct {
+	roomy, crowded, suspect []scored
+}
+
+func (c *candidates) reset() {
+	c.roomy, c.crowded, c.suspect = c.roomy[:0], c.crowded[:0], c.suspect[:0]
+}
+
+func (c *candidates) add(t scored) {
+	switch {
+	case t.score >= suspectScore:
+		c.suspect = append(c.suspect, t)
+	case t.fits:
+		c.roomy = append(c.roomy, t)
+	default:
+		c.crowded = append(c.crowded, t)
 	}
-	return s.betterOfTwo(sound), nil
 }
 
-// fitting returns those that have room.
-func fitting(list []scored) []scored {
-	roomy := make([]scored, 0, len(list))
-	for _, c := range list {
-		if c.fits {
-			roomy = append(roomy, c)
-		}
+// best returns those with room, or else all that are sound, or else those that failed a moment ago.
+func (c *candidates) best() []scored {
+	switch {
+	case len(c.roomy) > 0:
+		return c.roomy
+	case len(c.crowded) > 0:
+		return c.crowded
 	}
-	return roomy
+	return c.suspect
 }
 
 // betterOfTwo draws two different targets and returns the one with the lower score.
--- /dev/null
+++ b/relay/export_test.go
@@ -0,0 +1,16 @@
+package relay
+
+import (
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// Chooser returns a function that chooses a group for a prompt, as for a request on route.
+func Chooser(s *Relay, route *httproute.Route, model ident.Model, prompt ident.Tokens) func() error {
+	table := s.table.Load()
+	x := &exchange{s: s, began: s.Now(), table: table, route: route, service: table.Service(route.Split[0].Service), model: model, prompt: prompt}
+	return func() error {
+		_, err := s.choose(x)
+		return err
+	}
+}
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -162,7 +162,9 @@
 				Name: ident.Group("g" + id), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{ident.Incarnation(id)},
 			})
 		}
-		s := relay.New(names(), func(ctx context.Context, address string) (net.Conn, error) { return engines[address].dial(ctx, address) })
+		s := relay.New(names(), func(ctx context.Context, address string) (net.Conn, error) {
+			return engines[address].dial(ctx, address)
+		})
 		s.KeysLapse = time.Hour
 		s.Budget = relay.NewBudget(relay.BudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
 		s.Draw = rand.New(rand.NewPCG(1, 1)).IntN
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,8 @@
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]time.Duration
 	crowds map[ident.Model]crowd
+	// candidates are those of the choice in progress.
+	candidates candidates
 	// turns hold the stream whose turn it is, of those that were held at the start.
 	turns map[ident.Model]chan struct{}
 }
