Bound the datagrams by which entries tell of prompts

Cause: one datagram for each prompt and neighbour would grow with the square of a site: 110 prompts a second at an entry and 96 neighbours are 10,000 datagrams a second. Change: at most 600 a second tell of prompts; where there are more, each prompt is told to some neighbours, by turns. News of overdue groups go to all. Figures: TestNewsAreBounded: 6,000 to 6,600 datagrams in 10 s for 1,000 prompts and 90 neighbours, none told more than once more often than another. Conclusion: estimates get worse at such sizes, which was not measured.

--- a/site/export_test.go
+++ b/site/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -75,3 +76,8 @@
 
 // NameList returns the digest of a list.
 var NameList = nameList
+
+// Told returns the neighbours that are told of news at a time.
+func (n Neighbours) Told(now time.Time, news relay.News, all []netip.AddrPort) []netip.AddrPort {
+	return n.told(now, news, all)
+}
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
@@ -26,9 +27,13 @@
 	newsWaiting = 64
 	// maxNews bounds a datagram; one has about 30 bytes.
 	maxNews = 256
-	// maxNeighbours bounds the entries that are told: more than a few dozen datagrams for each request would cost an entry
-	// more than the request itself.
+	// maxNeighbours bounds the list that the leader sends.
 	maxNeighbours = 96
+	// promptNews is how many datagrams a second tell of prompts at most. Where there are more prompts and neighbours each
+	// prompt is told to some of them, by turns. Of overdue groups all are told.
+	promptNews = 600.0
+	// promptNewsSaved is how many datagrams may be saved up for a moment with many prompts, as a time.
+	promptNewsSaved = 500 * time.Millisecond
 )
 
 // nameList returns the digest of a list.
@@ -53,6 +58,10 @@
 	waiting chan relay.News
 	list    atomic.Pointer[[]netip.AddrPort]
 	name    atomic.Uint64
+	// allowed is how many datagrams may tell of prompts now, since when that was counted, next whose turn it is.
+	allowed float64
+	counted time.Time
+	next    int
 }
 
 func newNeighbours(hear func(n relay.News)) *neighbours {
@@ -129,12 +138,30 @@
 		b.log.Error(err, "news cannot be encoded", "head", n.Head)
 		return
 	}
-	for _, to := range *b.list.Load() {
+	for _, to := range b.told(time.Now(), n, *b.list.Load()) {
 		// A neighbour that can't be reached is one that needs no news; the leader's next list leaves it out.
 		_, _ = conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
+// told returns the neighbours that are told of n.
+func (b *neighbours) told(now time.Time, n relay.News, all []netip.AddrPort) []netip.AddrPort {
+	if n.Overdue > 0 || len(all) == 0 {
+		return all
+	}
+	saved := min(now.Sub(b.counted), promptNewsSaved)
+	b.counted = now
+	b.allowed = min(b.allowed+promptNews*saved.Seconds(), promptNews*promptNewsSaved.Seconds())
+	count := min(len(all), int(b.allowed))
+	b.allowed -= float64(count)
+	var list []netip.AddrPort
+	for range count {
+		list = append(list, all[b.next%len(all)])
+		b.next++
+	}
+	return list
+}
+
 func (b *neighbours) read(ctx context.Context, conn *net.UDPConn) {
 	buf := make([]byte, maxNews)
 	for {
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -62,3 +64,34 @@
 		t.Error("different lists have the same name")
 	}
 }
+
+// At a large site each prompt is told to some neighbours, by turns, so that news cost no more than a bounded rate; of overdue groups
+// all are told.
+func TestNewsAreBounded(t *testing.T) {
+	n, _ := startNeighbours(t)
+	var all []netip.AddrPort
+	for i := range 90 {
+		all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000))
+	}
+	began := time.Now()
+	times := map[netip.AddrPort]int{}
+	total := 0
+	// Ten seconds with 100 prompts each.
+	for i := range 1000 {
+		for _, to := range n.Told(began.Add(time.Duration(i)*10*time.Millisecond), relay.News{Head: "h", Prompt: 1}, all) {
+			times[to]++
+			total++
+		}
+	}
+	if total < 6000 || total > 6600 {
+		t.Errorf("%d datagrams in ten seconds, want 600 a second and some saved up", total)
+	}
+	for to, got := range times {
+		if got < total/len(all) || got > total/len(all)+1 {
+			t.Errorf("%v was told %d times of %d", to, got, total)
+		}
+	}
+	if got := n.Told(began, relay.News{Head: "h", Overdue: time.Second}, all); len(got) != len(all) {
+		t.Errorf("%d of %d were told of an overdue group", len(got), len(all))
+	}
+}
