Take overdue signs out again

Change: silence beyond the estimate, its news and its tests are gone; the measured time of a first word beyond the passes stays (launch.go), and so does the limit of 150 ms for opening a connection to an upstream.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -23,9 +23,6 @@
 	// failureScore weighs the share of failures, slowScore the pause between events against the route's aim.
 	failureScore = 3.0
 	slowScore    = 0.6
-	// overdueScore weighs the time for which a group has been silent beyond the estimate, against the route's aim: a group
-	// that lost a member is passed over a tenth of a second after its pass should have ended.
-	overdueScore = 3.0
 	// silentScore puts an upstream that does not report behind those that do.
 	silentScore = 0.5
 	// farFactor is how many times slower a group across domains is taken to be when the engine does not say.
@@ -158,9 +155,6 @@
 	at := estimate.Load{Unread: l.unreadNow(now), Requests: requests}
 	first := t.times.FirstWord(at, x.prompt)
 	score := x.waitScore(t, first, load)
-	if first > 0 {
-		score += overdueScore * x.partOfAim(l.overdue(&t.times, at, s.launchOf(x.model), now))
-	}
 	if t.hall != s.Hall {
 		score += otherHallScore
 	}
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -2,9 +2,8 @@
 
 // A prompt is read within a tenth of a second or two, so what the leader tells
 // of other entries comes too late to say what waits at a group. Entries
-// therefore tell each other of every prompt when they send it, and of groups
-// that are silent for longer than they should be; what is lost on the way only
-// makes an estimate worse.
+// therefore tell each other of every prompt when they send it; what is lost on
+// the way only makes an estimate worse.
 
 import (
 	"time"
@@ -13,12 +12,10 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
-// News is what an entry tells of the head of a group: that it sent a prompt there, or that its streams there are overdue.
+// News is what an entry tells of the head of a group: that it sent a prompt there.
 type News struct {
 	Head   ident.Incarnation `cbor:"1,keyasint"`
-	Prompt ident.Tokens      `cbor:"2,keyasint,omitempty"`
-	// Overdue is for how long a sign has been due there.
-	Overdue time.Duration `cbor:"3,keyasint,omitempty"`
+	Prompt ident.Tokens      `cbor:"2,keyasint"`
 }
 
 const (
@@ -41,16 +38,10 @@
 	l := s.lanes[n.Head]
 	times, known := s.fleet.times[n.Head]
 	model := s.fleet.models[n.Head]
-	if l == nil || !known {
+	if l == nil || !known || n.Prompt <= 0 || len(l.heard) >= heardMost {
 		return
 	}
 	now := s.Now()
-	if n.Overdue > 0 {
-		l.hearOverdue(now, n.Overdue)
-	}
-	if n.Prompt <= 0 || len(l.heard) >= heardMost {
-		return
-	}
 	prompt := min(n.Prompt, heardTokens)
 	first := times.FirstWord(estimate.Load{Unread: l.unreadNow(now), Requests: l.inflight}, prompt)
 	l.heard = append(l.heard, heard{prompt, now.Add(first + s.launchOf(model))})
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -25,8 +25,6 @@
 	group ident.Group
 	// inflight counts the requests that this entry has there.
 	inflight int
-	// writing counts those among them that had an event.
-	writing int
 	// unread are the tokens of the prompts among them of which no word came yet.
 	unread ident.Tokens
 	// heard are prompts that other entries sent there.
@@ -45,9 +43,6 @@
 	// events and pauses are the number of events and the time between them since the leader was told.
 	events int
 	pauses time.Duration
-	// quietSince is since when the upstream is overdue at another entry, quietUntil how long that is believed.
-	quietSince time.Time
-	quietUntil time.Time
 	// suspect is until when the lane is avoided.
 	suspect time.Time
 	refused bool
@@ -61,7 +56,7 @@
 	if l.group == group {
 		return
 	}
-	*l = lane{group: group, inflight: l.inflight, writing: l.writing, unread: l.unread, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince}
+	*l = lane{group: group, inflight: l.inflight, unread: l.unread, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince}
 	if l.inflight == 0 {
 		l.waitingSince = time.Time{}
 	}
@@ -84,7 +79,6 @@
 	l.answered = now
 	l.waitingSince = now
 	l.stalled = time.Time{}
-	l.quietUntil = time.Time{}
 	l.refused = false
 	l.blamed = ""
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -210,8 +209,6 @@
 	// moved is set when the watch gave the upstream up.
 	moved bool
 	ended bool
-	// writing is set once an event came.
-	writing bool
 	// waited is when the last sign came, or the request was sent.
 	waited time.Time
 }
@@ -227,7 +224,7 @@
 		// The timer may fire before it is stored.
 		f.x.s.mu.Lock()
 		defer f.x.s.mu.Unlock()
-		f.timer = time.AfterFunc(min(f.limit(), overdueLook), f.look)
+		f.timer = time.AfterFunc(f.limit(), f.look)
 	}
 }
 
@@ -236,9 +233,6 @@
 	f.x.s.mu.Lock()
 	defer f.x.s.mu.Unlock()
 	f.ended = true
-	if f.writing {
-		f.lane.writing--
-	}
 	if f.timer != nil {
 		f.timer.Stop()
 	}
@@ -260,27 +254,6 @@
 	return eventLimit
 }
 
-// rest is how long the upstream may still be silent. One that owes this caller the first event may not be overdue for long,
-// since in time there is another; the mutex is held.
-func (f *follower) rest(now time.Time) time.Duration {
-	rest := f.limit() - now.Sub(f.waited)
-	if f.x.events > 0 || f.t.times.Pass(0, 0) == 0 {
-		return rest
-	}
-	at := estimate.Load{Unread: f.lane.unreadNow(now), Requests: f.lane.inflight}
-	if f.lane.overdue(&f.t.times, at, f.x.s.launchOf(f.x.model), now) > overdueLimit {
-		return 0
-	}
-	return min(rest, overdueLook)
-}
-
-const (
-	// overdueLimit is how long a group may be silent beyond the estimate until requests without a first event leave it, and
-	// overdueLook how often that is looked at.
-	overdueLimit = 150 * time.Millisecond
-	overdueLook  = 25 * time.Millisecond
-)
-
 // look gives the upstream up when it has been silent for too long and another one could take over.
 func (f *follower) look() {
 	s := f.x.s
@@ -289,7 +262,7 @@
 	if f.ended {
 		return
 	}
-	if rest := f.rest(s.Now()); rest > 0 {
+	if rest := f.limit() - s.Now().Sub(f.waited); rest > 0 {
 		f.timer.Reset(rest)
 		return
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -172,14 +172,6 @@
 	return n, err == nil
 }
 
-// write notes that the upstream writes the stream from now on; the mutex is held.
-func (f *follower) write() {
-	if !f.writing {
-		f.writing = true
-		f.lane.writing++
-	}
-}
-
 // event notes that ev went to the caller.
 func (f *follower) event(ev *event) {
 	x, s := f.x, f.x.s
@@ -187,7 +179,6 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	x.readAt(f.lane)
-	f.write()
 	if x.events == 0 {
 		x.first = now.Sub(x.began)
 		f.lane.sign(now)
--- a/site/entry.go
+++ b/site/entry.go
@@ -96,7 +96,6 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.run(ctx) })
 	wg.Go(func() { e.neighbours.run(ctx, conn) })
-	wg.Go(func() { e.watchGroups(ctx) })
 	e.Log.Info("entry started", "name", e.Settings.Name, "hall", e.Settings.Hall, "seeds", e.Settings.Seeds)
 	select {
 	case <-ctx.Done():
@@ -113,20 +112,6 @@
 	return e.meter.Close()
 }
 
-// watchGroups tells the other entries of groups that are overdue.
-func (e *Entry) watchGroups(ctx context.Context) {
-	ticker := time.NewTicker(relay.TellOverdueEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.relay.TellOverdue()
-		}
-	}
-}
-
 func (e *Entry) listen() ([]*http.Server, error) {
 	callers := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -77,7 +77,7 @@
 // NameList returns the digest of a list.
 var NameList = nameList
 
-// Told returns the neighbours that are told of news at a time.
-func (n Neighbours) Told(now time.Time, news relay.News, all []netip.AddrPort) []netip.AddrPort {
-	return n.told(now, news, all)
+// Told returns the neighbours that are told of a prompt at a time.
+func (n Neighbours) Told(now time.Time, all []netip.AddrPort) []netip.AddrPort {
+	return n.told(now, all)
 }
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -30,7 +30,7 @@
 	// maxNeighbours bounds the list that the leader sends.
 	maxNeighbours = 96
 	// promptNews is how many datagrams a second tell of prompts at most. Where there are more prompts and neighbours each
-	// prompt is told to some of them, by turns. Of overdue groups all are told.
+	// prompt is told to some of them, by turns.
 	promptNews = 600.0
 	// promptNewsSaved is how many datagrams may be saved up for a moment with many prompts, as a time.
 	promptNewsSaved = 500 * time.Millisecond
@@ -138,17 +138,14 @@
 		b.log.Error(err, "news cannot be encoded", "head", n.Head)
 		return
 	}
-	for _, to := range b.told(time.Now(), n, *b.list.Load()) {
+	for _, to := range b.told(time.Now(), *b.list.Load()) {
 		// A neighbour that can't be reached is one that needs no news; the leader's next list leaves it out.
 		_, _ = conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
-// told returns the neighbours that are told of n.
-func (b *neighbours) told(now time.Time, n relay.News, all []netip.AddrPort) []netip.AddrPort {
-	if n.Overdue > 0 || len(all) == 0 {
-		return all
-	}
+// told returns the neighbours that are told of a prompt.
+func (b *neighbours) told(now time.Time, all []netip.AddrPort) []netip.AddrPort {
 	saved := min(now.Sub(b.counted), promptNewsSaved)
 	b.counted = now
 	b.allowed = min(b.allowed+promptNews*saved.Seconds(), promptNews*promptNewsSaved.Seconds())
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -65,8 +65,7 @@
 	}
 }
 
-// At a large site each prompt is told to some neighbours, by turns, so that news cost no more than a bounded rate; of overdue groups
-// all are told.
+// At a large site each prompt is told to some neighbours, by turns, so that news cost no more than a bounded rate.
 func TestNewsAreBounded(t *testing.T) {
 	n, _ := startNeighbours(t)
 	var all []netip.AddrPort
@@ -78,7 +77,7 @@
 	total := 0
 	// Ten seconds with 100 prompts each.
 	for i := range 1000 {
-		for _, to := range n.Told(began.Add(time.Duration(i)*10*time.Millisecond), relay.News{Head: "h", Prompt: 1}, all) {
+		for _, to := range n.Told(began.Add(time.Duration(i)*10*time.Millisecond), all) {
 			times[to]++
 			total++
 		}
@@ -91,7 +90,4 @@
 			t.Errorf("%v was told %d times of %d", to, got, total)
 		}
 	}
-	if got := n.Told(began, relay.News{Head: "h", Overdue: time.Second}, all); len(got) != len(all) {
-		t.Errorf("%d of %d were told of an overdue group", len(got), len(all))
-	}
 }
