--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// An engine that publishes nothing but its slots gives estimates that order groups by their requests.
+// An engine that publishes nothing but its slots has no estimate; the relay then goes by the number of requests.
 func TestFiguresThatAreMissing(t *testing.T) {
 	e := &httproute.Engine{Models: []httproute.Model{{Name: "m", Size: 1, Pace: 1}}}
 	g := estimate.Of(e, &e.Models[0], 1)
