Let every entry be a neighbour of as many others

Cause: read in the diff: the leader cut each sorted list of neighbours after 96, so above 97 entries all told the same ones. Change: an entry's list is the 96 after it in the ring of all. Figures: TestEveryEntryIsANeighbour: five entries, lists of two, each on two lists.

--- a/site/export_test.go
+++ b/site/export_test.go
@@ -74,6 +74,9 @@
 // Run sends and takes news until ctx ends.
 func (n Neighbours) Run(ctx context.Context) { n.run(ctx, n.conn) }
 
+// RingAfter is the choice of an entry's neighbours.
+var RingAfter = ringAfter
+
 // NameList returns the digest of a list.
 var NameList = nameList
 
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -200,5 +200,12 @@
 		}
 	}
 	slices.Sort(list)
-	return list[:min(len(list), maxNeighbours)]
+	return ringAfter(list, name, maxNeighbours)
+}
+
+// ringAfter returns the first entries after name in the ring of a sorted list, most at most: where not all fit, each entry is on as
+// many lists as any other.
+func ringAfter(list []string, name string, most int) []string {
+	start, _ := slices.BinarySearch(list, name)
+	return slices.Concat(list[start:], list[:start])[:min(len(list), most)]
 }
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -91,3 +91,18 @@
 		}
 	}
 }
+
+// Where a list holds only some of the entries, all are on equally many lists.
+func TestEveryEntryIsANeighbour(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e"}
+	times := map[string]int{}
+	for i, name := range all {
+		others := append(append([]string(nil), all[:i]...), all[i+1:]...)
+		for _, neighbour := range site.RingAfter(others, name, 2) {
+			times[neighbour]++
+		}
+	}
+	if diff := cmp.Diff(map[string]int{"a": 2, "b": 2, "c": 2, "d": 2, "e": 2}, times); diff != "" {
+		t.Errorf("lists that an entry is on (-want +got):\n%s", diff)
+	}
+}
