Share the groups of a large site out among its entries

Cause: at 295 entries each told a prompt to 96 others, so an estimate missed two thirds of what was there, and counts came from the leader up to half a second late. All entries used all of 80 groups: 1.2 new connections for each request, and most bytes went to another hall. Change: beyond 97 entries, an entry uses four groups of each model in its hall, by rendezvous hashing, and tells of a prompt only the entries that use the group as well (package sharing). The leader sends the entries of a hall when they change. Counts of the leader are brought up to date by what was heard since. To other groups, of which only these counts are known, an entry sends no more than its part of their free slots. Sites of up to 97 entries share nothing out, but have the better counts. Ruled out: all groups of the hall (177 datagrams a second at 59 entries); the ring of 96, which this replaces together with its test.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -75,6 +75,14 @@
 	return time.Duration(running + g.slotWait(l.Requests) + g.pass(float64(l.Unread+prompt), l.Requests+1))
 }
 
+// Left returns how many of so many requests are still there after a time, if as many end in a moment as usual.
+func (g *Group) Left(requests int, after time.Duration) int {
+	if g.stay <= 0 || after <= 0 {
+		return requests
+	}
+	return int(float64(requests)/(1+float64(after)/g.stay) + 0.5)
+}
+
 // slotWait is the time until a slot is free: slots free up one after the other over the time of an answer.
 func (g *Group) slotWait(requests int) float64 {
 	beyond := requests + 1 - g.slots
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -45,8 +45,6 @@
 	at    estimate.Load
 	// fits is set when there is room.
 	fits bool
-	// lane is set once the request counts there.
-	lane *lane
 }
 
 // targets returns where a request for service and model can go.
@@ -73,30 +71,52 @@
 			full++
 			continue
 		}
+		// A stream that has begun goes on wherever it can.
+		if !t.known && x.events == 0 && x.service.Engine != nil && s.counts.spill[x.model] < 1 && s.fleet.uses[x.model] {
+			rated.fits = false
+		}
 		c.add(rated)
 	}
 	best := c.best()
 	if len(best) == 0 {
 		return scored{}, noTarget(len(list), full)
 	}
+	if best[0].known && s.entries != nil && !s.entries.Together() {
+		return lowest(best), nil
+	}
 	return s.betterOfTwo(best), nil
 }
 
-// candidates are the targets of one choice that are not full; the lists are used again for the next one.
+// lowest returns the target with the lowest score: where an entry uses a few groups and hears of all that others send there, the
+// best one is not the best for everybody.
+func lowest(list []scored) scored {
+	best := 0
+	for i := range list {
+		if list[i].score < list[best].score {
+			best = i
+		}
+	}
+	return list[best]
+}
+
+// candidates are the targets of one choice that are not full; the lists are used again for the next one. Elsewhere are those with
+// room that this entry does not use.
 type candidates struct {
-	roomy, crowded, suspect []scored
+	roomy, elsewhere, crowded, suspect []scored
 }
 
 func (c *candidates) reset() {
-	c.roomy, c.crowded, c.suspect = c.roomy[:0], c.crowded[:0], c.suspect[:0]
+	c.roomy, c.elsewhere, c.crowded, c.suspect = c.roomy[:0], c.elsewhere[:0], c.crowded[:0], c.suspect[:0]
 }
 
 func (c *candidates) add(t scored) {
 	switch {
 	case t.score >= suspectScore:
 		c.suspect = append(c.suspect, t)
-	case t.fits:
+	case t.fits && t.known:
 		c.roomy = append(c.roomy, t)
+	case t.fits:
+		c.elsewhere = append(c.elsewhere, t)
 	default:
 		c.crowded = append(c.crowded, t)
 	}
@@ -104,11 +124,10 @@
 
 // best returns those with room, or else all that are sound, or else those that failed a moment ago.
 func (c *candidates) best() []scored {
-	switch {
-	case len(c.roomy) > 0:
-		return c.roomy
-	case len(c.crowded) > 0:
-		return c.crowded
+	for _, list := range [][]scored{c.roomy, c.elsewhere, c.crowded} {
+		if len(list) > 0 {
+			return list
+		}
 	}
 	return c.suspect
 }
@@ -146,14 +165,8 @@
 	return result.New(result.NoWholeGroup, "no upstream serves this")
 }
 
-// loadOf returns what is known to be at t; the mutex is held.
-func (s *Relay) loadOf(t *target, now time.Time) estimate.Load {
-	l := s.lane(t.id)
-	return estimate.Load{Unread: l.unreadNow(now), Requests: l.inflight + s.others[t.id]}
-}
-
 func (s *Relay) rate(x *exchange, t *target, rank overload.Rank, now time.Time) scored {
-	l := s.lane(t.id)
+	l := s.laneOf(t)
 	l.calm(now)
 	at := s.loadOf(t, now)
 	load := float64(at.Requests) / float64(max(1, t.slots))
@@ -213,6 +226,14 @@
 	return l.silence(now) > stallSuspect
 }
 
+// laneOf returns the lane of a target. It is looked for once: among 200 groups that took a third of the time of a choice.
+func (s *Relay) laneOf(t *target) *lane {
+	if t.lane == nil {
+		t.lane = s.lane(t.id)
+	}
+	return t.lane
+}
+
 func (s *Relay) lane(id ident.Incarnation) *lane {
 	l := s.lanes[id]
 	if l == nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -44,6 +44,8 @@
 	// prompt and answer are the tokens that it brings and those that are expected of the answer.
 	prompt ident.Tokens
 	answer ident.Tokens
+	// launch is what first words take beyond the estimate, as it was known when the request looked for a group.
+	launch launch
 	// spent is what the caller spent on earlier tries, as far as that is known; limit is when the first word must come by the
 	// estimate to be in time, idle when it would come at a group with nothing to do, lost when the caller began to wait for it.
 	spent time.Duration
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -17,3 +17,19 @@
 		return err
 	}
 }
+
+// RequestsAt returns how many requests are taken to be at the group with that head.
+func RequestsAt(s *Relay, head ident.Incarnation) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, models := range s.fleet.groups {
+		for _, list := range models {
+			for i := range list {
+				if list[i].id == head {
+					return s.loadOf(&list[i], s.Now()).Requests
+				}
+			}
+		}
+	}
+	return -1
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/sharing"
 )
 
 // target is where a request may be sent: a worker of a plain service, or the head of an open group.
@@ -19,11 +20,17 @@
 	far     bool
 	slow    bool
 	silent  bool
-	// times are the figures of a group of engines; a plain worker has none.
-	times estimate.Group
+	// known is set when this entry hears of all prompts that are sent there, users are the entries that do, nil when all do.
+	known bool
+	users []string
+	// times are the figures of a group of engines, prompt is the usual size of a prompt there; a plain worker has none.
+	times  estimate.Group
+	prompt ident.Tokens
+	// lane is what this entry knows of the upstream, once it was looked for; it is guarded by the relay's mutex.
+	lane *lane
 }
 
-// fleet lays a copy of the roster out for routing; it is never changed after newFleet.
+// fleet lays a copy of the roster out for routing; but for the lanes of its targets it is never changed after newFleet.
 type fleet struct {
 	plain     map[ident.Service][]target
 	groups    map[ident.Service]map[ident.Model][]target
@@ -33,9 +40,11 @@
 	// times are the figures of the groups by their heads, models what they serve.
 	times  map[ident.Incarnation]estimate.Group
 	models map[ident.Incarnation]ident.Model
+	// uses are the models of which this entry uses any group.
+	uses map[ident.Model]bool
 }
 
-func newFleet(c *roster.Copy, table *httproute.Table) *fleet {
+func newFleet(c *roster.Copy, table *httproute.Table, entries *sharing.Entries) *fleet {
 	f := &fleet{
 		plain:     map[ident.Service][]target{},
 		groups:    map[ident.Service]map[ident.Model][]target{},
@@ -44,6 +53,7 @@
 		heads:     map[ident.Group]ident.Incarnation{},
 		times:     map[ident.Incarnation]estimate.Group{},
 		models:    map[ident.Incarnation]ident.Model{},
+		uses:      map[ident.Model]bool{},
 	}
 	for id, u := range c.Upstreams {
 		f.addresses[u.Address] = true
@@ -52,7 +62,7 @@
 			continue
 		}
 		f.plain[u.Service] = append(f.plain[u.Service], target{
-			id: id, address: u.Address, hall: u.Hall, slots: u.Slots, silent: u.Silent,
+			id: id, address: u.Address, hall: u.Hall, slots: u.Slots, silent: u.Silent, known: true,
 		})
 	}
 	for name := range c.Groups {
@@ -62,9 +72,42 @@
 	for _, list := range f.plain {
 		sortTargets(list)
 	}
+	for _, models := range f.groups {
+		for model, list := range models {
+			sortTargets(list)
+			f.uses[model] = shareOut(list, entries) || f.uses[model]
+		}
+	}
 	return f
 }
 
+// shareOut notes which entries use each of the groups of one model, and reports whether this one uses any.
+func shareOut(list []target, entries *sharing.Entries) bool {
+	if entries == nil || entries.Together() {
+		for i := range list {
+			list[i].known = true
+		}
+		return true
+	}
+	halls := map[ident.Hall][]sharing.Group{}
+	for i := range list {
+		halls[list[i].hall] = append(halls[list[i].hall], sharing.Group{Name: list[i].group})
+	}
+	for hall, groups := range halls {
+		entries.Users(hall, groups)
+	}
+	used := false
+	for i := range list {
+		t := &list[i]
+		// Both lists are in the same order.
+		g := halls[t.hall][0]
+		halls[t.hall] = halls[t.hall][1:]
+		t.known, t.users = g.Used, g.Users
+		used = used || g.Used
+	}
+	return used
+}
+
 func hasEngine(table *httproute.Table, service ident.Service) bool {
 	if table == nil {
 		return false
@@ -96,10 +139,9 @@
 	f.times[head.ID] = timesOf(table, g)
 	models[g.Model] = append(models[g.Model], target{
 		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, far: g.Far, slow: g.Slow, silent: head.Silent,
-		times: f.times[head.ID],
+		times: f.times[head.ID], prompt: usualPrompt(table, g),
 	})
 	f.heads[g.Name] = head.ID
-	sortTargets(models[g.Model])
 }
 
 // timesOf returns the figures by which requests at g are rated, none for a model that the engine does not publish.
@@ -118,6 +160,14 @@
 	return estimate.Of(s.Engine, m, 1)
 }
 
+// usualPrompt returns the mean size of prompts of the service of g.
+func usualPrompt(table *httproute.Table, g *roster.Group) ident.Tokens {
+	if s := table.Service(g.Service); s != nil && s.Engine != nil {
+		return s.Engine.Usual.Prompt
+	}
+	return 0
+}
+
 // farSlots is how many requests a group across domains gets at pace 1: with more, its pauses grow past the usual aims.
 const farSlots = 7
 
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -24,15 +24,19 @@
 	// heardTokens bounds what is believed of one prompt, heardMost the prompts remembered of one head: several times what
 	// fits into a pass.
 	heardTokens = 1 << 20
-	heardMost   = 128
+	heardMost   = 256
 )
 
-// heard is a prompt that another entry sent, until it is probably read.
+// heard is a prompt that another entry sent: when this entry heard of it, and until when it is probably read.
 type heard struct {
 	prompt ident.Tokens
+	at     time.Time
 	until  time.Time
 }
 
+// heardKept is how long a prompt is remembered that was read: until the leader's counts have it, at the largest site.
+const heardKept = time.Second
+
 // Hear takes the news of another entry.
 func (s *Relay) Hear(n News) {
 	s.mu.Lock()
@@ -46,7 +50,7 @@
 	now := s.Now()
 	prompt := min(n.Prompt, heardTokens)
 	first := times.FirstWord(estimate.Load{Unread: l.unreadNow(now), Requests: l.inflight}, prompt)
-	l.heard = append(l.heard, heard{prompt, now.Add(first + s.launchOf(model).usual)})
+	l.heard = append(l.heard, heard{prompt, now, now.Add(first + s.launchOf(model).usual)})
 }
 
 // unreadNow returns the tokens of this entry's prompts and of those heard of that are not read yet.
@@ -55,10 +59,23 @@
 	kept := l.heard[:0]
 	for _, h := range l.heard {
 		if now.Before(h.until) {
-			kept = append(kept, h)
 			unread += h.prompt
 		}
+		if now.Before(h.until) || now.Sub(h.at) < heardKept {
+			kept = append(kept, h)
+		}
 	}
 	l.heard = kept
 	return unread
 }
+
+// heardSince returns how many prompts other entries have sent since a time.
+func (l *lane) heardSince(at time.Time) int {
+	n := 0
+	for i := range l.heard {
+		if l.heard[i].at.After(at) {
+			n++
+		}
+	}
+	return n
+}
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -72,7 +72,7 @@
 	cfg.Routes[2].Attempts = 1
 	s.relay.SetConfig(cfg)
 	var told []relay.News
-	s.relay.Tell = func(n relay.News) { told = append(told, n) }
+	s.relay.Tell = func(n relay.News, _ []string) { told = append(told, n) }
 	now := time.Now()
 	s.relay.Now = func() time.Time { return now }
 	var wg sync.WaitGroup
@@ -98,3 +98,36 @@
 		t.Errorf("what the other entries are told (-want +got):\n%s", diff)
 	}
 }
+
+// What the leader counted a while ago is brought up to date by what was heard since: some of it has ended, more has come.
+func TestCountsAreBroughtUpToDate(t *testing.T) {
+	heads, arrived, release := holding(t, 1)
+	s := newSite(t, nil, heads)
+	cfg := timedConfig()
+	cfg.Services[1].Engine.Usual = httproute.Usual{Prompt: 100, Answer: 100}
+	cfg.Services[1].Engine.Slots = 40
+	s.relay.SetConfig(cfg)
+	now := time.Now()
+	s.relay.Now = func() time.Time { return now }
+	s.relay.SetWord(now)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer release()
+	ask := func(id string) {
+		r := s.request("POST", "/stream/x", id, "")
+		r.Header.Set("Tokens", "100,10")
+		wg.Go(func() { s.do(r) })
+		<-arrived
+	}
+	ask("first")
+	s.relay.SetOthers(map[ident.Incarnation]int{"h0": 2})
+	now = now.Add(1400 * time.Millisecond)
+	for range 2 {
+		s.relay.Hear(relay.News{Head: "h0", Prompt: 100})
+	}
+	now = now.Add(200 * time.Millisecond)
+	// An answer of 100 tokens stays for 1.4 s with all slots taken: after 1.6 s one of two is left, and two were sent since.
+	if diff := cmp.Diff(4, relay.RequestsAt(s.relay, "h0")); diff != "" {
+		t.Errorf("requests at the group (-want +got):\n%s", diff)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/overload"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/sharing"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
@@ -45,8 +46,8 @@
 	KeysLapse time.Duration
 	// Observe takes each finished request; it must not block.
 	Observe func(r *Record)
-	// Tell passes on to the other entries that a prompt was sent; it must not block.
-	Tell func(n News)
+	// Tell passes on that a prompt was sent, to the entries that use the group or to all when there is no list; it must not block.
+	Tell func(n News, to []string)
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -59,12 +60,13 @@
 	began    time.Time
 	informed chan struct{}
 
-	mu     sync.Mutex
-	copied *roster.Copy
-	fleet  *fleet
-	lanes  map[ident.Incarnation]*lane
-	others map[ident.Incarnation]int
-	demand map[ident.Model]Demand
+	mu      sync.Mutex
+	copied  *roster.Copy
+	entries *sharing.Entries
+	fleet   *fleet
+	lanes   map[ident.Incarnation]*lane
+	counts  counts
+	demand  map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]launch
 	// queues hold the requests that wait for groups, looking is set while any does.
@@ -81,10 +83,10 @@
 // New returns a relay that knows no configuration yet.
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
-		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(News) {}, Draw: rand.IntN,
+		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
-		others: map[ident.Incarnation]int{},
+		counts: counts{spill: map[ident.Model]float64{}},
 		demand: map[ident.Model]Demand{},
 		launch: map[ident.Model]launch{},
 		queues: map[ident.Model]*overload.Queue[*waiting]{},
@@ -92,7 +94,7 @@
 		turns:  map[ident.Model]chan struct{}{},
 		began:  time.Now(), informed: make(chan struct{}),
 	}
-	s.fleet = newFleet(s.copied, nil)
+	s.fleet = newFleet(s.copied, nil, nil)
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
 	return s
 }
@@ -103,7 +105,7 @@
 	s.table.Store(table)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet = newFleet(s.copied, table)
+	s.fleet = newFleet(s.copied, table, s.entries)
 	s.inform()
 }
 
@@ -123,7 +125,7 @@
 		s.mu.Unlock()
 		return
 	}
-	f := newFleet(s.copied, s.table.Load())
+	f := newFleet(s.copied, s.table.Load(), s.entries)
 	s.fleet = f
 	for group, head := range f.heads {
 		s.lane(head).belong(group)
@@ -137,11 +139,12 @@
 	s.pool.prune(func(address string) bool { return f.addresses[address] })
 }
 
-// SetOthers tells how many requests the other entries have at each upstream.
-func (s *Relay) SetOthers(others map[ident.Incarnation]int) {
+// SetEntries tells which entries share the groups.
+func (s *Relay) SetEntries(entries *sharing.Entries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others = others
+	s.entries = entries
+	s.fleet = newFleet(s.copied, s.table.Load(), entries)
 }
 
 // SetWord notes that everything the leader had confirmed at that moment is in force here.
--- a/relay/room.go
+++ b/relay/room.go
@@ -172,8 +172,9 @@
 func (x *exchange) plan(now time.Time, idle *estimate.Group) {
 	came := x.began.Add(-x.spent)
 	x.idle = idle.FirstWord(estimate.Load{}, x.prompt)
-	launch := x.s.launchOf(x.model).usual
-	x.limit = came.Add(max(x.route.Aim, x.idle+launch+time.Duration(slowAim*float64(x.route.Aim))) - launch)
+	x.launch = x.s.launchOf(x.model)
+	usual := x.launch.usual
+	x.limit = came.Add(max(x.route.Aim, x.idle+usual+time.Duration(slowAim*float64(x.route.Aim))) - usual)
 	x.lost = now
 	if !x.begun() {
 		x.lost = x.began
@@ -186,7 +187,7 @@
 	if leaves.After(x.deadline) {
 		leaves = x.deadline
 	}
-	leaves = leaves.Add(-x.idle - x.s.launchOf(x.model).usual)
+	leaves = leaves.Add(-x.idle - x.launch.usual)
 	due := x.limit.Add(-x.idle)
 	if due.After(leaves) {
 		due = leaves
@@ -219,20 +220,18 @@
 	if rank == overload.Late {
 		return false
 	}
-	l := x.s.launchOf(x.model)
 	limit := x.limit
 	if rank != overload.InTime {
-		limit = now.Add(x.route.Aim - l.usual)
+		limit = now.Add(x.route.Aim - x.launch.usual)
 	}
 	pass := t.times.Pass(at.Unread+x.prompt, at.Requests+1)
-	return pass <= x.route.GapAim && !now.Add(first+l.off).After(limit)
+	return pass <= x.route.GapAim && !now.Add(first+x.launch.off).After(limit)
 }
 
 // leaves reports whether t would leave room for others beside the request.
 func (x *exchange) leaves(t *target, at estimate.Load) bool {
-	l := x.s.launchOf(x.model)
 	// A first word takes half a pass and a whole one.
-	most := min(x.route.GapAim, (x.route.Aim-l.usual-l.off)*2/3)
+	most := min(x.route.GapAim, (x.route.Aim-x.launch.usual-x.launch.off)*2/3)
 	pass := t.times.Pass(at.Unread+x.prompt, at.Requests+1)
 	return at.Requests < t.slots && float64(pass) <= roomPartLate*float64(most)
 }
@@ -244,13 +243,14 @@
 
 // take counts the request at t and tells the other entries; the mutex is held.
 func (s *Relay) take(x *exchange, t *scored) {
-	l := s.lane(t.id)
-	l.begin(s.Now(), x.prompt)
+	s.laneOf(t.target).begin(s.Now(), x.prompt)
 	x.unread = x.prompt
 	if x.prompt > 0 {
-		s.Tell(News{Head: t.id, Prompt: x.prompt})
+		s.Tell(News{Head: t.id, Prompt: x.prompt}, t.users)
+	}
+	if !t.known {
+		s.counts.spill[x.model]--
 	}
-	t.lane = l
 }
 
 // putBack undoes take.
--- /dev/null
+++ b/relay/share_test.go
@@ -0,0 +1,108 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/sharing"
+)
+
+// largeSite is a site of 100 entries in one hall, among them the one called self, that share eight groups.
+func largeSite(t *testing.T) (s *site, release func()) {
+	t.Helper()
+	heads, arrived, release := holding(t, 8)
+	s = newSite(t, nil, heads)
+	cfg := timedConfig()
+	cfg.Routes[2].Attempts = 1
+	s.relay.SetConfig(cfg)
+	entries := []string{"self"}
+	for i := range 99 {
+		entries = append(entries, "e"+strconv.Itoa(i))
+	}
+	s.relay.SetEntries(sharing.New("self", map[ident.Hall][]string{"": entries}))
+	go func() {
+		for {
+			<-arrived // the news tell where they went
+		}
+	}()
+	return s, release
+}
+
+// sendAll sends so many requests, which are held until release, and returns which groups they went to, by the news of them, and who
+// was told.
+func sendAll(t *testing.T, s *site, release func(), n int) (heads map[ident.Incarnation]int, told map[ident.Incarnation][]string) {
+	t.Helper()
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		release()
+		wg.Wait()
+	})
+	heads, told = map[ident.Incarnation]int{}, map[ident.Incarnation][]string{}
+	sent := make(chan struct{}, n)
+	s.relay.Tell = func(news relay.News, to []string) {
+		heads[news.Head]++
+		told[news.Head] = to
+		sent <- struct{}{}
+	}
+	for i := range n {
+		r := httptest.NewRequest(http.MethodPost, "/stream/x", http.NoBody)
+		r.Host = "h"
+		for name, value := range map[string]string{"Request": fmt.Sprint(i), "Key": "secret", "Model": "m", "Tokens": "100,10", "Deadline": "5000"} {
+			r.Header.Set(name, value)
+		}
+		wg.Go(func() { s.relay.ServeHTTP(httptest.NewRecorder(), r) })
+		<-sent
+	}
+	return heads, told
+}
+
+// At a large site an entry uses a few groups, and tells of a prompt only those that use the group too.
+func TestGroupsAreSharedOut(t *testing.T) {
+	s, release := largeSite(t)
+	s.relay.SetOthers(map[ident.Incarnation]int{})
+	heads, told := sendAll(t, s, release, 12)
+	if len(heads) != 4 {
+		t.Errorf("requests went to %v, want four of eight groups", heads)
+	}
+	for head, to := range told {
+		if len(to) < 25 || len(to) > 75 {
+			t.Errorf("%d entries are told of prompts at %s, want about half of 99", len(to), head)
+		}
+	}
+}
+
+// When the groups that an entry uses are full it sends to others, but no more than its part of the room that all entries see there.
+func TestWhatOthersHaveRoomForIsDivided(t *testing.T) {
+	s, release := largeSite(t)
+	s.relay.SetOthers(map[ident.Incarnation]int{})
+	own, _ := sendAll(t, s, release, 4)
+	others := map[ident.Incarnation]int{}
+	for i := range 8 {
+		if head := ident.Incarnation("h" + strconv.Itoa(i)); own[head] > 0 {
+			others[head] = 4
+		}
+	}
+	// Four groups with four free slots each: 8 of these are given to 100 entries with each word, so the 13th word gives this one its
+	// first.
+	for range 13 {
+		s.relay.SetOthers(others)
+	}
+	got, _ := sendAll(t, s, release, 1)
+	elsewhere := 0
+	for head, n := range got {
+		if own[head] == 0 {
+			elsewhere += n
+		}
+	}
+	if diff := cmp.Diff(1, elsewhere); diff != "" {
+		t.Errorf("requests that went to other groups (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/sharing/doc.go
@@ -0,0 +1,2 @@
+// Package sharing works out which entries of a large site use which groups of engines.
+package sharing
--- /dev/null
+++ b/sharing/sharing.go
@@ -0,0 +1,158 @@
+package sharing
+
+// What an engine reads is over within a tenth of a second, so entries that use
+// the same group must tell each other of each prompt. Where all entries use all
+// groups that is a datagram for each prompt and entry, and no connection is used
+// twice before it is idle for too long. So beyond some entries the groups are
+// shared out: an entry uses a few groups of its own hall, and tells of a prompt
+// only those that use the group as well.
+//
+//	hall    entries         groups       an entry uses
+//	one     a, b, c, ...    g1 ... g11   the four that rendezvous hashing ranks first for it
+//
+// When a group ends, those that used it go on to their next one, and nothing
+// else changes hands.
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+const (
+	// together is up to how many entries all use all groups: each prompt of 3 a second then costs an entry 290 datagrams a
+	// second.
+	together = 97
+	// groupsLeast is how many groups of a model an entry uses at least: with four to choose from, groups are filled evenly.
+	groupsLeast = 4
+	// usersLeast is how many entries use a group on average at least, so that none is without users by chance.
+	usersLeast = 12
+)
+
+// entry is one entry and the digest of its name.
+type entry struct {
+	name   string
+	digest uint64
+}
+
+// Entries are the entries of a site; they are never changed.
+type Entries struct {
+	self  string
+	halls map[ident.Hall][]entry
+	total int
+}
+
+// New returns the entries of a site by their halls, as the one called self sees them.
+func New(self string, lists map[ident.Hall][]string) *Entries {
+	e := &Entries{self: self, halls: map[ident.Hall][]entry{}}
+	for hall, names := range lists {
+		for _, name := range names {
+			e.halls[hall] = append(e.halls[hall], entry{name, digest(name)})
+		}
+		e.total += len(names)
+	}
+	return e
+}
+
+// Total returns the number of entries.
+func (e *Entries) Total() int {
+	return e.total
+}
+
+// Together reports whether all entries use all groups.
+func (e *Entries) Together() bool {
+	return e.total <= together
+}
+
+// Others returns all entries but this one, in order.
+func (e *Entries) Others() []string {
+	var list []string
+	for _, hall := range slices.Sorted(maps.Keys(e.halls)) {
+		for _, o := range e.halls[hall] {
+			if o.name != e.self {
+				list = append(list, o.name)
+			}
+		}
+	}
+	return list
+}
+
+// Group is one group and the entries that use it.
+type Group struct {
+	Name ident.Group
+	// Users are the entries that use the group, without this one; Used is set when this one does.
+	Users []string
+	Used  bool
+}
+
+// Users fills in who uses each of the groups of one model in one hall.
+func (e *Entries) Users(hall ident.Hall, groups []Group) {
+	entries := e.halls[hall]
+	uses := usesOf(len(groups), len(entries))
+	digests := make([]uint64, len(groups))
+	for i := range groups {
+		digests[i] = digest(string(groups[i].Name))
+	}
+	best := make([]ranked, 0, uses+1)
+	for i := range entries {
+		best = firstFor(entries[i].digest, digests, uses, best[:0])
+		for _, r := range best {
+			g := &groups[r.group]
+			if entries[i].name == e.self {
+				g.Used = true
+				continue
+			}
+			g.Users = append(g.Users, entries[i].name)
+		}
+	}
+}
+
+// usesOf is how many of so many groups each of so many entries uses.
+func usesOf(groups, entries int) int {
+	if entries == 0 {
+		return 0
+	}
+	return min(groups, max(groupsLeast, (usersLeast*groups+entries-1)/entries))
+}
+
+// ranked is a group and its rank for an entry, higher is better.
+type ranked struct {
+	group int
+	rank  uint64
+}
+
+// firstFor appends the groups that an entry ranks first to best.
+func firstFor(entry uint64, groups []uint64, uses int, best []ranked) []ranked {
+	for i, g := range groups {
+		r := ranked{i, mix(entry ^ g)}
+		at := len(best)
+		for at > 0 && best[at-1].rank < r.rank {
+			at--
+		}
+		if at == uses {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		if len(best) > uses {
+			best = best[:uses]
+		}
+	}
+	return best
+}
+
+func digest(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // a hash takes everything
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/site/calls.go
+++ b/site/calls.go
@@ -178,7 +178,7 @@
 		reply.Changes = r.shown(call).Since(since)
 	}
 	if call.Entry {
-		reply.Neighbours = r.neighbours(call)
+		reply.Lists = r.changedLists(call)
 	}
 	if held := c.machine.Held(); held.Version > call.Version {
 		reply.Version = held.Version
--- a/site/entry.go
+++ b/site/entry.go
@@ -152,9 +152,10 @@
 // describe fills in what the leader is told with each call.
 func (e *Entry) describe(call *SyncCall) {
 	call.From = e.Settings.PeerAddress()
+	call.Hall = e.Settings.Hall
 	call.Entry = true
 	call.Seen, call.Demand = e.relay.Look()
-	call.Neighbours = e.neighbours.known()
+	call.Entries = e.neighbours.known()
 	call.Whole = e.wantWhole
 }
 
@@ -164,8 +165,8 @@
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
-	if len(r.Neighbours) > 0 {
-		e.neighbours.set(r.Neighbours)
+	if len(r.Lists) > 0 {
+		e.relay.SetEntries(e.neighbours.set(e.Settings.PeerAddress(), r.Lists))
 	}
 	e.relay.SetOthers(r.Others)
 	e.relay.Budget.SetEntries(r.Entries)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -66,18 +66,17 @@
 // Address is where the others send to.
 func (n Neighbours) Address() string { return n.conn.LocalAddr().String() }
 
-// Set replaces the list of neighbours.
-func (n Neighbours) Set(addresses ...string) { n.set(addresses) }
+// Set replaces the entries of a hall.
+func (n Neighbours) Set(addresses ...string) {
+	n.set(n.Address(), []EntryList{{Hall: "hall", Entries: addresses}})
+}
 
-// Tell sends news to all neighbours.
-func (n Neighbours) Tell(news relay.News) { n.tell(news) }
+// Tell sends news to some entries, or to all.
+func (n Neighbours) Tell(news relay.News, to ...string) { n.tell(news, to) }
 
 // Run sends and takes news until ctx ends.
 func (n Neighbours) Run(ctx context.Context) { n.run(ctx, n.conn) }
 
-// RingAfter is the choice of an entry's neighbours.
-var RingAfter = ringAfter
-
 // NameList returns the digest of a list.
 var NameList = nameList
 
@@ -109,3 +108,24 @@
 func (e *Entry) InForce() (httproute.Version, bool) {
 	return e.relay.Version(), e.relay.WordAge() < time.Minute
 }
+
+// Reigning is what a leader knows of entries.
+type Reigning struct{ *reign }
+
+// NewReign returns a reign that has heard of nobody.
+func NewReign() Reigning {
+	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard())}}
+}
+
+// Note takes what an entry tells.
+func (r Reigning) Note(call *SyncCall) { r.note(call) }
+
+// Forget drops an entry.
+func (r Reigning) Forget(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forgetEntry(name)
+}
+
+// Lists returns the lists of entries that the caller has not.
+func (r Reigning) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
--- a/site/messages.go
+++ b/site/messages.go
@@ -46,6 +46,7 @@
 // SyncCall asks the leader for what is new; it waits there until something is.
 type SyncCall struct {
 	From string
+	Hall ident.Hall
 	// Entry is set by daemons that take callers' requests.
 	Entry    bool
 	Reign    Reign
@@ -55,8 +56,8 @@
 	Whole  bool
 	Seen   []relay.Seen
 	Demand map[ident.Model]relay.Demand
-	// Neighbours names the list of neighbours that the entry has.
-	Neighbours ListName
+	// Entries names the lists of entries that the caller has.
+	Entries map[ident.Hall]ListName
 }
 
 // ListName is a digest of a list of addresses, 0 of none.
@@ -78,10 +79,16 @@
 	Config  []byte
 	Patch   []byte
 	// Others counts the requests of all other entries at each upstream.
-	Others  map[ident.Incarnation]int
+	Others map[ident.Incarnation]int
+	// Entries is how many entries there are, Lists are those of the halls of which the caller has another list.
 	Entries int
-	// Neighbours are the peers' addresses of the other entries, set when the caller has another list.
-	Neighbours []string
+	Lists   []EntryList
+}
+
+// EntryList holds the peers' addresses of the entries of one hall, in order.
+type EntryList struct {
+	Hall    ident.Hall
+	Entries []string
 }
 
 // CallKind says which call of an upstream or an operator is passed on.
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -1,8 +1,9 @@
 package site
 
 // Entries tell each other directly of the prompts that they send, one datagram
-// for each prompt and neighbour: an engine reads a prompt sooner than the
-// leader could tell of it. A datagram that is lost is not sent again.
+// for each prompt and entry that uses the same group: an engine reads a prompt
+// sooner than the leader could tell of it. A datagram that is lost is not sent
+// again. Who the entries are comes from the leader, one list for each hall.
 
 import (
 	"context"
@@ -18,8 +19,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/sharing"
 )
 
 const (
@@ -27,8 +30,6 @@
 	newsWaiting = 64
 	// maxNews bounds a datagram; one has about 30 bytes.
 	maxNews = 256
-	// maxNeighbours bounds the list that the leader sends.
-	maxNeighbours = 96
 	// promptNews is how many datagrams a second tell of prompts at most. Where there are more prompts and neighbours each
 	// prompt is told to some of them, by turns.
 	promptNews = 600.0
@@ -49,15 +50,28 @@
 	return ListName(h.Sum64())
 }
 
+// toldNews are news and those who are told, nobody for all.
+type toldNews struct {
+	news relay.News
+	to   []string
+}
+
+// addresses are where the other entries listen: all of them in order, and by name.
+type addresses struct {
+	list   []netip.AddrPort
+	byName map[string]netip.AddrPort
+}
+
 // neighbours sends news to the other entries and takes theirs. Fields are set before run.
 type neighbours struct {
 	// hear takes what another entry sent.
 	hear func(n relay.News)
 	log  logr.Logger
 
-	waiting chan relay.News
-	list    atomic.Pointer[[]netip.AddrPort]
-	name    atomic.Uint64
+	waiting chan toldNews
+	all     atomic.Pointer[addresses]
+	// lists are the entries of each hall; they belong to the goroutine that follows the leader.
+	lists map[ident.Hall][]string
 	// allowed is how many datagrams may tell of prompts now, since when that was counted, next whose turn it is.
 	allowed float64
 	counted time.Time
@@ -65,37 +79,50 @@
 }
 
 func newNeighbours(hear func(n relay.News)) *neighbours {
-	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan relay.News, newsWaiting)}
+	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan toldNews, newsWaiting), lists: map[ident.Hall][]string{}}
 }
 
-// tell sends n to the neighbours in the background.
-func (b *neighbours) tell(n relay.News) {
-	if b.list.Load() == nil {
+// tell sends n to those in a list, or to all entries without one, in the background.
+func (b *neighbours) tell(n relay.News, to []string) {
+	if b.all.Load() == nil {
 		return
 	}
 	select {
-	case b.waiting <- n:
+	case b.waiting <- toldNews{n, to}:
 	default:
 	}
 }
 
-// set replaces the list of neighbours.
-func (b *neighbours) set(addresses []string) {
-	var list []netip.AddrPort
-	for _, address := range addresses {
-		a, err := netip.ParseAddrPort(address)
+// set takes lists that have changed and returns the entries as the one called self sees them.
+func (b *neighbours) set(self string, changed []EntryList) *sharing.Entries {
+	for _, l := range changed {
+		b.lists[l.Hall] = l.Entries
+		if len(l.Entries) == 0 {
+			delete(b.lists, l.Hall)
+		}
+	}
+	entries := sharing.New(self, b.lists)
+	all := &addresses{byName: map[string]netip.AddrPort{}}
+	for _, name := range entries.Others() {
+		a, err := netip.ParseAddrPort(name)
 		if err != nil {
-			b.log.Info("neighbour passed over, its address is not an IP address and port", "address", address)
+			b.log.Info("neighbour passed over, its address is not an IP address and port", "address", name)
 			continue
 		}
-		list = append(list, a)
+		all.list = append(all.list, a)
+		all.byName[name] = a
 	}
-	b.list.Store(&list)
-	b.name.Store(uint64(nameList(addresses)))
+	b.all.Store(all)
+	return entries
 }
 
-func (b *neighbours) known() ListName {
-	return ListName(b.name.Load())
+// known names the lists that this entry has.
+func (b *neighbours) known() map[ident.Hall]ListName {
+	names := map[ident.Hall]ListName{}
+	for hall, list := range b.lists {
+		names[hall] = nameList(list)
+	}
+	return names
 }
 
 // listenDatagrams opens the socket of an address.
@@ -132,18 +159,32 @@
 	}
 }
 
-func (b *neighbours) sendToAll(conn *net.UDPConn, n relay.News) {
-	data, err := cbor.Marshal(n)
+func (b *neighbours) sendToAll(conn *net.UDPConn, n toldNews) {
+	data, err := cbor.Marshal(n.news)
 	if err != nil {
-		b.log.Error(err, "news cannot be encoded", "head", n.Head)
+		b.log.Error(err, "news cannot be encoded", "head", n.news.Head)
 		return
 	}
-	for _, to := range b.told(time.Now(), *b.list.Load()) {
+	for _, to := range b.told(time.Now(), b.all.Load().of(n.to)) {
 		// A neighbour that can't be reached is one that needs no news; the leader's next list leaves it out.
 		_, _ = conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
+// of returns the addresses of those in a list, all without one.
+func (a *addresses) of(names []string) []netip.AddrPort {
+	if names == nil {
+		return a.list
+	}
+	list := make([]netip.AddrPort, 0, len(names))
+	for _, name := range names {
+		if address, ok := a.byName[name]; ok {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // told returns the neighbours that are told of a prompt.
 func (b *neighbours) told(now time.Time, all []netip.AddrPort) []netip.AddrPort {
 	saved := min(now.Sub(b.counted), promptNewsSaved)
@@ -180,32 +221,42 @@
 	}
 }
 
-// neighbours returns the list for an entry that has another one, and nothing otherwise.
-func (r *reign) neighbours(call *SyncCall) []string {
-	r.mu.Lock()
-	list := r.neighboursOf(call.From)
-	r.mu.Unlock()
-	if nameList(list) == call.Neighbours {
-		return nil
-	}
-	return list
+// entryLists are the entries of each hall in order, and the names of these lists.
+type entryLists struct {
+	lists map[ident.Hall][]string
+	names map[ident.Hall]ListName
 }
 
-// neighboursOf returns the entries that name tells of its prompts, in order; the mutex is held.
-func (r *reign) neighboursOf(name string) []string {
-	var list []string
-	for entry := range r.entries {
-		if entry != name {
-			list = append(list, entry)
+// changedLists returns the lists of entries that the caller has not; the lists are put together again when entries have come or gone.
+func (r *reign) changedLists(call *SyncCall) []EntryList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lists == nil {
+		r.lists = r.listEntries()
+	}
+	var changed []EntryList
+	for hall, list := range r.lists.lists {
+		if call.Entries[hall] != r.lists.names[hall] {
+			changed = append(changed, EntryList{hall, list})
+		}
+	}
+	for hall := range call.Entries {
+		if _, ok := r.lists.lists[hall]; !ok {
+			changed = append(changed, EntryList{Hall: hall})
 		}
 	}
-	slices.Sort(list)
-	return ringAfter(list, name, maxNeighbours)
+	return changed
 }
 
-// ringAfter returns the first entries after name in the ring of a sorted list, most at most: where not all fit, each entry is on as
-// many lists as any other.
-func ringAfter(list []string, name string, most int) []string {
-	start, _ := slices.BinarySearch(list, name)
-	return slices.Concat(list[start:], list[:start])[:min(len(list), most)]
+// listEntries puts the lists together; the mutex is held.
+func (r *reign) listEntries() *entryLists {
+	l := &entryLists{map[ident.Hall][]string{}, map[ident.Hall]ListName{}}
+	for name, e := range r.entries {
+		l.lists[e.hall] = append(l.lists[e.hall], name)
+	}
+	for hall, list := range l.lists {
+		slices.Sort(list)
+		l.names[hall] = nameList(list)
+	}
+	return l
 }
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/site"
 )
@@ -92,17 +95,49 @@
 	}
 }
 
-// Where a list holds only some of the entries, all are on equally many lists.
-func TestEveryEntryIsANeighbour(t *testing.T) {
-	all := []string{"a", "b", "c", "d", "e"}
-	times := map[string]int{}
-	for i, name := range all {
-		others := append(append([]string(nil), all[:i]...), all[i+1:]...)
-		for _, neighbour := range site.RingAfter(others, name, 2) {
-			times[neighbour]++
+// News for some reach these and no others.
+func TestNewsForSome(t *testing.T) {
+	a, _ := startNeighbours(t)
+	b, heardByB := startNeighbours(t)
+	c, heardByC := startNeighbours(t)
+	a.Set(a.Address(), b.Address(), c.Address())
+	a.Tell(relay.News{Head: "first", Prompt: 1}, c.Address(), "10.9.9.9:1")
+	a.Tell(relay.News{Head: "second", Prompt: 2})
+	got := []relay.News{<-heardByB, <-heardByC, <-heardByC}
+	want := []relay.News{{Head: "second", Prompt: 2}, {Head: "first", Prompt: 1}, {Head: "second", Prompt: 2}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("heard (-want +got):\n%s", diff)
+	}
+}
+
+// The leader tells an entry of the halls whose entries have changed since it was told, and of no others.
+func TestListsOfEntries(t *testing.T) {
+	r := site.NewReign()
+	call := func(from string, hall ident.Hall) *site.SyncCall {
+		return &site.SyncCall{From: from, Hall: hall, Entry: true, Entries: map[ident.Hall]site.ListName{}}
+	}
+	for _, c := range []*site.SyncCall{call("b", "one"), call("a", "one"), call("c", "two"), call("a", "one")} {
+		r.Note(c)
+	}
+	asked := call("a", "one")
+	var got []site.EntryList
+	ask := func() []site.EntryList {
+		got = r.Lists(asked)
+		for _, l := range got {
+			asked.Entries[l.Hall] = site.NameList(l.Entries)
 		}
+		slices.SortFunc(got, func(a, b site.EntryList) int { return strings.Compare(string(a.Hall), string(b.Hall)) })
+		return got
+	}
+	if diff := cmp.Diff([]site.EntryList{{Hall: "one", Entries: []string{"a", "b"}}, {Hall: "two", Entries: []string{"c"}}}, ask()); diff != "" {
+		t.Errorf("first lists (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]site.EntryList(nil), ask()); diff != "" {
+		t.Errorf("when nothing has changed (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(map[string]int{"a": 2, "b": 2, "c": 2, "d": 2, "e": 2}, times); diff != "" {
-		t.Errorf("lists that an entry is on (-want +got):\n%s", diff)
+	r.Note(call("d", "one"))
+	r.Forget("c")
+	if diff := cmp.Diff([]site.EntryList{{Hall: "one", Entries: []string{"a", "b", "d"}}, {Hall: "two"}}, ask()); diff != "" {
+		t.Errorf("after one has come and one has gone (-want +got):\n%s", diff)
 	}
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -48,6 +48,7 @@
 
 type entryState struct {
 	at   time.Time
+	hall ident.Hall
 	seen []relay.Seen
 }
 
@@ -84,9 +85,11 @@
 
 	mu      sync.Mutex
 	entries map[string]*entryState
-	totals  map[ident.Incarnation]int
-	demand  Rates
-	served  bool
+	// lists are the entries by hall, nil after entries have come or gone.
+	lists  *entryLists
+	totals map[ident.Incarnation]int
+	demand Rates
+	served bool
 }
 
 // answersLength bounds the outcomes that wait for the leader's next look.
@@ -350,12 +353,16 @@
 func (r *reign) note(call *SyncCall) (map[ident.Incarnation]int, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.forgetEntry(call.From)
+	old := r.entries[call.From]
+	r.forgetSeen(old)
 	if !call.Entry {
 		return nil, len(r.entries)
 	}
 	now := time.Now()
-	r.entries[call.From] = &entryState{now, call.Seen}
+	if old == nil || old.hall != call.Hall {
+		r.lists = nil
+	}
+	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
 	r.paces.note(now, call.Seen)
 	own := map[ident.Incarnation]int{}
 	for _, seen := range call.Seen {
@@ -372,9 +379,15 @@
 	return others, len(r.entries)
 }
 
-// forgetEntry takes an entry's requests out of the totals; the mutex is held.
+// forgetEntry drops an entry that does not call any more; the mutex is held.
 func (r *reign) forgetEntry(name string) {
-	e := r.entries[name]
+	r.forgetSeen(r.entries[name])
+	delete(r.entries, name)
+	r.lists = nil
+}
+
+// forgetSeen takes an entry's requests out of the totals; the mutex is held.
+func (r *reign) forgetSeen(e *entryState) {
 	if e == nil {
 		return
 	}
@@ -384,7 +397,6 @@
 			delete(r.totals, seen.ID)
 		}
 	}
-	delete(r.entries, name)
 }
 
 func (r *reign) countDemand(now time.Time, call *SyncCall) {
