--- /dev/null
+++ b/site/entries.go
@@ -0,0 +1,180 @@
+package site
+
+// What entries tell the leader with each call: what they saw of groups, how many
+// requests they have at each upstream, and the work that was asked for. The
+// leader puts it together and tells each entry of all others.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/replicaset"
+)
+
+// entryState is what an entry told with its newest call.
+type entryState struct {
+	at   time.Time
+	hall ident.Hall
+	seen []relay.Seen
+}
+
+// sights puts together what all entries saw of each group; the mutex is held.
+func (r *reign) sights(now time.Time) map[ident.Group]replicaset.Sight {
+	sights := map[ident.Group]replicaset.Sight{}
+	for _, g := range r.roster.Groups() {
+		sights[g.Name] = replicaset.Sight{Answered: neverAnswered}
+	}
+	for name, e := range r.entries {
+		late := now.Sub(e.at)
+		if late > entryAway {
+			r.forgetEntry(name)
+			r.demand.Forget(name)
+			continue
+		}
+		for _, seen := range e.seen {
+			if sight, ok := sights[seen.Group]; ok {
+				sights[seen.Group] = merge(sight, &seen, late)
+			}
+		}
+	}
+	for name, sight := range sights {
+		// A sign that any entry saw shows that the group works.
+		sight.Stalled = min(sight.Stalled, sight.Answered)
+		sights[name] = sight
+	}
+	return sights
+}
+
+func merge(sight replicaset.Sight, seen *relay.Seen, late time.Duration) replicaset.Sight {
+	if seen.Answered >= 0 {
+		sight.Answered = min(sight.Answered, seen.Answered+late)
+	}
+	// What an entry did not tell since may have ended, so its silence does not grow with its own.
+	sight.Stalled = max(sight.Stalled, seen.Silence)
+	sight.Refused = sight.Refused || seen.Refused
+	if seen.Blamed != "" {
+		sight.Blamed = seen.Blamed
+	}
+	return sight
+}
+
+// note takes what an entry tells and returns what all others have at each upstream, and how many entries there are.
+func (r *reign) note(call *SyncCall) (map[ident.Incarnation]int, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.entries[call.From]
+	r.forgetSeen(old)
+	if !call.Entry {
+		return nil, len(r.entries)
+	}
+	now := time.Now()
+	if old == nil || old.hall != call.Hall {
+		r.lists = nil
+	}
+	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
+	r.paces.note(now, call.Seen)
+	own := map[ident.Incarnation]int{}
+	for _, seen := range call.Seen {
+		own[seen.ID] = seen.Inflight
+		r.totals[seen.ID] += seen.Inflight
+	}
+	r.countDemand(now, call)
+	others := map[ident.Incarnation]int{}
+	for id, total := range r.totals {
+		if rest := total - own[id]; rest > 0 {
+			others[id] = rest
+		}
+	}
+	return others, len(r.entries)
+}
+
+// forgetEntry drops an entry that does not call any more; the mutex is held.
+func (r *reign) forgetEntry(name string) {
+	r.forgetSeen(r.entries[name])
+	delete(r.entries, name)
+	r.lists = nil
+}
+
+// forgetSeen takes an entry's requests out of the totals; the mutex is held.
+func (r *reign) forgetSeen(e *entryState) {
+	if e == nil {
+		return
+	}
+	for _, seen := range e.seen {
+		r.totals[seen.ID] -= seen.Inflight
+		if r.totals[seen.ID] <= 0 {
+			delete(r.totals, seen.ID)
+		}
+	}
+}
+
+func (r *reign) countDemand(now time.Time, call *SyncCall) {
+	asked := map[ident.Model]Asked{}
+	for model, d := range call.Demand {
+		r.served = true
+		if w := r.work(model, d); w > 0 {
+			asked[model] = Asked{w, d.Requests} // callers may name any model, rates are kept for those that there are
+		}
+	}
+	r.demand.Hear(now, call.From, asked)
+}
+
+// work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
+func (r *reign) work(model ident.Model, d relay.Demand) float64 {
+	table := r.c.newestTable()
+	if table == nil {
+		return 0
+	}
+	for i := range table.Config.Services {
+		e := table.Config.Services[i].Engine
+		if e == nil {
+			continue
+		}
+		if m, ok := e.Model(model); ok {
+			return e.Work(m, d.Prompt, d.Answer)
+		}
+	}
+	return 0
+}
+
+// entryLists are the entries of each hall in order, and the names of these lists.
+type entryLists struct {
+	lists map[ident.Hall][]string
+	names map[ident.Hall]ListName
+}
+
+// changedLists returns the lists of entries that the caller has not; the lists are put together again when entries have come or gone.
+func (r *reign) changedLists(call *SyncCall) []EntryList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lists == nil {
+		r.lists = r.listEntries()
+	}
+	var changed []EntryList
+	for hall, list := range r.lists.lists {
+		if call.Entries[hall] != r.lists.names[hall] {
+			changed = append(changed, EntryList{hall, list})
+		}
+	}
+	for hall := range call.Entries {
+		if _, ok := r.lists.lists[hall]; !ok {
+			changed = append(changed, EntryList{Hall: hall})
+		}
+	}
+	return changed
+}
+
+// listEntries puts the lists together; the mutex is held.
+func (r *reign) listEntries() *entryLists {
+	l := &entryLists{map[ident.Hall][]string{}, map[ident.Hall]ListName{}}
+	for name, e := range r.entries {
+		l.lists[e.hall] = append(l.lists[e.hall], name)
+	}
+	for hall, list := range l.lists {
+		slices.Sort(list)
+		l.names[hall] = nameList(list)
+	}
+	return l
+}
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -11,7 +11,6 @@
 	"hash/fnv"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -220,43 +219,3 @@
 		b.hear(news)
 	}
 }
-
-// entryLists are the entries of each hall in order, and the names of these lists.
-type entryLists struct {
-	lists map[ident.Hall][]string
-	names map[ident.Hall]ListName
-}
-
-// changedLists returns the lists of entries that the caller has not; the lists are put together again when entries have come or gone.
-func (r *reign) changedLists(call *SyncCall) []EntryList {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lists == nil {
-		r.lists = r.listEntries()
-	}
-	var changed []EntryList
-	for hall, list := range r.lists.lists {
-		if call.Entries[hall] != r.lists.names[hall] {
-			changed = append(changed, EntryList{hall, list})
-		}
-	}
-	for hall := range call.Entries {
-		if _, ok := r.lists.lists[hall]; !ok {
-			changed = append(changed, EntryList{Hall: hall})
-		}
-	}
-	return changed
-}
-
-// listEntries puts the lists together; the mutex is held.
-func (r *reign) listEntries() *entryLists {
-	l := &entryLists{map[ident.Hall][]string{}, map[ident.Hall]ListName{}}
-	for name, e := range r.entries {
-		l.lists[e.hall] = append(l.lists[e.hall], name)
-	}
-	for hall, list := range l.lists {
-		slices.Sort(list)
-		l.names[hall] = nameList(list)
-	}
-	return l
-}
--- a/site/reign.go
+++ b/site/reign.go
@@ -14,7 +14,6 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quorum"
-	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -46,12 +45,6 @@
 	neverAnswered = time.Hour
 )
 
-type entryState struct {
-	at   time.Time
-	hall ident.Hall
-	seen []relay.Seen
-}
-
 type orderAnswer struct {
 	service ident.Service
 	order   replicaset.Order
@@ -308,122 +301,3 @@
 	w.Dead = r.probes.dead(now, ages)
 	return w
 }
-
-// sights puts together what all entries saw of each group; the mutex is held.
-func (r *reign) sights(now time.Time) map[ident.Group]replicaset.Sight {
-	sights := map[ident.Group]replicaset.Sight{}
-	for _, g := range r.roster.Groups() {
-		sights[g.Name] = replicaset.Sight{Answered: neverAnswered}
-	}
-	for name, e := range r.entries {
-		late := now.Sub(e.at)
-		if late > entryAway {
-			r.forgetEntry(name)
-			r.demand.Forget(name)
-			continue
-		}
-		for _, seen := range e.seen {
-			if sight, ok := sights[seen.Group]; ok {
-				sights[seen.Group] = merge(sight, &seen, late)
-			}
-		}
-	}
-	for name, sight := range sights {
-		// A sign that any entry saw shows that the group works.
-		sight.Stalled = min(sight.Stalled, sight.Answered)
-		sights[name] = sight
-	}
-	return sights
-}
-
-func merge(sight replicaset.Sight, seen *relay.Seen, late time.Duration) replicaset.Sight {
-	if seen.Answered >= 0 {
-		sight.Answered = min(sight.Answered, seen.Answered+late)
-	}
-	// What an entry did not tell since may have ended, so its silence does not grow with its own.
-	sight.Stalled = max(sight.Stalled, seen.Silence)
-	sight.Refused = sight.Refused || seen.Refused
-	if seen.Blamed != "" {
-		sight.Blamed = seen.Blamed
-	}
-	return sight
-}
-
-// note takes what an entry tells and returns what all others have at each upstream, and how many entries there are.
-func (r *reign) note(call *SyncCall) (map[ident.Incarnation]int, int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	old := r.entries[call.From]
-	r.forgetSeen(old)
-	if !call.Entry {
-		return nil, len(r.entries)
-	}
-	now := time.Now()
-	if old == nil || old.hall != call.Hall {
-		r.lists = nil
-	}
-	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
-	r.paces.note(now, call.Seen)
-	own := map[ident.Incarnation]int{}
-	for _, seen := range call.Seen {
-		own[seen.ID] = seen.Inflight
-		r.totals[seen.ID] += seen.Inflight
-	}
-	r.countDemand(now, call)
-	others := map[ident.Incarnation]int{}
-	for id, total := range r.totals {
-		if rest := total - own[id]; rest > 0 {
-			others[id] = rest
-		}
-	}
-	return others, len(r.entries)
-}
-
-// forgetEntry drops an entry that does not call any more; the mutex is held.
-func (r *reign) forgetEntry(name string) {
-	r.forgetSeen(r.entries[name])
-	delete(r.entries, name)
-	r.lists = nil
-}
-
-// forgetSeen takes an entry's requests out of the totals; the mutex is held.
-func (r *reign) forgetSeen(e *entryState) {
-	if e == nil {
-		return
-	}
-	for _, seen := range e.seen {
-		r.totals[seen.ID] -= seen.Inflight
-		if r.totals[seen.ID] <= 0 {
-			delete(r.totals, seen.ID)
-		}
-	}
-}
-
-func (r *reign) countDemand(now time.Time, call *SyncCall) {
-	asked := map[ident.Model]Asked{}
-	for model, d := range call.Demand {
-		r.served = true
-		if w := r.work(model, d); w > 0 {
-			asked[model] = Asked{w, d.Requests} // callers may name any model, rates are kept for those that there are
-		}
-	}
-	r.demand.Hear(now, call.From, asked)
-}
-
-// work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
-func (r *reign) work(model ident.Model, d relay.Demand) float64 {
-	table := r.c.newestTable()
-	if table == nil {
-		return 0
-	}
-	for i := range table.Config.Services {
-		e := table.Config.Services[i].Engine
-		if e == nil {
-			continue
-		}
-		if m, ok := e.Model(model); ok {
-			return e.Work(m, d.Prompt, d.Answer)
-		}
-	}
-	return 0
-}
