Tell the lives of an upstream apart by its birth, and pass over reports of other writers

Cause: an upstream may start again under the id that it had, and counts its reports from one then. The roster knew it by its id alone: its reports counted as late until they passed the old count, and for two minutes once its end was known, while groups that it had been a member of went on as whole. A report with fields missing or of other types was taken when it had a service and an address, and ended the upstream at that address.

Ruled out: a field for the birth beside the id in the roster, which leaves orders, lanes at entries and group members of two lives mixed up.

Change: an incarnation is id and birth ("i-1@base36 of Unix ms"); the adapter puts them together, and only the id goes back to upstreams. A later birth ends the earlier life for good; reports and sign-offs of the earlier one change nothing. A report must hold all that every upstream says of itself, and name a service that is declared; otherwise it names nothing to use (code 5009, at most one log line a second).

--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -119,38 +119,32 @@
 	})
 }
 
+// names reports whether any life in list is called name, with its birth or without.
+func names(list []ident.Incarnation, name string) bool {
+	return slices.ContainsFunc(list, func(id ident.Incarnation) bool { return string(id) == name || id.UpstreamID() == name })
+}
+
 // partOf returns what the state says of one name: of a model its groups too, of a group its members.
 func partOf(s *site.State, name string) *site.State {
 	part := *s
-	part.Models, part.Groups, part.Upstreams, part.Decisions = nil, nil, nil, nil
-	for i := range s.Models {
-		if string(s.Models[i].Model) == name {
-			part.Models = append(part.Models, s.Models[i])
-		}
-	}
-	members := map[ident.Incarnation]bool{ident.Incarnation(name): true}
+	part.Models = slices.DeleteFunc(slices.Clone(s.Models), func(m site.ModelState) bool { return string(m.Model) != name })
+	part.Groups = slices.DeleteFunc(slices.Clone(s.Groups), func(g site.GroupState) bool {
+		return string(g.Name) != name && string(g.Model) != name && !names(g.Members, name)
+	})
+	members := map[ident.Incarnation]bool{}
 	for i := range s.Groups {
-		g := &s.Groups[i]
-		if string(g.Name) == name {
+		if g := &s.Groups[i]; string(g.Name) == name {
 			for _, id := range g.Members {
 				members[id] = true
 			}
 		}
-		if string(g.Name) == name || string(g.Model) == name || slices.Contains(g.Members, ident.Incarnation(name)) {
-			part.Groups = append(part.Groups, *g)
-		}
-	}
-	for i := range s.Upstreams {
-		if members[s.Upstreams[i].ID] {
-			part.Upstreams = append(part.Upstreams, s.Upstreams[i])
-		}
-	}
-	for i := range s.Decisions {
-		d := &s.Decisions[i]
-		if string(d.Group) == name || string(d.Model) == name || slices.Contains(d.Members, ident.Incarnation(name)) {
-			part.Decisions = append(part.Decisions, *d)
-		}
 	}
+	part.Upstreams = slices.DeleteFunc(slices.Clone(s.Upstreams), func(u site.UpstreamState) bool {
+		return !members[u.ID] && !names([]ident.Incarnation{u.ID}, name)
+	})
+	part.Decisions = slices.DeleteFunc(slices.Clone(s.Decisions), func(d site.GroupDecision) bool {
+		return string(d.Group) != name && string(d.Model) != name && !names(d.Members, name)
+	})
 	return &part
 }
 
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -70,7 +70,7 @@
 	c.DecodeConfig = platform.DecodeConfig
 	c.GiveOrder = platform.NewOrders(transport.Guarded()).Give
 	c.AskPace = platform.NewPaces(transport.Guarded()).Ask
-	calls := &platform.Control{Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read}
+	calls := &platform.Control{Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read, Unusable: c.Unusable}
 	c.Handler = calls.Handler()
 	c.Reread = reread
 	ctx, end := context.WithCancel(ctx)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,7 +7,6 @@
 	"strconv"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
-	"github.com/dunlinquay/dunlinquay/ident"
 )
 
 const (
@@ -101,7 +100,7 @@
 		f.lane.full = now.Add(fullFor)
 	}
 	if blamed := resp.Header.Get(s.Names.Blamed); blamed != "" {
-		f.lane.blamed = ident.Incarnation(blamed)
+		f.lane.blamed = blamed
 		f.lane.fail(now)
 	}
 	return true
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -46,7 +46,7 @@
 	// suspect is until when the lane is avoided.
 	suspect time.Time
 	refused bool
-	blamed  ident.Incarnation
+	blamed  string
 	// full is until when the upstream said that it takes nothing.
 	full time.Time
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -195,7 +195,7 @@
 	Answered time.Duration
 	Silence  time.Duration
 	Refused  bool
-	Blamed   ident.Incarnation
+	Blamed   string
 	// Events and Pauses are the events that came since the last look and the time between them, over all streams.
 	Events int
 	Pauses time.Duration
--- a/relay/request.go
+++ b/relay/request.go
@@ -34,7 +34,7 @@
 			writeHeader(bw, name, v)
 		}
 	}
-	writeHeader(bw, names.Incarnation, string(t.id))
+	writeHeader(bw, names.Incarnation, t.id.UpstreamID())
 	writeHeader(bw, names.Deadline, strconv.FormatInt(max(1, x.left().Milliseconds()), 10))
 	if x.customer != nil {
 		writeHeader(bw, names.Customer, string(x.customer.Name))
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -48,6 +48,16 @@
 	lateOpen bool
 	// pace is how many times slower it is.
 	pace float64
+	// again is the next life of the same upstream.
+	again *engine
+}
+
+// newest returns the life that answers to the engine's id now.
+func (e *engine) newest() *engine {
+	for e.again != nil {
+		e = e.again
+	}
+	return e
 }
 
 type lateOrder struct {
@@ -290,7 +300,7 @@
 	f.now = f.now.Add(step)
 	var rest []lateOrder
 	for _, l := range f.late {
-		switch e := f.byID[l.order.To]; {
+		switch e := f.byID[l.order.To].newest(); {
 		case f.now.Before(l.at):
 			rest = append(rest, l)
 		case e.alive:
@@ -429,6 +439,20 @@
 	f.deadSince[e.id] = f.now
 }
 
+// restart ends an engine and starts it again under its id: it holds and knows nothing of before but what is on its host.
+func (f *fleet) restart(e *engine) *engine {
+	f.kill(e)
+	born := ident.Birth(f.now.UnixMilli())
+	again := &engine{
+		id: ident.Life(e.id.UpstreamID(), born), address: e.address, hall: e.hall, domain: e.domain, staged: e.staged, cut: e.cut,
+		alive: true, changed: true,
+	}
+	e.again = again
+	f.engines = append(f.engines, again)
+	f.byID[again.id] = again
+	return again
+}
+
 // alive returns the living engines in a fixed order.
 func (f *fleet) alive() []*engine {
 	var list []*engine
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -383,8 +383,8 @@
 func (f *Formation) standsStill(g *roster.Group, missed, dead bool) string {
 	sight := f.world.Sights[g.Name]
 	switch {
-	case sight.Blamed != "" && slices.Contains(g.Members, sight.Blamed):
-		return "the head blames member " + string(sight.Blamed)
+	case sight.Blamed != "" && slices.ContainsFunc(g.Members, func(id ident.Incarnation) bool { return id.UpstreamID() == sight.Blamed }):
+		return "the head blames member " + sight.Blamed
 	case dead && sight.Stalled >= stallWithDead:
 		return "stands still, and a member takes no connections"
 	case missed && sight.Stalled >= stallWithSilent:
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -121,6 +121,14 @@
 			f.kill(head)
 			f.roster.Leave(f.now, head.id)
 		}, 5 * time.Second, 6, 6},
+		{"a member starts again under its id", func(f *fleet) { f.restart(f.byID[f.headOf("large").members[2]]) }, 2 * time.Second, 6, 6},
+		{"a head starts again under its id", func(f *fleet) { f.restart(f.headOf("large")) }, 2 * time.Second, 6, 6},
+		{"a member starts again behind a cut", func(f *fleet) {
+			e := f.byID[f.headOf("large").members[2]]
+			e.cut = true
+			f.run(3*time.Second, nil)
+			f.restart(e).cut = false
+		}, 2 * time.Second, 6, 6},
 		{"control does not reach a group that serves", func(f *fleet) {
 			for _, id := range f.headOf("large").members {
 				f.byID[id].cut = true
@@ -359,6 +367,40 @@
 	}
 }
 
+// Upstreams start again under their ids at any moment, behind cuts too, while orders to the life before are still on their way.
+func TestUpstreamsThatStartAgainUnderTheirIDs(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		f := newFleet(t, seed, 4, 8)
+		f.lateShare = 0.15
+		f.lostShare = 0.05
+		f.run(12*time.Second, nil)
+		f.demand = groupsOf(3, 4)
+		f.run(40*time.Second, func() {
+			if f.random.IntN(30) != 0 {
+				return
+			}
+			list := f.alive()
+			e := list[f.random.IntN(len(list))]
+			switch f.random.IntN(4) {
+			case 0:
+				e.cut = !e.cut
+			case 1:
+				f.elect(f.copied())
+			default:
+				f.restart(e)
+			}
+		})
+		f.calm()
+		f.run(40*time.Second, nil)
+		if len(f.faults) > 0 {
+			t.Fatalf("seed %d: %v", seed, f.faults)
+		}
+		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
+			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
+		}
+	}
+}
+
 // calm ends all trouble and makes sure that there is a domain with enough upstreams.
 func (f *fleet) calm() {
 	f.lateShare, f.lostShare = 0, 0
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -61,8 +61,8 @@
 	Refused bool
 	// Pause is the mean time between events of the group's streams of late, 0 when too few came.
 	Pause time.Duration
-	// Blamed is the member that the head named as the cause of a failure.
-	Blamed ident.Incarnation
+	// Blamed is the id of the member that the head named as the cause of a failure.
+	Blamed string
 }
 
 // World is what one step decides on.
--- a/result/code.go
+++ b/result/code.go
@@ -70,6 +70,7 @@
 	UpstreamMalformed Code = 5006
 	EpochMismatch     Code = 5007
 	NeverSent         Code = 5008
+	ReportUnusable    Code = 5009
 )
 
 // Info describes one code: its kebab-case name, HTTP status, process exit code, whether it asserts that the request did not run, and what to do.
@@ -164,6 +165,7 @@
 	{UpstreamMalformed, "upstream-malformed", http.StatusBadGateway, exitFailed, false, "The upstream's answer cannot be read.", "Check the engine's version."},
 	{EpochMismatch, "epoch-mismatch", http.StatusServiceUnavailable, exitRefused, true, "The engine is in another epoch of its group.", "Retry."},
 	{NeverSent, "never-sent", http.StatusServiceUnavailable, exitRefused, true, "No connection to the upstream could be opened; nothing was sent.", "Retry."},
+	{ReportUnusable, "report-unusable", http.StatusBadRequest, exitRefused, true, "A report lacks what every upstream says of itself; it names none.", "Look who reports there."},
 }
 
 // Lookup returns the description of c, or that of an unnamed failure when c is not in the table.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -2,8 +2,8 @@
 
 // The leader's roster is rebuilt from reports after every election, so nothing
 // of it goes through the log. Two things keep late messages from reviving what
-// has ended: an id that has left is remembered, and of two ids at one address
-// only one counts.
+// has ended: an incarnation that has left is remembered, and of two at one
+// address, or of one id, only one counts.
 //
 // Every change has a revision and stands in a journal. A copy asks for what
 // changed after the revision that it has, so a change costs the same however
@@ -66,8 +66,10 @@
 	revision  Revision
 	upstreams map[ident.Incarnation]*upstreamRecord
 	byAddress map[string]ident.Incarnation
-	groups    map[ident.Group]Group
-	gone      map[ident.Incarnation]goneRecord
+	// newest is the last life of each upstream by its id.
+	newest map[string]ident.Incarnation
+	groups map[ident.Group]Group
+	gone   map[ident.Incarnation]goneRecord
 	// journal holds the changes after revision base, one for each revision.
 	journal []change
 	base    Revision
@@ -79,6 +81,7 @@
 	return &Roster{
 		upstreams: map[ident.Incarnation]*upstreamRecord{},
 		byAddress: map[string]ident.Incarnation{},
+		newest:    map[string]ident.Incarnation{},
 		groups:    map[ident.Group]Group{},
 		gone:      map[ident.Incarnation]goneRecord{},
 		changed:   make(chan struct{}),
@@ -104,6 +107,7 @@
 	for _, u := range upstreams {
 		r.upstreams[u.ID] = &upstreamRecord{Upstream: u, heard: now}
 		r.byAddress[u.Address] = u.ID
+		r.newest[u.ID.UpstreamID()] = u.ID
 		r.touch(change{upstream: u.ID})
 	}
 	for _, g := range groups {
@@ -117,7 +121,7 @@
 func (r *Roster) Take(now time.Time, report *Report) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stays(report) {
+	if r.outlived(now, report) || r.stays(report) {
 		return false
 	}
 	rec := r.upstreams[report.ID]
@@ -150,6 +154,33 @@
 	return true
 }
 
+// outlived reports whether report comes from an earlier life of an upstream that has started again under its id. Of one that has, the
+// earlier life is over, and so are its groups.
+func (r *Roster) outlived(now time.Time, report *Report) bool {
+	id := report.ID.UpstreamID()
+	last, known := r.newest[id]
+	if known && last != report.ID {
+		if report.ID.Born() <= last.Born() {
+			return true
+		}
+		r.endLife(now, last)
+	}
+	r.newest[id] = report.ID
+	return false
+}
+
+// endLife ends a life for good and frees its address.
+func (r *Roster) endLife(now time.Time, id ident.Incarnation) {
+	rec := r.upstreams[id]
+	if rec == nil {
+		return
+	}
+	if r.byAddress[rec.Address] == id {
+		delete(r.byAddress, rec.Address)
+	}
+	r.end(now, id)
+}
+
 // stays reports whether report comes from a life that has ended for good. A life that was taken for ended only because
 // a late report of its predecessor came from the same address goes on reporting, which the predecessor does not.
 func (r *Roster) stays(report *Report) bool {
@@ -187,10 +218,13 @@
 }
 
 // Leave notes that an upstream has signed off. It may go on with what it has for a while, so it stays, as one that gets
-// nothing new, until it is silent.
+// nothing new, until it is silent. One that does not say when it started is taken for its newest life.
 func (r *Roster) Leave(now time.Time, id ident.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if last, known := r.newest[id.UpstreamID()]; known && id.Born() == 0 {
+		id = last
+	}
 	rec := r.upstreams[id]
 	if rec == nil {
 		r.end(now, id)
@@ -217,10 +251,7 @@
 	for id, rec := range r.upstreams {
 		age := now.Sub(rec.heard)
 		if age >= r.ForgetAfter || rec.left && age >= forgetLeft {
-			if r.byAddress[rec.Address] == id {
-				delete(r.byAddress, rec.Address)
-			}
-			r.end(now, id)
+			r.endLife(now, id)
 			continue
 		}
 		if silent := age >= r.SilentAfter; silent != rec.Silent {
@@ -231,6 +262,9 @@
 	for id, rec := range r.gone {
 		if now.Sub(rec.at) >= rememberGone {
 			delete(r.gone, id)
+			if r.newest[id.UpstreamID()] == id {
+				delete(r.newest, id.UpstreamID())
+			}
 		}
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -14,6 +14,9 @@
 
 var start = time.Unix(1000, 0)
 
+// first and second are two lives of one upstream.
+var first, second = ident.Life("i-1", 1_000), ident.Life("i-1", 2_000)
+
 func newRoster() *roster.Roster {
 	r := roster.New()
 	r.SilentAfter = 3 * time.Second
@@ -115,6 +118,51 @@
 			r.Take(start, report("b", "x", 2))
 			r.Take(start, report("b", "x", 3))
 		}, []string{"b"}},
+		{"started again under its id, counts from one", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Take(start, report(second, "x", 1))
+		}, []string{string(second)}},
+		{"started again elsewhere", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Take(start, report(second, "y", 1))
+		}, []string{string(second)}},
+		{"started again after it was leaving", func(r *roster.Roster) {
+			r.Take(start, draining(report(first, "x", 70)))
+			r.Leave(start, "i-1")
+			r.Take(start, report(second, "x", 1))
+		}, []string{string(second)}},
+		{"started again after its end was known", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Expire(at(40 * time.Second))
+			r.Take(at(40*time.Second), report(second, "x", 1))
+		}, []string{string(second)}},
+		{"started again, and late reports of the life before", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Take(start, report(second, "x", 1))
+			for i := range uint64(5) {
+				r.Take(start, draining(report(first, "x", 71+i)))
+			}
+		}, []string{string(second)}},
+		{"a late report of a life before that was never heard", func(r *roster.Roster) {
+			r.Take(start, report(second, "x", 1))
+			for i := range uint64(5) {
+				r.Take(start, report(first, "x", 71+i))
+			}
+		}, []string{string(second)}},
+		{"the life before signs off late", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Take(start, report(second, "x", 1))
+			r.Leave(start, first)
+		}, []string{string(second)}},
+		{"signing off without a birth is of the newest life", func(r *roster.Roster) {
+			r.Take(start, report(second, "x", 1))
+			r.Leave(start, "i-1")
+		}, []string{string(second) + " leaving"}},
+		{"another upstream comes to the address of one that started again", func(r *roster.Roster) {
+			r.Take(start, report(first, "x", 70))
+			r.Take(start, report(second, "y", 1))
+			r.Take(start, report("b", "x", 1))
+		}, []string{"b", string(second)}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRoster()
--- a/site/calls.go
+++ b/site/calls.go
@@ -109,9 +109,7 @@
 	}
 	switch call.Kind {
 	case CallReport:
-		for _, report := range call.Reports {
-			r.roster.Take(time.Now(), report)
-		}
+		c.takeReports(r, call.Reports)
 		return PassReply{}, nil
 	case CallLeave:
 		r.roster.Leave(time.Now(), call.Upstream)
@@ -127,6 +125,26 @@
 	return PassReply{}, result.New(result.PeerRefused, "unknown call %s", call.Kind)
 }
 
+// takeReports takes reports of upstreams whose service is declared. Any other names nothing to use, and must not end the upstream
+// at its address; one of a service that is declared later goes on reporting.
+func (c *Control) takeReports(r *reign, list []*roster.Report) {
+	table := c.newestTable()
+	for _, report := range list {
+		if table != nil && table.Service(report.Service) == nil {
+			c.Unusable(report.ID.UpstreamID(), result.New(result.ReportUnusable, "service %q is not declared", report.Service))
+			continue
+		}
+		r.roster.Take(time.Now(), report)
+	}
+}
+
+// Unusable logs a report that names nothing to use, at most one each second; the line tells how many came since the last one.
+func (c *Control) Unusable(id string, why error) {
+	if many, ok := c.unusable.next(time.Now()); ok {
+		c.Log.Info("report of no use", "upstream", id, "code", int(result.CodeOf(why)), "why", result.Message(why), "since-last", many)
+	}
+}
+
 func (c *Control) replace(ctx context.Context, timeout time.Duration, call *PassCall) error {
 	if held := c.machine.Held().Version; call.Version <= held {
 		return nil
--- a/site/control.go
+++ b/site/control.go
@@ -75,8 +75,9 @@
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
 
-	reign   atomic.Pointer[reign]
-	reports *reports
+	reign    atomic.Pointer[reign]
+	reports  *reports
+	unusable seldom
 }
 
 // NewControl opens the data folder that cfg names.
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -356,6 +356,11 @@
 		_, err := d.running[hosts[0]].control.Report(context.Background(), r)
 		return err == nil
 	})
+	// A report of another writer, for a service that nobody declared, takes the place of none.
+	other := &roster.Report{Upstream: roster.Upstream{ID: "i-2", Service: "odd", Address: "127.0.0.1:1", Domain: "d", Slots: 4}, Sequence: 1}
+	if _, err := d.running[hosts[0]].control.Report(context.Background(), other); err != nil {
+		t.Errorf("a report of another writer: %v", err)
+	}
 	for _, host := range hosts {
 		var s *site.State
 		d.until("a group is begun", func() bool {
