Move from a group that stands still only where that gains, and doubt none while entries are new

Change: no doubts for 0.6 s after another entry is new; at most four in ten groups of a model stand still at once; who can't be in time elsewhere moves only where there is room to spare, and otherwise when fixed limits say so; requests of ended groups wait as last tries.

Test: TestNewsThatDoNotCome.

--- a/relay/doubt.go
+++ b/relay/doubt.go
@@ -35,6 +35,14 @@
 	// newGroup is how long a group is not doubted after this entry heard of it: what entries that heard sooner send there is not
 	// known, and the leader tells all of them within 100 ms.
 	newGroup = 300 * time.Millisecond
+	// standAgain is how often one whose group stands still looks for room elsewhere: some times in a pass.
+	standAgain = 20 * time.Millisecond
+	// newEntries is how long nothing is doubted after this entry heard of another one: until all know each other, they do not tell
+	// each other of all prompts. When 17 entries came to 89, 14 of 19 groups that worked were taken for standing still.
+	newEntries = 600 * time.Millisecond
+	// standingMost is the part of the groups of a model that may be taken for standing still at once: a domain that goes dark is a
+	// third of a small site, and beyond that it is rather the bound of passes that does not hold.
+	standingMost = 0.4
 	// boundSlack is how much longer than estimated a prompt of another entry may be unread when a pass is bounded.
 	boundSlack = 15 * time.Millisecond
 	// samePass is how far apart events of one pass arrive at one entry at most.
@@ -69,7 +77,7 @@
 // expected bounds the time from the last sign of this try to the next one, as far as the passes of its group tell; ok is false where
 // that is not known. The mutex is held.
 func (f *follower) expected(now time.Time) (d time.Duration, ok bool) {
-	if f.estimate == 0 || !f.t.known || now.Sub(f.lane.since) < newGroup {
+	if f.estimate == 0 || !f.t.known || now.Sub(f.lane.since) < newGroup || now.Sub(f.x.s.entriesSince) < newEntries {
 		return 0, false
 	}
 	if f.running {
@@ -105,7 +113,7 @@
 		return false, f.limit()
 	}
 	if s.stood(l, now) {
-		return true, lookAgain
+		return true, standAgain
 	}
 	if rest := due.Sub(now); rest > 0 {
 		return false, rest
@@ -180,7 +188,7 @@
 // judge decides whether the group of t stands still by all doubts about it, and lets those look who wait there; the mutex is held.
 func (s *Relay) judge(t *target, now time.Time) {
 	l := s.laneOf(t)
-	if s.stood(l, now) || l.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) {
+	if s.stood(l, now) || l.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
 		return
 	}
 	l.stoodAt = now
@@ -189,6 +197,21 @@
 	}
 }
 
+// manyStand reports whether so many groups of the model of t stand still that it can't be true of one more; the mutex is held.
+func (s *Relay) manyStand(t *target, now time.Time) bool {
+	standing, all := 0, 0
+	for _, o := range s.fleet.byHead {
+		if o.model != t.model {
+			continue
+		}
+		all++
+		if s.stood(s.laneOf(o), now) {
+			standing++
+		}
+	}
+	return standing > 0 && float64(standing+1) > standingMost*float64(all)
+}
+
 // usersOf returns how many entries send requests to t.
 func (s *Relay) usersOf(t *target) int {
 	switch {
--- a/relay/doubt_test.go
+++ b/relay/doubt_test.go
@@ -196,3 +196,12 @@
 		t.Errorf("%d of %d moved although every group works", got.moved, got.asked)
 	}
 }
+
+// Where nine in ten news are lost nobody knows how long passes take; few are moved in vain all the same, and most groups stay in use.
+func TestNewsThatDoNotCome(t *testing.T) {
+	got := playStop(t, stopPlay{drops: 0.9})
+	t.Logf("%d asked, %d late, %d moved after %v", got.asked, got.late, got.moved, got.silent)
+	if got.moved > got.asked/100 {
+		t.Errorf("%d of %d moved although every group works, want one in a hundred at most", got.moved, got.asked)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,10 +65,12 @@
 	mu      sync.Mutex
 	copied  *roster.Copy
 	entries *sharing.Entries
-	fleet   *fleet
-	lanes   map[ident.Incarnation]*lane
-	counts  counts
-	demand  map[ident.Model]Demand
+	// entriesSince is when this entry last heard of another one that it had not known.
+	entriesSince time.Time
+	fleet        *fleet
+	lanes        map[ident.Incarnation]*lane
+	counts       counts
+	demand       map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]launch
 	// margins are what is learnt of when events of a model come, firstMargins of its first words.
@@ -150,6 +152,9 @@
 func (s *Relay) SetEntries(entries *sharing.Entries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.entries != nil && entries.Adds(s.entries) {
+		s.entriesSince = s.Now()
+	}
 	s.entries = entries
 	s.fleet = newFleet(s.copied, s.table.Load(), entries)
 }
--- a/relay/room.go
+++ b/relay/room.go
@@ -193,13 +193,15 @@
 	if due.After(leaves) {
 		due = leaves
 	}
-	return overload.Request{Came: now, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: x.kept || x.spent >= cameBack}
+	// One that lost its time at a group that had ended is not refused at once as one that was too many. It does not go before those
+	// that can be in time either: where all groups are full that made 600 of 29,700 others late.
+	last := x.kept || x.spent >= cameBack || x.displaced
+	return overload.Request{Came: now, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
 }
 
-// begun reports whether a refusal would lose what an upstream has done, or what the caller has; a request that lost its time at a
-// group that had ended is no later than others for want of room, and goes on like one that was begun.
+// begun reports whether a refusal would lose what an upstream has done, or what the caller has.
 func (x *exchange) begun() bool {
-	return x.events > 0 || x.mayHaveRun || x.displaced || x.r.Header.Get(x.s.Names.EventID) != ""
+	return x.events > 0 || x.mayHaveRun || x.r.Header.Get(x.s.Names.EventID) != ""
 }
 
 // patience is how long the caller waits for an event.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -96,11 +96,12 @@
 	}
 	now := s.Now()
 	stands, again := f.suspects(now)
-	if rest := f.limit() - now.Sub(f.waited); rest > 0 && !stands {
+	rest := f.limit() - now.Sub(f.waited)
+	if rest > 0 && (!stands || !s.gains(f, now)) {
 		f.timer.Reset(min(rest, again))
 		return
 	}
-	if !s.hasOther(f) {
+	if rest <= 0 && !s.hasOther(f) {
 		f.timer.Reset(lookAgain)
 		return
 	}
@@ -128,6 +129,28 @@
 	return false
 }
 
+// gains reports whether a request whose group stands still is better off at another one now: if it can still be in time there, or
+// there is room to spare. Where all groups are full, one that is late in any case waits until its group is replaced, so that it does
+// not make others late: on a site with eight entries before 66 upstreams 600 of 29,700. The mutex is held.
+func (s *Relay) gains(f *follower, now time.Time) bool {
+	x := f.x
+	limit := x.limit
+	if x.events > 0 {
+		limit = x.lastAt.Add(x.route.GapAim - x.launch.usual)
+	}
+	list := s.fleet.targets(x.service, x.model)
+	for i := range list {
+		if x.wasTried(list[i].id) {
+			continue
+		}
+		c := s.rate(x, &list[i], overload.Late, now)
+		if c.score < suspectScore && c.load < 1 && (!now.Add(c.first).After(limit) || x.leaves(c.target, c.at)) {
+			return true
+		}
+	}
+	return false
+}
+
 // sign notes that the upstream sent something.
 func (f *follower) sign() {
 	s := f.x.s
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -67,6 +67,15 @@
 	return e.total <= together
 }
 
+// Adds reports whether there is an entry that old has not.
+func (e *Entries) Adds(old *Entries) bool {
+	known := map[string]bool{}
+	for _, name := range old.Others() {
+		known[name] = true
+	}
+	return slices.ContainsFunc(e.Others(), func(name string) bool { return !known[name] })
+}
+
 // Others returns all entries but this one, in order.
 func (e *Entries) Others() []string {
 	var list []string
