Know who came back where callers differ in how long they wait

Cause: callers of the shifted site say they wait for 5,100 to 6,000 ms, each another time. What a caller had spent before was told from the one time that most say, so nobody was known to have come back: in a flood they went before, or among, those that could be in time, and counted as late after.

Test: TestSpentWhereCallersDiffer; TestSpent as before.

--- a/overload/queue_test.go
+++ b/overload/queue_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -212,7 +213,7 @@
 	var u overload.Usual
 	play := func(told ...time.Duration) (got []time.Duration) {
 		for _, d := range told {
-			got = append(got, u.Spent(d))
+			got = append(got, u.Spent(d, true))
 		}
 		return got
 	}
@@ -248,3 +249,40 @@
 		q.Look(start, send, refuse)
 	}
 }
+
+// Where callers differ in how long they wait, those who say far less than the longest came back; where many wait for a short time
+// only, nothing is made of it.
+func TestSpentWhereCallersDiffer(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, c := range []struct {
+		name   string
+		spread time.Duration
+		knows  bool
+	}{
+		{"by 15 in 100", 900 * ms, true},
+		{"by half", 3 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var u overload.Usual
+			first := func() time.Duration { return 6*time.Second - time.Duration(random.Int64N(int64(c.spread))) }
+			for range 100 {
+				u.Spent(first(), true)
+			}
+			wrong, found := 0, 0
+			for range 1000 {
+				if u.Spent(first(), false) > 0 {
+					wrong++
+				}
+				if u.Spent(first()-2500*ms, false) > 300*ms {
+					found++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of 1000 first tries are taken for ones that came back", wrong)
+			}
+			if c.knows && found < 800 {
+				t.Errorf("%d of 1000 that came back after 2.5 s are known", found)
+			}
+		})
+	}
+}
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -42,6 +42,7 @@
 // refuse writes a refusal with its code; one that did not run, or may run again, also says when to come back.
 func (x *exchange) refuse(err error) {
 	info := result.Lookup(result.CodeOf(err))
+	x.s.noteRefusal()
 	h := x.w.Header()
 	if info.Status == http.StatusServiceUnavailable || info.Code == result.UpstreamFailed && x.route.Repeatable() {
 		x.retry = max(x.comeBack, retryAfter(info.Code))
@@ -61,6 +62,12 @@
 	}
 }
 
+func (s *Relay) noteRefusal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = s.Now()
+}
+
 func retryAfter(code result.Code) time.Duration {
 	switch code {
 	case result.Overloaded:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,8 @@
 	// queues hold the requests that wait for groups, looking is set while any does.
 	queues  map[ident.Model]*overload.Queue[*waiting]
 	looking bool
+	// refused is when a request was last refused here.
+	refused time.Time
 	// usual are the times that callers of a class say they wait.
 	usual map[ident.Class]*overload.Usual
 	// candidates are those of the choice in progress.
--- a/relay/room.go
+++ b/relay/room.go
@@ -31,6 +31,9 @@
 	leaveLeast = 2 * time.Second
 	leaveAims  = 4
 	leaveGaps  = 8
+	// calmAfterRefusal is how long after the last refusal here nearly all requests are first tries again: the longest time that
+	// callers are told to stay away, and some more, since other entries refuse too.
+	calmAfterRefusal = 5 * time.Second
 	// cameBack is the time that a caller must have spent before to count as one that came back as it was told: the shortest
 	// time that it is told.
 	cameBack = retryFull
@@ -284,5 +287,5 @@
 		u = &overload.Usual{}
 		s.usual[class] = u
 	}
-	return u.Spent(told)
+	return u.Spent(told, s.Now().Sub(s.refused) > calmAfterRefusal)
 }
