End a group as soon as entries found together that it stands still and a member is dark

Cause: the leader took 480 to 560 ms from the loss of a member to the end of its group: it waited for 250 ms of silence, a probe of a dark member took 180 ms, and a slow one was asked for its pace only after the group had stood still for 0.5 s, and what it then said could be older than that.

Ruled out: a call of its own from entry to leader: 89 entries call every 130 ms each, so the first word of a stop comes within some ms.

Change: entries tell of groups that stand still by doubts; the leader probes their members at once (80 ms for a connection), ends the group when one takes none, and asks for paces again after 0.4 s.

Tests: TestAGroupThatStandsStill (300 ms without the rule, 200 at most with it), TestPaces.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -207,8 +207,10 @@
 	// Answered is how long ago it last sent anything; negative when it never did.
 	Answered time.Duration
 	Silence  time.Duration
-	Refused  bool
-	Blamed   string
+	// Stands is set when the group stands still by what several entries saw.
+	Stands  bool
+	Refused bool
+	Blamed  string
 	// Events and Pauses are the events that came since the last look and the time between them, over all streams.
 	Events int
 	Pauses time.Duration
@@ -225,10 +227,12 @@
 	}
 	var seen []Seen
 	for id, l := range s.lanes {
-		if l.inflight == 0 && l.answered.IsZero() && !l.refused {
+		stands := s.stood(l, now)
+		if l.inflight == 0 && l.answered.IsZero() && !l.refused && !stands {
 			continue
 		}
 		one := Seen{ID: id, Group: groups[id], Inflight: l.inflight, Answered: -1, Silence: l.silence(now), Refused: l.refused, Blamed: l.blamed}
+		one.Stands = stands
 		one.Events, one.Pauses = l.events, l.pauses
 		l.events, l.pauses = 0, 0
 		if !l.answered.IsZero() {
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -85,6 +85,8 @@
 	// lose tells which orders never arrive.
 	lose      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
+	// together is set when entries find out together that a group has missed a pass.
+	together bool
 	demand    map[ident.Model]float64
 	orders    int
 	decisions int
@@ -419,6 +421,7 @@
 			sight.Answered = f.now.Sub(head.stoodAt)
 			sight.Stalled = sight.Answered
 		}
+		sight.Stands = f.together && sight.Stalled >= 2*step
 		w.Sights[g.Name] = sight
 	}
 	for _, e := range f.engines {
@@ -427,13 +430,21 @@
 		}
 	}
 	for id, at := range f.deadSince {
-		if f.now.Sub(at) > 300*time.Millisecond && f.now.Sub(at) < 5*time.Second {
+		if f.now.Sub(at) > f.probed() && f.now.Sub(at) < 5*time.Second {
 			w.Dead[id] = true
 		}
 	}
 	return w
 }
 
+// probed is how long after its end it is known that an upstream takes no connections: its group has to be found to stand still first.
+func (f *fleet) probed() time.Duration {
+	if f.together {
+		return 150 * time.Millisecond
+	}
+	return 300 * time.Millisecond
+}
+
 func (f *fleet) kill(e *engine) {
 	e.alive = false
 	f.deadSince[e.id] = f.now
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -390,7 +390,7 @@
 	switch {
 	case sight.Blamed != "" && slices.ContainsFunc(g.Members, func(id ident.Incarnation) bool { return id.UpstreamID() == sight.Blamed }):
 		return "the head blames member " + sight.Blamed
-	case dead && sight.Stalled >= stallWithDead:
+	case dead && (sight.Stands || sight.Stalled >= stallWithDead):
 		return "stands still, and a member takes no connections"
 	case missed && sight.Stalled >= stallWithSilent:
 		return "stands still, and a member is silent"
--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -197,6 +197,42 @@
 	}
 }
 
+// A group whose entries found together that it stands still ends as soon as a member is known to take no connections, and no sooner;
+// one that only pauses goes on.
+func TestAGroupThatStandsStill(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		f := newFleet(t, 11, 6, 8)
+		f.run(12*time.Second, nil)
+		f.demand = groupsOf(6, 6)
+		f.run(20*time.Second, nil)
+		f.together = together
+		paused := f.headOf("small")
+		paused.pausedAt = f.now
+		f.run(300*time.Millisecond, nil)
+		paused.pausedAt = time.Time{}
+		if paused.member.State != roster.MemberOpen {
+			t.Errorf("together %v: a group that paused is %s", together, paused.member.State)
+		}
+		head := f.headOf("large")
+		group := head.member.Group
+		member := f.byID[head.members[2]]
+		f.kill(member)
+		ended := func() bool {
+			return !slices.ContainsFunc(f.roster.Groups(), func(g roster.Group) bool { return g.Name == group && g.Phase == roster.PhaseOpen })
+		}
+		after := time.Duration(0)
+		for ; !ended() && after < 2*time.Second; after += step {
+			f.run(step, nil)
+		}
+		if together && after > 200*time.Millisecond {
+			t.Errorf("ended after %v, want 200 ms at most", after)
+		}
+		if len(f.faults) > 0 {
+			t.Error(f.faults)
+		}
+	}
+}
+
 // A leader that was cut off opens a group that its successor's copy shows as still forming, or not at all.
 func TestASuccessorLeavesWhatItsPredecessorOpened(t *testing.T) {
 	f := newFleet(t, 3, 2, 8)
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -57,6 +57,8 @@
 	Answered time.Duration
 	// Stalled is how long requests at the head have waited without a sign, at the entry that waits longest; 0 when none.
 	Stalled time.Duration
+	// Stands is set when entries found together that the group has missed a pass.
+	Stands bool
 	// Refused is set when a connection to the head was refused after it last answered.
 	Refused bool
 	// Pause is the mean time between events of the group's streams of late, 0 when too few came.
--- a/site/entries.go
+++ b/site/entries.go
@@ -54,6 +54,7 @@
 	// What an entry did not tell since may have ended, so its silence does not grow with its own.
 	sight.Stalled = max(sight.Stalled, seen.Silence)
 	sight.Refused = sight.Refused || seen.Refused
+	sight.Stands = sight.Stands || seen.Stands
 	if seen.Blamed != "" {
 		sight.Blamed = seen.Blamed
 	}
--- a/site/paces.go
+++ b/site/paces.go
@@ -108,9 +108,10 @@
 		sight := w.Sights[g.Name]
 		sight.Pause = p.pause(w.Now, g.Name)
 		w.Sights[g.Name] = sight
-		if g.Phase == roster.PhaseOpen && (sight.Stalled >= probeAfter || seemsSlow(table, g, sight.Pause)) {
+		stands := sight.Stands || sight.Stalled >= standsFor
+		if g.Phase == roster.PhaseOpen && (stands || sight.Stalled >= probeAfter || seemsSlow(table, g, sight.Pause)) {
 			again := paceCalm
-			if sight.Stalled >= standsFor {
+			if stands {
 				again = paceStill
 			}
 			for _, id := range g.Members {
--- a/site/paces_test.go
+++ b/site/paces_test.go
@@ -58,8 +58,9 @@
 			return roster.Group{Name: name, Service: "s", Model: "m", Members: members, Phase: roster.PhaseOpen, Far: far}
 		}
 		groups := []roster.Group{group("slow", false, "a", "b"), group("usual", false, "c", "d"), group("far", true, "e", "f")}
+		stands := false
 		look := func(stalled time.Duration) map[ident.Incarnation]float64 {
-			w := &replicaset.World{Now: time.Now(), Sights: map[ident.Group]replicaset.Sight{"usual": {Stalled: stalled}}}
+			w := &replicaset.World{Now: time.Now(), Sights: map[ident.Group]replicaset.Sight{"usual": {Stalled: stalled, Stands: stands}}}
 			for _, id := range []ident.Incarnation{"a", "b", "c", "d", "e", "f"} {
 				w.Upstreams = append(w.Upstreams, roster.Upstream{ID: id, Address: string(id) + ":1"})
 			}
@@ -103,5 +104,10 @@
 		expect("one that does not answer", []ident.Incarnation{"b"}, look(0), slow)
 		time.Sleep(time.Second)
 		expect("one that has not answered for long", nil, look(0), none)
+		// What a member tells first may be older than the stop, so it is asked again soon.
+		stands = true
+		expect("one that entries found to stand still", []ident.Incarnation{"c", "d"}, look(0), none)
+		time.Sleep(500 * time.Millisecond)
+		expect("one that does so still", []ident.Incarnation{"c", "d"}, look(0), none)
 	})
 }
--- a/site/probes.go
+++ b/site/probes.go
@@ -17,7 +17,7 @@
 	// probeAgain is the pause between two probes of one upstream.
 	probeAgain = 400 * time.Millisecond
 	// probeTimeout is how long a connection may take to open; within a region that takes milliseconds.
-	probeTimeout = 180 * time.Millisecond
+	probeTimeout = 80 * time.Millisecond
 	// deadFor is how long a failed probe counts when nothing newer is known.
 	deadFor = 5 * time.Second
 )
@@ -49,7 +49,7 @@
 	for i := range groups {
 		g := &groups[i]
 		ending := g.Phase == roster.PhaseLeaving || g.Phase == roster.PhaseClosing
-		if !ending && w.Sights[g.Name].Stalled < probeAfter {
+		if sight := w.Sights[g.Name]; !ending && !sight.Stands && sight.Stalled < probeAfter {
 			continue
 		}
 		for _, id := range g.Members {
