--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -86,7 +86,7 @@
 	lose      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
 	// together is set when entries find out together that a group has missed a pass.
-	together bool
+	together  bool
 	demand    map[ident.Model]float64
 	orders    int
 	decisions int
