Leave groups alone whose signs come far too late, and longer those that stand again

Cause: a group with a member that is five times slower gives signs, each some passes late. Every one of them ended the doubts about it, new requests went there, and were late; a group that stood still was tried again by all entries every 1.5 s.

Change: an event that comes 50 ms and more beyond the margin does not end a stop; a group found to stand still again within 8 s is left alone for 3 s, then 6 s.

--- a/relay/doubt.go
+++ b/relay/doubt.go
@@ -32,6 +32,10 @@
 	// stoodFor is how long a group that stands still is avoided when nothing more is heard of it: the leader ends it within a
 	// second, and one that works again has to be found out.
 	stoodFor = 1500 * time.Millisecond
+	// stoodMost is how often that time doubles for a group that is found to stand still again and again, no more than stoodApart
+	// apart: at most the time after which an engine itself ends a group that stands still.
+	stoodMost  = 2
+	stoodApart = 8 * time.Second
 	// newGroup is how long a group is not doubted after this entry heard of it: what entries that heard sooner send there is not
 	// known, and the leader tells all of them within 100 ms.
 	newGroup = 300 * time.Millisecond
@@ -45,6 +49,8 @@
 	standingMost = 0.4
 	// boundSlack is how much longer than estimated a prompt of another entry may be unread when a pass is bounded.
 	boundSlack = 15 * time.Millisecond
+	// slowSign is how late beyond the margin an event must be to show a slow group and not only one long pass.
+	slowSign = 50 * time.Millisecond
 	// samePass is how far apart events of one pass arrive at one entry at most.
 	samePass = 10 * time.Millisecond
 )
@@ -191,7 +197,11 @@
 	if s.stood(l, now) || l.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
 		return
 	}
-	l.stoodAt = now
+	l.stoodAgain = min(stoodMost, l.stoodAgain+1)
+	if now.Sub(l.stoodLast) > stoodApart {
+		l.stoodAgain = 0
+	}
+	l.stoodAt, l.stoodLast = now, now
 	for f := range l.followers {
 		f.timer.Reset(0)
 	}
@@ -225,15 +235,22 @@
 
 // stood reports whether a group stands still by what several entries saw; the mutex is held.
 func (s *Relay) stood(l *lane, now time.Time) bool {
-	return !l.stoodAt.IsZero() && now.Sub(l.stoodAt) < stoodFor
+	return !l.stoodAt.IsZero() && now.Sub(l.stoodAt) < stoodFor<<l.stoodAgain
 }
 
-// learnSign takes how long after it was due an event came; the mutex is held.
-func (f *follower) learnSign(now time.Time) {
+// learnSign takes how long after it was due an event came, and reports whether that was too late for a group that works: one with a
+// member that is several times slower than usual gives signs, but none in time. The mutex is held.
+func (f *follower) learnSign(now time.Time) (tooLate bool) {
 	if now.Sub(f.lane.passed) < samePass {
-		return
+		return f.lane.stoodAt.After(time.Time{})
 	}
-	if expected, ok := f.expected(now); ok {
-		f.x.s.marginOf(f.x.model, f.running).Note(now.Sub(f.waited) - expected)
+	expected, ok := f.expected(now)
+	if !ok {
+		return false
 	}
+	late := now.Sub(f.waited) - expected
+	m := f.x.s.marginOf(f.x.model, f.running)
+	tooLate = f.running && late > m.Now()+slowSign
+	m.Note(late)
+	return tooLate
 }
--- a/relay/doubt_test.go
+++ b/relay/doubt_test.go
@@ -37,8 +37,8 @@
 
 // stopPlay is what happens at a site of several entries before groups of engines.
 type stopPlay struct {
-	// stops is set when a group stops.
-	stops bool
+	// stops is set when a group stops, slows when it takes twelve times as long.
+	stops, slows bool
 	// drops is the part of the news that is lost.
 	drops float64
 }
@@ -79,6 +79,9 @@
 		if p.stops {
 			time.AfterFunc(stopAt, func() { engines["h0"].stop(stopFor) })
 		}
+		if p.slows {
+			time.AfterFunc(stopAt, func() { engines["h0"].slow(12, stopFor) })
+		}
 		askEntries(entries)
 		for _, e := range engines {
 			e.close()
@@ -205,3 +208,12 @@
 		t.Errorf("%d of %d moved although every group works, want one in a hundred at most", got.moved, got.asked)
 	}
 }
+
+// A group that turns twelve times slower gives signs, each far too late: those that wait there move, and few are late.
+func TestASlowGroup(t *testing.T) {
+	got := playStop(t, stopPlay{slows: true})
+	t.Logf("%d asked, %d late, %d moved after %v", got.asked, got.late, got.moved, got.silent)
+	if got.moved == 0 || got.late > 12 {
+		t.Errorf("%d late and %d moved, want 12 late at most and some moved", got.late, got.moved)
+	}
+}
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -36,6 +36,9 @@
 
 	mu      sync.Mutex
 	stopped time.Time
+	// pace is how many times longer a pass takes until slowTo.
+	pace    time.Duration
+	slowTo  time.Time
 	turned  int
 	waiting []*sequence
 	writing []*sequence
@@ -67,7 +70,7 @@
 		for _, s := range read {
 			pass += time.Duration(s.prompt) * time.Second / 50_000
 		}
-		time.Sleep(pass)
+		time.Sleep(pass * e.paceNow())
 		e.endPass()
 	}
 }
@@ -79,6 +82,22 @@
 	e.stopped = time.Now().Add(d)
 }
 
+// slow lets passes take so many times longer for a time.
+func (e *passEngine) slow(pace time.Duration, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace, e.slowTo = pace, time.Now().Add(d)
+}
+
+func (e *passEngine) paceNow() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.slowTo) {
+		return e.pace
+	}
+	return 1
+}
+
 func (e *passEngine) stands() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -55,6 +55,9 @@
 	doubted   time.Time
 	doubtTold time.Time
 	stoodAt   time.Time
+	// stoodLast is when there last were, stoodAgain how often before that within a short time.
+	stoodLast  time.Time
+	stoodAgain int
 	// vouched is when the group gave a sign to another entry that said so, or to this one when it last did.
 	vouched time.Time
 	// followers watch the tries that wait there.
@@ -103,12 +106,14 @@
 	l.came++
 }
 
-// pass notes that a pass ended.
-func (l *lane) pass(now time.Time) {
+// pass notes that a pass ended. One that took far too long ends no doubt of how the group works.
+func (l *lane) pass(now time.Time, tooLong bool) {
 	l.peak, l.came = l.mayBeUnread(now), 0
 	l.passed = now
 	l.doubts.Clear()
-	l.doubted, l.stoodAt = time.Time{}, time.Time{}
+	if !tooLong {
+		l.doubted, l.stoodAt = time.Time{}, time.Time{}
+	}
 }
 
 func (l *lane) end() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -178,9 +178,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	f.learnSign(now)
+	tooLong := f.learnSign(now)
 	x.readAt(f.lane)
-	f.lane.pass(now)
+	f.lane.pass(now, tooLong)
 	f.running = true
 	if x.events == 0 {
 		x.first = now.Sub(x.began)
