--- a/relay/choose.go
+++ b/relay/choose.go
@@ -184,7 +184,7 @@
 	if l.outcomes >= outcomesNeeded {
 		score += failureScore * l.failures
 	}
-	if now.Before(l.suspect) || s.stands(l, now) || now.Sub(l.doubted) < doubtAgain {
+	if now.Before(l.suspect) || s.stands(l, now) || !l.doubted.IsZero() && now.Sub(l.doubted) < doubtAgain {
 		score += suspectScore
 	}
 	if now.Before(l.full) {
