Put elections, groups that serve and assignments in files of their own

Change: pure moves into quorum/election.go, fleet/assign.go and replicaset/serving.go; one loop (anyOther) asks for what is enough; names. No behaviour changed, nothing measured; the tests of the four packages pass.

--- /dev/null
+++ b/fleet/assign.go
@@ -0,0 +1,153 @@
+package fleet
+
+// What the planner decides of groups: who belongs to which, and how far a
+// formation has come.
+
+import (
+	"slices"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+func (s *State) assign(revision ident.Revision, a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base {
+		return refuse(result.ChangeConflict, "group %s is in epoch %d, not %d", a.Group, g.Epoch, a.Base)
+	}
+	if len(a.Members) > 0 {
+		if r := s.checkMembers(g, a.Members); r != nil {
+			return r
+		}
+	}
+	s.moveMembers(revision, g, a.Members)
+	return nil
+}
+
+func (s *State) checkMembers(g *Group, members []ident.VM) *refusal {
+	if g.Deleted {
+		return refuse(result.ChangeRefused, "group %s is being dissolved", g.Spec.Name)
+	}
+	if len(members) != g.Spec.Size {
+		return refuse(result.ChangeRefused, "group %s wants %d VMs, not %d", g.Spec.Name, g.Spec.Size, len(members))
+	}
+	seen := map[ident.VM]bool{}
+	for _, name := range members {
+		if seen[name] {
+			return refuse(result.ChangeRefused, "VM %s stands twice", name)
+		}
+		seen[name] = true
+		if r := s.checkMember(g, name); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *State) checkMember(g *Group, name ident.VM) *refusal {
+	v, ok := s.VMs[name]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no VM %s", name)
+	}
+	if !v.Eligible() {
+		return refuse(result.ChangeRefused, "VM %s is %s or drained", name, v.Listing)
+	}
+	if q := g.Spec.FailedRequirement(v); q != nil {
+		return refuse(result.ChangeRefused, "VM %s does not meet %s", name, q)
+	}
+	if v.Phase == VMFree {
+		return nil
+	}
+	// A VM on its way out of a group's older epoch has not confirmed that; even its own group must wait.
+	if v.Group == g.Spec.Name && v.Epoch == g.Epoch && v.Phase != VMLeaving {
+		return nil
+	}
+	return refuse(result.ChangeRefused, "VM %s is held by group %s in epoch %d (%s)", name, v.Group, v.Epoch, v.Phase)
+}
+
+// moveMembers ends the present epoch: those not kept leave, the others join the next one.
+func (s *State) moveMembers(revision ident.Revision, g *Group, members []ident.VM) {
+	for _, name := range g.Members {
+		if v := s.VMs[name]; !slices.Contains(members, name) {
+			v.Phase = VMLeaving
+			if v.Listing == ListingGone {
+				v.release()
+			}
+		}
+	}
+	g.Epoch = ident.Epoch(revision)
+	g.Members = append([]ident.VM(nil), members...)
+	g.Reform = false
+	g.DrainedFrom = 0
+	for _, name := range members {
+		v := s.VMs[name]
+		v.Group, v.Epoch, v.Phase, v.Incarnation = g.Spec.Name, g.Epoch, VMJoining, ""
+	}
+	if len(members) > 0 {
+		g.Phase = GroupForming
+		return
+	}
+	g.Phase = GroupPending
+	if g.Deleted {
+		delete(s.Groups, g.Spec.Name)
+	}
+}
+
+func (s *State) drainGroup(revision ident.Revision, a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base || g.Phase != GroupServing {
+		return refuse(result.ChangeConflict, "group %s is %s in epoch %d, not serving in %d", a.Group, g.Phase, g.Epoch, a.Base)
+	}
+	s.drain(revision, g)
+	return nil
+}
+
+// breakGroup remembers for good that the present epoch has lost a member.
+func (s *State) breakGroup(a *Assign) *refusal {
+	g, ok := s.Groups[a.Group]
+	if !ok {
+		return refuse(result.ChangeNotFound, "there is no group %s", a.Group)
+	}
+	if g.Epoch != a.Base || g.Phase == GroupPending {
+		return refuse(result.ChangeConflict, "group %s is %s in epoch %d, not formed in %d", a.Group, g.Phase, g.Epoch, a.Base)
+	}
+	g.Phase = GroupBroken
+	return nil
+}
+
+func (s *State) confirm(confirms []Confirm) *refusal {
+	for _, c := range confirms {
+		v, ok := s.VMs[c.VM]
+		if !ok || v.Epoch != c.Epoch {
+			continue
+		}
+		switch {
+		case c.Left && v.Phase == VMLeaving:
+			v.release()
+		case !c.Left && v.Phase == VMJoining:
+			v.Phase = VMJoined
+			v.Incarnation = c.Incarnation
+			s.completeFormation(v.Group)
+		}
+	}
+	return nil
+}
+
+func (s *State) completeFormation(name ident.Group) {
+	g, ok := s.Groups[name]
+	if !ok || g.Phase != GroupForming {
+		return
+	}
+	for _, member := range g.Members {
+		if v := s.VMs[member]; v.Phase != VMJoined || v.Epoch != g.Epoch {
+			return
+		}
+	}
+	g.Phase = GroupServing
+}
--- a/relay/doubt.go
+++ b/relay/doubt.go
@@ -242,7 +242,7 @@
 // member that is several times slower than usual gives signs, but none in time. The mutex is held.
 func (f *follower) learnSign(now time.Time) (tooLate bool) {
 	if now.Sub(f.lane.passed) < samePass {
-		return f.lane.stoodAt.After(time.Time{})
+		return !f.lane.stoodAt.IsZero()
 	}
 	expected, ok := f.expected(now)
 	if !ok {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -46,7 +46,7 @@
 		// The timer may fire before it is stored.
 		f.x.s.mu.Lock()
 		defer f.x.s.mu.Unlock()
-		f.timer = time.AfterFunc(f.first(), f.look)
+		f.timer = time.AfterFunc(f.firstLook(), f.look)
 		f.lane.followers[f] = struct{}{}
 	}
 }
@@ -78,8 +78,8 @@
 	return eventLimit
 }
 
-// first is when the watch looks for the first time.
-func (f *follower) first() time.Duration {
+// firstLook is when the watch looks for the first time.
+func (f *follower) firstLook() time.Duration {
 	if due, ok := f.due(); ok {
 		return max(0, min(f.limit(), due.Sub(f.waited)))
 	}
@@ -101,7 +101,7 @@
 		f.timer.Reset(min(rest, again))
 		return
 	}
-	if rest <= 0 && !s.hasOther(f) {
+	if rest <= 0 && !s.hasOther(f, now) {
 		f.timer.Reset(lookAgain)
 		return
 	}
@@ -113,20 +113,9 @@
 // hasOther reports whether the request is better off at another target, which is neither tried nor suspect; the mutex is held. A
 // stream that has not begun leaves a group that still answers others only for one with room to spare: a long wait there is a long
 // pass, and what was read of its prompt would be lost.
-func (s *Relay) hasOther(f *follower) bool {
-	x, now := f.x, s.Now()
-	patient := x.service.Engine != nil && x.events == 0 && !s.stands(f.lane, now)
-	list := s.fleet.targets(x.service, x.model)
-	for i := range list {
-		if x.wasTried(list[i].id) {
-			continue
-		}
-		c := s.rate(x, &list[i], overload.Late, now)
-		if c.score < suspectScore && c.load < 1 && (c.fits || !patient) {
-			return true
-		}
-	}
-	return false
+func (s *Relay) hasOther(f *follower, now time.Time) bool {
+	patient := f.x.service.Engine != nil && f.x.events == 0 && !s.stands(f.lane, now)
+	return s.anyOther(f.x, now, func(c *scored) bool { return c.fits || !patient })
 }
 
 // gains reports whether a request whose group stands still is better off at another one now: if it can still be in time there, or
@@ -138,13 +127,18 @@
 	if x.events > 0 {
 		limit = x.lastAt.Add(x.route.GapAim - x.launch.usual)
 	}
+	return s.anyOther(x, now, func(c *scored) bool { return !now.Add(c.first).After(limit) || x.leaves(c.target, c.at) })
+}
+
+// anyOther reports whether a target that is neither tried, full nor suspect is good enough; the mutex is held.
+func (s *Relay) anyOther(x *exchange, now time.Time, enough func(c *scored) bool) bool {
 	list := s.fleet.targets(x.service, x.model)
 	for i := range list {
 		if x.wasTried(list[i].id) {
 			continue
 		}
 		c := s.rate(x, &list[i], overload.Late, now)
-		if c.score < suspectScore && c.load < 1 && (!now.Add(c.first).After(limit) || x.leaves(c.target, c.at)) {
+		if c.score < suspectScore && c.load < 1 && enough(&c) {
 			return true
 		}
 	}
