Refuse those that could be in time only after two seconds without room

The rule "behind more than go on in its time" held after 0.3 s without room; by then the rate, smoothed over two seconds, may say that nothing goes on, as after a lost group.

Change: it holds after two seconds, the time of that rate.

--- a/overload/queue.go
+++ b/overload/queue.go
@@ -163,6 +163,8 @@
 	q.drop(LastTry, refuse, func(place int, w *Waiting[T]) bool { return q.hopeless(LastTry, place, w.Leaves.Sub(now), now) })
 	if lasts > lateGap {
 		q.drop(Late, refuse, func(int, *Waiting[T]) bool { return true })
+	}
+	if lasts > rateTime {
 		q.drop(InTime, refuse, func(place int, w *Waiting[T]) bool { return q.hopeless(InTime, place, w.Due.Sub(now), now) })
 	}
 }
