Let a new leader wait until it has heard three quarters of the upstreams

After all daemons were killed the leader has its whole share of a core to do, three seconds pass before most upstreams have reported, and what is not heard by then was taken apart and formed again.

--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -61,6 +61,11 @@
 	// hearAll is how long a new leader waits for the reports of upstreams that it knows only from a copy: reports come every
 	// 1.2 s, and a daemon that takes them may lose one.
 	hearAll = 3 * time.Second
+	// hearMost is the part of the upstreams that must have reported by then: more than a domain that is dark is missing only where
+	// reports wait for a leader that has too much to do, and it must not make itself more by taking groups apart. hearLongest is how
+	// long it waits in any case.
+	hearMost    = 0.75
+	hearLongest = 10 * time.Second
 	// stageAgain is how long an upstream whose order to stage was not taken is left alone.
 	stageAgain = 2 * time.Second
 	// loadBurst is how many loads may begin at once, beyond the rate of the weight store.
@@ -152,15 +157,17 @@
 // served were taken apart at a site of 80, and for 8 s half of the requests were late.
 func (f *Formation) heardAll() bool {
 	led := f.world.Now.Sub(f.began)
-	if led >= hearAll {
-		return true
-	}
+	heard := 0
 	for id := range f.byID {
-		if !f.heard(id) {
-			return false
+		if f.heard(id) {
+			heard++
 		}
 	}
-	return true
+	switch {
+	case heard == len(f.byID), led >= hearLongest:
+		return true
+	}
+	return led >= hearAll && float64(heard) >= hearMost*float64(len(f.byID))
 }
 
 // heard reports whether an upstream has reported since this formation began, and is not only known from a copy.
--- a/site/probes.go
+++ b/site/probes.go
@@ -16,8 +16,9 @@
 	probeAfter = 220 * time.Millisecond
 	// probeAgain is the pause between two probes of one upstream.
 	probeAgain = 400 * time.Millisecond
-	// probeTimeout is how long a connection may take to open; within a region that takes milliseconds.
-	probeTimeout = 80 * time.Millisecond
+	// probeTimeout is how long a connection may take to open; within a region that takes milliseconds, but the leader of 3,000
+	// upstreams has its whole share of a core to do at times, and what it is late for itself must not count as dark.
+	probeTimeout = 180 * time.Millisecond
 	// deadFor is how long a failed probe counts when nothing newer is known.
 	deadFor = 5 * time.Second
 )
