--- a/stall/doubts.go
+++ b/stall/doubts.go
@@ -13,8 +13,7 @@
 	// samePass is how far apart the events of one pass reach different entries at most: passes take 25 ms and more.
 	samePass = 20 * time.Millisecond
 	// witnessPart is the part of the entries with requests at a group that must doubt it. Its newest requests have not waited
-	// for long, and a datagram may be lost; where a link loses one packet in forty, two of twenty often doubt in vain at the
-	// same time, and eight never.
+	// for long, and a datagram may be lost; where one link loses packets only those behind it doubt.
 	witnessPart = 0.4
 	// fewestWitnesses is the least number: one alone may be the one that has stopped.
 	fewestWitnesses = 2
