Tell in a request's line what its content is and how its tries were cut

Cause: logs could not tell whether two requests are the same work, nor an upstream's end from a reset link, so the hypotheses on the incident could not be told apart. Change: content (xxhash of path and body), and for each cut try how, after how long and after how many events; a counter of tries. No logic is changed. Conclusion: first tries, repeats and other requests of a batch can be told apart by content.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -1,6 +1,7 @@
 package ident
 
 import (
+	"fmt"
 	"regexp"
 
 	"github.com/google/uuid"
@@ -54,6 +55,14 @@
 // Tokens counts language model tokens.
 type Tokens int
 
+// Content is the digest of a request's path and body; the same work of one customer has the same content.
+type Content uint64
+
+// String returns c as 16 hex digits.
+func (c Content) String() string {
+	return fmt.Sprintf("%016x", uint64(c))
+}
+
 // Accelerators counts accelerators.
 type Accelerators int
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		f.conn.Close()
 		x.ran()
-		return f.broken()
+		return f.broken(err)
 	}
 	f.sign()
 	if f.refusedByUpstream(resp) {
@@ -123,7 +123,7 @@
 	body, err := readWhole(resp)
 	if err != nil {
 		f.conn.Close()
-		return f.broken()
+		return f.broken(err)
 	}
 	x.s.pool.put(f.conn, resp)
 	signed := resp.Header.Get(x.s.Names.Signature) != ""
--- /dev/null
+++ b/relay/cut_test.go
@@ -0,0 +1,68 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/relay"
+)
+
+// The record of a request tells how each connection without a whole answer ended, and what had come over it.
+func TestRecordsTellHowTriesWereCut(t *testing.T) {
+	part := func(c net.Conn, r *http.Request) bool { return stream(c, r, 1, 2, false) }
+	for _, c := range []struct {
+		name string
+		play play
+		want relay.Try
+	}{
+		{"closed", always(func(net.Conn, *http.Request) bool { return false }), relay.Try{Cut: relay.CutClosed}},
+		{"reset", always(func(c net.Conn, _ *http.Request) bool { return reset(c) }), relay.Try{Cut: relay.CutReset}},
+		{"closed within a stream", always(part), relay.Try{Cut: relay.CutClosed, Events: 2}},
+		{"no answer", always(func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "nothing like an answer\r\n\r\n")
+			return false
+		}), relay.Try{Cut: relay.CutUnusable}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, nil, []*upstream{newUpstream(t, c.play)})
+			s.do(s.request("POST", "/stream/x", "id", "body"))
+			s.relay.Wait()
+			got := s.records[0].Tries[0]
+			if diff := cmp.Diff(c.want, relay.Try{Cut: got.Cut, Events: got.Events}); diff != "" {
+				t.Errorf("try (-want +got):\n%s", diff)
+			}
+			if want := relay.ContentOf("/stream/x", []byte("body")); s.records[0].Content != want {
+				t.Errorf("content %v, want %v", s.records[0].Content, want)
+			}
+		})
+	}
+}
+
+func TestContentTellsRequestsApart(t *testing.T) {
+	one := relay.ContentOf("/a", []byte("b"))
+	if one != relay.ContentOf("/a", []byte("b")) {
+		t.Error("the same path and body have different contents")
+	}
+	for _, other := range [][2]string{{"/ab", ""}, {"/a", "bb"}, {"/", "ab"}, {"", "/ab"}} {
+		if one == relay.ContentOf(other[0], []byte(other[1])) {
+			t.Errorf("%q has the content of another request", other)
+		}
+	}
+}
+
+// BenchmarkContent is what telling requests apart costs an entry: a usual body and the largest.
+func BenchmarkContent(b *testing.B) {
+	for name, size := range map[string]int{"2 KiB": 2 << 10, "4 MiB": 4 << 20} {
+		b.Run(name, func(b *testing.B) {
+			body := make([]byte, size)
+			b.ReportAllocs()
+			for b.Loop() {
+				relay.ContentOf("/stream/x", body)
+			}
+		})
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -26,7 +26,9 @@
 	customer *httproute.Customer
 	model    ident.Model
 	body     []byte
-	id       string
+	// content is the digest of path and body.
+	content ident.Content
+	id      string
 	// prompt and answer are the tokens that it brings and those that are expected of the answer.
 	prompt ident.Tokens
 	answer ident.Tokens
@@ -160,6 +162,7 @@
 		return result.Wrap(err, result.Cancelled, "the body did not arrive whole")
 	}
 	x.body = body
+	x.content = contentOf(x.r.RequestURI, body)
 	return nil
 }
 
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -87,7 +87,7 @@
 
 func (x *exchange) record(err error) *Record {
 	rec := &Record{
-		ID: x.id, Model: x.model, Code: result.CodeOf(err), Status: x.status, WordAge: x.s.WordAge(), Tries: x.tries,
+		ID: x.id, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, WordAge: x.s.WordAge(), Tries: x.tries,
 		Prompt: x.prompt, Events: x.events, First: x.first, Expected: x.expected, Gap: x.gap, Total: x.s.Now().Sub(x.began),
 		Spent: x.spent, Retry: x.retry,
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -268,9 +268,11 @@
 	Route    ident.Class
 	Customer ident.Customer
 	Model    ident.Model
-	Code     result.Code
-	Status   int
-	Text     string
+	// Content is the digest of the request's path and body.
+	Content ident.Content
+	Code    result.Code
+	Status  int
+	Text    string
 	// Version and Revision are the configuration and the roster that decided, WordAge the age of the leader's word.
 	Version  httproute.Version
 	Revision roster.Revision
@@ -304,4 +306,9 @@
 	// SilentMS is how long it had been silent in ms when it was given up, and Doubts how many entries doubted its group.
 	SilentMS int64 `json:"silent-ms,omitempty"`
 	Doubts   int   `json:"doubts,omitempty"`
+	// Cut says how the connection of a try ended that has no whole answer, RanMS is how long after the request was sent in ms, and
+	// Events how many events had come of it.
+	Cut    Cut   `json:"cut,omitempty"`
+	RanMS  int64 `json:"ran-ms,omitempty"`
+	Events int   `json:"events,omitempty"`
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -109,9 +109,7 @@
 	x.s.leave(x.s.Now(), t.lane, v)
 	try := &x.tries[len(x.tries)-1]
 	try.Result = string(v)
-	if f != nil && f.moved {
-		try.SilentMS, try.Doubts = f.silent.Milliseconds(), f.doubts
-	}
+	try.note(f, x.s.Now())
 	return v
 }
 
@@ -173,7 +171,7 @@
 		x.mayHaveRun = true
 		x.runs++
 		conn.Close()
-		return f.broken(), f
+		return f.broken(err), f
 	}
 	return f.follow(), f
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -90,7 +90,7 @@
 	}
 	if err != nil {
 		f.conn.Close()
-		return f.broken()
+		return f.broken(err)
 	}
 	x.s.pool.put(f.conn, resp)
 	return verdictDone
@@ -193,6 +193,7 @@
 	x.gap = max(x.gap, now.Sub(x.lastAt))
 	x.lastAt = now
 	f.waited = now
+	f.events++
 	x.events++
 	if ev.id != "" {
 		x.lastEvent = ev.id
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -33,11 +33,16 @@
 	// estimate is the time to the first word of this try, 0 where there is none; running is set with its first event.
 	estimate time.Duration
 	running  bool
+	// sent is when the request was sent, events how many came of this try, cut the error that ended it.
+	sent   time.Time
+	events int
+	cut    error
 }
 
 // watch closes the connection when the caller leaves, the time is up, or the upstream is silent and another one is free.
 func (f *follower) watch() {
 	f.waited = f.x.s.Now()
+	f.sent = f.waited
 	f.stop = context.AfterFunc(f.x.r.Context(), f.interrupt)
 	if err := f.conn.SetDeadline(time.Now().Add(f.x.left())); err != nil {
 		f.interrupt()
@@ -154,8 +159,8 @@
 	f.lane.sign(f.waited)
 }
 
-// broken is the verdict on a connection that failed: it may have been ended from here.
-func (f *follower) broken() verdict {
+// broken is the verdict on a connection that failed with err: it may have been ended from here.
+func (f *follower) broken(err error) verdict {
 	x := f.x
 	if x.r.Context().Err() != nil {
 		return verdictGone
@@ -169,5 +174,6 @@
 	case x.left() <= 0:
 		return verdictExpired
 	}
+	f.cut = err
 	return verdictBroken
 }
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -15,6 +15,15 @@
 // maxSeries bounds the pairs of customer and class that have metrics of their own; the rest is counted together.
 const maxSeries = 512
 
+// maxTrySeries bounds the ways in which tries end that are counted: there are about ten, and texts of errors beside them.
+const maxTrySeries = 32
+
+// tryKey is one way in which tries end.
+type tryKey struct {
+	result string
+	cut    relay.Cut
+}
+
 // otherSeries names what is counted together.
 const otherSeries = "other"
 
@@ -38,6 +47,7 @@
 	mu     sync.Mutex
 	series map[seriesKey]*series
 	models map[ident.Model]*words
+	tries  map[tryKey]tally.Counter
 }
 
 // words are the first words of one model: when they were expected, when they came, and how far apart the two were.
@@ -48,7 +58,7 @@
 }
 
 func newNumbers(scope tally.Scope) *numbers {
-	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}}
+	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{}}
 }
 
 func (n *numbers) observe(r *relay.Record) {
@@ -65,6 +75,9 @@
 		s.first.RecordDuration(r.First)
 	}
 	s.total.RecordDuration(r.Total)
+	for i := range r.Tries {
+		n.countTry(&r.Tries[i])
+	}
 	// Only models that the configuration declares have an expectation, so callers can't make up series.
 	if r.Expected > 0 && r.First > 0 && len(r.Tries) == 1 {
 		w := n.words(r.Model)
@@ -74,6 +87,20 @@
 	}
 }
 
+// countTry counts how a try ended, and in which way its connection did where it has no whole answer; the mutex is held.
+func (n *numbers) countTry(t *relay.Try) {
+	key := tryKey{t.Result, t.Cut}
+	c := n.tries[key]
+	if c == nil {
+		if len(n.tries) >= maxTrySeries {
+			return
+		}
+		c = n.scope.Tagged(map[string]string{"result": t.Result, "cut": string(t.Cut)}).Counter("tries")
+		n.tries[key] = c
+	}
+	c.Inc(1)
+}
+
 func (n *numbers) words(model ident.Model) *words {
 	w := n.models[model]
 	if w == nil {
@@ -112,7 +139,7 @@
 // observe counts a finished request and writes its line.
 func (e *Entry) observe(r *relay.Record) {
 	e.numbers.observe(r)
-	e.Requests.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model,
+	e.Requests.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
 		"code", int(r.Code), "status", r.Status, "text", r.Text, "version", r.Version, "revision", r.Revision,
 		"word-age-ms", r.WordAge.Milliseconds(), "tries", r.Tries, "prompt", int(r.Prompt), "events", r.Events,
 		"first-ms", r.First.Milliseconds(), "gap-ms", r.Gap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.Spent.Milliseconds(), "retry-ms", r.Retry.Milliseconds())
