Reproduce requests that end what runs them, failing

Entries in the bubble, engines that end when they run a body and come back after 3 s as another life, the same request every 0.3 s at any entry.

--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,18 +38,24 @@
 	mu      sync.Mutex
 	stopped time.Time
 	// pace is how many times longer a pass takes until slowTo.
-	pace    time.Duration
-	slowTo  time.Time
-	turned  int
+	pace   time.Duration
+	slowTo time.Time
+	turned int
+	// down is set while the engine has ended, ran is told of each body that it begins to run; when that returns true it ends.
+	down    bool
+	ran     func(body string) bool
 	waiting []*sequence
 	writing []*sequence
 	conns   []net.Conn
 }
 
 type sequence struct {
+	body   string
 	prompt int
 	left   int
 	event  chan int
+	// cut is closed when the engine ends.
+	cut chan struct{}
 }
 
 func (e *passEngine) run(ctx context.Context) {
@@ -71,6 +78,10 @@
 			pass += time.Duration(s.prompt) * time.Second / 50_000
 		}
 		time.Sleep(pass * e.paceNow())
+		if e.fatal(read) {
+			e.crash()
+			continue
+		}
 		e.endPass()
 	}
 }
@@ -118,10 +129,45 @@
 	e.writing = rest
 }
 
+// fatal reports whether one of those that were just read ends the engine.
+func (e *passEngine) fatal(read []*sequence) bool {
+	ends := false
+	for _, s := range read {
+		if e.ran != nil && e.ran(s.body) {
+			ends = true
+		}
+	}
+	return ends
+}
+
+// crash ends the engine: all connections close, and new ones are refused until restart.
+func (e *passEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for _, s := range append(e.waiting, e.writing...) {
+		close(s.cut)
+	}
+	e.waiting, e.writing = nil, nil
+	for _, c := range e.conns {
+		c.Close()
+	}
+	e.conns = nil
+}
+
+func (e *passEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+}
+
 func (e *passEngine) dial(context.Context, string) (net.Conn, error) {
 	near, far := net.Pipe()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return nil, syscall.ECONNREFUSED
+	}
 	e.conns = append(e.conns, far)
 	go e.serve(far)
 	return near, nil
@@ -139,8 +185,16 @@
 		if err != nil {
 			return
 		}
-		s := &sequence{prompt, floodEvents, make(chan int, floodEvents)}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s := &sequence{string(body), prompt, floodEvents, make(chan int, floodEvents), make(chan struct{})}
 		e.mu.Lock()
+		if e.down {
+			e.mu.Unlock()
+			return
+		}
 		full := e.slots > 0 && len(e.waiting) >= e.slots
 		if full {
 			e.turned++
@@ -163,7 +217,12 @@
 func (s *sequence) write(c net.Conn, r *http.Request) bool {
 	text := head(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 	for range floodEvents {
-		n := <-s.event
+		n := 0
+		select {
+		case n = <-s.event:
+		case <-s.cut:
+			return false
+		}
 		piece := events(n, n)
 		text += fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 		if n == floodEvents {
