Hold work that upstreams end under, counted by all entries together

Cause: a request's memory ended with it at the entry that had it. The same path, caller and body came again at any entry as something new, got a first and a second try, and ended one or two more upstreams each time. Change: package quarantine counts ends by work (customer, xxhash of path and body) and by the life that ended, so reports of entries can be lost, repeated and reordered. After three ends in a row the work is held for a minute, then let in once by one entry, and held for twice as long with each further end, an hour at most. A whole answer clears it everywhere. An end counts only when the upstream's address refuses connections after the cut: links, resets and lost answers are no ends. Refused with code 2021.

--- a/relay/finish.go
+++ b/relay/finish.go
@@ -44,7 +44,7 @@
 	info := result.Lookup(result.CodeOf(err))
 	x.s.noteRefusal()
 	h := x.w.Header()
-	if info.Status == http.StatusServiceUnavailable || info.Code == result.UpstreamFailed && x.route.Repeatable() {
+	if info.Status == http.StatusServiceUnavailable || info.Code == result.WorkHeld || info.Code == result.UpstreamFailed && x.route.Repeatable() {
 		x.retry = max(x.comeBack, retryAfter(info.Code))
 		x.retry += time.Duration(retrySpread * rand.Float64() * float64(x.retry))
 		h.Set("Retry-After", strconv.FormatFloat(x.retry.Seconds(), 'f', 3, 64))
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -13,6 +13,7 @@
 
 	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 )
 
 // News is what an entry tells of the head of a group: that it sent a prompt there, or that it waits in vain for a sign.
@@ -21,13 +22,15 @@
 	Prompt ident.Tokens      `cbor:"2,keyasint,omitempty"`
 	// Silent is how long the head has been silent for the sender, in ms, when it doubts that the group works.
 	Silent int64 `cbor:"3,keyasint,omitempty"`
+	// Work tells of work under which upstreams ended.
+	Work *quarantine.Report `cbor:"5,keyasint,omitempty"`
 	// Worked is how long ago the group gave the sender a sign, in ms and at least 1, when others doubt that it works.
 	Worked int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // OfPrompt reports whether n tells of a prompt.
 func (n *News) OfPrompt() bool {
-	return n.Silent == 0 && n.Worked == 0
+	return n.Silent == 0 && n.Worked == 0 && n.Work == nil
 }
 
 const (
@@ -51,6 +54,10 @@
 func (s *Relay) Hear(n News, from netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n.Work != nil {
+		s.hearWork(n.Work, from)
+		return
+	}
 	t := s.fleet.byHead[n.Head]
 	if t == nil {
 		return
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -67,7 +67,9 @@
 	pauses time.Duration
 	// suspect is until when the lane is avoided.
 	suspect time.Time
+	// refused is set when nothing listens there any more, proof while that is being found out.
 	refused bool
+	proof   *proof
 	blamed  string
 	// full is until when the upstream said that it takes nothing.
 	full time.Time
@@ -80,7 +82,7 @@
 	}
 	*l = lane{
 		group: group, since: now, inflight: l.inflight, unread: l.unread, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince,
-		followers: l.followers,
+		followers: l.followers, proof: l.proof,
 	}
 	if l.inflight == 0 {
 		l.waitingSince = time.Time{}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/sharing"
@@ -50,6 +51,10 @@
 	Observe func(r *Record)
 	// Tell passes on that a prompt was sent, to the entries that use the group or to all when there is no list; it must not block.
 	Tell func(n News, to []string)
+	// Quarantine is the work that is held because upstreams ended under it; the relay's mutex guards it.
+	Quarantine *quarantine.List
+	// Note takes what operators are told of held work; it must not block.
+	Note func(h *Holding)
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -83,6 +88,8 @@
 	refused time.Time
 	// usual are the times that callers of a class say they wait.
 	usual map[ident.Class]*overload.Usual
+	// telling is set while other entries are told of works by turns.
+	telling bool
 	// candidates are those of the choice in progress.
 	candidates candidates
 	// turns hold the stream whose turn it is, of those that were held at the start.
@@ -93,6 +100,7 @@
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
 		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
+		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, Note: func(*Holding) {},
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
 		counts: counts{spill: map[ident.Model]float64{}},
--- a/relay/run.go
+++ b/relay/run.go
@@ -27,6 +27,8 @@
 	verdictStalled verdict = "stalled"
 	// verdictExpired means that the time is up.
 	verdictExpired verdict = "expired"
+	// verdictHeld means that the request was not sent, because its work is held.
+	verdictHeld verdict = "held"
 	// verdictGone means that the caller has left.
 	verdictGone verdict = "caller-gone"
 )
@@ -38,6 +40,9 @@
 		if x.left() <= 0 {
 			return x.expired()
 		}
+		if err := x.held(); err != nil {
+			return err
+		}
 		t, err := x.place()
 		if err != nil {
 			return x.noneLeft(err)
@@ -54,6 +59,8 @@
 			return result.New(result.Cancelled, "the caller has left")
 		case verdictExpired:
 			return x.expired()
+		case verdictHeld:
+			continue
 		}
 		if !x.mayTryAgain(v) {
 			return x.noneLeft(result.New(result.UpstreamFailed, "the last try: %s", v))
@@ -110,6 +117,7 @@
 	try := &x.tries[len(x.tries)-1]
 	try.Result = string(v)
 	try.note(f, x.s.Now())
+	x.concluded(t.target, f, v)
 	return v
 }
 
@@ -163,6 +171,10 @@
 		conn.Close()
 		return verdictNeverSent, nil
 	}
+	if err := x.begin(); err != nil {
+		conn.Close()
+		return verdictHeld, nil
+	}
 	f := &follower{x: x, t: t.target, lane: l, conn: conn, estimate: t.first}
 	f.watch()
 	defer f.unwatch()
--- a/result/code.go
+++ b/result/code.go
@@ -38,6 +38,7 @@
 	ServiceUnknown      Code = 2018
 	NotFound            Code = 2019
 	AnswerNotKept       Code = 2020
+	WorkHeld            Code = 2021
 
 	ChangeInvalid     Code = 3001
 	ChangeConflict    Code = 3002
@@ -133,6 +134,7 @@
 	{ServiceUnknown, "service-unknown", http.StatusNotFound, exitRefused, true, "No plain service has that name.", "Check the name in the path."},
 	{NotFound, "not-found", http.StatusNotFound, exitRefused, true, "No such path.", "Check the path."},
 	{AnswerNotKept, "answer-not-kept", http.StatusConflict, exitFailed, false, "The request ran to its end once; its answer was too large to be kept.", "Do not send it again; read the effect at its source."},
+	{WorkHeld, "work-held", http.StatusBadGateway, exitFailed, false, "Upstreams ended each time they ran the same request; it is not sent to any for now.", "Change the request; the same one is let in once after Retry-After."},
 
 	{ChangeInvalid, "change-invalid", http.StatusBadRequest, exitRefused, true, "The change is malformed.", "Correct the change."},
 	{ChangeConflict, "change-conflict", http.StatusConflict, exitConflict, true, "Another change came first.", "Read the current state and decide again."},
