Carry held work through the leader, and show it to operators

Cause: datagrams between entries may be filtered, and nobody could see what is held. Change: syncs carry the same reports where the digests of both sides differ; settings quarantine.ends, hold and records, checked; log lines work held, let in once more, cleared; gauge held_works; site groups and site explain list what is held. Figures (TestHeldWorkGoesThroughTheLeader): without any datagram four entries hold the work after two syncs each; no report is sent while all know the same.

--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -78,6 +78,18 @@
 	for i := range s.Groups {
 		siteGroupRow(t, &s.Groups[i])
 	}
+	heldTable(t, s.Held)
+}
+
+func heldTable(t io.Writer, held []site.HeldState) {
+	if len(held) == 0 {
+		return
+	}
+	fmt.Fprintln(t, "\nHELD CONTENT\tCUSTOMER\tUPSTREAMS ENDED\tFOR ANOTHER")
+	for _, h := range held {
+		left := (time.Duration(h.ForMS) * time.Millisecond).Round(time.Second)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", h.Content, h.Customer, h.Ends, left)
+	}
 }
 
 func modelRow(t io.Writer, m *site.ModelState) {
@@ -100,10 +112,10 @@
 func siteExplain() *cobra.Command {
 	q := &inspection{}
 	return q.flags(&cobra.Command{
-		Use: "explain NAME", Short: "Say what a model, a group or an upstream of a site does, and why", Args: cobra.ExactArgs(1),
+		Use: "explain NAME", Short: "Say what a model, a group, an upstream or held work of a site does, and why", Args: cobra.ExactArgs(1),
 		Long: "Say what a model, a group or an upstream of a site does, and why: for a model what keeps it from having more groups,\n" +
 			"domain by domain; for a group its members and the decisions on it, also after it has ended; for an upstream what it\n" +
-			"does and the decisions on its groups.",
+			"does and the decisions on its groups; for a customer or the content of a request what is held because upstreams ended.",
 		Example: "  dunlinquay site explain prosa-large --settings /etc/dunlinquay/site.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := q.state(cmd)
@@ -111,8 +123,8 @@
 				return err
 			}
 			part := partOf(s, args[0])
-			if len(part.Models)+len(part.Groups)+len(part.Upstreams)+len(part.Decisions) == 0 {
-				return result.New(result.ChangeNotFound, "the site knows no model, group or upstream %q", args[0])
+			if len(part.Models)+len(part.Groups)+len(part.Upstreams)+len(part.Decisions)+len(part.Held) == 0 {
+				return result.New(result.ChangeNotFound, "the site knows no model, group, upstream or held content %q", args[0])
 			}
 			return q.print(cmd.OutOrStdout(), part, func(t io.Writer) { explainTable(t, part) })
 		},
@@ -145,6 +157,9 @@
 	part.Decisions = slices.DeleteFunc(slices.Clone(s.Decisions), func(d site.GroupDecision) bool {
 		return string(d.Group) != name && string(d.Model) != name && !names(d.Members, name)
 	})
+	part.Held = slices.DeleteFunc(slices.Clone(s.Held), func(h site.HeldState) bool {
+		return h.Content != name && string(h.Customer) != name
+	})
 	return &part
 }
 
@@ -171,6 +186,7 @@
 	for _, u := range s.Upstreams {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Hall, u.Domain, u.Address, time.Duration(u.AgeMS)*time.Millisecond, u.Place)
 	}
+	heldTable(t, s.Held)
 	if len(s.Decisions) > 0 {
 		fmt.Fprintln(t, "\nAT\tGROUP\tDECISION\tREASON")
 	}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -26,10 +26,10 @@
 )
 
 const (
-	// endsKept bounds the ends that are remembered of one work: the number after which it is held longest.
-	endsKept = 9
-	// holdMost bounds how long work is held.
-	holdMost = time.Hour
+	// EndsKept bounds the ends that are remembered of one work: with the usual rule, the number after which it is held longest.
+	EndsKept = 9
+	// HoldMost bounds how long work is held.
+	HoldMost = time.Hour
 	// keepFor is how long something is remembered after it was last learnt: work that comes again more seldom ends less than three
 	// upstreams an hour more than work that does not.
 	keepFor = time.Hour
@@ -90,7 +90,7 @@
 	if len(r.ends) < l.Rule.Ends {
 		return time.Time{}
 	}
-	return r.last.Add(min(holdMost, l.Rule.Hold<<(len(r.ends)-l.Rule.Ends)))
+	return r.last.Add(min(HoldMost, l.Rule.Hold<<(len(r.ends)-l.Rule.Ends)))
 }
 
 // Begin notes that work which may be sent is sent now. Work that was held before gets one try at a time; ok is then set, and others
@@ -150,7 +150,7 @@
 			r.trying = time.Time{}
 		}
 	}
-	at := now.Add(-time.Duration(min(max(0, n.AgeMS), holdMost.Milliseconds())) * time.Millisecond)
+	at := now.Add(-time.Duration(min(max(0, n.AgeMS), HoldMost.Milliseconds())) * time.Millisecond)
 	if len(n.Ends) > 0 && at.Sub(r.last) > sameEnd {
 		r.last = at
 		news = true
@@ -209,6 +209,17 @@
 	return len(l.records)
 }
 
+// HeldLen returns how many works are held.
+func (l *List) HeldLen(now time.Time) int {
+	n := 0
+	for _, r := range l.records {
+		if l.until(r).After(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // HeldNow returns what is held, the longest list of ends first.
 func (l *List) HeldNow(now time.Time) []Report {
 	return l.reports(now, func(r *record) bool { return l.until(r).After(now) })
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -1,7 +1,9 @@
 package quarantine_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,6 +15,15 @@
 	"github.com/dunlinquay/dunlinquay/quarantine"
 )
 
+// TestMain fixes the seed of property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
 var start = time.Unix(1_000_000, 0)
 
 func newList() *quarantine.List {
--- a/quarantine/work.go
+++ b/quarantine/work.go
@@ -59,11 +59,11 @@
 	added := false
 	for _, e := range ends {
 		at, found := slices.BinarySearch(r.ends, e)
-		if found || at >= endsKept {
+		if found || at >= EndsKept {
 			continue
 		}
 		r.ends = slices.Insert(r.ends, at, e)
-		r.ends = r.ends[:min(len(r.ends), endsKept)]
+		r.ends = r.ends[:min(len(r.ends), EndsKept)]
 		added = true
 	}
 	return added
--- a/relay/held.go
+++ b/relay/held.go
@@ -207,6 +207,13 @@
 	return s.Quarantine.ToTell(now, most), s.Quarantine.Sum(now)
 }
 
+// HeldCount returns how many works are held now.
+func (s *Relay) HeldCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Quarantine.HeldLen(s.Now())
+}
+
 // tellByTurns begins to tell other entries again and again, as long as there is something to tell; the mutex is held.
 func (s *Relay) tellByTurns() {
 	if s.telling {
--- a/settings/site.go
+++ b/settings/site.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -28,6 +29,7 @@
 	MemoryMB   int        `json:"memory-mb"`
 	Bounds     SiteBounds `json:"bounds"`
 	Retries    Retries    `json:"retries"`
+	Quarantine Quarantine `json:"quarantine"`
 	Times      SiteTimes  `json:"times"`
 }
 
@@ -59,6 +61,16 @@
 	Allowance float64  `json:"allowance"`
 }
 
+// Quarantine says when work is held because upstreams ended while they ran it, and for how long.
+type Quarantine struct {
+	// Ends is how many upstreams must have ended under the same work in a row.
+	Ends int `json:"ends"`
+	// Hold is how long it is held at first; it doubles with each further end, up to an hour.
+	Hold Duration `json:"hold"`
+	// Records bounds the works that a daemon remembers; one takes about 200 bytes.
+	Records int `json:"records"`
+}
+
 // SiteTimes holds the intervals of the control quorum and of reports.
 type SiteTimes struct {
 	Heartbeat Duration `json:"heartbeat"`
@@ -72,10 +84,12 @@
 // granted can hold: with a lease of 200 ms entries had their configuration 0.23 s after all daemons had started together, with
 // 350 ms after 0.43 s (5 control daemons, one day each).
 func DefaultSite() Site {
+	held := quarantine.DefaultRule()
 	return Site{
-		MemoryMB: 256,
-		Bounds:   SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
-		Retries:  Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
+		MemoryMB:   256,
+		Bounds:     SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
+		Retries:    Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
+		Quarantine: Quarantine{Ends: held.Ends, Hold: Duration(held.Hold), Records: held.Records},
 		Times: SiteTimes{
 			Heartbeat: Duration(50 * time.Millisecond),
 			Election:  Duration(330 * time.Millisecond),
@@ -134,11 +148,32 @@
 	if cfg.Listen.Callers == "" && cfg.Listen.Control == "" {
 		d.atf("listen", result.SettingsMissing, "wants callers or control")
 	}
+	cfg.Quarantine.check(d)
 	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
 		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
 	}
 }
 
+func (q *Quarantine) check(d *decoder) {
+	if q.Ends < 1 || q.Ends > quarantine.EndsKept {
+		d.atf("quarantine.ends", result.SettingsValue, "wants 1 to %d", quarantine.EndsKept)
+	}
+	if q.Hold.Std() < holdLeast || q.Hold.Std() > quarantine.HoldMost {
+		d.atf("quarantine.hold", result.SettingsValue, "wants %v to %v", holdLeast, quarantine.HoldMost)
+	}
+	if q.Records < recordsLeast || q.Records > recordsMost {
+		d.atf("quarantine.records", result.SettingsValue, "wants %d to %d", recordsLeast, recordsMost)
+	}
+}
+
+const (
+	// holdLeast is the shortest time for which work may be held: entries hear of each other within it also where datagrams are lost.
+	holdLeast = time.Second
+	// recordsLeast holds the requests of a few engines that end at the same moment, recordsMost takes 20 MB.
+	recordsLeast = 64
+	recordsMost  = 100_000
+)
+
 const (
 	maxPort = 65535
 	// leasePart is the longest lease in parts of the election time: a lease must be over, on any clock, before another
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -59,6 +59,10 @@
 		{"data folder without control", `"peer-port"`, `"data-folder": "/d", "peer-port"`, result.SettingsConflict},
 		{"nothing to serve", `"callers": "10.0.0.1:80", `, ``, result.SettingsMissing},
 		{"lease as long as an election", `"first-start"`, `"times": {"lease": "600ms", "election": "600ms"}, "first-start"`, result.SettingsConflict},
+		{"no end holds work", `"first-start"`, `"quarantine": {"ends": 0}, "first-start"`, result.SettingsValue},
+		{"more ends than are remembered", `"first-start"`, `"quarantine": {"ends": 10}, "first-start"`, result.SettingsValue},
+		{"held for no time", `"first-start"`, `"quarantine": {"hold": "10ms"}, "first-start"`, result.SettingsValue},
+		{"no records", `"first-start"`, `"quarantine": {"records": 0}, "first-start"`, result.SettingsValue},
 		{"not an object", siteText, `[]`, result.SettingsType},
 		{"not JSON", siteText, `{`, result.SettingsSyntax},
 	} {
--- a/site/entry.go
+++ b/site/entry.go
@@ -52,6 +52,8 @@
 	// goroutine that follows the leader.
 	body      []byte
 	wantWhole bool
+	// leaderSum is the digest of what the leader knows of held work; it belongs to the same goroutine.
+	leaderSum uint64
 	stop      chan struct{}
 	stopOnce  sync.Once
 	wasReady  atomic.Bool
@@ -71,6 +73,8 @@
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
 	})
 	e.relay.Observe = e.observe
+	e.relay.Quarantine.Rule = heldRule(&cfg.Quarantine)
+	e.relay.Note = e.noteHolding
 	e.neighbours = newNeighbours(e.relay.Hear)
 	e.relay.Tell = e.neighbours.tell
 	return e
@@ -157,6 +161,7 @@
 	call.Seen, call.Demand = e.relay.Look()
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
+	e.tellHeld(call)
 }
 
 // apply puts the leader's word in force; began is the moment up to which it is certainly the newest.
@@ -169,6 +174,7 @@
 		e.relay.SetEntries(e.neighbours.set(e.Settings.PeerAddress(), r.Lists))
 	}
 	e.relay.SetOthers(r.Others)
+	e.hearHeld(r)
 	e.relay.Budget.SetEntries(r.Entries)
 	if newest {
 		e.relay.SetWord(began)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -11,6 +11,7 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -114,7 +115,7 @@
 
 // NewReign returns a reign that has heard of nobody.
 func NewReign() Reigning {
-	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard())}}
+	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard()), held: quarantine.List{Rule: quarantine.DefaultRule()}}}
 }
 
 // Note takes what an entry tells.
@@ -129,3 +130,10 @@
 
 // Lists returns the lists of entries that the caller has not.
 func (r Reigning) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
+
+// TakeHeld takes what an entry tells of works and returns what it is told.
+func (r Reigning) TakeHeld(now time.Time, call *SyncCall) SyncReply {
+	var reply SyncReply
+	r.takeHeld(now, call, &reply)
+	return reply
+}
--- /dev/null
+++ b/site/held.go
@@ -0,0 +1,92 @@
+package site
+
+// Entries tell each other of work under which upstreams ended by datagrams. The
+// leader passes the same reports on with its syncs: datagrams may be filtered,
+// and every entry that serves has a way to the leader. Both sides name all that
+// they know by a digest, so nothing is sent while they know the same.
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/settings"
+)
+
+// heldMost bounds the reports of one sync, about 100 bytes each.
+const heldMost = 32
+
+// HeldState is a work that is held, as operators see it.
+type HeldState struct {
+	Customer ident.Customer `json:"customer"`
+	// Content is the digest of the request's path and body, as in the lines on requests.
+	Content string `json:"content"`
+	// Ends is how many upstreams ended under it in a row, ForMS how long it is still held.
+	Ends  int   `json:"ends"`
+	ForMS int64 `json:"for-ms"`
+}
+
+// takeHeld takes what an entry tells of works, and fills in what it does not know.
+func (r *reign) takeHeld(now time.Time, call *SyncCall, reply *SyncReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range call.Held {
+		r.held.Hear(now, &call.Held[i])
+	}
+	reply.HeldSum = r.held.Sum(now)
+	if call.Entry && reply.HeldSum != call.HeldSum {
+		reply.Held = r.held.ToTell(now, heldMost)
+	}
+}
+
+// heldState returns what is held now; the mutex is held.
+func (r *reign) heldState(now time.Time) []HeldState {
+	var list []HeldState
+	for _, n := range r.held.HeldNow(now) {
+		list = append(list, HeldState{n.Customer, n.Content.String(), len(n.Ends), r.held.Held(now, n.Work()).Milliseconds()})
+	}
+	return list
+}
+
+// tellHeld fills in what the leader is told of works.
+func (e *Entry) tellHeld(call *SyncCall) {
+	list, sum := e.relay.WorkToTell(heldMost)
+	call.HeldSum = sum
+	if sum != e.leaderSum {
+		call.Held = list
+	}
+	e.numbers.held.Update(float64(e.relay.HeldCount()))
+}
+
+// hearHeld takes what the leader knows of works.
+func (e *Entry) hearHeld(r *SyncReply) {
+	e.leaderSum = r.HeldSum
+	e.relay.HearWork(r.Held, netip.AddrPort{})
+}
+
+// noteHolding logs what became of held work.
+func (e *Entry) noteHolding(h *relay.Holding) {
+	from := "this entry"
+	if h.From.IsValid() {
+		from = h.From.String()
+	}
+	e.Log.Info("work "+holdingOf(h), "customer", h.Customer, "content", h.Content.String(), "ends", len(h.Ends), "for-ms", h.For.Milliseconds(),
+		"newest-ms", h.AgeMS, "from", from)
+}
+
+func holdingOf(h *relay.Holding) string {
+	switch {
+	case h.Trying:
+		return "let in once more"
+	case len(h.Ends) == 0:
+		return "cleared"
+	}
+	return "held"
+}
+
+// heldRule is the rule that the settings give.
+func heldRule(q *settings.Quarantine) quarantine.Rule {
+	return quarantine.Rule{Ends: q.Ends, Hold: q.Hold.Std(), Records: q.Records}
+}
--- /dev/null
+++ b/site/held_test.go
@@ -0,0 +1,93 @@
+package site_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/site"
+)
+
+// syncer is what one entry knows of works, and its way to the leader.
+type syncer struct {
+	list      *quarantine.List
+	leaderSum uint64
+	// sent and got count the reports that went to the leader and came from it.
+	sent, got int
+}
+
+func (s *syncer) sync(now time.Time, r site.Reigning) {
+	call := &site.SyncCall{Entry: true, HeldSum: s.list.Sum(now)}
+	if call.HeldSum != s.leaderSum {
+		call.Held = s.list.ToTell(now, 32)
+	}
+	reply := r.TakeHeld(now, call)
+	s.leaderSum = reply.HeldSum
+	for i := range reply.Held {
+		s.list.Hear(now, &reply.Held[i])
+	}
+	s.sent += len(call.Held)
+	s.got += len(reply.Held)
+}
+
+// Where no datagram reaches another entry, three that each saw one upstream end hold the work once each has synced twice with the
+// leader, one that starts later too; while all know the same, nothing is sent.
+func TestHeldWorkGoesThroughTheLeader(t *testing.T) {
+	now := time.Now()
+	r := site.NewReign()
+	work := quarantine.Work{Customer: "office", Content: 7}
+	var entries []*syncer
+	for n := range 4 {
+		s := &syncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+		entries = append(entries, s)
+		if n < 3 {
+			s.list.Ended(now, work, quarantine.EndOf(ident.Incarnation(rune('a'+n))))
+		}
+	}
+	for range 3 {
+		for _, s := range entries {
+			s.sync(now, r)
+		}
+		now = now.Add(time.Second)
+	}
+	for n, s := range entries {
+		if s.list.Held(now, work) == 0 {
+			t.Errorf("entry %d does not hold the work, it knows of %d ends", n, s.list.Ends(work))
+		}
+		s.sent, s.got = 0, 0
+	}
+	for range 10 {
+		now = now.Add(500 * time.Millisecond)
+		for _, s := range entries {
+			s.sync(now, r)
+		}
+	}
+	for n, s := range entries {
+		if s.sent+s.got > 0 {
+			t.Errorf("entry %d told %d and was told %d reports although all know the same", n, s.sent, s.got)
+		}
+	}
+}
+
+// A report fits into a datagram, also with the longest name and all ends.
+func TestReportsFitDatagrams(t *testing.T) {
+	a, _ := startNeighbours(t)
+	b, heardByB := startNeighbours(t)
+	a.Set(b.Address())
+	report := quarantine.Report{
+		Customer: ident.Customer(strings.Repeat("n", ident.MaxNameLength)), Content: 1<<64 - 1, Cleared: 1<<32 - 1, AgeMS: 3_600_000, Trying: true,
+	}
+	for n := range quarantine.EndsKept {
+		report.Ends = append(report.Ends, ^quarantine.End(n))
+	}
+	want := relay.News{Work: &report}
+	a.Tell(want)
+	if diff := cmp.Diff(want, <-heardByB); diff != "" {
+		t.Errorf("heard (-want +got):\n%s", diff)
+	}
+}
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -35,6 +35,8 @@
 	Groups    []GroupState    `json:"groups"`
 	Upstreams []UpstreamState `json:"upstreams"`
 	Decisions []GroupDecision `json:"decisions"`
+	// Held are the works that no entry sends to upstreams now.
+	Held []HeldState `json:"held"`
 }
 
 // ModelState is what a model of a service has and needs.
@@ -124,6 +126,7 @@
 	}
 	r.mu.Lock()
 	s.Entries = len(r.entries)
+	s.Held = r.heldState(now)
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Outlook() {
--- a/site/messages.go
+++ b/site/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -58,6 +59,10 @@
 	Demand map[ident.Model]relay.Demand
 	// Entries names the lists of entries that the caller has.
 	Entries map[ident.Hall]ListName
+	// Held tells of works under which upstreams ended, when the caller knows of others than the leader; HeldSum is the digest of all
+	// that it has to tell.
+	Held    []quarantine.Report
+	HeldSum uint64
 }
 
 // ListName is a digest of a list of addresses, 0 of none.
@@ -83,6 +88,9 @@
 	// Entries is how many entries there are, Lists are those of the halls of which the caller has another list.
 	Entries int
 	Lists   []EntryList
+	// Held and HeldSum are what the leader knows of such works, as in the call.
+	Held    []quarantine.Report
+	HeldSum uint64
 }
 
 // EntryList holds the peers' addresses of the entries of one hall, in order.
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -48,6 +48,8 @@
 	series map[seriesKey]*series
 	models map[ident.Model]*words
 	tries  map[tryKey]tally.Counter
+	// held is how many works are held.
+	held tally.Gauge
 }
 
 // words are the first words of one model: when they were expected, when they came, and how far apart the two were.
@@ -58,7 +60,7 @@
 }
 
 func newNumbers(scope tally.Scope) *numbers {
-	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{}}
+	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{}, held: scope.Gauge("held_works")}
 }
 
 func (n *numbers) observe(r *relay.Record) {
