Let held work outlive a restart of all daemons

Cause: what is held was known to entries and the leader of the moment only; after a restart of all the next request would have ended three more upstreams. Change: every control daemon has the list, from entries or from the leader, and keeps what is held with its roster on disk; an entry takes it with its first sync, before the configuration that lets it serve.

--- a/site/control.go
+++ b/site/control.go
@@ -78,6 +78,7 @@
 	reign    atomic.Pointer[reign]
 	reports  *reports
 	unusable seldom
+	held     *heldWorks
 }
 
 // NewControl opens the data folder that cfg names.
@@ -97,6 +98,7 @@
 		copied: roster.NewCopy(), renewed: make(chan struct{}), strangers: map[quorum.MemberID]time.Time{},
 	}
 	c.machine.Changed = c.configChanged
+	c.held = newHeldWorks(&cfg.Quarantine)
 	c.reports = newReports(c.passReports)
 	c.meter = meter.New()
 	c.tallies = newTallies(c.meter.Scope)
@@ -289,6 +291,7 @@
 			call.From = string(c.self.Name)
 			// The log brings the configuration here.
 			call.Version = c.machine.Held().Version
+			call.HeldSum = c.held.sum(time.Now())
 		},
 		apply:  c.applySync,
 		reread: c.reread,
@@ -312,6 +315,7 @@
 }
 
 func (c *Control) applySync(_ time.Time, r *SyncReply) bool {
+	c.held.hear(time.Now(), r.Held)
 	if !r.Usable {
 		return true
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -166,6 +166,8 @@
 
 // apply puts the leader's word in force; began is the moment up to which it is certainly the newest.
 func (e *Entry) apply(began time.Time, r *SyncReply) bool {
+	// Before anything that lets requests go: an entry that has just started knows of no work that is held.
+	e.hearHeld(r)
 	newest := e.takeConfig(r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
@@ -174,7 +176,6 @@
 		e.relay.SetEntries(e.neighbours.set(e.Settings.PeerAddress(), r.Lists))
 	}
 	e.relay.SetOthers(r.Others)
-	e.hearHeld(r)
 	e.relay.Budget.SetEntries(r.Entries)
 	if newest {
 		e.relay.SetWord(began)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -11,10 +11,10 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
-	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/settings"
 )
 
 // NextMembers lets the external tests drive membership without daemons.
@@ -115,7 +115,7 @@
 
 // NewReign returns a reign that has heard of nobody.
 func NewReign() Reigning {
-	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard()), held: quarantine.List{Rule: quarantine.DefaultRule()}}}
+	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard())}}
 }
 
 // Note takes what an entry tells.
@@ -131,9 +131,30 @@
 // Lists returns the lists of entries that the caller has not.
 func (r Reigning) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
 
-// TakeHeld takes what an entry tells of works and returns what it is told.
-func (r Reigning) TakeHeld(now time.Time, call *SyncCall) SyncReply {
+// HeldWorks is what a control daemon knows of works.
+type HeldWorks struct{ *heldWorks }
+
+// NewHeldWorks returns an empty list by the usual rule.
+func NewHeldWorks() HeldWorks {
+	cfg := settings.DefaultSite()
+	return HeldWorks{newHeldWorks(&cfg.Quarantine)}
+}
+
+// Take takes what a caller tells of works and returns what it is told.
+func (h HeldWorks) Take(now time.Time, call *SyncCall) SyncReply {
 	var reply SyncReply
-	r.takeHeld(now, call, &reply)
+	h.take(now, call, &reply)
 	return reply
 }
+
+// HeldWorks returns what the daemon knows of works.
+func (c *Control) HeldWorks() HeldWorks { return HeldWorks{c.held} }
+
+// Remember writes what is to outlive a restart, Recall reads it again.
+func (c *Control) Remember() error { return c.remember(&roster.Delta{}) }
+
+// CloseFolder lets another life of the daemon use its folder.
+func (c *Control) CloseFolder() { c.store.Close() }
+
+// Recall reads what the last life has written.
+func (c *Control) Recall() { c.recall() }
--- a/site/held.go
+++ b/site/held.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -18,6 +19,9 @@
 // heldMost bounds the reports of one sync, about 100 bytes each.
 const heldMost = 32
 
+// heldKept bounds the works that are kept on disk, the longest held first.
+const heldKept = 256
+
 // HeldState is a work that is held, as operators see it.
 type HeldState struct {
 	Customer ident.Customer `json:"customer"`
@@ -28,24 +32,61 @@
 	ForMS int64 `json:"for-ms"`
 }
 
-// takeHeld takes what an entry tells of works, and fills in what it does not know.
-func (r *reign) takeHeld(now time.Time, call *SyncCall, reply *SyncReply) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// heldWorks is what a control daemon knows of works: the leader from entries, the others from the leader, so that a new leader and one
+// that starts again know it too.
+type heldWorks struct {
+	mu   sync.Mutex
+	list quarantine.List
+}
+
+// newHeldWorks returns an empty list by the rule of the settings.
+func newHeldWorks(q *settings.Quarantine) *heldWorks {
+	return &heldWorks{list: quarantine.List{Rule: heldRule(q)}}
+}
+
+// take takes what a caller tells of works, and fills in what it does not know.
+func (h *heldWorks) take(now time.Time, call *SyncCall, reply *SyncReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for i := range call.Held {
-		r.held.Hear(now, &call.Held[i])
+		h.list.Hear(now, &call.Held[i])
+	}
+	reply.HeldSum = h.list.Sum(now)
+	if reply.HeldSum != call.HeldSum {
+		reply.Held = h.list.ToTell(now, heldMost)
 	}
-	reply.HeldSum = r.held.Sum(now)
-	if call.Entry && reply.HeldSum != call.HeldSum {
-		reply.Held = r.held.ToTell(now, heldMost)
+}
+
+// hear takes what the leader knows.
+func (h *heldWorks) hear(now time.Time, list []quarantine.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range list {
+		h.list.Hear(now, &list[i])
 	}
 }
 
-// heldState returns what is held now; the mutex is held.
-func (r *reign) heldState(now time.Time) []HeldState {
+func (h *heldWorks) sum(now time.Time) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.list.Sum(now)
+}
+
+// kept returns what is to outlive a restart of all daemons.
+func (h *heldWorks) kept(now time.Time) []quarantine.Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.list.HeldNow(now)
+	return list[:min(len(list), heldKept)]
+}
+
+// state returns what is held now.
+func (h *heldWorks) state(now time.Time) []HeldState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var list []HeldState
-	for _, n := range r.held.HeldNow(now) {
-		list = append(list, HeldState{n.Customer, n.Content.String(), len(n.Ends), r.held.Held(now, n.Work()).Milliseconds()})
+	for _, n := range h.list.HeldNow(now) {
+		list = append(list, HeldState{n.Customer, n.Content.String(), len(n.Ends), h.list.Held(now, n.Work()).Milliseconds()})
 	}
 	return list
 }
--- a/site/held_test.go
+++ b/site/held_test.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/site"
 )
 
@@ -21,12 +22,12 @@
 	sent, got int
 }
 
-func (s *syncer) sync(now time.Time, r site.Reigning) {
+func (s *syncer) sync(now time.Time, r site.HeldWorks) {
 	call := &site.SyncCall{Entry: true, HeldSum: s.list.Sum(now)}
 	if call.HeldSum != s.leaderSum {
 		call.Held = s.list.ToTell(now, 32)
 	}
-	reply := r.TakeHeld(now, call)
+	reply := r.Take(now, call)
 	s.leaderSum = reply.HeldSum
 	for i := range reply.Held {
 		s.list.Hear(now, &reply.Held[i])
@@ -39,7 +40,7 @@
 // leader, one that starts later too; while all know the same, nothing is sent.
 func TestHeldWorkGoesThroughTheLeader(t *testing.T) {
 	now := time.Now()
-	r := site.NewReign()
+	r := site.NewHeldWorks()
 	work := quarantine.Work{Customer: "office", Content: 7}
 	var entries []*syncer
 	for n := range 4 {
@@ -91,3 +92,35 @@
 		t.Errorf("heard (-want +got):\n%s", diff)
 	}
 }
+
+// What is held outlives a restart of all daemons at once: a control daemon reads it from its folder, and tells it with the first sync.
+func TestHeldWorkOutlivesARestart(t *testing.T) {
+	cfg := settings.DefaultSite()
+	cfg.Listen.Host, cfg.PeerPort, cfg.DataFolder = "127.0.0.1", 7000, t.TempDir()
+	first, err := site.NewControl(&cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	entry := &syncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	work := quarantine.Work{Customer: "office", Content: 7}
+	for n := range 3 {
+		entry.list.Ended(now, work, quarantine.EndOf(ident.Incarnation(rune('a'+n))))
+	}
+	entry.sync(now, first.HeldWorks())
+	if err := first.Remember(); err != nil {
+		t.Fatal(err)
+	}
+	first.CloseFolder()
+	second, err := site.NewControl(&cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.CloseFolder)
+	second.Recall()
+	fresh := &syncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	fresh.sync(time.Now(), second.HeldWorks())
+	if fresh.list.Held(time.Now(), work) == 0 {
+		t.Error("an entry that starts with all others does not hold what was held before")
+	}
+}
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -123,10 +123,10 @@
 	s := State{
 		Leader: string(r.c.self.Name), Reign: r.name, Since: r.began, Config: r.c.machine.Held().Version, Settled: r.settled(now),
 		Controls: r.c.controls(), Decisions: r.decisions.list(),
+		Held: r.c.held.state(now),
 	}
 	r.mu.Lock()
 	s.Entries = len(r.entries)
-	s.Held = r.heldState(now)
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Outlook() {
--- a/site/memory.go
+++ b/site/memory.go
@@ -4,7 +4,8 @@
 // of every upstream before it could route again. Each control daemon therefore
 // keeps its newest copy of the roster in its data folder. What it reads there
 // after a start may be old, so it is used like the copy of a follower: entries
-// may try it, and nothing is decided on an upstream until it has reported.
+// may try it, and nothing is decided on an upstream until it has reported. Work
+// that is held stands there too, or its next request would end three more.
 
 import (
 	"context"
@@ -12,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -26,23 +28,27 @@
 type remembered struct {
 	Upstreams []roster.Upstream `cbor:"1,keyasint"`
 	Groups    []roster.Group    `cbor:"2,keyasint"`
+	// Held are the works that were held.
+	Held []quarantine.Report `cbor:"3,keyasint,omitempty"`
 }
 
-// rememberLoop writes the roster when it has changed.
+// rememberLoop writes the roster when it has changed, or works have come to be held.
 func (c *Control) rememberLoop(ctx context.Context) {
 	var written roster.Revision
 	var reign Reign
+	var sum uint64
 	for ctx.Err() == nil {
 		pause(ctx, memoryInterval)
 		name, d := c.newestRoster()
-		if d == nil || name == reign && d.Revision == written {
+		held := c.held.sum(time.Now())
+		if d == nil || name == reign && d.Revision == written && held == sum {
 			continue
 		}
 		if err := c.remember(d); err != nil {
 			c.Log.Error(err, "roster not written, a restart will wait for reports", "code", int(result.CodeOf(err)))
 			continue
 		}
-		reign, written = name, d.Revision
+		reign, written, sum = name, d.Revision, held
 	}
 }
 
@@ -62,7 +68,7 @@
 }
 
 func (c *Control) remember(d *roster.Delta) error {
-	content, err := cbor.Marshal(remembered{d.Upstreams, d.Groups})
+	content, err := cbor.Marshal(remembered{d.Upstreams, d.Groups, c.held.kept(time.Now())})
 	if err != nil {
 		return err
 	}
@@ -80,9 +86,10 @@
 		c.Log.Error(err, "remembered roster cannot be read")
 		return
 	}
+	c.held.hear(time.Now(), m.Held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.copied.Apply(&roster.Delta{Full: true, Upstreams: m.Upstreams, Groups: m.Groups})
 	c.recalled = true
-	c.Log.Info("roster of the last life read", "upstreams", len(m.Upstreams), "groups", len(m.Groups))
+	c.Log.Info("roster of the last life read", "upstreams", len(m.Upstreams), "groups", len(m.Groups), "held", len(m.Held))
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -13,7 +13,6 @@
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
-	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -84,8 +83,6 @@
 	totals map[ident.Incarnation]int
 	demand Rates
 	served bool
-	// held are the works that entries told of.
-	held quarantine.List
 }
 
 // answersLength bounds the outcomes that wait for the leader's next look.
@@ -101,7 +98,6 @@
 		entries:    map[string]*entryState{},
 		totals:     map[ident.Incarnation]int{},
 		early:      c.Settings.FirstStart,
-		held:       quarantine.List{Rule: heldRule(&c.Settings.Quarantine)},
 		probes:     newProbes(c.Dial),
 		paces:      newPaces(c.AskPace, c.Log),
 	}
