--- a/admission/controller.go
+++ b/admission/controller.go
@@ -155,7 +155,7 @@
 func (c *Controller) awaitShare(ctx context.Context, changed <-chan struct{}, until time.Time, a *Ask) error {
 	left := until.Sub(c.Now())
 	if left <= 0 {
-		return refuse(result.LimitExceeded, minRetryAfter, "customer %s runs as many requests as it may", a.Customer)
+		return Refuse(result.LimitExceeded, minRetryAfter, "customer %s runs as many requests as it may", a.Customer)
 	}
 	timer := time.NewTimer(left)
 	defer timer.Stop()
@@ -172,7 +172,7 @@
 func (c *Controller) takeRates(now time.Time, cust *customer, a *Ask) error {
 	if d := cust.rateWait(now, a.Tokens); d > 0 {
 		cust.demand.Requests++
-		return refuse(result.LimitExceeded, d, "customer %s is over its rate", a.Customer)
+		return Refuse(result.LimitExceeded, d, "customer %s is over its rate", a.Customer)
 	}
 	cust.running++
 	cust.demand.Requests++
@@ -228,9 +228,9 @@
 	case routing.Chosen:
 		return true, nil
 	case routing.UnknownModel:
-		return false, refuse(result.ModelUnknown, 0, "no group serves model %q", a.Model)
+		return false, Refuse(result.ModelUnknown, 0, "no group serves model %q", a.Model)
 	case routing.NotWhole:
-		return false, refuse(result.NoWholeGroup, minRetryAfter, "no group of model %q has all its members", a.Model)
+		return false, Refuse(result.NoWholeGroup, minRetryAfter, "no group of model %q has all its members", a.Model)
 	}
 	return false, nil
 }
@@ -240,7 +240,7 @@
 	wait := q.ahead(a) / float64(max(c.Capacity(a.Model), 1))
 	finish := now.Add(time.Duration((wait + service) * float64(time.Second)))
 	if finish.After(a.Deadline) {
-		return refuse(result.DeadlineUnreachable, seconds(wait), "needs about %.1f s, has %.1f s", wait+service, a.Deadline.Sub(now).Seconds())
+		return Refuse(result.DeadlineUnreachable, seconds(wait), "needs about %.1f s, has %.1f s", wait+service, a.Deadline.Sub(now).Seconds())
 	}
 	if q.lengthOf(a) < c.QueueLength(a.Class) {
 		return nil
@@ -253,10 +253,10 @@
 	last := q.last()
 	candidate := &waiter{ask: a, start: max(q.virtual, c.customer(a.Customer).finish), order: math.MaxUint64}
 	if last == nil || last.before(candidate) {
-		return refuse(result.Overloaded, seconds(wait), "%d requests wait for model %q", len(q.items), a.Model)
+		return Refuse(result.Overloaded, seconds(wait), "%d requests wait for model %q", len(q.items), a.Model)
 	}
 	q.remove(last)
-	c.finishWaiter(last, refuse(result.Overloaded, seconds(wait), "made room for a more important request"))
+	c.finishWaiter(last, Refuse(result.Overloaded, seconds(wait), "made room for a more important request"))
 	return nil
 }
 
@@ -281,7 +281,7 @@
 	case <-ctx.Done():
 		return c.leave(w, result.Wrap(ctx.Err(), result.Cancelled, "caller went away before the request ran"))
 	case <-timer.C:
-		return c.leave(w, refuse(result.DeadlineUnreachable, minRetryAfter, "waited until its deadline came too near"))
+		return c.leave(w, Refuse(result.DeadlineUnreachable, minRetryAfter, "waited until its deadline came too near"))
 	}
 }
 
@@ -336,7 +336,7 @@
 		now := c.Now()
 		if expired(now, w) {
 			q.remove(w)
-			c.finishWaiter(w, refuse(result.DeadlineUnreachable, minRetryAfter, "its deadline came too near while it waited"))
+			c.finishWaiter(w, Refuse(result.DeadlineUnreachable, minRetryAfter, "its deadline came too near while it waited"))
 			continue
 		}
 		done, err := c.tryNow(now, w.ask)
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -7,7 +7,7 @@
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
-// Refusal is a request that was not run, with the time after which it is worth asking again.
+// Refusal is a request that was not sent, with the time after which it is worth asking again.
 type Refusal struct {
 	After time.Duration
 	cause error
@@ -19,7 +19,8 @@
 // Unwrap returns the error with the code.
 func (r *Refusal) Unwrap() error { return r.cause }
 
-func refuse(code result.Code, after time.Duration, format string, args ...any) error {
+// Refuse returns a refusal that says when it is worth asking again.
+func Refuse(code result.Code, after time.Duration, format string, args ...any) error {
 	return &Refusal{After: after, cause: result.New(code, format, args...)}
 }
 
--- a/caller/openai.go
+++ b/caller/openai.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -223,6 +224,7 @@
 	if e.notRepeatable && e.key == "" {
 		return nil, result.New(result.KeyRequired, "a not-repeatable request needs the header %s", HeaderKey)
 	}
+	req.Content = quarantine.ContentOf(r.URL.RequestURI(), body)
 	if e.notRepeatable {
 		req.Digest = sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
 	}
--- a/caller/services.go
+++ b/caller/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
 )
@@ -54,6 +55,7 @@
 		Method: r.Method, Path: strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+r.PathValue("service")),
 		Query: r.URL.RawQuery, Header: r.Header, Body: body, Key: e.key,
 	}
+	c.Content = quarantine.ContentOf(r.URL.RequestURI(), body)
 	c.Once = e.notRepeatable || notRepeatable(&service, r.Method, "/"+r.PathValue("path"))
 	c.Repeatable = !c.Once && safe(r.Method)
 	if c.Once && c.Key == "" {
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -8,6 +8,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/peer"
 	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/result"
 )
@@ -82,7 +83,7 @@
 	return &peer.Beat{
 		From: d.cfg.Name, Hall: d.cfg.Hall, Incarnation: d.incarnation, Revision: d.view.revision(),
 		Stopping: d.stopping.Load(), Observations: d.probes.newest(d.now()), InFlight: d.view.inFlight(),
-		Demands: d.gate.Demands(),
+		Demands: d.gate.Demands(), Held: d.dispatch.Quarantine.ToTell(d.now(), heldTold),
 	}
 }
 
@@ -104,6 +105,30 @@
 	})
 	d.table.Observe(now, b.Observations)
 	d.shares.report(b.From, b.Demands)
+	if b.From != d.cfg.Name {
+		d.hearHeld(now, b)
+	}
+}
+
+// heldTold bounds the works that a beat tells of, by turns; one takes about 100 bytes.
+const heldTold = 16
+
+// hearHeld takes what another daemon knows of works under which upstreams ended.
+func (d *Daemon) hearHeld(now time.Time, b *peer.Beat) {
+	for i := range b.Held {
+		r := &b.Held[i]
+		if !d.dispatch.Quarantine.Hear(now, r) {
+			continue
+		}
+		if left := d.dispatch.Quarantine.Held(now, r.Work()); left > 0 {
+			d.logHeld(r, left, b.From)
+		}
+	}
+}
+
+// logHeld logs that work is held, and who told of it.
+func (d *Daemon) logHeld(r *quarantine.Report, left time.Duration, from ident.Daemon) {
+	d.Log.Info("work held", "customer", r.Customer, "content", r.Content.String(), "ends", len(r.Ends), "for-ms", left.Milliseconds(), "from", from)
 }
 
 func (d *Daemon) handleBeat(b *peer.Beat) peer.BeatReply {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/dunlinquay/dunlinquay/park"
 	"github.com/dunlinquay/dunlinquay/peer"
 	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 	"github.com/dunlinquay/dunlinquay/service"
@@ -221,6 +222,8 @@
 	x.Generate, x.Cancel = d.engines.Generate, d.engines.Cancel
 	x.InForce = func() error { return d.force.check(d.now(), d.view.revision()) }
 	x.Observe, x.Dropped = d.observe, d.metrics.dropped
+	x.Refuses = func(ctx context.Context, address string) bool { return transport.Refuses(ctx, d.network.Dial, address) }
+	x.Holds = func(r *quarantine.Report, left time.Duration) { d.logHeld(r, left, d.cfg.Name) }
 	x.Book = &ledger.Book{
 		Daemon: d.cfg.Name, Incarnation: d.incarnation,
 		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: d.now,
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
 	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
@@ -82,8 +83,9 @@
 
 // see renews the observations of every member.
 func (b *bench) see() {
-	for _, cell := range b.cells {
-		cell.Observe(time.Now(), &presence.Observation{Sight: presence.SightAnswer, Incarnation: "i", Epoch: 7, Slots: 8})
+	for i, cell := range b.cells {
+		life := b.targets[i].Members[0].Incarnation
+		cell.Observe(time.Now(), &presence.Observation{Sight: presence.SightAnswer, Incarnation: life, Epoch: 7, Slots: 8})
 	}
 }
 
@@ -385,3 +387,96 @@
 		}
 	}
 }
+
+// A caller sends a request again and again, to any of three daemons, that ends each upstream which runs it: they hear of each other's
+// upstreams, and after three ends it is refused at once, with when to come back. Work that is answered is never held.
+func TestWorkThatEndsUpstreamsIsHeld(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		t.Run(fmt.Sprintf("once %v", once), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var daemons []*bench
+				runs := 0
+				for _, name := range []string{"a", "b", "c"} {
+					daemons = append(daemons, endingBench(name))
+				}
+				for n := range 12 {
+					b := daemons[n%3]
+					time.Sleep(time.Second)
+					b.see()
+					r := b.request()
+					r.Content, r.Repeatable, r.Key = 7, !once, fmt.Sprint("key-", n)
+					_, err := b.Serve(t.Context(), r, nil)
+					if code := result.CodeOf(err); n >= 3 && code != result.WorkHeld {
+						t.Errorf("request %d got code %d, want %d", n, code, result.WorkHeld)
+					}
+					if n >= 3 && admission.RetryAfter(err) < 30*time.Second {
+						t.Errorf("request %d may come back after %v", n, admission.RetryAfter(err))
+					}
+					if left := b.Quarantine.Held(time.Now(), quarantine.Work{Customer: "c", Content: 8}); left > 0 {
+						t.Errorf("other work is held for %v", left)
+					}
+					tell(daemons)
+				}
+				for _, b := range daemons {
+					runs += b.runs
+				}
+				if runs > 4 {
+					t.Errorf("ran %d times, want 4 at most", runs)
+				}
+			})
+		})
+	}
+}
+
+// endingBench is a dispatcher whose upstreams all end under what they run.
+func endingBench(name string) *bench {
+	b := newBench()
+	for range 100 {
+		b.deeds = append(b.deeds, cutAt0)
+	}
+	b.Book = bookOn(ledger.NewMachine(), "a", "1")
+	lives := 0
+	b.Refuses = func(context.Context, string) bool {
+		lives++
+		b.renew(fmt.Sprint(name, lives))
+		return true
+	}
+	return b
+}
+
+// renew puts the next lives of the upstreams in place.
+func (b *bench) renew(names string) {
+	time.Sleep(time.Millisecond)
+	for i, target := range b.targets {
+		life := ident.Incarnation(fmt.Sprint(names, "-", i))
+		target.Members[0].Incarnation = life
+	}
+	b.see()
+}
+
+// tell lets all daemons hear what each has to tell.
+func tell(daemons []*bench) {
+	for _, from := range daemons {
+		for _, r := range from.Quarantine.ToTell(time.Now(), 16) {
+			for _, to := range daemons {
+				to.Quarantine.Hear(time.Now(), &r)
+			}
+		}
+	}
+}
+
+// What ends an upstream's connection while the upstream lives on holds no work.
+func TestCutsAloneHoldNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := endingBench("a")
+		b.Refuses = func(context.Context, string) bool { return false }
+		for range 5 {
+			b.see()
+			r := b.request()
+			r.Content = 7
+			if _, err := b.Serve(t.Context(), r, nil); result.CodeOf(err) != result.UpstreamFailed {
+				t.Errorf("got %v, want code %d", err, result.UpstreamFailed)
+			}
+		}
+	})
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 // A request goes through these steps, and each failure has one answer:
 //
 //	claim   not repeatable only: durable before anything is sent
+//	hold    work under which upstreams ended is refused
 //	admit   a refusal here has run nothing: the claim is given back
 //	take    a whole group with a free slot, checked at this moment
 //	send    certainly not run -> another try; may have run -> see below
@@ -25,6 +26,7 @@
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
@@ -53,6 +55,12 @@
 	Observe func(t *Timing)
 	// Dropped is told of answers that were not passed on because they were foreign, broken or out of order.
 	Dropped func(group ident.Group, code result.Code)
+	// Quarantine is the work that is held because upstreams ended under it.
+	Quarantine *quarantine.List
+	// Refuses reports whether an upstream's address refuses connections.
+	Refuses func(ctx context.Context, address string) bool
+	// Holds is told of work that is held from now on, and for how long.
+	Holds func(r *quarantine.Report, left time.Duration)
 	// Services serves plain services.
 	Services *Services
 
@@ -142,6 +150,9 @@
 
 // admitted passes the gate and gives back what it took.
 func (d *Dispatcher) admitted(ctx context.Context, r *Request, sink Sink, t *Timing) (*Answer, error) {
+	if err := d.held(r.work()); err != nil {
+		return nil, err
+	}
 	started := d.Now()
 	job := &job{d: d, r: r, sink: sink, t: t, started: started}
 	job.want = routing.Ask{Model: r.Model, Adapter: r.Adapter, Prefixes: routing.Prefixes(r.Prompt), PromptTokens: r.PromptTokens}
@@ -198,5 +209,9 @@
 		Observe: func(*Timing) {},
 		Dropped: func(ident.Group, result.Code) {},
 		Cancel:  func(context.Context, string, ident.Request) error { return nil },
+		Refuses: func(context.Context, string) bool { return false },
+		Holds:   func(*quarantine.Report, time.Duration) {},
+
+		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()},
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -35,8 +35,14 @@
 // run tries until there is a whole answer or no further try is allowed.
 func (j *job) run(ctx context.Context) (*Answer, error) {
 	for {
+		if err := j.d.begin(j.r.work()); err != nil {
+			j.d.Table.Done(j.target)
+			return nil, err
+		}
 		j.t.Tries++
+		target := j.target
 		answer, err := j.try(ctx)
+		j.d.concluded(j.r.work(), target.Head, target.Members[0].Incarnation, err)
 		if err == nil {
 			return answer, nil
 		}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 )
 
 // Request is one caller's request for a model's answer.
@@ -31,6 +32,12 @@
 	Repeatable bool
 	Key        string
 	Digest     ledger.Digest
+	// Content is the digest of the request's path and body.
+	Content ident.Content
+}
+
+func (r *Request) work() quarantine.Work {
+	return quarantine.Work{Customer: r.Customer, Content: r.Content}
 }
 
 // Answer is the whole answer to a request.
@@ -60,6 +67,12 @@
 	Once       bool
 	Key        string
 	Digest     ledger.Digest
+	// Content is the digest of the call's path and body.
+	Content ident.Content
+}
+
+func (c *Call) work() quarantine.Work {
+	return quarantine.Work{Customer: c.Customer, Content: c.Content}
 }
 
 // Reply is the whole answer of a plain service.
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -141,6 +142,9 @@
 }
 
 func (d *Dispatcher) admittedCall(ctx context.Context, c *Call, pool *ServicePool, t *Timing) (*Reply, error) {
+	if err := d.held(c.work()); err != nil {
+		return nil, err
+	}
 	started := d.Now()
 	var worker *Worker
 	ask := &admission.Ask{
@@ -164,13 +168,23 @@
 	return reply, err
 }
 
+// life names the life of a worker that ended under a try; workers of plain services have no ids, so each end counts by itself.
+func (c *Call) life(w *Worker, try int) ident.Incarnation {
+	return ident.Incarnation(w.Address + " " + string(c.ID) + " " + strconv.Itoa(try))
+}
+
 // callWorkers sends the call to worker, and to others as long as it surely did not run or may be repeated.
 func (d *Dispatcher) callWorkers(ctx context.Context, c *Call, pool *ServicePool, worker *Worker, t *Timing) (*Reply, error) {
 	ran := false
 	for {
+		if err := d.begin(c.work()); err != nil {
+			worker.inFlight.Add(-1)
+			return nil, err
+		}
 		t.Tries++
 		reply, err := d.Services.Send(ctx, worker.Address, c)
 		worker.inFlight.Add(-1)
+		d.concluded(c.work(), worker.Address, c.life(worker, t.Tries), err)
 		if err == nil {
 			return reply, nil
 		}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -5,6 +5,7 @@
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/presence"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/result"
 )
@@ -20,6 +21,8 @@
 	Observations []presence.Observation
 	InFlight     map[ident.Group]int
 	Demands      []admission.Demand
+	// Held are works under which upstreams ended, as the sender knows them.
+	Held []quarantine.Report
 }
 
 // BeatReply is the receiver's side; Shares come from the control leader only.
