--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -435,6 +435,7 @@
 		b.deeds = append(b.deeds, cutAt0)
 	}
 	b.Book = bookOn(ledger.NewMachine(), "a", "1")
+	b.renew(name)
 	lives := 0
 	b.Refuses = func(context.Context, string) bool {
 		lives++
