Tell the time by a clock that counts suspensions

Cause: Go's monotonic clock stops while a VM is suspended. A leader that wakes still holds its lease by it, and an entry believes in keys that were removed meanwhile, for as long as the lease and the keys' lapse had left. Change: package clock adds what CLOCK_BOOTTIME counted beyond the steady clock; quorum, site, relay, admission, dispatch, control and daemon go by it. The ledger and what operators see keep the time of day. A line says for how long the VM was suspended. TestASuspendedEntryServesNoOldKeys fails with a clock that counts nothing (status 200, 2 arrivals), TestASuspendedLeaderHoldsNoLease shows that the steady clock still holds the lease.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
@@ -53,7 +54,7 @@
 // NewController returns a gate without limits.
 func NewController() *Controller {
 	return &Controller{
-		Now:         time.Now,
+		Now:         clock.Now,
 		Capacity:    func(ident.Model) int { return 1 },
 		QueueLength: func(ident.Class) int { return defaultQueue },
 		ShareWait:   defaultShareWait,
--- a/caller/openai.go
+++ b/caller/openai.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -193,7 +194,7 @@
 	req := &p.Request
 	req.ID, req.Customer = ident.NewRequest(), customer
 	w.Header().Set(HeaderRequest, string(req.ID))
-	out := newWriter(w, p, s.Now())
+	out := newWriter(w, p, time.Now())
 	var sink dispatch.Sink
 	if req.Streamed {
 		sink = out.token
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/keys"
@@ -60,7 +61,7 @@
 func NewServer() *Server {
 	return &Server{
 		Customers: &keys.Ring[ident.Customer]{},
-		Now:       time.Now,
+		Now:       clock.Now,
 		Models:    func() []ident.Model { return nil },
 		Ready:     func() error { return nil },
 		Refused:   func(ident.Customer, result.Code) {},
@@ -181,7 +182,7 @@
 // body reads the whole body within its bounds of size and time.
 func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(s.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.BodyBytes)))
 	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
--- a/cmd/dunlinquay/run.go
+++ b/cmd/dunlinquay/run.go
@@ -57,6 +57,7 @@
 		return err
 	}
 	d.Log = log
+	logSuspensions(log)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, end := context.WithCancel(ctx)
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -6,9 +6,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/eventlog"
 	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/settings"
@@ -51,6 +54,7 @@
 	log := eventlog.New(os.Stdout)
 	logCtx, endLog := context.WithCancel(context.Background())
 	go log.Run(logCtx)
+	logSuspensions(log.Events())
 	defer log.Flush()
 	defer endLog()
 	reread := func() (*settings.Site, error) { return settings.LoadSite(file) }
@@ -60,6 +64,11 @@
 	return runEntry(ctx, cfg, log, reread)
 }
 
+// logSuspensions logs for how long the VM was suspended: leases, keys and news have aged by that.
+func logSuspensions(log logr.Logger) {
+	clock.OnAwake(func(away time.Duration) { log.Info("the VM was suspended", "for-ms", away.Milliseconds()) })
+}
+
 func runControl(ctx context.Context, cfg *settings.Site, log *eventlog.Log, reread func() (*settings.Site, error)) error {
 	c, err := site.NewControl(cfg)
 	if err != nil {
--- a/control/leader.go
+++ b/control/leader.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/planner"
@@ -57,7 +58,7 @@
 // NewLeader returns a leader without work.
 func NewLeader() *Leader {
 	return &Leader{
-		Now:        time.Now,
+		Now:        clock.Now,
 		Policy:     planner.DefaultPolicy(),
 		Registered: func() []fleet.VM { return nil },
 		Listings:   func() map[ident.VM]fleet.Listing { return nil },
--- a/control/orders.go
+++ b/control/orders.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -81,7 +82,7 @@
 
 // NewOrders returns an idle order giver.
 func NewOrders() *Orders {
-	return &Orders{Now: time.Now, Loads: defaultLoads, pending: map[ident.VM]*attempt{}, Failed: func(ident.VM, engine.OrderKind, error) {}}
+	return &Orders{Now: clock.Now, Loads: defaultLoads, pending: map[ident.VM]*attempt{}, Failed: func(ident.VM, engine.OrderKind, error) {}}
 }
 
 // Wait returns when no order is on its way.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/dunlinquay/dunlinquay/admission"
 	"github.com/dunlinquay/dunlinquay/caller"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/control"
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/engine"
@@ -98,7 +99,7 @@
 // New opens the data folder and the listeners that cfg names; Run starts the work.
 func New(cfg *settings.Settings, network Network) (*Daemon, error) {
 	d := &Daemon{
-		Log: logr.Discard(), network: network, cfg: cfg, incarnation: ident.NewIncarnation(), tasks: park.New(), now: time.Now,
+		Log: logr.Discard(), network: network, cfg: cfg, incarnation: ident.NewIncarnation(), tasks: park.New(), now: clock.Now,
 		machine: fleet.NewMachine(),
 		members: presence.NewMembers(cfg.Times.Beat.Std() * liveBeats),
 		table:   presence.NewTable(),
@@ -226,7 +227,7 @@
 	x.Holds = func(r *quarantine.Report, left time.Duration) { d.logHeld(r, left, d.cfg.Name) }
 	x.Book = &ledger.Book{
 		Daemon: d.cfg.Name, Incarnation: d.incarnation,
-		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: d.now,
+		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: time.Now,
 		Propose: d.proposeLedger,
 	}
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -272,7 +272,7 @@
 	if c.Instance != instanceLedger {
 		return nil
 	}
-	return ledger.CheckClock(c.Data, m.d.now())
+	return ledger.CheckClock(c.Data, time.Now())
 }
 
 // admit takes a member with a new data folder in the place of the one with the same name, first without a vote.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
@@ -74,7 +75,7 @@
 // Serve returns the whole answer of r; with a sink the text has also gone there token by token.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, sink Sink) (*Answer, error) {
 	started := d.Now()
-	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, r.Deadline.Sub(started), errDeadline)
 	defer cancel()
 	t := &Timing{Request: r.ID, Customer: r.Customer, Class: r.Class}
 	answer, err := d.claimed(ctx, r, sink, t)
@@ -125,7 +126,9 @@
 	ctx context.Context, key ledger.Key, digest ledger.Digest, deadline time.Time, t *Timing, run func() ([]byte, error),
 ) ([]byte, error) {
 	// The claim reads as in progress until the run has surely ended.
-	claim, stored, err := d.Book.Claim(ctx, key, digest, deadline.Add(unknownGrace))
+	// The ledger goes by the time of day, on which the clock of requests says nothing.
+	ends := time.Now().Add(deadline.Sub(d.Now()) + unknownGrace)
+	claim, stored, err := d.Book.Claim(ctx, key, digest, ends)
 	if err != nil || claim == nil {
 		return stored, err
 	}
@@ -203,7 +206,7 @@
 // NewDispatcher returns a dispatcher that is always in force and observed by nobody.
 func NewDispatcher() *Dispatcher {
 	return &Dispatcher{
-		Now:     time.Now,
+		Now:     clock.Now,
 		Budget:  NewBudget(1),
 		InForce: func() error { return nil },
 		Observe: func(*Timing) {},
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -99,7 +99,7 @@
 // ServeCall returns the whole reply of a plain service.
 func (d *Dispatcher) ServeCall(ctx context.Context, c *Call) (*Reply, error) {
 	started := d.Now()
-	ctx, cancel := context.WithDeadlineCause(ctx, c.Deadline, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.Deadline.Sub(started), errDeadline)
 	defer cancel()
 	t := &Timing{Request: c.ID, Customer: c.Customer, Class: c.Class, Group: ident.Group(ServiceModel(c.Service))}
 	reply, err := d.claimedCall(ctx, c, t)
--- a/quorum/lease_test.go
+++ b/quorum/lease_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/quorum"
 )
 
@@ -212,3 +213,33 @@
 		}
 	}
 }
+
+// A leader whose VM was suspended for longer than its lease wakes after another one was elected. By a steady clock, which does not
+// count the time, it would still hold its lease and serve reads that are out of date; by the clock that counts it, it does not.
+func TestASuspendedLeaderHoldsNoLease(t *testing.T) {
+	g, leader, _, _ := idle(t)
+	g.run(timing.Heartbeat, func() {})
+	away := time.Duration(0)
+	steady := func() time.Duration { return time.Duration(float64(g.elapsed-away) * leader.rate) }
+	read := func() clock.Reading {
+		return clock.Reading{Time: g.base.Add(time.Duration(float64(g.elapsed) * leader.rate)), Steady: steady()}
+	}
+	c := clock.New(read, func() time.Duration { return away })
+	before := c.Now().Sub(g.base)
+	lease := leader.core.Status().Lease.Sub(g.base)
+	leader.up = false
+	slept := g.elapsed
+	g.run(5*timing.Election, func() {})
+	away = g.elapsed - slept
+	leader.up = true
+	successor := false
+	for _, m := range g.members {
+		successor = successor || m != leader && m.core.Status().Role == quorum.RoleLeader
+	}
+	if !successor || steady() >= lease {
+		t.Fatalf("the play shows nothing: successor %v, steady clock at %v, lease until %v", successor, steady(), lease)
+	}
+	if now := c.Now().Sub(g.base); now < lease || now < before {
+		t.Errorf("the clock says %v after the suspension, the lease ended at %v", now, lease)
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/park"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -115,7 +116,7 @@
 func NewNode(store *Store) *Node {
 	n := &Node{
 		SnapshotEvery: defaultSnapEvery,
-		Now:           time.Now,
+		Now:           clock.Now,
 		Applied:       func(Index) {},
 		Log:           logr.Discard(),
 		store:         store,
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -41,7 +42,7 @@
 
 // NewBudget returns an empty budget for one entry.
 func NewBudget(rule BudgetRule) *Budget {
-	return &Budget{Rule: rule, Now: time.Now, entries: 1, services: map[ident.Service][]second{}}
+	return &Budget{Rule: rule, Now: clock.Now, entries: 1, services: map[ident.Service][]second{}}
 }
 
 // SetEntries tells how many entries share the rule.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
@@ -99,7 +100,7 @@
 // New returns a relay that knows no configuration yet.
 func New(names Names, dial transport.Dial) *Relay {
 	s := &Relay{
-		Names: names, Dial: dial, Now: time.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
+		Names: names, Dial: dial, Now: clock.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, Note: func(*Holding) {},
 		copied: roster.NewCopy(),
 		lanes:  map[ident.Incarnation]*lane{},
@@ -109,7 +110,7 @@
 		queues: map[ident.Model]*overload.Queue[*waiting]{},
 		usual:  map[ident.Class]*overload.Usual{},
 		turns:  map[ident.Model]chan struct{}{},
-		began:  time.Now(), informed: make(chan struct{}),
+		began:  clock.Now(), informed: make(chan struct{}),
 	}
 	s.fleet = newFleet(s.copied, nil, nil)
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
--- /dev/null
+++ b/relay/suspended_test.go
@@ -0,0 +1,52 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/clock"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// suspendable is the clock of a VM that can be suspended.
+type suspendable struct {
+	began time.Time
+	away  time.Duration
+}
+
+func (s *suspendable) clock() *clock.Clock {
+	read := func() clock.Reading {
+		now := time.Now()
+		return clock.Reading{Time: now.Add(s.away), Steady: now.Sub(s.began)}
+	}
+	return clock.New(read, func() time.Duration { return s.away })
+}
+
+// An entry that was suspended past the lapse of keys serves none on what it had heard before: a key may have been taken away
+// meanwhile.
+func TestASuspendedEntryServesNoOldKeys(t *testing.T) {
+	vm := &suspendable{began: time.Now()}
+	u := newUpstream(t, always(whole))
+	s := newSite(t, []*upstream{u}, nil)
+	s.relay.Now = vm.clock().Now
+	s.relay.SetWord(s.relay.Now())
+	if got := s.do(s.request("POST", "/safe/x", "before", "")); got.Status != http.StatusOK {
+		t.Fatalf("status %d before the suspension", got.Status)
+	}
+	vm.away = 5 * time.Second
+	if got := s.do(s.request("POST", "/safe/x", "after", "")); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("status %d after a suspension past the lapse of keys, want 503", got.Status)
+	}
+	s.relay.Wait()
+	if got := s.records[len(s.records)-1].Code; got != result.ControlUnreachable {
+		t.Errorf("code %d, want %d", got, result.ControlUnreachable)
+	}
+	if n := len(u.arrivals()); n != 1 {
+		t.Errorf("%d requests reached the upstream, want the one before the suspension", n)
+	}
+	s.relay.SetWord(s.relay.Now())
+	if got := s.do(s.request("POST", "/safe/x", "informed", "")); got.Status != http.StatusOK {
+		t.Errorf("status %d after newer word", got.Status)
+	}
+}
--- a/site/calls.go
+++ b/site/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -112,14 +113,14 @@
 		c.takeReports(r, call.Reports)
 		return PassReply{}, nil
 	case CallLeave:
-		r.roster.Leave(time.Now(), call.Upstream)
+		r.roster.Leave(clock.Now(), call.Upstream)
 		return PassReply{}, nil
 	case CallReplace:
 		return PassReply{}, c.replace(ctx, timeout, call)
 	case CallRead:
 		return c.read()
 	case CallInspect:
-		s := r.state(time.Now())
+		s := r.state(clock.Now())
 		return PassReply{State: &s}, nil
 	}
 	return PassReply{}, result.New(result.PeerRefused, "unknown call %s", call.Kind)
@@ -134,13 +135,13 @@
 			c.Unusable(report.ID.UpstreamID(), result.New(result.ReportUnusable, "service %q is not declared", report.Service))
 			continue
 		}
-		r.roster.Take(time.Now(), report)
+		r.roster.Take(clock.Now(), report)
 	}
 }
 
 // Unusable logs a report that names nothing to use, at most one each second; the line tells how many came since the last one.
 func (c *Control) Unusable(id string, why error) {
-	if many, ok := c.unusable.next(time.Now()); ok {
+	if many, ok := c.unusable.next(clock.Now()); ok {
 		c.Log.Info("report of no use", "upstream", id, "code", int(result.CodeOf(why)), "why", result.Message(why), "since-last", many)
 	}
 }
@@ -195,7 +196,7 @@
 		}
 		reply.Changes = r.shown(call).Since(since)
 	}
-	c.takeHeld(time.Now(), call, &reply)
+	c.takeHeld(clock.Now(), call, &reply)
 	if call.Entry {
 		reply.Lists = r.changedLists(call)
 	}
@@ -216,7 +217,7 @@
 // usable reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
 // copy of the whole.
 func (r *reign) usable(call *SyncCall) bool {
-	return call.Reign == "" || call.Reign == r.name || r.settled(time.Now())
+	return call.Reign == "" || call.Reign == r.name || r.settled(clock.Now())
 }
 
 // shown is what the caller gets of the roster.
--- a/site/control.go
+++ b/site/control.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/disk"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -248,7 +249,7 @@
 // Earlier leases are over: each of its voters had not heard another leader for the election time, which is longer than a
 // lease, and a leader that hands over gives its lease up first.
 func (c *Control) leads() bool {
-	return c.node.HoldsLease(time.Now()) && c.node.Status().Current
+	return c.node.HoldsLease(clock.Now()) && c.node.Status().Current
 }
 
 // leader returns the peers' address of the leader that this daemon knows, or nothing.
@@ -257,7 +258,7 @@
 	if s.Role == quorum.RoleLeader {
 		return string(c.self.Name)
 	}
-	if s.Leader != "" && time.Since(s.Heard) < c.Settings.Times.Election.Std() {
+	if s.Leader != "" && clock.Since(s.Heard) < c.Settings.Times.Election.Std() {
 		return string(s.Leader)
 	}
 	if known := c.directory.knownLeader(); known != string(c.self.Name) {
@@ -292,12 +293,12 @@
 			call.From = string(c.self.Name)
 			// The log brings the configuration here.
 			call.Version = c.machine.Held().Version
-			call.HeldSum = c.held.Sum(time.Now())
+			call.HeldSum = c.held.Sum(clock.Now())
 		},
 		apply:  c.applySync,
 		reread: c.reread,
 	}
-	f.found = time.Now()
+	f.found = clock.Now()
 	for ctx.Err() == nil {
 		if c.node.Status().Role == quorum.RoleLeader {
 			f.reign, f.revision = "", 0
@@ -316,14 +317,14 @@
 }
 
 func (c *Control) applySync(_ time.Time, r *SyncReply) bool {
-	c.hearHeld(time.Now(), r.Held)
+	c.hearHeld(clock.Now(), r.Held)
 	if !r.Usable {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.copied.Apply(&r.Changes)
-	c.copiedAt = time.Now()
+	c.copiedAt = clock.Now()
 	c.copiedOf = r.Reign
 	return true
 }
--- a/site/entries.go
+++ b/site/entries.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
@@ -73,7 +74,7 @@
 		return nil, len(r.entries)
 	}
 	r.forgetSeen(old)
-	now := time.Now()
+	now := clock.Now()
 	if old == nil || old.hall != call.Hall {
 		r.lists = nil
 	}
--- a/site/follow.go
+++ b/site/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -37,7 +38,7 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	f.found = time.Now()
+	f.found = clock.Now()
 	for ctx.Err() == nil {
 		if f.once() {
 			f.regained()
@@ -55,7 +56,7 @@
 	}
 	call := &SyncCall{Reign: f.reign, Revision: f.revision, Version: f.version}
 	f.describe(call)
-	began := time.Now()
+	began := clock.Now()
 	reply, err := f.peers.sync(address, call)
 	if err != nil {
 		f.directory.forgetLeader(address)
@@ -84,7 +85,7 @@
 }
 
 func (f *follower) regained() {
-	f.found = time.Now()
+	f.found = clock.Now()
 	if f.lost {
 		f.lost = false
 		f.log.Info("control leader found", "leader", f.directory.knownLeader(), "reign", f.reign)
@@ -92,7 +93,7 @@
 }
 
 func (f *follower) missed(ctx context.Context) {
-	away := time.Since(f.found)
+	away := clock.Since(f.found)
 	if !f.lost && away > seedsAfter/2 {
 		f.lost = true
 		f.log.Info("control leader lost", "for-ms", away.Milliseconds(), "known", f.directory.list())
--- a/site/members.go
+++ b/site/members.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/result"
 )
@@ -50,7 +51,7 @@
 			c.admit(ctx, &s)
 		case c.Settings.FirstStart && !c.working(&s) && c.isFirstSeed():
 			c.form(ctx, &s)
-		case time.Since(s.Heard) > joinAfter || !isMember(&s, c.self):
+		case clock.Since(s.Heard) > joinAfter || !isMember(&s, c.self):
 			c.askToJoin()
 		}
 		pause(ctx, memberInterval)
@@ -149,7 +150,7 @@
 	leads := s.Role == quorum.RoleLeader
 	if leads && !isMember(&s, call.ID) {
 		c.mu.Lock()
-		c.strangers[call.ID] = time.Now()
+		c.strangers[call.ID] = clock.Now()
 		c.mu.Unlock()
 	}
 	return JoinReply{Leads: leads, Leader: c.leader()}
@@ -157,7 +158,7 @@
 
 // admit changes the members by one step when something calls for it.
 func (c *Control) admit(ctx context.Context, s *quorum.Status) {
-	members, why := nextMembers(time.Now(), s, c.freshStrangers(s))
+	members, why := nextMembers(clock.Now(), s, c.freshStrangers(s))
 	if members == nil {
 		return
 	}
@@ -175,7 +176,7 @@
 	defer c.mu.Unlock()
 	var list []quorum.MemberID
 	for id, at := range c.strangers {
-		if time.Since(at) > strangerFor || isMember(s, id) {
+		if clock.Since(at) > strangerFor || isMember(s, id) {
 			delete(c.strangers, id)
 			continue
 		}
--- a/site/memory.go
+++ b/site/memory.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -40,7 +41,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, memoryInterval)
 		name, d := c.newestRoster()
-		held := c.held.Sum(time.Now())
+		held := c.held.Sum(clock.Now())
 		if d == nil || name == reign && d.Revision == written && held == sum {
 			continue
 		}
@@ -68,7 +69,7 @@
 }
 
 func (c *Control) remember(d *roster.Delta) error {
-	held := c.held.HeldNow(time.Now())
+	held := c.held.HeldNow(clock.Now())
 	content, err := cbor.Marshal(remembered{d.Upstreams, d.Groups, held[:min(len(held), heldKept)]})
 	if err != nil {
 		return err
@@ -87,7 +88,7 @@
 		c.Log.Error(err, "remembered roster cannot be read")
 		return
 	}
-	c.hearHeld(time.Now(), m.Held)
+	c.hearHeld(clock.Now(), m.Held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.copied.Apply(&roster.Delta{Full: true, Upstreams: m.Upstreams, Groups: m.Groups})
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -161,7 +162,7 @@
 	to := b.all.Load().of(n.to)
 	if n.news.OfPrompt() {
 		// What is said of whether a group works is little, and all of it counts.
-		to = b.told(time.Now(), to)
+		to = b.told(clock.Now(), to)
 	}
 	for _, to := range to {
 		// A neighbour that can't be reached is one that needs no news; the leader's next list leaves it out.
--- a/site/paces.go
+++ b/site/paces.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
@@ -200,6 +201,6 @@
 	if (pace >= replicaset.SlowPace) != (a.pace >= replicaset.SlowPace) {
 		p.log.Info("pace of an upstream changed", "upstream", id, "from", a.pace, "to", pace)
 	}
-	a.told, a.pace = time.Now(), pace
+	a.told, a.pace = clock.Now(), pace
 	p.answers[id] = a
 }
--- a/site/probes.go
+++ b/site/probes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -87,7 +88,7 @@
 	r := p.results[id]
 	r.failed = time.Time{}
 	if err != nil {
-		r.failed = time.Now()
+		r.failed = clock.Now()
 	}
 	p.results[id] = r
 }
--- a/site/reign.go
+++ b/site/reign.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quorum"
@@ -52,9 +53,10 @@
 }
 
 type reign struct {
-	c      *Control
-	name   Reign
-	term   quorum.Term
+	c    *Control
+	name Reign
+	term quorum.Term
+	// began is a time of day, for operators.
 	began  time.Time
 	roster *roster.Roster
 	// view is what entries get of the roster.
@@ -89,9 +91,9 @@
 const answersLength = 256
 
 func (c *Control) newReign(s *quorum.Status) *reign {
-	now := time.Now()
+	now := clock.Now()
 	r := &reign{
-		c: c, term: s.Term, began: now, roster: roster.New(),
+		c: c, term: s.Term, began: time.Now(), roster: roster.New(),
 		name:       Reign(string(c.self.Folder) + "/" + strconv.FormatUint(uint64(s.Term), 10)),
 		formations: map[ident.Service]*replicaset.Formation{},
 		answers:    make(chan orderAnswer, answersLength),
@@ -159,7 +161,7 @@
 	}
 	if r == nil && c.leads() {
 		r = c.newReign(&s)
-		c.Log.Info("reign began", "reign", r.name, "settled-in-ms", max(0, time.Until(r.settleAt).Milliseconds()),
+		c.Log.Info("reign began", "reign", r.name, "settled-in-ms", max(0, r.settleAt.Sub(clock.Now()).Milliseconds()),
 			"upstreams", len(r.roster.Since(0).Upstreams), "version", c.machine.Held().Version)
 		c.reign.Store(r)
 	}
@@ -197,7 +199,7 @@
 		a := <-r.answers
 		r.answered(&a)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if !r.c.leads() {
 		return
 	}
