--- a/soak/callers.go
+++ b/soak/callers.go
@@ -105,7 +105,7 @@
 	r := &request{id: c.name + "-" + strconv.Itoa(c.sent), repeatable: k.repeatable, key: c.key()}
 	ctx, cancel := context.WithTimeout(ctx, callerWait)
 	defer cancel()
-	req, err := c.request(ctx, k, r)
+	req, err := c.request(ctx, k, r, []byte(r.id))
 	if err != nil {
 		c.s.truth.breaksf("a request cannot be built: %v", err)
 		return
@@ -129,8 +129,7 @@
 	}
 }
 
-func (c *caller) request(ctx context.Context, k kind, r *request) (*http.Request, error) {
-	body := []byte(r.id)
+func (c *caller) request(ctx context.Context, k kind, r *request, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.link.address()+k.path, transport.Body(body))
 	if err != nil {
 		return nil, err
@@ -162,6 +161,9 @@
 		}
 		c.s.truth.answered("denied")
 	default:
+		if text, _ := io.ReadAll(resp.Body); strings.Contains(string(text), heldCode) {
+			c.s.truth.breaksf("%s holds request %s, whose body nobody sent before", at.name, r.id)
+		}
 		c.s.truth.answered("failed " + strconv.Itoa(resp.StatusCode))
 	}
 }
@@ -223,7 +225,7 @@
 	r := &request{id: c.name + "-" + strconv.Itoa(c.sent), repeatable: k.repeatable, key: stableKey}
 	ctx, cancel := context.WithTimeout(ctx, callerWait)
 	defer cancel()
-	req, err := c.request(ctx, k, r)
+	req, err := c.request(ctx, k, r, []byte(r.id))
 	if err != nil {
 		return false
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,25 +23,27 @@
 	name    string
 	planned bool
 	weight  int
-	do      func(s *soak, ctx context.Context, random *rand.Rand) string
+	// leaves is set when entries go on as they were, and know each other.
+	leaves bool
+	do     func(s *soak, ctx context.Context, random *rand.Rand) string
 }
 
 var faults = []fault{
-	{"stop an entry", true, 3, (*soak).stopEntry},
-	{"stop a control daemon", true, 2, (*soak).stopControl},
-	{"read settings again", true, 3, (*soak).hangUp},
-	{"an upstream leaves", true, 3, (*soak).drainUpstream},
-	{"an upstream comes", true, 2, (*soak).addUpstream},
-	{"kill an entry", false, 3, (*soak).killEntry},
-	{"kill a control daemon", false, 3, (*soak).killControl},
-	{"kill all control daemons", false, 1, (*soak).killControls},
-	{"lose a folder", false, 1, (*soak).loseFolder},
-	{"pause a process", false, 4, (*soak).freeze},
-	{"weather on a link", false, 8, (*soak).storm},
-	{"reset connections", false, 3, (*soak).resets},
-	{"an upstream crashes", false, 5, (*soak).crashUpstream},
-	{"answers get lost", false, 3, (*soak).loseAnswers},
-	{"an upstream turns slow", false, 3, (*soak).slowUpstream},
+	{"stop an entry", true, 3, false, (*soak).stopEntry},
+	{"stop a control daemon", true, 2, false, (*soak).stopControl},
+	{"read settings again", true, 3, false, (*soak).hangUp},
+	{"an upstream leaves", true, 3, false, (*soak).drainUpstream},
+	{"an upstream comes", true, 2, false, (*soak).addUpstream},
+	{"kill an entry", false, 3, false, (*soak).killEntry},
+	{"kill a control daemon", false, 3, true, (*soak).killControl},
+	{"kill all control daemons", false, 1, true, (*soak).killControls},
+	{"lose a folder", false, 1, false, (*soak).loseFolder},
+	{"pause a process", false, 4, false, (*soak).freeze},
+	{"weather on a link", false, 8, false, (*soak).storm},
+	{"reset connections", false, 3, false, (*soak).resets},
+	{"an upstream crashes", false, 5, true, (*soak).crashUpstream},
+	{"answers get lost", false, 3, true, (*soak).loseAnswers},
+	{"an upstream turns slow", false, 3, true, (*soak).slowUpstream},
 }
 
 // trouble does one thing after the other, so that their effects overlap.
@@ -58,13 +60,13 @@
 func (s *soak) pickFault(random *rand.Rand) *fault {
 	total := 0
 	for i := range faults {
-		if faults[i].planned || !s.Planned {
+		if s.plays(&faults[i]) {
 			total += faults[i].weight
 		}
 	}
 	n := random.IntN(total)
 	for i := range faults {
-		if !faults[i].planned && s.Planned {
+		if !s.plays(&faults[i]) {
 			continue
 		}
 		if n -= faults[i].weight; n < 0 {
@@ -74,6 +76,17 @@
 	return &faults[0]
 }
 
+// plays reports whether the plan has that fault in it.
+func (s *soak) plays(f *fault) bool {
+	switch {
+	case s.Fatal:
+		return f.planned || f.leaves
+	case s.Planned:
+		return f.planned
+	}
+	return true
+}
+
 // between draws a time.
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -47,7 +47,14 @@
 		e.truth.breaksf("%s gets request %s %v after its leaving was acknowledged", e.id, id, late)
 	}
 	// The body is read before work begins; a request that does not arrive whole does not run.
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if isFatal(body) {
+		e.truth.runs(id, e.id)
+		pause(e.ctx, eventTime)
+		e.ends(string(body))
 		panic(http.ErrAbortHandler)
 	}
 	if e.service == plainService {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,8 @@
 	Folder string
 	// Planned leaves out everything that no operator would do on purpose.
 	Planned bool
+	// Fatal lets requests come that end what runs them, beside planned things, crashes of upstreams and losses of control.
+	Fatal bool
 	// Untimed leaves out what depends on the speed of the machine.
 	Untimed bool
 	// Block chooses the loopback addresses; runs of one seed at the same time want different ones.
@@ -83,7 +85,7 @@
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	s := &soak{Plan: *plan, truth: newTruth(), prober: transport.New(transport.Fresh, transport.TCP()), wiped: time.Now()}
-	s.ctx = ctx
+	s.ctx, s.truth.untimed = ctx, plan.Untimed
 	err := s.start(ctx)
 	if err == nil {
 		s.play(ctx)
@@ -108,6 +110,9 @@
 		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
 		s.tasks.Go(func() { c.run(load) })
 	}
+	if s.Fatal {
+		s.tasks.Go(func() { s.sendFatals(load, s.random(3)) })
+	}
 	for i, d := range s.entries {
 		s.tasks.Go(func() { s.probe(load, d, s.random(uint64(200+i))) })
 	}
@@ -251,6 +256,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.watched = s.Planned && !s.Untimed
+	e.replaced = func() { s.replaceLater(s.ctx, e, between(s.random(hashOf(string(id))), time.Second, 3*time.Second)) }
 	return string(id)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,13 +21,15 @@
 		name    string
 		seed    uint64
 		planned bool
+		fatal   bool
 	}{
-		{"faults", 1, false},
-		{"planned stops and changes", 4, true},
+		{"faults", 1, false, false},
+		{"planned stops and changes", 4, true, false},
+		{"requests that end what runs them", 7, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			report, err := soak.Run(t.Context(), &soak.Plan{
-				Seed: c.seed, Planned: c.planned, Untimed: true, Block: 1, Length: 6 * time.Second, Binary: binary, Folder: t.TempDir(),
+				Seed: c.seed, Planned: c.planned, Fatal: c.fatal, Untimed: true, Block: 1, Length: 6 * time.Second, Binary: binary, Folder: t.TempDir(),
 				Controls: 3, Entries: 2, Engines: 8, Plains: 2,
 			})
 			if err != nil {
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -54,6 +54,10 @@
 	acked   httproute.Version
 	// history holds when each version was acknowledged, in order.
 	history []acceptance
+	// fatals are the bodies that end what runs them.
+	fatals map[string]*fatal
+	// untimed leaves out checks that depend on the speed of the machine.
+	untimed bool
 	broken  []string
 	answers map[string]int
 }
@@ -61,7 +65,7 @@
 func newTruth() *truth {
 	return &truth{
 		began: time.Now(), requests: map[string]*request{}, removed: map[string]time.Time{},
-		engines: map[ident.Incarnation]*engine{}, answers: map[string]int{},
+		engines: map[ident.Incarnation]*engine{}, answers: map[string]int{}, fatals: map[string]*fatal{},
 	}
 }
 
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -61,6 +61,8 @@
 	end     context.CancelFunc
 	link    *link
 	changed chan struct{}
+	// replaced lets another upstream come in the place of this one.
+	replaced func()
 
 	mu       sync.Mutex
 	gone     bool
