Bound what a caller may claim by what an engine can hold

Cause: found by sending any headers to a whole entry: one request that claims the largest number of tokens made the demand of its model negative, which the leader plans groups by. Change: tokens of prompt and answer count for no more than the engine's memory (kvCapacityTokens), 2^20 where it is not known; FuzzRequests, with the seed that showed it.

--- a/httproute/config.go
+++ b/httproute/config.go
@@ -91,6 +91,8 @@
 	// FarFactor is how many times slower a group is when its members are in different domains.
 	FarFactor float64
 	Usual     Usual
+	// Memory is how many tokens the requests of one replica may have together, 0 when that is not known.
+	Memory ident.Tokens
 }
 
 // Usual is the mean size of requests, in tokens.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -185,13 +185,21 @@
 	x.s.demand[x.model] = d
 }
 
+// claimMost bounds the tokens that a caller may claim where an engine does not say what it can hold. Without a bound one request
+// with the largest number made the demand of its model, which the leader plans by, negative.
+const claimMost = 1 << 20
+
 // tokens returns the tokens of the prompt, and those expected of the answer: the caller's estimate within the most that it
-// allows, or without one what is usual.
+// allows, or without one what is usual. More than an engine can hold runs nowhere and counts for no more than that.
 func (x *exchange) tokens() (prompt, answer ident.Tokens) {
 	before, after, _ := strings.Cut(x.r.Header.Get(x.s.Names.Tokens), ",")
-	prompt, _ = tokenCount(before)
-	most, bounded := tokenCount(after)
-	answer, known := tokenCount(x.r.Header.Get(x.s.Names.Estimate))
+	holds := ident.Tokens(claimMost)
+	if x.service.Engine.Memory > 0 {
+		holds = x.service.Engine.Memory
+	}
+	prompt, _ = tokenCount(before, holds)
+	most, bounded := tokenCount(after, holds)
+	answer, known := tokenCount(x.r.Header.Get(x.s.Names.Estimate), holds)
 	if !known {
 		answer = x.service.Engine.Usual.Answer
 	}
@@ -201,13 +209,14 @@
 	return prompt, answer
 }
 
-// tokenCount reads a number of tokens; one that can't be read is not known here, the engine answers for it.
-func tokenCount(text string) (ident.Tokens, bool) {
+// tokenCount reads a number of tokens, of which no more than most count; one that can't be read is not known here, the engine answers
+// for it.
+func tokenCount(text string, most ident.Tokens) (ident.Tokens, bool) {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
 	if err != nil || n < 0 {
 		return 0, false
 	}
-	return ident.Tokens(n), true
+	return min(ident.Tokens(n), most), true
 }
 
 // toRead are the tokens that an engine has to read before the next event: the prompt, and what was written of the answer before.
--- /dev/null
+++ b/relay/request_fuzz_test.go
@@ -0,0 +1,109 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// FuzzRequests sends requests with any headers to a whole entry: none ends it, and the next one is served.
+func FuzzRequests(f *testing.F) {
+	for _, seed := range [][]string{
+		{"POST", "/stream/x", "800,40", "40", "6000", "3", "m", "body"},
+		{"GET", "/safe/x", "", "", "", "", "", ""},
+		{"POST", "/stream/x", "9223372036854775807,9223372036854775807", "9223372036854775807", "9223372036854775807", "9223372036854775807", "m", "b"},
+		{"POST", "/stream/x", "-1,-1", "-5", "-1", "-9", "m", ""},
+		{"POST", "/stream/x", ",", "NaN", "0", "x", "no such model", "\x00"},
+		{"DELETE", "/once/x?a=%zz", "1e9,2", "3", "1", "00000000000000000000000000001", "m", "b"},
+	} {
+		f.Add(seed[0], seed[1], seed[2], seed[3], seed[4], seed[5], seed[6], seed[7])
+	}
+	f.Fuzz(func(t *testing.T, method, path, tokens, estimate, deadline, event, model, body string) {
+		r, err := http.NewRequest(method, "http://h"+path, strings.NewReader(body))
+		if err != nil || !strings.HasPrefix(path, "/") {
+			t.Skip()
+		}
+		s, end := wholeEntry()
+		defer end()
+		r.RequestURI = r.URL.RequestURI()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for name, value := range map[string]string{
+			"Tokens": tokens, "Estimate": estimate, "Deadline": deadline, "Event": event, "Model": model, "Request": "one", "Key": "secret",
+		} {
+			r.Header.Set(name, value)
+		}
+		serveSafely(t, s, r.WithContext(ctx))
+		next := httptest.NewRequest(http.MethodPost, "/stream/x", strings.NewReader("next"))
+		next.Host = "h"
+		for name, value := range map[string]string{"Request": "next", "Key": "secret", "Model": "m", "Tokens": "800,40", "Deadline": "6000"} {
+			next.Header.Set(name, value)
+		}
+		if got := serveSafely(t, s, next); got != http.StatusOK {
+			t.Errorf("the next request got status %d", got)
+		}
+		if _, demand := s.Look(); demand["m"].Prompt < 0 || demand["m"].Answer < 0 {
+			t.Errorf("demand below zero: %+v", demand["m"])
+		}
+	})
+}
+
+// serveSafely serves one request, which may end in no other panic than an answer that is cut off, and returns its status.
+func serveSafely(t *testing.T, s *relay.Relay, r *http.Request) int {
+	w := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if p := recover(); p != nil {
+				if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+					t.Fatalf("panic: %v", p)
+				}
+			}
+		}()
+		s.ServeHTTP(w, r)
+	}()
+	return w.Code
+}
+
+// wholeEntry returns an entry before two engines that answer at once.
+func wholeEntry() (s *relay.Relay, end func()) {
+	var conns []net.Conn
+	var mu sync.Mutex
+	u := &upstream{play: always(func(c net.Conn, r *http.Request) bool { return stream(c, r, 1, 2, true) })}
+	s = relay.New(names(), func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, near, far)
+		go u.serve(far)
+		return near, nil
+	})
+	s.KeysLapse = time.Hour
+	s.Budget = relay.NewBudget(relay.BudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
+	s.SetConfig(timedConfig())
+	d := roster.Delta{Full: true, Revision: 1}
+	for _, id := range []ident.Incarnation{"h0", "h1"} {
+		d.Upstreams = append(d.Upstreams, roster.Upstream{ID: id, Service: "model", Address: string(id), Slots: 4})
+		d.Groups = append(d.Groups, roster.Group{
+			Name: ident.Group("g" + id), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{id},
+		})
+	}
+	s.SetRoster(&d)
+	s.SetWord(time.Now())
+	return s, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
