--- a/relay/request_fuzz_test.go
+++ b/relay/request_fuzz_test.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/roster"
 )
@@ -107,3 +109,33 @@
 		}
 	}
 }
+
+// FuzzNews lets an entry hear anything of another one: it goes on, and the next request is served.
+func FuzzNews(f *testing.F) {
+	f.Add("h0", int64(700), int64(0), int64(0), uint32(0), int64(0), 0)
+	f.Add("h0", int64(0), int64(1<<62), int64(0), uint32(0), int64(0), 0)
+	f.Add("h1", int64(0), int64(0), int64(-1<<62), uint32(0), int64(0), 0)
+	f.Add("", int64(1<<62), int64(-5), int64(-5), uint32(1<<31), int64(-1<<62), 40)
+	f.Fuzz(func(t *testing.T, head string, prompt, silent, worked int64, cleared uint32, age int64, ends int) {
+		s, end := wholeEntry()
+		defer end()
+		n := relay.News{Head: ident.Incarnation(head), Prompt: ident.Tokens(prompt), Silent: silent, Worked: worked}
+		if ends > 0 {
+			n.Work = &quarantine.Report{Customer: "office", Content: quarantine.ContentOf("/stream/x", []byte("other")), Cleared: cleared, AgeMS: age}
+			for i := range min(ends, 100) {
+				n.Work.Ends = append(n.Work.Ends, quarantine.End(i*i))
+			}
+		}
+		for i := range 3 {
+			s.Hear(n, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7))
+		}
+		next := httptest.NewRequest(http.MethodPost, "/stream/x", strings.NewReader("next"))
+		next.Host = "h"
+		for name, value := range map[string]string{"Request": "next", "Key": "secret", "Model": "m", "Tokens": "800,40", "Deadline": "6000"} {
+			next.Header.Set(name, value)
+		}
+		if got := serveSafely(t, s, next); got != http.StatusOK {
+			t.Errorf("the next request got status %d after %+v", got, n)
+		}
+	})
+}
