--- a/relay/answer.go
+++ b/relay/answer.go
@@ -95,15 +95,15 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	if misdirected {
-		f.lane.fail(now)
+		f.state.fail(now)
 		f.x.displaced = true
 	} else {
-		f.lane.full = now.Add(fullFor)
+		f.state.full = now.Add(fullFor)
 	}
 	if blamed := resp.Header.Get(s.Names.Blamed); blamed != "" {
-		f.lane.blamed = blamed
+		f.state.blamed = blamed
 		f.x.displaced = true
-		f.lane.fail(now)
+		f.state.fail(now)
 	}
 	return true
 }
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// BenchmarkChoose is one choice of a group among many, beside a busy machine. Where every lane is looked for again in each choice: 2.8
+// BenchmarkChoose is one choice of a group among many, beside a busy machine. Where every target state is looked for again in each choice: 2.8
 // µs among 16 groups and 28.6 µs among 200 (one run); where targets keep them: 1.9 µs and 20.5 µs (medians of three), no allocation.
 func BenchmarkChoose(b *testing.B) {
 	for _, groups := range []int{16, 200} {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -28,7 +28,7 @@
 	silentScore = 0.5
 	// farFactor is how many times slower a group across domains is taken to be when the engine does not say.
 	farFactor = 3.0
-	// suspectScore puts a lane that failed a moment ago behind all others.
+	// suspectScore puts a target that failed a moment ago behind all others.
 	suspectScore = 100
 	// queuePart is the part of the slots that may wait at an engine beyond those that it works on.
 	queuePart = 0.2
@@ -166,8 +166,8 @@
 }
 
 func (s *Relay) rate(x *exchange, t *target, rank overload.Rank, now time.Time) scored {
-	l := s.laneOf(t)
-	l.calm(now)
+	ts := s.stateOf(t)
+	ts.calm(now)
 	at := s.loadOf(t, now)
 	load := float64(at.Requests) / float64(max(1, t.slots))
 	first := t.times.FirstWord(at, x.toRead())
@@ -179,15 +179,15 @@
 		score += silentScore
 	}
 	if aim := x.route.GapAim; aim > 0 {
-		score += slowScore * float64(l.gap) / float64(aim)
+		score += slowScore * float64(ts.gap) / float64(aim)
 	}
-	if l.outcomes >= outcomesNeeded {
-		score += failureScore * l.failures
+	if ts.outcomes >= outcomesNeeded {
+		score += failureScore * ts.failures
 	}
-	if now.Before(l.suspect) || s.stands(l, now) || !l.doubted.IsZero() && now.Sub(l.doubted) < doubtAgain {
+	if now.Before(ts.suspect) || s.stands(ts, now) || !ts.doubted.IsZero() && now.Sub(ts.doubted) < doubtAgain {
 		score += suspectScore
 	}
-	if now.Before(l.full) {
+	if now.Before(ts.full) {
 		load = max(load, 1+queueOf(x.service))
 	}
 	return scored{target: t, score: score, load: load, first: first, at: at, fits: x.fits(t, rank, at, first, now)}
@@ -221,25 +221,25 @@
 	return farFactor
 }
 
-// stands reports whether requests wait at the lane for longer than an engine that works would let them, here or at enough entries.
-func (s *Relay) stands(l *lane, now time.Time) bool {
-	return l.silence(now) > stallSuspect || s.stood(l, now)
+// stands reports whether requests wait there for longer than an engine that works would let them, here or at enough entries.
+func (s *Relay) stands(ts *targetState, now time.Time) bool {
+	return ts.silence(now) > stallSuspect || s.stood(ts, now)
 }
 
-// laneOf returns the lane of a target, which is looked for once. With that, and with what first words take looked up once for each
+// stateOf returns what is known of a target, which is looked for once. With that, and with what first words take looked up once for each
 // request, a choice among 200 groups takes 20.5 us in place of 28.6 (median of three runs, and one run).
-func (s *Relay) laneOf(t *target) *lane {
-	if t.lane == nil {
-		t.lane = s.lane(t.id)
+func (s *Relay) stateOf(t *target) *targetState {
+	if t.state == nil {
+		t.state = s.state(t.id)
 	}
-	return t.lane
+	return t.state
 }
 
-func (s *Relay) lane(id ident.Incarnation) *lane {
-	l := s.lanes[id]
-	if l == nil {
-		l = &lane{followers: map[*follower]struct{}{}}
-		s.lanes[id] = l
+func (s *Relay) state(id ident.Incarnation) *targetState {
+	ts := s.states[id]
+	if ts == nil {
+		ts = &targetState{followers: map[*follower]struct{}{}}
+		s.states[id] = ts
 	}
-	return l
+	return ts
 }
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -69,16 +69,16 @@
 
 // loadOf returns what is there at t by all that is known; the mutex is held.
 func (s *Relay) loadOf(t *target, now time.Time) estimate.Load {
-	l := s.laneOf(t)
+	ts := s.stateOf(t)
 	others := s.counts.others[t.id]
-	at := estimate.Load{Unread: l.unreadNow(now)}
+	at := estimate.Load{Unread: ts.unreadNow(now)}
 	if !t.known {
 		at.Unread += ident.Tokens(unreadPart * float64(others) * float64(t.prompt))
-		at.Requests = l.inflight + others
+		at.Requests = ts.inflight + others
 		return at
 	}
 	age := now.Sub(s.counts.at) + s.counts.every/2
-	at.Requests = l.inflight + l.heardSince(now.Add(-age))
+	at.Requests = ts.inflight + ts.heardSince(now.Add(-age))
 	if others > 0 {
 		at.Requests += t.times.Left(others, age)
 	}
--- a/relay/doubt.go
+++ b/relay/doubt.go
@@ -76,14 +76,14 @@
 // was sent while that one was on its way is a closer bound, but misses what an engine leaves for the next pass: with it 500 streams
 // were moved off groups that worked on a day with 10,000 requests, with this one three.
 func (s *Relay) passAt(t *target, now time.Time) time.Duration {
-	l := s.laneOf(t)
-	return t.times.Pass(max(l.peak, l.mayBeUnread(now)), s.loadOf(t, now).Requests+l.came)
+	ts := s.stateOf(t)
+	return t.times.Pass(max(ts.peak, ts.mayBeUnread(now)), s.loadOf(t, now).Requests+ts.came)
 }
 
 // expected bounds the time from the last sign of this try to the next one, as far as the passes of its group tell; ok is false where
 // that is not known. The mutex is held.
 func (f *follower) expected(now time.Time) (d time.Duration, ok bool) {
-	if f.estimate == 0 || !f.t.known || now.Sub(f.lane.since) < newGroup || now.Sub(f.x.s.entriesSince) < newEntries {
+	if f.estimate == 0 || !f.t.known || now.Sub(f.state.since) < newGroup || now.Sub(f.x.s.entriesSince) < newEntries {
 		return 0, false
 	}
 	if f.running {
@@ -101,9 +101,9 @@
 		return time.Time{}, false
 	}
 	due = f.waited.Add(expected + s.marginOf(f.x.model, f.running).Now())
-	if f.lane.passed.After(f.waited) {
+	if f.state.passed.After(f.waited) {
 		// Another stream of this entry shows that the group works.
-		next := f.lane.passed.Add(s.passAt(f.t, s.Now()) + s.marginOf(f.x.model, true).Now())
+		next := f.state.passed.Add(s.passAt(f.t, s.Now()) + s.marginOf(f.x.model, true).Now())
 		if next.After(due) {
 			due = next
 		}
@@ -113,28 +113,28 @@
 
 // suspects doubts the group when it is overdue, and reports whether it stands still and when to look again; the mutex is held.
 func (f *follower) suspects(now time.Time) (stands bool, again time.Duration) {
-	s, l := f.x.s, f.lane
+	s, ts := f.x.s, f.state
 	due, ok := f.due()
 	if !ok {
 		return false, f.limit()
 	}
-	if s.stood(l, now) {
+	if s.stood(ts, now) {
 		return true, standAgain
 	}
 	if rest := due.Sub(now); rest > 0 {
 		return false, rest
 	}
 	s.doubt(f.t, now, now.Sub(f.since()))
-	return s.stood(l, now), doubtAgain
+	return s.stood(ts, now), doubtAgain
 }
 
 // doubt notes that t has been silent for too long, and tells the entries that use it; the mutex is held.
 func (s *Relay) doubt(t *target, now time.Time, silent time.Duration) {
-	l := s.laneOf(t)
-	l.doubts.Add(now, now.Add(-silent), self)
-	l.doubted = now
-	if now.Sub(l.doubtTold) >= doubtAgain {
-		l.doubtTold = now
+	ts := s.stateOf(t)
+	ts.doubts.Add(now, now.Add(-silent), self)
+	ts.doubted = now
+	if now.Sub(ts.doubtTold) >= doubtAgain {
+		ts.doubtTold = now
 		s.Tell(News{Head: t.id, Silent: max(1, silent.Milliseconds())}, t.users)
 	}
 	s.judge(t, now)
@@ -142,8 +142,8 @@
 
 // since is when the group last gave this entry a sign, or the request was sent.
 func (f *follower) since() time.Time {
-	if f.lane.passed.After(f.waited) {
-		return f.lane.passed
+	if f.state.passed.After(f.waited) {
+		return f.state.passed
 	}
 	return f.waited
 }
@@ -151,58 +151,58 @@
 // hearDoubt takes what another entry says of whether the group of t works; the mutex is held.
 func (s *Relay) hearDoubt(t *target, n *News, from netip.AddrPort) {
 	now := s.Now()
-	l := s.laneOf(t)
+	ts := s.stateOf(t)
 	if n.Worked > 0 {
-		l.vouch(now.Add(-time.Duration(n.Worked) * time.Millisecond))
+		ts.vouch(now.Add(-time.Duration(n.Worked) * time.Millisecond))
 		return
 	}
 	since := now.Add(-time.Duration(n.Silent) * time.Millisecond)
-	if stall.Later(l.passed, since) {
+	if stall.Later(ts.passed, since) {
 		s.vouchFor(t, now)
 		return
 	}
-	if stall.Later(l.vouched, since) {
+	if stall.Later(ts.vouched, since) {
 		return
 	}
-	l.doubts.Add(now, since, from)
+	ts.doubts.Add(now, since, from)
 	s.judge(t, now)
 }
 
 // vouchFor tells the others that the group of t works, as some of those do who have streams there.
 func (s *Relay) vouchFor(t *target, now time.Time) {
-	l := s.laneOf(t)
-	if now.Sub(l.vouched) < vouchAgain {
+	ts := s.stateOf(t)
+	if now.Sub(ts.vouched) < vouchAgain {
 		return
 	}
-	l.vouched = l.passed
+	ts.vouched = ts.passed
 	if requests := s.loadOf(t, now).Requests; requests > vouchers && s.Draw(requests) >= vouchers {
 		return
 	}
-	s.Tell(News{Head: t.id, Worked: max(1, now.Sub(l.passed).Milliseconds())}, t.users)
+	s.Tell(News{Head: t.id, Worked: max(1, now.Sub(ts.passed).Milliseconds())}, t.users)
 }
 
 // vouch notes that the group gave another entry a sign at a time.
-func (l *lane) vouch(at time.Time) {
-	if at.After(l.vouched) {
-		l.vouched = at
+func (ts *targetState) vouch(at time.Time) {
+	if at.After(ts.vouched) {
+		ts.vouched = at
 	}
-	if l.doubts.Refute(at) {
-		l.stoodAt = time.Time{}
+	if ts.doubts.Refute(at) {
+		ts.stoodAt = time.Time{}
 	}
 }
 
 // judge decides whether the group of t stands still by all doubts about it, and lets those look who wait there; the mutex is held.
 func (s *Relay) judge(t *target, now time.Time) {
-	l := s.laneOf(t)
-	if s.stood(l, now) || l.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
+	ts := s.stateOf(t)
+	if s.stood(ts, now) || ts.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
 		return
 	}
-	l.stoodAgain = min(stoodMost, l.stoodAgain+1)
-	if now.Sub(l.stoodLast) > stoodApart {
-		l.stoodAgain = 0
+	ts.stoodAgain = min(stoodMost, ts.stoodAgain+1)
+	if now.Sub(ts.stoodLast) > stoodApart {
+		ts.stoodAgain = 0
 	}
-	l.stoodAt, l.stoodLast = now, now
-	for f := range l.followers {
+	ts.stoodAt, ts.stoodLast = now, now
+	for f := range ts.followers {
 		f.timer.Reset(0)
 	}
 }
@@ -215,7 +215,7 @@
 			continue
 		}
 		all++
-		if s.stood(s.laneOf(o), now) {
+		if s.stood(s.stateOf(o), now) {
 			standing++
 		}
 	}
@@ -234,15 +234,15 @@
 }
 
 // stood reports whether a group stands still by what several entries saw; the mutex is held.
-func (s *Relay) stood(l *lane, now time.Time) bool {
-	return !l.stoodAt.IsZero() && now.Sub(l.stoodAt) < stoodFor<<l.stoodAgain
+func (s *Relay) stood(ts *targetState, now time.Time) bool {
+	return !ts.stoodAt.IsZero() && now.Sub(ts.stoodAt) < stoodFor<<ts.stoodAgain
 }
 
 // learnSign takes how long after it was due an event came, and reports whether that was too late for a group that works: one with a
 // member that is several times slower than usual gives signs, but none in time. The mutex is held.
 func (f *follower) learnSign(now time.Time) (tooLate bool) {
-	if now.Sub(f.lane.passed) < samePass {
-		return !f.lane.stoodAt.IsZero()
+	if now.Sub(f.state.passed) < samePass {
+		return !f.state.stoodAt.IsZero()
 	}
 	expected, ok := f.expected(now)
 	if !ok {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -41,7 +41,7 @@
 	limit time.Time
 	idle  time.Duration
 	lost  time.Time
-	// unread is the part of the prompt that counts as unread at the lane of the present try.
+	// unread is the part of the prompt that counts as unread at the target of the present try.
 	unread ident.Tokens
 
 	tries    []Try
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -27,11 +27,11 @@
 	// times are the figures of a group of engines, prompt is the usual size of a prompt there; a plain worker has none.
 	times  estimate.Group
 	prompt ident.Tokens
-	// lane is what this entry knows of the upstream, once it was looked for; it is guarded by the relay's mutex.
-	lane *lane
+	// state is what this entry knows of the upstream, once it was looked for; it is guarded by the relay's mutex.
+	state *targetState
 }
 
-// fleet lays a copy of the roster out for routing; but for the lanes of its targets it is never changed after newFleet.
+// fleet lays a copy of the roster out for routing; but for the states of its targets it is never changed after newFleet.
 type fleet struct {
 	plain     map[ident.Service][]target
 	groups    map[ident.Service]map[ident.Model][]target
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -66,25 +66,25 @@
 		s.hearDoubt(t, &n, from)
 		return
 	}
-	l := s.laneOf(t)
+	ts := s.stateOf(t)
 	if n.Prompt <= 0 {
 		return
 	}
-	if len(l.heard) >= heardMost {
+	if len(ts.heard) >= heardMost {
 		return
 	}
 	now := s.Now()
 	prompt := min(n.Prompt, heardTokens)
-	first := t.times.FirstWord(estimate.Load{Unread: l.unreadNow(now), Requests: l.inflight}, prompt)
-	l.heard = append(l.heard, heard{prompt, now, now.Add(first + s.launchOf(t.model).usual)})
-	l.sent(now)
+	first := t.times.FirstWord(estimate.Load{Unread: ts.unreadNow(now), Requests: ts.inflight}, prompt)
+	ts.heard = append(ts.heard, heard{prompt, now, now.Add(first + s.launchOf(t.model).usual)})
+	ts.sent(now)
 }
 
 // unreadNow returns the tokens of this entry's prompts and of those heard of that are not read yet.
-func (l *lane) unreadNow(now time.Time) ident.Tokens {
-	unread := l.unread
-	kept := l.heard[:0]
-	for _, h := range l.heard {
+func (ts *targetState) unreadNow(now time.Time) ident.Tokens {
+	unread := ts.unread
+	kept := ts.heard[:0]
+	for _, h := range ts.heard {
 		if now.Before(h.until) {
 			unread += h.prompt
 		}
@@ -92,14 +92,14 @@
 			kept = append(kept, h)
 		}
 	}
-	l.heard = kept
+	ts.heard = kept
 	return unread
 }
 
 // mayBeUnread bounds the tokens of prompts that are not read yet: those of other entries may take longer than the estimate.
-func (l *lane) mayBeUnread(now time.Time) ident.Tokens {
-	unread := l.unread
-	for _, h := range l.heard {
+func (ts *targetState) mayBeUnread(now time.Time) ident.Tokens {
+	unread := ts.unread
+	for _, h := range ts.heard {
 		if now.Sub(h.until) < boundSlack {
 			unread += h.prompt
 		}
@@ -108,10 +108,10 @@
 }
 
 // heardSince returns how many prompts other entries have sent since a time.
-func (l *lane) heardSince(at time.Time) int {
+func (ts *targetState) heardSince(at time.Time) int {
 	n := 0
-	for i := range l.heard {
-		if l.heard[i].at.After(at) {
+	for i := range ts.heard {
+		if ts.heard[i].at.After(at) {
 			n++
 		}
 	}
--- a/relay/held.go
+++ b/relay/held.go
@@ -117,17 +117,17 @@
 // round trip, because its next try would end one more upstream.
 func (s *Relay) hasEnded(t *target) bool {
 	s.mu.Lock()
-	l := s.laneOf(t)
-	if l.refused {
+	ts := s.stateOf(t)
+	if ts.refused {
 		s.mu.Unlock()
 		return true
 	}
-	p := l.proof
+	p := ts.proof
 	if p == nil {
 		p = &proof{done: make(chan struct{})}
-		l.proof = p
+		ts.proof = p
 		s.mu.Unlock()
-		s.prove(t, l, p)
+		s.prove(t, ts, p)
 		return p.ended
 	}
 	s.mu.Unlock()
@@ -135,7 +135,7 @@
 	return p.ended
 }
 
-func (s *Relay) prove(t *target, l *lane, p *proof) {
+func (s *Relay) prove(t *target, ts *targetState, p *proof) {
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
 	ended := transport.Refuses(ctx, s.pool.dial, t.address)
@@ -143,9 +143,9 @@
 	defer s.mu.Unlock()
 	p.ended = ended
 	if p.ended {
-		l.refused = true
+		ts.refused = true
 	}
-	l.proof = nil
+	ts.proof = nil
 	close(p.done)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,7 +74,7 @@
 	// entriesSince is when this entry last heard of another one that it had not known.
 	entriesSince time.Time
 	fleet        *fleet
-	lanes        map[ident.Incarnation]*lane
+	states       map[ident.Incarnation]*targetState
 	counts       counts
 	demand       map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
@@ -103,7 +103,7 @@
 		Names: names, Dial: dial, Now: clock.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, Note: func(*Holding) {},
 		copied: roster.NewCopy(),
-		lanes:  map[ident.Incarnation]*lane{},
+		states: map[ident.Incarnation]*targetState{},
 		counts: counts{spill: map[ident.Model]float64{}},
 		demand: map[ident.Model]Demand{},
 		launch: map[ident.Model]launch{}, margins: map[ident.Model]*stall.Margin{}, firstMargins: map[ident.Model]*stall.Margin{},
@@ -148,11 +148,11 @@
 	s.fleet = f
 	now := s.Now()
 	for group, head := range f.heads {
-		s.lane(head).belong(now, group)
+		s.state(head).belong(now, group)
 	}
-	for id, l := range s.lanes {
-		if !f.lives[id] && l.inflight == 0 {
-			delete(s.lanes, id)
+	for id, ts := range s.states {
+		if !f.lives[id] && ts.inflight == 0 {
+			delete(s.states, id)
 		}
 	}
 	s.mu.Unlock()
@@ -235,17 +235,17 @@
 		groups[head] = name
 	}
 	var seen []Seen
-	for id, l := range s.lanes {
-		stands := s.stood(l, now)
-		if l.inflight == 0 && l.answered.IsZero() && !l.refused && !stands {
+	for id, ts := range s.states {
+		stands := s.stood(ts, now)
+		if ts.inflight == 0 && ts.answered.IsZero() && !ts.refused && !stands {
 			continue
 		}
-		one := Seen{ID: id, Group: groups[id], Inflight: l.inflight, Answered: -1, Silence: l.silence(now), Refused: l.refused, Blamed: l.blamed}
+		one := Seen{ID: id, Group: groups[id], Inflight: ts.inflight, Answered: -1, Silence: ts.silence(now), Refused: ts.refused, Blamed: ts.blamed}
 		one.Stands = stands
-		one.Events, one.Pauses = l.events, l.pauses
-		l.events, l.pauses = 0, 0
-		if !l.answered.IsZero() {
-			one.Answered = now.Sub(l.answered)
+		one.Events, one.Pauses = ts.events, ts.pauses
+		ts.events, ts.pauses = 0, 0
+		if !ts.answered.IsZero() {
+			one.Answered = now.Sub(ts.answered)
 		}
 		seen = append(seen, one)
 	}
--- a/relay/room.go
+++ b/relay/room.go
@@ -251,7 +251,7 @@
 // take counts the request at t and tells the other entries; the mutex is held.
 func (s *Relay) take(x *exchange, t *scored) {
 	x.unread = x.toRead()
-	s.laneOf(t.target).begin(s.Now(), x.unread)
+	s.stateOf(t.target).begin(s.Now(), x.unread)
 	if x.unread > 0 {
 		s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
 	}
@@ -263,10 +263,10 @@
 
 // putBack undoes take.
 func (x *exchange) putBack(t *scored) {
-	x.read(t.lane)
+	x.read(t.state)
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	t.lane.end()
+	t.state.end()
 }
 
 // forgetClasses drops what is known of classes that are not declared any more; the mutex is held.
--- a/relay/run.go
+++ b/relay/run.go
@@ -112,8 +112,8 @@
 		To: t.id, Group: t.group, AtMS: at.Milliseconds(), FirstMS: t.first.Milliseconds(), Unread: t.at.Unread, Requests: t.at.Requests,
 	})
 	v, f := x.send(t)
-	x.read(t.lane)
-	x.s.leave(x.s.Now(), t.lane, v)
+	x.read(t.state)
+	x.s.leave(x.s.Now(), t.state, v)
 	try := &x.tries[len(x.tries)-1]
 	try.Result = string(v)
 	try.note(f, x.s.Now())
@@ -122,39 +122,39 @@
 }
 
 // read notes that the prompt was read, or that the try has ended.
-func (x *exchange) read(l *lane) {
+func (x *exchange) read(ts *targetState) {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.readAt(l)
+	x.readAt(ts)
 }
 
 // readAt is read for callers that hold the mutex.
-func (x *exchange) readAt(l *lane) {
-	l.unread -= x.unread
+func (x *exchange) readAt(ts *targetState) {
+	ts.unread -= x.unread
 	x.unread = 0
 }
 
-func (s *Relay) leave(now time.Time, l *lane, v verdict) {
+func (s *Relay) leave(now time.Time, ts *targetState, v verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.end()
+	ts.end()
 	switch v {
 	case verdictDone:
-		l.outcome(now, true)
+		ts.outcome(now, true)
 	case verdictFailed:
-		l.outcome(now, false)
+		ts.outcome(now, false)
 	case verdictBroken, verdictNeverSent:
-		l.outcome(now, false)
-		l.fail(now)
+		ts.outcome(now, false)
+		ts.fail(now)
 	case verdictStalled:
-		l.outcome(now, false)
-		l.fail(now)
-		l.stalled = now
+		ts.outcome(now, false)
+		ts.fail(now)
+		ts.stalled = now
 	}
 }
 
 func (x *exchange) send(t *scored) (verdict, *follower) {
-	l := t.lane
+	ts := t.state
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(dialTimeout, x.left()))
 	conn, err := x.s.pool.get(ctx, t.address, !x.route.Repeatable())
 	cancel()
@@ -175,7 +175,7 @@
 		conn.Close()
 		return verdictHeld, nil
 	}
-	f := &follower{x: x, t: t.target, lane: l, conn: conn, estimate: t.first}
+	f := &follower{x: x, t: t.target, state: ts, conn: conn, estimate: t.first}
 	f.watch()
 	defer f.unwatch()
 	x.arrivals++
@@ -194,7 +194,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.laneOf(t).refused = true
+		s.stateOf(t).refused = true
 		return
 	}
 	if t.group != "" {
--- a/relay/lane.go
+++ b/relay/state.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// smoothing is the weight of a new observation in a lane's averages.
+	// smoothing is the weight of a new observation in the averages of a target.
 	smoothing = 0.15
-	// calmAfter halves what is known of a lane that is not used, so that it is tried again.
+	// calmAfter halves what is known of a target that is not used, so that it is tried again.
 	calmAfter = 2 * time.Second
-	// suspectFor is how long a lane that failed is avoided.
+	// suspectFor is how long a target that failed is avoided.
 	suspectFor = 1500 * time.Millisecond
 	// stalledFor is how long the wait of a request that was moved away goes on counting.
 	stalledFor = 2 * time.Second
@@ -21,9 +21,9 @@
 	outcomesNeeded = 4
 )
 
-// lane is what this entry knows of one life of an upstream; it is guarded by the relay's mutex.
-type lane struct {
-	// group is the group that the upstream was the head of when the lane was last used.
+// targetState is what this entry knows of one life of an upstream; it is guarded by the relay's mutex.
+type targetState struct {
+	// group is the group that the upstream was the head of when the state was last used.
 	group ident.Group
 	// since is when this entry heard of that group.
 	since time.Time
@@ -65,7 +65,7 @@
 	// events and pauses are the number of events and the time between them since the leader was told.
 	events int
 	pauses time.Duration
-	// suspect is until when the lane is avoided.
+	// suspect is until when the target is avoided.
 	suspect time.Time
 	// refused is set when nothing listens there any more, proof while that is being found out.
 	refused bool
@@ -76,107 +76,107 @@
 }
 
 // belong forgets what was seen when the upstream was the head of another group.
-func (l *lane) belong(now time.Time, group ident.Group) {
-	if l.group == group {
+func (ts *targetState) belong(now time.Time, group ident.Group) {
+	if ts.group == group {
 		return
 	}
-	*l = lane{
-		group: group, since: now, inflight: l.inflight, unread: l.unread, outcomes: l.outcomes, failures: l.failures, waitingSince: l.waitingSince,
-		followers: l.followers, proof: l.proof,
+	*ts = targetState{
+		group: group, since: now, inflight: ts.inflight, unread: ts.unread, outcomes: ts.outcomes, failures: ts.failures, waitingSince: ts.waitingSince,
+		followers: ts.followers, proof: ts.proof,
 	}
-	if l.inflight == 0 {
-		l.waitingSince = time.Time{}
+	if ts.inflight == 0 {
+		ts.waitingSince = time.Time{}
 	}
 }
 
-func (l *lane) begin(now time.Time, prompt ident.Tokens) {
-	if l.inflight == 0 && l.stalled.IsZero() {
-		l.waitingSince = now
+func (ts *targetState) begin(now time.Time, prompt ident.Tokens) {
+	if ts.inflight == 0 && ts.stalled.IsZero() {
+		ts.waitingSince = now
 	}
-	if l.inflight == 0 {
+	if ts.inflight == 0 {
 		// Nothing has shown the ends of passes meanwhile.
-		l.peak, l.came = 0, 0
+		ts.peak, ts.came = 0, 0
 	}
-	l.inflight++
-	l.unread += prompt
-	l.sent(now)
+	ts.inflight++
+	ts.unread += prompt
+	ts.sent(now)
 }
 
 // sent notes that a prompt was sent there, by any entry.
-func (l *lane) sent(now time.Time) {
-	l.peak = max(l.peak, l.mayBeUnread(now))
-	l.came++
+func (ts *targetState) sent(now time.Time) {
+	ts.peak = max(ts.peak, ts.mayBeUnread(now))
+	ts.came++
 }
 
 // pass notes that a pass ended. One that took far too long ends no doubt of how the group works.
-func (l *lane) pass(now time.Time, tooLong bool) {
-	l.peak, l.came = l.mayBeUnread(now), 0
-	l.passed = now
-	l.doubts.Clear()
+func (ts *targetState) pass(now time.Time, tooLong bool) {
+	ts.peak, ts.came = ts.mayBeUnread(now), 0
+	ts.passed = now
+	ts.doubts.Clear()
 	if !tooLong {
-		l.doubted, l.stoodAt = time.Time{}, time.Time{}
+		ts.doubted, ts.stoodAt = time.Time{}, time.Time{}
 	}
 }
 
-func (l *lane) end() {
-	l.inflight--
+func (ts *targetState) end() {
+	ts.inflight--
 }
 
 // sign notes that the upstream sent something.
-func (l *lane) sign(now time.Time) {
-	l.answered = now
-	l.waitingSince = now
-	l.stalled = time.Time{}
-	l.refused = false
-	l.blamed = ""
+func (ts *targetState) sign(now time.Time) {
+	ts.answered = now
+	ts.waitingSince = now
+	ts.stalled = time.Time{}
+	ts.refused = false
+	ts.blamed = ""
 }
 
 // event notes a pause between two events of one stream.
-func (l *lane) event(now time.Time, gap time.Duration) {
-	l.sign(now)
-	l.gap += time.Duration(smoothing * float64(gap-l.gap))
-	l.events++
-	l.pauses += gap
-	l.observed = now
+func (ts *targetState) event(now time.Time, gap time.Duration) {
+	ts.sign(now)
+	ts.gap += time.Duration(smoothing * float64(gap-ts.gap))
+	ts.events++
+	ts.pauses += gap
+	ts.observed = now
 }
 
 // outcome notes whether a request succeeded.
-func (l *lane) outcome(now time.Time, ok bool) {
+func (ts *targetState) outcome(now time.Time, ok bool) {
 	value := 1.0
 	if ok {
 		value = 0
 	}
-	l.outcomes++
-	l.failures += smoothing * (value - l.failures)
-	l.observed = now
+	ts.outcomes++
+	ts.failures += smoothing * (value - ts.failures)
+	ts.observed = now
 }
 
 // calm lets old observations fade.
-func (l *lane) calm(now time.Time) {
-	for now.Sub(l.observed) > calmAfter && !l.observed.IsZero() {
-		l.gap /= 2
-		l.failures /= 2
-		l.observed = l.observed.Add(calmAfter)
-		if l.gap < time.Millisecond && l.failures < smoothing/2 {
-			l.observed = time.Time{}
+func (ts *targetState) calm(now time.Time) {
+	for now.Sub(ts.observed) > calmAfter && !ts.observed.IsZero() {
+		ts.gap /= 2
+		ts.failures /= 2
+		ts.observed = ts.observed.Add(calmAfter)
+		if ts.gap < time.Millisecond && ts.failures < smoothing/2 {
+			ts.observed = time.Time{}
 		}
 	}
 }
 
-func (l *lane) fail(now time.Time) {
-	l.suspect = now.Add(suspectFor)
+func (ts *targetState) fail(now time.Time) {
+	ts.suspect = now.Add(suspectFor)
 }
 
 // silence is how long requests have waited there without any sign.
-func (l *lane) silence(now time.Time) time.Duration {
-	if now.Sub(l.stalled) > stalledFor {
-		l.stalled = time.Time{}
+func (ts *targetState) silence(now time.Time) time.Duration {
+	if now.Sub(ts.stalled) > stalledFor {
+		ts.stalled = time.Time{}
 	}
-	if l.inflight == 0 && l.stalled.IsZero() {
+	if ts.inflight == 0 && ts.stalled.IsZero() {
 		return 0
 	}
-	return now.Sub(l.waitingSince)
+	return now.Sub(ts.waitingSince)
 }
 
-// fullFor is how long a lane that refused a request for want of room is passed over.
+// fullFor is how long a target that refused a request for want of room is passed over.
 const fullFor = 120 * time.Millisecond
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -179,16 +179,16 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	tooLong := f.learnSign(now)
-	x.readAt(f.lane)
-	f.lane.pass(now, tooLong)
+	x.readAt(f.state)
+	f.state.pass(now, tooLong)
 	f.running = true
 	if x.events == 0 {
 		x.first = now.Sub(x.began)
-		f.lane.sign(now)
+		f.state.sign(now)
 		x.lastAt = now
 		x.learnLaunch()
 	} else {
-		f.lane.event(now, now.Sub(f.waited))
+		f.state.event(now, now.Sub(f.waited))
 	}
 	x.gap = max(x.gap, now.Sub(x.lastAt))
 	x.lastAt = now
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -16,10 +16,10 @@
 
 // follower follows the answer of one try.
 type follower struct {
-	x    *exchange
-	t    *target
-	lane *lane
-	conn *upstreamConn
+	x     *exchange
+	t     *target
+	state *targetState
+	conn  *upstreamConn
 
 	timer *time.Timer
 	stop  func() bool
@@ -52,7 +52,7 @@
 		f.x.s.mu.Lock()
 		defer f.x.s.mu.Unlock()
 		f.timer = time.AfterFunc(f.firstLook(), f.look)
-		f.lane.followers[f] = struct{}{}
+		f.state.followers[f] = struct{}{}
 	}
 }
 
@@ -61,7 +61,7 @@
 	f.x.s.mu.Lock()
 	defer f.x.s.mu.Unlock()
 	f.ended = true
-	delete(f.lane.followers, f)
+	delete(f.state.followers, f)
 	if f.timer != nil {
 		f.timer.Stop()
 	}
@@ -111,7 +111,7 @@
 		return
 	}
 	f.moved = true
-	f.silent, f.doubts = now.Sub(f.waited), f.lane.doubts.Count(now)
+	f.silent, f.doubts = now.Sub(f.waited), f.state.doubts.Count(now)
 	f.interrupt()
 }
 
@@ -119,7 +119,7 @@
 // stream that has not begun leaves a group that still answers others only for one with room to spare: a long wait there is a long
 // pass, and what was read of its prompt would be lost.
 func (s *Relay) hasOther(f *follower, now time.Time) bool {
-	patient := f.x.service.Engine != nil && f.x.events == 0 && !s.stands(f.lane, now)
+	patient := f.x.service.Engine != nil && f.x.events == 0 && !s.stands(f.state, now)
 	return s.anyOther(f.x, now, func(c *scored) bool { return c.fits || !patient })
 }
 
@@ -156,7 +156,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.waited = s.Now()
-	f.lane.sign(f.waited)
+	f.state.sign(f.waited)
 }
 
 // broken is the verdict on a connection that failed with err: it may have been ended from here.
