--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -60,7 +60,7 @@
 		},
 		Groups: []roster.Group{{Name: "g", Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{"h"}}},
 	})
-	s.SetWord(time.Now())
+	s.SetConfirmed(time.Now())
 	front := httptest.NewServer(s)
 	b.Cleanup(front.Close)
 	return front
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -99,7 +99,7 @@
 		s.Observe = c.observe
 		s.Budget.SetEntries(p.entries)
 		s.SetConfig(crashConfig())
-		s.SetWord(time.Now())
+		s.SetConfirmed(time.Now())
 		s.SetEntries(sharing.New(names[i], map[ident.Hall][]string{"hall": names}))
 		c.entries = append(c.entries, s)
 	}
--- a/relay/doubt_test.go
+++ b/relay/doubt_test.go
@@ -143,7 +143,7 @@
 		cfg.Routes[0].GapAim = stopPause
 		cfg.Routes[0].Timeout = excessWait
 		s.SetConfig(cfg)
-		s.SetWord(time.Now())
+		s.SetConfirmed(time.Now())
 		setGroups(s, 1, stopGroups)
 		s.SetEntries(sharing.New(names[i], map[ident.Hall][]string{"hall": names}))
 	}
--- a/relay/excess_test.go
+++ b/relay/excess_test.go
@@ -135,7 +135,7 @@
 		var records sync.Map
 		s.Observe = func(r *relay.Record) { records.Store(r.ID, r) }
 		s.SetConfig(cfg)
-		s.SetWord(time.Now())
+		s.SetConfirmed(time.Now())
 		setGroups(s, 1, excessGroups)
 		if p.lost > 0 {
 			time.AfterFunc(p.lostAt, func() { setGroups(s, 2, excessGroups-p.lost) })
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -68,7 +68,7 @@
 	// comeBack is the least time after which the caller shall come back, when that is known.
 	comeBack time.Duration
 	status   int
-	// kept is set when the request waited for the entry's first word.
+	// kept is set when the request waited for the entry's first confirmation.
 	kept bool
 }
 
@@ -112,7 +112,7 @@
 	switch {
 	case x.route != nil:
 		return nil
-	case x.s.WordAge() > unknownAfter:
+	case x.s.ConfirmedAge() > unknownAfter:
 		return result.New(result.ControlUnreachable, "no route here, and newer configuration may not have arrived")
 	}
 	return result.New(result.NotFound, "no route for this host and path")
@@ -122,7 +122,7 @@
 	if x.route.Public || !x.table.NeedsKeys() {
 		return nil
 	}
-	age := x.s.WordAge()
+	age := x.s.ConfirmedAge()
 	if age > x.s.KeysLapse {
 		return result.New(result.ControlUnreachable, "keys were last confirmed %s ago", age)
 	}
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -13,7 +13,7 @@
 
 const (
 	// retryFull and retryNone are when a caller shall come back after a refusal: slots free up every 70 ms, a group
-	// forms in about a second. retryBlind is for a daemon that has no configuration or no word from the leader: daemons
+	// forms in about a second. retryBlind is for a daemon that has no configuration or no confirmation by the leader: daemons
 	// that start together need two seconds.
 	retryFull  = 300 * time.Millisecond
 	retryNone  = 700 * time.Millisecond
@@ -87,7 +87,7 @@
 
 func (x *exchange) record(err error) *Record {
 	rec := &Record{
-		ID: x.id, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, WordAge: x.s.WordAge(), Tries: x.tries,
+		ID: x.id, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, ConfirmedAge: x.s.ConfirmedAge(), Tries: x.tries,
 		Prompt: x.prompt, Events: x.events, First: x.first, Expected: x.expected, Gap: x.gap, Total: x.s.Now().Sub(x.began),
 		Spent: x.spent, Retry: x.retry,
 	}
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -286,7 +286,7 @@
 		}
 		s.SetConfig(cfg)
 		setGroups(s, 1, floodGroups)
-		s.SetWord(time.Now())
+		s.SetConfirmed(time.Now())
 		flood(s, times)
 		for _, e := range engines {
 			e.close()
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -110,7 +110,7 @@
 	s.relay.SetConfig(cfg)
 	now := time.Now()
 	s.relay.Now = func() time.Time { return now }
-	s.relay.SetWord(now)
+	s.relay.SetConfirmed(now)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer release()
--- a/relay/priority_test.go
+++ b/relay/priority_test.go
@@ -39,7 +39,7 @@
 				}
 				return start.Add(c.took)
 			}
-			s.relay.SetWord(start.Add(c.took))
+			s.relay.SetConfirmed(start.Add(c.took))
 			r := s.request("POST", "/stream/x", "1", "")
 			r.Header.Set("Event", c.event)
 			s.do(r)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,7 +35,7 @@
 	dialTimeout = 60 * time.Millisecond
 	// maxArrivals bounds how often one request is sent, refusals included.
 	maxArrivals = 4
-	// unknownAfter is the age of the newest word from the leader from which on an unknown route or key may be a new one.
+	// unknownAfter is the age of the newest confirmation from the leader from which on an unknown route or key may be a new one.
 	unknownAfter = 1500 * time.Millisecond
 )
 
@@ -46,7 +46,7 @@
 	Dial   transport.Dial
 	Now    func() time.Time
 	Budget *Budget
-	// KeysLapse is how long after the leader's newest word keys are still believed.
+	// KeysLapse is how long after the leader's newest confirmation keys are still believed.
 	KeysLapse time.Duration
 	// Observe takes each finished request; it must not block.
 	Observe func(r *Record)
@@ -59,12 +59,12 @@
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
-	pool     *pool
-	table    atomic.Pointer[httproute.Table]
-	word     atomic.Pointer[time.Time]
-	stopping atomic.Bool
-	working  sync.WaitGroup
-	// began is when this relay was made, informed is closed with the first word from control.
+	pool      *pool
+	table     atomic.Pointer[httproute.Table]
+	confirmed atomic.Pointer[time.Time]
+	stopping  atomic.Bool
+	working   sync.WaitGroup
+	// began is when this relay was made, informed is closed with the first confirmation by control.
 	began    time.Time
 	informed chan struct{}
 
@@ -170,17 +170,17 @@
 	s.fleet = newFleet(s.copied, s.table.Load(), entries)
 }
 
-// SetWord notes that everything the leader had confirmed at that moment is in force here.
-func (s *Relay) SetWord(at time.Time) {
-	s.word.Store(&at)
+// SetConfirmed notes that everything the leader had confirmed at that moment is in force here.
+func (s *Relay) SetConfirmed(at time.Time) {
+	s.confirmed.Store(&at)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inform()
 }
 
-// WordAge returns how old the leader's newest word is; it is very large before the first.
-func (s *Relay) WordAge() time.Duration {
-	if at := s.word.Load(); at != nil {
+// ConfirmedAge returns how old the leader's newest confirmation is; it is very large before the first.
+func (s *Relay) ConfirmedAge() time.Duration {
+	if at := s.confirmed.Load(); at != nil {
 		return s.Now().Sub(*at)
 	}
 	return time.Hour
@@ -188,7 +188,7 @@
 
 // Ready reports whether requests can be served here.
 func (s *Relay) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && s.WordAge() < s.KeysLapse
+	return !s.stopping.Load() && s.table.Load() != nil && s.ConfirmedAge() < s.KeysLapse
 }
 
 // Stop makes answers close their connections; requests go on being served.
@@ -282,14 +282,14 @@
 	Code    result.Code
 	Status  int
 	Text    string
-	// Version and Revision are the configuration and the roster that decided, WordAge the age of the leader's word.
-	Version  httproute.Version
-	Revision roster.Revision
-	WordAge  time.Duration
-	Tries    []Try
-	Prompt   ident.Tokens
-	Events   int
-	First    time.Duration
+	// Version and Revision are the configuration and the roster that decided, ConfirmedAge the age of the leader's confirmation.
+	Version      httproute.Version
+	Revision     roster.Revision
+	ConfirmedAge time.Duration
+	Tries        []Try
+	Prompt       ident.Tokens
+	Events       int
+	First        time.Duration
 	// Expected is when the first word was to come by the estimate of the first try, 0 where there is none.
 	Expected time.Duration
 	// Gap is the longest pause between two events.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -92,7 +92,7 @@
 		})
 	}
 	s.relay.SetRoster(&d)
-	s.relay.SetWord(time.Now())
+	s.relay.SetConfirmed(time.Now())
 	s.front = httptest.NewServer(s.relay)
 	t.Cleanup(s.front.Close)
 	return s
@@ -245,13 +245,13 @@
 		{"deadline is no number", func(_ *site, r *http.Request) { r.Header.Set("Deadline", "soon") }, 400, result.BadRequest, false},
 		{"no such route, word is old", func(s *site, r *http.Request) {
 			r.URL.Path = "/none/"
-			s.relay.SetWord(time.Now().Add(-2 * time.Second))
+			s.relay.SetConfirmed(time.Now().Add(-2 * time.Second))
 		}, 503, result.ControlUnreachable, true},
 		{"unknown key, word is old", func(s *site, r *http.Request) {
 			r.Header.Set("Key", "new")
-			s.relay.SetWord(time.Now().Add(-2 * time.Second))
+			s.relay.SetConfirmed(time.Now().Add(-2 * time.Second))
 		}, 503, result.ControlUnreachable, true},
-		{"keys have lapsed", func(s *site, _ *http.Request) { s.relay.SetWord(time.Now().Add(-5 * time.Second)) }, 503, result.ControlUnreachable, true},
+		{"keys have lapsed", func(s *site, _ *http.Request) { s.relay.SetConfirmed(time.Now().Add(-5 * time.Second)) }, 503, result.ControlUnreachable, true},
 		{"nothing serves", func(s *site, _ *http.Request) { s.relay.SetRoster(&roster.Delta{Full: true}) }, 503, result.NoWholeGroup, true},
 		{"all are full", func(s *site, _ *http.Request) { s.relay.SetOthers(map[ident.Incarnation]int{"p0": 100}) }, 503, result.Overloaded, true},
 	} {
@@ -294,7 +294,7 @@
 func TestAPublicRouteNeedsNoKey(t *testing.T) {
 	u := newUpstream(t, always(whole))
 	s := newSite(t, []*upstream{u}, nil)
-	s.relay.SetWord(time.Now().Add(-time.Hour))
+	s.relay.SetConfirmed(time.Now().Add(-time.Hour))
 	r := s.request("GET", "/public/x", "id", "")
 	r.Header.Del("Key")
 	if got := s.do(r); got.Status != 200 {
--- a/relay/request_fuzz_test.go
+++ b/relay/request_fuzz_test.go
@@ -100,7 +100,7 @@
 		})
 	}
 	s.SetRoster(&d)
-	s.SetWord(time.Now())
+	s.SetConfirmed(time.Now())
 	return s, func() {
 		mu.Lock()
 		defer mu.Unlock()
--- a/relay/run.go
+++ b/relay/run.go
@@ -167,7 +167,7 @@
 		return verdictNeverSent, nil
 	}
 	// Keys may have lapsed while this process stood still; nothing goes out on old ones.
-	if x.customer != nil && x.s.WordAge() > x.s.KeysLapse {
+	if x.customer != nil && x.s.ConfirmedAge() > x.s.KeysLapse {
 		conn.Close()
 		return verdictNeverSent, nil
 	}
--- a/relay/start.go
+++ b/relay/start.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// startHold is how long after its start an entry keeps requests for its first word from control, which was seen to come
+	// startHold is how long after its start an entry keeps requests for its first confirmation by control, which was seen to come
 	// 0.7 to 0.9 s after the start when everything is started again at once.
 	startHold = 1500 * time.Millisecond
 	// patience is the part of their time that callers wait before they come back, by the platform's word.
@@ -111,7 +111,7 @@
 
 // inform lets requests that wait for the first word go on once there is a configuration with it; the mutex is held.
 func (s *Relay) inform() {
-	if s.table.Load() == nil || s.word.Load() == nil {
+	if s.table.Load() == nil || s.confirmed.Load() == nil {
 		return
 	}
 	select {
--- a/relay/start_test.go
+++ b/relay/start_test.go
@@ -43,7 +43,7 @@
 				s.Budget = relay.NewBudget(relay.BudgetRule{Ratio: 0.2, Window: time.Second, Allowance: 1})
 				word := time.AfterFunc(c.word, func() {
 					s.SetConfig(config())
-					s.SetWord(time.Now())
+					s.SetConfirmed(time.Now())
 				})
 				defer word.Stop()
 				start := time.Now()
@@ -100,7 +100,7 @@
 			d.Groups = append(d.Groups, roster.Group{Name: ident.Group("g-" + id), Service: "model", Model: "m", Members: []ident.Incarnation{id}, Phase: roster.PhaseOpen})
 		}
 		s.SetRoster(&d)
-		s.SetWord(time.Now())
+		s.SetConfirmed(time.Now())
 		time.Sleep(50 * time.Millisecond)
 		ask("")
 		held.Wait()
--- a/relay/suspended_test.go
+++ b/relay/suspended_test.go
@@ -30,7 +30,7 @@
 	u := newUpstream(t, always(whole))
 	s := newSite(t, []*upstream{u}, nil)
 	s.relay.Now = vm.clock().Now
-	s.relay.SetWord(s.relay.Now())
+	s.relay.SetConfirmed(s.relay.Now())
 	if got := s.do(s.request("POST", "/safe/x", "before", "")); got.Status != http.StatusOK {
 		t.Fatalf("status %d before the suspension", got.Status)
 	}
@@ -45,8 +45,8 @@
 	if n := len(u.arrivals()); n != 1 {
 		t.Errorf("%d requests reached the upstream, want the one before the suspension", n)
 	}
-	s.relay.SetWord(s.relay.Now())
+	s.relay.SetConfirmed(s.relay.Now())
 	if got := s.do(s.request("POST", "/safe/x", "informed", "")); got.Status != http.StatusOK {
-		t.Errorf("status %d after newer word", got.Status)
+		t.Errorf("status %d after newer confirmation", got.Status)
 	}
 }
--- a/site/entry.go
+++ b/site/entry.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// keysPart is the part of the revocation bound for which keys are believed without a word from the leader.
+	// keysPart is the part of the revocation bound for which keys are believed without a confirmation by the leader.
 	keysPart = 0.8
 	// lookAway is how long new connections may still come after this daemon has said that it is not ready.
 	lookAway = 2500 * time.Millisecond
@@ -136,7 +136,7 @@
 func (e *Entry) ready() bool {
 	ready := e.relay.Ready()
 	if e.wasReady.Swap(ready) != ready {
-		e.Log.Info("readiness changed", "ready", ready, "version", e.relay.Version(), "word-age-ms", e.relay.WordAge().Milliseconds(), "stopping", e.relay.Stopping())
+		e.Log.Info("readiness changed", "ready", ready, "version", e.relay.Version(), "confirmed-age-ms", e.relay.ConfirmedAge().Milliseconds(), "stopping", e.relay.Stopping())
 	}
 	return ready
 }
@@ -164,7 +164,7 @@
 	e.tellHeld(call)
 }
 
-// apply puts the leader's word in force; began is the moment up to which it is certainly the newest.
+// apply puts the leader's confirmation in force; began is the moment up to which it is certainly the newest.
 func (e *Entry) apply(began time.Time, r *SyncReply) bool {
 	// Before anything that lets requests go: an entry that has just started knows of no work that is held.
 	e.hearHeld(r)
@@ -178,7 +178,7 @@
 	e.relay.SetOthers(r.Others)
 	e.relay.Budget.SetEntries(r.Entries)
 	if newest {
-		e.relay.SetWord(began)
+		e.relay.SetConfirmed(began)
 	}
 	return newest
 }
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -106,7 +106,7 @@
 
 // InForce returns the version by which the entry serves, and since when it is not sure that this is the newest.
 func (e *Entry) InForce() (httproute.Version, time.Duration) {
-	return e.relay.Version(), e.relay.WordAge()
+	return e.relay.Version(), e.relay.ConfirmedAge()
 }
 
 // Reigning is what a leader knows of entries.
--- a/site/follow.go
+++ b/site/follow.go
@@ -24,7 +24,7 @@
 	directory *directory
 	// describe fills in what this daemon tells with each call.
 	describe func(c *SyncCall)
-	// apply takes the leader's word and reports whether the configuration in it, if any, is in force; began is when the call was sent.
+	// apply takes the leader's confirmation and reports whether the configuration in it, if any, is in force; began is when the call was sent.
 	apply func(began time.Time, r *SyncReply) bool
 	// reread reads the settings again for other seeds.
 	reread func()
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -143,6 +143,6 @@
 	e.numbers.observe(r)
 	e.Requests.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
 		"code", int(r.Code), "status", r.Status, "text", r.Text, "version", r.Version, "revision", r.Revision,
-		"word-age-ms", r.WordAge.Milliseconds(), "tries", r.Tries, "prompt", int(r.Prompt), "events", r.Events,
+		"confirmed-age-ms", r.ConfirmedAge.Milliseconds(), "tries", r.Tries, "prompt", int(r.Prompt), "events", r.Events,
 		"first-ms", r.First.Milliseconds(), "gap-ms", r.Gap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.Spent.Milliseconds(), "retry-ms", r.Retry.Milliseconds())
 }
--- a/site/reports.go
+++ b/site/reports.go
@@ -20,7 +20,7 @@
 	sentOnMost = 600
 )
 
-// passedReport is a report that waits for the leader's word.
+// passedReport is a report that waits for the leader's confirmation.
 type passedReport struct {
 	report *roster.Report
 	done   chan passedOn
