Count ends by upstream in the soak, and let no new fatal bodies come while a site heals

Change: an upstream ends once, whoever many copies run there; what comes later than 3 s after the third end counts as before, copies too. New bodies stop with the other faults, repeats go on.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -39,8 +39,9 @@
 	return strings.HasPrefix(string(body), fatalPrefix)
 }
 
-// fatalRuns notes that an upstream begins to run a body that ends it.
-func (t *truth) fatalRuns(body string) {
+// fatalRuns notes that an upstream begins to run a body that ends it; ends is set for the first of those that run there, since several
+// copies at one upstream end it once.
+func (t *truth) fatalRuns(body string, ends bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := t.fatals[body]
@@ -49,13 +50,15 @@
 		t.fatals[body] = f
 	}
 	now := time.Now()
-	f.ends++
-	switch {
-	case f.ends == fatalEnds:
-		f.third = now
-	case f.ends > fatalEnds && now.Sub(f.third) > fatalKnown:
+	if f.ends >= fatalEnds && now.Sub(f.third) > fatalKnown {
 		f.late++
 	}
+	if ends {
+		f.ends++
+	}
+	if ends && f.ends == fatalEnds {
+		f.third = now
+	}
 	if f.late > fatalMore && !t.untimed {
 		t.noteBrokenf("%s, under which %d upstreams had ended, reached %d more later than %v after the third", body, fatalEnds, f.late, fatalKnown)
 	}
@@ -63,27 +66,33 @@
 
 // ends lets the upstream end under a request, and another one come in its place.
 func (e *engine) ends(body string) {
-	e.truth.fatalRuns(body)
 	e.mu.Lock()
-	gone, replaced := e.gone, e.replaced
+	replaced := e.replaced
+	first := !e.gone && replaced != nil
+	e.gone = true
 	e.mu.Unlock()
-	if gone || replaced == nil {
+	e.truth.fatalRuns(body, first)
+	if !first {
 		return
 	}
 	e.crash()
 	replaced()
 }
 
-// sendFatals lets one body after the other come again and again.
-func (s *soak) sendFatals(ctx context.Context, random *rand.Rand) {
-	for n := 0; ctx.Err() == nil; n++ {
-		pause(ctx, between(random, time.Second, 3*time.Second))
+// sendFatals lets one new body after the other come as long as there is trouble, and each of them again and again as long as there is
+// load: with ever new ones no site of some engines would come to serve again.
+func (s *soak) sendFatals(trouble, load context.Context, random *rand.Rand) {
+	for n := 0; ; n++ {
+		pause(trouble, between(random, time.Second, 3*time.Second))
+		if trouble.Err() != nil {
+			return
+		}
 		body := fatalPrefix + strconv.Itoa(n)
 		k := one(random, kinds)
 		copies := 1 + random.IntN(3)
 		every := between(random, 100*time.Millisecond, 500*time.Millisecond)
 		s.notef("%s comes on %s every %v at %d entries", body, k.path, every, copies)
-		s.tasks.Go(func() { s.repeat(ctx, body, k, copies, every) })
+		s.tasks.Go(func() { s.repeat(load, body, k, copies, every) })
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -110,9 +110,6 @@
 		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
 		s.tasks.Go(func() { c.run(load) })
 	}
-	if s.Fatal {
-		s.tasks.Go(func() { s.sendFatals(load, s.random(3)) })
-	}
 	for i, d := range s.entries {
 		s.tasks.Go(func() { s.probe(load, d, s.random(uint64(200+i))) })
 	}
@@ -126,6 +123,9 @@
 		return
 	}
 	trouble, endTrouble := context.WithTimeout(ctx, s.Length)
+	if s.Fatal {
+		s.tasks.Go(func() { s.sendFatals(trouble, load, s.random(4)) })
+	}
 	s.trouble(trouble, s.random(3))
 	endTrouble()
 	s.heal()
