--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -35,6 +35,7 @@
 // run tries until there is a whole answer or no further try is allowed.
 func (j *job) run(ctx context.Context) (*Answer, error) {
 	for {
+		// The next try would end one more upstream, as the last ones did.
 		if err := j.d.begin(j.r.work()); err != nil {
 			j.d.Table.Done(j.target)
 			return nil, err
