--- a/relay/answer.go
+++ b/relay/answer.go
@@ -38,6 +38,7 @@
 		return f.broken(err)
 	}
 	f.sign()
+	f.hear(resp)
 	if f.refusedByUpstream(resp) {
 		f.keepIfWhole(resp)
 		return verdictNotRun
--- a/relay/names.go
+++ b/relay/names.go
@@ -26,4 +26,6 @@
 	Estimate string
 	// Priority orders requests at an engine; 0 goes first.
 	Priority string
+	// Leaving stands in the answers of an upstream that leaves.
+	Leaving string
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -320,4 +320,9 @@
 	Cut    Cut   `json:"cut,omitempty"`
 	RanMS  int64 `json:"ran-ms,omitempty"`
 	Events int   `json:"events,omitempty"`
+	// Status is the upstream's answer where that was a failure or a refusal, RetryAfter what it said of when to come back, and
+	// Leaving is set when it said that it leaves.
+	Status     int    `json:"status,omitempty"`
+	RetryAfter string `json:"retry-after,omitempty"`
+	Leaving    bool   `json:"leaving,omitempty"`
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -37,6 +38,26 @@
 	sent   time.Time
 	events int
 	cut    error
+	// said is what the upstream said of its own wishes in the head of its answer.
+	said said
+}
+
+// said is what an upstream says of its own wishes; the texts are as they came.
+type said struct {
+	status     int
+	retryAfter string
+	leaving    bool
+}
+
+// saidMost bounds what is kept of a header's text.
+const saidMost = 40
+
+// hear notes what the upstream says of its wishes.
+func (f *follower) hear(resp *http.Response) {
+	f.said.status = resp.StatusCode
+	f.said.retryAfter = resp.Header.Get("Retry-After")
+	f.said.retryAfter = f.said.retryAfter[:min(saidMost, len(f.said.retryAfter))]
+	f.said.leaving = resp.Header.Get(f.x.s.Names.Leaving) != ""
 }
 
 // watch closes the connection when the caller leaves, the time is up, or the upstream is silent and another one is free.
