--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -26,7 +26,7 @@
 func names() relay.Names {
 	return relay.Names{
 		RequestID: "Request", Deadline: "Deadline", Key: "Key", Customer: "Customer", Incarnation: "Life", Signature: "Signature",
-		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", Estimate: "Estimate", Priority: "Priority",
+		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", Estimate: "Estimate", Priority: "Priority", Leaving: "Leaving",
 	}
 }
 
