Show operators what upstreams ask for

Cause: an entry keeps what upstreams ask for, and nobody else sees it. Change: a line when one asks for time, leaves, takes requests again or can't be understood; a gauge and a counter; site explain UPSTREAM tells which entries it has asked, for how long still and by which word; settings backoff.most and backoff.leaving, checked.

--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// askedTable shows which entries send upstreams nothing because these asked for it.
+func askedTable(t io.Writer, list []site.UpstreamState) {
+	head := "\nUPSTREAM\tASKED ENTRY\tFOR NOTHING FOR ANOTHER\tLEAVES"
+	for i := range list {
+		u := &list[i]
+		for _, a := range u.Asked {
+			if head != "" {
+				fmt.Fprintln(t, head)
+				head = ""
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%t\n", u.ID, a.Entry, time.Duration(a.ForMS)*time.Millisecond, a.Leaving)
+		}
+	}
+}
+
 func modelRow(t io.Writer, m *site.ModelState) {
 	fmt.Fprintf(t, "%s\t%d\t%.1f\t%.0f\t%.2f\t%s\n", m.Model, m.Size, m.Serving, m.Wanted, m.Load, m.Why)
 }
@@ -186,6 +201,7 @@
 	for _, u := range s.Upstreams {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Hall, u.Domain, u.Address, time.Duration(u.AgeMS)*time.Millisecond, u.Place)
 	}
+	askedTable(t, s.Upstreams)
 	heldTable(t, s.Held)
 	if len(s.Decisions) > 0 {
 		fmt.Fprintln(t, "\nAT\tGROUP\tDECISION\tREASON")
--- a/settings/site.go
+++ b/settings/site.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -30,6 +31,7 @@
 	Bounds     SiteBounds `json:"bounds"`
 	Retries    Retries    `json:"retries"`
 	Quarantine Quarantine `json:"quarantine"`
+	Backoff    Backoff    `json:"backoff"`
 	Times      SiteTimes  `json:"times"`
 }
 
@@ -71,6 +73,14 @@
 	Records int `json:"records"`
 }
 
+// Backoff bounds for how long upstreams can make a daemon send them nothing.
+type Backoff struct {
+	// Most is the longest time that one answer of an upstream may ask for.
+	Most Duration `json:"most"`
+	// Leaving is how long an upstream is sent nothing after it has said that it leaves.
+	Leaving Duration `json:"leaving"`
+}
+
 // SiteTimes holds the intervals of the control quorum and of reports.
 type SiteTimes struct {
 	Heartbeat Duration `json:"heartbeat"`
@@ -85,11 +95,13 @@
 // 350 ms after 0.43 s (5 control daemons, one day each).
 func DefaultSite() Site {
 	held := quarantine.DefaultRule()
+	asked := backoff.DefaultRule()
 	return Site{
 		MemoryMB:   256,
 		Bounds:     SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
 		Retries:    Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
 		Quarantine: Quarantine{Ends: held.Ends, Hold: Duration(held.Hold), Records: held.Records},
+		Backoff:    Backoff{Most: Duration(asked.Most), Leaving: Duration(asked.Leaving)},
 		Times: SiteTimes{
 			Heartbeat: Duration(50 * time.Millisecond),
 			Election:  Duration(330 * time.Millisecond),
@@ -149,6 +161,7 @@
 		d.atf("listen", result.SettingsMissing, "wants callers or control")
 	}
 	cfg.Quarantine.check(d)
+	cfg.Backoff.check(d)
 	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
 		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
 	}
@@ -166,6 +179,23 @@
 	}
 }
 
+func (b *Backoff) check(d *decoder) {
+	if b.Most.Std() < backoffLeast || b.Most.Std() > backoffMost {
+		d.atf("backoff.most", result.SettingsValue, "wants %v to %v", backoffLeast, backoffMost)
+	}
+	if b.Leaving.Std() < leavingLeast || b.Leaving.Std() > backoffMost {
+		d.atf("backoff.leaving", result.SettingsValue, "wants %v to %v", leavingLeast, backoffMost)
+	}
+}
+
+const (
+	// backoffLeast lets an upstream that is overrun finish what it has, backoffMost is when one that asked for it works again at the
+	// latest; leavingLeast is longer than an upstream takes to end once it has said that it leaves.
+	backoffLeast = time.Second
+	backoffMost  = time.Hour
+	leavingLeast = 30 * time.Second
+)
+
 const (
 	// holdLeast is the shortest time for which work may be held: entries hear of each other within it also where datagrams are lost.
 	holdLeast = time.Second
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -63,6 +63,9 @@
 		{"more ends than are remembered", `"first-start"`, `"quarantine": {"ends": 10}, "first-start"`, result.SettingsValue},
 		{"held for no time", `"first-start"`, `"quarantine": {"hold": "10ms"}, "first-start"`, result.SettingsValue},
 		{"no records", `"first-start"`, `"quarantine": {"records": 0}, "first-start"`, result.SettingsValue},
+		{"upstreams may ask for nothing", `"first-start"`, `"backoff": {"most": "0s"}, "first-start"`, result.SettingsValue},
+		{"upstreams may ask for a day", `"first-start"`, `"backoff": {"most": "24h"}, "first-start"`, result.SettingsValue},
+		{"leaving ones are forgotten at once", `"first-start"`, `"backoff": {"leaving": "1s"}, "first-start"`, result.SettingsValue},
 		{"not an object", siteText, `[]`, result.SettingsType},
 		{"not JSON", siteText, `{`, result.SettingsSyntax},
 	} {
--- a/site/entry.go
+++ b/site/entry.go
@@ -75,6 +75,8 @@
 	e.relay.Observe = e.observe
 	e.relay.Quarantine.Rule = heldRule(&cfg.Quarantine)
 	e.relay.Note = e.noteHolding
+	e.relay.Backoff.Rule.Most, e.relay.Backoff.Rule.Leaving = cfg.Backoff.Most.Std(), cfg.Backoff.Leaving.Std()
+	e.relay.Asked = e.noteAsking
 	e.neighbours = newNeighbours(e.relay.Hear)
 	e.relay.Tell = e.neighbours.tell
 	return e
@@ -162,6 +164,7 @@
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
 	e.tellHeld(call)
+	e.countAsked(e.relay.Now())
 }
 
 // apply puts the leader's confirmation in force; began is the moment up to which it is certainly the newest.
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -124,6 +124,13 @@
 // Note takes what an entry tells.
 func (r Reigning) Note(call *SyncCall) { r.note(call) }
 
+// Asked returns what upstreams asked entries for.
+func (r Reigning) Asked(now time.Time) map[ident.Incarnation][]AskedState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked(now)
+}
+
 // Forget drops an entry.
 func (r Reigning) Forget(name string) {
 	r.mu.Lock()
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -66,6 +66,8 @@
 	Domain  ident.Domain      `json:"domain"`
 	AgeMS   int64             `json:"report-age-ms"`
 	Place   string            `json:"place"`
+	// Asked are the entries that it has asked to send it nothing.
+	Asked []AskedState `json:"asked"`
 }
 
 // GroupDecision is one decision on a group and its reason.
@@ -127,6 +129,7 @@
 	}
 	r.mu.Lock()
 	s.Entries = len(r.entries)
+	asked := r.asked(now)
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Outlook() {
@@ -139,7 +142,9 @@
 	upstreams, ages := r.roster.Upstreams(now)
 	for i := range upstreams {
 		u := &upstreams[i]
-		s.Upstreams = append(s.Upstreams, UpstreamState{u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u)})
+		s.Upstreams = append(s.Upstreams, UpstreamState{
+			u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u), asked[u.ID],
+		})
 	}
 	return s
 }
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -50,6 +50,8 @@
 	tries  map[tryKey]tally.Counter
 	// held is how many works are held.
 	held tally.Gauge
+	// backedOff is how many upstreams want nothing from this entry.
+	backedOff tally.Gauge
 }
 
 // words are the first words of one model: when they were expected, when they came, and how far apart the two were.
@@ -60,7 +62,10 @@
 }
 
 func newNumbers(scope tally.Scope) *numbers {
-	return &numbers{scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{}, held: scope.Gauge("held_works")}
+	return &numbers{
+		scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{},
+		held: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
+	}
 }
 
 func (n *numbers) observe(r *relay.Record) {
