Let the leader take a leaving upstream's word through entries

Cause: an upstream that says in its answers that it leaves may not reach control with the same word; its group stayed as it was until it ended. Change: entries tell the leader with their syncs who said so; the leader marks that life as leaving, as its own report would, so all entries pass it over and its group closes and is replaced. Conclusion: the same word counts by whichever way it comes; it binds a life, and the next life does not leave.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -238,6 +238,20 @@
 	}
 }
 
+// Drain notes that an upstream has told an entry that it leaves, and reports whether that is new. It may not reach control: one that
+// was cut off from it left its group as it was until it ended.
+func (r *Roster) Drain(id ident.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.upstreams[id]
+	if rec == nil || rec.Draining {
+		return false
+	}
+	rec.Draining = true
+	r.touch(change{upstream: id})
+	return true
+}
+
 func (r *Roster) end(now time.Time, id ident.Incarnation) {
 	delete(r.upstreams, id)
 	r.gone[id] = goneRecord{at: now}
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -41,6 +41,15 @@
 	return list
 }
 
+// drain takes upstreams for what they told an entry that they are: leaving. The mutex is held.
+func (r *reign) drain(call *SyncCall) {
+	for i := range call.Seen {
+		if id := call.Seen[i].ID; call.Seen[i].Leaving && r.roster.Drain(id) {
+			r.c.Log.Info("upstream leaves", "upstream", id, "entry", call.From)
+		}
+	}
+}
+
 // noteAsking logs and counts what has changed of what an upstream asks for.
 func (e *Entry) noteAsking(a *relay.Asking) {
 	e.meter.Scope.Tagged(map[string]string{"kind": string(a.Kind)}).Counter("upstream_askings").Inc(1)
--- a/site/backoff_test.go
+++ b/site/backoff_test.go
@@ -9,6 +9,7 @@
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/site"
 )
 
@@ -32,3 +33,32 @@
 		t.Errorf("two minutes later %v, want the entry that was asked for an hour", got)
 	}
 }
+
+// An upstream that tells an entry that it leaves is a leaving one to all, also when its own word to control is lost, and a later
+// report that says otherwise does not take it back. Another life of it does not leave.
+func TestALeavingUpstreamIsKnownThroughEntries(t *testing.T) {
+	r := site.NewReign()
+	report := func(id ident.Incarnation, sequence uint64) {
+		r.Roster().Take(clock.Now(), &roster.Report{
+			Upstream: roster.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4}, Sequence: sequence,
+		})
+	}
+	leaving := func() map[ident.Incarnation]bool {
+		got := map[ident.Incarnation]bool{}
+		upstreams, _ := r.Roster().Upstreams(clock.Now())
+		for i := range upstreams {
+			got[upstreams[i].ID] = upstreams[i].Draining
+		}
+		return got
+	}
+	report("u@1", 1)
+	r.Note(&site.SyncCall{From: "a", Entry: true, Seen: []relay.Seen{{ID: "u@1", Leaving: true}, {ID: "nobody", Leaving: true}}})
+	report("u@1", 2)
+	if diff := cmp.Diff(map[ident.Incarnation]bool{"u@1": true}, leaving()); diff != "" {
+		t.Errorf("who leaves (-want +got):\n%s", diff)
+	}
+	report("u@2", 1)
+	if diff := cmp.Diff(map[ident.Incarnation]bool{"u@2": false}, leaving()); diff != "" {
+		t.Errorf("who leaves after a new life (-want +got):\n%s", diff)
+	}
+}
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -118,9 +118,15 @@
 
 // NewReign returns a reign that has heard of nobody.
 func NewReign() Reigning {
-	return Reigning{&reign{entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard())}}
+	return Reigning{&reign{
+		c: &Control{Log: logr.Discard()}, roster: roster.New(),
+		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard()),
+	}}
 }
 
+// Roster returns what the leader knows of upstreams.
+func (r Reigning) Roster() *roster.Roster { return r.roster }
+
 // Note takes what an entry tells.
 func (r Reigning) Note(call *SyncCall) { r.note(call) }
 
