Tell upstreams without room from those that ask for time

Cause: a refusal that names no time made a model whose groups were all full for a moment answer 2022 in place of 2006, and a trial whose end is never told would have kept an upstream away for good. Figures: three more steps in TestAnUpstreamThatAskedForTimeIsTriedSingly; relay tests as before. Conclusion: codes as they were where nobody asks for time.

--- a/backoff/header.go
+++ b/backoff/header.go
@@ -21,7 +21,7 @@
 func Asked(h http.Header, now time.Time) (time.Duration, error) {
 	var longest time.Duration
 	for _, text := range h["Retry-After"] {
-		one, err := askedBy(strings.TrimSpace(text), h.Get("Date"), now)
+		one, err := readOne(strings.TrimSpace(text), h.Get("Date"), now)
 		if err != nil {
 			return 0, err
 		}
@@ -30,7 +30,7 @@
 	return longest, nil
 }
 
-func askedBy(text, date string, now time.Time) (time.Duration, error) {
+func readOne(text, date string, now time.Time) (time.Duration, error) {
 	if len(text) > textMost {
 		return 0, result.New(result.BackoffUnreadable, "%d bytes are too long for a time", len(text))
 	}
--- a/backoff/list.go
+++ b/backoff/list.go
@@ -38,8 +38,13 @@
 	return Rule{Most: time.Minute, Unsaid: 120 * time.Millisecond, Leaving: 10 * time.Minute}
 }
 
-// sweepAt is how many words are kept before those that are over are looked for.
-const sweepAt = 256
+const (
+	// sweepAt is how many words are kept before those that are over are looked for.
+	sweepAt = 256
+	// tryFor is how long others wait for the one that tries an upstream: longer than a request takes until it is begun, so that one
+	// whose end is never told keeps nobody away for good.
+	tryFor = 10 * time.Second
+)
 
 // List is what upstreams asked for, by their lives or addresses; exported fields are set before use.
 type List[K comparable] struct {
@@ -59,9 +64,9 @@
 	// until is when it may be sent something again, leaving is set when it said that it leaves.
 	until   time.Time
 	leaving bool
-	// trial is set from the time that it asked for until it has taken a request, trying while one is sent to find out.
-	trial  bool
-	trying bool
+	// asked is set from when it asked for time until it has taken a request, tried until when one is out to find that out.
+	asked bool
+	tried time.Time
 }
 
 // State is what an upstream asked for as it stands.
@@ -70,8 +75,8 @@
 	Left time.Duration
 	// Leaving is set when that is because it leaves.
 	Leaving bool
-	// Trial is set when its time is over and it has taken nothing since, Busy while one request tries that.
-	Trial bool
+	// Asked is set when it asked for time and has taken nothing since, Busy while one request tries whether it does.
+	Asked bool
 	Busy  bool
 }
 
@@ -93,9 +98,7 @@
 	defer l.mu.Unlock()
 	w := l.word(now, k)
 	first := asked > 0 && !now.Before(w.until)
-	if asked > 0 {
-		w.trial = true
-	}
+	w.asked = w.asked || asked > 0
 	wait := min(asked, l.Rule.Most)
 	if asked <= 0 {
 		wait = l.Rule.Unsaid
@@ -158,23 +161,23 @@
 	case w == nil:
 		return State{}
 	case now.Before(w.until):
-		return State{Left: w.until.Sub(now), Leaving: w.leaving}
+		return State{Left: w.until.Sub(now), Leaving: w.leaving, Asked: w.asked}
 	}
-	return State{Trial: w.trial, Busy: w.trial && w.trying}
+	return State{Asked: w.asked, Busy: w.asked && now.Before(w.tried)}
 }
 
 // Begin notes that a request goes to an upstream, and reports whether it is the one that tries it. Whoever gets true calls End.
-func (l *List[K]) Begin(k K) bool {
+func (l *List[K]) Begin(now time.Time, k K) bool {
 	if !l.any.Load() {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.words[k]
-	if w == nil || !w.trial || w.trying {
+	if w == nil || !w.asked || now.Before(w.tried) {
 		return false
 	}
-	w.trying = true
+	w.tried = now.Add(tryFor)
 	return true
 }
 
@@ -186,9 +189,9 @@
 	if w == nil {
 		return
 	}
-	w.trying = false
+	w.tried = time.Time{}
 	if taken {
-		w.trial = false
+		w.asked = false
 	}
 }
 
--- a/backoff/list_test.go
+++ b/backoff/list_test.go
@@ -31,13 +31,16 @@
 		now  time.Time
 		want backoff.State
 	}{
-		{"just before the end", func() {}, over.Add(-time.Millisecond), backoff.State{Left: time.Millisecond}},
-		{"at the end", func() {}, over, backoff.State{Trial: true}},
-		{"while one tries", func() { l.Begin("u") }, over, backoff.State{Trial: true, Busy: true}},
-		{"the one was lost", func() { l.End("u", false) }, over, backoff.State{Trial: true}},
-		{"the next is refused", func() { l.Begin("u"); l.Refuse(over, "u", 0); l.End("u", false) }, over, backoff.State{Left: 100 * time.Millisecond}},
-		{"it is still tried singly", func() {}, over.Add(time.Second), backoff.State{Trial: true}},
-		{"it has taken one", func() { l.Begin("u"); l.End("u", true) }, over.Add(time.Second), backoff.State{}},
+		{"just before the end", func() {}, over.Add(-time.Millisecond), backoff.State{Left: time.Millisecond, Asked: true}},
+		{"at the end", func() {}, over, backoff.State{Asked: true}},
+		{"while one tries", func() { l.Begin(over, "u") }, over, backoff.State{Asked: true, Busy: true}},
+		{"the one was lost", func() { l.End("u", false) }, over, backoff.State{Asked: true}},
+		{"the next is refused", func() { l.Begin(over, "u"); l.Refuse(over, "u", 0); l.End("u", false) }, over, backoff.State{Left: 100 * time.Millisecond, Asked: true}},
+		{"one tries, and is never heard of", func() { l.Begin(over.Add(time.Second), "u") }, over.Add(2 * time.Second), backoff.State{Asked: true, Busy: true}},
+		{"somebody else tries", func() {}, over.Add(20 * time.Second), backoff.State{Asked: true}},
+		{"its end is told late", func() { l.End("u", false) }, over.Add(20 * time.Second), backoff.State{Asked: true}},
+		{"it is still tried singly", func() {}, over.Add(time.Second), backoff.State{Asked: true}},
+		{"it has taken one", func() { l.Begin(over, "u"); l.End("u", true) }, over.Add(time.Second), backoff.State{}},
 	}
 	for _, s := range steps {
 		s.do()
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -109,14 +109,14 @@
 	soonest time.Duration
 }
 
-// add counts an upstream if it wants nothing, and reports whether that is so.
+// add counts an upstream if it asked for nothing, and reports whether that is so. One that only refused is full for a moment.
 func (a *away) add(s backoff.State) bool {
 	switch {
-	case s.Left <= 0:
-		return false
-	case s.Leaving:
+	case s.Left > 0 && s.Leaving:
 		a.leaving++
 		return true
+	case s.Left <= 0 || !s.Asked:
+		return false
 	}
 	if a.resting == 0 || s.Left < a.soonest {
 		a.soonest = s.Left
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		rated := s.rate(x, t, rank, now)
-		if asked.Busy || rated.load >= 1+queueOf(x.service) {
+		if !asked.Admits() || rated.load >= 1+queueOf(x.service) {
 			full++
 			continue
 		}
--- a/relay/room.go
+++ b/relay/room.go
@@ -256,7 +256,7 @@
 func (s *Relay) take(x *exchange, t *scored) {
 	x.unread = x.toRead()
 	s.stateOf(t.target).begin(s.Now(), x.unread)
-	x.trial = s.Backoff.Begin(t.id)
+	x.trial = s.Backoff.Begin(s.Now(), t.id)
 	if x.unread > 0 {
 		s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
 	}
