Keep away from engines and workers that ask for time in dunlinquay run too

Cause: the same as at a site: dispatch handed a worker's 503 on and sent the next call there, and a head that refused was as good as any other at the next request. A line tells who asked. Conclusion: one way to keep what upstreams ask for, in both arrangements.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -23,6 +23,8 @@
 	Tokens   ident.Tokens
 	Deadline time.Time
 	Reserve  func(now time.Time) routing.Verdict
+	// Free returns, after Reserve has returned BackedOff, how long until the first target may be tried.
+	Free func() time.Duration
 }
 
 // Controller is the gate of one daemon; exported fields are set before use.
@@ -232,6 +234,8 @@
 		return false, Refuse(result.ModelUnknown, 0, "no group serves model %q", a.Model)
 	case routing.NotWhole:
 		return false, Refuse(result.NoWholeGroup, minRetryAfter, "no group of model %q has all its members", a.Model)
+	case routing.BackedOff:
+		return false, RefuseAway(a.Free(), a.Model)
 	}
 	return false, nil
 }
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -24,6 +26,15 @@
 	return &Refusal{After: after, cause: result.New(code, format, args...)}
 }
 
+// awaySpread is the part of the time by which callers are spread, so that they do not all come back when the first target may be tried.
+const awaySpread = 0.5
+
+// RefuseAway returns the refusal of a request for a model all of whose targets asked for time, the first of them for so long.
+func RefuseAway(free time.Duration, model ident.Model) error {
+	after := free + time.Duration(awaySpread*rand.Float64()*float64(free))
+	return Refuse(result.BackedOff, after, "all that serve model %q want nothing yet, the first for another %v", model, free)
+}
+
 // RetryAfter returns when it is worth asking again, or zero when err does not say.
 func RetryAfter(err error) time.Duration {
 	var r *Refusal
--- a/backoff/header.go
+++ b/backoff/header.go
@@ -16,6 +16,11 @@
 	secondsMost = 1e9
 )
 
+// TurnsAway reports whether a status says that there is no room: only such answers ask for time.
+func TurnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // Asked returns the time that an answer asks for with Retry-After (RFC 9110, section 10.2.3), 0 when it asks for none. Seconds may have
 // a fraction. A date is held against the answer's own Date, so that no time of day but the upstream's counts, or against now.
 func Asked(h http.Header, now time.Time) (time.Duration, error) {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -157,6 +157,7 @@
 	f := newFront(t)
 	afterClaim := map[result.Code]bool{
 		result.LimitExceeded: true, result.Overloaded: true, result.DeadlineUnreachable: true, result.NoWholeGroup: true, result.ModelUnknown: true,
+		result.BackedOff: true,
 	}
 	for _, info := range result.Table() {
 		if info.Code == result.OK || info.Status == 0 {
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -40,7 +40,7 @@
 // that key before. Every other refusal of a keyed request, whichever it is, may meet a key whose request ran earlier.
 func afterClaim(code result.Code) bool {
 	switch code {
-	case result.LimitExceeded, result.Overloaded, result.DeadlineUnreachable, result.NoWholeGroup, result.ModelUnknown:
+	case result.LimitExceeded, result.Overloaded, result.DeadlineUnreachable, result.NoWholeGroup, result.ModelUnknown, result.BackedOff:
 		return true
 	}
 	return false
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -203,9 +203,9 @@
 	}
 	d.shares = newShares(d)
 	d.dispatch = dispatch.NewDispatcher()
-	d.dispatch.Services = &dispatch.Services{
-		Pools: pools, Send: service.NewClient(d.network.Dial, int64(d.cfg.Limits.BodyBytes)).Send, Random: d.routes.Random,
-	}
+	d.dispatch.Services = dispatch.NewServices(pools)
+	d.dispatch.Services.Send = service.NewClient(d.network.Dial, int64(d.cfg.Limits.BodyBytes)).Send
+	d.dispatch.Services.Random = d.routes.Random
 }
 
 func (d *Daemon) servicePools() map[ident.Service]*dispatch.ServicePool {
@@ -225,6 +225,8 @@
 	x.Observe, x.Dropped = d.observe, d.metrics.dropped
 	x.Refuses = func(ctx context.Context, address string) bool { return transport.Refuses(ctx, d.network.Dial, address) }
 	x.Holds = func(r *quarantine.Report, left time.Duration) { d.logHeld(r, left, d.cfg.Name) }
+	x.Asked = func(head ident.Incarnation, asked time.Duration) { d.logAsked(string(head), asked, nil) }
+	x.Services.Asked = d.logAsked
 	x.Book = &ledger.Book{
 		Daemon: d.cfg.Name, Incarnation: d.incarnation,
 		Retention: d.cfg.Times.LedgerRetention.Std(), KeptBytes: d.cfg.Limits.AnswerKeptBytes, Now: time.Now,
@@ -232,6 +234,15 @@
 	}
 }
 
+// logAsked logs that an upstream wants nothing from this daemon for a time, or asks for one that can't be read.
+func (d *Daemon) logAsked(upstream string, asked time.Duration, err error) {
+	if err != nil {
+		d.Log.Info("upstream asks for something unreadable", "upstream", upstream, "code", result.CodeOf(err), "error", result.Message(err))
+		return
+	}
+	d.Log.Info("upstream asked for time", "upstream", upstream, "asked-ms", asked.Milliseconds())
+}
+
 // observe counts one request and logs it: every one that failed, the others only when asked for.
 func (d *Daemon) observe(t *dispatch.Timing) {
 	d.metrics.observe(t)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -62,6 +62,8 @@
 	Refuses func(ctx context.Context, address string) bool
 	// Holds is told of work that is held from now on, and for how long.
 	Holds func(r *quarantine.Report, left time.Duration)
+	// Asked is told of heads of groups that ask for time.
+	Asked func(head ident.Incarnation, asked time.Duration)
 	// Services serves plain services.
 	Services *Services
 
@@ -162,6 +164,7 @@
 	ask := &admission.Ask{
 		Customer: r.Customer, Class: r.Class, Priority: r.Priority, Model: r.Model,
 		Tokens: r.PromptTokens + r.MaxTokens, Deadline: r.Deadline, Reserve: job.reserve,
+		Free: func() time.Duration { return job.want.Free },
 	}
 	if err := d.Gate.Admit(ctx, ask); err != nil {
 		return nil, d.unsent(ctx, err)
@@ -214,6 +217,7 @@
 		Cancel:  func(context.Context, string, ident.Request) error { return nil },
 		Refuses: func(context.Context, string) bool { return false },
 		Holds:   func(*quarantine.Report, time.Duration) {},
+		Asked:   func(ident.Incarnation, time.Duration) {},
 
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()},
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
@@ -37,6 +39,7 @@
 	for {
 		// The next try would end one more upstream, as the last ones did.
 		if err := j.d.begin(j.r.work()); err != nil {
+			j.endTrial(j.target, false)
 			j.d.Table.Done(j.target)
 			return nil, err
 		}
@@ -123,6 +126,8 @@
 			return result.New(result.ModelUnknown, "no group serves model %q any more", j.r.Model)
 		case routing.NotWhole:
 			return result.New(result.NoWholeGroup, "no group of model %q has all its members", j.r.Model)
+		case routing.BackedOff:
+			return admission.RefuseAway(j.want.Free, j.r.Model)
 		}
 		select {
 		case <-ctx.Done():
@@ -146,6 +151,7 @@
 		Chat: j.r.Chat, Prompt: j.r.Prompt, Options: j.r.Options, MaxTokens: j.r.MaxTokens,
 		Priority: j.r.Priority, From: j.tokens, Prefixes: j.want.Prefixes,
 	})
+	j.endTrial(target, err == nil)
 	if err != nil {
 		return nil, j.failed(ctx, target, err)
 	}
@@ -164,6 +170,9 @@
 	if context.Cause(ctx) == errMemberLost { //nolint:errorlint // compared by identity: it is this try's own cause
 		return result.Wrap(err, result.UpstreamFailed, "a member of group %s was lost", target.Group)
 	}
+	if asked := backoff.AskedBy(err); asked > 0 && j.d.Table.Backoff.Refuse(j.d.Now(), target.Life(), asked) {
+		j.d.Asked(target.Life(), asked)
+	}
 	switch code := result.CodeOf(err); code {
 	case result.NeverSent, result.EpochMismatch:
 		target.FailHead(j.d.Now())
@@ -173,6 +182,14 @@
 	return err
 }
 
+// endTrial ends the try that finds out whether a target takes requests again, if this one is that.
+func (j *job) endTrial(target *routing.Target, taken bool) {
+	if j.want.Trial {
+		j.want.Trial = false
+		j.d.Table.Backoff.End(target.Life(), taken)
+	}
+}
+
 // cancelUpstream tells the engine that nobody waits for the answer any more.
 func (j *job) cancelUpstream(target *routing.Target) {
 	go func() {
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -3,28 +3,29 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/admission"
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
 
-// Worker is one process of a plain service; a worker that could not be reached rests for a moment.
+// Worker is one process of a plain service.
 type Worker struct {
-	Address   string
-	inFlight  atomic.Int64
-	restUntil atomic.Pointer[time.Time]
+	Address  string
+	inFlight atomic.Int64
 }
 
-// rests reports whether the worker could not be reached a moment ago.
-func (w *Worker) rests(now time.Time) bool {
-	until := w.restUntil.Load()
-	return until != nil && now.Before(*until)
+// chosen is a worker that has one more call in flight, and whether that call finds out if it takes calls again.
+type chosen struct {
+	*Worker
+	trial bool
 }
 
 // ServicePool is the workers of one plain service.
@@ -40,15 +41,27 @@
 	Pools map[ident.Service]*ServicePool
 	// Send makes one call and returns its whole reply; NeverSent means that it certainly did not run.
 	Send func(ctx context.Context, address string, c *Call) (*Reply, error)
+	// Backoff is what workers asked this daemon for, by their addresses; one that can't be reached is passed over as one that refuses.
+	Backoff *backoff.List[string]
+	// Asked is told of workers that ask for time, or for what can't be read.
+	Asked func(address string, asked time.Duration, err error)
 	// Random returns a number in [0, n).
 	Random func(n int) int
 }
 
 const (
-	workerRest   = time.Second
+	// unreachedFor is how long a worker that could not be reached is passed over.
+	unreachedFor = time.Second
 	defaultSlots = 64
 )
 
+// NewServices returns services that know of no wishes of their workers.
+func NewServices(pools map[ident.Service]*ServicePool) *Services {
+	rule := backoff.DefaultRule()
+	rule.Unsaid = unreachedFor
+	return &Services{Pools: pools, Random: rand.IntN, Backoff: backoff.New[string](rule), Asked: func(string, time.Duration, error) {}}
+}
+
 // NewPool returns a pool of workers at addresses; slots 0 takes a default.
 func NewPool(name ident.Service, addresses []string, slots int) *ServicePool {
 	if slots <= 0 {
@@ -71,29 +84,60 @@
 	return p.Slots * len(p.Workers)
 }
 
-// take chooses the worker with the fewest calls, from a random one on, past those that rest.
-func (s *Services) take(now time.Time, p *ServicePool, avoid *Worker) (*Worker, routing.Verdict) {
+// take chooses the worker with the fewest calls, from a random one on, past those that want nothing; where all do, it returns for how
+// long the first of them does.
+func (s *Services) take(now time.Time, p *ServicePool, avoid *Worker) (chosen, routing.Verdict, time.Duration) {
 	start := s.Random(len(p.Workers))
 	var best *Worker
+	var free time.Duration
 	verdict := routing.NotWhole
 	for i := range p.Workers {
 		w := p.Workers[(start+i)%len(p.Workers)]
-		if w == avoid && len(p.Workers) > 1 || w.rests(now) {
-			continue
-		}
-		if int(w.inFlight.Load()) >= p.Slots {
+		asked := s.Backoff.Of(now, w.Address)
+		switch {
+		case asked.Left > 0:
+			if asked.Asked && (free == 0 || asked.Left < free) {
+				free = asked.Left
+			}
+		case w == avoid && len(p.Workers) > 1:
+		case asked.Busy || int(w.inFlight.Load()) >= p.Slots:
 			verdict = routing.Full
-			continue
-		}
-		if best == nil || w.inFlight.Load() < best.inFlight.Load() {
+		case best == nil || w.inFlight.Load() < best.inFlight.Load():
 			best = w
 		}
 	}
-	if best == nil {
-		return nil, verdict
+	switch {
+	case best != nil:
+		best.inFlight.Add(1)
+		return chosen{best, s.Backoff.Begin(now, best.Address)}, routing.Chosen, 0
+	case verdict == routing.NotWhole && free > 0:
+		return chosen{}, routing.BackedOff, free
 	}
-	best.inFlight.Add(1)
-	return best, routing.Chosen
+	return chosen{}, verdict, 0
+}
+
+// done gives back what take counted, and keeps what the worker asked for in its reply.
+func (s *Services) done(now time.Time, c chosen, reply *Reply, err error) {
+	c.inFlight.Add(-1)
+	refused := false
+	switch {
+	case result.CodeOf(err) == result.NeverSent:
+		s.Backoff.Refuse(now, c.Address, 0)
+	case reply != nil && backoff.TurnsAway(reply.Status):
+		refused = s.turnedAway(now, c.Address, reply)
+	}
+	if c.trial {
+		s.Backoff.End(c.Address, reply != nil && !refused)
+	}
+}
+
+// turnedAway keeps the time that a worker asked for, and reports whether it did.
+func (s *Services) turnedAway(now time.Time, address string, reply *Reply) bool {
+	asked, err := backoff.Asked(reply.Header, time.Now())
+	if err != nil || asked > 0 && s.Backoff.Refuse(now, address, asked) {
+		s.Asked(address, asked, err)
+	}
+	return asked > 0
 }
 
 // ServeCall returns the whole reply of a plain service.
@@ -146,13 +190,15 @@
 		return nil, err
 	}
 	started := d.Now()
-	var worker *Worker
+	var worker chosen
+	var free time.Duration
 	ask := &admission.Ask{
 		Customer: c.Customer, Class: c.Class, Priority: c.Priority, Model: ServiceModel(c.Service), Deadline: c.Deadline,
 		Reserve: func(now time.Time) (verdict routing.Verdict) {
-			worker, verdict = d.Services.take(now, pool, nil)
+			worker, verdict, free = d.Services.take(now, pool, nil)
 			return verdict
 		},
+		Free: func() time.Duration { return free },
 	}
 	if err := d.Gate.Admit(ctx, ask); err != nil {
 		return nil, d.unsent(ctx, err)
@@ -174,30 +220,29 @@
 }
 
 // callWorkers sends the call to worker, and to others as long as it surely did not run or may be repeated.
-func (d *Dispatcher) callWorkers(ctx context.Context, c *Call, pool *ServicePool, worker *Worker, t *Timing) (*Reply, error) {
+func (d *Dispatcher) callWorkers(ctx context.Context, c *Call, pool *ServicePool, worker chosen, t *Timing) (*Reply, error) {
 	ran := false
 	for {
 		if err := d.begin(c.work()); err != nil {
-			worker.inFlight.Add(-1)
+			d.Services.done(d.Now(), worker, nil, err)
 			return nil, err
 		}
 		t.Tries++
 		reply, err := d.Services.Send(ctx, worker.Address, c)
-		worker.inFlight.Add(-1)
-		d.concluded(c.work(), worker.Address, c.life(worker, t.Tries), err)
+		d.Services.done(d.Now(), worker, reply, err)
+		d.concluded(c.work(), worker.Address, c.life(worker.Worker, t.Tries), err)
 		if err == nil {
 			return reply, nil
 		}
 		err = d.named(ctx, err)
 		ran = ran || !NotRun(err)
-		if result.CodeOf(err) == result.NeverSent {
-			until := d.Now().Add(workerRest)
-			worker.restUntil.Store(&until)
-		}
 		if !d.mayCallAgain(ctx, c, err, t.Tries) {
 			return nil, finalCall(err, ran)
 		}
-		next, verdict := d.Services.take(d.Now(), pool, worker)
+		next, verdict, free := d.Services.take(d.Now(), pool, worker.Worker)
+		if verdict == routing.BackedOff && NotRun(err) {
+			err = admission.RefuseAway(free, ServiceModel(c.Service))
+		}
 		if verdict != routing.Chosen {
 			return nil, finalCall(err, ran)
 		}
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,10 +19,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dghubble/sling"
 	fast "github.com/segmentio/encoding/json"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -90,7 +92,7 @@
 		return transport.Classify(err)
 	}
 	if w.StatusCode != http.StatusOK {
-		return refusalOf(w.StatusCode, body)
+		return refusalOf(w, body)
 	}
 	if err := json.Unmarshal(body, into); err != nil {
 		return result.Wrap(err, result.UpstreamMalformed, "engine's answer cannot be read")
@@ -101,7 +103,23 @@
 // StatusFenced is the status with which an engine refuses the order of an older leader.
 const StatusFenced = http.StatusPreconditionFailed
 
-func refusalOf(status int, body []byte) error {
+// refusalOf returns what an engine's refusal means, with the time that it asks for.
+func refusalOf(w *http.Response, body []byte) error {
+	err := refusalIn(w.StatusCode, body)
+	if !backoff.TurnsAway(w.StatusCode) {
+		return err
+	}
+	asked, unreadable := backoff.Asked(w.Header, time.Now())
+	switch {
+	case unreadable != nil:
+		return result.Wrap(err, result.CodeOf(err), "%s", result.Message(unreadable))
+	case asked > 0:
+		return backoff.Refused(err, asked)
+	}
+	return err
+}
+
+func refusalIn(status int, body []byte) error {
 	var refusal Refusal
 	if json.Unmarshal(body, &refusal) != nil {
 		return result.New(result.UpstreamMalformed, "engine answered with status %d", status)
@@ -139,7 +157,7 @@
 	if w.StatusCode != http.StatusOK {
 		defer w.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(w.Body, maxSmallAnswer))
-		return nil, refusalOf(w.StatusCode, text)
+		return nil, refusalOf(w, text)
 	}
 	return NewStream(w.Body, g.Request, g.Epoch, g.From), nil
 }
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -10,9 +10,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -267,3 +269,29 @@
 		}
 	})
 }
+
+// An engine that refuses for want of room may say for how long it wants nothing; only then, and only what can be read counts.
+func TestRefusalsAskForTime(t *testing.T) {
+	for _, c := range []struct {
+		name, status, header string
+		want                 time.Duration
+	}{
+		{"three seconds", "503", "Retry-After: 3\r\n", 3 * time.Second},
+		{"too many", "429", "Retry-After: 0.5\r\n", 500 * time.Millisecond},
+		{"nothing", "503", "", 0},
+		{"unreadable", "503", "Retry-After: soon\r\n", 0},
+		{"not for want of room", "409", "Retry-After: 3\r\n", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, _ := raw(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				body := `{"not-run":true,"reason":"no room"}`
+				fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n%s", c.status, c.header, len(body), body)
+				return false
+			})
+			_, err := engine.NewClient(transport.TCP()).Generate(context.Background(), address, &engine.Generate{Request: "r1", Epoch: 7})
+			if got := backoff.AskedBy(err); got != c.want || result.CodeOf(err) != result.UpstreamNotRun {
+				t.Errorf("%v asks for %v, want code %d and %v", err, got, result.UpstreamNotRun, c.want)
+			}
+		})
+	}
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/httproute"
 )
 
@@ -42,7 +43,7 @@
 		f.keepIfWhole(resp)
 		return verdictNotRun
 	}
-	x.endTrial(f.t.id, !turnsAway(resp))
+	x.endTrial(f.t.id, !backoff.TurnsAway(resp.StatusCode))
 	x.ran()
 	if resp.StatusCode == http.StatusOK && x.route.Kind == httproute.KindStream {
 		return f.followStream(resp)
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -61,16 +61,11 @@
 	if f.said.leaving && s.Backoff.Leave(s.Now(), f.t.id) {
 		s.Asked(&Asking{Kind: AskingLeave, Upstream: f.t.id, Group: f.t.group, For: s.Backoff.Rule.Leaving})
 	}
-	if turnsAway(resp) {
+	if backoff.TurnsAway(resp.StatusCode) {
 		f.turnedAway(resp)
 	}
 }
 
-// turnsAway reports whether an answer says that there is no room.
-func turnsAway(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-}
-
 // turnedAway notes that the upstream refused for want of room, and for how long it wants nothing.
 func (f *follower) turnedAway(resp *http.Response) {
 	s := f.x.s
--- a/routing/table.go
+++ b/routing/table.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -24,6 +25,11 @@
 	PromptTokens ident.Tokens
 	// Avoid is a target that has just failed this request.
 	Avoid *Target
+
+	// Trial is set by Take when the request finds out whether a target that asked for time takes requests again, Free with BackedOff:
+	// how long until the first target may be tried.
+	Trial bool
+	Free  time.Duration
 }
 
 // Costs are the seconds by which the parts of a choice are weighed.
@@ -57,6 +63,8 @@
 	Bound  time.Duration
 	Costs  Costs
 	Record *Record
+	// Backoff is what the heads of targets asked this daemon for.
+	Backoff *backoff.List[ident.Incarnation]
 	// Random returns a number in [0, n); tests give it a seed.
 	Random func(n int) int
 
@@ -66,6 +74,7 @@
 // NewTable returns an empty table for a daemon in hall with the presence bound.
 func NewTable(hall ident.Hall, bound time.Duration) *Table {
 	t := &Table{Hall: hall, Bound: bound, Costs: DefaultCosts(), Record: NewRecord(defaultRecordSize), Random: rand.IntN}
+	t.Backoff = backoff.New[ident.Incarnation](backoff.DefaultRule())
 	t.Replace(nil, nil)
 	return t
 }
@@ -97,6 +106,8 @@
 	UnknownModel
 	NotWhole
 	Full
+	// BackedOff means that every target has asked for time.
+	BackedOff
 )
 
 // Take chooses a target and counts one request in flight there, which Done gives back.
@@ -123,6 +134,7 @@
 		best.inFlight.Add(-1)
 		return t.Take(now, ask)
 	}
+	ask.Trial = t.Backoff.Begin(now, best.Life())
 	t.Record.note(best, ask.Prefixes)
 	return best, Chosen
 }
@@ -160,7 +172,7 @@
 // cost returns the expected seconds until the first token beyond the unavoidable; ok is false when the target cannot take the request now.
 func (t *Table) cost(now time.Time, ask *Ask, c *Target, cached float64) (seconds float64, ok bool) {
 	slots, busy := c.load()
-	if busy >= slots || !c.Whole(now, t.Bound) {
+	if busy >= slots || !c.Whole(now, t.Bound) || !t.Backoff.Of(now, c.Life()).Admits() {
 		return 0, false
 	}
 	seconds = t.Costs.Service * float64(busy) / float64(slots)
@@ -180,8 +192,15 @@
 func (t *Table) search(now time.Time, ask *Ask, targets []*Target) (*Target, Verdict) {
 	start := t.Random(len(targets))
 	verdict := NotWhole
+	ask.Free = 0
 	for i := range targets {
 		c := targets[(start+i)%len(targets)]
+		if left := t.askedFor(now, c); left > 0 {
+			if ask.Free == 0 || left < ask.Free {
+				ask.Free = left
+			}
+			continue
+		}
 		if c == ask.Avoid {
 			continue
 		}
@@ -192,15 +211,26 @@
 			verdict = Full
 		}
 	}
-	if ask.Avoid == nil || len(targets) == 0 {
-		return nil, verdict
+	if ask.Avoid != nil {
+		if _, ok := t.cost(now, ask, ask.Avoid, 0); ok {
+			return ask.Avoid, Chosen
+		}
 	}
-	if _, ok := t.cost(now, ask, ask.Avoid, 0); ok {
-		return ask.Avoid, Chosen
+	if verdict == NotWhole && ask.Free > 0 {
+		verdict = BackedOff
 	}
 	return nil, verdict
 }
 
+// askedFor returns how long a whole target wants nothing yet because it asked for time.
+func (t *Table) askedFor(now time.Time, c *Target) time.Duration {
+	asked := t.Backoff.Of(now, c.Life())
+	if !asked.Asked || !c.Whole(now, t.Bound) {
+		return 0
+	}
+	return asked.Left
+}
+
 // Capacity returns the slots of the whole groups of a model.
 func (t *Table) Capacity(now time.Time, model ident.Model) int {
 	total := 0
--- a/routing/target.go
+++ b/routing/target.go
@@ -49,6 +49,11 @@
 	return len(t.Members) > 0
 }
 
+// Life returns the life of the first member, to which requests are sent.
+func (t *Target) Life() ident.Incarnation {
+	return t.Members[0].Incarnation
+}
+
 // InFlight returns the number of this daemon's requests at the target.
 func (t *Target) InFlight() int {
 	return int(t.inFlight.Load())
