Hear what engines ask for with answers to orders and questions

Change: one reader of both words (backoff.WishOf) for relay, orders and questions; control gives no order to an upstream in the time that it asked control for, and takes a leaving one for that.

--- a/backoff/header.go
+++ b/backoff/header.go
@@ -16,6 +16,31 @@
 	secondsMost = 1e9
 )
 
+// Wish is what an upstream asks for with one answer.
+type Wish struct {
+	// Asked is the time for which it wants nothing, 0 when it names none; Text is what it said, as it came but for its length.
+	Asked time.Duration
+	Text  string
+	// Leaving is set when it says that it leaves.
+	Leaving bool
+	// Err tells that what it asks for can't be read.
+	Err error
+}
+
+// WishOf reads an answer's wish; leaving is the name of the header of upstreams that leave. Who answered a misdirected request is not
+// known, so that such an answer asks for nothing.
+func WishOf(resp *http.Response, leaving string, now time.Time) Wish {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return Wish{}
+	}
+	text := resp.Header.Get("Retry-After")
+	w := Wish{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(leaving) != ""}
+	if TurnsAway(resp.StatusCode) {
+		w.Asked, w.Err = Asked(resp.Header, now)
+	}
+	return w
+}
+
 // TurnsAway reports whether a status says that there is no room: only such answers ask for time.
 func TurnsAway(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -77,8 +77,9 @@
 	c.Log = log.Events()
 	c.Dial = transport.Guarded()
 	c.DecodeConfig = platform.DecodeConfig
-	c.GiveOrder = platform.NewOrders(transport.Guarded()).Give
-	c.AskPace = platform.NewPaces(transport.Guarded()).Ask
+	orders, paces := platform.NewOrders(transport.Guarded()), platform.NewPaces(transport.Guarded())
+	orders.Heard, paces.Heard = c.Heard, c.Heard
+	c.GiveOrder, c.AskPace = orders.Give, paces.Ask
 	calls := &platform.Control{Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read, Unusable: c.Unusable}
 	c.Handler = calls.Handler()
 	c.Reread = reread
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -39,50 +39,28 @@
 	Err        error
 }
 
-// said is what an upstream says of its own wishes; the text is as it came, but for its length.
-type said struct {
-	status     int
-	retryAfter string
-	leaving    bool
-}
-
-// saidMost bounds what is kept of a header's text.
-const saidMost = 40
-
-// heed takes what the upstream says of its wishes in the head of an answer, also of one to an earlier request on the connection. Who
-// answered a misdirected request is not known, so that says nothing of the upstream it was meant for.
+// heed takes what the upstream asks for in the head of an answer, also of one to an earlier request on the connection.
 func (f *follower) heed(resp *http.Response) {
-	s := f.x.s
-	text := resp.Header.Get("Retry-After")
-	f.said = said{resp.StatusCode, text[:min(saidMost, len(text))], resp.Header.Get(s.Names.Leaving) != ""}
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return
+	s, now := f.x.s, f.x.s.Now()
+	f.status, f.wish = resp.StatusCode, backoff.WishOf(resp, s.Names.Leaving, time.Now())
+	a := &Asking{Upstream: f.t.id, Group: f.t.group, RetryAfter: f.wish.Text, Asked: f.wish.Asked, Err: f.wish.Err}
+	if f.wish.Leaving && s.Backoff.Leave(now, f.t.id) {
+		s.tellAsked(a, AskingLeave)
 	}
-	if f.said.leaving && s.Backoff.Leave(s.Now(), f.t.id) {
-		s.Asked(&Asking{Kind: AskingLeave, Upstream: f.t.id, Group: f.t.group, For: s.Backoff.Rule.Leaving})
+	if f.wish.Err != nil {
+		s.tellAsked(a, AskingUnclear)
 	}
-	if backoff.TurnsAway(resp.StatusCode) {
-		f.turnedAway(resp)
+	// A failure that asks for nothing is none of want of room.
+	refuses := backoff.TurnsAway(resp.StatusCode) && (f.wish.Asked > 0 || resp.Header.Get(s.Names.NotRun) != "")
+	if refuses && s.Backoff.Refuse(now, f.t.id, f.wish.Asked) {
+		s.tellAsked(a, AskingTime)
 	}
 }
 
-// turnedAway notes that the upstream refused for want of room, and for how long it wants nothing.
-func (f *follower) turnedAway(resp *http.Response) {
-	s := f.x.s
-	a := &Asking{Kind: AskingTime, Upstream: f.t.id, Group: f.t.group, RetryAfter: f.said.retryAfter}
-	asked, err := backoff.Asked(resp.Header, time.Now())
-	if err != nil {
-		a.Kind, a.Err = AskingUnclear, err
-		s.Asked(a)
-	}
-	if asked == 0 && resp.Header.Get(s.Names.NotRun) == "" {
-		return // a failure that asks for nothing
-	}
-	now := s.Now()
-	if s.Backoff.Refuse(now, f.t.id, asked) {
-		a.Asked, a.For = asked, s.Backoff.Of(now, f.t.id).Left
-		s.Asked(a)
-	}
+// tellAsked tells operators of a wish as it is kept.
+func (s *Relay) tellAsked(a *Asking, kind AskingKind) {
+	a.Kind, a.For = kind, s.Backoff.Of(s.Now(), a.Upstream).Left
+	s.Asked(a)
 }
 
 // endTrial ends the try that finds out whether an upstream takes requests again, if the present one is that.
--- a/relay/cut.go
+++ b/relay/cut.go
@@ -43,8 +43,8 @@
 	if f.cut != nil {
 		t.Cut, t.RanMS, t.Events = cutOf(f.cut), now.Sub(f.sent).Milliseconds(), f.events
 	}
-	t.RetryAfter, t.Leaving = f.said.retryAfter, f.said.leaving
-	if f.said.status >= http.StatusBadRequest {
-		t.Status = f.said.status
+	t.RetryAfter, t.Leaving = f.wish.Text, f.wish.Leaving
+	if f.status >= http.StatusBadRequest {
+		t.Status = f.status
 	}
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -10,6 +10,7 @@
 	"context"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/overload"
 )
@@ -37,8 +38,9 @@
 	sent   time.Time
 	events int
 	cut    error
-	// said is what the upstream said of its own wishes in the head of its answer.
-	said said
+	// status and wish are the status of the upstream's answer and what it asked for with it.
+	status int
+	wish   backoff.Wish
 }
 
 // watch closes the connection when the caller leaves, the time is up, or the upstream is silent and another one is free.
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -6,15 +6,60 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/settings"
 )
 
+// backoffRule is the rule that the settings give.
+func backoffRule(b *settings.Backoff) backoff.Rule {
+	rule := backoff.DefaultRule()
+	rule.Most, rule.Leaving = b.Most.Std(), b.Leaving.Std()
+	return rule
+}
+
+// Heard takes what an upstream asks for with its answer to an order or a question.
+func (c *Control) Heard(id ident.Incarnation, w backoff.Wish) {
+	now := clock.Now()
+	switch {
+	case w.Err != nil:
+		c.Log.Info("upstream asks for something unreadable", "upstream", id, "code", result.CodeOf(w.Err), "error", result.Message(w.Err))
+	case w.Asked > 0 && c.asked.Refuse(now, id, w.Asked):
+		c.Log.Info("upstream asked for time", "upstream", id, "retry-after", w.Text, "asked-ms", w.Asked.Milliseconds())
+	}
+	if r := c.reign.Load(); w.Leaving && r != nil {
+		r.drain(id, "this daemon")
+	}
+}
+
+// waits reports whether an upstream asked this daemon for time that is not over.
+func (c *Control) waits(id ident.Incarnation) bool {
+	return c.asked.Of(clock.Now(), id).Left > 0
+}
+
+// paceAsker returns how engines are asked for their pace, nil where they can't be.
+func (c *Control) paceAsker() func(ctx context.Context, address string, id ident.Incarnation) (float64, error) {
+	if c.AskPace == nil {
+		return nil
+	}
+	return c.askPace
+}
+
+// askPace asks an engine for its pace unless it asked for time.
+func (c *Control) askPace(ctx context.Context, address string, id ident.Incarnation) (float64, error) {
+	if c.waits(id) {
+		return 0, result.New(result.BackedOff, "it asked for time")
+	}
+	return c.AskPace(ctx, address, id)
+}
+
 // AskedState is what an upstream asked one entry for, as operators see it.
 type AskedState struct {
 	// Entry is the peers' address of the entry that it asked.
@@ -41,15 +86,22 @@
 	return list
 }
 
-// drain takes upstreams for what they told an entry that they are: leaving. The mutex is held.
-func (r *reign) drain(call *SyncCall) {
+// drainSeen takes upstreams for what they told an entry that they are: leaving.
+func (r *reign) drainSeen(call *SyncCall) {
 	for i := range call.Seen {
-		if id := call.Seen[i].ID; call.Seen[i].Leaving && r.roster.Drain(id) {
-			r.c.Log.Info("upstream leaves", "upstream", id, "entry", call.From)
+		if call.Seen[i].Leaving {
+			r.drain(call.Seen[i].ID, call.From)
 		}
 	}
 }
 
+// drain notes that an upstream told somebody that it leaves.
+func (r *reign) drain(id ident.Incarnation, told string) {
+	if r.roster.Drain(id) {
+		r.c.Log.Info("upstream leaves", "upstream", id, "told", told)
+	}
+}
+
 // noteAsking logs and counts what has changed of what an upstream asks for.
 func (e *Entry) noteAsking(a *relay.Asking) {
 	e.meter.Scope.Tagged(map[string]string{"kind": string(a.Kind)}).Counter("upstream_askings").Inc(1)
--- a/site/backoff_test.go
+++ b/site/backoff_test.go
@@ -6,9 +6,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/site"
 )
@@ -62,3 +64,23 @@
 		t.Errorf("who leaves after a new life (-want +got):\n%s", diff)
 	}
 }
+
+// What an upstream answers to orders binds control: it gives none for the time that was asked for, and takes a leaving one for that.
+func TestWishesInAnswersToOrders(t *testing.T) {
+	c, r := site.NewAsked()
+	r.Roster().Take(clock.Now(), &roster.Report{
+		Upstream: roster.Upstream{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 4}, Sequence: 1,
+	})
+	c.Heard("u", backoff.Wish{Err: result.New(result.BackoffUnreadable, "soon")})
+	if c.Waits("u") {
+		t.Error("what can't be read counts")
+	}
+	c.Heard("u", backoff.Wish{Asked: time.Minute, Leaving: true})
+	if !c.Waits("u") || c.Waits("v") {
+		t.Error("the upstream that asked for time gets orders, or another gets none")
+	}
+	upstreams, _ := r.Roster().Upstreams(clock.Now())
+	if len(upstreams) != 1 || !upstreams[0].Draining {
+		t.Errorf("%+v, want one that leaves", upstreams)
+	}
+}
--- a/site/control.go
+++ b/site/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/disk"
@@ -81,6 +82,8 @@
 	reports  *reports
 	unusable seldom
 	held     *quarantine.List
+	// asked is what upstreams asked this daemon for.
+	asked *backoff.List[ident.Incarnation]
 }
 
 // NewControl opens the data folder that cfg names.
@@ -101,6 +104,7 @@
 	}
 	c.machine.Changed = c.configChanged
 	c.held = &quarantine.List{Rule: heldRule(&cfg.Quarantine)}
+	c.asked = backoff.New[ident.Incarnation](backoffRule(&cfg.Backoff))
 	c.reports = newReports(c.passReports)
 	c.meter = meter.New()
 	c.tallies = newTallies(c.meter.Scope)
--- a/site/entries.go
+++ b/site/entries.go
@@ -80,7 +80,7 @@
 	}
 	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
 	r.paces.note(now, call.Seen)
-	r.drain(call)
+	r.drainSeen(call)
 	own := map[ident.Incarnation]int{}
 	for _, seen := range call.Seen {
 		own[seen.ID] = seen.Inflight
--- a/site/entry.go
+++ b/site/entry.go
@@ -75,7 +75,7 @@
 	e.relay.Observe = e.observe
 	e.relay.Quarantine.Rule = heldRule(&cfg.Quarantine)
 	e.relay.Note = e.noteHolding
-	e.relay.Backoff.Rule.Most, e.relay.Backoff.Rule.Leaving = cfg.Backoff.Most.Std(), cfg.Backoff.Leaving.Std()
+	e.relay.Backoff.Rule = backoffRule(&cfg.Backoff)
 	e.relay.Asked = e.noteAsking
 	e.neighbours = newNeighbours(e.relay.Hear)
 	e.relay.Tell = e.neighbours.tell
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -130,6 +131,17 @@
 // Note takes what an entry tells.
 func (r Reigning) Note(call *SyncCall) { r.note(call) }
 
+// NewAsked returns a control daemon that knows nothing but what upstreams asked it for, with a leader's roster.
+func NewAsked() (*Control, Reigning) {
+	r := NewReign()
+	r.c.asked = backoff.New[ident.Incarnation](backoff.DefaultRule())
+	r.c.reign.Store(r.reign)
+	return r.c, r
+}
+
+// Waits reports whether an upstream asked the daemon for time that is not over.
+func (c *Control) Waits(id ident.Incarnation) bool { return c.waits(id) }
+
 // Asked returns what upstreams asked entries for.
 func (r Reigning) Asked(now time.Time) map[ident.Incarnation][]AskedState {
 	r.mu.Lock()
--- a/site/reign.go
+++ b/site/reign.go
@@ -101,7 +101,7 @@
 		totals:     map[ident.Incarnation]int{},
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
-		paces:      newPaces(c.AskPace, c.Log),
+		paces:      newPaces(c.paceAsker(), c.Log),
 	}
 	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
@@ -280,7 +280,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		outcome := replicaset.OutcomeUnknown
-		if r.c.leads() {
+		// What it asked for binds orders too; the formation gives the order again.
+		if r.c.leads() && !r.c.waits(o.To) {
 			outcome = r.c.GiveOrder(ctx, &o)
 		}
 		select {
