--- a/soak/callers.go
+++ b/soak/callers.go
@@ -135,6 +135,7 @@
 		return nil, err
 	}
 	req.ContentLength = int64(len(body))
+	r.from = senderOf(c.entry)
 	req.Host = siteHost
 	names := platform.Names()
 	req.Header.Set(names.RequestID, r.id)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,6 +34,7 @@
 	{"read settings again", true, 3, false, (*soak).hangUp},
 	{"an upstream leaves", true, 3, false, (*soak).drainUpstream},
 	{"an upstream comes", true, 2, false, (*soak).addUpstream},
+	{"an upstream asks for time", true, 3, true, (*soak).turnsAway},
 	{"kill an entry", false, 3, false, (*soak).killEntry},
 	{"kill a control daemon", false, 3, true, (*soak).killControl},
 	{"kill all control daemons", false, 1, true, (*soak).killControls},
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -179,7 +179,7 @@
 	}
 	req.Host = siteHost
 	req.Header.Set(platform.Names().RequestID, id)
-	s.truth.sends(&request{id: id, repeatable: true})
+	s.truth.sends(&request{id: id, repeatable: true, from: senderOf(d)})
 	resp, err := s.prober.Do(req)
 	if err != nil {
 		return 0
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -37,7 +37,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !e.takeSlot() {
+	if e.arrives(w, id) || !e.takeSlot() {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -256,6 +256,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.watched = s.Planned && !s.Untimed
+	e.asksWatched = (s.Planned || s.Fatal) && !s.Untimed
 	e.replaced = func() { s.replaceLater(s.ctx, e, between(s.random(hashOf(string(id))), time.Second, 3*time.Second)) }
 	return string(id)
 }
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -30,6 +30,8 @@
 	// notRun is set when the caller was told so.
 	notRun bool
 	runs   int
+	// from is the entry that it was sent to.
+	from sender
 }
 
 // membership is a group that an engine was in; a group is named anew each time it is formed.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -84,6 +84,12 @@
 	pace     float64
 	random   *rand.Rand
 	wasReady map[membership]bool
+	// asksFor is the longest time for which it asks while it turns requests away, 0 when it does not; asked are the times that it asked
+	// for, saidLeaving is when it first told an entry that it leaves. What reaches it all the same breaks a promise when asksWatched.
+	asksFor     time.Duration
+	asked       map[sender][]*asked
+	saidLeaving map[sender]time.Time
+	asksWatched bool
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
 	watched bool
 }
@@ -91,7 +97,8 @@
 func newEngine(ctx context.Context, t *truth, id ident.Incarnation, service ident.Service, place int, reports func() []string) (*engine, error) {
 	e := &engine{
 		id: id, service: service, hall: ident.Hall(fmt.Sprintf("hall-%d", place)), domain: ident.Domain(fmt.Sprintf("domain-%d", place)),
-		truth: t, reports: reports, changed: make(chan struct{}, 1), wasReady: map[membership]bool{}, random: rand.New(rand.NewPCG(hashOf(string(id)), 1)),
+		truth: t, reports: reports, changed: make(chan struct{}, 1), wasReady: map[membership]bool{},
+		asked: map[sender][]*asked{}, saidLeaving: map[sender]time.Time{}, random: rand.New(rand.NewPCG(hashOf(string(id)), 1)),
 	}
 	e.ctx, e.end = context.WithCancel(ctx)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
