--- /dev/null
+++ b/relay/words_test.go
@@ -0,0 +1,85 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// An upstream says with its answer whether a connection may be used again, and for how long: what it closes soon is not sent on.
+func TestConnectionsEndAsAsked(t *testing.T) {
+	for _, c := range []struct {
+		name, header string
+		// idle is how long nothing is sent after the first answer.
+		idle time.Duration
+		kept bool
+	}{
+		{"nothing said", "X: y", 2 * time.Second, true},
+		{"close", "Connection: close", 0, false},
+		{"kept for two seconds, used after one", "Keep-Alive: timeout=2", time.Second, true},
+		{"kept for two seconds, used right before", "Keep-Alive: timeout=2", 1500 * time.Millisecond, false},
+		{"one more parameter", "Keep-Alive: max=9, timeout=1", time.Second, false},
+		{"unreadable", "Keep-Alive: timeout=soon", 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			vm := &suspendable{began: time.Now()}
+			var mu sync.Mutex
+			conns := map[net.Conn]bool{}
+			u := newUpstream(t, always(func(conn net.Conn, r *http.Request) bool {
+				mu.Lock()
+				conns[conn] = true
+				mu.Unlock()
+				body := "answer to " + r.Header.Get("Request")
+				_, err := io.WriteString(conn, head(r, 200, signature, c.header, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+				return err == nil
+			}))
+			s := newSite(t, []*upstream{u}, nil)
+			s.relay.Now = vm.clock().Now
+			for n := range 2 {
+				s.relay.SetConfirmed(s.relay.Now())
+				if got := s.do(s.request("POST", "/safe/x", fmt.Sprint(n), "")); got.Status != http.StatusOK {
+					t.Fatalf("status %d", got.Status)
+				}
+				vm.away = c.idle
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if kept := len(conns) == 1; kept != c.kept {
+				t.Errorf("%d connections for two requests, kept want %t", len(conns), c.kept)
+			}
+		})
+	}
+}
+
+// A head that names the member at fault did not run the request: another group does, and the leader is told whom it blames.
+func TestABlamedMemberIsTold(t *testing.T) {
+	blames := newUpstream(t, always(func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, head(r, 503, "Not-Run: 1", "Blamed: m1", "Content-Length: 0"))
+		return err == nil
+	}))
+	works := newUpstream(t, always(func(c net.Conn, r *http.Request) bool { return stream(c, r, 1, 2, true) }))
+	s := newSite(t, nil, []*upstream{blames, works})
+	s.relay.Draw = func(int) int { return 0 } // the first of equals is asked first
+	for n := range 8 {
+		if got := s.do(s.request("POST", "/stream/x", fmt.Sprint(n), "")); got.Status != http.StatusOK || !got.Whole {
+			t.Errorf("request %d: %+v", n, got)
+		}
+	}
+	seen, _ := s.relay.Look()
+	told := map[ident.Incarnation]string{}
+	for _, one := range seen {
+		told[one.ID] = one.Blamed
+	}
+	if told["h0"] != "m1" || told["h1"] != "" {
+		t.Errorf("blamed %v, want m1 by h0", told)
+	}
+	if n := len(blames.arrivals()); n != 1 {
+		t.Errorf("%d requests reached the group with a member at fault, want the first", n)
+	}
+}
