Name what upstreams ask for by one word

Cause: code and tests spoke of rest, wishes and backoff for the same thing. Change: names only: Notice and backoff; the tests of the incident keep their checks, TestRestIsKept is TestBackoffIsKept now. Conclusion: one word a newcomer can look up.

--- a/backoff/header.go
+++ b/backoff/header.go
@@ -16,8 +16,8 @@
 	secondsMost = 1e9
 )
 
-// Wish is what an upstream asks for with one answer.
-type Wish struct {
+// Notice is what an upstream asks for with one answer.
+type Notice struct {
 	// Asked is the time for which it wants nothing, 0 when it names none; Text is what it said, as it came but for its length.
 	Asked time.Duration
 	Text  string
@@ -27,14 +27,14 @@
 	Err error
 }
 
-// WishOf reads an answer's wish; leaving is the name of the header of upstreams that leave. Who answered a misdirected request is not
+// NoticeOf reads what an answer asks for; leaving is the name of the header of upstreams that leave. Who answered a misdirected request is not
 // known, so that such an answer asks for nothing.
-func WishOf(resp *http.Response, leaving string, now time.Time) Wish {
+func NoticeOf(resp *http.Response, leaving string, now time.Time) Notice {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return Wish{}
+		return Notice{}
 	}
 	text := resp.Header.Get("Retry-After")
-	w := Wish{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(leaving) != ""}
+	w := Notice{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(leaving) != ""}
 	if TurnsAway(resp.StatusCode) {
 		w.Asked, w.Err = Asked(resp.Header, now)
 	}
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -55,7 +55,7 @@
 	defaultSlots = 64
 )
 
-// NewServices returns services that know of no wishes of their workers.
+// NewServices returns services whose workers have asked for nothing.
 func NewServices(pools map[ident.Service]*ServicePool) *Services {
 	rule := backoff.DefaultRule()
 	rule.Unsaid = unreachedFor
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -42,17 +42,17 @@
 // heed takes what the upstream asks for in the head of an answer, also of one to an earlier request on the connection.
 func (f *follower) heed(resp *http.Response) {
 	s, now := f.x.s, f.x.s.Now()
-	f.status, f.wish = resp.StatusCode, backoff.WishOf(resp, s.Names.Leaving, time.Now())
-	a := &Asking{Upstream: f.t.id, Group: f.t.group, RetryAfter: f.wish.Text, Asked: f.wish.Asked, Err: f.wish.Err}
-	if f.wish.Leaving && s.Backoff.Leave(now, f.t.id) {
+	f.status, f.notice = resp.StatusCode, backoff.NoticeOf(resp, s.Names.Leaving, time.Now())
+	a := &Asking{Upstream: f.t.id, Group: f.t.group, RetryAfter: f.notice.Text, Asked: f.notice.Asked, Err: f.notice.Err}
+	if f.notice.Leaving && s.Backoff.Leave(now, f.t.id) {
 		s.tellAsked(a, AskingLeave)
 	}
-	if f.wish.Err != nil {
+	if f.notice.Err != nil {
 		s.tellAsked(a, AskingUnclear)
 	}
 	// A failure that asks for nothing is none of want of room.
-	refuses := backoff.TurnsAway(resp.StatusCode) && (f.wish.Asked > 0 || resp.Header.Get(s.Names.NotRun) != "")
-	if refuses && s.Backoff.Refuse(now, f.t.id, f.wish.Asked) {
+	refuses := backoff.TurnsAway(resp.StatusCode) && (f.notice.Asked > 0 || resp.Header.Get(s.Names.NotRun) != "")
+	if refuses && s.Backoff.Refuse(now, f.t.id, f.notice.Asked) {
 		s.tellAsked(a, AskingTime)
 		f.tellEntries(a.For)
 	}
@@ -76,7 +76,7 @@
 	}
 }
 
-// tellAsked tells operators of a wish as it is kept.
+// tellAsked tells operators what an upstream asks for, and what is made of it.
 func (s *Relay) tellAsked(a *Asking, kind AskingKind) {
 	a.Kind, a.For = kind, s.Backoff.Of(s.Now(), a.Upstream).Left
 	s.Asked(a)
@@ -96,8 +96,8 @@
 
 // away counts the upstreams that want nothing at a choice.
 type away struct {
-	resting, leaving int
-	// soonest is when the first of those that only rest may be tried again.
+	backedOff, leaving int
+	// soonest is when the first of those that only asked for time may be tried again.
 	soonest time.Duration
 }
 
@@ -110,13 +110,13 @@
 	case s.Left <= 0 || !s.Asked:
 		return false
 	}
-	if a.resting == 0 || s.Left < a.soonest {
+	if a.backedOff == 0 || s.Left < a.soonest {
 		a.soonest = s.Left
 	}
-	a.resting++
+	a.backedOff++
 	return true
 }
 
 func (a *away) number() int {
-	return a.resting + a.leaving
+	return a.backedOff + a.leaving
 }
--- a/relay/rest_test.go
+++ b/relay/backoff_test.go
@@ -10,7 +10,7 @@
 //	"tries":[{"to":"i-71d8ddc42a","result":"not-run","at-ms":0},{"to":"i-74fb043a03","result":"not-run","at-ms":0}, ...   at 7.75 s
 //
 // Of 145 next tries after a refusal 76 came after 0.12 to 0.5 s and 64 after 0.5 to 3 s, at every entry, while neither groups nor the
-// roster changed. So what an upstream says of its own wishes has to be kept, for the life that said it and for as long as it said.
+// roster changed. So what an upstream asks for has to be kept, for the life that said it and for as long as it said.
 
 import (
 	"bufio"
@@ -35,20 +35,20 @@
 )
 
 const (
-	// wishTrip is a round trip to an upstream, wishWork how long it works on a request.
-	wishTrip = 2 * time.Millisecond
-	wishWork = 60 * time.Millisecond
-	// wishEvery is how often a request comes, wishLasts for how long.
-	wishEvery = 10 * time.Millisecond
-	wishLasts = 8 * time.Second
-	// wishAt is when the first upstream begins to say something.
-	wishAt = time.Second
-	// onItsWay is how long after an upstream's word a request may still reach it: one that was sent before the word came.
-	onItsWay = wishTrip + time.Millisecond
+	// askTrip is a round trip to an upstream, askWork how long it works on a request.
+	askTrip = 2 * time.Millisecond
+	askWork = 60 * time.Millisecond
+	// askEvery is how often a request comes, askLasts for how long.
+	askEvery = 10 * time.Millisecond
+	askLasts = 8 * time.Second
+	// askAt is when the first upstream begins to say something.
+	askAt = time.Second
+	// underWay is how long after an upstream's word a request may still reach it: one that was sent before the word came.
+	underWay = askTrip + time.Millisecond
 )
 
-// wisher is an upstream that says what it wants.
-type wisher struct {
+// asker is an upstream that says what it wants.
+type asker struct {
 	mu sync.Mutex
 	// busyUntil is until when it turns away what comes, asking for rest with the text asks when that is not empty.
 	busyUntil time.Time
@@ -65,8 +65,8 @@
 	slowDial time.Duration
 }
 
-func (u *wisher) dial(ctx context.Context, _ string) (net.Conn, error) {
-	time.Sleep(wishTrip + u.slowDial)
+func (u *asker) dial(ctx context.Context, _ string) (net.Conn, error) {
+	time.Sleep(askTrip + u.slowDial)
 	near, far := net.Pipe()
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -75,7 +75,7 @@
 	return near, ctx.Err()
 }
 
-func (u *wisher) serve(c net.Conn) {
+func (u *asker) serve(c net.Conn) {
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -87,10 +87,10 @@
 		}
 		extra, refuses := u.take()
 		if refuses {
-			time.Sleep(wishTrip)
+			time.Sleep(askTrip)
 			_, err = io.WriteString(c, head(r, 503, append(extra, "Not-Run: 1", "Content-Length: 0")...))
 		} else {
-			time.Sleep(wishWork)
+			time.Sleep(askWork)
 			u.done()
 			extra = append(extra, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 			piece := events(1, 2)
@@ -103,7 +103,7 @@
 }
 
 // take notes that a request came and returns what the answer says beside, and whether it is a refusal.
-func (u *wisher) take() (extra []string, refuses bool) {
+func (u *asker) take() (extra []string, refuses bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
@@ -111,7 +111,7 @@
 	if u.leaving {
 		extra = append(extra, "Leaving: 1")
 		if u.said.IsZero() {
-			u.said = now.Add(wishWork)
+			u.said = now.Add(askWork)
 		}
 	}
 	if !now.Before(u.busyUntil) {
@@ -125,7 +125,7 @@
 	return extra, true
 }
 
-func (u *wisher) done() {
+func (u *asker) done() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.served.IsZero() {
@@ -134,7 +134,7 @@
 }
 
 // between returns how many requests came after one moment and before another.
-func (u *wisher) between(from, to time.Time) int {
+func (u *asker) between(from, to time.Time) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := 0
@@ -146,28 +146,28 @@
 	return n
 }
 
-// wishSite is one entry before upstreams that say what they want.
-type wishSite struct {
+// askSite is one entry before upstreams that say what they want.
+type askSite struct {
 	relay     *relay.Relay
-	upstreams []*wisher
+	upstreams []*asker
 
 	mu       sync.Mutex
 	revision roster.Revision
 	records  []*relay.Record
 }
 
-func newWishSite(n int) *wishSite {
-	var upstreams []*wisher
+func newAskSite(n int) *askSite {
+	var upstreams []*asker
 	for range n {
-		upstreams = append(upstreams, &wisher{})
+		upstreams = append(upstreams, &asker{})
 	}
-	return wishSiteBefore(upstreams)
+	return askSiteBefore(upstreams)
 }
 
-// wishSiteBefore returns one more entry before the same upstreams.
-func wishSiteBefore(upstreams []*wisher) *wishSite {
-	s := &wishSite{upstreams: upstreams}
-	byAddress := map[string]*wisher{}
+// askSiteBefore returns one more entry before the same upstreams.
+func askSiteBefore(upstreams []*asker) *askSite {
+	s := &askSite{upstreams: upstreams}
+	byAddress := map[string]*asker{}
 	for i, u := range upstreams {
 		byAddress["h"+strconv.Itoa(i)] = u
 	}
@@ -191,7 +191,7 @@
 }
 
 // list tells the entry of all upstreams but those that are missed; groups have names that end in suffix.
-func (s *wishSite) list(missed map[int]bool, suffix string) {
+func (s *askSite) list(missed map[int]bool, suffix string) {
 	s.mu.Lock()
 	s.revision++
 	d := roster.Delta{Full: true, Revision: s.revision}
@@ -212,7 +212,7 @@
 }
 
 // ask sends one request and returns the answer.
-func (s *wishSite) ask(path, id string) *httptest.ResponseRecorder {
+func (s *askSite) ask(path, id string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body "+id))
 	r.Host = "h"
 	for name, value := range map[string]string{
@@ -226,13 +226,13 @@
 	return w
 }
 
-// load lets a request come every wishEvery until wishLasts is over.
-func (s *wishSite) load(path string) {
+// load lets a request come every askEvery until askLasts is over.
+func (s *askSite) load(path string) {
 	began := time.Now()
 	var wg sync.WaitGroup
-	for n := 0; time.Since(began) < wishLasts; n++ {
+	for n := 0; time.Since(began) < askLasts; n++ {
 		wg.Go(func() { s.ask(path, strconv.Itoa(n)) })
-		time.Sleep(wishEvery)
+		time.Sleep(askEvery)
 	}
 	wg.Wait()
 	for _, u := range s.upstreams {
@@ -241,7 +241,7 @@
 }
 
 // close closes all connections.
-func (u *wisher) close() {
+func (u *asker) close() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, c := range u.conns {
@@ -250,42 +250,42 @@
 	u.conns = nil
 }
 
-// wishes plays a site whose first upstream is told by says what it wants.
-func wishes(t *testing.T, path string, upstreams int, says func(s *wishSite, first *wisher)) *wishSite {
+// playAsks plays a site whose first upstream is told by says what it wants.
+func playAsks(t *testing.T, path string, upstreams int, says func(s *askSite, first *asker)) *askSite {
 	t.Helper()
-	var s *wishSite
+	var s *askSite
 	synctest.Test(t, func(*testing.T) {
-		s = newWishSite(upstreams)
-		time.AfterFunc(wishAt, func() { says(s, s.upstreams[0]) })
+		s = newAskSite(upstreams)
+		time.AfterFunc(askAt, func() { says(s, s.upstreams[0]) })
 		s.load(path)
 	})
 	return s
 }
 
 // busy lets an upstream turn away what comes for a time, and ask for rest.
-func (u *wisher) busy(d time.Duration, asks string) {
+func (u *asker) busy(d time.Duration, asks string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.busyUntil, u.asks = time.Now().Add(d), asks
 }
 
-func (u *wisher) leave() {
+func (u *asker) leave() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.leaving = true
 }
 
 // An upstream that has asked an entry for rest is reached by nothing that the entry sends before that time is over.
-func TestRestIsKept(t *testing.T) {
+func TestBackoffIsKept(t *testing.T) {
 	const asked = 3 * time.Second
-	rests := func(_ *wishSite, u *wisher) { u.busy(asked-time.Second, "3") }
-	changes := func(s *wishSite, u *wisher) {
-		rests(s, u)
+	asksForTime := func(_ *askSite, u *asker) { u.busy(asked-time.Second, "3") }
+	changes := func(s *askSite, u *asker) {
+		asksForTime(s, u)
 		time.AfterFunc(700*time.Millisecond, func() { s.list(map[int]bool{0: true}, "") })
 		time.AfterFunc(900*time.Millisecond, func() { s.list(nil, " again") })
 	}
-	slow := func(s *wishSite, u *wisher) {
-		rests(s, u)
+	slow := func(s *askSite, u *asker) {
+		asksForTime(s, u)
 		u.slowDial = 40 * time.Millisecond
 		for n := range 12 {
 			go s.ask("/safe/x", "at once "+strconv.Itoa(n))
@@ -293,23 +293,23 @@
 	}
 	for name, play := range map[string]struct {
 		path string
-		says func(s *wishSite, u *wisher)
+		says func(s *askSite, u *asker)
 	}{
 		"connections open slowly":         {"/safe/x", slow},
-		"a plain worker":                  {"/safe/x", rests},
-		"a plain worker, once":            {"/unsafe/x", rests},
-		"the head of a group":             {"/stream/x", rests},
+		"a plain worker":                  {"/safe/x", asksForTime},
+		"a plain worker, once":            {"/unsafe/x", asksForTime},
+		"the head of a group":             {"/stream/x", asksForTime},
 		"the list misses it for a moment": {"/safe/x", changes},
 		"its group is formed again":       {"/stream/x", changes},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := wishes(t, play.path, 3, play.says)
+			s := playAsks(t, play.path, 3, play.says)
 			u := s.upstreams[0]
 			if len(u.refused) == 0 {
 				t.Fatal("nothing came while it turned requests away: the test shows nothing")
 			}
 			for _, at := range u.refused {
-				if n := u.between(at.Add(onItsWay), at.Add(asked)); n > 0 {
+				if n := u.between(at.Add(underWay), at.Add(asked)); n > 0 {
 					t.Errorf("%d requests reached it in the %v that it had asked for at %v", n, asked, at.Sub(u.refused[0]))
 				}
 			}
@@ -322,19 +322,19 @@
 
 // An upstream that says that it leaves gets nothing new, whether or not the roster tells.
 func TestALeavingUpstreamGetsNothingNew(t *testing.T) {
-	leaves := func(_ *wishSite, u *wisher) { u.leave() }
-	changes := func(s *wishSite, u *wisher) {
+	leaves := func(_ *askSite, u *asker) { u.leave() }
+	changes := func(s *askSite, u *asker) {
 		u.leave()
 		time.AfterFunc(700*time.Millisecond, func() { s.list(map[int]bool{0: true}, "") })
 		time.AfterFunc(900*time.Millisecond, func() { s.list(nil, " again") })
 	}
-	turnsAway := func(_ *wishSite, u *wisher) {
+	turnsAway := func(_ *askSite, u *asker) {
 		u.leave()
 		u.busy(time.Second, "")
 	}
 	for name, play := range map[string]struct {
 		path string
-		says func(s *wishSite, u *wisher)
+		says func(s *askSite, u *asker)
 	}{
 		"a plain worker":                  {"/safe/x", leaves},
 		"the head of a group":             {"/stream/x", leaves},
@@ -342,12 +342,12 @@
 		"it says so in refusals":          {"/stream/x", turnsAway},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := wishes(t, play.path, 3, play.says)
+			s := playAsks(t, play.path, 3, play.says)
 			u := s.upstreams[0]
 			if u.said.IsZero() {
 				t.Fatal("nothing came once it was leaving: the test shows nothing")
 			}
-			if n := u.between(u.said.Add(onItsWay), u.said.Add(wishLasts)); n > 0 {
+			if n := u.between(u.said.Add(underWay), u.said.Add(askLasts)); n > 0 {
 				t.Errorf("%d requests reached it after it had said that it leaves", n)
 			}
 		})
@@ -356,12 +356,12 @@
 
 // Where all upstreams have asked for more time than a request has, it is refused at once and told when the first of them may be tried;
 // callers do not all come back at that moment.
-func TestAllRest(t *testing.T) {
+func TestAllAskedForTime(t *testing.T) {
 	const asked = 4 * time.Second
 	for name, path := range map[string]string{"plain workers": "/safe/x", "heads of groups": "/stream/x"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newWishSite(3)
+				s := newAskSite(3)
 				for _, u := range s.upstreams {
 					u.busy(asked, "4")
 				}
@@ -386,7 +386,7 @@
 					t.Errorf("refused after %v, want at once", held)
 				}
 				first := s.upstreams[0].refused[0].Add(asked).Sub(began)
-				if earliest < first || latest > first*3/2+wishTrip*4 || latest-earliest < first/8 {
+				if earliest < first || latest > first*3/2+askTrip*4 || latest-earliest < first/8 {
 					t.Errorf("callers are told to come back after %v to %v, the first upstream may be tried after %v", earliest, latest, first)
 				}
 				for _, r := range s.records[1:] {
@@ -411,7 +411,7 @@
 // one, and not all that has waited.
 func TestWhatWaitedDoesNotComeAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newWishSite(3)
+		s := newAskSite(3)
 		for _, u := range s.upstreams {
 			u.busy(100*time.Millisecond, "0.5")
 		}
@@ -449,7 +449,7 @@
 }
 
 // What an upstream asks for is not lengthened by a suspension of this VM, and not forgotten by one: its clock counts meanwhile.
-func TestASuspensionCountsAsRest(t *testing.T) {
+func TestASuspensionCountsAsBackoff(t *testing.T) {
 	vm := &suspendable{began: time.Now()}
 	busy := true
 	u := newUpstream(t, always(func(c net.Conn, r *http.Request) bool {
@@ -482,7 +482,7 @@
 // Another life of an upstream has asked for nothing.
 func TestANewLifeHasAskedForNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newWishSite(1)
+		s := newAskSite(1)
 		u := s.upstreams[0]
 		u.busy(time.Millisecond, "60")
 		s.ask("/safe/x", "refused")
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -171,8 +171,8 @@
 		return result.New(result.Overloaded, "%d upstreams are full, %d want nothing", full, away.number())
 	case full > 0:
 		return result.New(result.Overloaded, "all %d upstreams are full", full)
-	case away.resting > 0:
-		return result.New(result.BackedOff, "%d of %d upstreams want nothing yet, the first for another %v", away.resting, known, away.soonest)
+	case away.backedOff > 0:
+		return result.New(result.BackedOff, "%d of %d upstreams want nothing yet, the first for another %v", away.backedOff, known, away.soonest)
 	case away.leaving > 0:
 		return result.New(result.NoWholeGroup, "the last %d upstreams leave", away.leaving)
 	case known > 0:
--- a/relay/cut.go
+++ b/relay/cut.go
@@ -43,7 +43,7 @@
 	if f.cut != nil {
 		t.Cut, t.RanMS, t.Events = cutOf(f.cut), now.Sub(f.sent).Milliseconds(), f.events
 	}
-	t.RetryAfter, t.Leaving = f.wish.Text, f.wish.Leaving
+	t.RetryAfter, t.Leaving = f.notice.Text, f.notice.Leaving
 	if f.status >= http.StatusBadRequest {
 		t.Status = f.status
 	}
--- a/relay/spared_test.go
+++ b/relay/spared_test.go
@@ -25,10 +25,10 @@
 )
 
 // newSpareSites returns entries before the same heads, which hear each other's news.
-func newSpareSites() []*wishSite {
-	sites := []*wishSite{newWishSite(spareHeads)}
+func newSpareSites() []*askSite {
+	sites := []*askSite{newAskSite(spareHeads)}
 	for range spareEntries - 1 {
-		sites = append(sites, wishSiteBefore(sites[0].upstreams))
+		sites = append(sites, askSiteBefore(sites[0].upstreams))
 	}
 	for i, s := range sites {
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7)
@@ -91,7 +91,7 @@
 
 // What a head asked of another entry does not bind this one: where nobody else has room it is tried.
 func TestASparedHeadIsTriedWhereNoOtherHasRoom(t *testing.T) {
-	s := newWishSite(2)
+	s := newAskSite(2)
 	cfg := config()
 	s.relay.SetConfig(cfg)
 	other := netip.MustParseAddrPort("10.0.0.1:7")
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -38,9 +38,9 @@
 	sent   time.Time
 	events int
 	cut    error
-	// status and wish are the status of the upstream's answer and what it asked for with it.
+	// status and notice are the status of the upstream's answer and what it asked for with it.
 	status int
-	wish   backoff.Wish
+	notice backoff.Notice
 }
 
 // watch closes the connection when the caller leaves, the time is up, or the upstream is silent and another one is free.
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -26,7 +26,7 @@
 }
 
 // Heard takes what an upstream asks for with its answer to an order or a question.
-func (c *Control) Heard(id ident.Incarnation, w backoff.Wish) {
+func (c *Control) Heard(id ident.Incarnation, w backoff.Notice) {
 	now := clock.Now()
 	switch {
 	case w.Err != nil:
--- a/site/backoff_test.go
+++ b/site/backoff_test.go
@@ -66,16 +66,16 @@
 }
 
 // What an upstream answers to orders binds control: it gives none for the time that was asked for, and takes a leaving one for that.
-func TestWishesInAnswersToOrders(t *testing.T) {
+func TestNoticesInAnswersToOrders(t *testing.T) {
 	c, r := site.NewAsked()
 	r.Roster().Take(clock.Now(), &roster.Report{
 		Upstream: roster.Upstream{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 4}, Sequence: 1,
 	})
-	c.Heard("u", backoff.Wish{Err: result.New(result.BackoffUnreadable, "soon")})
+	c.Heard("u", backoff.Notice{Err: result.New(result.BackoffUnreadable, "soon")})
 	if c.Waits("u") {
 		t.Error("what can't be read counts")
 	}
-	c.Heard("u", backoff.Wish{Asked: time.Minute, Leaving: true})
+	c.Heard("u", backoff.Notice{Asked: time.Minute, Leaving: true})
 	if !c.Waits("u") || c.Waits("v") {
 		t.Error("the upstream that asked for time gets orders, or another gets none")
 	}
