--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -17,39 +16,18 @@
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/engine"
 	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/standin"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 // raw listens on a socket and lets serve answer the n-th request that arrives, on whichever connection, by hand.
 func raw(t *testing.T, serve func(n int, conn net.Conn, r *http.Request) (keep bool)) (address string, requests *atomic.Int64) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, requests, err := standin.ByHand(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if !serve(int(requests.Add(1)), conn, r) {
-						return
-					}
-				}
-			}()
-		}
-	}()
 	return ln.Addr().String(), requests
 }
 
--- a/relay/backoff_test.go
+++ b/relay/backoff_test.go
@@ -250,14 +250,20 @@
 	u.conns = nil
 }
 
-// playAsks plays a site whose first upstream is told by says what it wants.
-func playAsks(t *testing.T, path string, upstreams int, says func(s *askSite, first *asker)) *askSite {
+// asking is a load on a route, and what the first upstream does in it.
+type asking struct {
+	path string
+	says func(s *askSite, u *asker)
+}
+
+// playAsks plays p before three upstreams.
+func playAsks(t *testing.T, p asking) *askSite {
 	t.Helper()
 	var s *askSite
 	synctest.Test(t, func(*testing.T) {
-		s = newAskSite(upstreams)
-		time.AfterFunc(askAt, func() { says(s, s.upstreams[0]) })
-		s.load(path)
+		s = newAskSite(3)
+		time.AfterFunc(askAt, func() { p.says(s, s.upstreams[0]) })
+		s.load(p.path)
 	})
 	return s
 }
@@ -291,10 +297,7 @@
 			go s.ask("/safe/x", "at once "+strconv.Itoa(n))
 		}
 	}
-	for name, play := range map[string]struct {
-		path string
-		says func(s *askSite, u *asker)
-	}{
+	for name, play := range map[string]asking{
 		"connections open slowly":         {"/safe/x", slow},
 		"a plain worker":                  {"/safe/x", asksForTime},
 		"a plain worker, once":            {"/unsafe/x", asksForTime},
@@ -303,7 +306,7 @@
 		"its group is formed again":       {"/stream/x", changes},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := playAsks(t, play.path, 3, play.says)
+			s := playAsks(t, play)
 			u := s.upstreams[0]
 			if len(u.refused) == 0 {
 				t.Fatal("nothing came while it turned requests away: the test shows nothing")
@@ -332,17 +335,14 @@
 		u.leave()
 		u.busy(time.Second, "")
 	}
-	for name, play := range map[string]struct {
-		path string
-		says func(s *askSite, u *asker)
-	}{
+	for name, play := range map[string]asking{
 		"a plain worker":                  {"/safe/x", leaves},
 		"the head of a group":             {"/stream/x", leaves},
 		"the list misses it for a moment": {"/stream/x", changes},
 		"it says so in refusals":          {"/stream/x", turnsAway},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := playAsks(t, play.path, 3, play.says)
+			s := playAsks(t, play)
 			u := s.upstreams[0]
 			if u.said.IsZero() {
 				t.Fatal("nothing came once it was leaving: the test shows nothing")
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -14,41 +14,25 @@
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/service"
+	"github.com/dunlinquay/dunlinquay/standin"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 // breaker answers the first request and closes the connection on the second one, which is when net/http likes to send again.
 func breaker(t *testing.T) (address string, requests *atomic.Int64) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, requests, err := standin.ByHand(func(n int, conn net.Conn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if n == 2 {
+			return false
+		}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return err == nil
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if requests.Add(1) == 2 {
-						return
-					}
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-				}
-			}()
-		}
-	}()
 	return ln.Addr().String(), requests
 }
 
