Let upstreams of the soak ask in every form, leave without a report and close connections

Cause: the soak's upstreams asked in one form only. Change: seconds, dates and what can't be read; a fault in which one says that it leaves in answers only; connections that end after an answer, which says so.

--- a/soak/asks.go
+++ b/soak/asks.go
@@ -22,6 +22,8 @@
 	askedMore  = 2
 	// leavingKnown is how long after it a caller may still have sent a request that reaches a leaving upstream.
 	leavingKnown = 2 * time.Second
+	// closesPart is the part of the answers after which an upstream closes the connection, and says so.
+	closesPart = 0.05
 )
 
 // sender is one life of an entry.
@@ -81,8 +83,11 @@
 		broken = append(e.earlyFor(now, from), e.lateFor(now, from, sent)...)
 	}
 	wait, turnedAway := e.ask(now, from)
-	leaving := e.draining
+	leaving, closes := e.says(), e.random.Float64() < closesPart
 	e.mu.Unlock()
+	if closes {
+		w.Header().Set("Connection", "close")
+	}
 	for _, what := range broken {
 		e.truth.breaksf("%s gets request %s from %v: %s", e.id, id, from, what)
 	}
@@ -90,7 +95,7 @@
 		w.Header().Set(platform.Names().Leaving, "1")
 	}
 	if turnedAway {
-		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", wait)
 	}
 	return turnedAway
 }
@@ -111,7 +116,7 @@
 
 // lateFor notes that an entry is told of the leaving, and tells what is broken by a request that was sent long after; the mutex is held.
 func (e *engine) lateFor(now time.Time, from sender, sent time.Time) (broken []string) {
-	if !e.draining {
+	if !e.says() {
 		return nil
 	}
 	said, ok := e.saidLeaving[from]
@@ -125,12 +130,42 @@
 	return broken
 }
 
-// ask draws the time that an upstream asks for while it turns requests away; the mutex is held.
-func (e *engine) ask(now time.Time, from sender) (wait time.Duration, turnsAway bool) {
+// says reports whether the upstream says in its answers that it leaves; the mutex is held.
+func (e *engine) says() bool {
+	return e.draining || e.goesSilently
+}
+
+// ask draws the time that an upstream asks for while it turns requests away, as seconds, as a date, or so that it can't be read, which
+// asks for nothing; the mutex is held.
+func (e *engine) ask(now time.Time, from sender) (text string, turnsAway bool) {
 	if e.asksFor == 0 {
-		return 0, false
+		return "", false
+	}
+	wait := time.Duration(e.random.Float64() * float64(e.asksFor)).Round(time.Millisecond)
+	until := now.Add(wait)
+	switch n := e.random.IntN(10); {
+	case n == 0:
+		return "soon", true
+	case n < 3:
+		until = until.Truncate(time.Second)
+		text = until.UTC().Format(http.TimeFormat)
+	default:
+		text = strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	e.asked[from] = append(e.asked[from], &asked{at: now, until: until})
+	return text, true
+}
+
+// leavesSilently lets an upstream say in its answers that it leaves, and in no report, and end after a while.
+func (s *soak) leavesSilently(ctx context.Context, random *rand.Rand) string {
+	e := s.someEngine(random)
+	if e == nil {
+		return ""
 	}
-	wait = time.Duration(e.random.Float64() * float64(e.asksFor)).Round(time.Millisecond)
-	e.asked[from] = append(e.asked[from], &asked{at: now, until: now.Add(wait)})
-	return wait, true
+	e.mu.Lock()
+	e.goesSilently = true
+	e.mu.Unlock()
+	s.after(ctx, drainTime, e.crash)
+	s.replaceLater(ctx, e, drainTime)
+	return string(e.id)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -279,7 +279,7 @@
 	var list []*engine
 	for _, e := range s.alive() {
 		e.mu.Lock()
-		if !e.draining {
+		if !e.says() {
 			list = append(list, e)
 		}
 		e.mu.Unlock()
