Keep no more idle connections to an upstream than its part of those it takes

Each entry kept up to 16, so eight of them could hold 128 open to an upstream that takes 51. Change: an entry keeps its part of what is left beside the connections that can be in use, one at least. Figures: after 12 requests at once 12 kept to an upstream that takes 30 from two entries, now 3 (test, failed before).

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -115,7 +115,7 @@
 		f.conn.Close()
 		return
 	}
-	f.x.s.pool.put(f.conn, resp)
+	f.keep(resp)
 }
 
 // followWhole reads a whole answer before anything goes to the caller.
@@ -126,7 +126,7 @@
 		f.conn.Close()
 		return f.broken(err)
 	}
-	x.s.pool.put(f.conn, resp)
+	f.keep(resp)
 	signed := resp.Header.Get(x.s.Names.Signature) != ""
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && (!signed || resp.Header.Get("Content-Encoding") != "") {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -23,7 +23,7 @@
 const (
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
-	// idlePerUpstream bounds the kept connections to one upstream.
+	// idlePerUpstream bounds the kept connections to one upstream, where it does not take fewer.
 	idlePerUpstream = 16
 	// idleDefault is how long a connection is kept when the upstream does not say; idleMargin is taken off what it says.
 	idleDefault = 10 * time.Second
@@ -114,8 +114,8 @@
 	return c
 }
 
-// put keeps c for the next request when the answer allows it.
-func (p *pool) put(c *upstreamConn, answer *http.Response) {
+// put keeps c for the next request when the answer allows it, and fewer than most are kept.
+func (p *pool) put(c *upstreamConn, answer *http.Response, most int) {
 	if answer.Close || answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 || c.br.Buffered() > 0 {
 		c.Close()
 		return
@@ -128,7 +128,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= idlePerUpstream {
+	if len(p.idle[c.address]) >= most {
 		c.Close()
 		return
 	}
@@ -170,3 +170,20 @@
 		p.idle[address] = kept
 	}
 }
+
+// keep keeps the connection of a try whose answer has been read.
+func (f *follower) keep(answer *http.Response) {
+	f.x.s.pool.put(f.conn, answer, f.x.keptMost(f.t))
+}
+
+// keptMost returns how many connections to an upstream are kept: this entry's part of those that it takes from all entries, without
+// those that can be in use. It resets any more: after a burst of 12 requests at once an entry kept 12 connections to an upstream that
+// takes 30 from two entries, now 3.
+func (x *exchange) keptMost(t *target) int {
+	takes := x.service.MaxConnections
+	if takes <= 0 {
+		return idlePerUpstream
+	}
+	inUse := int(float64(t.slots) * (1 + queueOf(x.service)))
+	return min(idlePerUpstream, max(1, (takes-inUse)/x.s.Budget.Entries()))
+}
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -46,3 +46,10 @@
 	}
 	return t.id, t.fits
 }
+
+// Kept returns how many connections to an upstream are kept.
+func Kept(s *Relay, address string) int {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return len(s.pool.idle[address])
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -79,7 +79,6 @@
 
 // followStream passes events on until the stream ends, breaks off or is given up.
 func (f *follower) followStream(resp *http.Response) verdict {
-	x := f.x
 	err := f.startStream(resp)
 	if err == nil {
 		err = f.passEvents(resp)
@@ -92,7 +91,7 @@
 		f.conn.Close()
 		return f.broken(err)
 	}
-	x.s.pool.put(f.conn, resp)
+	f.keep(resp)
 	return verdictDone
 }
 
--- a/relay/words_test.go
+++ b/relay/words_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
 )
 
 // An upstream says with its answer whether a connection may be used again, and for how long: what it closes soon is not sent on.
@@ -83,3 +85,46 @@
 		t.Errorf("%d requests reached the group with a member at fault, want the first", n)
 	}
 }
+
+// An upstream takes so many connections from all entries together and resets any more: what an entry keeps open after a burst is its
+// part of them, beside those that are in use.
+func TestKeptConnectionsAreBoundedByTheUpstream(t *testing.T) {
+	const burst = 12
+	for _, c := range []struct {
+		name          string
+		most, entries int
+		want          int
+	}{
+		{"nothing declared", 0, 2, burst},
+		{"many", 1000, 2, burst},
+		{"few", 30, 2, 3},
+		{"not one for each entry", 25, 60, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			all := make(chan struct{})
+			u := newUpstream(t, func(conn net.Conn, r *http.Request, n int) bool {
+				if n == burst {
+					close(all)
+				}
+				<-all
+				return whole(conn, r)
+			})
+			s := newSite(t, []*upstream{u}, nil)
+			cfg := config()
+			cfg.Services[0].MaxConnections = c.most
+			s.relay.SetConfig(cfg)
+			s.relay.Budget.SetEntries(c.entries)
+			s.relay.SetRoster(&roster.Delta{Full: true, Revision: 2, Upstreams: []roster.Upstream{
+				{ID: "p0", Service: "plain", Address: u.address(), Slots: burst},
+			}})
+			var wg sync.WaitGroup
+			for n := range burst {
+				wg.Go(func() { s.do(s.request("POST", "/unsafe/x", fmt.Sprint(n), "")) })
+			}
+			wg.Wait()
+			if got := relay.Kept(s.relay, u.address()); got != c.want {
+				t.Errorf("%d connections kept, want %d", got, c.want)
+			}
+		})
+	}
+}
