Log and count the limits that upstreams name

Cause: the record can't tell an upstream whose limit nobody reads from one whose limit each entry keeps by itself: no line, field or name of ours has it. Change, no decision with it: package ratelimit reads the word and keeps the newest one of each life; a line when it begins, changes and ends, the limit beside each try, a gauge, code 5011 for what can't be read; the same line of control daemons. The names in which upstreams ask are one type.

--- a/backoff/header.go
+++ b/backoff/header.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -25,16 +26,27 @@
 	Leaving bool
 	// Err tells that what it asks for can't be read.
 	Err error
+	// Limit is the rate that it takes from all together, when Limited is set; LimitErr tells that what it names can't be read.
+	Limit    ratelimit.Rate
+	Limited  bool
+	LimitErr error
 }
 
-// NoticeOf reads what an answer asks for; leaving is the name of the header of upstreams that leave. Who answered a misdirected request is not
-// known, so that such an answer asks for nothing.
-func NoticeOf(resp *http.Response, leaving string, now time.Time) Notice {
+// Words are the names of the headers in which upstreams ask for what HTTP has no word for.
+type Words struct {
+	// Leaving stands in the answers of one that leaves, Limit names the requests a second that it takes from all together.
+	Leaving string
+	Limit   string
+}
+
+// NoticeOf reads what an answer asks for. Who answered a misdirected request is not known, so that such an answer asks for nothing.
+func NoticeOf(resp *http.Response, words Words, now time.Time) Notice {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return Notice{}
 	}
 	text := resp.Header.Get("Retry-After")
-	w := Notice{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(leaving) != ""}
+	w := Notice{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(words.Leaving) != ""}
+	w.Limit, w.Limited, w.LimitErr = ratelimit.Named(resp.Header, words.Limit)
 	if TurnsAway(resp.StatusCode) {
 		w.Asked, w.Err = Asked(resp.Header, now)
 	}
--- /dev/null
+++ b/ratelimit/rate.go
@@ -0,0 +1,48 @@
+package ratelimit
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// Rate is a number of requests a second.
+type Rate float64
+
+// textMost bounds the text of a rate.
+const textMost = 40
+
+// Interval is the time from one request to the next at that rate, which is not 0.
+func (r Rate) Interval() time.Duration {
+	return time.Duration(float64(time.Second) / float64(r))
+}
+
+// Named returns the rate that an answer names in a header, and whether it names any; of several the lowest counts. What can't be read is
+// an error, so that it is taken neither for a rate nor for none.
+func Named(h http.Header, name string) (lowest Rate, named bool, err error) {
+	for _, text := range h.Values(name) {
+		r, err := read(strings.TrimSpace(text))
+		if err != nil {
+			return 0, false, err
+		}
+		if !named || r < lowest {
+			lowest, named = r, true
+		}
+	}
+	return lowest, named, nil
+}
+
+// read reads digits with at most one point among them.
+func read(text string) (Rate, error) {
+	if len(text) > textMost {
+		return 0, result.New(result.LimitUnreadable, "%d bytes are too long for a rate", len(text))
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || strings.Trim(text, "0123456789.") != "" {
+		return 0, result.New(result.LimitUnreadable, "%q is no number of requests a second", text)
+	}
+	return Rate(n), nil
+}
--- /dev/null
+++ b/ratelimit/rate_test.go
@@ -0,0 +1,68 @@
+package ratelimit_test
+
+import (
+	"math"
+	"net/http"
+	"testing"
+
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// A decimal number is read and bounded; anything else is an error and never taken for no limit.
+func TestNamed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		text []string
+		want ratelimit.Rate
+		none bool
+		bad  bool
+	}{
+		{name: "none", none: true},
+		{name: "whole", text: []string{"50"}, want: 50},
+		{name: "a fraction", text: []string{" 3.6 "}, want: 3.6},
+		{name: "below one", text: []string{"0.5"}, want: 0.5},
+		{name: "nothing at all", text: []string{"0"}, want: 0},
+		{name: "next to nothing", text: []string{"0.000001"}, want: 0.000001},
+		{name: "huge", text: []string{"999999999999999999999999"}, want: 999999999999999999999999},
+		{name: "two", text: []string{"3.6", "1.8"}, want: 1.8},
+		{name: "two, the lower first", text: []string{"1.8", "3.6"}, want: 1.8},
+		{name: "one of two can't be read", text: []string{"1.8", "few"}, bad: true},
+		{name: "negative", text: []string{"-3"}, bad: true},
+		{name: "no number", text: []string{"NaN"}, bad: true},
+		{name: "not finite", text: []string{"Inf"}, bad: true},
+		{name: "a power", text: []string{"1e3"}, bad: true},
+		{name: "empty", text: []string{""}, bad: true},
+		{name: "only a point", text: []string{"."}, bad: true},
+		{name: "two points", text: []string{"1.2.3"}, bad: true},
+		{name: "a list", text: []string{"1, 2"}, bad: true},
+		{name: "too long", text: []string{"00000000000000000000000000000000000000000000000000003"}, bad: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := http.Header{}
+			if c.text != nil {
+				h["Limit"] = c.text
+			}
+			got, named, err := ratelimit.Named(h, "limit")
+			if got != c.want || named != (!c.none && !c.bad) || (err != nil) != c.bad {
+				t.Errorf("%v, named %t, and %v, want %v, an error: %v", got, named, err, c.want, c.bad)
+			}
+			if err != nil && result.CodeOf(err) != result.LimitUnreadable {
+				t.Errorf("code %d, want %d", result.CodeOf(err), result.LimitUnreadable)
+			}
+		})
+	}
+}
+
+// FuzzNamed holds that whatever an upstream says makes a finite rate that is not negative, or an error.
+func FuzzNamed(f *testing.F) {
+	for _, text := range []string{"3", "0.25", "-1", "1e999", ".", "0", "99999999999999999999", "0x1p4", "1_0", "+3"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		got, named, err := ratelimit.Named(http.Header{"Limit": {text}}, "Limit")
+		if !(got >= 0 && got <= math.MaxFloat64) || named != (err == nil) {
+			t.Errorf("%v, named %t, and %v", got, named, err)
+		}
+	})
+}
--- /dev/null
+++ b/ratelimit/words.go
@@ -0,0 +1,153 @@
+package ratelimit
+
+// An upstream names its limit in each answer for as long as it has one, so the
+// newest answer counts. Answers overtake each other:
+//
+//	0.000   request 1 -> u
+//	0.010   request 2 -> u    200, limit 3
+//	0.090   200, no limit, for request 1: it was sent before u was known to have one
+//	0.100   request 3 -> u
+//	0.190   200, no limit: the limit has ended
+//
+// So an answer without a limit ends it only if its request was sent after the
+// newest word that there is one.
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Word is what an upstream said of its limit.
+type Word struct {
+	// Rate is the limit, 0 when it said that it has none any more.
+	Rate Rate
+	// At is when it last said so, Since when it first did.
+	At    time.Time
+	Since time.Time
+}
+
+// Limited reports whether there is a limit.
+func (w Word) Limited() bool { return w.Rate > 0 }
+
+const (
+	// sweepAt is how many words are kept before old ones are looked for.
+	sweepAt = 256
+	// endedKept is how long the end of a limit is remembered: what others said before may come late.
+	endedKept = time.Minute
+	// saidKept is how long a limit counts of which nothing more was heard: nobody has sent the upstream anything since, or it is gone.
+	saidKept = 10 * time.Minute
+)
+
+// leastDefault is one request a minute.
+const leastDefault = Rate(1.0 / 60)
+
+// Words are the newest words of upstreams on their limits, by their lives; exported fields are set before use.
+type Words[K comparable] struct {
+	// Least is the lowest limit that is kept: an upstream that takes nothing is tried at that rate all the same, since only an answer of
+	// its own says that it takes more again.
+	Least Rate
+
+	// limited is how many upstreams have a limit: most of the time none has, and each choice asks for each upstream.
+	limited atomic.Int64
+
+	mu    sync.Mutex
+	words map[K]Word
+	// sweep is how many words there may be until old ones are dropped.
+	sweep int
+}
+
+// NewWords returns words of nobody.
+func NewWords[K comparable]() *Words[K] {
+	return &Words[K]{Least: leastDefault, words: map[K]Word{}}
+}
+
+// Name takes the limit that an upstream named at a time, and returns its word before. It reports whether the limit has changed by it; an
+// older word than the newest one changes nothing.
+func (s *Words[K]) Name(k K, rate Rate, at time.Time) (was Word, changed bool) {
+	return s.Hear(k, max(s.Least, rate), at)
+}
+
+// Hear is Name for what others heard, also that there is no limit any more, which is a rate of 0.
+func (s *Words[K]) Hear(k K, rate Rate, at time.Time) (was Word, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was, known := s.words[k]
+	if known && !at.After(was.At) || !known && rate == 0 {
+		return was, false
+	}
+	w := Word{Rate: rate, At: at, Since: at}
+	if known && was.Rate == rate {
+		w.Since = was.Since
+	}
+	s.put(k, was, w, at)
+	return was, was.Rate != rate
+}
+
+// Miss takes an answer without a limit to a request that was sent at a time, and reports whether the limit has ended by it.
+func (s *Words[K]) Miss(k K, sent, at time.Time) (was Word, ended bool) {
+	if s.limited.Load() == 0 {
+		return Word{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was = s.words[k]
+	if !was.Limited() || !sent.After(was.At) {
+		return was, false
+	}
+	s.put(k, was, Word{At: at, Since: at}, at)
+	return was, true
+}
+
+// put replaces a word; the mutex is held.
+func (s *Words[K]) put(k K, was, w Word, now time.Time) {
+	s.count(was, -1)
+	s.count(w, 1)
+	s.words[k] = w
+	if len(s.words) > max(s.sweep, sweepAt) {
+		s.drop(now)
+		s.sweep = 2 * len(s.words)
+	}
+}
+
+func (s *Words[K]) count(w Word, n int64) {
+	if w.Limited() {
+		s.limited.Add(n)
+	}
+}
+
+// drop forgets words that nobody goes by any more; the mutex is held.
+func (s *Words[K]) drop(now time.Time) {
+	for k, w := range s.words {
+		age := now.Sub(w.At)
+		if w.Limited() && age < saidKept || age < endedKept {
+			continue
+		}
+		s.count(w, -1)
+		delete(s.words, k)
+	}
+}
+
+// Of returns the newest word of an upstream.
+func (s *Words[K]) Of(k K) Word {
+	if s.limited.Load() == 0 {
+		return Word{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words[k]
+}
+
+// Each calls visit for each upstream of which there is a word.
+func (s *Words[K]) Each(visit func(k K, w Word)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, w := range s.words {
+		visit(k, w)
+	}
+}
+
+// Limited returns how many upstreams have a limit.
+func (s *Words[K]) Limited() int {
+	return int(s.limited.Load())
+}
--- /dev/null
+++ b/ratelimit/words_test.go
@@ -0,0 +1,75 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// The newest word counts, whichever comes last; an answer without a limit ends it only when its request was sent after the word.
+func TestTheNewestWordCounts(t *testing.T) {
+	s := ratelimit.NewWords[string]()
+	for _, step := range []struct {
+		name    string
+		do      func() (ratelimit.Word, bool)
+		changed bool
+		rate    ratelimit.Rate
+	}{
+		{"no limit of one that has none", func() (ratelimit.Word, bool) { return s.Hear("u", 0, at(0)) }, false, 0},
+		{"the first", func() (ratelimit.Word, bool) { return s.Name("u", 3, at(10)) }, true, 3},
+		{"the same", func() (ratelimit.Word, bool) { return s.Hear("u", 3, at(20)) }, false, 3},
+		{"an older one", func() (ratelimit.Word, bool) { return s.Hear("u", 9, at(15)) }, false, 3},
+		{"none, to a request sent before it", func() (ratelimit.Word, bool) { return s.Miss("u", at(18), at(90)) }, false, 3},
+		{"a higher one", func() (ratelimit.Word, bool) { return s.Hear("u", 5, at(100)) }, true, 5},
+		{"a lower one", func() (ratelimit.Word, bool) { return s.Hear("u", 1, at(110)) }, true, 1},
+		{"of another", func() (ratelimit.Word, bool) { return s.Miss("v", at(120), at(130)) }, false, 1},
+		{"none, to a request sent after it", func() (ratelimit.Word, bool) { return s.Miss("u", at(120), at(130)) }, true, 0},
+		{"an older one from elsewhere", func() (ratelimit.Word, bool) { return s.Hear("u", 3, at(125)) }, false, 0},
+		{"again", func() (ratelimit.Word, bool) { return s.Hear("u", 2, at(140)) }, true, 2},
+		{"its end, from elsewhere", func() (ratelimit.Word, bool) { return s.Hear("u", 0, at(150)) }, true, 0},
+		{"that it takes nothing", func() (ratelimit.Word, bool) { return s.Name("u", 0, at(160)) }, true, s.Least},
+		{"that it takes more again", func() (ratelimit.Word, bool) { return s.Name("u", 4, at(170)) }, true, 4},
+		{"its end", func() (ratelimit.Word, bool) { return s.Miss("u", at(180), at(190)) }, true, 0},
+	} {
+		_, changed := step.do()
+		if got := s.Of("u").Rate; changed != step.changed || got != step.rate {
+			t.Errorf("%s: changed %t, rate %v, want %t and %v", step.name, changed, got, step.changed, step.rate)
+		}
+	}
+	if s.Limited() != 0 {
+		t.Errorf("%d have a limit, want none", s.Limited())
+	}
+}
+
+// Since is when the limit that holds was first named, and not when it was last.
+func TestSinceWhenALimitHolds(t *testing.T) {
+	s := ratelimit.NewWords[string]()
+	s.Hear("u", 3, at(0))
+	s.Hear("u", 3, at(500))
+	if got := s.Of("u"); !got.Since.Equal(at(0)) || !got.At.Equal(at(500)) {
+		t.Errorf("since %v, said at %v", got.Since.Sub(start), got.At.Sub(start))
+	}
+}
+
+// Upstreams come and go for ever; what is kept of them does not grow for ever, and a limit that holds is not forgotten.
+func TestWordsAreForgotten(t *testing.T) {
+	s := ratelimit.NewWords[string]()
+	s.Hear("long", 3, at(0))
+	for n := range 20_000 {
+		now := at(n * 50)
+		s.Hear(fmt.Sprint(n), 1, now)
+		s.Hear(fmt.Sprint(n), 0, now.Add(time.Millisecond))
+		s.Hear("long", 3, now)
+	}
+	kept := 0
+	s.Each(func(string, ratelimit.Word) { kept++ })
+	if kept > 5000 || s.Of("long").Rate != 3 || s.Limited() != 1 {
+		t.Errorf("%d kept, %d with a limit, rate %v", kept, s.Limited(), s.Of("long").Rate)
+	}
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -70,6 +70,7 @@
 		}
 		id := resp.Header.Get(f.x.s.Names.RequestID)
 		if id == f.x.id || id == "" && f.ownRefusal(resp) {
+			f.missLimit()
 			return resp, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -10,6 +10,7 @@
 
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 )
 
 // AskingKind is what changed of what an upstream asks for.
@@ -25,6 +26,9 @@
 	AskingLeave AskingKind = "leaves"
 	// AskingUnclear means that what it asks for can't be read.
 	AskingUnclear AskingKind = "asks for something unreadable"
+	// AskingLimit means that it names a limit, or another one than before; AskingNoLimit that it names none any more.
+	AskingLimit   AskingKind = "names a limit"
+	AskingNoLimit AskingKind = "names no limit any more"
 )
 
 // Asking tells operators that what an upstream asks of this entry has changed.
@@ -37,12 +41,16 @@
 	Asked      time.Duration
 	For        time.Duration
 	Err        error
+	// Limit is the limit that it names, Was the one before, which it had named first at Since.
+	Limit ratelimit.Rate
+	Was   ratelimit.Rate
+	Since time.Time
 }
 
 // heed takes what the upstream asks for in the head of an answer, also of one to an earlier request on the connection.
 func (f *follower) heed(resp *http.Response) {
 	s, now := f.x.s, f.x.s.Now()
-	f.status, f.notice = resp.StatusCode, backoff.NoticeOf(resp, s.Names.Leaving, time.Now())
+	f.status, f.notice = resp.StatusCode, backoff.NoticeOf(resp, s.Names.Words, time.Now())
 	a := &Asking{Upstream: f.t.id, Group: f.t.group, RetryAfter: f.notice.Text, Asked: f.notice.Asked, Err: f.notice.Err}
 	if f.notice.Leaving && s.Backoff.Leave(now, f.t.id) {
 		s.tellAsked(a, AskingLeave)
@@ -56,6 +64,34 @@
 		s.tellAsked(a, AskingTime)
 		f.tellEntries(a.For)
 	}
+	f.heedLimit(now)
+}
+
+// heedLimit takes the limit that the upstream names.
+func (f *follower) heedLimit(now time.Time) {
+	s, a := f.x.s, &Asking{Upstream: f.t.id, Group: f.t.group, Limit: f.notice.Limit, Err: f.notice.LimitErr}
+	if a.Err != nil {
+		s.tellAsked(a, AskingUnclear)
+	}
+	if !f.notice.Limited {
+		return
+	}
+	if was, changed := s.Limits.Name(f.t.id, f.notice.Limit, now); changed {
+		a.Was, a.Since = was.Rate, was.Since
+		s.tellAsked(a, AskingLimit)
+	}
+}
+
+// missLimit takes an answer to this request that names no limit. Only a success says that there is none any more: a failure may come from
+// something before the upstream that knows of no limit.
+func (f *follower) missLimit() {
+	s := f.x.s
+	if f.notice.Limited || f.notice.LimitErr != nil || f.status >= http.StatusMultipleChoices {
+		return
+	}
+	if was, ended := s.Limits.Miss(f.t.id, f.sent, s.Now()); ended {
+		s.tellAsked(&Asking{Upstream: f.t.id, Group: f.t.group, Was: was.Rate, Since: was.Since}, AskingNoLimit)
+	}
 }
 
 // tellEntries tells the other entries that the head of a group asked this one for time.
--- a/relay/cut.go
+++ b/relay/cut.go
@@ -43,7 +43,7 @@
 	if f.cut != nil {
 		t.Cut, t.RanMS, t.Events = cutOf(f.cut), now.Sub(f.sent).Milliseconds(), f.events
 	}
-	t.RetryAfter, t.Leaving = f.notice.Text, f.notice.Leaving
+	t.RetryAfter, t.Leaving, t.Limit = f.notice.Text, f.notice.Leaving, f.notice.Limit
 	if f.status >= http.StatusBadRequest {
 		t.Status = f.status
 	}
--- a/relay/names.go
+++ b/relay/names.go
@@ -1,5 +1,7 @@
 package relay
 
+import "github.com/dunlinquay/dunlinquay/backoff"
+
 // Names are the header names that callers and upstreams use; the adapter to a platform fills them in.
 type Names struct {
 	// RequestID names a request; upstreams repeat it in their answers.
@@ -26,6 +28,6 @@
 	Estimate string
 	// Priority orders requests at an engine; 0 goes first.
 	Priority string
-	// Leaving stands in the answers of an upstream that leaves.
-	Leaving string
+	// Words are those in which upstreams ask for something.
+	Words backoff.Words
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/sharing"
@@ -60,6 +61,8 @@
 	// Backoff is what upstreams asked this entry for, Asked takes what operators are told of it; it must not block.
 	Backoff *backoff.List[ident.Incarnation]
 	Asked   func(a *Asking)
+	// Limits are the limits that upstreams named.
+	Limits *ratelimit.Words[ident.Incarnation]
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -107,6 +110,7 @@
 		Names: names, Dial: dial, Now: clock.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, Note: func(*Holding) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), Asked: func(*Asking) {},
+		Limits: ratelimit.NewWords[ident.Incarnation](),
 		copied: roster.NewCopy(),
 		states: map[ident.Incarnation]*targetState{},
 		counts: counts{spill: map[ident.Model]float64{}},
@@ -335,6 +339,8 @@
 	Status     int    `json:"status,omitempty"`
 	RetryAfter string `json:"retry-after,omitempty"`
 	Leaving    bool   `json:"leaving,omitempty"`
+	// Limit is the limit that it named in its answer, in requests a second.
+	Limit ratelimit.Rate `json:"limit,omitempty"`
 	// PassedOver is how many others wanted nothing when this one was chosen.
 	PassedOver int `json:"passed-over,omitempty"`
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/keys"
@@ -26,7 +27,8 @@
 func names() relay.Names {
 	return relay.Names{
 		RequestID: "Request", Deadline: "Deadline", Key: "Key", Customer: "Customer", Incarnation: "Life", Signature: "Signature",
-		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", Estimate: "Estimate", Priority: "Priority", Leaving: "Leaving",
+		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", Estimate: "Estimate", Priority: "Priority",
+		Words: backoff.Words{Leaving: "Leaving", Limit: "Limit"},
 	}
 }
 
--- a/result/code.go
+++ b/result/code.go
@@ -74,6 +74,7 @@
 	NeverSent         Code = 5008
 	ReportUnusable    Code = 5009
 	BackoffUnreadable Code = 5010
+	LimitUnreadable   Code = 5011
 )
 
 // Info describes one code: its kebab-case name, HTTP status, process exit code, whether it asserts that the request did not run, and what to do.
@@ -172,6 +173,7 @@
 	{NeverSent, "never-sent", http.StatusServiceUnavailable, exitRefused, true, "No connection to the upstream could be opened; nothing was sent.", "Retry."},
 	{ReportUnusable, "report-unusable", http.StatusBadRequest, exitRefused, true, "A report lacks what every upstream says of itself; it names none.", "Look who reports there."},
 	{BackoffUnreadable, "backoff-unreadable", 0, exitFailed, false, "An upstream asked to be left alone for a time that cannot be read; it is passed over for a moment.", "Look what the upstream sends as Retry-After."},
+	{LimitUnreadable, "limit-unreadable", 0, exitFailed, false, "An upstream named a number of requests a second that cannot be read; what it named before goes on.", "Look what the upstream names as its limit."},
 }
 
 // Lookup returns the description of c, or that of an unnamed failure when c is not in the table.
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -34,11 +34,26 @@
 	case w.Asked > 0 && c.asked.Refuse(now, id, w.Asked):
 		c.Log.Info("upstream asked for time", "upstream", id, "retry-after", w.Text, "asked-ms", w.Asked.Milliseconds())
 	}
+	c.heardLimit(id, &w, now)
 	if r := c.reign.Load(); w.Leaving && r != nil {
 		r.drain(id, "this daemon")
 	}
 }
 
+// heardLimit notes the limit that an upstream names. Orders and questions do not count against it: a group is formed by a handful of
+// them, and one that takes few requests must be closed as soon as any other.
+func (c *Control) heardLimit(id ident.Incarnation, w *backoff.Notice, now time.Time) {
+	if w.LimitErr != nil {
+		c.Log.Info("upstream names an unreadable limit", "upstream", id, "code", result.CodeOf(w.LimitErr), "error", result.Message(w.LimitErr))
+	}
+	if !w.Limited {
+		return
+	}
+	if was, changed := c.limits.Name(id, w.Limit, now); changed {
+		c.Log.Info("upstream names a limit", "upstream", id, "limit", w.Limit, "was", was.Rate)
+	}
+}
+
 // waits reports whether an upstream asked this daemon for time that is not over.
 func (c *Control) waits(id ident.Incarnation) bool {
 	return c.asked.Of(clock.Now(), id).Left > 0
@@ -112,6 +127,9 @@
 	if a.For > 0 {
 		fields = append(fields, "for-ms", a.For.Milliseconds())
 	}
+	if a.Kind == relay.AskingLimit || a.Kind == relay.AskingNoLimit {
+		fields = append(fields, "limit", a.Limit, "was", a.Was, "was-since", a.Since)
+	}
 	if a.Err != nil {
 		fields = append(fields, "code", result.CodeOf(a.Err), "error", result.Message(a.Err))
 	}
@@ -123,9 +141,10 @@
 	log.Info("upstream "+string(a.Kind), fields...)
 }
 
-// countAsked updates how many upstreams want nothing from this entry.
+// countAsked updates how many upstreams want nothing from this entry, and how many have named a limit.
 func (e *Entry) countAsked(now time.Time) {
 	n := 0
 	e.relay.Backoff.Each(now, func(ident.Incarnation, backoff.State) { n++ })
 	e.numbers.backedOff.Update(float64(n))
+	e.numbers.limited.Update(float64(e.relay.Limits.Limited()))
 }
--- a/site/control.go
+++ b/site/control.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -84,6 +85,8 @@
 	held     *quarantine.List
 	// asked is what upstreams asked this daemon for.
 	asked *backoff.List[ident.Incarnation]
+	// limits are the limits that upstreams named to this daemon.
+	limits *ratelimit.Words[ident.Incarnation]
 }
 
 // NewControl opens the data folder that cfg names.
@@ -104,6 +107,7 @@
 	}
 	c.machine.Changed = c.configChanged
 	c.held = &quarantine.List{Rule: heldRule(&cfg.Quarantine)}
+	c.limits = ratelimit.NewWords[ident.Incarnation]()
 	c.asked = backoff.New[ident.Incarnation](backoffRule(&cfg.Backoff))
 	c.reports = newReports(c.passReports)
 	c.meter = meter.New()
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -52,6 +52,8 @@
 	held tally.Gauge
 	// backedOff is how many upstreams want nothing from this entry.
 	backedOff tally.Gauge
+	// limited is how many upstreams have named a limit.
+	limited tally.Gauge
 }
 
 // words are the first words of one model: when they were expected, when they came, and how far apart the two were.
@@ -65,6 +67,7 @@
 	return &numbers{
 		scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{},
 		held: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
+		limited: scope.Gauge("limited_upstreams"),
 	}
 }
 
