--- a/relay/backoff_test.go
+++ b/relay/backoff_test.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -54,6 +55,9 @@
 	busyUntil time.Time
 	asks      string
 	leaving   bool
+	// limit is what it names in its answers while that is not empty, named when the first answer with one left it.
+	limit string
+	named time.Time
 	// arrived is when requests came, refused when it turned one away, said when it first said that it leaves, and served when it
 	// first gave a whole answer after its last refusal.
 	arrived []time.Time
@@ -91,7 +95,7 @@
 			_, err = io.WriteString(c, head(r, 503, append(extra, "Not-Run: 1", "Content-Length: 0")...))
 		} else {
 			time.Sleep(askWork)
-			u.done()
+			extra = u.done(extra)
 			extra = append(extra, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 			piece := events(1, 2)
 			_, err = io.WriteString(c, head(r, 200, extra...)+fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(piece), piece))
@@ -117,6 +121,7 @@
 	if !now.Before(u.busyUntil) {
 		return extra, false
 	}
+	extra = u.name(extra)
 	u.refused = append(u.refused, now)
 	u.served = time.Time{}
 	if u.asks != "" {
@@ -125,12 +130,35 @@
 	return extra, true
 }
 
-func (u *asker) done() {
+// done notes that an answer leaves and returns what it says beside.
+func (u *asker) done(extra []string) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.served.IsZero() {
 		u.served = time.Now()
 	}
+	return u.name(extra)
+}
+
+// name adds the limit to what an answer says; the mutex is held.
+func (u *asker) name(extra []string) []string {
+	if u.limit == "" {
+		return extra
+	}
+	if u.named.IsZero() {
+		u.named = time.Now()
+	}
+	return append(extra, "Limit: "+u.limit)
+}
+
+// limits lets an upstream name a limit, or none.
+func (u *asker) limits(rate ratelimit.Rate) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = ""
+	if rate > 0 {
+		u.limit = strconv.FormatFloat(float64(rate), 'f', -1, 64)
+	}
 }
 
 // between returns how many requests came after one moment and before another.
--- /dev/null
+++ b/relay/limit_test.go
@@ -0,0 +1,190 @@
+package relay_test
+
+// Two heads named how many requests a second they take from all entries together, 3.3 and 1.4, in every answer from 8.0 s on. They went on
+// to get what they had got before, eight and five a second, from all eight entries, because nothing read that word. What settled it were the
+// figures of the first head, which do not change, and first tries of every entry there, long after it had named its limit to each:
+//
+//	8:11  9:7  10:9  11:9  12:9  13:7  14:10      requests a second; 4:12  5:8  6:12  7:9 before
+//	medina-1  "tries":[{"to":"i-a866eebe31","group":"g9zldw","result":"done","at-ms":0,...   15 of them, yoff-2 11, medina-2 11, ...
+//
+// The busiest entry sent 2.2 a second there, less than the limit: had each entry read the word and kept it by itself, all together would
+// have been as far beyond it. So the word has to be read, kept by all, and what all send has to be bounded as one sum.
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/sharing"
+)
+
+const (
+	// limitHeads are the upstreams, of which the first names a limit from askAt on; limitPerSecond requests come to all entries in a second.
+	limitHeads     = 3
+	limitPerSecond = 100
+	limitLasts     = 12 * time.Second
+	// limitKnown is when all entries know of a limit at the latest after the first answer with it: what was sent before has come, and the
+	// news have been told.
+	limitKnown = askTrip + datagramTime + time.Millisecond
+	// limitJitter is how much sooner than others a request may come, since connections take a while to open.
+	limitJitter = 3 * askTrip
+)
+
+// team is several entries before the same upstreams, which hear each other's news.
+type team struct {
+	sites  []*askSite
+	random *rand.Rand
+	// deaf are entries that get no news from others and whose news get to nobody.
+	deaf map[int]bool
+}
+
+// newTeam returns entries that know each other.
+func newTeam(entries, upstreams int) *team {
+	g := &team{sites: []*askSite{newAskSite(upstreams)}, random: rand.New(rand.NewPCG(3, 3)), deaf: map[int]bool{}}
+	for range entries - 1 {
+		g.sites = append(g.sites, askSiteBefore(g.sites[0].upstreams))
+	}
+	var names []string
+	byName := map[string]int{}
+	for i := range entries {
+		name := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i % 200)}), 7).String()
+		names = append(names, name)
+		byName[name] = i
+	}
+	for i, s := range g.sites {
+		s.relay.Draw = rand.New(rand.NewPCG(uint64(i), 1)).IntN
+		s.relay.SetEntries(sharing.New(names[i], map[ident.Hall][]string{"": names}))
+		s.relay.Budget.SetEntries(entries)
+		s.relay.Tell = func(n relay.News, to []string) {
+			if to == nil {
+				to = names
+			}
+			for _, name := range to {
+				if j, ok := byName[name]; ok && j != i && !g.deaf[i] && !g.deaf[j] {
+					time.AfterFunc(datagramTime, func() { g.sites[j].relay.Hear(n, netip.MustParseAddrPort(names[i])) })
+				}
+			}
+		}
+	}
+	return g
+}
+
+// load lets requests come to entries, to the first ones more often than to the last ones, and returns when all have ended.
+func (g *team) load(path string, perSecond float64, lasts time.Duration) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	for n := 0; time.Since(began) < lasts; n++ {
+		time.Sleep(time.Duration(g.random.ExpFloat64() / perSecond * float64(time.Second)))
+		s := g.sites[min(g.random.IntN(len(g.sites)), g.random.IntN(len(g.sites)))]
+		wg.Go(func() { s.ask(path, strconv.Itoa(n)) })
+	}
+	wg.Wait()
+	for _, u := range g.sites[0].upstreams {
+		u.close()
+	}
+}
+
+// records returns how requests went, at all entries.
+func (g *team) records() []*relay.Record {
+	var all []*relay.Record
+	for _, s := range g.sites {
+		s.relay.Wait()
+		all = append(all, s.records...)
+	}
+	return all
+}
+
+// arrivals returns when requests came to u from a moment on, until another one.
+func (u *asker) arrivals(from, to time.Time) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var list []time.Time
+	for _, at := range u.arrived {
+		if !at.Before(from) && at.Before(to) {
+			list = append(list, at)
+		}
+	}
+	return list
+}
+
+// mostIn returns the most arrivals in any span of that length.
+func mostIn(list []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i := range list {
+		for list[i].Sub(list[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// beyond returns by how many requests the arrivals are beyond the rate in the span where they are furthest beyond it.
+func beyond(list []time.Time, rate ratelimit.Rate) float64 {
+	most := 0.0
+	for i := range list {
+		for j := range i + 1 {
+			t := list[i].Sub(list[j]) + limitJitter
+			most = max(most, float64(i-j+1)-float64(rate)*t.Seconds())
+		}
+	}
+	return most
+}
+
+// limitCase is a site, a route and a limit.
+type limitCase struct {
+	entries int
+	path    string
+	limit   ratelimit.Rate
+}
+
+func (c *limitCase) name() string {
+	return strconv.Itoa(c.entries) + " entries, " + strconv.FormatFloat(float64(c.limit), 'f', -1, 64) + " a second, " + c.path[1:len(c.path)-2]
+}
+
+// An upstream that names a limit gets no more than that from all entries together, from when they can know of it: in any span of time its
+// rate and one request more. It gets nearly all of that, and no request is worse off while others have room.
+func TestALimitIsKeptByAllTogether(t *testing.T) {
+	for _, c := range []limitCase{
+		{1, "/safe/x", 3.6}, {1, "/stream/x", 0.5}, {1, "/stream/x", 25},
+		{8, "/safe/x", 3.6}, {8, "/unsafe/x", 1.8}, {8, "/stream/x", 1.8}, {8, "/stream/x", 0.5}, {8, "/stream/x", 25},
+		{40, "/stream/x", 1.8}, {40, "/safe/x", 25}, {120, "/stream/x", 3.6},
+	} {
+		t.Run(c.name(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newTeam(c.entries, limitHeads)
+				u := g.sites[0].upstreams[0]
+				began := time.Now()
+				time.AfterFunc(askAt, func() { u.limits(c.limit) })
+				g.load(c.path, limitPerSecond, limitLasts)
+				if u.named.IsZero() {
+					t.Fatal("nothing came once it named a limit: the test shows nothing")
+				}
+				known := u.arrivals(u.named.Add(limitKnown), began.Add(limitLasts))
+				const span = 4 * time.Second
+				if got, most := mostIn(known, span), float64(c.limit)*span.Seconds()*1.5+5; float64(got) > most {
+					t.Errorf("%d requests in %v, want %.0f at most", got, span, most)
+				}
+				if got := beyond(known, c.limit); got > 1 {
+					t.Errorf("%.1f requests beyond the limit in some span, want 1 at most", got)
+				}
+				wants := float64(c.limit) * (limitLasts - askAt).Seconds()
+				if got := float64(len(known)); got < 0.9*wants-1 {
+					t.Errorf("%.0f requests in all, want nine tenths of %.0f", got, wants)
+				}
+				for _, r := range g.records() {
+					if r.Code != 0 || r.First > config().Routes[0].Aim {
+						t.Errorf("request %s: code %d, %s, after %v", r.ID, r.Code, r.Text, r.First)
+					}
+				}
+			})
+		})
+	}
+}
--- a/relay/spared_test.go
+++ b/relay/spared_test.go
@@ -24,30 +24,11 @@
 	spareRate  = 40
 )
 
-// newSpareSites returns entries before the same heads, which hear each other's news.
-func newSpareSites() []*askSite {
-	sites := []*askSite{newAskSite(spareHeads)}
-	for range spareEntries - 1 {
-		sites = append(sites, askSiteBefore(sites[0].upstreams))
-	}
-	for i, s := range sites {
-		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7)
-		s.relay.Tell = func(n relay.News, _ []string) {
-			for j, o := range sites {
-				if j != i {
-					time.AfterFunc(datagramTime, func() { o.relay.Hear(n, from) })
-				}
-			}
-		}
-	}
-	return sites
-}
-
 // A head that asked one entry for time is spared by the others as long as the rest have room: with many entries, each of which knows
 // only what it was asked itself, a head that is overrun would be reached as often as before.
 func TestOtherEntriesSpareWhoAskedForTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sites := newSpareSites()
+		sites := newTeam(spareEntries, spareHeads).sites
 		heads := sites[0].upstreams
 		time.AfterFunc(time.Second, func() {
 			for _, u := range heads[:spareBusy] {
