Keep all entries together within the limits that upstreams name

What callers saw: nothing; upstreams that had named a limit of 3.3 and 1.4 requests a second got eight and five a second from eight entries. Cause: nothing read the word; and a bound on what all entries send can't be kept by entries that each see their own requests. Change: the upstream's coordinator, one entry found by rendezvous hashing of the list that all have, lets each request go, at least the interval of the limit after the one before; who wants to send asks it by datagram right before (package ratelimit: words, grants, limiter). The limit and its end are told to all entries and by the leader; whoever can't reach the coordinator keeps the limit divided by the entries; a coordinator whose confirmation by the leader is old grants nothing, a new one first lets the former one hear of it. Limited upstreams are chosen where they are hardly worse, so that what they take is used. Where all are limited, a request waits for its turn if that comes in time, and is refused at once otherwise (2023) with a time to come back that counts those before it. Why it holds: all that is sent is counted in one place, for each upstream, whoever sends it; nothing is saved up. TestGrantsKeepTheLimit (any order of questions), TestTheLimitIsUsed (1 to 300 askers).

--- /dev/null
+++ b/ratelimit/limiter.go
@@ -0,0 +1,351 @@
+package ratelimit
+
+// All entries together must keep the limit of an upstream, and each sees its own
+// requests only. So one of them, the coordinator of that upstream, lets each
+// request go; whoever wants to send one asks it with a datagram and has the
+// answer within a round trip:
+//
+//	entry a            coordinator b              upstream u, 2 a second
+//	ask    ->          0.000 granted, at once
+//	request ------------------------------------> 0.002
+//	ask    ->          0.300 refused, again in 0.18 s; the request goes elsewhere
+//	ask    ->          0.485 granted, in 15 ms
+//	request ------------------------------------> 0.502
+//
+// All entries know who coordinates an upstream by their list of entries. Two may
+// believe it of themselves for a moment when the list changes, so a new
+// coordinator first lets the old one hear of it. Whoever can't reach the
+// coordinator keeps its own part of the limit: the limit divided by the entries.
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// answerTime is how long an answer is waited for: several round trips between halls, with pauses of a busy VM.
+	answerTime = 60 * time.Millisecond
+	// deafAfter is how long questions have had no answer until an entry takes its own part; deafAgain is when it then asks again.
+	deafAfter = 700 * time.Millisecond
+	deafAgain = time.Second
+	// movedAgain is when an entry asks again that has another list of entries than the one it asked.
+	movedAgain = 200 * time.Millisecond
+	// asksMost is how many questions on one upstream may be out at an entry.
+	asksMost = 4
+)
+
+// Seat says who coordinates an upstream.
+type Seat struct {
+	// Name is the coordinator, nothing when this entry can't know it; Self is set when it is this entry.
+	Name string
+	Self bool
+	// Entries is how many entries there are.
+	Entries int
+	// Quiet is how long this entry grants nothing yet, since another may still do.
+	Quiet time.Duration
+}
+
+// Question asks the coordinator of an upstream for one request there, and tells it what the upstream said.
+type Question[K comparable] struct {
+	ID   uint64        `cbor:"1,keyasint"`
+	Key  K             `cbor:"2,keyasint"`
+	Rate Rate          `cbor:"3,keyasint"`
+	Age  time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Answer is the coordinator's answer, and the newest word of the upstream that it knows.
+type Answer[K comparable] struct {
+	ID   uint64        `cbor:"1,keyasint"`
+	Key  K             `cbor:"2,keyasint"`
+	Rate Rate          `cbor:"3,keyasint,omitempty"`
+	Age  time.Duration `cbor:"4,keyasint,omitempty"`
+	Grant
+}
+
+// Gate is whether a request may be meant for an upstream at a moment.
+type Gate struct {
+	// Limited is set when the upstream has named a limit.
+	Limited bool
+	// Left is how long there is nothing to be had, Busy is set while it is being asked for.
+	Left time.Duration
+	Busy bool
+	// Rate is what this entry can expect of the limit.
+	Rate Rate
+}
+
+// Open reports whether it is worth asking.
+func (g Gate) Open() bool { return g.Left <= 0 && !g.Busy }
+
+// Permit is whether a request may be sent to an upstream.
+type Permit struct {
+	OK bool
+	// Limited is set when it counts against a limit; it is then to be sent After from now.
+	Limited bool
+	After   time.Duration
+}
+
+// Limiter keeps one entry within the limits of upstreams, together with all others; exported fields are set before use.
+type Limiter[K comparable] struct {
+	Words *Words[K]
+	Now   func() time.Time
+	// Draw returns a random number from 0 to 1.
+	Draw func() float64
+	// Seat says who coordinates an upstream.
+	Seat func(k K) Seat
+	// Ask sends a question to a coordinator; it must not block.
+	Ask func(to string, q *Question[K])
+
+	mu sync.Mutex
+	// granted are the requests that were let go as coordinator, own those of this entry's own part.
+	granted *Grants[K]
+	own     *Grants[K]
+	states  map[K]*state
+	asked   map[uint64]chan *Answer[K]
+}
+
+// state is what this entry knows of an upstream's limit.
+type state struct {
+	// until is when it is worth asking again, asking how many questions are out.
+	until  time.Time
+	asking int
+	// silent is since when no question was answered, asksAt when the coordinator is asked again then.
+	silent time.Time
+	asksAt time.Time
+	// sharers is how many share the limit, and at how many requests this entry was let go, refused and not answered.
+	sharers int
+	Counts
+}
+
+// Counts are what became of the questions of this entry on an upstream.
+type Counts struct {
+	Granted, Refused, Unanswered, Own int
+}
+
+// NewLimiter returns a limiter of an entry that is alone.
+func NewLimiter[K comparable]() *Limiter[K] {
+	l := &Limiter[K]{
+		Words: NewWords[K](), Now: time.Now, Draw: rand.Float64,
+		Seat:   func(K) Seat { return Seat{Self: true, Entries: 1} },
+		Ask:    func(string, *Question[K]) {},
+		states: map[K]*state{}, asked: map[uint64]chan *Answer[K]{},
+	}
+	draw := func() float64 { return l.Draw() }
+	// A coordinator begins with a whole interval, whatever was sent before. Parts of many entries begin at random, so that they do not
+	// all send at the same moment.
+	l.granted = NewGrants[K](func() float64 { return 0 }, draw)
+	l.own = NewGrants[K](draw, draw)
+	return l
+}
+
+// Of returns whether a request may be meant for an upstream.
+func (l *Limiter[K]) Of(now time.Time, k K) Gate {
+	w := l.Words.Of(k)
+	if !w.Limited() {
+		return Gate{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.states[k]
+	if s == nil {
+		return Gate{Limited: true, Rate: w.Rate}
+	}
+	return Gate{Limited: true, Left: max(0, s.until.Sub(now)), Busy: s.asking >= asksMost, Rate: w.Rate / Rate(max(1, s.sharers))}
+}
+
+// Take asks for one request at an upstream; it returns at once where there is no limit.
+func (l *Limiter[K]) Take(ctx context.Context, k K) Permit {
+	w := l.Words.Of(k)
+	if !w.Limited() {
+		return Permit{OK: true}
+	}
+	seat := l.Seat(k)
+	if seat.Self {
+		return l.takeHere(k, w.Rate, seat.Quiet)
+	}
+	if seat.Name != "" {
+		if a, answered := l.ask(ctx, seat.Name, k, w); answered {
+			return l.take(k, a)
+		}
+	}
+	return l.takeOwn(k, w.Rate, seat)
+}
+
+// takeHere asks this entry as coordinator.
+func (l *Limiter[K]) takeHere(k K, rate Rate, quiet time.Duration) Permit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.obey(k, l.grant(k, rate, quiet, ""))
+}
+
+// grant answers who asks this entry as coordinator; the mutex is held.
+func (l *Limiter[K]) grant(k K, rate Rate, quiet time.Duration, who string) Grant {
+	if quiet > 0 {
+		return Grant{After: quiet, Sharers: 1}
+	}
+	if l.granted.Len() > sweepAt {
+		l.granted.Keep(l.isLimited)
+	}
+	return l.granted.Ask(l.Now(), k, rate, who)
+}
+
+func (l *Limiter[K]) isLimited(k K) bool { return l.Words.Of(k).Limited() }
+
+// obey notes what was granted, and makes a permit of it; the mutex is held.
+func (l *Limiter[K]) obey(k K, g Grant) Permit {
+	s := l.state(k)
+	s.sharers = g.Sharers
+	if !g.OK {
+		s.Refused++
+		s.until = l.Now().Add(g.After)
+		return Permit{Limited: true}
+	}
+	s.Granted++
+	return Permit{OK: true, Limited: true, After: g.After}
+}
+
+func (l *Limiter[K]) state(k K) *state {
+	s := l.states[k]
+	if s != nil {
+		return s
+	}
+	if len(l.states) > sweepAt {
+		for other := range l.states {
+			if l.states[other].asking == 0 && !l.isLimited(other) {
+				delete(l.states, other)
+			}
+		}
+	}
+	s = &state{}
+	l.states[k] = s
+	return s
+}
+
+// ask asks the coordinator and waits for its answer.
+func (l *Limiter[K]) ask(ctx context.Context, to string, k K, w Word) (*Answer[K], bool) {
+	now := l.Now()
+	l.mu.Lock()
+	s := l.state(k)
+	if now.Before(s.asksAt) || s.asking >= asksMost {
+		l.mu.Unlock()
+		return nil, false
+	}
+	s.asking++
+	id, answer := rand.Uint64(), make(chan *Answer[K], 1)
+	l.asked[id] = answer
+	l.mu.Unlock()
+	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At)})
+	timer := time.NewTimer(answerTime)
+	defer timer.Stop()
+	var a *Answer[K]
+	select {
+	case a = <-answer:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.asked, id)
+	s.asking--
+	if a == nil && ctx.Err() == nil {
+		s.unanswered(l.Now())
+	}
+	return a, a != nil
+}
+
+// unanswered notes that a question had no answer.
+func (s *state) unanswered(now time.Time) {
+	s.Unanswered++
+	if s.silent.IsZero() {
+		s.silent = now
+	}
+	s.asksAt = now.Add(answerTime)
+	if s.deaf(now) {
+		s.asksAt = now.Add(deafAgain)
+	}
+}
+
+// deaf reports whether the coordinator has not answered for so long that this entry goes by its own part.
+func (s *state) deaf(now time.Time) bool {
+	return !s.silent.IsZero() && now.Sub(s.silent) >= deafAfter
+}
+
+// take does what the coordinator answered.
+func (l *Limiter[K]) take(k K, a *Answer[K]) Permit {
+	l.Words.Hear(k, a.Rate, l.Now().Add(-a.Age))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(k)
+	s.silent, s.asksAt = time.Time{}, time.Time{}
+	return l.obey(k, a.Grant)
+}
+
+// takeOwn takes a request of this entry's own part once nobody can be asked, or none meanwhile.
+func (l *Limiter[K]) takeOwn(k K, rate Rate, seat Seat) Permit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, s := l.Now(), l.state(k)
+	if seat.Name != "" && !s.deaf(now) {
+		s.until = later(s.until, s.asksAt)
+		return Permit{Limited: true}
+	}
+	if l.own.Len() > sweepAt {
+		l.own.Keep(l.isLimited)
+	}
+	g := l.own.Ask(now, k, rate/Rate(max(1, seat.Entries)), "")
+	g.Sharers = seat.Entries
+	if g.OK {
+		s.Own++
+	}
+	return l.obey(k, g)
+}
+
+// Asked answers a question of another entry; there is no answer when this one can't know whether it coordinates the upstream.
+func (l *Limiter[K]) Asked(q *Question[K], from string) (*Answer[K], bool) {
+	seat := l.Seat(q.Key)
+	if !seat.Self && seat.Name == "" {
+		return nil, false
+	}
+	now := l.Now()
+	l.Words.Hear(q.Key, max(l.Words.Least, q.Rate), now.Add(-max(0, q.Age)))
+	w := l.Words.Newest(q.Key)
+	a := &Answer[K]{ID: q.ID, Key: q.Key, Rate: w.Rate, Age: now.Sub(w.At)}
+	if w.Rate == q.Rate {
+		// It is no news to who asks, and must not look like that.
+		a.Age = max(a.Age, q.Age)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !w.Limited():
+		a.Grant = Grant{OK: true}
+	case !seat.Self:
+		a.Grant = Grant{After: movedAgain, Sharers: 1}
+	default:
+		a.Grant = l.grant(q.Key, w.Rate, seat.Quiet, from)
+	}
+	return a, true
+}
+
+// Answered takes the answer to a question; one that is not waited for any more is dropped, and the request that it granted is lost.
+func (l *Limiter[K]) Answered(a *Answer[K]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answer := l.asked[a.ID]; answer != nil {
+		select {
+		case answer <- a:
+		default:
+		}
+	}
+}
+
+// CountsOf returns what became of this entry's questions on an upstream.
+func (l *Limiter[K]) CountsOf(k K) Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.states[k]; s != nil {
+		return s.Counts
+	}
+	return Counts{}
+}
--- a/ratelimit/rate.go
+++ b/ratelimit/rate.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,7 +18,7 @@
 
 // Interval is the time from one request to the next at that rate, which is not 0.
 func (r Rate) Interval() time.Duration {
-	return time.Duration(float64(time.Second) / float64(r))
+	return time.Duration(math.Ceil(float64(time.Second) / float64(r)))
 }
 
 // Named returns the rate that an answer names in a header, and whether it names any; of several the lowest counts. What can't be read is
--- a/ratelimit/words.go
+++ b/ratelimit/words.go
@@ -25,12 +25,17 @@
 	// At is when it last said so, Since when it first did.
 	At    time.Time
 	Since time.Time
+	// Own is set when it said so to this entry, and not to another one that told.
+	Own bool
 }
 
 // Limited reports whether there is a limit.
 func (w Word) Limited() bool { return w.Rate > 0 }
 
 const (
+	// onTheWay is how much newer than it is a word of others may look, since the time that it was on its way is not known. Without that a
+	// word would grow younger with each time that two entries tell it each other, and outlive its end.
+	onTheWay = 10 * time.Millisecond
 	// sweepAt is how many words are kept before old ones are looked for.
 	sweepAt = 256
 	// endedKept is how long the end of a limit is remembered: what others said before may come late.
@@ -65,23 +70,28 @@
 // Name takes the limit that an upstream named at a time, and returns its word before. It reports whether the limit has changed by it; an
 // older word than the newest one changes nothing.
 func (s *Words[K]) Name(k K, rate Rate, at time.Time) (was Word, changed bool) {
-	return s.Hear(k, max(s.Least, rate), at)
+	return s.take(k, Word{Rate: max(s.Least, rate), At: at, Own: true}, 0)
 }
 
 // Hear is Name for what others heard, also that there is no limit any more, which is a rate of 0.
 func (s *Words[K]) Hear(k K, rate Rate, at time.Time) (was Word, changed bool) {
+	return s.take(k, Word{Rate: rate, At: at}, onTheWay)
+}
+
+// take takes a word that counts if it is newer than the one before by more than a margin.
+func (s *Words[K]) take(k K, w Word, margin time.Duration) (was Word, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	was, known := s.words[k]
-	if known && !at.After(was.At) || !known && rate == 0 {
+	if known && !w.At.After(was.At.Add(margin)) || !known && w.Rate == 0 {
 		return was, false
 	}
-	w := Word{Rate: rate, At: at, Since: at}
-	if known && was.Rate == rate {
+	w.Since = w.At
+	if known && was.Rate == w.Rate {
 		w.Since = was.Since
 	}
-	s.put(k, was, w, at)
-	return was, was.Rate != rate
+	s.put(k, was, w, w.At)
+	return was, was.Rate != w.Rate
 }
 
 // Miss takes an answer without a limit to a request that was sent at a time, and reports whether the limit has ended by it.
@@ -95,7 +105,7 @@
 	if !was.Limited() || !sent.After(was.At) {
 		return was, false
 	}
-	s.put(k, was, Word{At: at, Since: at}, at)
+	s.put(k, was, Word{At: at, Since: at, Own: true}, at)
 	return was, true
 }
 
@@ -138,6 +148,13 @@
 	return s.words[k]
 }
 
+// Newest returns the newest word of an upstream, also that there is no limit any more.
+func (s *Words[K]) Newest(k K) Word {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words[k]
+}
+
 // Each calls visit for each upstream of which there is a word.
 func (s *Words[K]) Each(visit func(k K, w Word)) {
 	s.mu.Lock()
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -76,9 +76,12 @@
 	if !f.notice.Limited {
 		return
 	}
-	if was, changed := s.Limits.Name(f.t.id, f.notice.Limit, now); changed {
+	if was, changed := s.Limits.Words.Name(f.t.id, f.notice.Limit, now); changed {
 		a.Was, a.Since = was.Rate, was.Since
 		s.tellAsked(a, AskingLimit)
+		if !was.Limited() {
+			f.tellLimit(f.notice.Limit)
+		}
 	}
 }
 
@@ -89,8 +92,9 @@
 	if f.notice.Limited || f.notice.LimitErr != nil || f.status >= http.StatusMultipleChoices {
 		return
 	}
-	if was, ended := s.Limits.Miss(f.t.id, f.sent, s.Now()); ended {
+	if was, ended := s.Limits.Words.Miss(f.t.id, f.sent, s.Now()); ended {
 		s.tellAsked(&Asking{Upstream: f.t.id, Group: f.t.group, Was: was.Rate, Since: was.Since}, AskingNoLimit)
+		f.tellLimit(0)
 	}
 }
 
@@ -132,9 +136,11 @@
 
 // away counts the upstreams that want nothing at a choice.
 type away struct {
-	backedOff, leaving int
-	// soonest is when the first of those that only asked for time may be tried again.
+	backedOff, leaving, limited int
+	// soonest is when the first of those that only asked for time, or take nothing more within their limits, may be tried again.
 	soonest time.Duration
+	// rate is what this entry can expect of all limits.
+	rate ratelimit.Rate
 }
 
 // add counts an upstream if it asked for nothing, and reports whether that is so. One that only refused is full for a moment.
@@ -146,13 +152,32 @@
 	case s.Left <= 0 || !s.Asked:
 		return false
 	}
-	if a.backedOff == 0 || s.Left < a.soonest {
-		a.soonest = s.Left
-	}
+	a.sooner(s.Left)
 	a.backedOff++
 	return true
 }
 
+// limit counts an upstream with a limit, and reports whether there is nothing to be had of it now.
+func (a *away) limit(g ratelimit.Gate) bool {
+	if !g.Limited {
+		return false
+	}
+	a.rate += g.Rate
+	if g.Open() {
+		return false
+	}
+	a.sooner(g.Left)
+	a.limited++
+	return true
+}
+
+// sooner notes that an upstream may be tried again after a time.
+func (a *away) sooner(left time.Duration) {
+	if a.backedOff+a.limited == 0 || left < a.soonest {
+		a.soonest = left
+	}
+}
+
 func (a *away) number() int {
-	return a.backedOff + a.leaving
+	return a.backedOff + a.leaving + a.limited
 }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -28,6 +29,8 @@
 	silentScore = 0.5
 	// farFactor is how many times slower a group across domains is taken to be when the engine does not say.
 	farFactor = 3.0
+	// limitScore is how much worse an upstream with a limit may be than the one that is chosen in its place.
+	limitScore = 0.1
 	// suspectScore puts a target that failed a moment ago behind all others.
 	suspectScore = 100
 	// queuePart is the part of the slots that may wait at an engine beyond those that it works on.
@@ -43,11 +46,14 @@
 	// first is the time to the first word by the estimate, 0 where there is none; at is what it was worked out from.
 	first time.Duration
 	at    estimate.Load
-	// fits is set when there is room, spared when the upstream asked other entries for time.
-	fits   bool
-	spared bool
-	// free is, where there is no target, how long until the first one takes requests again, 0 when that is not known.
+	// fits is set when there is room, spared when the upstream asked other entries for time, limited when it has named a limit.
+	fits    bool
+	spared  bool
+	limited bool
+	// free is, where there is no target, how long until the first one takes requests again, 0 when that is not known; rate is then how
+	// many requests a second can be expected within limits.
 	free time.Duration
+	rate ratelimit.Rate
 }
 
 // targets returns where a request for service and model can go.
@@ -70,7 +76,8 @@
 		// Whoever asked for time was overrun, and gets nothing in it: an upstream that refused was passed over for 120 ms whatever it
 		// had asked for, and of 100 requests a second before three upstreams 48 to 99 reached it in the 3 s after each refusal.
 		asked := s.Backoff.Of(now, t.id)
-		if away.add(asked) || x.wasTried(t.id) {
+		gate := s.Limits.Of(now, t.id)
+		if away.add(asked) || away.limit(gate) || x.wasTried(t.id) {
 			continue
 		}
 		rated := s.rate(x, t, rank, now)
@@ -78,21 +85,36 @@
 			full++
 			continue
 		}
-		// A stream that has begun goes on wherever it can.
-		if !t.known && x.events == 0 && x.service.Engine != nil && s.counts.spill[x.model] < 1 && s.fleet.uses[x.model] {
-			rated.fits = false
-		}
+		rated.fits = rated.fits && s.mayFill(x, t)
+		rated.limited = gate.Limited
 		c.add(rated)
 	}
 	best := c.best()
 	if len(best) == 0 {
-		return scored{free: away.soonest}, noTarget(len(list), full, &away)
+		return scored{free: away.soonest, rate: away.rate}, noTarget(len(list), full, &away)
 	}
 	x.passedOver = away.number()
 	if best[0].known && s.entries != nil && !s.entries.Together() {
 		return lowest(best), nil
 	}
-	return s.betterOfTwo(best), nil
+	return withLimits(best, s.betterOfTwo(best)), nil
+}
+
+// mayFill reports whether the request may take room of a target that this entry does not use: a stream that has begun goes on wherever it
+// can. The mutex is held.
+func (s *Relay) mayFill(x *exchange, t *target) bool {
+	return t.known || x.events > 0 || x.service.Engine == nil || s.counts.spill[x.model] >= 1 || !s.fleet.uses[x.model]
+}
+
+// withLimits returns an upstream with a limit that is hardly worse than the chosen one, if there is any. What it takes is little and can't be
+// saved up: if it were tried only as often as others are, a part of it would be lost while the others do its work.
+func withLimits(list []scored, chosen scored) scored {
+	for i := range list {
+		if list[i].limited && list[i].score <= chosen.score+limitScore && !chosen.limited {
+			chosen = list[i]
+		}
+	}
+	return chosen
 }
 
 // lowest returns the target with the lowest score: where an entry uses a few groups and hears of all that others send there, the
@@ -171,6 +193,9 @@
 		return result.New(result.Overloaded, "%d upstreams are full, %d want nothing", full, away.number())
 	case full > 0:
 		return result.New(result.Overloaded, "all %d upstreams are full", full)
+	case away.limited > 0:
+		return result.New(result.Limited, "%d of %d upstreams take nothing more within their limits, %d want nothing yet, the first for another %v",
+			away.limited, known, away.backedOff, away.soonest)
 	case away.backedOff > 0:
 		return result.New(result.BackedOff, "%d of %d upstreams want nothing yet, the first for another %v", away.backedOff, known, away.soonest)
 	case away.leaving > 0:
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -74,6 +74,11 @@
 	// nothing when it was chosen.
 	trial      bool
 	passedOver int
+	// joined is when it first waited for an upstream that takes no more within its limit, limitWaits how often there was nothing.
+	joined     time.Time
+	limitWaits int
+	// repeatPaid is set while the budget for repeats has let the next try go.
+	repeatPaid bool
 }
 
 func (s *Relay) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -70,7 +70,7 @@
 
 func retryAfter(code result.Code) time.Duration {
 	switch code {
-	case result.Overloaded, result.BackedOff:
+	case result.Overloaded, result.BackedOff, result.Limited:
 		return retryFull
 	case result.ControlUnreachable:
 		return retryBlind
@@ -89,7 +89,7 @@
 	rec := &Record{
 		ID: x.id, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, ConfirmedAge: x.s.ConfirmedAge(), Tries: x.tries,
 		Prompt: x.prompt, Events: x.events, First: x.first, Expected: x.expected, Gap: x.gap, Total: x.s.Now().Sub(x.began),
-		Spent: x.spent, Retry: x.retry,
+		Spent: x.spent, Retry: x.retry, LimitWaits: x.limitWaits,
 	}
 	if err != nil {
 		rec.Text = result.Message(err)
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -14,10 +14,11 @@
 	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 )
 
 // News is what an entry tells of the head of a group: that it sent a prompt there, that it waits in vain for a sign, or that the head
-// asked it for time.
+// asked it for time; or of an upstream with a limit.
 type News struct {
 	Head   ident.Incarnation `cbor:"1,keyasint"`
 	Prompt ident.Tokens      `cbor:"2,keyasint,omitempty"`
@@ -29,11 +30,15 @@
 	Worked int64 `cbor:"4,keyasint,omitempty"`
 	// Asked is for how long the head wants nothing from the sender, in ms.
 	Asked int64 `cbor:"6,keyasint,omitempty"`
+	// Limit tells of the limit of an upstream, Question and Answer are about one request within it.
+	Limit    *LimitNews                             `cbor:"7,keyasint,omitempty"`
+	Question *ratelimit.Question[ident.Incarnation] `cbor:"8,keyasint,omitempty"`
+	Answer   *ratelimit.Answer[ident.Incarnation]   `cbor:"9,keyasint,omitempty"`
 }
 
 // OfPrompt reports whether n tells of a prompt.
 func (n *News) OfPrompt() bool {
-	return n.Silent == 0 && n.Worked == 0 && n.Asked == 0 && n.Work == nil
+	return n.Silent == 0 && n.Worked == 0 && n.Asked == 0 && n.Work == nil && !n.ofLimit()
 }
 
 const (
@@ -55,6 +60,10 @@
 
 // Hear takes the news of another entry, which are told apart by their addresses.
 func (s *Relay) Hear(n News, from netip.AddrPort) {
+	if n.ofLimit() {
+		s.hearOfLimit(&n, from)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n.Work != nil {
--- /dev/null
+++ b/relay/limit.go
@@ -0,0 +1,171 @@
+package relay
+
+// An upstream may take so many requests a second from all entries together
+// (package ratelimit). Before a request goes to it, the entry that coordinates
+// the upstream is asked; this file says which one that is, carries questions and
+// answers as news, and tells all entries when a limit begins and ends.
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+)
+
+const (
+	// listSpread is how long after one entry another one may have the same list of entries: until it has asked the leader again.
+	listSpread = time.Second
+	// seatLapse is how old the leader's newest confirmation may be until an entry takes no part of an upstream's limit for granted: by
+	// the time the leader has dropped it from the list, and another one coordinates the upstream, it has stopped.
+	seatLapse = 2500 * time.Millisecond
+	// promiseMost bounds the time to come back that is worked out from limits.
+	promiseMost = time.Minute
+)
+
+// LimitNews tells of an upstream's limit, 0 when it has none any more, and how long ago it said so, in ms.
+type LimitNews struct {
+	Rate  ratelimit.Rate `cbor:"1,keyasint"`
+	AgeMS int64          `cbor:"2,keyasint,omitempty"`
+}
+
+// LimitSeen is what an entry knows of an upstream's limit.
+type LimitSeen struct {
+	Rate ratelimit.Rate
+	// Own is set when the upstream said so to this entry; Said is how long ago it last did, Since how long ago it first did.
+	Own   bool
+	Said  time.Duration
+	Since time.Duration
+	ratelimit.Counts
+}
+
+// newLimits returns the limiter of this entry.
+func (s *Relay) newLimits() *ratelimit.Limiter[ident.Incarnation] {
+	l := ratelimit.NewLimiter[ident.Incarnation]()
+	l.Now = func() time.Time { return s.Now() }
+	l.Draw = rand.Float64
+	l.Seat = s.seat
+	l.Ask = func(to string, q *ratelimit.Question[ident.Incarnation]) { s.Tell(News{Question: q}, []string{to}) }
+	return l
+}
+
+// seat says which entry coordinates an upstream.
+func (s *Relay) seat(id ident.Incarnation) ratelimit.Seat {
+	fresh := s.ConfirmedAge() < seatLapse
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries == nil || s.entries.Total() <= 1 {
+		return ratelimit.Seat{Self: true, Entries: 1, Quiet: s.quiet(id)}
+	}
+	seat := ratelimit.Seat{Name: s.entries.First(string(id)), Entries: s.entries.Total()}
+	if seat.Name != s.entries.Self() {
+		return seat
+	}
+	if !fresh {
+		seat.Name = ""
+		return seat
+	}
+	seat.Self, seat.Quiet = true, s.quiet(id)
+	return seat
+}
+
+// quiet is how long this entry, which coordinates an upstream now, lets nothing go there yet: others whose list of entries is older may
+// still ask the former coordinator. The mutex is held.
+func (s *Relay) quiet(id ident.Incarnation) time.Duration {
+	left := s.formerUntil.Add(listSpread).Sub(s.Now())
+	if left <= 0 || s.former != nil && s.former.First(string(id)) == s.former.Self() {
+		return 0
+	}
+	return left
+}
+
+func (n *News) ofLimit() bool {
+	return n.Limit != nil || n.Question != nil || n.Answer != nil
+}
+
+// hearOfLimit takes news of limits.
+func (s *Relay) hearOfLimit(n *News, from netip.AddrPort) {
+	switch {
+	case n.Limit != nil:
+		s.HearLimit(n.Head, n.Limit.Rate, time.Duration(n.Limit.AgeMS)*time.Millisecond)
+	case n.Answer != nil:
+		s.Limits.Answered(n.Answer)
+	default:
+		name := from.String()
+		if a, ok := s.Limits.Asked(n.Question, name); ok {
+			s.Tell(News{Answer: a}, []string{name})
+		}
+	}
+}
+
+// HearLimit takes what others know of an upstream's limit, 0 for none any more, and how long ago it said so.
+func (s *Relay) HearLimit(id ident.Incarnation, rate ratelimit.Rate, age time.Duration) {
+	s.Limits.Words.Hear(id, rate, s.Now().Add(-max(0, age)))
+}
+
+// tellLimit tells all entries that a limit has begun, or ended. How it changes they hear with the answers to their questions.
+func (f *follower) tellLimit(rate ratelimit.Rate) {
+	f.x.s.Tell(News{Head: f.t.id, Limit: &LimitNews{Rate: rate}}, nil)
+}
+
+// limitSeen returns what is known of an upstream's limit.
+func (s *Relay) limitSeen(id ident.Incarnation, now time.Time) *LimitSeen {
+	w := s.Limits.Words.Of(id)
+	if !w.Limited() {
+		return nil
+	}
+	return &LimitSeen{Rate: w.Rate, Own: w.Own, Said: now.Sub(w.At), Since: now.Sub(w.Since), Counts: s.Limits.CountsOf(id)}
+}
+
+// permit asks for a request within the limit of the target, and waits for its turn; what was chosen may have a limit by now that it had
+// not when it was chosen.
+func (x *exchange) permit(t *scored) ratelimit.Permit {
+	s := x.s
+	p := s.Limits.Take(x.r.Context(), t.id)
+	if !p.OK {
+		x.limitWaits++
+		return p
+	}
+	x.joined = time.Time{}
+	if p.After > 0 {
+		wait(x.r.Context(), p.After)
+	}
+	return p
+}
+
+// wait waits for d, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// limitBegan reports whether the target has come to have a limit that the request was not counted against.
+func (x *exchange) limitBegan(t *scored, p ratelimit.Permit) bool {
+	return !p.Limited && x.s.Limits.Words.Of(t.id).Limited()
+}
+
+// after is how long so many requests take to go on within limits.
+func (t *scored) after(requests int) time.Duration {
+	if t.rate <= 0 {
+		return 0
+	}
+	return time.Duration(requests) * t.rate.Interval()
+}
+
+// promise returns when a caller shall come back for what upstreams take within their limits: after those that wait here, and those that
+// were told to come back before it. The mutex is held.
+func (s *Relay) promise(key line, now time.Time, t *scored, before int) time.Duration {
+	at := now.Add(t.free + t.after(before))
+	if p := s.promised[key]; p.After(at) {
+		at = p
+	}
+	back := min(promiseMost, at.Sub(now))
+	s.promised[key] = now.Add(min(promiseMost, back+t.after(1)))
+	return back
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -61,8 +61,8 @@
 	// Backoff is what upstreams asked this entry for, Asked takes what operators are told of it; it must not block.
 	Backoff *backoff.List[ident.Incarnation]
 	Asked   func(a *Asking)
-	// Limits are the limits that upstreams named.
-	Limits *ratelimit.Words[ident.Incarnation]
+	// Limits keep this entry, together with all others, within the limits that upstreams named.
+	Limits *ratelimit.Limiter[ident.Incarnation]
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -80,18 +80,23 @@
 	entries *sharing.Entries
 	// entriesSince is when this entry last heard of another one that it had not known.
 	entriesSince time.Time
-	fleet        *fleet
-	states       map[ident.Incarnation]*targetState
-	counts       counts
-	demand       map[ident.Model]Demand
+	// former are the entries as they were known before the list changed at formerUntil.
+	former      *sharing.Entries
+	formerUntil time.Time
+	fleet       *fleet
+	states      map[ident.Incarnation]*targetState
+	counts      counts
+	demand      map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]launch
 	// margins are what is learnt of when events of a model come, firstMargins of its first words.
 	margins      map[ident.Model]*stall.Margin
 	firstMargins map[ident.Model]*stall.Margin
 	// queues hold the requests that wait for groups, looking is set while any does.
-	queues  map[ident.Model]*overload.Queue[*waiting]
+	queues  map[line]*overload.Queue[*waiting]
 	looking bool
+	// promised are the times until which callers of each line were told to come back for what upstreams take within their limits.
+	promised map[line]time.Time
 	// refused is when a request was last refused here.
 	refused time.Time
 	// usual are the times that callers of a class say they wait.
@@ -110,18 +115,18 @@
 		Names: names, Dial: dial, Now: clock.Now, Observe: func(*Record) {}, Tell: func(News, []string) {}, Draw: rand.IntN,
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, Note: func(*Holding) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), Asked: func(*Asking) {},
-		Limits: ratelimit.NewWords[ident.Incarnation](),
 		copied: roster.NewCopy(),
 		states: map[ident.Incarnation]*targetState{},
 		counts: counts{spill: map[ident.Model]float64{}},
 		demand: map[ident.Model]Demand{},
 		launch: map[ident.Model]launch{}, margins: map[ident.Model]*stall.Margin{}, firstMargins: map[ident.Model]*stall.Margin{},
-		queues: map[ident.Model]*overload.Queue[*waiting]{},
-		usual:  map[ident.Class]*overload.Usual{},
-		turns:  map[ident.Model]chan struct{}{},
-		began:  clock.Now(), informed: make(chan struct{}),
+		queues: map[line]*overload.Queue[*waiting]{}, promised: map[line]time.Time{},
+		usual: map[ident.Class]*overload.Usual{},
+		turns: map[ident.Model]chan struct{}{},
+		began: clock.Now(), informed: make(chan struct{}),
 	}
 	s.fleet = newFleet(s.copied, nil, nil)
+	s.Limits = s.newLimits()
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
 	return s
 }
@@ -172,8 +177,12 @@
 func (s *Relay) SetEntries(entries *sharing.Entries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Now()
 	if s.entries != nil && entries.Adds(s.entries) {
-		s.entriesSince = s.Now()
+		s.entriesSince = now
+	}
+	if now.Sub(s.formerUntil) > listSpread {
+		s.former, s.formerUntil = s.entries, now
 	}
 	s.entries = entries
 	s.fleet = newFleet(s.copied, s.table.Load(), entries)
@@ -232,6 +241,8 @@
 	// Backoff is how long it wants nothing from this entry yet, Leaving is set when that is because it leaves.
 	Backoff time.Duration
 	Leaving bool
+	// Limit is what is known of its limit, nil where it has none.
+	Limit *LimitSeen
 	// Events and Pauses are the events that came since the last look and the time between them, over all streams.
 	Events int
 	Pauses time.Duration
@@ -250,12 +261,13 @@
 	for id, ts := range s.states {
 		stands := s.stood(ts, now)
 		asked := s.Backoff.Of(now, id)
-		if ts.inflight == 0 && ts.answered.IsZero() && !ts.refused && !stands && asked.Left == 0 {
+		limit := s.limitSeen(id, now)
+		if ts.inflight == 0 && ts.answered.IsZero() && !ts.refused && !stands && asked.Left == 0 && limit == nil {
 			continue
 		}
 		one := Seen{ID: id, Group: groups[id], Inflight: ts.inflight, Answered: -1, Silence: ts.silence(now), Refused: ts.refused, Blamed: ts.blamed}
 		one.Stands = stands
-		one.Backoff, one.Leaving = asked.Left, asked.Leaving
+		one.Backoff, one.Leaving, one.Limit = asked.Left, asked.Leaving, limit
 		one.Events, one.Pauses = ts.events, ts.pauses
 		ts.events, ts.pauses = 0, 0
 		if !ts.answered.IsZero() {
@@ -311,6 +323,8 @@
 	Total time.Duration
 	// Spent is what the caller spent on earlier tries, as far as that is known.
 	Spent time.Duration
+	// LimitWaits is how often nothing was to be had of the limit of an upstream that the request was meant for.
+	LimitWaits int
 	// Retry is when the caller was told to come back.
 	Retry time.Duration
 }
--- a/relay/room.go
+++ b/relay/room.go
@@ -8,6 +8,7 @@
 // package overload says in which order it goes on, and what is refused.
 
 import (
+	"cmp"
 	"maps"
 	"time"
 
@@ -39,7 +40,21 @@
 	cameBack = retryFull
 )
 
-// waiting is a request for a group, until it is known what becomes of it.
+// line names those that wait for the same upstreams: the groups of a model, or the workers of a plain service, which has none.
+type line struct {
+	service ident.Service
+	model   ident.Model
+}
+
+// line returns the line in which the request waits.
+func (x *exchange) line() line {
+	if x.service.Engine == nil {
+		return line{service: x.service.Name}
+	}
+	return line{x.service.Name, x.model}
+}
+
+// waiting is a request for a group or a worker, until it is known what becomes of it.
 type waiting struct {
 	x       *exchange
 	settled chan struct{}
@@ -52,13 +67,11 @@
 	s := x.s
 	s.mu.Lock()
 	if x.service.Engine == nil {
-		defer s.mu.Unlock()
-		t, err := s.choose(x, overload.InTime, s.Now())
-		if err == nil {
-			s.take(x, &t)
+		t, settled, err := s.placePlain(x)
+		if settled {
+			s.mu.Unlock()
+			return t, err
 		}
-		x.comeBack = t.free
-		return t, err
 	}
 	w, q := s.join(x)
 	s.mu.Unlock()
@@ -77,6 +90,38 @@
 	return w.Value.target, w.Value.err
 }
 
+// placePlain chooses a worker of a plain service. The request waits only where all that could run it have limits and may take it in time,
+// and is settled otherwise; the mutex is held.
+func (s *Relay) placePlain(x *exchange) (t scored, settled bool, err error) {
+	if q := s.queues[x.line()]; q != nil && q.Len() > 0 {
+		return scored{}, false, nil
+	}
+	now := s.Now()
+	t, err = s.choose(x, overload.InTime, now)
+	switch {
+	case err == nil:
+		s.take(x, &t)
+	case result.CodeOf(err) == result.Limited && now.Add(t.free).Before(x.plainLimit()):
+		return scored{}, false, nil
+	}
+	x.comeBack = t.free
+	if result.CodeOf(err) == result.Limited {
+		x.comeBack = s.promise(x.line(), now, &t, 0)
+	}
+	return t, true, err
+}
+
+// plainLimit is until when a request for a plain service can be in time.
+func (x *exchange) plainLimit() time.Time {
+	return x.began.Add(cmp.Or(x.route.Aim, usualAim) - x.spent)
+}
+
+// takesLater reports whether err says that upstreams take nothing before a time.
+func takesLater(err error) bool {
+	code := result.CodeOf(err)
+	return code == result.BackedOff || code == result.Limited
+}
+
 // join puts the request into the queue of its model and offers all that waits there to the groups; the mutex is held.
 func (s *Relay) join(x *exchange) (*overload.Waiting[*waiting], *overload.Queue[*waiting]) {
 	now := s.Now()
@@ -88,10 +133,11 @@
 		return &overload.Waiting[*waiting]{Value: w}, nil
 	}
 	x.plan(now, &list[0].times)
-	q := s.queues[x.model]
+	key := x.line()
+	q := s.queues[key]
 	if q == nil {
 		q = &overload.Queue[*waiting]{}
-		s.queues[x.model] = q
+		s.queues[key] = q
 	}
 	in := q.Add(now, x.terms(now), w)
 	s.look(q, now)
@@ -129,6 +175,8 @@
 	// idlest is the group where the first word of an empty prompt would come soonest, known once a request has found no room.
 	var idlest scored
 	known := false
+	// tokens is how many wait for what upstreams take within their limits.
+	tokens := 0
 	send := func(w *overload.Waiting[*waiting], rank overload.Rank) bool {
 		x := w.Value.x
 		if known && rank == overload.InTime && now.Add(idlest.first).After(x.limit) && !x.leaves(idlest.target, idlest.at) {
@@ -142,7 +190,8 @@
 			if s.roomy(x, &t) {
 				q.Roomy()
 			}
-		case result.CodeOf(err) == result.BackedOff && now.Add(t.free).Before(w.Last()):
+		case takesLater(err) && now.Add(t.free+t.after(tokens)).Before(w.Last()):
+			tokens++
 			return false
 		case err == nil || result.CodeOf(err) == result.Overloaded:
 			if !known {
@@ -151,6 +200,9 @@
 			return false
 		}
 		x.comeBack = t.free
+		if result.CodeOf(err) == result.Limited {
+			x.comeBack = s.promise(x.line(), now, &t, tokens)
+		}
 		w.Value.end(t, err)
 		return true
 	}
@@ -168,7 +220,7 @@
 	list := s.fleet.targets(x.service, x.model)
 	for i := range list {
 		at := s.loadOf(&list[i], now)
-		first := list[i].times.FirstWord(at, 0) + s.Backoff.Of(now, list[i].id).Left
+		first := list[i].times.FirstWord(at, 0) + max(s.Backoff.Of(now, list[i].id).Left, s.Limits.Of(now, list[i].id).Left)
 		if best.target == nil || first < best.first {
 			best = scored{target: &list[i], first: first, at: at}
 		}
@@ -178,15 +230,19 @@
 
 // plan works out until when the request can be in time.
 func (x *exchange) plan(now time.Time, idle *estimate.Group) {
+	x.lost = now
+	if !x.begun() {
+		x.lost = x.began
+	}
+	if x.service.Engine == nil {
+		x.limit = x.plainLimit()
+		return
+	}
 	came := x.began.Add(-x.spent)
 	x.idle = idle.FirstWord(estimate.Load{}, x.toRead())
 	x.launch = x.s.launchOf(x.model)
 	usual := x.launch.usual
 	x.limit = came.Add(max(x.route.Aim, x.idle+usual+time.Duration(slowAim*float64(x.route.Aim))) - usual)
-	x.lost = now
-	if !x.begun() {
-		x.lost = x.began
-	}
 }
 
 // terms returns what the order of those that wait goes by.
@@ -203,7 +259,10 @@
 	// One that lost its time at a group that had ended is not refused at once as one that was too many. It does not go before those
 	// that can be in time either: where all groups are full that made 600 of 29,700 others late.
 	last := x.kept || x.spent >= cameBack || x.displaced
-	return overload.Request{Came: now, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
+	if x.joined.IsZero() {
+		x.joined = now
+	}
+	return overload.Request{Came: x.joined, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
 }
 
 // begun reports whether a refusal would lose what an upstream has done, or what the caller has.
@@ -257,8 +316,8 @@
 	x.unread = x.toRead()
 	s.stateOf(t.target).begin(s.Now(), x.unread)
 	x.trial = s.Backoff.Begin(s.Now(), t.id)
-	if x.unread > 0 {
-		s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
+	if !t.limited {
+		x.tellPrompt(t)
 	}
 	if !t.known {
 		// Streams that have begun, and entries that use no group of the model, go on without any left.
@@ -266,6 +325,13 @@
 	}
 }
 
+// tellPrompt tells the other entries that the prompt goes to t.
+func (x *exchange) tellPrompt(t *scored) {
+	if x.unread > 0 {
+		x.s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
+	}
+}
+
 // putBack undoes take.
 func (x *exchange) putBack(t *scored) {
 	x.read(t.state)
--- a/relay/run.go
+++ b/relay/run.go
@@ -31,6 +31,8 @@
 	verdictHeld verdict = "held"
 	// verdictPassedOver means that it was not sent, because the upstream has come to want nothing since it was chosen.
 	verdictPassedOver verdict = "passed-over"
+	// verdictNothingToHave means that it was not sent, because the upstream takes nothing more within its limit now.
+	verdictNothingToHave verdict = "nothing-to-have"
 	// verdictGone means that the caller has left.
 	verdictGone verdict = "caller-gone"
 )
@@ -51,10 +53,11 @@
 		if err != nil {
 			return x.noneLeft(err)
 		}
-		if x.arrivals > 0 && !x.s.Budget.Repeat(x.service.Name) {
+		if x.arrivals > 0 && !x.repeatPaid && !x.s.Budget.Repeat(x.service.Name) {
 			x.putBack(&t)
 			return x.noneLeft(result.New(result.Overloaded, "the budget for repeats is used up"))
 		}
+		x.repeatPaid = x.arrivals > 0
 		v := x.attempt(&t)
 		switch v {
 		case verdictDone:
@@ -123,6 +126,11 @@
 	x.endTrial(t.id, false)
 	x.read(t.state)
 	x.s.leave(x.s.Now(), t.state, v)
+	if v == verdictNothingToHave {
+		// Nothing was meant for it after all; one that waits may ask many times.
+		x.tries = x.tries[:len(x.tries)-1]
+		return verdictPassedOver
+	}
 	try := &x.tries[len(x.tries)-1]
 	try.Result = string(v)
 	try.note(f, x.s.Now())
@@ -164,6 +172,15 @@
 
 func (x *exchange) send(t *scored) (verdict, *follower) {
 	ts := t.state
+	// An upstream that has named its limit takes that from all entries together, of which each sees only its own requests: what is to be
+	// sent is let go by one of them for all.
+	permit := x.permit(t)
+	if !permit.OK {
+		return verdictNothingToHave, nil
+	}
+	if t.limited {
+		x.tellPrompt(t)
+	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(dialTimeout, x.left()))
 	conn, err := x.s.pool.get(ctx, t.address, !x.route.Repeatable())
 	cancel()
@@ -180,9 +197,8 @@
 		conn.Close()
 		return verdictNeverSent, nil
 	}
-	// The upstream may have asked for time since it was chosen: with connections that took 42 ms to open one more request reached it
-	// after its word.
-	if x.s.Backoff.Of(x.s.Now(), t.id).Left > 0 {
+	// The upstream may have asked for time, or named a limit, while the connection was opened.
+	if x.s.Backoff.Of(x.s.Now(), t.id).Left > 0 || x.limitBegan(t, permit) {
 		conn.Close()
 		return verdictPassedOver, nil
 	}
@@ -194,6 +210,7 @@
 	f.watch()
 	defer f.unwatch()
 	x.arrivals++
+	x.repeatPaid = false
 	if err := x.writeRequest(conn, t.target); err != nil {
 		x.mayHaveRun = true
 		x.runs++
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -143,7 +143,7 @@
 func (s *Relay) anyOther(x *exchange, now time.Time, enough func(c *scored) bool) bool {
 	list := s.fleet.targets(x.service, x.model)
 	for i := range list {
-		if x.wasTried(list[i].id) || !s.Backoff.Of(now, list[i].id).Admits() {
+		if x.wasTried(list[i].id) || !s.Backoff.Of(now, list[i].id).Admits() || !s.Limits.Of(now, list[i].id).Open() {
 			continue
 		}
 		c := s.rate(x, &list[i], overload.Late, now)
--- a/result/code.go
+++ b/result/code.go
@@ -40,6 +40,7 @@
 	AnswerNotKept       Code = 2020
 	WorkHeld            Code = 2021
 	BackedOff           Code = 2022
+	Limited             Code = 2023
 
 	ChangeInvalid     Code = 3001
 	ChangeConflict    Code = 3002
@@ -139,6 +140,7 @@
 	{AnswerNotKept, "answer-not-kept", http.StatusConflict, exitFailed, false, "The request ran to its end once; its answer was too large to be kept.", "Do not send it again; read the effect at its source."},
 	{WorkHeld, "work-held", http.StatusBadGateway, exitFailed, false, "Upstreams ended each time they ran the same request; it is not sent to any for now.", "Change the request; the same one is let in once after Retry-After."},
 	{BackedOff, "upstreams-backed-off", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request asked to be left alone for a time.", "Wait for Retry-After; operators run site explain."},
+	{Limited, "upstreams-limited", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request has named how many requests it takes, and takes no more in time.", "Wait for Retry-After; operators run site explain."},
 
 	{ChangeInvalid, "change-invalid", http.StatusBadRequest, exitRefused, true, "The change is malformed.", "Correct the change."},
 	{ChangeConflict, "change-conflict", http.StatusConflict, exitConflict, true, "Another change came first.", "Read the current state and decide again."},
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -89,6 +89,28 @@
 	return list
 }
 
+// Self returns the name of this entry.
+func (e *Entries) Self() string {
+	return e.self
+}
+
+// First returns the entry that rendezvous hashing ranks first for a name, the same at all entries that know the same ones, nothing where
+// there is none.
+func (e *Entries) First(name string) string {
+	digest := xxhash.Sum64String(name)
+	var first string
+	var highest uint64
+	for _, entries := range e.halls {
+		for i := range entries {
+			rank := mix(entries[i].digest ^ digest)
+			if first == "" || rank > highest || rank == highest && entries[i].name < first {
+				first, highest = entries[i].name, rank
+			}
+		}
+	}
+	return first
+}
+
 // Group is one group and the entries that use it.
 type Group struct {
 	Name ident.Group
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -146,5 +146,5 @@
 	n := 0
 	e.relay.Backoff.Each(now, func(ident.Incarnation, backoff.State) { n++ })
 	e.numbers.backedOff.Update(float64(n))
-	e.numbers.limited.Update(float64(e.relay.Limits.Limited()))
+	e.numbers.limited.Update(float64(e.relay.Limits.Words.Limited()))
 }
--- a/site/calls.go
+++ b/site/calls.go
@@ -184,6 +184,7 @@
 		return SyncReply{Leader: c.leader(), Controls: c.controls()}
 	}
 	others, entries := r.note(call)
+	c.hearLimits(clock.Now(), call)
 	c.waitForNews(r, call, entries)
 	reply := SyncReply{
 		Leader: string(c.self.Name), Controls: c.controls(), Reign: r.name, Others: others, Entries: entries,
@@ -197,6 +198,7 @@
 		reply.Changes = r.shown(call).Since(since)
 	}
 	c.takeHeld(clock.Now(), call, &reply)
+	reply.Limits = c.limitsTold(clock.Now())
 	if call.Entry {
 		reply.Lists = r.changedLists(call)
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -171,6 +171,7 @@
 func (e *Entry) apply(began time.Time, r *SyncReply) bool {
 	// Before anything that lets requests go: an entry that has just started knows of no work that is held.
 	e.hearHeld(r)
+	e.hearLimits(r)
 	newest := e.takeConfig(r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
--- a/site/messages.go
+++ b/site/messages.go
@@ -85,6 +85,8 @@
 	Patch   []byte
 	// Others counts the requests of all other entries at each upstream.
 	Others map[ident.Incarnation]int
+	// Limits are the limits of upstreams that entries were told of lately.
+	Limits map[ident.Incarnation]LimitTold
 	// Entries is how many entries there are, Lists are those of the halls of which the caller has another list.
 	Entries int
 	Lists   []EntryList
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -216,6 +216,6 @@
 			b.log.Info("a datagram is no news", "from", from.String(), "error", err.Error())
 			continue
 		}
-		b.hear(news, from)
+		b.hear(news, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -152,5 +152,6 @@
 	e.Requests.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
 		"code", int(r.Code), "status", r.Status, "text", r.Text, "version", r.Version, "revision", r.Revision,
 		"confirmed-age-ms", r.ConfirmedAge.Milliseconds(), "tries", r.Tries, "prompt", int(r.Prompt), "events", r.Events,
-		"first-ms", r.First.Milliseconds(), "gap-ms", r.Gap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.Spent.Milliseconds(), "retry-ms", r.Retry.Milliseconds())
+		"first-ms", r.First.Milliseconds(), "gap-ms", r.Gap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.Spent.Milliseconds(), "retry-ms", r.Retry.Milliseconds(),
+		"limit-waits", r.LimitWaits)
 }
