Count questions over a tenth of a second, and finish the story of the test

Cause: where hundreds wait when a limit begins, all asked for each turn until a whole second had been counted.

--- a/ratelimit/grants.go
+++ b/ratelimit/grants.go
@@ -9,6 +9,8 @@
 	// asksPerSecond is how often an upstream is asked for by entries whose requests wait there, all together: hundreds of them would
 	// otherwise all ask for each turn. Once half as many come, those that are refused are told to come at different times.
 	asksPerSecond = 200.0
+	// askWindow is the time over which questions are counted: all that wait ask at the same moment when a limit begins.
+	askWindow = 100 * time.Millisecond
 	// askerFor is how long one that asked counts among those that share a limit, turnsKept the same in turns.
 	askerFor  = 2 * time.Second
 	turnsKept = 2
@@ -91,7 +93,7 @@
 // ask notes who asked, and counts all that have lately.
 func (t *turn) ask(now time.Time, who string, interval time.Duration) {
 	t.asks++
-	if over := now.Sub(t.began); over >= time.Second {
+	if over := now.Sub(t.began); over >= askWindow {
 		t.lately = float64(t.asks) / over.Seconds()
 		t.asks, t.began = 0, now
 	}
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -8,7 +8,8 @@
 //	medina-1  "tries":[{"to":"i-a866eebe31","group":"g9zldw","result":"done","at-ms":0,...   15 of them, yoff-2 11, medina-2 11, ...
 //
 // The busiest entry sent 2.2 a second there, less than the limit: had each entry read the word and kept it by itself, all together would
-// have been as far beyond it. So the word has to be read, kept by all, and what all send has to be bounded as one sum.
+// have been as far beyond it. So the word has to be read, kept by all, and what all send has to be bounded as one sum:
+// one entry lets each request go, for all of them, and every entry that has heard of the limit asks it right before it sends.
 
 import (
 	"math/rand/v2"
