Leave out what those take that can't ask, and test limits under faults

Cause, found by a test: where datagrams between entries are filtered the coordinator let itself have the whole limit while all others took their parts: nearly twice the limit for good. Change: entries tell the leader when they go by their own parts, and the leader the coordinator how many do, which leaves that to them; entries that start are told of limits by the leader before they serve; what was only heard of others is not passed on as news. Tests of faults: the coordinator ends, is cut off, starts again, stands still, another one joins, a short list, no leader, lost news, limits that change.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -16,6 +16,7 @@
 // believe it of themselves for a moment when the list changes, so a new
 // coordinator first lets the old one hear of it. Whoever can't reach the
 // coordinator keeps its own part of the limit: the limit divided by the entries.
+// The control leader tells the coordinator how many do, which leaves that to them.
 
 import (
 	"context"
@@ -103,6 +104,8 @@
 	own     *Grants[K]
 	states  map[K]*state
 	asked   map[uint64]chan *Answer[K]
+	// apart is how many entries go by their own parts of the limits that this one coordinates.
+	apart map[K]int
 }
 
 // state is what this entry knows of an upstream's limit.
@@ -162,7 +165,7 @@
 	}
 	seat := l.Seat(k)
 	if seat.Self {
-		return l.takeHere(k, w.Rate, seat.Quiet)
+		return l.takeHere(k, w.Rate, seat)
 	}
 	if seat.Name != "" {
 		if a, answered := l.ask(ctx, seat.Name, k, w); answered {
@@ -173,16 +176,21 @@
 }
 
 // takeHere asks this entry as coordinator.
-func (l *Limiter[K]) takeHere(k K, rate Rate, quiet time.Duration) Permit {
+func (l *Limiter[K]) takeHere(k K, rate Rate, seat Seat) Permit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.obey(k, l.grant(k, rate, quiet, ""))
+	return l.obey(k, l.grant(k, rate, seat, ""))
 }
 
 // grant answers who asks this entry as coordinator; the mutex is held.
-func (l *Limiter[K]) grant(k K, rate Rate, quiet time.Duration, who string) Grant {
-	if quiet > 0 {
-		return Grant{After: quiet, Sharers: 1}
+func (l *Limiter[K]) grant(k K, rate Rate, seat Seat, who string) Grant {
+	if seat.Quiet > 0 {
+		return Grant{After: seat.Quiet, Sharers: 1}
+	}
+	if apart := l.apart[k]; apart > 0 {
+		// Those that can't ask take their parts all the same: without this an upstream got nearly twice its limit where datagrams between
+		// entries are filtered.
+		rate *= Rate(max(1, seat.Entries-apart)) / Rate(max(1, seat.Entries))
 	}
 	if l.granted.Len() > sweepAt {
 		l.granted.Keep(l.isLimited)
@@ -190,6 +198,13 @@
 	return l.granted.Ask(l.Now(), k, rate, who)
 }
 
+// SetApart tells how many entries go by their own parts of limits.
+func (l *Limiter[K]) SetApart(apart map[K]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apart = apart
+}
+
 func (l *Limiter[K]) isLimited(k K) bool { return l.Words.Of(k).Limited() }
 
 // obey notes what was granted, and makes a permit of it; the mutex is held.
@@ -323,7 +338,7 @@
 	case !seat.Self:
 		a.Grant = Grant{After: movedAgain, Sharers: 1}
 	default:
-		a.Grant = l.grant(q.Key, w.Rate, seat.Quiet, from)
+		a.Grant = l.grant(q.Key, w.Rate, seat, from)
 	}
 	return a, true
 }
@@ -340,12 +355,12 @@
 	}
 }
 
-// CountsOf returns what became of this entry's questions on an upstream.
-func (l *Limiter[K]) CountsOf(k K) Counts {
+// Look returns what became of this entry's questions on an upstream, and whether it goes by its own part of the limit.
+func (l *Limiter[K]) Look(k K) (c Counts, apart bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.states[k]; s != nil {
-		return s.Counts
+		return s.Counts, s.deaf(l.Now())
 	}
-	return Counts{}
+	return Counts{}, false
 }
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -38,6 +38,8 @@
 	Own   bool
 	Said  time.Duration
 	Since time.Duration
+	// Apart is set when this entry can't reach the one that coordinates the upstream, and goes by its own part of the limit.
+	Apart bool
 	ratelimit.Counts
 }
 
@@ -116,7 +118,8 @@
 	if !w.Limited() {
 		return nil
 	}
-	return &LimitSeen{Rate: w.Rate, Own: w.Own, Said: now.Sub(w.At), Since: now.Sub(w.Since), Counts: s.Limits.CountsOf(id)}
+	counts, apart := s.Limits.Look(id)
+	return &LimitSeen{Rate: w.Rate, Own: w.Own, Said: now.Sub(w.At), Since: now.Sub(w.Since), Apart: apart, Counts: counts}
 }
 
 // permit asks for a request within the limit of the target, and waits for its turn; what was chosen may have a limit by now that it had
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -41,9 +41,17 @@
 // team is several entries before the same upstreams, which hear each other's news.
 type team struct {
 	sites  []*askSite
+	names  []string
+	byName map[string]int
 	random *rand.Rand
-	// deaf are entries that get no news from others and whose news get to nobody, cut those that the leader does not confirm anything to.
-	deaf, cut map[int]bool
+	// deaf are entries that get no news from others and whose news get to nobody, cut those that the leader does not confirm anything to,
+	// dead those that no request comes to; loses is the part of the news that is lost.
+	deaf, cut, dead map[int]bool
+	loses           float64
+	// gone are entries that others have taken the place of.
+	gone []*askSite
+	// told are the newest words that the leader has heard of limits.
+	told *ratelimit.Words[ident.Incarnation]
 }
 
 // confirmEvery is how often entries ask the leader.
@@ -51,33 +59,49 @@
 
 // newTeam returns entries that know each other.
 func newTeam(entries, upstreams int) *team {
-	g := &team{sites: []*askSite{newAskSite(upstreams)}, random: rand.New(rand.NewPCG(3, 3)), deaf: map[int]bool{}, cut: map[int]bool{}}
+	g := &team{
+		sites: []*askSite{newAskSite(upstreams)}, random: rand.New(rand.NewPCG(3, 3)), byName: map[string]int{},
+		deaf: map[int]bool{}, cut: map[int]bool{}, dead: map[int]bool{}, told: ratelimit.NewWords[ident.Incarnation](),
+	}
 	for range entries - 1 {
 		g.sites = append(g.sites, askSiteBefore(g.sites[0].upstreams))
 	}
-	var names []string
-	byName := map[string]int{}
 	for i := range entries {
 		name := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i % 200)}), 7).String()
-		names = append(names, name)
-		byName[name] = i
+		g.names = append(g.names, name)
+		g.byName[name] = i
 	}
-	for i, s := range g.sites {
-		s.relay.Draw = rand.New(rand.NewPCG(uint64(i), 1)).IntN
-		s.relay.SetEntries(sharing.New(names[i], map[ident.Hall][]string{"": names}))
-		s.relay.Budget.SetEntries(entries)
-		s.relay.Tell = func(n relay.News, to []string) {
-			if to == nil {
-				to = names
-			}
-			for _, name := range to {
-				if j, ok := byName[name]; ok && j != i && !g.deaf[i] && !g.deaf[j] {
-					time.AfterFunc(datagramTime, func() { g.sites[j].relay.Hear(n, netip.MustParseAddrPort(names[i])) })
-				}
+	for i := range g.sites {
+		g.join(i)
+		g.sites[i].relay.SetEntries(sharing.New(g.names[i], map[ident.Hall][]string{"": g.names}))
+	}
+	return g
+}
+
+// join lets an entry tell the others, and hear them.
+func (g *team) join(i int) {
+	s := g.sites[i]
+	s.relay.Draw = rand.New(rand.NewPCG(uint64(i), 1)).IntN
+	s.relay.Limits.Draw = rand.New(rand.NewPCG(uint64(i), 2)).Float64
+	s.relay.Budget.SetEntries(len(g.sites))
+	s.relay.Tell = func(n relay.News, to []string) {
+		if to == nil {
+			to = g.names
+		}
+		for _, name := range to {
+			if j, ok := g.byName[name]; ok && j != i {
+				time.AfterFunc(datagramTime, func() { g.deliver(n, s, i, j) })
 			}
 		}
 	}
-	return g
+}
+
+// deliver lets news of an entry arrive at another one, unless they are lost.
+func (g *team) deliver(n relay.News, from *askSite, i, j int) {
+	lost := g.loses > 0 && g.random.Float64() < g.loses
+	if !lost && g.sites[i] == from && !g.deaf[i] && !g.deaf[j] {
+		g.sites[j].relay.Hear(n, netip.MustParseAddrPort(g.names[i]))
+	}
 }
 
 // load lets requests come to entries, to the first ones more often than to the last ones, and returns when all have ended.
@@ -92,7 +116,11 @@
 	})
 	for n := 0; time.Since(began) < lasts; n++ {
 		time.Sleep(time.Duration(g.random.ExpFloat64() / perSecond * float64(time.Second)))
-		s := g.sites[min(g.random.IntN(len(g.sites)), g.random.IntN(len(g.sites)))]
+		i := min(g.random.IntN(len(g.sites)), g.random.IntN(len(g.sites)))
+		for g.dead[i] {
+			i = (i + 1) % len(g.sites)
+		}
+		s := g.sites[i]
 		wg.Go(func() { s.ask(path, strconv.Itoa(n)) })
 	}
 	wg.Wait()
@@ -103,7 +131,7 @@
 
 // confirm tells entries, as the leader does, that what they have is the newest, and what the others have at each upstream.
 func (g *team) confirm() {
-	totals := map[ident.Incarnation]int{}
+	totals, apart := map[ident.Incarnation]int{}, map[ident.Incarnation]int{}
 	own := make([]map[ident.Incarnation]int, len(g.sites))
 	for i, s := range g.sites {
 		own[i] = map[ident.Incarnation]int{}
@@ -111,6 +139,15 @@
 		for _, one := range seen {
 			own[i][one.ID] = one.Inflight
 			totals[one.ID] += one.Inflight
+			if one.Limit == nil || g.cut[i] {
+				continue
+			}
+			if one.Limit.Apart {
+				apart[one.ID]++
+			}
+			if one.Limit.Own {
+				g.told.Hear(one.ID, one.Limit.Rate, time.Now().Add(-one.Limit.Said))
+			}
 		}
 	}
 	for i, s := range g.sites {
@@ -122,10 +159,21 @@
 			others[id] = total - own[i][id]
 		}
 		s.relay.SetOthers(others)
+		s.relay.Limits.SetApart(apart)
+		g.tell(s)
 		s.relay.SetConfirmed(time.Now())
 	}
 }
 
+// tell tells an entry of the limits that the leader has heard of lately.
+func (g *team) tell(s *askSite) {
+	g.told.Each(func(id ident.Incarnation, w ratelimit.Word) {
+		if age := time.Since(w.At); w.Limited() && age < 5*time.Second {
+			s.relay.HearLimit(id, w.Rate, age)
+		}
+	})
+}
+
 // records returns how requests went, at all entries.
 func (g *team) records() []*relay.Record {
 	var all []*relay.Record
--- a/site/calls.go
+++ b/site/calls.go
@@ -198,7 +198,7 @@
 		reply.Changes = r.shown(call).Since(since)
 	}
 	c.takeHeld(clock.Now(), call, &reply)
-	reply.Limits = c.limitsTold(clock.Now())
+	reply.Limits = r.limitsTold(clock.Now())
 	if call.Entry {
 		reply.Lists = r.changedLists(call)
 	}
--- a/site/entries.go
+++ b/site/entries.go
@@ -82,7 +82,9 @@
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
 	own := map[ident.Incarnation]int{}
-	for _, seen := range call.Seen {
+	for i := range call.Seen {
+		seen := &call.Seen[i]
+		r.countApart(seen, 1)
 		own[seen.ID] = seen.Inflight
 		r.totals[seen.ID] += seen.Inflight
 	}
@@ -108,7 +110,9 @@
 	if e == nil {
 		return
 	}
-	for _, seen := range e.seen {
+	for i := range e.seen {
+		seen := &e.seen[i]
+		r.countApart(seen, -1)
 		r.totals[seen.ID] -= seen.Inflight
 		if r.totals[seen.ID] <= 0 {
 			delete(r.totals, seen.ID)
--- a/site/reign.go
+++ b/site/reign.go
@@ -83,6 +83,8 @@
 	// lists are the entries by hall, nil after entries have come or gone.
 	lists  *entryLists
 	totals map[ident.Incarnation]int
+	// apart is how many entries go by their own parts of upstreams' limits.
+	apart  map[ident.Incarnation]int
 	demand Rates
 	served bool
 }
@@ -99,6 +101,7 @@
 		answers:    make(chan orderAnswer, answersLength),
 		entries:    map[string]*entryState{},
 		totals:     map[ident.Incarnation]int{},
+		apart:      map[ident.Incarnation]int{},
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 		paces:      newPaces(c.paceAsker(), c.Log),
