Give a request that has to wait for a limited upstream its turn, or refuse it at once

What callers saw: where all upstreams had limits, requests waited in vain until their time was over. Cause: each entry guessed what it would get of limits that all share. Change: the coordinator reserves the next turn that comes within the time a request can wait, or says at once that there is none; turns given out at a higher limit are given up when it falls, which is told to all. A request counts at an upstream only once it is let go, so that waiting for a turn is no silence. Plain services wait half of their aim at most.

--- a/ratelimit/grants.go
+++ b/ratelimit/grants.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// patience is how long before its turn a request is granted it and waits: without that the turns that nobody happens to ask for in
+	// Patience is how long a request waits for its turn that could go elsewhere: without that the turns that nobody happens to ask for in
 	// time are lost, which at high rates is most of them.
-	patience = 20 * time.Millisecond
+	Patience = 20 * time.Millisecond
 	// asksPerSecond is how often an upstream is asked for by entries whose requests wait there, all together: hundreds of them would
 	// otherwise all ask for each turn. Once half as many come, those that are refused are told to come at different times.
 	asksPerSecond = 200.0
@@ -42,6 +42,8 @@
 	// last is the moment of the last request that was granted, to is whom it was.
 	last time.Time
 	to   string
+	// rate is the limit that it was granted by.
+	rate Rate
 	// askers are when each one asked last, sharers is how many of them count as of counted.
 	askers  map[string]time.Time
 	sharers int
@@ -57,8 +59,9 @@
 	return &Grants[K]{Over: over, Draw: draw, turns: map[K]*turn{}}
 }
 
-// Ask asks for a request at an upstream with a limit, on behalf of who.
-func (g *Grants[K]) Ask(now time.Time, k K, rate Rate, who string) Grant {
+// Ask asks for a request at an upstream with a limit, on behalf of who, which can wait for its turn as long as its patience. One that has
+// nowhere else to go gets the next turn that is free within that time, or knows at once that there is none.
+func (g *Grants[K]) Ask(now time.Time, k K, rate Rate, who string, patience time.Duration) Grant {
 	interval := rate.Interval()
 	t := g.turns[k]
 	if t == nil {
@@ -66,14 +69,18 @@
 		g.turns[k] = t
 	}
 	t.ask(now, who, interval)
+	if rate < t.rate && t.last.After(now) {
+		// Turns that were given out at a higher limit are given up by those that have them.
+		t.last = now
+	}
 	free := t.last.Add(interval)
-	wait, early := free.Sub(now), patience
+	wait, early := free.Sub(now), min(patience, Patience)
 	if who == t.to && t.sharers > 1 {
 		// Whoever got the last one is the first to know of the next, and would get all.
 		early = 0
 	}
-	if wait <= early {
-		t.last, t.to = later(free, now), who
+	if wait <= early || wait <= patience && patience > Patience {
+		t.last, t.to, t.rate = later(free, now), who, rate
 		return Grant{OK: true, After: max(0, wait), Sharers: t.sharers}
 	}
 	spread := 0.0
--- a/ratelimit/grants_test.go
+++ b/ratelimit/grants_test.go
@@ -48,7 +48,8 @@
 		var sent []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "asks") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400_000).Draw(t, "pause")) * time.Microsecond)
-			got := g.Ask(now, "u", rate, fmt.Sprint(rapid.IntRange(1, askers).Draw(t, "who")))
+			got := g.Ask(now, "u", rate, fmt.Sprint(rapid.IntRange(1, askers).Draw(t, "who")),
+				time.Duration(rapid.IntRange(0, 3000).Draw(t, "patience"))*time.Millisecond)
 			if got.After < 0 || !got.OK && got.After == 0 {
 				t.Fatalf("%+v", got)
 			}
@@ -70,14 +71,14 @@
 // Nothing is saved up: not before the first request, and not while nobody asks.
 func TestNothingIsSavedUp(t *testing.T) {
 	g := newGrants(1, 0)
-	if got := g.Ask(at(0), "u", 2, "a"); got.OK || got.After != 480*time.Millisecond {
+	if got := g.Ask(at(0), "u", 2, "a", ratelimit.Patience); got.OK || got.After != 480*time.Millisecond {
 		t.Errorf("at the start %+v", got)
 	}
-	if got := g.Ask(at(480), "u", 2, "a"); !got.OK || got.After != 20*time.Millisecond {
+	if got := g.Ask(at(480), "u", 2, "a", ratelimit.Patience); !got.OK || got.After != 20*time.Millisecond {
 		t.Errorf("before its turn %+v", got)
 	}
 	for n, want := range []bool{true, false, false} {
-		if got := g.Ask(at(60_000), "u", 2, "a"); got.OK != want {
+		if got := g.Ask(at(60_000), "u", 2, "a", ratelimit.Patience); got.OK != want {
 			t.Errorf("ask %d after a minute: %+v", n, got)
 		}
 	}
@@ -86,11 +87,11 @@
 // The limit of the moment counts: a higher one does not wait for the turn of the lower one, nor a lower one use that of the higher.
 func TestTheLimitChanges(t *testing.T) {
 	g := newGrants(1, 0)
-	g.Ask(at(0), "u", 0.1, "a")
-	if got := g.Ask(at(100), "u", 50, "a"); !got.OK {
+	g.Ask(at(0), "u", 0.1, "a", ratelimit.Patience)
+	if got := g.Ask(at(100), "u", 50, "a", ratelimit.Patience); !got.OK {
 		t.Errorf("a higher limit: %+v", got)
 	}
-	if got := g.Ask(at(200), "u", 0.5, "a"); got.OK || got.After != 1880*time.Millisecond {
+	if got := g.Ask(at(200), "u", 0.5, "a", ratelimit.Patience); got.OK || got.After != 1880*time.Millisecond {
 		t.Errorf("a lower limit: %+v", got)
 	}
 }
@@ -102,23 +103,24 @@
 		for _, rate := range []ratelimit.Rate{0.5, 2, 50} {
 			t.Run(fmt.Sprintf("%d askers, %v a second", askers, rate), func(t *testing.T) {
 				g := newGrants(2, 0)
-				next := make([]time.Time, askers)
+				// due are the askers by the ms in which they ask.
+				due := map[int][]int{0: rand.New(rand.NewPCG(1, 1)).Perm(askers)}
 				got := make([]int, askers)
 				var sent []time.Time
 				asks := 0
 				span := max(30, time.Duration(2*askers)/time.Duration(max(1, int(rate)))) * time.Second
 				random := rand.New(rand.NewPCG(1, 1))
-				for now := start; now.Before(start.Add(span)); now = now.Add(time.Millisecond) {
-					for n, first := 0, random.IntN(askers); n < askers; n++ {
-						i := (first + n) % askers
-						if now.Before(next[i]) {
-							continue
-						}
-						a := g.Ask(now, "u", rate, fmt.Sprint(i))
+				for ms := range int(span / time.Millisecond) {
+					list := due[ms]
+					delete(due, ms)
+					random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+					for _, i := range list {
+						a := g.Ask(at(ms), "u", rate, fmt.Sprint(i), ratelimit.Patience)
 						asks++
-						next[i] = now.Add(a.After)
+						next := ms + 1 + int(a.After/time.Millisecond)
+						due[next] = append(due[next], i)
 						if a.OK {
-							sent = append(sent, now.Add(a.After))
+							sent = append(sent, at(ms).Add(a.After))
 							got[i]++
 						}
 					}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -54,6 +54,8 @@
 	Key  K             `cbor:"2,keyasint"`
 	Rate Rate          `cbor:"3,keyasint"`
 	Age  time.Duration `cbor:"4,keyasint,omitempty"`
+	// Patience is how long the request can wait for its turn.
+	Patience time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Answer is the coordinator's answer, and the newest word of the upstream that it knows.
@@ -82,8 +84,10 @@
 // Permit is whether a request may be sent to an upstream.
 type Permit struct {
 	OK bool
-	// Limited is set when it counts against a limit; it is then to be sent After from now.
+	// Limited is set when it counts against a limit, which was Rate; it is then to be sent After from now. Without one, After is when there
+	// may be a turn.
 	Limited bool
+	Rate    Rate
 	After   time.Duration
 }
 
@@ -157,33 +161,33 @@
 	return Gate{Limited: true, Left: max(0, s.until.Sub(now)), Busy: s.asking >= asksMost, Rate: w.Rate / Rate(max(1, s.sharers))}
 }
 
-// Take asks for one request at an upstream; it returns at once where there is no limit.
-func (l *Limiter[K]) Take(ctx context.Context, k K) Permit {
+// Take asks for one request at an upstream that can wait so long for its turn; it returns at once where there is no limit.
+func (l *Limiter[K]) Take(ctx context.Context, k K, patience time.Duration) Permit {
 	w := l.Words.Of(k)
 	if !w.Limited() {
 		return Permit{OK: true}
 	}
 	seat := l.Seat(k)
 	if seat.Self {
-		return l.takeHere(k, w.Rate, seat)
+		return l.takeHere(k, w.Rate, seat, patience)
 	}
 	if seat.Name != "" {
-		if a, answered := l.ask(ctx, seat.Name, k, w); answered {
+		if a, answered := l.ask(ctx, seat.Name, k, w, patience); answered {
 			return l.take(k, a)
 		}
 	}
-	return l.takeOwn(k, w.Rate, seat)
+	return l.takeOwn(k, w.Rate, seat, patience)
 }
 
 // takeHere asks this entry as coordinator.
-func (l *Limiter[K]) takeHere(k K, rate Rate, seat Seat) Permit {
+func (l *Limiter[K]) takeHere(k K, rate Rate, seat Seat, patience time.Duration) Permit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.obey(k, l.grant(k, rate, seat, ""))
+	return l.obey(k, rate, l.grant(k, rate, seat, "", patience))
 }
 
 // grant answers who asks this entry as coordinator; the mutex is held.
-func (l *Limiter[K]) grant(k K, rate Rate, seat Seat, who string) Grant {
+func (l *Limiter[K]) grant(k K, rate Rate, seat Seat, who string, patience time.Duration) Grant {
 	if seat.Quiet > 0 {
 		return Grant{After: seat.Quiet, Sharers: 1}
 	}
@@ -195,7 +199,7 @@
 	if l.granted.Len() > sweepAt {
 		l.granted.Keep(l.isLimited)
 	}
-	return l.granted.Ask(l.Now(), k, rate, who)
+	return l.granted.Ask(l.Now(), k, rate, who, patience)
 }
 
 // SetApart tells how many entries go by their own parts of limits.
@@ -208,16 +212,16 @@
 func (l *Limiter[K]) isLimited(k K) bool { return l.Words.Of(k).Limited() }
 
 // obey notes what was granted, and makes a permit of it; the mutex is held.
-func (l *Limiter[K]) obey(k K, g Grant) Permit {
+func (l *Limiter[K]) obey(k K, rate Rate, g Grant) Permit {
 	s := l.state(k)
 	s.sharers = g.Sharers
 	if !g.OK {
 		s.Refused++
 		s.until = l.Now().Add(g.After)
-		return Permit{Limited: true}
+	} else {
+		s.Granted++
 	}
-	s.Granted++
-	return Permit{OK: true, Limited: true, After: g.After}
+	return Permit{OK: g.OK, Limited: true, Rate: rate, After: g.After}
 }
 
 func (l *Limiter[K]) state(k K) *state {
@@ -238,7 +242,7 @@
 }
 
 // ask asks the coordinator and waits for its answer.
-func (l *Limiter[K]) ask(ctx context.Context, to string, k K, w Word) (*Answer[K], bool) {
+func (l *Limiter[K]) ask(ctx context.Context, to string, k K, w Word, patience time.Duration) (*Answer[K], bool) {
 	now := l.Now()
 	l.mu.Lock()
 	s := l.state(k)
@@ -250,7 +254,7 @@
 	id, answer := rand.Uint64(), make(chan *Answer[K], 1)
 	l.asked[id] = answer
 	l.mu.Unlock()
-	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At)})
+	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At), Patience: patience})
 	timer := time.NewTimer(answerTime)
 	defer timer.Stop()
 	var a *Answer[K]
@@ -293,27 +297,27 @@
 	defer l.mu.Unlock()
 	s := l.state(k)
 	s.silent, s.asksAt = time.Time{}, time.Time{}
-	return l.obey(k, a.Grant)
+	return l.obey(k, a.Rate, a.Grant)
 }
 
 // takeOwn takes a request of this entry's own part once nobody can be asked, or none meanwhile.
-func (l *Limiter[K]) takeOwn(k K, rate Rate, seat Seat) Permit {
+func (l *Limiter[K]) takeOwn(k K, rate Rate, seat Seat, patience time.Duration) Permit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, s := l.Now(), l.state(k)
 	if seat.Name != "" && !s.deaf(now) {
 		s.until = later(s.until, s.asksAt)
-		return Permit{Limited: true}
+		return Permit{Limited: true, After: s.until.Sub(now)}
 	}
 	if l.own.Len() > sweepAt {
 		l.own.Keep(l.isLimited)
 	}
-	g := l.own.Ask(now, k, rate/Rate(max(1, seat.Entries)), "")
+	g := l.own.Ask(now, k, rate/Rate(max(1, seat.Entries)), "", patience)
 	g.Sharers = seat.Entries
 	if g.OK {
 		s.Own++
 	}
-	return l.obey(k, g)
+	return l.obey(k, rate, g)
 }
 
 // Asked answers a question of another entry; there is no answer when this one can't know whether it coordinates the upstream.
@@ -338,7 +342,7 @@
 	case !seat.Self:
 		a.Grant = Grant{After: movedAgain, Sharers: 1}
 	default:
-		a.Grant = l.grant(q.Key, w.Rate, seat, from)
+		a.Grant = l.grant(q.Key, w.Rate, seat, from, q.Patience)
 	}
 	return a, true
 }
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -79,7 +79,7 @@
 	if was, changed := s.Limits.Words.Name(f.t.id, f.notice.Limit, now); changed {
 		a.Was, a.Since = was.Rate, was.Since
 		s.tellAsked(a, AskingLimit)
-		if !was.Limited() {
+		if !was.Limited() || f.notice.Limit < was.Rate {
 			f.tellLimit(f.notice.Limit)
 		}
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -50,8 +50,11 @@
 	fits    bool
 	spared  bool
 	limited bool
-	// free is, where there is no target, how long until the first one takes requests again, 0 when that is not known; rate is then how
-	// many requests a second can be expected within limits.
+	// patience is how long the request waits for its turn at an upstream with a limit, waits is set where it has nowhere else to go.
+	patience time.Duration
+	waits    bool
+	// free is, where there is no target, or one to wait for, how long until the first one takes requests again, 0 when that is not known;
+	// rate is then how many requests a second can be expected within limits.
 	free time.Duration
 	rate ratelimit.Rate
 }
@@ -86,12 +89,12 @@
 			continue
 		}
 		rated.fits = rated.fits && s.mayFill(x, t)
-		rated.limited = gate.Limited
+		rated.limited, rated.patience = gate.Limited, ratelimit.Patience
 		c.add(rated)
 	}
 	best := c.best()
 	if len(best) == 0 {
-		return scored{free: away.soonest, rate: away.rate}, noTarget(len(list), full, &away)
+		return s.turnless(x, list, full, &away, now)
 	}
 	x.passedOver = away.number()
 	if best[0].known && s.entries != nil && !s.entries.Together() {
@@ -100,6 +103,35 @@
 	return withLimits(best, s.betterOfTwo(best)), nil
 }
 
+// turnless is the choice where no target takes the request now: it can wait for its turn at one with a limit, if there is any.
+func (s *Relay) turnless(x *exchange, list []target, full int, away *away, now time.Time) (scored, error) {
+	none := scored{free: away.soonest, rate: away.rate}
+	if t := s.nextTurn(x, list, now); t != nil && full == 0 {
+		s.stateOf(t)
+		none.target, none.limited, none.waits = t, true, true
+		return none, nil
+	}
+	return none, noTarget(len(list), full, away)
+}
+
+// nextTurn returns the upstream with a limit that may take a request soonest, of those that have not said that they can't take this one in
+// time.
+func (s *Relay) nextTurn(x *exchange, list []target, now time.Time) *target {
+	var next *target
+	var soonest time.Duration
+	for i := range list {
+		id := list[i].id
+		gate := s.Limits.Of(now, id)
+		if !gate.Limited || x.wasTried(id) || x.noTurn[id] || s.Backoff.Of(now, id).Left > 0 {
+			continue
+		}
+		if next == nil || gate.Left < soonest {
+			next, soonest = &list[i], gate.Left
+		}
+	}
+	return next
+}
+
 // mayFill reports whether the request may take room of a target that this entry does not use: a stream that has begun goes on wherever it
 // can. The mutex is held.
 func (s *Relay) mayFill(x *exchange, t *target) bool {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -74,8 +74,11 @@
 	// nothing when it was chosen.
 	trial      bool
 	passedOver int
-	// joined is when it first waited for an upstream that takes no more within its limit, limitWaits how often there was nothing.
-	joined     time.Time
+	// counted is set while it counts at the target of the present try.
+	counted bool
+	// noTurn are the upstreams that take no more within their limits in the time that it can wait, limitWaits how often there was nothing
+	// to be had.
+	noTurn     map[ident.Incarnation]bool
 	limitWaits int
 	// repeatPaid is set while the budget for repeats has let the next try go.
 	repeatPaid bool
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/overload"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
+	"github.com/dunlinquay/dunlinquay/result"
 )
 
 const (
@@ -122,22 +124,65 @@
 	return &LimitSeen{Rate: w.Rate, Own: w.Own, Said: now.Sub(w.At), Since: now.Sub(w.Since), Apart: apart, Counts: counts}
 }
 
-// permit asks for a request within the limit of the target, and waits for its turn; what was chosen may have a limit by now that it had
-// not when it was chosen.
+// permit asks for a request within the limit of the target, waits for its turn, and counts it there; what was chosen may have a limit by
+// now that it had not when it was chosen.
 func (x *exchange) permit(t *scored) ratelimit.Permit {
 	s := x.s
-	p := s.Limits.Take(x.r.Context(), t.id)
+	p := s.Limits.Take(x.r.Context(), t.id, max(t.patience, ratelimit.Patience))
+	if p.OK && p.After > 0 {
+		wait(x.r.Context(), p.After)
+		p.OK = s.keeps(t.id, p)
+	} else if !p.OK && t.waits {
+		x.noTurnAt(t.id)
+	}
 	if !p.OK {
 		x.limitWaits++
 		return p
 	}
-	x.joined = time.Time{}
-	if p.After > 0 {
-		wait(x.r.Context(), p.After)
+	if !x.counted {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.count(x, t)
 	}
 	return p
 }
 
+// keeps reports whether a turn that was waited for still counts: not where the limit has fallen meanwhile.
+func (s *Relay) keeps(id ident.Incarnation, p ratelimit.Permit) bool {
+	w := s.Limits.Words.Of(id)
+	return !w.Limited() || w.Rate >= p.Rate
+}
+
+func (x *exchange) noTurnAt(id ident.Incarnation) {
+	if x.noTurn == nil {
+		x.noTurn = map[ident.Incarnation]bool{}
+	}
+	x.noTurn[id] = true
+}
+
+// chooseFor is choose for a request that is worth sending until a time: where it has to wait for its turn at an upstream with a limit, it
+// waits as long as that, or not at all. The mutex is held.
+func (s *Relay) chooseFor(x *exchange, rank overload.Rank, until, now time.Time) (scored, error) {
+	t, err := s.choose(x, rank, now)
+	if err != nil || !t.waits {
+		return t, err
+	}
+	t.patience = until.Sub(now)
+	if t.patience <= max(t.free, ratelimit.Patience) {
+		t.waits = false
+		return t, result.New(result.Limited, "no upstream takes it within its limit in time, the first one takes another in %v", t.free)
+	}
+	return t, nil
+}
+
+// comeBackAt returns when the caller of a request that is refused shall come back, 0 when that is not known; the mutex is held.
+func (s *Relay) comeBackAt(x *exchange, now time.Time, t *scored, err error) time.Duration {
+	if result.CodeOf(err) == result.Limited {
+		return s.promise(x.line(), now, t)
+	}
+	return t.free
+}
+
 // wait waits for d, or until ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -153,22 +198,21 @@
 	return !p.Limited && x.s.Limits.Words.Of(t.id).Limited()
 }
 
-// after is how long so many requests take to go on within limits.
-func (t *scored) after(requests int) time.Duration {
-	if t.rate <= 0 {
-		return 0
+// promise returns when a caller shall come back for what upstreams take within their limits: after those that were told to come back
+// before it. The mutex is held.
+func (s *Relay) promise(key line, now time.Time, t *scored) time.Duration {
+	at := later(now.Add(t.free), s.promised[key])
+	back := min(promiseMost, at.Sub(now))
+	s.promised[key] = now.Add(back)
+	if t.rate > 0 {
+		s.promised[key] = now.Add(min(promiseMost, back+t.rate.Interval()))
 	}
-	return time.Duration(requests) * t.rate.Interval()
+	return back
 }
 
-// promise returns when a caller shall come back for what upstreams take within their limits: after those that wait here, and those that
-// were told to come back before it. The mutex is held.
-func (s *Relay) promise(key line, now time.Time, t *scored, before int) time.Duration {
-	at := now.Add(t.free + t.after(before))
-	if p := s.promised[key]; p.After(at) {
-		at = p
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	back := min(promiseMost, at.Sub(now))
-	s.promised[key] = now.Add(min(promiseMost, back+t.after(1)))
-	return back
+	return b
 }
--- a/relay/limit_faults_test.go
+++ b/relay/limit_faults_test.go
@@ -16,11 +16,12 @@
 
 // coordinator returns which entry coordinates the upstream that names a limit.
 func (g *team) coordinator(path string) int {
-	name := g.sites[0].relay.Limits.Seat(limitedAt(path)).Name
-	if name == "" {
-		return 0
+	for i, s := range g.sites {
+		if s.relay.Limits.Seat(limitedAt(path)).Self {
+			return i
+		}
 	}
-	return g.byName[name]
+	return 0
 }
 
 // limitedAt returns the life of the first upstream on a route.
@@ -33,11 +34,15 @@
 
 // away takes an entry from all others, and from its callers when dead is set.
 func (g *team) away(i int, dead bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.deaf[i], g.cut[i], g.dead[i] = true, true, dead
 }
 
 // back undoes away.
 func (g *team) back(i int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	delete(g.deaf, i)
 	delete(g.cut, i)
 	delete(g.dead, i)
@@ -50,12 +55,21 @@
 		names = append(names, g.names[i])
 	}
 	for _, i := range members {
-		time.AfterFunc(time.Duration(g.random.Float64()*float64(spread)), func() {
+		time.AfterFunc(time.Duration(g.draw()*float64(spread)), func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
 			g.sites[i].relay.SetEntries(sharing.New(g.names[i], map[ident.Hall][]string{"": names}))
 		})
 	}
 }
 
+// lose lets a part of the news be lost.
+func (g *team) lose(part float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loses = part
+}
+
 // others returns all entries but one.
 func (g *team) others(without int) []int {
 	var list []int
@@ -69,6 +83,8 @@
 
 // restart puts an entry that knows nothing in the place of another one.
 func (g *team) restart(i int, upstreams []*asker) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	old := g.sites[i]
 	g.gone = append(g.gone, old)
 	g.sites[i] = askSiteBefore(upstreams)
@@ -124,12 +140,14 @@
 			time.AfterFunc(time.Second, func() { g.list(g.others(-1), 500*time.Millisecond) })
 		}, 0, 0.5},
 		{"there is no leader", func(g *team, _ *asker, _ int) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
 			for i := range g.sites {
 				g.cut[i] = true
 			}
 		}, 0, 0.6},
-		{"a tenth of all news is lost", func(g *team, _ *asker, _ int) { g.loses = 0.1 }, 1, 0.8},
-		{"all news is lost", func(g *team, _ *asker, _ int) { g.loses = 1 }, 0, 0.4},
+		{"a tenth of all news is lost", func(g *team, _ *asker, _ int) { g.lose(0.1) }, 1, 0.8},
+		{"all news is lost", func(g *team, _ *asker, _ int) { g.lose(1) }, 0, 0.4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -12,6 +12,7 @@
 // one entry lets each request go, for all of them, and every entry that has heard of the limit asks it right before it sends.
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -40,6 +41,7 @@
 
 // team is several entries before the same upstreams, which hear each other's news.
 type team struct {
+	mu     sync.Mutex
 	sites  []*askSite
 	names  []string
 	byName map[string]int
@@ -90,21 +92,46 @@
 		}
 		for _, name := range to {
 			if j, ok := g.byName[name]; ok && j != i {
-				time.AfterFunc(datagramTime, func() { g.deliver(n, s, i, j) })
+				time.AfterFunc(datagramTime, func() {
+					if hearer := g.hearer(s, i, j); hearer != nil {
+						hearer.relay.Hear(n, netip.MustParseAddrPort(g.names[i]))
+					}
+				})
 			}
 		}
 	}
 }
 
-// deliver lets news of an entry arrive at another one, unless they are lost.
-func (g *team) deliver(n relay.News, from *askSite, i, j int) {
+// hearer returns who hears news of an entry in the place of another one, nobody when they are lost.
+func (g *team) hearer(from *askSite, i, j int) *askSite {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	lost := g.loses > 0 && g.random.Float64() < g.loses
-	if !lost && g.sites[i] == from && !g.deaf[i] && !g.deaf[j] {
-		g.sites[j].relay.Hear(n, netip.MustParseAddrPort(g.names[i]))
+	if lost || g.sites[i] != from || g.deaf[i] || g.deaf[j] {
+		return nil
+	}
+	return g.sites[j]
+}
+
+// entry returns one that takes a request, the first ones more often than the last ones.
+func (g *team) entry() *askSite {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := min(g.random.IntN(len(g.sites)), g.random.IntN(len(g.sites)))
+	for g.dead[i] {
+		i = (i + 1) % len(g.sites)
 	}
+	return g.sites[i]
 }
 
-// load lets requests come to entries, to the first ones more often than to the last ones, and returns when all have ended.
+// draw returns a random number from 0 to 1.
+func (g *team) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
+
+// load lets requests come to entries, and returns when all have ended.
 func (g *team) load(path string, perSecond float64, lasts time.Duration) {
 	began := time.Now()
 	var wg sync.WaitGroup
@@ -115,12 +142,8 @@
 		}
 	})
 	for n := 0; time.Since(began) < lasts; n++ {
-		time.Sleep(time.Duration(g.random.ExpFloat64() / perSecond * float64(time.Second)))
-		i := min(g.random.IntN(len(g.sites)), g.random.IntN(len(g.sites)))
-		for g.dead[i] {
-			i = (i + 1) % len(g.sites)
-		}
-		s := g.sites[i]
+		time.Sleep(time.Duration(-math.Log(1-g.draw()) / perSecond * float64(time.Second)))
+		s := g.entry()
 		wg.Go(func() { s.ask(path, strconv.Itoa(n)) })
 	}
 	wg.Wait()
@@ -131,6 +154,8 @@
 
 // confirm tells entries, as the leader does, that what they have is the newest, and what the others have at each upstream.
 func (g *team) confirm() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	totals, apart := map[ident.Incarnation]int{}, map[ident.Incarnation]int{}
 	own := make([]map[ident.Incarnation]int, len(g.sites))
 	for i, s := range g.sites {
--- a/relay/room.go
+++ b/relay/room.go
@@ -27,6 +27,8 @@
 	// slowAim is the part of its aim that a request has beyond the time that its prompt takes at an idle group, when that takes
 	// all of the aim: long prompts can't be in time, but must not always go behind the others.
 	slowAim = 0.25
+	// plainWaitPart is the part of its aim that a request for a plain service may wait: how long workers take is not published.
+	plainWaitPart = 0.5
 	// Callers leave a stream that is silent for leaveLeast, leaveAims times its aim or leaveGaps times its aim for pauses,
 	// whichever is longest.
 	leaveLeast = 2 * time.Second
@@ -46,7 +48,7 @@
 	model   ident.Model
 }
 
-// line returns the line in which the request waits.
+// line returns the line in which the request waits; callers may name any model to a plain service.
 func (x *exchange) line() line {
 	if x.service.Engine == nil {
 		return line{service: x.service.Name}
@@ -54,7 +56,7 @@
 	return line{x.service.Name, x.model}
 }
 
-// waiting is a request for a group or a worker, until it is known what becomes of it.
+// waiting is a request for a group, until it is known what becomes of it.
 type waiting struct {
 	x       *exchange
 	settled chan struct{}
@@ -67,11 +69,8 @@
 	s := x.s
 	s.mu.Lock()
 	if x.service.Engine == nil {
-		t, settled, err := s.placePlain(x)
-		if settled {
-			s.mu.Unlock()
-			return t, err
-		}
+		defer s.mu.Unlock()
+		return s.placePlain(x)
 	}
 	w, q := s.join(x)
 	s.mu.Unlock()
@@ -90,36 +89,21 @@
 	return w.Value.target, w.Value.err
 }
 
-// placePlain chooses a worker of a plain service. The request waits only where all that could run it have limits and may take it in time,
-// and is settled otherwise; the mutex is held.
-func (s *Relay) placePlain(x *exchange) (t scored, settled bool, err error) {
-	if q := s.queues[x.line()]; q != nil && q.Len() > 0 {
-		return scored{}, false, nil
-	}
+// placePlain chooses a worker of a plain service; the mutex is held.
+func (s *Relay) placePlain(x *exchange) (scored, error) {
 	now := s.Now()
-	t, err = s.choose(x, overload.InTime, now)
-	switch {
-	case err == nil:
+	t, err := s.chooseFor(x, overload.InTime, x.plainLimit(), now)
+	if err == nil {
 		s.take(x, &t)
-	case result.CodeOf(err) == result.Limited && now.Add(t.free).Before(x.plainLimit()):
-		return scored{}, false, nil
+		return t, nil
 	}
-	x.comeBack = t.free
-	if result.CodeOf(err) == result.Limited {
-		x.comeBack = s.promise(x.line(), now, &t, 0)
-	}
-	return t, true, err
+	x.comeBack = s.comeBackAt(x, now, &t, err)
+	return t, err
 }
 
-// plainLimit is until when a request for a plain service can be in time.
+// plainLimit is until when a request for a plain service may wait to be in time.
 func (x *exchange) plainLimit() time.Time {
-	return x.began.Add(cmp.Or(x.route.Aim, usualAim) - x.spent)
-}
-
-// takesLater reports whether err says that upstreams take nothing before a time.
-func takesLater(err error) bool {
-	code := result.CodeOf(err)
-	return code == result.BackedOff || code == result.Limited
+	return x.began.Add(time.Duration(plainWaitPart*float64(cmp.Or(x.route.Aim, usualAim))) - x.spent)
 }
 
 // join puts the request into the queue of its model and offers all that waits there to the groups; the mutex is held.
@@ -175,34 +159,29 @@
 	// idlest is the group where the first word of an empty prompt would come soonest, known once a request has found no room.
 	var idlest scored
 	known := false
-	// tokens is how many wait for what upstreams take within their limits.
-	tokens := 0
 	send := func(w *overload.Waiting[*waiting], rank overload.Rank) bool {
 		x := w.Value.x
 		if known && rank == overload.InTime && now.Add(idlest.first).After(x.limit) && !x.leaves(idlest.target, idlest.at) {
 			return false
 		}
-		t, err := s.choose(x, rank, now)
-		switch {
+		t, err := s.chooseFor(x, rank, w.Last(), now)
+		switch code := result.CodeOf(err); {
+		case t.waits:
 		case err == nil && t.fits:
 			s.take(x, &t)
 			known = false
 			if s.roomy(x, &t) {
 				q.Roomy()
 			}
-		case takesLater(err) && now.Add(t.free+t.after(tokens)).Before(w.Last()):
-			tokens++
+		case code == result.BackedOff && now.Add(t.free).Before(w.Last()):
 			return false
-		case err == nil || result.CodeOf(err) == result.Overloaded:
+		case err == nil || code == result.Overloaded:
 			if !known {
 				idlest, known = s.idlest(x, now), true
 			}
 			return false
 		}
-		x.comeBack = t.free
-		if result.CodeOf(err) == result.Limited {
-			x.comeBack = s.promise(x.line(), now, &t, tokens)
-		}
+		x.comeBack = s.comeBackAt(x, now, &t, err)
 		w.Value.end(t, err)
 		return true
 	}
@@ -234,10 +213,6 @@
 	if !x.begun() {
 		x.lost = x.began
 	}
-	if x.service.Engine == nil {
-		x.limit = x.plainLimit()
-		return
-	}
 	came := x.began.Add(-x.spent)
 	x.idle = idle.FirstWord(estimate.Load{}, x.toRead())
 	x.launch = x.s.launchOf(x.model)
@@ -259,10 +234,7 @@
 	// One that lost its time at a group that had ended is not refused at once as one that was too many. It does not go before those
 	// that can be in time either: where all groups are full that made 600 of 29,700 others late.
 	last := x.kept || x.spent >= cameBack || x.displaced
-	if x.joined.IsZero() {
-		x.joined = now
-	}
-	return overload.Request{Came: x.joined, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
+	return overload.Request{Came: now, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
 }
 
 // begun reports whether a refusal would lose what an upstream has done, or what the caller has.
@@ -311,13 +283,21 @@
 	return t.first == 0 || x.route.GapAim == 0 || x.leaves(t.target, t.at)
 }
 
-// take counts the request at t and tells the other entries; the mutex is held.
+// take counts the request at t and tells the other entries, unless it has yet to be let go there; the mutex is held.
 func (s *Relay) take(x *exchange, t *scored) {
+	if !t.limited {
+		s.count(x, t)
+	}
+}
+
+// count is take for a request that is let go; the mutex is held.
+func (s *Relay) count(x *exchange, t *scored) {
+	x.counted = true
 	x.unread = x.toRead()
 	s.stateOf(t.target).begin(s.Now(), x.unread)
 	x.trial = s.Backoff.Begin(s.Now(), t.id)
-	if !t.limited {
-		x.tellPrompt(t)
+	if x.unread > 0 {
+		s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
 	}
 	if !t.known {
 		// Streams that have begun, and entries that use no group of the model, go on without any left.
@@ -325,15 +305,12 @@
 	}
 }
 
-// tellPrompt tells the other entries that the prompt goes to t.
-func (x *exchange) tellPrompt(t *scored) {
-	if x.unread > 0 {
-		x.s.Tell(News{Head: t.id, Prompt: x.unread}, t.users)
-	}
-}
-
 // putBack undoes take.
 func (x *exchange) putBack(t *scored) {
+	if !x.counted {
+		return
+	}
+	x.counted = false
 	x.read(t.state)
 	x.endTrial(t.id, false)
 	x.s.mu.Lock()
--- a/relay/run.go
+++ b/relay/run.go
@@ -123,14 +123,16 @@
 		PassedOver: x.passedOver,
 	})
 	v, f := x.send(t)
-	x.endTrial(t.id, false)
-	x.read(t.state)
-	x.s.leave(x.s.Now(), t.state, v)
 	if v == verdictNothingToHave {
-		// Nothing was meant for it after all; one that waits may ask many times.
+		// Nothing was meant for it after all.
+		x.putBack(t)
 		x.tries = x.tries[:len(x.tries)-1]
 		return verdictPassedOver
 	}
+	x.counted = false
+	x.endTrial(t.id, false)
+	x.read(t.state)
+	x.s.leave(x.s.Now(), t.state, v)
 	try := &x.tries[len(x.tries)-1]
 	try.Result = string(v)
 	try.note(f, x.s.Now())
@@ -178,9 +180,6 @@
 	if !permit.OK {
 		return verdictNothingToHave, nil
 	}
-	if t.limited {
-		x.tellPrompt(t)
-	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), min(dialTimeout, x.left()))
 	conn, err := x.s.pool.get(ctx, t.address, !x.route.Repeatable())
 	cancel()
