--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -107,6 +108,37 @@
 	}
 }
 
+// limitTable shows the limits that upstreams have named, and what each entry gets of them.
+func limitTable(t io.Writer, list []site.UpstreamState) {
+	for i := range list {
+		l := list[i].Limit
+		if l == nil {
+			continue
+		}
+		fmt.Fprintln(t, "\nUPSTREAM\tLIMIT A SECOND\tSINCE\tLAST SAID\tCOORDINATOR")
+		fmt.Fprintf(t, "%s\t%g\t%s\t%s\t%s\n", list[i].ID, float64(l.Limit), ago(l.SinceMS), ago(l.SaidMS), l.Coordinator)
+		fmt.Fprintln(t, "\nENTRY\tTOLD BY IT\tSENT IN 10 S\tGRANTED\tREFUSED\tUNANSWERED\tBY ITS OWN PART")
+		for _, e := range l.Entries {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", e.Entry, ago(e.ToldMS), e.Lately, e.Granted, e.Refused, e.Unanswered, ownPart(&e))
+		}
+	}
+}
+
+// ago writes how long ago something was, nothing where it never was.
+func ago(ms int64) string {
+	if ms < 0 {
+		return "-"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
+
+func ownPart(e *site.LimitShare) string {
+	if e.Apart {
+		return fmt.Sprintf("%d, now", e.Own)
+	}
+	return strconv.Itoa(e.Own)
+}
+
 func modelRow(t io.Writer, m *site.ModelState) {
 	fmt.Fprintf(t, "%s\t%d\t%.1f\t%.0f\t%.2f\t%s\n", m.Model, m.Size, m.Serving, m.Wanted, m.Load, m.Why)
 }
@@ -202,6 +234,7 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Hall, u.Domain, u.Address, time.Duration(u.AgeMS)*time.Millisecond, u.Place)
 	}
 	askedTable(t, s.Upstreams)
+	limitTable(t, s.Upstreams)
 	heldTable(t, s.Held)
 	if len(s.Decisions) > 0 {
 		fmt.Fprintln(t, "\nAT\tGROUP\tDECISION\tREASON")
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -33,6 +33,9 @@
 	deafAgain = time.Second
 	// movedAgain is when an entry asks again that has another list of entries than the one it asked.
 	movedAgain = 200 * time.Millisecond
+	// latelyFor is how long a request counts as a late one for operators, latelyMost how many are kept.
+	latelyFor  = 10 * time.Second
+	latelyMost = 1000
 	// asksMost is how many questions on one upstream may be out at an entry.
 	asksMost = 4
 )
@@ -99,8 +102,9 @@
 	Draw func() float64
 	// Seat says who coordinates an upstream.
 	Seat func(k K) Seat
-	// Ask sends a question to a coordinator; it must not block.
-	Ask func(to string, q *Question[K])
+	// Ask sends a question to a coordinator, Observe takes each outcome; neither must block.
+	Ask     func(to string, q *Question[K])
+	Observe func(o Outcome)
 
 	mu sync.Mutex
 	// granted are the requests that were let go as coordinator, own those of this entry's own part.
@@ -122,20 +126,36 @@
 	asksAt time.Time
 	// sharers is how many share the limit, and at how many requests this entry was let go, refused and not answered.
 	sharers int
+	// lately are the moments of the last requests that were granted.
+	lately []time.Time
 	Counts
 }
 
-// Counts are what became of the questions of this entry on an upstream.
+// Counts are what became of the requests of this entry that were meant for an upstream with a limit.
 type Counts struct {
-	Granted, Refused, Unanswered, Own int
+	// Granted and Refused are those that were let go and that were not, Own those of the granted that were of this entry's own part, and
+	// Unanswered the questions that had no answer.
+	Granted, Refused, Own, Unanswered int
+	// Lately is how many were granted in the last seconds.
+	Lately int
 }
 
+// Outcome is what became of one request that was meant for an upstream with a limit, or of a question.
+type Outcome string
+
+// The outcomes.
+const (
+	Granted    Outcome = "granted"
+	Refused    Outcome = "refused"
+	Unanswered Outcome = "unanswered"
+)
+
 // NewLimiter returns a limiter of an entry that is alone.
 func NewLimiter[K comparable]() *Limiter[K] {
 	l := &Limiter[K]{
 		Words: NewWords[K](), Now: time.Now, Draw: rand.Float64,
-		Seat:   func(K) Seat { return Seat{Self: true, Entries: 1} },
-		Ask:    func(string, *Question[K]) {},
+		Seat: func(K) Seat { return Seat{Self: true, Entries: 1} },
+		Ask:  func(string, *Question[K]) {}, Observe: func(Outcome) {},
 		states: map[K]*state{}, asked: map[uint64]chan *Answer[K]{},
 	}
 	draw := func() float64 { return l.Draw() }
@@ -215,11 +235,15 @@
 func (l *Limiter[K]) obey(k K, rate Rate, g Grant) Permit {
 	s := l.state(k)
 	s.sharers = g.Sharers
+	now := l.Now()
 	if !g.OK {
 		s.Refused++
-		s.until = l.Now().Add(g.After)
+		s.until = now.Add(g.After)
+		l.Observe(Refused)
 	} else {
 		s.Granted++
+		s.lately = append(s.since(now.Add(-latelyFor)), now)
+		l.Observe(Granted)
 	}
 	return Permit{OK: g.OK, Limited: true, Rate: rate, After: g.After}
 }
@@ -269,10 +293,20 @@
 	s.asking--
 	if a == nil && ctx.Err() == nil {
 		s.unanswered(l.Now())
+		l.Observe(Unanswered)
 	}
 	return a, a != nil
 }
 
+// since returns the moments after a time, as many as are kept.
+func (s *state) since(from time.Time) []time.Time {
+	list := s.lately
+	for len(list) > 0 && (list[0].Before(from) || len(list) > latelyMost) {
+		list = list[1:]
+	}
+	return list
+}
+
 // unanswered notes that a question had no answer.
 func (s *state) unanswered(now time.Time) {
 	s.Unanswered++
@@ -363,8 +397,12 @@
 func (l *Limiter[K]) Look(k K) (c Counts, apart bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.states[k]; s != nil {
-		return s.Counts, s.deaf(l.Now())
+	s := l.states[k]
+	if s == nil {
+		return Counts{}, false
 	}
-	return Counts{}, false
+	now := l.Now()
+	s.lately = s.since(now.Add(-latelyFor))
+	s.Lately = len(s.lately)
+	return s.Counts, s.deaf(now)
 }
--- a/site/calls.go
+++ b/site/calls.go
@@ -184,7 +184,6 @@
 		return SyncReply{Leader: c.leader(), Controls: c.controls()}
 	}
 	others, entries := r.note(call)
-	c.hearLimits(clock.Now(), call)
 	c.waitForNews(r, call, entries)
 	reply := SyncReply{
 		Leader: string(c.self.Name), Controls: c.controls(), Reign: r.name, Others: others, Entries: entries,
--- a/site/entries.go
+++ b/site/entries.go
@@ -81,6 +81,7 @@
 	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
+	r.c.hearLimits(now, call)
 	own := map[ident.Incarnation]int{}
 	for i := range call.Seen {
 		seen := &call.Seen[i]
--- a/site/entry.go
+++ b/site/entry.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/meter"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -77,6 +78,7 @@
 	e.relay.Note = e.noteHolding
 	e.relay.Backoff.Rule = backoffRule(&cfg.Backoff)
 	e.relay.Asked = e.noteAsking
+	e.relay.Limits.Observe = func(o ratelimit.Outcome) { e.numbers.permits[o].Inc(1) }
 	e.neighbours = newNeighbours(e.relay.Hear)
 	e.relay.Tell = e.neighbours.tell
 	return e
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
@@ -120,8 +121,9 @@
 // NewReign returns a reign that has heard of nobody.
 func NewReign() Reigning {
 	return Reigning{&reign{
-		c: &Control{Log: logr.Discard()}, roster: roster.New(),
-		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, paces: newPaces(nil, logr.Discard()),
+		c: &Control{Log: logr.Discard(), limits: ratelimit.NewWords[ident.Incarnation]()}, roster: roster.New(),
+		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
+		paces: newPaces(nil, logr.Discard()),
 	}}
 }
 
@@ -149,6 +151,16 @@
 	return r.asked(now)
 }
 
+// LimitsTold returns the limits that entries are told of.
+func (r Reigning) LimitsTold(now time.Time) map[ident.Incarnation]LimitTold { return r.limitsTold(now) }
+
+// LimitStates returns the limits as operators see them.
+func (r Reigning) LimitStates(now time.Time) map[ident.Incarnation]*LimitState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limitStates(now)
+}
+
 // Forget drops an entry.
 func (r Reigning) Forget(name string) {
 	r.mu.Lock()
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -68,6 +68,8 @@
 	Place   string            `json:"place"`
 	// Asked are the entries that it has asked to send it nothing.
 	Asked []AskedState `json:"asked"`
+	// Limit is the limit that it has named, nil where it has none.
+	Limit *LimitState `json:"limit,omitempty"`
 }
 
 // GroupDecision is one decision on a group and its reason.
@@ -129,7 +131,7 @@
 	}
 	r.mu.Lock()
 	s.Entries = len(r.entries)
-	asked := r.asked(now)
+	asked, limits := r.asked(now), r.limitStates(now)
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Outlook() {
@@ -143,7 +145,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		s.Upstreams = append(s.Upstreams, UpstreamState{
-			u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u), asked[u.ID],
+			u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u), asked[u.ID], limits[u.ID],
 		})
 	}
 	return s
--- a/site/limits.go
+++ b/site/limits.go
@@ -5,11 +5,14 @@
 // what it likes until that tells it, and datagrams may be filtered.
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/sharing"
 )
 
 // limitTold is how old the word of an upstream may be that the leader passes on: an entry that has requests there hears it more often,
@@ -63,6 +66,74 @@
 	}
 }
 
+// LimitState is the limit of an upstream, as operators see it.
+type LimitState struct {
+	// Limit is in requests a second, SinceMS is how long ago it was first named, SaidMS how long ago it was last.
+	Limit   ratelimit.Rate `json:"limit"`
+	SinceMS int64          `json:"since-ms"`
+	SaidMS  int64          `json:"said-ms"`
+	// Coordinator is the entry that lets requests go there.
+	Coordinator string       `json:"coordinator"`
+	Entries     []LimitShare `json:"entries"`
+}
+
+// LimitShare is what one entry gets of a limit.
+type LimitShare struct {
+	Entry string `json:"entry"`
+	// ToldMS is how long ago the upstream named the limit to this entry, -1 when others did.
+	ToldMS int64 `json:"told-ms"`
+	// Lately is how many requests were let go in the last ten seconds, the others are since the entry knows of the limit.
+	Lately     int `json:"lately"`
+	Granted    int `json:"granted"`
+	Refused    int `json:"refused"`
+	Unanswered int `json:"unanswered"`
+	// Apart is set when it can't reach the coordinator and goes by its own part, Own is how many it has sent by that.
+	Apart bool `json:"apart"`
+	Own   int  `json:"own"`
+}
+
+// limitStates returns the limits of upstreams by the newest calls of all entries; the mutex is held.
+func (r *reign) limitStates(now time.Time) map[ident.Incarnation]*LimitState {
+	states := map[ident.Incarnation]*LimitState{}
+	for name, e := range r.entries {
+		for i := range e.seen {
+			if seen := &e.seen[i]; seen.Limit != nil {
+				states[seen.ID] = states[seen.ID].with(name, seen.Limit, now.Sub(e.at))
+			}
+		}
+	}
+	if len(states) == 0 {
+		return nil
+	}
+	entries := sharing.New("", r.listEntries().lists)
+	for id, l := range states {
+		l.Coordinator = entries.First(string(id))
+		slices.SortFunc(l.Entries, func(a, b LimitShare) int { return cmp.Compare(a.Entry, b.Entry) })
+	}
+	return states
+}
+
+// with adds what an entry told of a limit so long ago.
+func (l *LimitState) with(entry string, seen *relay.LimitSeen, ago time.Duration) *LimitState {
+	said, since := (seen.Said + ago).Milliseconds(), (seen.Since + ago).Milliseconds()
+	if l == nil {
+		l = &LimitState{Limit: seen.Rate, SinceMS: since, SaidMS: said}
+	}
+	if said < l.SaidMS {
+		l.Limit, l.SaidMS = seen.Rate, said
+	}
+	l.SinceMS = max(l.SinceMS, since)
+	share := LimitShare{
+		Entry: entry, ToldMS: -1, Lately: seen.Lately, Granted: seen.Granted, Refused: seen.Refused, Unanswered: seen.Unanswered,
+		Apart: seen.Apart, Own: seen.Counts.Own,
+	}
+	if seen.Own {
+		share.ToldMS = said
+	}
+	l.Entries = append(l.Entries, share)
+	return l
+}
+
 // hearLimits takes what the leader has heard of limits.
 func (e *Entry) hearLimits(r *SyncReply) {
 	var apart map[ident.Incarnation]int
--- /dev/null
+++ b/site/limits_test.go
@@ -0,0 +1,109 @@
+package site_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/clock"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/site"
+)
+
+func limitSeen(id ident.Incarnation, l relay.LimitSeen) relay.Seen {
+	return relay.Seen{ID: id, Limit: &l}
+}
+
+// The leader passes on what upstreams told entries of their limits, not what entries told each other, and how many go by their own parts.
+func TestLimitsAreToldByTheLeader(t *testing.T) {
+	r := site.NewReign()
+	r.Note(&site.SyncCall{From: "a", Entry: true, Seen: []relay.Seen{
+		limitSeen("u", relay.LimitSeen{Rate: 3, Own: true, Said: 300 * time.Millisecond, Apart: true}), limitSeen("v", relay.LimitSeen{Rate: 9}),
+	}})
+	r.Note(&site.SyncCall{From: "b", Entry: true, Seen: []relay.Seen{
+		limitSeen("u", relay.LimitSeen{Rate: 2, Own: true, Said: 100 * time.Millisecond, Apart: true}),
+	}})
+	got := r.LimitsTold(clock.Now())
+	if l := got["u"]; len(got) != 1 || l.Rate != 2 || l.Apart != 2 || l.Age < 100*time.Millisecond || l.Age > 10*time.Second {
+		t.Errorf("told %+v, want u with 2 a second and two that go by their own parts", got)
+	}
+	r.Note(&site.SyncCall{From: "b", Entry: true})
+	if got := r.LimitsTold(clock.Now().Add(time.Minute)); got["u"].Apart != 1 {
+		t.Errorf("told %+v a minute later, want u, since one still goes by its own part", got)
+	}
+	r.Note(&site.SyncCall{From: "a", Entry: true})
+	if got := r.LimitsTold(clock.Now().Add(time.Minute)); len(got) != 0 {
+		t.Errorf("told %+v once nobody has heard of it for long", got)
+	}
+}
+
+// Operators see a limit, since when and by whose word it holds, who coordinates it, and what each entry gets.
+func TestLimitsAreShown(t *testing.T) {
+	r := site.NewReign()
+	counts := ratelimit.Counts{Granted: 7, Refused: 5, Own: 1, Unanswered: 2, Lately: 3}
+	r.Note(&site.SyncCall{From: "b", Entry: true, Seen: []relay.Seen{
+		limitSeen("u", relay.LimitSeen{Rate: 3, Own: true, Said: time.Hour, Since: 9 * time.Hour, Counts: counts, Apart: true}),
+	}})
+	r.Note(&site.SyncCall{From: "a", Entry: true, Seen: []relay.Seen{limitSeen("u", relay.LimitSeen{Rate: 2, Said: time.Minute, Since: time.Minute})}})
+	got := r.LimitStates(clock.Now())["u"]
+	if got == nil {
+		t.Fatal("not shown")
+	}
+	coordinator := got.Coordinator
+	got.Coordinator = ""
+	for _, ms := range []*int64{&got.SinceMS, &got.SaidMS, &got.Entries[1].ToldMS} {
+		*ms = time.Duration(*ms * int64(time.Millisecond)).Round(time.Minute).Milliseconds()
+	}
+	want := &site.LimitState{Limit: 2, SinceMS: 9 * 3600_000, SaidMS: 60_000, Entries: []site.LimitShare{
+		{Entry: "a", ToldMS: -1},
+		{Entry: "b", ToldMS: 3600_000, Lately: 3, Granted: 7, Refused: 5, Unanswered: 2, Apart: true, Own: 1},
+	}}
+	if diff := cmp.Diff(want, got); diff != "" || coordinator != "a" && coordinator != "b" {
+		t.Errorf("coordinator %q, (-want +got):\n%s", coordinator, diff)
+	}
+}
+
+// Questions and answers on limits pass between entries as datagrams.
+func TestLimitsPassBetweenEntries(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	type message struct {
+		news relay.News
+		from netip.AddrPort
+	}
+	heard := make(chan message, 1)
+	hearer, err := site.NewNeighbours(func(n relay.News, from netip.AddrPort) { heard <- message{n, from} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	teller, err := site.NewNeighbours(func(relay.News, netip.AddrPort) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	teller.Set(hearer.Address(), teller.Address())
+	go hearer.Run(ctx)
+	go teller.Run(ctx)
+	for _, want := range []relay.News{
+		{Question: &ratelimit.Question[ident.Incarnation]{ID: 1 << 63, Key: "u@1767000000000", Rate: 3.6, Age: time.Second, Patience: time.Second}},
+		{Answer: &ratelimit.Answer[ident.Incarnation]{ID: 1 << 63, Key: "u@1767000000000", Rate: 3.6, Age: time.Hour, Grant: ratelimit.Grant{OK: true, After: time.Minute, Sharers: 300}}},
+		{Head: "u@1767000000000", Limit: &relay.LimitNews{Rate: 0.5, AgeMS: 12}},
+	} {
+		teller.Tell(want, hearer.Address())
+		select {
+		case got := <-heard:
+			if diff := cmp.Diff(want, got.news); diff != "" {
+				t.Errorf("heard (-want +got):\n%s", diff)
+			}
+			if from := got.from.String(); from != teller.Address() {
+				t.Errorf("from %s, want %s, by which it is answered", from, teller.Address())
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing is heard")
+		}
+	}
+}
--- a/site/numbers.go
+++ b/site/numbers.go
@@ -8,6 +8,7 @@
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/meter"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
 )
@@ -52,8 +53,9 @@
 	held tally.Gauge
 	// backedOff is how many upstreams want nothing from this entry.
 	backedOff tally.Gauge
-	// limited is how many upstreams have named a limit.
+	// limited is how many upstreams have named a limit, permits count the requests that were meant for them.
 	limited tally.Gauge
+	permits map[ratelimit.Outcome]tally.Counter
 }
 
 // words are the first words of one model: when they were expected, when they came, and how far apart the two were.
@@ -67,10 +69,19 @@
 	return &numbers{
 		scope: scope, series: map[seriesKey]*series{}, models: map[ident.Model]*words{}, tries: map[tryKey]tally.Counter{},
 		held: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
-		limited: scope.Gauge("limited_upstreams"),
+		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 	}
 }
 
+// permitCounters count requests that were meant for upstreams with a limit by what became of them.
+func permitCounters(scope tally.Scope) map[ratelimit.Outcome]tally.Counter {
+	counters := map[ratelimit.Outcome]tally.Counter{}
+	for _, o := range []ratelimit.Outcome{ratelimit.Granted, ratelimit.Refused, ratelimit.Unanswered} {
+		counters[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Counter("limit_permits")
+	}
+	return counters
+}
+
 func (n *numbers) observe(r *relay.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
