--- a/relay/limit.go
+++ b/relay/limit.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// listSpread is how long after one entry another one may have the same list of entries: until it has asked the leader again.
-	listSpread = time.Second
 	// seatLapse is how old the leader's newest confirmation may be until an entry takes no part of an upstream's limit for granted: by
 	// the time the leader has dropped it from the list, and another one coordinates the upstream, it has stopped.
 	seatLapse = 2500 * time.Millisecond
@@ -47,44 +45,15 @@
 
 // newLimits returns the limiter of this entry.
 func (s *Relay) newLimits() *ratelimit.Limiter[ident.Incarnation] {
+	s.seats = &ratelimit.Seats{Now: func() time.Time { return s.Now() }, Fresh: func() bool { return s.ConfirmedAge() < seatLapse }}
 	l := ratelimit.NewLimiter[ident.Incarnation]()
 	l.Now = func() time.Time { return s.Now() }
 	l.Draw = rand.Float64
-	l.Seat = s.seat
+	l.Seat = func(id ident.Incarnation) ratelimit.Seat { return s.seats.Of(string(id)) }
 	l.Ask = func(to string, q *ratelimit.Question[ident.Incarnation]) { s.Tell(News{Question: q}, []string{to}) }
 	return l
 }
 
-// seat says which entry coordinates an upstream.
-func (s *Relay) seat(id ident.Incarnation) ratelimit.Seat {
-	fresh := s.ConfirmedAge() < seatLapse
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.entries == nil || s.entries.Total() <= 1 {
-		return ratelimit.Seat{Self: true, Entries: 1, Quiet: s.quiet(id)}
-	}
-	seat := ratelimit.Seat{Name: s.entries.First(string(id)), Entries: s.entries.Total()}
-	if seat.Name != s.entries.Self() {
-		return seat
-	}
-	if !fresh {
-		seat.Name = ""
-		return seat
-	}
-	seat.Self, seat.Quiet = true, s.quiet(id)
-	return seat
-}
-
-// quiet is how long this entry, which coordinates an upstream now, lets nothing go there yet: others whose list of entries is older may
-// still ask the former coordinator. The mutex is held.
-func (s *Relay) quiet(id ident.Incarnation) time.Duration {
-	left := s.formerUntil.Add(listSpread).Sub(s.Now())
-	if left <= 0 || s.former != nil && s.former.First(string(id)) == s.former.Self() {
-		return 0
-	}
-	return left
-}
-
 func (n *News) ofLimit() bool {
 	return n.Limit != nil || n.Question != nil || n.Answer != nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,6 +66,8 @@
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
+	// seats say which entry coordinates an upstream.
+	seats     *ratelimit.Seats
 	pool      *pool
 	table     atomic.Pointer[httproute.Table]
 	confirmed atomic.Pointer[time.Time]
@@ -80,13 +82,10 @@
 	entries *sharing.Entries
 	// entriesSince is when this entry last heard of another one that it had not known.
 	entriesSince time.Time
-	// former are the entries as they were known before the list changed at formerUntil.
-	former      *sharing.Entries
-	formerUntil time.Time
-	fleet       *fleet
-	states      map[ident.Incarnation]*targetState
-	counts      counts
-	demand      map[ident.Model]Demand
+	fleet        *fleet
+	states       map[ident.Incarnation]*targetState
+	counts       counts
+	demand       map[ident.Model]Demand
 	// launch is what first words took beyond the estimate, by model.
 	launch map[ident.Model]launch
 	// margins are what is learnt of when events of a model come, firstMargins of its first words.
@@ -177,14 +176,11 @@
 func (s *Relay) SetEntries(entries *sharing.Entries) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Now()
 	if s.entries != nil && entries.Adds(s.entries) {
-		s.entriesSince = now
-	}
-	if now.Sub(s.formerUntil) > listSpread {
-		s.former, s.formerUntil = s.entries, now
+		s.entriesSince = s.Now()
 	}
 	s.entries = entries
+	s.seats.Set(entries)
 	s.fleet = newFleet(s.copied, s.table.Load(), entries)
 }
 
