--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -26,12 +26,12 @@
 	return &Refusal{After: after, cause: result.New(code, format, args...)}
 }
 
-// awaySpread is the part of the time by which callers are spread, so that they do not all come back when the first target may be tried.
-const awaySpread = 0.5
+// AwaySpread is the part of the time by which callers are spread, so that they do not all come back when the first target may be tried.
+const AwaySpread = 0.5
 
 // RefuseAway returns the refusal of a request for a model all of whose targets asked for time, the first of them for so long.
 func RefuseAway(free time.Duration, model ident.Model) error {
-	after := free + time.Duration(awaySpread*rand.Float64()*float64(free))
+	after := free + time.Duration(AwaySpread*rand.Float64()*float64(free))
 	return Refuse(result.BackedOff, after, "all that serve model %q want nothing yet, the first for another %v", model, free)
 }
 
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -27,6 +27,7 @@
 		},
 		Beat:   d.handleBeat,
 		Follow: d.handleFollow,
+		Permit: d.handlePermit,
 		Propose: func(c *peer.ProposeCall) peer.ProposeReply {
 			if d.control == nil {
 				return peer.ProposeReply{Code: result.NoLeader, Text: "not a control member"}
@@ -60,6 +61,7 @@
 	every(ctx, d.cfg.Times.Beat.Std(), func() {
 		b := d.beat()
 		d.hear(b)
+		d.seat()
 		d.shares.refresh()
 		d.answerSelf()
 		for name, client := range d.peers {
@@ -84,6 +86,7 @@
 		From: d.cfg.Name, Hall: d.cfg.Hall, Incarnation: d.incarnation, Revision: d.view.revision(),
 		Stopping: d.stopping.Load(), Observations: d.probes.newest(d.now()), InFlight: d.view.inFlight(),
 		Demands: d.gate.Demands(), Held: d.dispatch.Quarantine.ToTell(d.now(), heldTold),
+		Limits: d.limitsToTell(d.now()),
 	}
 }
 
@@ -107,6 +110,7 @@
 	d.shares.report(b.From, b.Demands)
 	if b.From != d.cfg.Name {
 		d.hearHeld(now, b)
+		d.hearLimits(now, b)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,10 +30,12 @@
 	"github.com/dunlinquay/dunlinquay/peer"
 	"github.com/dunlinquay/dunlinquay/presence"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 	"github.com/dunlinquay/dunlinquay/service"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/sharing"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
@@ -65,6 +67,9 @@
 	force    *force
 	probes   *probes
 	shares   *shares
+	// seats say which daemon coordinates an upstream with a limit, by those in seated.
+	seats    *ratelimit.Seats
+	seated   *sharing.Entries
 	leader   *control.Leader
 	platform *platformWatch
 	metrics  *metrics
@@ -115,6 +120,7 @@
 	d.metrics = newMetrics()
 	d.buildGate()
 	d.buildDispatch()
+	d.buildLimits()
 	d.buildCallers()
 	d.buildLeader()
 	d.buildOperators()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -393,6 +395,49 @@
 	})
 }
 
+// An upstream that names how many requests a second it takes gets that from all daemons together, which ask one of them for each request.
+func TestLimitsOfUpstreamsHoldOverAllDaemons(t *testing.T) {
+	bubble(t, []string{"d1: w1"}, func(t *testing.T, s *site) {
+		s.create("g", 1)
+		for _, name := range s.names {
+			s.awaitWhole(name, "g")
+		}
+		const limit, lasts = 2, 10 * time.Second
+		var mu sync.Mutex
+		arrived := map[string]int{}
+		count := func(what string) {
+			mu.Lock()
+			defer mu.Unlock()
+			arrived[what]++
+		}
+		s.service.Limit, s.service.OnCall = limit, func() { count("worker") }
+		s.engines["w1"].Limit.Store(limit)
+		s.engines["w1"].OnRun = func(ident.Request, string) { count("head") }
+		for _, name := range s.names {
+			s.send(name, "/services/"+serviceName+"/x", "first "+string(name), nil)
+			s.ask(name, "g", "first "+string(name), 1, nil)
+		}
+		time.Sleep(2 * time.Second)
+		clear(arrived)
+		var wg sync.WaitGroup
+		for n := range int(lasts / (50 * time.Millisecond)) {
+			name := s.names[n%3]
+			wg.Go(func() { s.send(name, "/services/"+serviceName+"/x", fmt.Sprint(n), nil) })
+			wg.Go(func() { s.ask(name, "g", fmt.Sprint("limited ", n), 1, nil) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		mu.Lock()
+		got := maps.Clone(arrived)
+		mu.Unlock()
+		wg.Wait()
+		for _, what := range []string{"worker", "head"} {
+			if most := int(limit*lasts.Seconds()) + 1; got[what] > most || got[what] < most*9/10 {
+				t.Errorf("the %s got %d requests in %v, want %d at most and nearly that", what, got[what], lasts, most)
+			}
+		}
+	})
+}
+
 // A daemon learns from cache events what another one has sent where, and forgets it when events are missed.
 func TestCacheEventsReachOtherDaemons(t *testing.T) {
 	bubble(t, []string{"d1: w1 w2 w3 w4 w5 w6"}, func(t *testing.T, s *site) {
--- /dev/null
+++ b/daemon/limits.go
@@ -0,0 +1,112 @@
+package daemon
+
+// All daemons together keep to the limits that upstreams name: the one that
+// coordinates an upstream lets each request go, and is asked over the peers'
+// connections. What upstreams say of their limits goes with the beats.
+
+import (
+	"context"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/peer"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/sharing"
+)
+
+const (
+	// permitTimeout bounds a question to a coordinator; the limiter waits for less.
+	permitTimeout = 200 * time.Millisecond
+	// limitsTold bounds the limits that a beat tells of, limitEnded is how long the end of one is told.
+	limitsTold = 64
+	limitEnded = 5 * time.Second
+)
+
+// buildLimits lets the dispatcher keep to limits together with the other daemons.
+func (d *Daemon) buildLimits() {
+	x := d.dispatch
+	all := len(d.cfg.Peers) + 1
+	d.seats = &ratelimit.Seats{Now: d.now, All: all, Fresh: func() bool { return 2*len(d.members.Live(d.now())) > all }}
+	x.Limits.Now, x.Limits.Seat, x.Limits.Ask = d.now, d.seats.Of, d.askPermit
+	x.Services.TurnIn, d.routes.TurnIn = x.TurnIn, x.TurnIn
+	x.LimitChanged = func(upstream string, now, was ratelimit.Word) {
+		if !now.Limited() {
+			d.Log.Info("upstream names no limit any more", "upstream", upstream, "was", was.Rate, "was-since", was.Since)
+			return
+		}
+		d.Log.Info("upstream names a limit", "upstream", upstream, "limit", now.Rate, "was", was.Rate)
+	}
+	x.LimitUnclear = func(upstream string, err error) {
+		d.Log.Info("upstream names an unreadable limit", "upstream", upstream, "code", result.CodeOf(err), "error", result.Message(err))
+	}
+	d.engines.Heard, d.engines.Now = x.HeardLimit, d.now
+}
+
+// seat tells who is alive of the daemons that may coordinate upstreams; it belongs to the loop of beats.
+func (d *Daemon) seat() {
+	var names []string
+	for _, p := range d.members.Live(d.now()) {
+		names = append(names, string(p.Name))
+	}
+	entries := sharing.New(string(d.cfg.Name), map[ident.Hall][]string{d.cfg.Hall: names})
+	if d.seated == nil || entries.Total() != d.seated.Total() || entries.Adds(d.seated) {
+		d.seats.Set(entries)
+		d.seated = entries
+	}
+}
+
+// askPermit sends a question to the daemon that coordinates an upstream.
+func (d *Daemon) askPermit(to string, q *ratelimit.Question[string]) {
+	client := d.peers[ident.Daemon(to)]
+	if client == nil {
+		return
+	}
+	go func() {
+		reply, err := client.Permit(context.Background(), permitTimeout, &peer.PermitCall{From: d.cfg.Name, Question: *q})
+		// Without an answer the limiter goes on by itself, and counts that.
+		if err == nil && reply.Known {
+			d.dispatch.Limits.Answered(&reply.Answer)
+		}
+	}()
+}
+
+// handlePermit answers another daemon's question.
+func (d *Daemon) handlePermit(c *peer.PermitCall) peer.PermitReply {
+	a, ok := d.dispatch.Limits.Asked(&c.Question, string(c.From))
+	if !ok {
+		return peer.PermitReply{}
+	}
+	return peer.PermitReply{Known: true, Answer: *a}
+}
+
+// limitsToTell returns what this daemon knows of limits.
+func (d *Daemon) limitsToTell(now time.Time) []peer.Limit {
+	var list []peer.Limit
+	limits := d.dispatch.Limits
+	limits.Words.Each(func(upstream string, w ratelimit.Word) {
+		age := now.Sub(w.At)
+		if len(list) < limitsTold && (w.Limited() || age < limitEnded) {
+			list = append(list, peer.Limit{Upstream: upstream, Rate: w.Rate, Age: age, Own: w.Own})
+		}
+	})
+	for i := range list {
+		_, list[i].Apart = limits.Look(list[i].Upstream)
+	}
+	return list
+}
+
+// hearLimits takes what another daemon knows of limits, and how many take their own parts.
+func (d *Daemon) hearLimits(now time.Time, b *peer.Beat) {
+	apart := map[string]bool{}
+	for i := range b.Limits {
+		l := &b.Limits[i]
+		if l.Own {
+			d.dispatch.Limits.Words.Hear(l.Upstream, l.Rate, now.Add(-max(0, l.Age)))
+		}
+		if l.Apart {
+			apart[l.Upstream] = true
+		}
+	}
+	d.dispatch.Limits.HearApart(string(b.From), apart)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
@@ -64,6 +65,11 @@
 	Holds func(r *quarantine.Report, left time.Duration)
 	// Asked is told of heads of groups that ask for time.
 	Asked func(head ident.Incarnation, asked time.Duration)
+	// Limits keep this daemon, together with all others, within the limits that upstreams name, by their addresses.
+	Limits *ratelimit.Limiter[string]
+	// LimitChanged is told of limits that begin, change and end, LimitUnclear of what can't be read.
+	LimitChanged func(address string, now, was ratelimit.Word)
+	LimitUnclear func(address string, err error)
 	// Services serves plain services.
 	Services *Services
 
@@ -219,6 +225,10 @@
 		Holds:   func(*quarantine.Report, time.Duration) {},
 		Asked:   func(ident.Incarnation, time.Duration) {},
 
+		LimitChanged: func(string, ratelimit.Word, ratelimit.Word) {},
+		LimitUnclear: func(string, error) {},
+
 		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()},
+		Limits:     ratelimit.NewLimiter[string](),
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -8,6 +8,7 @@
 	"github.com/dunlinquay/dunlinquay/admission"
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/engine"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
@@ -43,6 +44,12 @@
 			j.d.Table.Done(j.target)
 			return nil, err
 		}
+		if p := j.d.turn(ctx, j.target.Head, j.r.Deadline, j.want.Waits); !p.OK {
+			if err := j.withoutTurn(ctx, &p); err != nil {
+				return nil, j.final(err)
+			}
+			continue
+		}
 		j.t.Tries++
 		target := j.target
 		answer, err := j.try(ctx)
@@ -61,6 +68,17 @@
 	}
 }
 
+// withoutTurn takes another target for a request that got no turn, or returns its refusal.
+func (j *job) withoutTurn(ctx context.Context, p *ratelimit.Permit) error {
+	waited := j.want.Waits
+	j.endTrial(j.target, false)
+	j.d.Table.Done(j.target)
+	if waited {
+		return refuseTurn(p, j.r.Model)
+	}
+	return j.takeAgain(ctx)
+}
+
 // lasting chooses between the failure of the last try and the reason for which there is no other: only when
 // nothing has run may the answer be a refusal.
 func (j *job) lasting(err, retryErr error) error {
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/ledger"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/routing"
 )
@@ -22,10 +23,12 @@
 	inFlight atomic.Int64
 }
 
-// chosen is a worker that has one more call in flight, and whether that call finds out if it takes calls again.
+// chosen is a worker that has one more call in flight, whether that call finds out if it takes calls again, and whether it waits for its
+// turn there.
 type chosen struct {
 	*Worker
 	trial bool
+	waits bool
 }
 
 // ServicePool is the workers of one plain service.
@@ -43,6 +46,8 @@
 	Send func(ctx context.Context, address string, c *Call) (*Reply, error)
 	// Backoff is what workers asked this daemon for, by their addresses; one that can't be reached is passed over as one that refuses.
 	Backoff *backoff.List[string]
+	// TurnIn returns how long until the worker at an address has a turn for a call within its limit, 0 when it may have one now.
+	TurnIn func(now time.Time, address string) time.Duration
 	// Asked is told of workers that ask for time, or for what can't be read.
 	Asked func(address string, asked time.Duration, err error)
 	// Random returns a number in [0, n).
@@ -52,6 +57,8 @@
 const (
 	// unreachedFor is how long a worker that could not be reached is passed over.
 	unreachedFor = time.Second
+	// turnLeast is when a call shall come back at the earliest that found neither a free worker nor a turn.
+	turnLeast    = 100 * time.Millisecond
 	defaultSlots = 64
 )
 
@@ -59,7 +66,8 @@
 func NewServices(pools map[ident.Service]*ServicePool) *Services {
 	rule := backoff.DefaultRule()
 	rule.Unsaid = unreachedFor
-	return &Services{Pools: pools, Random: rand.IntN, Backoff: backoff.New[string](rule), Asked: func(string, time.Duration, error) {}}
+	return &Services{Pools: pools, Random: rand.IntN, Backoff: backoff.New[string](rule), Asked: func(string, time.Duration, error) {},
+		TurnIn: func(time.Time, string) time.Duration { return 0 }}
 }
 
 // NewPool returns a pool of workers at addresses; slots 0 takes a default.
@@ -98,26 +106,51 @@
 		switch {
 		case asked.Left > 0:
 			anyAsked = anyAsked || asked.Asked
-			if free == 0 || asked.Left < free {
-				free = asked.Left
-			}
-		case w == avoid && len(p.Workers) > 1:
+			free = soonest(free, asked.Left)
+		case w == avoid && len(p.Workers) > 1, s.TurnIn(now, w.Address) > 0:
 		case asked.Busy || int(w.inFlight.Load()) >= p.Slots:
 			verdict = routing.Full
 		case best == nil || w.inFlight.Load() < best.inFlight.Load():
 			best = w
 		}
 	}
-	switch {
-	case best != nil:
+	if best != nil {
 		best.inFlight.Add(1)
-		return chosen{best, s.Backoff.Begin(now, best.Address)}, routing.Chosen, 0
-	case verdict == routing.NotWhole && anyAsked:
+		return chosen{best, s.Backoff.Begin(now, best.Address), false}, routing.Chosen, 0
+	}
+	next := s.nextTurn(now, p)
+	switch {
+	case verdict != routing.NotWhole:
+	case next != nil:
+		next.inFlight.Add(1)
+		return chosen{next, false, true}, routing.Chosen, 0
+	case anyAsked:
 		return chosen{}, routing.BackedOff, free
 	}
 	return chosen{}, verdict, 0
 }
 
+// soonest returns the shorter of two times, of which 0 is none.
+func soonest(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// nextTurn returns the worker that has a turn within its limit soonest, of those that have one later.
+func (s *Services) nextTurn(now time.Time, p *ServicePool) *Worker {
+	var next *Worker
+	var soonest time.Duration
+	for _, w := range p.Workers {
+		wait := s.TurnIn(now, w.Address)
+		if wait > 0 && s.Backoff.Of(now, w.Address).Left <= 0 && (next == nil || wait < soonest) {
+			next, soonest = w, wait
+		}
+	}
+	return next
+}
+
 // done gives back what take counted, and keeps what the worker asked for in its reply.
 func (s *Services) done(now time.Time, c chosen, reply *Reply, err error) {
 	c.inFlight.Add(-1)
@@ -228,9 +261,22 @@
 			d.Services.done(d.Now(), worker, nil, err)
 			return nil, err
 		}
+		if p := d.turn(ctx, worker.Address, c.Deadline, worker.waits); !p.OK {
+			d.Services.done(d.Now(), worker, nil, nil)
+			next, err := d.withoutTurn(pool, worker, &p)
+			if err != nil {
+				return nil, finalCall(err, ran)
+			}
+			worker = next
+			continue
+		}
 		t.Tries++
+		sent := d.Now()
 		reply, err := d.Services.Send(ctx, worker.Address, c)
 		d.Services.done(d.Now(), worker, reply, err)
+		if reply != nil {
+			d.HeardLimit(worker.Address, sent, reply.Status, reply.Header)
+		}
 		d.concluded(c.work(), worker.Address, c.life(worker.Worker, t.Tries), err)
 		if err == nil {
 			return reply, nil
@@ -251,6 +297,21 @@
 	}
 }
 
+// withoutTurn returns another worker for a call that got no turn, or its refusal.
+func (d *Dispatcher) withoutTurn(pool *ServicePool, worker chosen, p *ratelimit.Permit) (chosen, error) {
+	if worker.waits {
+		return chosen{}, refuseTurn(p, ServiceModel(pool.Name))
+	}
+	next, verdict, free := d.Services.take(d.Now(), pool, nil)
+	switch verdict {
+	case routing.Chosen:
+		return next, nil
+	case routing.BackedOff:
+		return chosen{}, admission.RefuseAway(free, ServiceModel(pool.Name))
+	}
+	return chosen{}, admission.Refuse(result.Overloaded, max(p.After, turnLeast), "all workers of %q are full or have no turn", pool.Name)
+}
+
 func (d *Dispatcher) mayCallAgain(ctx context.Context, c *Call, err error, tries int) bool {
 	if ctx.Err() != nil || tries >= maxTries {
 		return false
--- a/engine/client.go
+++ b/engine/client.go
@@ -25,6 +25,7 @@
 	fast "github.com/segmentio/encoding/json"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -40,11 +41,14 @@
 type Client struct {
 	// HTTP carries the calls; it must neither follow redirects nor retry.
 	HTTP *http.Client
+	// Heard takes the head of each answer to a request that was sent at a time.
+	Heard func(address string, sent time.Time, status int, h http.Header)
+	Now   func() time.Time
 }
 
 // NewClient returns a client that keeps connections and follows no redirects.
 func NewClient(dial transport.Dial) *Client {
-	return &Client{HTTP: transport.New(transport.Kept, dial)}
+	return &Client{HTTP: transport.New(transport.Kept, dial), Heard: func(string, time.Time, int, http.Header) {}, Now: clock.Now}
 }
 
 // State probes the engine at address.
@@ -150,10 +154,12 @@
 	}
 	r.ContentLength = int64(len(body))
 	r.Header.Set("Content-Type", "application/json")
+	sent := c.Now()
 	w, err := c.HTTP.Do(r)
 	if err != nil {
 		return nil, transport.Classify(err)
 	}
+	c.Heard(address, sent, w.StatusCode, w.Header)
 	if w.StatusCode != http.StatusOK {
 		defer w.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(w.Body, maxSmallAnswer))
--- a/engine/standin.go
+++ b/engine/standin.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/standin"
 )
 
@@ -52,6 +53,8 @@
 	CutAfter atomic.Int64
 	// Foreign makes it answer with another request's id.
 	Foreign atomic.Bool
+	// Limit is how many requests a second it names as its limit; 0 names none.
+	Limit atomic.Int64
 	// Refuse makes it refuse every request as not run.
 	Refuse atomic.Bool
 
@@ -327,6 +330,7 @@
 		id = "somebody-else"
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
+	ratelimit.Say(w.Header(), ratelimit.Rate(s.Limit.Load()))
 	flush := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
 	cut := int(s.CutAfter.Load())
--- a/peer/client.go
+++ b/peer/client.go
@@ -128,6 +128,12 @@
 	return reply, err
 }
 
+// Permit asks the coordinator of an upstream for one request there.
+func (c *Client) Permit(ctx context.Context, timeout time.Duration, call *PermitCall) (reply PermitReply, err error) {
+	err = c.call(ctx, timeout, "Permit", call, &reply)
+	return reply, err
+}
+
 // call makes one call; after a failure of the connection the next call opens another one.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
 	c.once.Do(func() {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -1,12 +1,15 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/dunlinquay/dunlinquay/admission"
 	"github.com/dunlinquay/dunlinquay/fleet"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/presence"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -23,6 +26,30 @@
 	Demands      []admission.Demand
 	// Held are works under which upstreams ended, as the sender knows them.
 	Held []quarantine.Report
+	// Limits are what the sender knows of the limits of upstreams.
+	Limits []Limit
+}
+
+// Limit is what an upstream told a daemon of its limit, 0 for none any more, and how long ago.
+type Limit struct {
+	Upstream string
+	Rate     ratelimit.Rate
+	Age      time.Duration
+	// Own is set when the upstream told the sender, Apart when the sender can't reach the coordinator and takes its own part.
+	Own   bool
+	Apart bool
+}
+
+// PermitCall asks the coordinator of an upstream for one request there.
+type PermitCall struct {
+	From     ident.Daemon
+	Question ratelimit.Question[string]
+}
+
+// PermitReply is its answer, when Known is set.
+type PermitReply struct {
+	Known  bool
+	Answer ratelimit.Answer[string]
 }
 
 // BeatReply is the receiver's side; Shares come from the control leader only.
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,6 +15,7 @@
 	Propose func(c *ProposeCall) ProposeReply
 	Hello   func() (HelloReply, error)
 	Admit   func(c *AdmitCall) AdmitReply
+	Permit  func(c *PermitCall) PermitReply
 }
 
 // Service is the receiver that net/rpc calls; its methods are the wire interface.
@@ -63,6 +64,12 @@
 	return nil
 }
 
+// Permit answers whether a request may go to an upstream with a limit.
+func (s *Service) Permit(c *PermitCall, reply *PermitReply) error {
+	*reply = s.handlers.Permit(c)
+	return nil
+}
+
 // serviceName is the name under which the methods stand on the wire.
 const serviceName = "Peer"
 
--- a/ratelimit/grants.go
+++ b/ratelimit/grants.go
@@ -63,11 +63,7 @@
 // nowhere else to go gets the next turn that is free within that time, or knows at once that there is none.
 func (g *Grants[K]) Ask(now time.Time, k K, rate Rate, who string, patience time.Duration) Grant {
 	interval := rate.Interval()
-	t := g.turns[k]
-	if t == nil {
-		t = &turn{last: now.Add(-time.Duration(g.Over() * float64(interval))), askers: map[string]time.Time{}}
-		g.turns[k] = t
-	}
+	t := g.turn(now, k, interval)
 	t.ask(now, who, interval)
 	if rate < t.rate && t.last.After(now) {
 		// Turns that were given out at a higher limit are given up by those that have them.
@@ -90,6 +86,23 @@
 	return Grant{After: wait - early + time.Duration(spread*float64(time.Second)), Sharers: t.sharers}
 }
 
+// Hold lets no request go to an upstream before a time.
+func (g *Grants[K]) Hold(now time.Time, k K, rate Rate, until time.Time) {
+	interval := rate.Interval()
+	t := g.turn(now, k, interval)
+	t.last = later(t.last, until.Add(-interval))
+}
+
+// turn returns where an upstream stands.
+func (g *Grants[K]) turn(now time.Time, k K, interval time.Duration) *turn {
+	t := g.turns[k]
+	if t == nil {
+		t = &turn{last: now.Add(-time.Duration(g.Over() * float64(interval))), askers: map[string]time.Time{}}
+		g.turns[k] = t
+	}
+	return t
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -114,6 +114,8 @@
 	asked   map[uint64]chan *Answer[K]
 	// apart is how many entries go by their own parts of the limits that this one coordinates.
 	apart map[K]int
+	// apartOf are the limits of which each entry takes its own part.
+	apartOf map[string]map[K]bool
 }
 
 // state is what this entry knows of an upstream's limit.
@@ -156,7 +158,7 @@
 		Words: NewWords[K](), Now: time.Now, Draw: rand.Float64,
 		Seat: func(K) Seat { return Seat{Self: true, Entries: 1} },
 		Ask:  func(string, *Question[K]) {}, Observe: func(Outcome) {},
-		states: map[K]*state{}, asked: map[uint64]chan *Answer[K]{},
+		states: map[K]*state{}, asked: map[uint64]chan *Answer[K]{}, apartOf: map[string]map[K]bool{},
 	}
 	draw := func() float64 { return l.Draw() }
 	// A coordinator begins with a whole interval, whatever was sent before. Parts of many entries begin at random, so that they do not
@@ -208,9 +210,6 @@
 
 // grant answers who asks this entry as coordinator; the mutex is held.
 func (l *Limiter[K]) grant(k K, rate Rate, seat Seat, who string, patience time.Duration) Grant {
-	if seat.Quiet > 0 {
-		return Grant{After: seat.Quiet, Sharers: 1}
-	}
 	if apart := l.apart[k]; apart > 0 {
 		// Those that can't ask take their parts all the same: without this an upstream got nearly twice its limit where datagrams between
 		// entries are filtered.
@@ -219,7 +218,11 @@
 	if l.granted.Len() > sweepAt {
 		l.granted.Keep(l.isLimited)
 	}
-	return l.granted.Ask(l.Now(), k, rate, who, patience)
+	now := l.Now()
+	if seat.Quiet > 0 {
+		l.granted.Hold(now, k, rate, now.Add(seat.Quiet))
+	}
+	return l.granted.Ask(now, k, rate, who, patience)
 }
 
 // SetApart tells how many entries go by their own parts of limits.
@@ -229,6 +232,25 @@
 	l.apart = apart
 }
 
+// HearApart takes of which limits one entry takes its own part, where entries tell each other and nobody counts them.
+func (l *Limiter[K]) HearApart(entry string, of map[K]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apartOf[entry] = of
+	if len(of) == 0 {
+		delete(l.apartOf, entry)
+	}
+	l.apart = nil
+	for _, of := range l.apartOf {
+		for k := range of {
+			if l.apart == nil {
+				l.apart = map[K]int{}
+			}
+			l.apart[k]++
+		}
+	}
+}
+
 func (l *Limiter[K]) isLimited(k K) bool { return l.Words.Of(k).Limited() }
 
 // obey notes what was granted, and makes a permit of it; the mutex is held.
--- a/ratelimit/rate.go
+++ b/ratelimit/rate.go
@@ -13,6 +13,9 @@
 // Rate is a number of requests a second.
 type Rate float64
 
+// Header is the name by which engines and workers of our own interface name their limit; another platform may have another one.
+const Header = "Request-Rate-Limit"
+
 // textMost bounds the text of a rate.
 const textMost = 40
 
@@ -36,6 +39,13 @@
 	return lowest, named, nil
 }
 
+// Say names a rate in the header of an answer, none when it is 0.
+func Say(h http.Header, r Rate) {
+	if r > 0 {
+		h.Set(Header, strconv.FormatFloat(float64(r), 'f', -1, 64))
+	}
+}
+
 // read reads digits with at most one point among them.
 func read(text string) (Rate, error) {
 	if len(text) > textMost {
--- a/routing/table.go
+++ b/routing/table.go
@@ -30,6 +30,8 @@
 	// how long until the first target may be tried.
 	Trial bool
 	Free  time.Duration
+	// Waits is set by Take when every target that could serve has a limit and no turn now: the request waits for one at the chosen target.
+	Waits bool
 }
 
 // Costs are the seconds by which the parts of a choice are weighed.
@@ -65,6 +67,8 @@
 	Record *Record
 	// Backoff is what the heads of targets asked this daemon for.
 	Backoff *backoff.List[ident.Incarnation]
+	// TurnIn returns how long until the head at an address has a turn for a request within its limit, 0 when it may have one now.
+	TurnIn func(now time.Time, head string) time.Duration
 	// Random returns a number in [0, n); tests give it a seed.
 	Random func(n int) int
 
@@ -75,6 +79,7 @@
 func NewTable(hall ident.Hall, bound time.Duration) *Table {
 	t := &Table{Hall: hall, Bound: bound, Costs: DefaultCosts(), Record: NewRecord(defaultRecordSize), Random: rand.IntN}
 	t.Backoff = backoff.New[ident.Incarnation](backoff.DefaultRule())
+	t.TurnIn = func(time.Time, string) time.Duration { return 0 }
 	t.Replace(nil, nil)
 	return t
 }
@@ -120,6 +125,7 @@
 	if len(targets) == 0 {
 		return nil, NotWhole
 	}
+	ask.Waits = false
 	warm, depth := t.Record.find(ix, ask.Prefixes)
 	best := t.best(now, ask, targets, warm, depth)
 	if best == nil {
@@ -172,7 +178,7 @@
 // cost returns the expected seconds until the first token beyond the unavoidable; ok is false when the target cannot take the request now.
 func (t *Table) cost(now time.Time, ask *Ask, c *Target, cached float64) (seconds float64, ok bool) {
 	slots, busy := c.load()
-	if busy >= slots || !c.Whole(now, t.Bound) || !t.Backoff.Of(now, c.Life()).Admits() {
+	if busy >= slots || !c.Whole(now, t.Bound) || !t.Backoff.Of(now, c.Life()).Admits() || t.TurnIn(now, c.Head) > 0 {
 		return 0, false
 	}
 	seconds = t.Costs.Service * float64(busy) / float64(slots)
@@ -201,7 +207,7 @@
 			}
 			continue
 		}
-		if c == ask.Avoid {
+		if c == ask.Avoid || t.TurnIn(now, c.Head) > 0 {
 			continue
 		}
 		if _, ok := t.cost(now, ask, c, 0); ok {
@@ -216,12 +222,32 @@
 			return ask.Avoid, Chosen
 		}
 	}
-	if verdict == NotWhole && ask.Free > 0 {
+	if verdict != NotWhole {
+		return nil, verdict
+	}
+	if next := t.nextTurn(now, targets); next != nil {
+		ask.Waits = true
+		return next, Chosen
+	}
+	if ask.Free > 0 {
 		verdict = BackedOff
 	}
 	return nil, verdict
 }
 
+// nextTurn returns the whole target that has a turn within its limit soonest, of those that have one later.
+func (t *Table) nextTurn(now time.Time, targets []*Target) *Target {
+	var next *Target
+	var soonest time.Duration
+	for _, c := range targets {
+		wait := t.TurnIn(now, c.Head)
+		if wait > 0 && c.Whole(now, t.Bound) && t.askedFor(now, c) == 0 && (next == nil || wait < soonest) {
+			next, soonest = c, wait
+		}
+	}
+	return next
+}
+
 // askedFor returns how long a whole target wants nothing yet because it asked for time.
 func (t *Table) askedFor(now time.Time, c *Target) time.Duration {
 	asked := t.Backoff.Of(now, c.Life())
--- a/service/standin.go
+++ b/service/standin.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/standin"
 )
 
@@ -27,6 +28,10 @@
 	*standin.Server
 	// Delay is how long each call takes.
 	Delay time.Duration
+	// Limit is how many calls a second it names as its limit; 0 names none.
+	Limit ratelimit.Rate
+	// OnCall is told of each call; it must not block.
+	OnCall func()
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -34,7 +39,7 @@
 
 // NewStandIn returns a stand-in that answers at once.
 func NewStandIn() *StandIn {
-	return &StandIn{Server: standin.NewServer(), runs: map[string]int{}}
+	return &StandIn{Server: standin.NewServer(), OnCall: func() {}, runs: map[string]int{}}
 }
 
 // Start listens on address (host:port, port 0 for any).
@@ -61,6 +66,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.OnCall()
 	time.Sleep(s.Delay)
 	key := fmt.Sprint(r.Method, " ", r.URL.RequestURI(), " ", string(body))
 	s.mu.Lock()
@@ -68,5 +74,6 @@
 	run := s.runs[key]
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
+	ratelimit.Say(w.Header(), s.Limit)
 	_ = json.NewEncoder(w).Encode(Effect{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: string(body), Run: run})
 }
