Show which words of upstreams nothing reads

Change: package unread; a header that is neither standard, known nor declared as the application's own is logged once a life, told to the leader and shown by site explain; the same for engines' answers to orders.

--- a/backoff/header.go
+++ b/backoff/header.go
@@ -30,6 +30,8 @@
 	Limit    ratelimit.Rate
 	Limited  bool
 	LimitErr error
+	// Header is the head of the answer, nil where it is not known who answered.
+	Header http.Header
 }
 
 // Words are the names of the headers in which upstreams ask for what HTTP has no word for.
@@ -45,7 +47,7 @@
 		return Notice{}
 	}
 	text := resp.Header.Get("Retry-After")
-	w := Notice{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(words.Leaving) != ""}
+	w := Notice{Text: text[:min(textMost, len(text))], Leaving: resp.Header.Get(words.Leaving) != "", Header: resp.Header}
 	w.Limit, w.Limited, w.LimitErr = ratelimit.Named(resp.Header, words.Limit)
 	if TurnsAway(resp.StatusCode) {
 		w.Asked, w.Err = Asked(resp.Header, now)
--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -124,6 +124,21 @@
 	}
 }
 
+// unreadTable shows what upstreams say that nothing reads.
+func unreadTable(t io.Writer, list []site.UpstreamState) {
+	head := "\nUPSTREAM\tWORDS THAT NOTHING READS"
+	for i := range list {
+		if len(list[i].Unread) == 0 {
+			continue
+		}
+		if head != "" {
+			fmt.Fprintln(t, head)
+			head = ""
+		}
+		fmt.Fprintf(t, "%s\t%s\n", list[i].ID, strings.Join(list[i].Unread, ", "))
+	}
+}
+
 // ago writes how long ago something was, nothing where it never was.
 func ago(ms int64) string {
 	if ms < 0 {
@@ -235,6 +250,7 @@
 	}
 	askedTable(t, s.Upstreams)
 	limitTable(t, s.Upstreams)
+	unreadTable(t, s.Upstreams)
 	heldTable(t, s.Held)
 	if len(s.Decisions) > 0 {
 		fmt.Fprintln(t, "\nAT\tGROUP\tDECISION\tREASON")
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -13,10 +13,13 @@
 
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/eventlog"
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/platform"
+	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/site"
 	"github.com/dunlinquay/dunlinquay/transport"
+	"github.com/dunlinquay/dunlinquay/unread"
 )
 
 const (
@@ -69,12 +72,21 @@
 	clock.OnAwake(func(away time.Duration) { log.Info("the VM was suspended", "for-ms", away.Milliseconds()) })
 }
 
+// namesOf returns the headers of the platform, and those that the settings declare.
+func namesOf(cfg *settings.Site) relay.Names {
+	names := platform.Names()
+	names.Application = append(names.Application, cfg.ApplicationHeaders...)
+	return names
+}
+
 func runControl(ctx context.Context, cfg *settings.Site, log *eventlog.Log, reread func() (*settings.Site, error)) error {
 	c, err := site.NewControl(cfg)
 	if err != nil {
 		return err
 	}
 	c.Log = log.Events()
+	names := namesOf(cfg)
+	c.Unread = unread.New[ident.Incarnation](names.Known()...)
 	c.Dial = transport.Guarded()
 	c.DecodeConfig = platform.DecodeConfig
 	orders, paces := platform.NewOrders(transport.Guarded()), platform.NewPaces(transport.Guarded())
@@ -90,7 +102,7 @@
 }
 
 func runEntry(ctx context.Context, cfg *settings.Site, log *eventlog.Log, reread func() (*settings.Site, error)) error {
-	e := site.NewEntry(cfg, platform.Names(), transport.Guarded())
+	e := site.NewEntry(cfg, namesOf(cfg), transport.Guarded())
 	e.Log = log.Events()
 	e.Requests = log.Requests()
 	e.DecodeConfig = platform.DecodeConfig
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -29,6 +29,8 @@
 	// AskingLimit means that it names a limit, or another one than before; AskingNoLimit that it names none any more.
 	AskingLimit   AskingKind = "names a limit"
 	AskingNoLimit AskingKind = "names no limit any more"
+	// AskingUnread means that it says something that nothing here reads.
+	AskingUnread AskingKind = "says what nothing reads"
 )
 
 // Asking tells operators that what an upstream asks of this entry has changed.
@@ -45,6 +47,9 @@
 	Limit ratelimit.Rate
 	Was   ratelimit.Rate
 	Since time.Time
+	// Word is a header that nothing reads, Value what stands in it.
+	Word  string
+	Value string
 }
 
 // heed takes what the upstream asks for in the head of an answer, also of one to an earlier request on the connection.
@@ -65,8 +70,15 @@
 		f.tellEntries(a.For)
 	}
 	f.heedLimit(now)
+	for _, word := range s.Unread.Note(f.t.id, f.notice.Header) {
+		value := f.notice.Header.Get(word)
+		s.tellAsked(&Asking{Upstream: f.t.id, Group: f.t.group, Word: word, Value: value[:min(valueMost, len(value))]}, AskingUnread)
+	}
 }
 
+// valueMost bounds what is told of a word that nothing reads.
+const valueMost = 80
+
 // heedLimit takes the limit that the upstream names.
 func (f *follower) heedLimit(now time.Time) {
 	s, a := f.x.s, &Asking{Upstream: f.t.id, Group: f.t.group, Limit: f.notice.Limit, Err: f.notice.LimitErr}
--- a/relay/names.go
+++ b/relay/names.go
@@ -30,4 +30,13 @@
 	Priority string
 	// Words are those in which upstreams ask for something.
 	Words backoff.Words
+	// Application are headers of answers that are between the application and its callers.
+	Application []string
+}
+
+// Known returns the headers of answers that are read here, or that are not meant for us.
+func (n *Names) Known() []string {
+	return append([]string{
+		n.RequestID, n.Signature, n.NotRun, n.Blamed, n.EventID, n.Words.Leaving, n.Words.Limit,
+	}, n.Application...)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinquay/dunlinquay/sharing"
 	"github.com/dunlinquay/dunlinquay/stall"
 	"github.com/dunlinquay/dunlinquay/transport"
+	"github.com/dunlinquay/dunlinquay/unread"
 )
 
 const (
@@ -63,6 +64,8 @@
 	Asked   func(a *Asking)
 	// Limits keep this entry, together with all others, within the limits that upstreams named.
 	Limits *ratelimit.Limiter[ident.Incarnation]
+	// Unread is what upstreams say in their answers that nothing here reads.
+	Unread *unread.List[ident.Incarnation]
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
@@ -126,6 +129,7 @@
 	}
 	s.fleet = newFleet(s.copied, nil, nil)
 	s.Limits = s.newLimits()
+	s.Unread = unread.New[ident.Incarnation](names.Known()...)
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
 	return s
 }
@@ -169,6 +173,7 @@
 		}
 	}
 	s.mu.Unlock()
+	s.Unread.Keep(func(id ident.Incarnation) bool { return f.lives[id] })
 	s.pool.prune(func(address string) bool { return f.addresses[address] })
 }
 
--- a/settings/site.go
+++ b/settings/site.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
@@ -33,6 +34,9 @@
 	Quarantine Quarantine `json:"quarantine"`
 	Backoff    Backoff    `json:"backoff"`
 	Times      SiteTimes  `json:"times"`
+	// ApplicationHeaders are headers in answers of upstreams that are between the application and its callers: no operator is told that
+	// nothing here reads them.
+	ApplicationHeaders []string `json:"application-headers"`
 }
 
 // SiteListen are the host:port pairs on which a daemon of a site listens.
@@ -162,6 +166,11 @@
 	}
 	cfg.Quarantine.check(d)
 	cfg.Backoff.check(d)
+	for i, name := range cfg.ApplicationHeaders {
+		if name == "" || strings.Trim(name, headerSigns) != "" {
+			d.atf("application-headers["+strconv.Itoa(i)+"]", result.SettingsValue, "%q is not the name of a header", name)
+		}
+	}
 	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
 		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
 	}
@@ -188,6 +197,9 @@
 	}
 }
 
+// headerSigns are the signs of the names of headers (RFC 9110, section 5.6.2).
+const headerSigns = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 const (
 	// backoffLeast lets an upstream that is overrun finish what it has, backoffMost is when one that asked for it works again at the
 	// latest; leavingLeast is longer than an upstream takes to end once it has said that it leaves.
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -35,6 +35,7 @@
 		c.Log.Info("upstream asked for time", "upstream", id, "retry-after", w.Text, "asked-ms", w.Asked.Milliseconds())
 	}
 	c.heardLimit(id, &w, now)
+	c.heardUnread(id, w.Header)
 	if r := c.reign.Load(); w.Leaving && r != nil {
 		r.drain(id, "this daemon")
 	}
@@ -130,11 +131,15 @@
 	if a.Kind == relay.AskingLimit || a.Kind == relay.AskingNoLimit {
 		fields = append(fields, "limit", a.Limit, "was", a.Was, "was-since", a.Since)
 	}
+	if a.Kind == relay.AskingUnread {
+		fields = append(fields, "word", a.Word, "value", a.Value)
+		e.unread.add(a.Upstream, a.Word)
+	}
 	if a.Err != nil {
 		fields = append(fields, "code", result.CodeOf(a.Err), "error", result.Message(a.Err))
 	}
 	log := e.Log
-	if a.Kind == relay.AskingUnclear {
+	if a.Kind == relay.AskingUnclear || a.Kind == relay.AskingUnread {
 		// Each answer may have one; what changes a state is kept when the log falls behind.
 		log = e.Requests
 	}
--- a/site/control.go
+++ b/site/control.go
@@ -27,6 +27,7 @@
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/transport"
+	"github.com/dunlinquay/dunlinquay/unread"
 )
 
 const (
@@ -52,6 +53,8 @@
 	Handler http.Handler
 	// Reread reads the settings again.
 	Reread func() (*settings.Site, error)
+	// Unread is what upstreams say in their answers that nothing reads.
+	Unread *unread.List[ident.Incarnation]
 
 	self      quorum.MemberID
 	folder    *disk.Folder
@@ -108,6 +111,7 @@
 	c.machine.Changed = c.configChanged
 	c.held = &quarantine.List{Rule: heldRule(&cfg.Quarantine)}
 	c.limits = ratelimit.NewWords[ident.Incarnation]()
+	c.Unread = unread.New[ident.Incarnation]()
 	c.asked = backoff.New[ident.Incarnation](backoffRule(&cfg.Backoff))
 	c.reports = newReports(c.passReports)
 	c.meter = meter.New()
--- a/site/entries.go
+++ b/site/entries.go
@@ -82,6 +82,9 @@
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
 	r.c.hearLimits(now, call)
+	for id, words := range call.Unread {
+		r.c.Unread.Add(id, words)
+	}
 	own := map[ident.Incarnation]int{}
 	for i := range call.Seen {
 		seen := &call.Seen[i]
--- a/site/entry.go
+++ b/site/entry.go
@@ -49,6 +49,7 @@
 	neighbours *neighbours
 	meter      *meter.Meter
 	numbers    *numbers
+	unread     unreadNews
 	// body is the configuration in force as operators sent it; wantWhole is set when a change did not fit it. Both belong to the
 	// goroutine that follows the leader.
 	body      []byte
@@ -166,6 +167,7 @@
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
 	e.tellHeld(call)
+	call.Unread = e.unread.toTell()
 	e.countAsked(e.relay.Now())
 }
 
@@ -174,6 +176,9 @@
 	// Before anything that lets requests go: an entry that has just started knows of no work that is held.
 	e.hearHeld(r)
 	e.hearLimits(r)
+	if e.unread.told(r.Reign) {
+		e.tellAllUnread()
+	}
 	newest := e.takeConfig(r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/unread"
 )
 
 // NextMembers lets the external tests drive membership without daemons.
@@ -121,7 +122,10 @@
 // NewReign returns a reign that has heard of nobody.
 func NewReign() Reigning {
 	return Reigning{&reign{
-		c: &Control{Log: logr.Discard(), limits: ratelimit.NewWords[ident.Incarnation]()}, roster: roster.New(),
+		c: &Control{
+			Log: logr.Discard(), limits: ratelimit.NewWords[ident.Incarnation](), Unread: unread.New[ident.Incarnation](),
+		},
+		roster:  roster.New(),
 		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
 		paces: newPaces(nil, logr.Discard()),
 	}}
@@ -151,6 +155,18 @@
 	return r.asked(now)
 }
 
+// NoteUnread notes a word of an upstream that nothing reads.
+func (e *Entry) NoteUnread(id ident.Incarnation, word string) {
+	e.relay.Unread.Add(id, []string{word})
+	e.noteAsking(&relay.Asking{Kind: relay.AskingUnread, Upstream: id, Word: word})
+}
+
+// Unread returns the words of an upstream that nothing reads.
+func (r Reigning) Unread(id ident.Incarnation) []string { return r.c.Unread.Of(id) }
+
+// ForgetUnread forgets those of upstreams that have ended.
+func (r Reigning) ForgetUnread(now time.Time) { r.forgetUnread(now) }
+
 // LimitsTold returns the limits that entries are told of.
 func (r Reigning) LimitsTold(now time.Time) map[ident.Incarnation]LimitTold { return r.limitsTold(now) }
 
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -70,6 +70,8 @@
 	Asked []AskedState `json:"asked"`
 	// Limit is the limit that it has named, nil where it has none.
 	Limit *LimitState `json:"limit,omitempty"`
+	// Unread are words in its answers that nothing reads.
+	Unread []string `json:"unread,omitempty"`
 }
 
 // GroupDecision is one decision on a group and its reason.
@@ -145,7 +147,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		s.Upstreams = append(s.Upstreams, UpstreamState{
-			u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u), asked[u.ID], limits[u.ID],
+			u.ID, u.Service, u.Address, u.Hall, u.Domain, ages[u.ID].Milliseconds(), r.place(u), asked[u.ID], limits[u.ID], r.c.Unread.Of(u.ID),
 		})
 	}
 	return s
--- a/site/messages.go
+++ b/site/messages.go
@@ -63,6 +63,8 @@
 	// that it has to tell.
 	Held    []quarantine.Report
 	HeldSum uint64
+	// Unread are words of upstreams that nothing reads, which the leader was not told of yet.
+	Unread map[ident.Incarnation][]string
 }
 
 // ListName is a digest of a list of addresses, 0 of none.
--- a/site/reign.go
+++ b/site/reign.go
@@ -73,6 +73,8 @@
 	early      bool
 	probes     *probes
 	paces      *paces
+	// forgotAt is when what ended upstreams said was last forgotten.
+	forgotAt time.Time
 	// known is how many upstreams there were, firstArrived and lastArrived when the first and the newest one was seen.
 	known        int
 	firstArrived time.Time
@@ -207,6 +209,7 @@
 		return
 	}
 	r.roster.Expire(now)
+	r.forgetUnread(now)
 	table := r.c.newestTable()
 	if table == nil {
 		return
--- /dev/null
+++ b/unread/doc.go
@@ -0,0 +1,2 @@
+// Package unread keeps which words upstreams say in their answers that nothing here reads.
+package unread
--- /dev/null
+++ b/unread/list.go
@@ -0,0 +1,117 @@
+package unread
+
+// A peer may say what it wants with a word that this build does not know. Nobody
+// acts on it then, and nobody sees that: callers and upstreams suffer first. So
+// each header of an answer that is neither known here, nor standard, nor declared
+// as the application's own is noted once for each life of an upstream:
+//
+//	Content-Type: text/event-stream     standard
+//	Request-Id: 17                      known
+//	Weight-Versions: 3                  the application's own, by the settings
+//	Queue-Hint: 7                       noted
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+)
+
+const (
+	// namesMost bounds the names that are kept of one upstream, livesMost the upstreams: an upstream may make names up.
+	namesMost = 8
+	livesMost = 4096
+	// nameMost bounds a name.
+	nameMost = 64
+)
+
+// standard are the headers that HTTP and what is usual around it define for answers; they concern what carries an answer, or the caller.
+var standard = set(
+	"Accept-Ranges", "Access-Control-Allow-Credentials", "Access-Control-Allow-Headers", "Access-Control-Allow-Methods",
+	"Access-Control-Allow-Origin", "Access-Control-Expose-Headers", "Access-Control-Max-Age", "Age", "Allow", "Alt-Svc", "Cache-Control",
+	"Connection", "Content-Disposition", "Content-Encoding", "Content-Language", "Content-Length", "Content-Location", "Content-Range",
+	"Content-Security-Policy", "Content-Type", "Date", "Etag", "Expires", "Keep-Alive", "Last-Modified", "Link", "Location", "Pragma",
+	"Proxy-Authenticate", "Referrer-Policy", "Retry-After", "Server", "Set-Cookie", "Strict-Transport-Security", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Vary", "Via", "Warning", "Www-Authenticate", "X-Accel-Buffering", "X-Content-Type-Options",
+	"X-Frame-Options",
+)
+
+func set(names ...string) map[string]bool {
+	s := map[string]bool{}
+	for _, name := range names {
+		s[http.CanonicalHeaderKey(name)] = true
+	}
+	return s
+}
+
+// List is which words were noted, by upstream.
+type List[K comparable] struct {
+	known map[string]bool
+
+	mu    sync.Mutex
+	names map[K]map[string]bool
+}
+
+// New returns a list for a reader that knows some headers beside the standard ones.
+func New[K comparable](known ...string) *List[K] {
+	l := &List[K]{known: set(known...), names: map[K]map[string]bool{}}
+	maps.Copy(l.known, standard)
+	return l
+}
+
+// Note notes the headers of an answer that nothing reads, and returns those that are new of this upstream.
+func (l *List[K]) Note(k K, h http.Header) []string {
+	var fresh []string
+	for name := range h {
+		if !l.known[name] && l.add(k, name[:min(nameMost, len(name))]) {
+			fresh = append(fresh, name)
+		}
+	}
+	return fresh
+}
+
+// Add notes names that another reader found.
+func (l *List[K]) Add(k K, names []string) {
+	for _, name := range names {
+		l.add(k, name[:min(nameMost, len(name))])
+	}
+}
+
+// Each calls visit for each upstream of which something was noted.
+func (l *List[K]) Each(visit func(k K, names []string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k, names := range l.names {
+		visit(k, slices.Sorted(maps.Keys(names)))
+	}
+}
+
+// add reports whether a name is new of an upstream.
+func (l *List[K]) add(k K, name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := l.names[k]
+	if names[name] || len(names) >= namesMost || names == nil && len(l.names) >= livesMost {
+		return false
+	}
+	if names == nil {
+		names = map[string]bool{}
+		l.names[k] = names
+	}
+	names[name] = true
+	return true
+}
+
+// Of returns what was noted of an upstream, in order.
+func (l *List[K]) Of(k K) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.names[k]))
+}
+
+// Keep forgets the upstreams that keep does not name.
+func (l *List[K]) Keep(keep func(k K) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.names, func(k K, _ map[string]bool) bool { return !keep(k) })
+}
