--- a/settings/site.go
+++ b/settings/site.go
@@ -166,14 +166,18 @@
 	}
 	cfg.Quarantine.check(d)
 	cfg.Backoff.check(d)
+	cfg.checkHeaders(d)
+	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
+		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
+	}
+}
+
+func (cfg *Site) checkHeaders(d *decoder) {
 	for i, name := range cfg.ApplicationHeaders {
 		if name == "" || strings.Trim(name, headerSigns) != "" {
 			d.atf("application-headers["+strconv.Itoa(i)+"]", result.SettingsValue, "%q is not the name of a header", name)
 		}
 	}
-	if float64(cfg.Times.Lease) > leasePart*float64(cfg.Times.Election) {
-		d.atf("times.lease", result.SettingsConflict, "wants at most %v of times.election", leasePart)
-	}
 }
 
 func (q *Quarantine) check(d *decoder) {
