--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,7 +29,7 @@
 func newRoot() *cobra.Command {
 	var first, seeds uint64
 	plan := soak.Plan{}
-	folder := ""
+	folder, keep := "", false
 	cmd := &cobra.Command{
 		Use: "soak", Short: "Play random series of faults on the real program, one run for each seed", Args: cobra.NoArgs, SilenceUsage: true,
 		Long: "Each run starts a site's daemons as processes on loopback addresses, with stand-ins of callers, upstreams and an\n" +
@@ -37,7 +37,7 @@
 			"seed only planned things happen, and nothing may be cut off at all. Logs of runs that break a promise are kept.",
 		Example: "  make build && go run ./cmd/soak --binary bin/dunlinquay --first 1 --seeds 50 --length 20s",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.Context(), &plan, folder, first, seeds)
+			return run(cmd.Context(), &plan, folder, first, seeds, keep)
 		},
 	}
 	f := cmd.Flags()
@@ -47,6 +47,7 @@
 	f.DurationVar(&plan.Length, "length", 20*time.Second, "how long things are broken in each run")
 	f.StringVar(&plan.Binary, "binary", "bin/dunlinquay", "the program")
 	f.StringVar(&folder, "folder", "out/soak", "takes settings, logs and data")
+	f.BoolVar(&keep, "keep", false, "keep the logs of runs that break nothing, too")
 	f.IntVar(&plan.Controls, "controls", 5, "control daemons")
 	f.IntVar(&plan.Entries, "entries", 3, "entries")
 	f.IntVar(&plan.Engines, "engines", 16, "model engines")
@@ -54,7 +55,18 @@
 	return cmd
 }
 
-func run(ctx context.Context, plan *soak.Plan, parent string, first, seeds uint64) error {
+// limitsOf tells how far the worst span was beyond a limit, and which part of all limits was used.
+func limitsOf(list []soak.LimitRun) string {
+	beyond, came, allowed := 0.0, 0, 0.0
+	for i := range list {
+		beyond = max(beyond, list[i].Beyond)
+		came += list[i].Came
+		allowed += list[i].Limit * list[i].Lasted.Seconds()
+	}
+	return fmt.Sprintf("  %d limits named, at most %.1f requests beyond one in some span, %d requests of %.0f", len(list), beyond, came, allowed)
+}
+
+func run(ctx context.Context, plan *soak.Plan, parent string, first, seeds uint64, keep bool) error {
 	failed := 0
 	for seed := first; seed < first+seeds && ctx.Err() == nil; seed++ {
 		folder, err := soak.Folder(parent, seed)
@@ -68,8 +80,13 @@
 			return err
 		}
 		fmt.Printf("seed %d, planned only %v: %d promises broken, answers %v\n", seed, p.Planned, len(report.Broken), report.Answers)
+		if len(report.Limits) > 0 {
+			fmt.Println(limitsOf(report.Limits))
+		}
 		if len(report.Broken) == 0 {
-			_ = os.RemoveAll(folder)
+			if !keep {
+				_ = os.RemoveAll(folder)
+			}
 			continue
 		}
 		failed++
--- a/settings/site.go
+++ b/settings/site.go
@@ -36,7 +36,7 @@
 	Times      SiteTimes  `json:"times"`
 	// ApplicationHeaders are headers in answers of upstreams that are between the application and its callers: no operator is told that
 	// nothing here reads them.
-	ApplicationHeaders []string `json:"application-headers"`
+	ApplicationHeaders []string `json:"application-headers,omitempty"`
 }
 
 // SiteListen are the host:port pairs on which a daemon of a site listens.
--- a/soak/asks.go
+++ b/soak/asks.go
@@ -82,7 +82,13 @@
 	if from.life > 0 {
 		broken = append(e.earlyFor(now, from), e.lateFor(now, from, sent)...)
 	}
+	if from.life > 0 {
+		if what := e.countLimited(now, from); what != "" {
+			broken = append(broken, what)
+		}
+	}
 	wait, turnedAway := e.ask(now, from)
+	e.sayLimit(w.Header(), now, from)
 	leaving, closes := e.says(), e.random.Float64() < closesPart
 	e.mu.Unlock()
 	if closes {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,8 @@
 	Broken  []string
 	Answers map[string]int
 	Notes   []string
+	// Limits are the limits that upstreams named, and what came of them.
+	Limits []LimitRun
 }
 
 // soak is one run.
@@ -98,7 +100,7 @@
 	s.tasks.Wait()
 	s.truth.mu.Lock()
 	defer s.truth.mu.Unlock()
-	return &Report{Broken: s.truth.broken, Answers: s.truth.answers, Notes: s.notes}, err
+	return &Report{Broken: s.truth.broken, Answers: s.truth.answers, Notes: s.notes, Limits: s.truth.limits}, err
 }
 
 // play serves, breaks things, heals them, and looks whether everything serves again.
@@ -131,6 +133,7 @@
 	s.heal()
 	s.serves(ctx, "after all faults ended", healLimit)
 	s.lastWord(ctx)
+	s.seesUnread()
 }
 
 func (s *soak) random(part uint64) *rand.Rand {
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -62,6 +62,8 @@
 	untimed bool
 	broken  []string
 	answers map[string]int
+	// limits are what became of the limits that upstreams named.
+	limits []LimitRun
 }
 
 func newTruth() *truth {
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -90,6 +90,8 @@
 	asked       map[sender][]*asked
 	saidLeaving map[sender]time.Time
 	asksWatched bool
+	// naming is the limit that it names, nil when it names none.
+	naming *naming
 	// goesSilently is set when it says in its answers that it leaves, and in no report.
 	goesSilently bool
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
