Keep what a choice goes by apart from what comes of it

Cause: each target of a choice carried what is known only of the chosen one, and was asked for a limit while none has any. Change: type choice; limits are asked for only while some upstream has one.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -168,8 +168,16 @@
 	return l
 }
 
+// Any reports whether any upstream has a limit.
+func (l *Limiter[K]) Any() bool {
+	return l.Words.Limited() > 0
+}
+
 // Of returns whether a request may be meant for an upstream.
 func (l *Limiter[K]) Of(now time.Time, k K) Gate {
+	if !l.Any() {
+		return Gate{}
+	}
 	w := l.Words.Of(k)
 	if !w.Limited() {
 		return Gate{}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -50,7 +50,12 @@
 	fits    bool
 	spared  bool
 	limited bool
-	// patience is how long the request waits for its turn at an upstream with a limit, waits is set where it has nowhere else to go.
+}
+
+// choice is where a request goes next.
+type choice struct {
+	scored
+	// patience is how long it waits for its turn at an upstream with a limit, waits is set where it has nowhere else to go.
 	patience time.Duration
 	waits    bool
 	// free is, where there is no target, or one to wait for, how long until the first one takes requests again, 0 when that is not known;
@@ -68,18 +73,22 @@
 }
 
 // choose picks a target that was not tried yet and has room for a request of that rank, or says why there is none; the mutex is held.
-func (s *Relay) choose(x *exchange, rank overload.Rank, now time.Time) (scored, error) {
+func (s *Relay) choose(x *exchange, rank overload.Rank, now time.Time) (choice, error) {
 	list := s.fleet.targets(x.service, x.model)
 	c := &s.candidates
 	c.reset()
 	full := 0
 	var away away
+	var gate ratelimit.Gate
+	limits := s.Limits.Any()
 	for i := range list {
 		t := &list[i]
 		// Whoever asked for time was overrun, and gets nothing in it: an upstream that refused was passed over for 120 ms whatever it
 		// had asked for, and of 100 requests a second before three upstreams 48 to 99 reached it in the 3 s after each refusal.
 		asked := s.Backoff.Of(now, t.id)
-		gate := s.Limits.Of(now, t.id)
+		if limits {
+			gate = s.Limits.Of(now, t.id)
+		}
 		if away.add(asked) || away.limit(gate) || x.wasTried(t.id) {
 			continue
 		}
@@ -89,7 +98,7 @@
 			continue
 		}
 		rated.fits = rated.fits && s.mayFill(x, t)
-		rated.limited, rated.patience = gate.Limited, ratelimit.Patience
+		rated.limited = gate.Limited
 		c.add(rated)
 	}
 	best := c.best()
@@ -98,14 +107,14 @@
 	}
 	x.passedOver = away.number()
 	if best[0].known && s.entries != nil && !s.entries.Together() {
-		return lowest(best), nil
+		return choice{scored: lowest(best), patience: ratelimit.Patience}, nil
 	}
-	return withLimits(best, s.betterOfTwo(best)), nil
+	return choice{scored: withLimits(best, s.betterOfTwo(best)), patience: ratelimit.Patience}, nil
 }
 
 // turnless is the choice where no target takes the request now: it can wait for its turn at one with a limit, if there is any.
-func (s *Relay) turnless(x *exchange, list []target, full int, away *away, now time.Time) (scored, error) {
-	none := scored{free: away.soonest, rate: away.rate}
+func (s *Relay) turnless(x *exchange, list []target, full int, away *away, now time.Time) (choice, error) {
+	none := choice{free: away.soonest, rate: away.rate}
 	if t := s.nextTurn(x, list, now); t != nil && full == 0 {
 		s.stateOf(t)
 		none.target, none.limited, none.waits = t, true, true
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -95,7 +95,7 @@
 
 // permit asks for a request within the limit of the target, waits for its turn, and counts it there; what was chosen may have a limit by
 // now that it had not when it was chosen.
-func (x *exchange) permit(t *scored) ratelimit.Permit {
+func (x *exchange) permit(t *choice) ratelimit.Permit {
 	s := x.s
 	p := s.Limits.Take(x.r.Context(), t.id, max(t.patience, ratelimit.Patience))
 	if p.OK && p.After > 0 {
@@ -131,7 +131,7 @@
 
 // chooseFor is choose for a request that is worth sending until a time: where it has to wait for its turn at an upstream with a limit, it
 // waits as long as that, or not at all. The mutex is held.
-func (s *Relay) chooseFor(x *exchange, rank overload.Rank, until, now time.Time) (scored, error) {
+func (s *Relay) chooseFor(x *exchange, rank overload.Rank, until, now time.Time) (choice, error) {
 	t, err := s.choose(x, rank, now)
 	if err != nil || !t.waits {
 		return t, err
@@ -145,7 +145,7 @@
 }
 
 // comeBackAt returns when the caller of a request that is refused shall come back, 0 when that is not known; the mutex is held.
-func (s *Relay) comeBackAt(x *exchange, now time.Time, t *scored, err error) time.Duration {
+func (s *Relay) comeBackAt(x *exchange, now time.Time, t *choice, err error) time.Duration {
 	if result.CodeOf(err) == result.Limited {
 		return s.promise(x.line(), now, t)
 	}
@@ -163,13 +163,13 @@
 }
 
 // limitBegan reports whether the target has come to have a limit that the request was not counted against.
-func (x *exchange) limitBegan(t *scored, p ratelimit.Permit) bool {
+func (x *exchange) limitBegan(t *choice, p ratelimit.Permit) bool {
 	return !p.Limited && x.s.Limits.Words.Of(t.id).Limited()
 }
 
 // promise returns when a caller shall come back for what upstreams take within their limits: after those that were told to come back
 // before it. The mutex is held.
-func (s *Relay) promise(key line, now time.Time, t *scored) time.Duration {
+func (s *Relay) promise(key line, now time.Time, t *choice) time.Duration {
 	at := later(now.Add(t.free), s.promised[key])
 	back := min(promiseMost, at.Sub(now))
 	s.promised[key] = now.Add(back)
--- a/relay/room.go
+++ b/relay/room.go
@@ -60,12 +60,12 @@
 type waiting struct {
 	x       *exchange
 	settled chan struct{}
-	target  scored
+	target  choice
 	err     error
 }
 
 // place chooses where the request goes next, and waits for room where there is none yet. The request counts as sent there.
-func (x *exchange) place() (scored, error) {
+func (x *exchange) place() (choice, error) {
 	s := x.s
 	s.mu.Lock()
 	if x.service.Engine == nil {
@@ -83,14 +83,14 @@
 		case <-w.Value.settled:
 		default:
 			q.Remove(w)
-			return scored{}, result.New(result.Cancelled, "the caller has left")
+			return choice{}, result.New(result.Cancelled, "the caller has left")
 		}
 	}
 	return w.Value.target, w.Value.err
 }
 
 // placePlain chooses a worker of a plain service; the mutex is held.
-func (s *Relay) placePlain(x *exchange) (scored, error) {
+func (s *Relay) placePlain(x *exchange) (choice, error) {
 	now := s.Now()
 	t, err := s.chooseFor(x, overload.InTime, x.plainLimit(), now)
 	if err == nil {
@@ -113,7 +113,7 @@
 	list := s.fleet.targets(x.service, x.model)
 	if len(list) == 0 {
 		// Callers may name any model; queues are kept for those that there are.
-		w.end(scored{}, noTarget(0, 0, &away{}))
+		w.end(choice{}, noTarget(0, 0, &away{}))
 		return &overload.Waiting[*waiting]{Value: w}, nil
 	}
 	x.plan(now, &list[0].times)
@@ -133,7 +133,7 @@
 }
 
 // end tells the request what became of it.
-func (w *waiting) end(t scored, err error) {
+func (w *waiting) end(t choice, err error) {
 	w.target, w.err = t, err
 	close(w.settled)
 }
@@ -189,7 +189,7 @@
 		x := w.Value.x
 		x.comeBack = q.RetryAfter(now)
 		waited := now.Sub(w.Came).Milliseconds()
-		w.Value.end(scored{}, result.New(result.Overloaded, "no group has room for it, rank %d after %d ms", w.Rank(now), waited))
+		w.Value.end(choice{}, result.New(result.Overloaded, "no group has room for it, rank %d after %d ms", w.Rank(now), waited))
 	})
 }
 
@@ -279,19 +279,19 @@
 }
 
 // roomy reports whether the target of a request had room for a late one.
-func (s *Relay) roomy(x *exchange, t *scored) bool {
+func (s *Relay) roomy(x *exchange, t *choice) bool {
 	return t.first == 0 || x.route.GapAim == 0 || x.leaves(t.target, t.at)
 }
 
 // take counts the request at t and tells the other entries, unless it has yet to be let go there; the mutex is held.
-func (s *Relay) take(x *exchange, t *scored) {
+func (s *Relay) take(x *exchange, t *choice) {
 	if !t.limited {
 		s.count(x, t)
 	}
 }
 
 // count is take for a request that is let go; the mutex is held.
-func (s *Relay) count(x *exchange, t *scored) {
+func (s *Relay) count(x *exchange, t *choice) {
 	x.counted = true
 	x.unread = x.toRead()
 	s.stateOf(t.target).begin(s.Now(), x.unread)
@@ -306,7 +306,7 @@
 }
 
 // putBack undoes take.
-func (x *exchange) putBack(t *scored) {
+func (x *exchange) putBack(t *choice) {
 	if !x.counted {
 		return
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -112,7 +112,7 @@
 }
 
 // attempt sends the request to t and follows the answer.
-func (x *exchange) attempt(t *scored) verdict {
+func (x *exchange) attempt(t *choice) verdict {
 	x.tried[t.id] = true
 	at := x.s.Now().Sub(x.began)
 	if len(x.tries) == 0 && t.first > 0 {
@@ -172,7 +172,7 @@
 	}
 }
 
-func (x *exchange) send(t *scored) (verdict, *follower) {
+func (x *exchange) send(t *choice) (verdict, *follower) {
 	ts := t.state
 	// An upstream that has named its limit takes that from all entries together, of which each sees only its own requests: what is to be
 	// sent is let go by one of them for all.
