Log with each order what was known of the engine and its former group

Cause: once a member took a join of another group while its own was open, and no log told by whose word the leader thought it free. Change: the line on an answered order says what the engine last reported and how long ago, the same of the head of that group, whether the leader ended that group for certain or lost it, and whether an order to join it may still come.

--- a/replicaset/orders.go
+++ b/replicaset/orders.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -55,10 +56,44 @@
 	f.orders[key] = &sentOrder{at: now, waiting: true, doubtful: doubtful}
 	f.Send(Order{
 		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
-		Model: g.Model, Members: g.Members, Fence: f.Fence,
+		Model: g.Model, Members: g.Members, Fence: f.Fence, Known: f.known(u),
 	})
 }
 
+// describe writes a membership for operators.
+func describe(m roster.Membership) string {
+	if m.Group == "" {
+		return "in no group"
+	}
+	return fmt.Sprintf("%s/%d member %d %s", m.Group, m.Epoch, m.Rank, m.State)
+}
+
+// known returns what is known of an engine and of the group that it last reported.
+func (f *Formation) known(u *roster.Upstream) Known {
+	m, now := u.Member, f.world.Now
+	k := Known{Was: describe(m), AgeMS: f.world.Ages[u.ID].Milliseconds()}
+	if m.Group == "" {
+		return k
+	}
+	for _, other := range f.byID {
+		if o := other.Member; o.Group == m.Group && o.Rank == 0 && other.ID != u.ID {
+			k.Head, k.HeadIs, k.HeadAgeMS = other.ID, describe(o), f.world.Ages[other.ID].Milliseconds()
+		}
+	}
+	if at, ok := f.over[m.Group]; ok {
+		k.Ended, k.EndedAgoMS = "over", now.Sub(at).Milliseconds()
+	}
+	if at, ok := f.lost[m.Group]; ok {
+		k.Ended, k.EndedAgoMS = "lost", now.Sub(at).Milliseconds()
+	}
+	if o := f.orders[orderKey{u.ID, ActionLeave, m.Epoch}]; o != nil && !o.waiting {
+		k.Left = o.outcome
+	}
+	join := f.orders[orderKey{u.ID, ActionJoin, m.Epoch}]
+	k.Late = join == nil || join.doubtful
+	return k
+}
+
 // Answered takes the outcome of an order.
 func (f *Formation) Answered(o *Order, outcome Outcome) {
 	if o.Action == ActionStage {
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -30,6 +30,25 @@
 	Members []ident.Incarnation
 	// Fence rises with every leader; an engine refuses a lower one than it has seen.
 	Fence uint64
+	// Known is what was known of the engine when the order was given.
+	Known Known
+}
+
+// Known is what a leader knew of an engine when it gave it an order, for operators.
+type Known struct {
+	// Was is the membership that the engine last reported, AgeMS how old that report was.
+	Was   string `json:"was"`
+	AgeMS int64  `json:"age-ms"`
+	// Head is the head of that group where the leader has it, HeadIs what that last reported, HeadAgeMS how long ago.
+	Head      ident.Incarnation `json:"head,omitempty"`
+	HeadIs    string            `json:"head-is,omitempty"`
+	HeadAgeMS int64             `json:"head-age-ms,omitempty"`
+	// Ended is how the leader ended that group: over for certain, or lost, and how long ago.
+	Ended      string `json:"ended,omitempty"`
+	EndedAgoMS int64  `json:"ended-ago-ms,omitempty"`
+	// Left is what became of the order to leave that group, Late is set when an order to join it may still be carried out.
+	Left Outcome `json:"left,omitempty"`
+	Late bool    `json:"late,omitempty"`
 }
 
 // Outcome is what became of an order.
--- a/site/reign.go
+++ b/site/reign.go
@@ -193,7 +193,8 @@
 		f.Answered(&a.order, a.outcome)
 	}
 	r.c.tallies.order(a.order.Action, a.outcome)
-	r.c.Log.Info("order answered", "to", a.order.To, "action", a.order.Action, "group", a.order.Group, "epoch", a.order.Epoch, "outcome", a.outcome)
+	r.c.Log.Info("order answered", "to", a.order.To, "action", a.order.Action, "group", a.order.Group, "epoch", a.order.Epoch, "outcome", a.outcome,
+		"known", a.order.Known)
 }
 
 // step looks at every service with engines; without the lease nothing is ordered.
