Take no refused connection for the end of a head

Cause, by the log of orders: heads that control could not reach refused its connections, or what lies between did; the leader took that for the end of the process, held their groups for over at once, and offered the members, while entries still reached the heads. Change: only an answer or a report of the head itself ends a group for certain. Where it refuses connections its members leave one by one, as where it takes none; a group that ended without the head's word counts as lost, so that a member which comes back in it has to leave first. Why it holds: a member is free only when it has left by its own word, or its head has; both name group and epoch.

--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -14,7 +14,7 @@
 func (f *Formation) advanceClosing(g *roster.Group) {
 	head := f.byID[g.Head()]
 	if head == nil || f.outcome(g, head.ID, ActionClose) == OutcomeUnreached {
-		f.leave(g, "the head has ended")
+		f.leave(g, "the head takes no connections, or is not known any more")
 		return
 	}
 	switch in(head, g) {
@@ -58,28 +58,38 @@
 	if head == nil {
 		// One that signed off and is cut off from here may still serve; who has left it is free all the same.
 		if f.membersLeft(g, 1) {
-			f.drop(g, "the head has ended")
+			f.lose(g, "the head is not known any more, the others have left")
 		}
 		return
 	}
 	if f.hasLeft(head, g.Epoch) {
-		if f.mayReopen(g) && !f.membersLeft(g, 1) {
-			return
-		}
-		f.drop(g, "the head has left: "+string(f.outcome(g, head.ID, ActionLeave)))
+		f.headLeft(g, "the head has left: "+string(f.outcome(g, head.ID, ActionLeave)))
 		return
 	}
 	if f.world.Ages[head.ID] >= deadAfter && f.world.Sights[g.Name].Answered >= deadAfter {
 		f.lose(g, "the head is silent to everyone")
 		return
 	}
-	if f.world.Dead[head.ID] && f.membersLeft(g, 1) {
+	// A refused connection is no word of the head: what is between may refuse, while entries reach it and it serves.
+	away := f.world.Dead[head.ID] || f.outcome(g, head.ID, ActionLeave) == OutcomeUnreached
+	if away && f.membersLeft(g, 1) {
 		f.lose(g, "the head takes no connections, the others have left")
 		return
 	}
 	f.order(g, head.ID, ActionLeave)
 }
 
+// headLeft forgets g, whose head has left it by its own word, once its members are free.
+func (f *Formation) headLeft(g *roster.Group, why string) {
+	if !f.mayReopen(g) {
+		f.drop(g, why)
+		return
+	}
+	if f.membersLeft(g, 1) {
+		f.lose(g, why+", the others too")
+	}
+}
+
 // mayReopen reports whether the head may join and open g again by orders that are carried out late: those of an earlier
 // leader, or without a known outcome. Its members are then free only after they have left it themselves.
 func (f *Formation) mayReopen(g *roster.Group) bool {
@@ -120,9 +130,9 @@
 	return u.Member.Epoch != epoch || f.world.Ages[u.ID] >= f.world.Now.Sub(o.answered)
 }
 
-// settled reports whether an order to leave that came to this outcome ends the group for certain.
+// settled reports whether an order to leave that came to this outcome is certainly carried out, by the word of who listens there.
 func settled(o Outcome) bool {
-	return o == OutcomeTaken || o == OutcomeRefused || o == OutcomeStranger || o == OutcomeUnreached
+	return o == OutcomeTaken || o == OutcomeRefused || o == OutcomeStranger
 }
 
 // drop forgets a group that is certainly over.
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -29,6 +29,9 @@
 	left     bool
 	draining bool
 	cut      bool // control does not reach it, nor it control
+	// refuses is set when what is sent to it behind the cut is refused and not lost, probedAt is when control finds that out by itself.
+	refuses  bool
+	probedAt time.Time
 	member   roster.Membership
 	members  []ident.Incarnation
 	model    ident.Model
@@ -60,6 +63,12 @@
 	return e
 }
 
+// lateReport is a report on its way.
+type lateReport struct {
+	at     time.Time
+	report *roster.Report
+}
+
 type lateOrder struct {
 	at    time.Time
 	order replicaset.Order
@@ -82,6 +91,16 @@
 	lateNow   bool
 	lateShare float64
 	lostShare float64
+	// garbledShare is the part of the orders that are carried out and whose answers can't be read, reportDelay how long a report is on its
+	// way at most.
+	garbledShare float64
+	reportDelay  time.Duration
+	reports      []lateReport
+	// strict is set when a member may join elsewhere only if its own head is certainly not open, also by a late order that nobody can
+	// know of.
+	strict bool
+	// opened is told of heads that open.
+	opened func(e *engine)
 	// lose tells which orders never arrive.
 	lose      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
@@ -176,12 +195,17 @@
 		answer(replicaset.OutcomeUnknown)
 	case !e.alive:
 		answer(replicaset.OutcomeUnreached)
+	case e.cut && e.refuses:
+		answer(replicaset.OutcomeUnreached)
 	case e.cut, f.lose != nil && f.lose(&o), chance < f.lostShare:
 		answer(replicaset.OutcomeUnknown)
 	case chance < f.lostShare+f.lateShare:
 		after := 2*time.Second + time.Duration(f.random.Int64N(int64(10*time.Second)))
 		f.late = append(f.late, lateOrder{f.now.Add(after), o})
 		answer(replicaset.OutcomeUnknown)
+	case chance < f.lostShare+f.lateShare+f.garbledShare:
+		f.carryOut(e, &o)
+		answer(replicaset.OutcomeUnknown)
 	default:
 		answer(f.carryOut(e, &o))
 	}
@@ -231,7 +255,7 @@
 	if len(e.members) > 0 {
 		// A head that opened by a late order a moment ago and has not been able to report it can't be known to be open.
 		head := f.byID[e.members[0]]
-		unknown := head.lateOpen && head.changed
+		unknown := head.lateOpen && head.changed && !f.strict
 		serves := head.member.State == roster.MemberOpen || head.member.State == roster.MemberClosing
 		if head.alive && head.member.Group == e.member.Group && serves && !unknown {
 			f.faultf("%s joins %s while the head %s of its group %s is %s", e.id, o.Group, head.id, e.member.Group, head.member.State)
@@ -294,6 +318,9 @@
 	e.member.State = roster.MemberOpen
 	e.lateOpen = f.lateNow
 	e.changed = true
+	if f.opened != nil {
+		f.opened(e)
+	}
 	return replicaset.OutcomeTaken
 }
 
@@ -315,6 +342,7 @@
 	for _, e := range f.engines {
 		f.progress(e)
 	}
+	f.deliver()
 	if f.now.Sub(f.began) > 10*time.Second {
 		f.formation.Early = false
 	}
@@ -349,7 +377,25 @@
 	}
 	e.changed = false
 	e.told = f.now
-	f.roster.Take(f.now, f.report(e))
+	if f.reportDelay == 0 {
+		f.roster.Take(f.now, f.report(e))
+		return
+	}
+	after := time.Duration(f.random.Int64N(int64(f.reportDelay)))
+	f.reports = append(f.reports, lateReport{f.now.Add(after), f.report(e)})
+}
+
+// deliver hands over the reports that have arrived.
+func (f *fleet) deliver() {
+	var rest []lateReport
+	for _, r := range f.reports {
+		if f.now.Before(r.at) {
+			rest = append(rest, r)
+			continue
+		}
+		f.roster.Take(f.now, r.report)
+	}
+	f.reports = rest
 }
 
 // standStill breaks a group whose head lacks a member for long enough.
@@ -425,7 +471,7 @@
 		w.Sights[g.Name] = sight
 	}
 	for _, e := range f.engines {
-		if e.alive && e.cut {
+		if e.alive && e.cut && !f.now.Before(e.probedAt) {
 			w.Dead[e.id] = true
 		}
 	}
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -66,7 +66,7 @@
 	OutcomeStranger Outcome = "stranger"
 	// OutcomeUnknown means that nothing is known; the order may be carried out later.
 	OutcomeUnknown Outcome = "unknown"
-	// OutcomeUnreached means that the connection was refused: nothing listens at the address.
+	// OutcomeUnreached means that the connection was refused: nothing listens at the address, or what is between refuses.
 	OutcomeUnreached Outcome = "unreached"
 )
 
