Wait for orders that may be carried out late before a member joins elsewhere

A head that has left can so join and open its group again, and a member be put back into it, in the moment before its next join; the leader counted on the report of it. Change: a group whose orders had no known outcome is marked, also for successors. When it ends, its head waits as long as both an order to join and one to open may be on their way, its members as long as they may be put back; a head that joins its group again while that closes has to leave. explain says so. Why it holds: the four rules at the top of formation.go; a join with a higher epoch makes all late orders void.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -78,6 +78,8 @@
 		whole = whole && u.Member.Rank == i
 	}
 	model, ok := f.engine.Model(g.Model)
+	// What became of the orders by which it was formed is not known here.
+	g.Doubtful = true
 	if !whole || !ok || model.Size != len(members) {
 		g.Phase = roster.PhaseLeaving
 		f.headless[g.Name] = head.Member.Rank != 0
@@ -162,7 +164,7 @@
 			continue
 		}
 		s.Total++
-		if !taken[u.ID] && f.out(u) && f.world.Ages[u.ID] < missedReport && !f.world.Dead[u.ID] && !f.reserved(u.Domain) {
+		if !taken[u.ID] && f.out(u) && f.world.Ages[u.ID] < missedReport && !f.world.Dead[u.ID] && !f.reserved(u.Domain) && f.bound[u.ID].IsZero() {
 			s.Free = append(s.Free, f.candidate(u))
 		}
 	}
--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -22,8 +22,15 @@
 		// An order to open it that was taken for lost may still come; a head that has left refuses it.
 		f.leave(g, "has finished its work")
 		return
-	case roster.MemberNone, roster.MemberBroken, roster.MemberJoining:
-		f.drop(g, "has finished its work")
+	case roster.MemberBroken:
+		f.drop(g, "the head says that the group is broken")
+		return
+	case roster.MemberNone:
+		f.headLeft(g, "has finished its work")
+		return
+	case roster.MemberJoining:
+		// Only an order to join that was carried out late puts it back, and one to open it may follow.
+		f.leave(g, "the head joins it again")
 		return
 	}
 	if f.world.Dead[head.ID] && f.world.Sights[g.Name].Answered >= stallAlone {
@@ -50,7 +57,7 @@
 func (f *Formation) advanceLeaving(g *roster.Group) {
 	if f.headless[g.Name] {
 		if f.membersLeft(g, 0) {
-			f.lose(g, "its members have left")
+			f.loseHead(g, "its members have left")
 		}
 		return
 	}
@@ -58,7 +65,7 @@
 	if head == nil {
 		// One that signed off and is cut off from here may still serve; who has left it is free all the same.
 		if f.membersLeft(g, 1) {
-			f.lose(g, "the head is not known any more, the others have left")
+			f.loseHead(g, "the head is not known any more, the others have left")
 		}
 		return
 	}
@@ -73,7 +80,7 @@
 	// A refused connection is no word of the head: what is between may refuse, while entries reach it and it serves.
 	away := f.world.Dead[head.ID] || f.outcome(g, head.ID, ActionLeave) == OutcomeUnreached
 	if away && f.membersLeft(g, 1) {
-		f.lose(g, "the head takes no connections, the others have left")
+		f.loseHead(g, "the head takes no connections, the others have left")
 		return
 	}
 	f.order(g, head.ID, ActionLeave)
@@ -85,9 +92,38 @@
 		f.drop(g, why)
 		return
 	}
-	if f.membersLeft(g, 1) {
-		f.lose(g, why+", the others too")
+	if !f.membersLeft(g, 1) {
+		return
+	}
+	// Late orders may open it again only if one to join and one to open are on their way to the head.
+	reopens := earlier(f.lateUntil(g, g.Head(), ActionJoin), f.lateUntil(g, g.Head(), ActionOpen))
+	f.bind(g.Head(), reopens)
+	for _, id := range g.Members[1:] {
+		f.bind(id, earlier(reopens, f.lateUntil(g, id, ActionJoin)))
+	}
+	f.lose(g, why+", the others too")
+}
+
+// loseHead forgets g, whose head may serve on; the others have left it, but late orders may put them back.
+func (f *Formation) loseHead(g *roster.Group, why string) {
+	for _, id := range g.Members {
+		f.bind(id, f.lateUntil(g, id, ActionJoin))
+	}
+	f.lose(g, why)
+}
+
+// bind keeps an upstream out of other groups until a time.
+func (f *Formation) bind(id ident.Incarnation, until time.Time) {
+	if until.After(f.world.Now) && until.After(f.bound[id]) {
+		f.bound[id] = until
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
 // mayReopen reports whether the head may join and open g again by orders that are carried out late: those of an earlier
--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -137,6 +138,8 @@
 		return "has missed a report"
 	case !f.out(u):
 		return "has not left " + string(u.Member.Group) + " yet"
+	case !f.bound[u.ID].IsZero():
+		return fmt.Sprintf("may be put back into a group that has ended by late orders for another %v", f.bound[u.ID].Sub(f.world.Now).Round(100*time.Millisecond))
 	case f.reserved(u.Domain):
 		return "waits for a group of its domain that ends for a better one"
 	case c.Staging != "":
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -7,13 +7,17 @@
 //	forming -> opening -> open -> closing -> (dropped)
 //	    \          \        \-> leaving -> (dropped)
 //
-// Three rules keep a member out of two groups although any order may be lost,
+// Four rules keep a member out of two groups although any order may be lost,
 // or carried out many seconds late:
 //
 //   - epochs rise over all groups and leaders, and engines refuse lower ones;
 //   - a group is opened only when every member reported ready in it;
 //   - members of a group that may be open are given to another one only after
-//     the head has left, has ended, or has said that the group is broken.
+//     the head has left or has said that the group is broken, by its own word,
+//     or after they have left themselves; a connection that is refused, or not
+//     taken, is nobody's word;
+//   - who may be put back into a group by an order without an answer, while its
+//     head may be open, waits until no order can be that late.
 
 import (
 	"maps"
@@ -32,6 +36,8 @@
 	// rememberEnded is how long a group that ended is remembered at least: an upstream that was cut off may report it again
 	// until the roster has forgotten that upstream. Kept for good, each takes a leader about 100 bytes.
 	rememberEnded = 2 * time.Minute
+	// lateMost is how long after it was given an order without an answer may be carried out: engines were seen to take up to 12 s.
+	lateMost = 15 * time.Second
 	// repeatAfter is how long an order that was taken may stay without effect in the reports; reports come with each change.
 	repeatAfter = 3 * time.Second
 	// loadFactor and loadSlack bound a load: past some at once, each takes longer.
@@ -114,7 +120,9 @@
 	// lost holds when groups were given up whose heads may still be there.
 	lost map[ident.Group]time.Time
 	// over holds when groups ended for certain; reports may still name them.
-	over     map[ident.Group]time.Time
+	over map[ident.Group]time.Time
+	// bound holds until when upstreams may be put back into a group that has ended, and serves there again.
+	bound    map[ident.Incarnation]time.Time
 	loads    float64
 	loadedAt time.Time
 }
@@ -126,6 +134,7 @@
 		orders:   map[orderKey]*sentOrder{},
 		lost:     map[ident.Group]time.Time{},
 		over:     map[ident.Group]time.Time{},
+		bound:    map[ident.Incarnation]time.Time{},
 		homing:   map[ident.Group]Closing{},
 		stood:    map[ident.Incarnation]bool{},
 		headless: map[ident.Group]bool{},
@@ -208,6 +217,7 @@
 	gone := func(id ident.Incarnation) bool { return f.byID[id] == nil }
 	maps.DeleteFunc(f.staging, func(id ident.Incarnation, _ staged) bool { return gone(id) })
 	maps.DeleteFunc(f.headed, func(id ident.Incarnation, _ ident.Model) bool { return gone(id) })
+	maps.DeleteFunc(f.bound, func(id ident.Incarnation, until time.Time) bool { return gone(id) || f.world.Now.After(until) })
 	maps.DeleteFunc(f.stood, func(id ident.Incarnation, _ bool) bool { return gone(id) })
 	f.forgetEnded()
 }
--- a/replicaset/orders.go
+++ b/replicaset/orders.go
@@ -15,8 +15,9 @@
 	answered time.Time
 	outcome  Outcome
 	waiting  bool
-	// doubtful is set when one of the tries has no known outcome: it may be carried out late.
+	// doubtful is set when one of the tries has no known outcome: it may be carried out late. Doubted is when the last such try was given.
 	doubtful bool
+	doubted  time.Time
 }
 
 // orderKey names an order: engines take the same one twice as one.
@@ -52,8 +53,11 @@
 	if u == nil {
 		return
 	}
-	doubtful := f.orders[key] != nil && f.orders[key].doubtful
-	f.orders[key] = &sentOrder{at: now, waiting: true, doubtful: doubtful}
+	sent := &sentOrder{at: now, waiting: true}
+	if before := f.orders[key]; before != nil {
+		sent.doubtful, sent.doubted = before.doubtful, before.doubted
+	}
+	f.orders[key] = sent
 	f.Send(Order{
 		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
 		Model: g.Model, Members: g.Members, Fence: f.Fence, Known: f.known(u),
@@ -107,7 +111,36 @@
 	sent.waiting = false
 	sent.answered = f.world.Now
 	sent.outcome = outcome
-	sent.doubtful = sent.doubtful || outcome == OutcomeUnknown
+	if outcome == OutcomeUnknown {
+		sent.doubtful, sent.doubted = true, sent.at
+		f.noteDoubt(o)
+	}
+}
+
+// noteDoubt marks the group of an order that may be carried out late, for this leader's successors.
+func (f *Formation) noteDoubt(o *Order) {
+	if o.Action != ActionJoin && o.Action != ActionOpen {
+		return
+	}
+	for _, g := range f.Roster.Groups() {
+		if g.Name == o.Group && g.Epoch == o.Epoch && !g.Doubtful {
+			g.Doubtful = true
+			f.Roster.PutGroup(&g)
+		}
+	}
+}
+
+// lateUntil returns until when an order of g may still be carried out late, zero when none may. Orders of former leaders are not known
+// one by one.
+func (f *Formation) lateUntil(g *roster.Group, to ident.Incarnation, action Action) time.Time {
+	o := f.orders[orderKey{to, action, g.Epoch}]
+	switch {
+	case o != nil && o.doubtful:
+		return o.doubted.Add(lateMost)
+	case o == nil && g.Doubtful:
+		return f.began.Add(lateMost)
+	}
+	return time.Time{}
 }
 
 func (f *Formation) stageAnswered(o *Order, outcome Outcome) {
--- a/roster/types.go
+++ b/roster/types.go
@@ -91,6 +91,8 @@
 	Slow bool
 	// WarmUp groups are never opened: their only member gets weights ready.
 	WarmUp bool
+	// Doubtful groups were formed by orders some of which had no known outcome: these may be carried out late, also after a change of leaders.
+	Doubtful bool
 	// Since is when the phase began, on the leader's clock; it is not passed on.
 	Since time.Time
 }
