Keep no more idle connections than an upstream has left for all entries

The upstream resets any more, which costs callers a repeat. Change: sharing.Entries.Part divides a number exactly among the entries; the odd ones go by turns for each name. Before: at 40 of 40 upstreams with 22 left for 60 entries one was kept. After: about 14 (the test), the sum of all entries is what is left (TestPartsAddUp, 1 to 300 entries).

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
@@ -177,13 +178,23 @@
 }
 
 // keptMost returns how many connections to an upstream are kept: this entry's part of those that it takes from all entries, without
-// those that can be in use. It resets any more: after a burst of 12 requests at once an entry kept 12 connections to an upstream that
-// takes 30 from two entries, now 3.
+// those that can be in use. It resets any more.
 func (x *exchange) keptMost(t *target) int {
 	takes := x.service.MaxConnections
 	if takes <= 0 {
 		return idlePerUpstream
 	}
-	inUse := int(float64(t.slots) * (1 + queueOf(x.service)))
-	return min(idlePerUpstream, max(1, (takes-inUse)/x.s.Budget.Entries()))
+	spare := takes - int(float64(t.slots)*(1+queueOf(x.service)))
+	return min(idlePerUpstream, x.s.part(spare, t.id))
+}
+
+// part returns this entry's part of what an upstream has for all entries. The mutex is not held.
+func (s *Relay) part(n int, id ident.Incarnation) int {
+	s.mu.Lock()
+	entries := s.entries
+	s.mu.Unlock()
+	if entries == nil {
+		return max(1, n/s.Budget.Entries())
+	}
+	return entries.Part(n, string(id))
 }
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -53,3 +53,8 @@
 	defer s.pool.mu.Unlock()
 	return len(s.pool.idle[address])
 }
+
+// CloseIdle closes all connections that are kept.
+func CloseIdle(s *Relay) {
+	s.pool.prune(func(string) bool { return false })
+}
--- a/relay/words_test.go
+++ b/relay/words_test.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/sharing"
 )
 
 // An upstream says with its answer whether a connection may be used again, and for how long: what it closes soon is not sent on.
@@ -128,3 +129,33 @@
 		})
 	}
 }
+
+// Where there are more entries than connections that an upstream has left, only some of them may keep one: one of each of 60 entries would be
+// more than twice as many as it takes.
+func TestKeptConnectionsOfManyEntries(t *testing.T) {
+	const entries, upstreams = 60, 40
+	var names []string
+	for n := range entries {
+		names = append(names, fmt.Sprintf("10.1.0.%d:7400", n))
+	}
+	u := newUpstream(t, func(conn net.Conn, r *http.Request, _ int) bool { return whole(conn, r) })
+	s := newSite(t, []*upstream{u}, nil)
+	cfg := config()
+	cfg.Services[0].MaxConnections = 25
+	s.relay.SetConfig(cfg)
+	s.relay.Budget.SetEntries(entries)
+	s.relay.SetEntries(sharing.New(names[7], map[ident.Hall][]string{"one": names}))
+	kept := 0
+	for n := range upstreams {
+		s.relay.SetRoster(&roster.Delta{Full: true, Revision: roster.Revision(n + 2), Upstreams: []roster.Upstream{
+			{ID: ident.Incarnation(fmt.Sprintf("p%d", n)), Service: "plain", Address: u.address(), Slots: 2},
+		}})
+		relay.CloseIdle(s.relay)
+		s.do(s.request("POST", "/unsafe/x", "x", ""))
+		kept += relay.Kept(s.relay, u.address())
+	}
+	// 22 are left of 25, for 60 entries.
+	if expected := upstreams * 22 / entries; kept < expected/2 || kept > expected*2 {
+		t.Errorf("this entry kept one at %d of %d upstreams, want about %d", kept, upstreams, expected)
+	}
+}
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -43,6 +43,9 @@
 	self  string
 	halls map[ident.Hall][]entry
 	total int
+	// place is how many entries come before this one in order of names, listed is set when this one is among them.
+	place  int
+	listed bool
 }
 
 // New returns the entries of a site by their halls, as the one called self sees them.
@@ -51,6 +54,10 @@
 	for hall, names := range lists {
 		for _, name := range names {
 			e.halls[hall] = append(e.halls[hall], entry{name, xxhash.Sum64String(name)})
+			if name < self {
+				e.place++
+			}
+			e.listed = e.listed || name == self
 		}
 		e.total += len(names)
 	}
@@ -62,6 +69,20 @@
 	return e.total
 }
 
+// Part divides n things among the entries and returns how many this one has: the parts of all that know the same entries add up to n. Who
+// has one more than others is another one for each name. An entry that is not known to others yet has none.
+func (e *Entries) Part(n int, name string) int {
+	if !e.listed || n <= 0 {
+		return 0
+	}
+	part := n / e.total
+	turn := (e.place + int(xxhash.Sum64String(name)%uint64(e.total))) % e.total
+	if turn < n%e.total {
+		part++
+	}
+	return part
+}
+
 // Together reports whether all entries use all groups.
 func (e *Entries) Together() bool {
 	return e.total <= together
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -126,3 +126,33 @@
 		}
 	}
 }
+
+// The parts of all entries add up to what there is, differ by one at most, and the odd ones are not always the same entries'.
+func TestPartsAddUp(t *testing.T) {
+	for _, entries := range []int{1, 2, 8, 100, 300} {
+		for _, n := range []int{-1, 0, 1, 7, 30, 299, 301, 1000} {
+			names := names(entries)
+			lists := map[ident.Hall][]string{"one": names[:entries/2], "two": names[entries/2:]}
+			odd := map[string]int{}
+			for _, upstream := range []string{"p0", "p1", "p2"} {
+				sum := 0
+				for _, self := range names {
+					part := sharing.New(self, lists).Part(n, upstream)
+					if part != max(0, n)/entries {
+						odd[self]++
+					}
+					sum += part
+				}
+				if sum != max(0, n) {
+					t.Errorf("%d entries: parts of %d add up to %d", entries, n, sum)
+				}
+			}
+			if n%max(2, entries) == 1 && entries > 2 && len(odd) < 2 {
+				t.Errorf("%d entries: %v have one more of %d at all upstreams", entries, odd, n)
+			}
+		}
+	}
+	if got := sharing.New("unknown", map[ident.Hall][]string{"one": names(3)}).Part(30, "p0"); got != 0 {
+		t.Errorf("an entry that others do not know has a part of %d", got)
+	}
+}
