Bound callers' headers and idle connections as the configuration says

Cause: entries used constants (64 KiB, 5 s, 60 s) whatever an accepted configuration allowed, so that a caller with larger headers, or one that kept a connection for longer, was cut although the configuration allowed it.

--- a/site/control.go
+++ b/site/control.go
@@ -199,7 +199,7 @@
 // serverRunner is a server of links.
 type serverRunner interface{ Run(ctx context.Context) }
 
-func (c *Control) listenCalls() ([]*http.Server, error) {
+func (c *Control) listenCalls() ([]server, error) {
 	return serveAll(c.Log, []listener{
 		{c.Settings.Listen.Control, &http.Server{Handler: c.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 		{c.Settings.Listen.Metrics, c.meter.HTTP()},
--- a/site/entry.go
+++ b/site/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
@@ -25,10 +26,8 @@
 	lookAway = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the last lines and the exit.
 	stopMargin = 700 * time.Millisecond
-	// callerHeaderTime and callerIdleTime bound callers' connections until a configuration says otherwise.
-	callerHeaderTime = 5 * time.Second
-	callerIdleTime   = 60 * time.Second
-	maxHeaderBytes   = 64 << 10
+	// readyHeaderTime bounds how long the platform's question for readiness may take.
+	readyHeaderTime = 5 * time.Second
 )
 
 // Entry is a daemon that takes callers' requests; exported fields are set before Run.
@@ -43,7 +42,9 @@
 	Ready  func(ready func() bool) http.Handler
 	Reread func() (*settings.Site, error)
 
-	relay     *relay.Relay
+	relay *relay.Relay
+	// callers serves them within the bounds of the configuration.
+	callers   *inbound.Server
 	directory *directory
 	// neighbours are the other entries.
 	neighbours *neighbours
@@ -68,6 +69,7 @@
 		relay: relay.New(names, dial), directory: newDirectory(cfg.SeedPeers()),
 		meter: meter.New(), stop: make(chan struct{}),
 	}
+	e.callers = inbound.New(e.relay)
 	e.numbers = newNumbers(e.meter.Scope)
 	e.relay.Hall = cfg.Hall
 	e.relay.KeysLapse = time.Duration(keysPart * float64(cfg.Bounds.KeysRevoked))
@@ -114,7 +116,7 @@
 	select {
 	case <-ctx.Done():
 	case <-e.stop:
-		e.drain(ctx, servers)
+		e.drain(ctx)
 	}
 	end()
 	for _, s := range servers {
@@ -126,14 +128,11 @@
 	return e.meter.Close()
 }
 
-func (e *Entry) listen() ([]*http.Server, error) {
-	callers := &http.Server{
-		Handler: e.relay, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-	}
+func (e *Entry) listen() ([]server, error) {
+	e.callers.Log = e.Log
 	return serveAll(e.Log, []listener{
-		{e.Settings.Listen.Callers, callers},
-		{e.Settings.Listen.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: callerHeaderTime}},
+		{e.Settings.Listen.Callers, e.callers},
+		{e.Settings.Listen.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: readyHeaderTime}},
 		{e.Settings.Listen.Metrics, e.meter.HTTP()},
 	})
 }
@@ -147,13 +146,13 @@
 }
 
 // drain lets callers move away and requests in progress end.
-func (e *Entry) drain(ctx context.Context, servers []*http.Server) {
+func (e *Entry) drain(ctx context.Context) {
 	e.Log.Info("planned stop begins", "grace-ms", e.Settings.Bounds.StopGrace.Std().Milliseconds())
 	e.relay.Stop()
 	ctx, cancel := context.WithTimeout(ctx, e.Settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	pause(ctx, lookAway)
-	if err := servers[0].Shutdown(ctx); err != nil {
+	if err := e.callers.Shutdown(ctx); err != nil {
 		e.Log.Info("requests were still in progress at the end of the grace", "error", err.Error())
 	}
 }
@@ -214,6 +213,9 @@
 	}
 	e.body, e.wantWhole = body, false
 	e.relay.SetConfig(cfg)
+	e.callers.SetBounds(inbound.Bounds{
+		HeaderBytes: cfg.Limits.HeaderBytes, HeaderTime: cfg.Limits.HeaderTimeout, IdleTime: cfg.Limits.IdleTimeout,
+	})
 	e.Log.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes), "packed-bytes", len(r.Config)+len(r.Patch))
 	return true
 }
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
@@ -202,3 +203,6 @@
 
 // Recall reads what the last life has written.
 func (c *Control) Recall() { c.recall() }
+
+// CallerBounds returns the bounds on callers that are in force.
+func (e *Entry) CallerBounds() inbound.Bounds { return e.callers.Bounds() }
--- a/site/listen.go
+++ b/site/listen.go
@@ -10,15 +10,21 @@
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
+// server serves connections of a listener until it is closed.
+type server interface {
+	Serve(ln net.Listener) error
+	Close() error
+}
+
 // listener is an address and what is served there; without an address nothing is.
 type listener struct {
 	address string
-	server  *http.Server
+	server  server
 }
 
 // serveAll serves every listener in the background and returns the servers in the same order.
-func serveAll(log logr.Logger, list []listener) ([]*http.Server, error) {
-	var servers []*http.Server
+func serveAll(log logr.Logger, list []listener) ([]server, error) {
+	var servers []server
 	for _, l := range list {
 		if l.address == "" {
 			continue
--- a/site/versions_test.go
+++ b/site/versions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/site"
@@ -130,3 +131,21 @@
 		})
 	}
 }
+
+// What a configuration says of callers' headers and idle connections is in force with it.
+func TestBoundsOnCallersComeWithTheConfiguration(t *testing.T) {
+	cfg := settings.DefaultSite()
+	e := site.NewEntry(&cfg, relay.Names{}, transport.TCP())
+	limits := httproute.Limits{HeaderBytes: 100 << 10, HeaderTimeout: 9 * time.Second, IdleTimeout: 90 * time.Second}
+	e.DecodeConfig = func([]byte) (*httproute.Config, error) {
+		return &httproute.Config{Version: 2, Limits: limits}, nil
+	}
+	if diff := cmp.Diff(inbound.Bounds{}, e.CallerBounds()); diff != "" {
+		t.Errorf("before any configuration (-want +got):\n%s", diff)
+	}
+	e.Take(time.Now(), &site.SyncReply{Version: 2, Config: documentOf(t, 2).Packed})
+	want := inbound.Bounds{HeaderBytes: limits.HeaderBytes, HeaderTime: limits.HeaderTimeout, IdleTime: limits.IdleTimeout}
+	if diff := cmp.Diff(want, e.CallerBounds()); diff != "" {
+		t.Errorf("with a configuration (-want +got):\n%s", diff)
+	}
+}
