--- a/backoff/list.go
+++ b/backoff/list.go
@@ -51,8 +51,7 @@
 	Rule Rule
 
 	// latest is when the last time that anybody asked for is over, asking how many words have asked set: most of the time no word holds
-	// anything, and each choice asks for each upstream. With one that does a choice among 200 groups takes 36 in place of 30 us (medians
-	// of three, beside a busy machine).
+	// anything, and each choice asks for each upstream.
 	latest atomic.Pointer[time.Time]
 	asking atomic.Int64
 
@@ -86,7 +85,7 @@
 }
 
 // Admits reports whether a request may go there now. An upstream that asked for time gets the first ones singly, since it was overrun:
-// of 30 requests that had waited for three of them 9 to 11 reached each at the same moment without that, one with it.
+// all that wait for it would otherwise reach it at the same moment.
 func (s State) Admits() bool {
 	return s.Left <= 0 && !s.Busy
 }
--- a/link/client.go
+++ b/link/client.go
@@ -16,9 +16,8 @@
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
-// DialTimeout bounds the opening of a connection. A peer that has no power yet does not answer, and what opens the connection
-// is sent again only after a second: entries that started 0.1 to 0.4 s before control had their configuration 0.5 to 0.7 s
-// after its election (8 entries, one day).
+// DialTimeout bounds the opening of a connection. A peer that has no power yet does not answer, and the kernel sends what opens a
+// connection again only after a second: whoever started a little before its peer would wait that long.
 const DialTimeout = 250 * time.Millisecond
 
 // Client calls one service of one other daemon; exported fields are set before the first call.
--- a/overload/excess.go
+++ b/overload/excess.go
@@ -6,7 +6,7 @@
 	// excessGap is the time without a sign of excess after which it is over: some passes of an engine with all slots taken.
 	excessGap = 500 * time.Millisecond
 	// retryMost bounds the time after which a caller is told to come back: callers do not wait longer than a third of the
-	// time that they have left, which is 2 to 2.7 s of 6 to 8 s.
+	// time that they have left.
 	retryMost = 2500 * time.Millisecond
 )
 
--- a/overload/queue.go
+++ b/overload/queue.go
@@ -35,8 +35,7 @@
 	// lastTryPart is the part of the room that last tries get while others wait that can be in time.
 	lastTryPart = 0.25
 	// shortLine is how many requests of a rank may wait whatever they can expect: of one nothing needs to be known of how fast they
-	// go. With four last tries, 295 entries with a few requests a second each held 3.8 times as much in vain in a flood of three
-	// times the traffic.
+	// go. More at each of many entries with few requests add up to a long line that waits in vain.
 	shortLine = 1
 	// rateTime is the time over which the rate at which requests go on is smoothed.
 	rateTime = 2 * time.Second
--- a/overload/usual.go
+++ b/overload/usual.go
@@ -21,7 +21,7 @@
 	// that number so that another one can take its place within a second or two.
 	usualTrusted = 8
 	usualMost    = 64
-	// shortPart is the part of the longest time below which one has come back: first tries were seen to differ by 15 in 100.
+	// shortPart is the part of the longest time below which one has come back; first tries differ a little among themselves.
 	shortPart = 0.75
 	// shortMost is the part of the requests that may say so little when nobody is refused, shortSmoothing the weight of a new
 	// one in that; longestFades is what the longest time loses with each request.
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -41,7 +41,7 @@
 	// sameEnd is how far two reports may be apart on when the same end was: news take some ms, a sync with the leader half a second.
 	sameEnd = time.Second
 	// sumFor is how long a digest is used again while nothing is learnt, sumAgain while something is: each sync with the leader asks
-	// for it, 300 entries sync 650 times a second, and with all records in use it takes 2.3 ms.
+	// for it, and with many entries and records it would fill the leader's time.
 	sumFor   = 500 * time.Millisecond
 	sumAgain = 50 * time.Millisecond
 	// drawn is how many records are compared to find one to forget.
@@ -58,8 +58,8 @@
 	Records int
 }
 
-// DefaultRule is three ends, since one or two in a row also meet work that is not at fault, a minute, which bounds what one work ends
-// to nine upstreams an hour (11 s with it ended 25 before there was a bound), and records of 0.8 to 1.3 MB in all, measured with one end each and with nine.
+// DefaultRule is three ends, since one or two in a row also meet work that is not at fault; a minute, which bounds what one work ends
+// to nine upstreams an hour; and records that take about 1 MB in all.
 func DefaultRule() Rule {
 	return Rule{Ends: 3, Hold: time.Minute, Records: 4096}
 }
--- a/quarantine/work.go
+++ b/quarantine/work.go
@@ -15,7 +15,7 @@
 	Content  ident.Content
 }
 
-// ContentOf returns the digest of a path with its query, and a body; for a body of 2 KiB that takes 0.23 µs, for one of 4 MiB 0.44 ms.
+// ContentOf returns the digest of a path with its query, and a body.
 func ContentOf(path string, body []byte) ident.Content {
 	var d xxhash.Digest
 	d.Reset()
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -219,8 +219,8 @@
 // grant answers who asks this entry as coordinator; the mutex is held.
 func (l *Limiter[K]) grant(k K, rate Rate, seat Seat, who string, patience time.Duration) Grant {
 	if apart := l.apart[k]; apart > 0 {
-		// Those that can't ask take their parts all the same: without this an upstream got nearly twice its limit where datagrams between
-		// entries are filtered.
+		// Those that can't ask take their parts all the same: without this an upstream would get these beside its whole limit where
+		// datagrams between entries are filtered.
 		rate *= Rate(max(1, seat.Entries-apart)) / Rate(max(1, seat.Entries))
 	}
 	if l.granted.Len() > sweepAt {
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -118,8 +118,7 @@
 }
 
 // hearAsked notes that the head of a group asked another entry for time; the mutex is held. This one is not bound by it, but a head
-// that is overrun is better left alone where others have room: with 60 entries before six heads, three of which turned away all for 9 s
-// and asked for 3 s, these refused 294 times for 532 requests without that, and 10 times with it.
+// that is overrun is better left alone where others have room: each of many entries would otherwise be refused there once.
 func (s *Relay) hearAsked(t *target, ms int64) {
 	left := time.Duration(min(ms, s.Backoff.Rule.Most.Milliseconds())) * time.Millisecond
 	ts := s.stateOf(t)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -83,8 +83,7 @@
 	limits := s.Limits.Any()
 	for i := range list {
 		t := &list[i]
-		// Whoever asked for time was overrun, and gets nothing in it: an upstream that refused was passed over for 120 ms whatever it
-		// had asked for, and of 100 requests a second before three upstreams 48 to 99 reached it in the 3 s after each refusal.
+		// Whoever asked for time was overrun, and gets nothing in it.
 		asked := s.Backoff.Of(now, t.id)
 		if limits {
 			gate = s.Limits.Of(now, t.id)
@@ -306,8 +305,7 @@
 	return ts.silence(now) > stallSuspect || s.stood(ts, now)
 }
 
-// stateOf returns what is known of a target, which is looked for once. With that, and with what first words take looked up once for each
-// request, a choice among 200 groups takes 20.5 us in place of 28.6 (median of three runs, and one run).
+// stateOf returns what is known of a target, which is looked for once: a choice asks several times for each of hundreds.
 func (s *Relay) stateOf(t *target) *targetState {
 	if t.state == nil {
 		t.state = s.state(t.id)
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// unreadPart is the part of the requests at a group whose prompts are taken to be unread where nothing is heard of them: first
-	// words took 0.14, 0.16 and 0.69 of the time of whole answers, medians of three classes, the last one the rarest.
+	// unreadPart is the part of the requests at a group whose prompts are taken to be unread where nothing is heard of them: what first
+	// words usually take of the time of whole answers.
 	unreadPart = 0.2
 	// spillPart is the part of the free slots of groups that an entry does not use which all entries together may fill until
 	// the next counts, spillMost bounds what one entry may save up.
--- a/relay/doubt.go
+++ b/relay/doubt.go
@@ -42,7 +42,7 @@
 	// standAgain is how often one whose group stands still looks for room elsewhere: some times in a pass.
 	standAgain = 20 * time.Millisecond
 	// newEntries is how long nothing is doubted after this entry heard of another one: until all know each other, they do not tell
-	// each other of all prompts. When 17 entries came to 89, 14 of 19 groups that worked were taken for standing still.
+	// each other of all prompts, and groups that work would be taken for standing still.
 	newEntries = 600 * time.Millisecond
 	// standingMost is the part of the groups of a model that may be taken for standing still at once: a domain that goes dark is a
 	// third of a small site, and beyond that it is rather the bound of passes that does not hold.
@@ -73,8 +73,8 @@
 }
 
 // passAt bounds the length of the pass in progress at t: it may read all that was unread at any time since the last one ended. What
-// was sent while that one was on its way is a closer bound, but misses what an engine leaves for the next pass: with it 500 streams
-// were moved off groups that worked on a day with 10,000 requests, with this one three.
+// was sent while that one was on its way is a closer bound, but misses what an engine leaves for the next pass: streams
+// would be moved off groups that work.
 func (s *Relay) passAt(t *target, now time.Time) time.Duration {
 	ts := s.stateOf(t)
 	return t.times.Pass(max(ts.peak, ts.mayBeUnread(now)), s.loadOf(t, now).Requests+ts.came)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -234,7 +234,7 @@
 // toRead are the tokens that an engine has to read before the next event: the prompt, and what was written of the answer before.
 func (x *exchange) toRead() ident.Tokens {
 	if x.lastEvent == "" {
-		// It is asked for each group, and reading no number costs an allocation: a choice among 200 groups then took twice as long.
+		// It is asked for each group, and reading no number costs an allocation.
 		return x.prompt
 	}
 	written, known := eventNumber(x.lastEvent)
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -2,10 +2,8 @@
 
 // A prompt is read within a tenth of a second or two, so what the leader tells
 // of other entries comes too late to say what waits at a group. Entries
-// therefore tell each other of every prompt when they send it: 80 in 100 first
-// words then came 47 to 125 ms after the estimate, with own prompts only 75 to
-// 226 ms (8 entries, one day each). What is lost on the way only makes an
-// estimate worse.
+// therefore tell each other of every prompt when they send it. What is lost on
+// the way only makes an estimate worse.
 
 import (
 	"net/netip"
--- a/relay/launch.go
+++ b/relay/launch.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// launchTime is what a first word takes beyond the passes of the estimate until it has been measured: engines were seen
-	// to need 75 to 115 ms. launchOff is how far first words are off that.
+	// launchTime is what a first word takes beyond the passes of the estimate until it has been measured: what engines
+	// usually need. launchOff is how far first words are off that.
 	launchTime = 100 * time.Millisecond
 	launchOff  = 30 * time.Millisecond
 	// launchSmoothing is the weight of a new first word in what is known, launchClip how far off it may be taken to be: without
-	// that a few first words of a group that stood still for a second made an entry believe for 20 s that nothing could be in
-	// time, and refuse 101 requests of one model while the seven others refused two.
+	// that a few first words of a group that stood still for a moment make an entry believe for long that nothing can be in time,
+	// and refuse what others take.
 	launchSmoothing = 0.05
 	launchClip      = 100 * time.Millisecond
 	// launchMost, launchOffLeast and launchOffMost bound them.
--- a/relay/room.go
+++ b/relay/room.go
@@ -232,7 +232,7 @@
 		due = leaves
 	}
 	// One that lost its time at a group that had ended is not refused at once as one that was too many. It does not go before those
-	// that can be in time either: where all groups are full that made 600 of 29,700 others late.
+	// that can be in time either, which would make these late where all groups are full.
 	last := x.kept || x.spent >= cameBack || x.displaced
 	return overload.Request{Came: now, Due: due, Leaves: leaves, Begun: x.begun(), LastTry: last}
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -44,8 +44,8 @@
 		if x.left() <= 0 {
 			return x.expired()
 		}
-		// Work under which upstreams ended, at whichever entries, goes to no other one: without this a request that came again and
-		// again ended 25 upstreams in 11 s (eight entries before 48 upstreams).
+		// Work under which upstreams ended, at whichever entries, goes to no other one: without this a request that comes again and
+		// again ends one after the other.
 		if err := x.held(); err != nil {
 			return err
 		}
--- a/relay/start.go
+++ b/relay/start.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// startHold is how long after its start an entry keeps requests for its first confirmation by control, which was seen to come
-	// 0.7 to 0.9 s after the start when everything is started again at once.
+	// startHold is how long after its start an entry keeps requests for its first confirmation by control, which comes
+	// within a second when everything is started again at once.
 	startHold = 1500 * time.Millisecond
 	// patience is the part of their time that callers wait before they come back, by the platform's word.
 	patience = 1.0 / 3
@@ -52,8 +52,7 @@
 }
 
 // heldPart is the part of a model's throughput that streams which were held at the start may take. Most other callers were told
-// to come back a little later, so there is room; at half of it too many held streams ran out of time (42 against 35 of 200
-// on one day).
+// to come back a little later, so there is room, and with less of it more held streams run out of time.
 const heldPart = 1.0
 
 // takeTurn lets held streams of a model go on one after the other. All entries that were started together let theirs go at the
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -129,7 +129,7 @@
 
 // gains reports whether a request whose group stands still is better off at another one now: if it can still be in time there, or
 // there is room to spare. Where all groups are full, one that is late in any case waits until its group is replaced, so that it does
-// not make others late: with eight entries before 66 upstreams 250 to 400 more of 29,700 were in time. The mutex is held.
+// not make others late. The mutex is held.
 func (s *Relay) gains(f *follower, now time.Time) bool {
 	x := f.x
 	limit := x.limit
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -17,7 +17,7 @@
 // adopt takes over groups that engines report and the roster lacks, as after the loss of a leader. A whole one goes on
 // serving; any other is dissolved once all is known: its former leader may have ordered it to open, and an order may be
 // carried out late. What a copy says of members that this leader has not heard does not count: the former leader had ended
-// their group, perhaps because they are dark, and 56 of 89 entries sent 227 requests to such groups again.
+// their group, perhaps because they are dark, and entries would send requests there again.
 func (f *Formation) adopt(allKnown bool) {
 	known := map[ident.Group]bool{}
 	for _, g := range f.groups() {
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -36,7 +36,7 @@
 	// rememberEnded is how long a group that ended is remembered at least: an upstream that was cut off may report it again
 	// until the roster has forgotten that upstream. Kept for good, each takes a leader about 100 bytes.
 	rememberEnded = 2 * time.Minute
-	// lateMost is how long after it was given an order without an answer may be carried out: engines were seen to take up to 12 s.
+	// lateMost is how long after it was given an order without an answer may be carried out: engines take orders up to some 12 s late.
 	lateMost = 15 * time.Second
 	// repeatAfter is how long an order that was taken may stay without effect in the reports; reports come with each change.
 	repeatAfter = 3 * time.Second
@@ -162,8 +162,7 @@
 }
 
 // heardAll reports whether every upstream has reported since this formation began, or will hardly do so. Before that a group of
-// which only some members have reported may be whole: after a change of leaders that a full link had come before, 41 groups that
-// served were taken apart at a site of 80, and for 8 s half of the requests were late.
+// which only some members have reported may be whole, and taking it apart would end groups that serve.
 func (f *Formation) heardAll() bool {
 	led := f.world.Now.Sub(f.began)
 	heard := 0
--- a/roster/view.go
+++ b/roster/view.go
@@ -9,8 +9,8 @@
 )
 
 // View is the part of a roster that entries route by: the workers of plain services, and the heads of groups that serve.
-// Members of groups change state all the time, which concerns nobody but the leader; at 300 entries and 3,000 upstreams
-// telling every entry of it filled the leader's link.
+// Members of groups change state all the time, which concerns nobody but the leader; telling
+// every entry of it would fill the leader's link at a large site.
 type View struct {
 	*Roster
 
--- a/settings/site.go
+++ b/settings/site.go
@@ -95,8 +95,7 @@
 }
 
 // DefaultSite returns the values that absent keys take. A member that has just started does not vote while a lease that it may have
-// granted can hold: with a lease of 200 ms entries had their configuration 0.23 s after all daemons had started together, with
-// 350 ms after 0.43 s (5 control daemons, one day each).
+// granted can hold, so a short lease brings a site back sooner after all daemons were lost.
 func DefaultSite() Site {
 	held := quarantine.DefaultRule()
 	asked := backoff.DefaultRule()
--- a/site/messages.go
+++ b/site/messages.go
@@ -136,8 +136,8 @@
 
 const (
 	// syncHold is how long the leader keeps a call for news, as often entries tell their load; syncHoldEach is the same for
-	// each entry where there are many, syncHoldMost bounds it: at 300 entries a tenth of a second each filled the leader's
-	// link.
+	// each entry where there are many, syncHoldMost bounds it: calls of hundreds of entries would otherwise fill the
+	// leader's link.
 	syncHold     = 100 * time.Millisecond
 	syncHoldEach = 1500 * time.Microsecond
 	syncHoldMost = 500 * time.Millisecond
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -32,7 +32,7 @@
 	maxNews = 256
 	// promptNews is how many datagrams a second tell of prompts at most. Where there are more prompts and neighbours each
 	// prompt is told to some of them, by turns; those that are not told then take a pass that reads it for one that stands still.
-	// Callers spread unevenly over entries: with 600 at 89 entries not all heard of a busy one's prompts.
+	// Callers spread unevenly over entries, so it leaves room for a busy one.
 	promptNews = 1800.0
 	// promptNewsSaved is how many datagrams may be saved up for a moment with many prompts, as a time.
 	promptNewsSaved = 500 * time.Millisecond
--- a/site/rate.go
+++ b/site/rate.go
@@ -11,8 +11,7 @@
 	// rateHalf is the time after which work that was asked for counts half: prompts differ by ten times in size, so the
 	// work of a few seconds says little.
 	rateHalf = 6 * time.Second
-	// quickHalf is the same where so many requests come that a second or two say enough: when a class came at 1.6 times with 618
-	// requests a second, rates of 6 s took 8 s to show two thirds of it, and groups came as late.
+	// quickHalf is the same where so many requests come that a second or two say enough, and slower rates would bring groups late.
 	quickHalf = 1500 * time.Millisecond
 	// workSpread is how far the work of single requests is off its mean, in parts of it, and quickSure how many times the error
 	// that this makes of a rate of quickHalf that rate must be off the slow one to count.
--- a/site/reign.go
+++ b/site/reign.go
@@ -33,7 +33,7 @@
 	copyFresh = 10 * time.Second
 	// arrivalPause is the part of a report interval without a new upstream after which the first groups are formed,
 	// arrivalLimit how many intervals after the first upstream they are formed at the latest: upstreams that start together
-	// were seen to report for the first time within two.
+	// report for the first time within two.
 	arrivalPause = 0.35
 	arrivalLimit = 3
 	// entryAway is how long an entry that does not call still counts as one.
--- a/site/reports.go
+++ b/site/reports.go
@@ -2,8 +2,8 @@
 
 // Upstreams report to any control daemon, about once a second each. One that
 // does not lead passes reports on to the leader, all that have come while the
-// last call was on its way in one call: 3,000 upstreams make 2,500 reports a
-// second, which one daemon could not take one by one.
+// last call was on its way in one call: one daemon could not take the reports of
+// thousands of upstreams one by one.
 
 import (
 	"context"
--- a/stall/margin.go
+++ b/stall/margin.go
@@ -10,14 +10,12 @@
 //	 |---- pass -----|- margin -|          |
 //	 0               45         60 ms      550 ms
 //
-// Of 222,544 events of one model one in a hundred came after its bound, and one
-// in a thousand over 15 ms after it; of 20,050 of another one, with prompts
-// three times as long, over 50 ms.
+// The longer the prompts of a model, the further its signs miss their bounds.
 
 import "time"
 
 const (
-	// unlearntMargin is the margin until enough signs have come: more than all but one in 10,000 were late.
+	// unlearntMargin is the margin until enough signs have come: more than nearly all are late.
 	unlearntMargin = 100 * time.Millisecond
 	// missedPart is the part of the signs that may come after the margin. One who doubts a group too early does no harm: it
 	// takes several at the same time, and most signs are late for one entry only.
@@ -28,8 +26,8 @@
 	binWidth = 5 * time.Millisecond
 	bins     = 44
 	// enoughSigns is the number of signs from which on the margin is learnt. Of few signs the latest says little of the next ones,
-	// so they get as much more as the margin is when nothing is known, and less as more come: without that the first words of 50
-	// prompts at each of 12 entries made them take groups that worked for standing still. Generation is how many are kept apart:
+	// so they get as much more as the margin is when nothing is known, and less as more come: without that entries
+	// take groups that work for standing still after their first prompts. Generation is how many are kept apart:
 	// the margin goes by this generation and the one before. An entry with seven streams sees one in half a minute.
 	enoughSigns = 50
 	generation  = 4000
