Count an order whose outcome was dropped among those that may be carried out late

What callers could see: a member serves in two groups. Cause: the formation knew 'waiting' and 'doubtful' apart, and only an outcome that came made a try doubtful. Change: a try without an outcome is unsure, whether it waits or its outcome is known to be missing; the group is marked for successors as with a lost answer. Why it holds: what lateUntil and mayReopen go by is now everything that was sent and has no answer. Tests: TestTheFirstTriesOfAGroupThatEnded, rows 'outcomes dropped', failed before; TestOrdersUnderWay (new: orders and answers under way, dropped outcomes, reports late, cuts that refuse).

--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -131,7 +131,13 @@
 func (f *Formation) mayReopen(g *roster.Group) bool {
 	for _, action := range []Action{ActionJoin, ActionOpen} {
 		o := f.orders[orderKey{g.Head(), action, g.Epoch}]
-		if o != nil && o.doubtful || o == nil && action == ActionJoin {
+		if o == nil {
+			if action == ActionJoin {
+				return true
+			}
+			continue
+		}
+		if unsure, _ := o.unsure(); unsure {
 			return true
 		}
 	}
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -17,6 +17,7 @@
 	step        = 50 * time.Millisecond
 	reportEvery = 1200 * time.Millisecond
 	breakAfter  = 5 * time.Second
+	answerWait  = time.Second
 )
 
 // engine is one upstream as the published interface describes it.
@@ -69,6 +70,12 @@
 	report *roster.Report
 }
 
+// onItsWay is an order or an answer that is under way.
+type onItsWay struct {
+	at time.Time
+	do func()
+}
+
 type lateOrder struct {
 	at    time.Time
 	order replicaset.Order
@@ -96,13 +103,19 @@
 	garbledShare float64
 	reportDelay  time.Duration
 	reports      []lateReport
+	// transit is how long an order, and the answer to it, is under way at most; an answer that can't come is known to be missing after
+	// answerWait. droppedShare is the part of the outcomes that never get to the formation.
+	transit      time.Duration
+	droppedShare float64
+	underWay     []onItsWay
 	// strict is set when a member may join elsewhere only if its own head is certainly not open, also by a late order that nobody can
 	// know of.
 	strict bool
 	// opened is told of heads that open.
 	opened func(e *engine)
-	// lose tells which orders never arrive.
+	// lose tells which orders never arrive, drop which outcomes never get to the formation.
 	lose      func(o *replicaset.Order) bool
+	drop      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
 	// together is set when entries find out together that a group has missed a pass.
 	together  bool
@@ -185,30 +198,67 @@
 	f.formation = fo
 }
 
-// give delivers an order at once, late, or never.
+// give delivers an order at once, after a moment, late, or never.
 func (f *fleet) give(o replicaset.Order) {
 	f.orders++
-	e := f.byID[o.To]
-	answer := func(out replicaset.Outcome) { f.formation.Answered(&o, out) }
+	if f.transit == 0 {
+		outcome := f.arrive(f.byID[o.To], &o)
+		if f.drop == nil || !f.drop(&o) {
+			f.formation.Answered(&o, outcome)
+		}
+		return
+	}
+	given, formation := f.now, f.formation
+	f.after(f.now.Add(f.moment()), func() {
+		outcome := f.arrive(f.byID[o.To].newest(), &o)
+		at := f.now.Add(f.moment())
+		if outcome == replicaset.OutcomeUnknown {
+			at = given.Add(answerWait)
+		}
+		if f.random.Float64() < f.droppedShare {
+			return
+		}
+		f.after(at, func() { formation.Answered(&o, outcome) })
+	})
+}
+
+func (f *fleet) moment() time.Duration { return time.Duration(f.random.Int64N(int64(f.transit))) }
+
+func (f *fleet) after(at time.Time, do func()) { f.underWay = append(f.underWay, onItsWay{at, do}) }
+
+// move lets what is under way arrive.
+func (f *fleet) move() {
+	list := f.underWay
+	f.underWay = nil
+	for _, w := range list {
+		if f.now.Before(w.at) {
+			f.underWay = append(f.underWay, w)
+			continue
+		}
+		w.do()
+	}
+}
+
+// arrive does what becomes of an order where it is sent to, and returns its outcome.
+func (f *fleet) arrive(e *engine, o *replicaset.Order) replicaset.Outcome {
 	switch chance := f.random.Float64(); {
 	case !e.alive && !e.left:
-		answer(replicaset.OutcomeUnknown)
+		return replicaset.OutcomeUnknown
 	case !e.alive:
-		answer(replicaset.OutcomeUnreached)
+		return replicaset.OutcomeUnreached
 	case e.cut && e.refuses:
-		answer(replicaset.OutcomeUnreached)
-	case e.cut, f.lose != nil && f.lose(&o), chance < f.lostShare:
-		answer(replicaset.OutcomeUnknown)
+		return replicaset.OutcomeUnreached
+	case e.cut, f.lose != nil && f.lose(o), chance < f.lostShare:
+		return replicaset.OutcomeUnknown
 	case chance < f.lostShare+f.lateShare:
 		after := 2*time.Second + time.Duration(f.random.Int64N(int64(10*time.Second)))
-		f.late = append(f.late, lateOrder{f.now.Add(after), o})
-		answer(replicaset.OutcomeUnknown)
+		f.late = append(f.late, lateOrder{f.now.Add(after), *o})
+		return replicaset.OutcomeUnknown
 	case chance < f.lostShare+f.lateShare+f.garbledShare:
-		f.carryOut(e, &o)
-		answer(replicaset.OutcomeUnknown)
-	default:
-		answer(f.carryOut(e, &o))
+		f.carryOut(e, o)
+		return replicaset.OutcomeUnknown
 	}
+	return f.carryOut(e, o)
 }
 
 func (f *fleet) faultf(format string, args ...any) {
@@ -327,6 +377,7 @@
 // pass lets a moment go by.
 func (f *fleet) pass() {
 	f.now = f.now.Add(step)
+	f.move()
 	var rest []lateOrder
 	for _, l := range f.late {
 		switch e := f.byID[l.order.To].newest(); {
--- a/replicaset/late_test.go
+++ b/replicaset/late_test.go
@@ -35,10 +35,19 @@
 const latest = 12 * time.Second
 
 // A group is formed by orders whose first tries had no answer; it ends, and right before its members join elsewhere these first tries are
-// carried out at the head and at another member.
+// carried out at the head and at another member. A leader that is behind drops outcomes, and knows no more of them.
 func TestTheFirstTriesOfAGroupThatEnded(t *testing.T) {
-	for name, whom := range map[string][]int{"the head": {0}, "the head and a member": {0, 1}} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		whom    []int
+		dropped bool
+	}{
+		{"the head", []int{0}, false},
+		{"the head and a member", []int{0, 1}, false},
+		{"the head, outcomes dropped", []int{0}, true},
+		{"the head and a member, outcomes dropped", []int{0, 1}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 5, 1, 6)
 			f.strict = true
 			first := map[string]*replicaset.Order{}
@@ -52,9 +61,17 @@
 				given = f.now
 				return true
 			}
+			seen := map[string]bool{}
+			f.drop = func(o *replicaset.Order) bool {
+				key := string(o.To) + string(o.Action)
+				dropped := c.dropped && first[key] != nil && !seen[key]
+				seen[key] = true
+				return dropped
+			}
 			for f.serving()["large"] == 0 {
 				f.pass()
 			}
+			f.drop = nil
 			head := f.headOf("large")
 			members := append([]ident.Incarnation(nil), head.members...)
 			late := func(to ident.Incarnation, action replicaset.Action) {
@@ -67,7 +84,7 @@
 			played := false
 			play := func() {
 				played = true
-				for _, i := range whom {
+				for _, i := range c.whom {
 					late(members[i], replicaset.ActionJoin)
 					if e := f.byID[members[i]]; e.member.State == roster.MemberJoining {
 						e.member.State = roster.MemberReady
@@ -97,3 +114,33 @@
 		})
 	}
 }
+
+// Orders and answers take their time, some outcomes never get to a leader that is behind, and reports come late, beside all other trouble.
+func TestOrdersUnderWay(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		f := newFleet(t, seed, 4, 8)
+		f.run(12*time.Second, nil)
+		f.lateShare, f.lostShare, f.garbledShare, f.reportDelay, f.strict = 0.1, 0.05, 0.03, 200*time.Millisecond, true
+		f.transit, f.droppedShare = time.Duration(seed)*80*time.Millisecond, 0.05
+		f.demand = groupsOf(float64(seed%3+2), float64(seed%5+3))
+		copied := f.copied()
+		f.run(40*time.Second, func() {
+			f.trouble(&copied)
+			switch list := f.alive(); f.random.IntN(60) {
+			case 0:
+				f.cutOff(list[f.random.IntN(len(list))])
+			case 1:
+				list[f.random.IntN(len(list))].cut = false
+			}
+		})
+		f.calm()
+		f.garbledShare, f.reportDelay, f.droppedShare = 0, 0, 0
+		f.run(40*time.Second, nil)
+		if len(f.faults) > 0 {
+			t.Errorf("seed %d: %v", seed, f.faults)
+		}
+		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
+			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
+		}
+	}
+}
--- a/replicaset/orders.go
+++ b/replicaset/orders.go
@@ -15,7 +15,8 @@
 	answered time.Time
 	outcome  Outcome
 	waiting  bool
-	// doubtful is set when one of the tries has no known outcome: it may be carried out late. Doubted is when the last such try was given.
+	// doubtful is set when one of the earlier tries has no known outcome: it may be carried out late. Doubted is when the last such one
+	// was given.
 	doubtful bool
 	doubted  time.Time
 }
@@ -54,14 +55,27 @@
 		return
 	}
 	sent := &sentOrder{at: now, waiting: true}
+	o := Order{
+		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
+		Model: g.Model, Members: g.Members, Fence: f.Fence, Known: f.known(u),
+	}
 	if before := f.orders[key]; before != nil {
-		sent.doubtful, sent.doubted = before.doubtful, before.doubted
+		sent.doubtful, sent.doubted = before.unsure()
+		if before.waiting {
+			// Its outcome was dropped by a leader that is behind.
+			f.noteDoubt(&o)
+		}
 	}
 	f.orders[key] = sent
-	f.Send(Order{
-		To: to, Address: u.Address, Action: action, Group: g.Name, Epoch: g.Epoch,
-		Model: g.Model, Members: g.Members, Fence: f.Fence, Known: f.known(u),
-	})
+	f.Send(o)
+}
+
+// unsure reports whether a try of an order may still be carried out late, and when the last such one was given.
+func (o *sentOrder) unsure() (bool, time.Time) {
+	if o.waiting {
+		return true, o.at
+	}
+	return o.doubtful, o.doubted
 }
 
 // describe writes a membership for operators.
@@ -94,7 +108,10 @@
 		k.Left = o.outcome
 	}
 	join := f.orders[orderKey{u.ID, ActionJoin, m.Epoch}]
-	k.Late = join == nil || join.doubtful
+	k.Late = join == nil
+	if join != nil {
+		k.Late, _ = join.unsure()
+	}
 	return k
 }
 
@@ -133,11 +150,13 @@
 // lateUntil returns until when an order of g may still be carried out late, zero when none may. Orders of former leaders are not known
 // one by one.
 func (f *Formation) lateUntil(g *roster.Group, to ident.Incarnation, action Action) time.Time {
-	o := f.orders[orderKey{to, action, g.Epoch}]
-	switch {
-	case o != nil && o.doubtful:
-		return o.doubted.Add(lateMost)
-	case o == nil && g.Doubtful:
+	if o := f.orders[orderKey{to, action, g.Epoch}]; o != nil {
+		if unsure, given := o.unsure(); unsure {
+			return given.Add(lateMost)
+		}
+		return time.Time{}
+	}
+	if g.Doubtful {
 		return f.began.Add(lateMost)
 	}
 	return time.Time{}
