Let entries count on after a change of leaders

What callers could see: more retries than the budget of all entries allows, and entries of a large site that use all groups, for as long as a new leader has not heard all entries (up to half a second). Cause: each entry takes its part by how many entries the leader knows, and a new one knows only who has called. Change: site/crowd.go; entries of the former leader count on for entryAway (3 s), after which a leader drops who does not call. The same list serves retries, limits, connections, news and shared groups.

--- /dev/null
+++ b/site/crowd.go
@@ -0,0 +1,68 @@
+package site
+
+// What all entries together may do is divided by how many they are, and a new
+// leader knows only those that have called it already. An entry that took its
+// first list for the whole would take several times its part. So after a change
+// of leaders those of the former one count on, for as long as a leader counts an
+// entry that does not call.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+// crowd is the entries by hall, as the leaders tell.
+type crowd struct {
+	reign Reign
+	// since is when the leader's first list came, former the entries of the one before until they count no more.
+	since  time.Time
+	lists  map[ident.Hall][]string
+	former map[ident.Hall][]string
+}
+
+func newCrowd() *crowd {
+	return &crowd{lists: map[ident.Hall][]string{}}
+}
+
+// take puts changed lists of a leader in place and reports whether the entries may be others than before.
+func (c *crowd) take(now time.Time, reign Reign, changed []EntryList) bool {
+	different := len(changed) > 0
+	if reign != c.reign {
+		c.former = c.all()
+		c.reign, c.since = reign, now
+	}
+	if c.former != nil && now.Sub(c.since) >= entryAway {
+		c.former = nil
+		different = true
+	}
+	for _, l := range changed {
+		c.lists[l.Hall] = l.Entries
+		if len(l.Entries) == 0 {
+			delete(c.lists, l.Hall)
+		}
+	}
+	return different
+}
+
+// all returns the entries that count.
+func (c *crowd) all() map[ident.Hall][]string {
+	all := map[ident.Hall][]string{}
+	told := map[string]bool{}
+	for hall, list := range c.lists {
+		all[hall] = slices.Clone(list)
+		for _, name := range list {
+			told[name] = true
+		}
+	}
+	for hall, list := range c.former {
+		for _, name := range list {
+			if !told[name] {
+				all[hall] = append(all[hall], name)
+			}
+		}
+		slices.Sort(all[hall])
+	}
+	return all
+}
--- /dev/null
+++ b/site/crowd_test.go
@@ -0,0 +1,65 @@
+package site_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// A new leader knows only the entries that have called it; the others count on until it would have dropped them. What a leader that is no
+// longer new says counts at once.
+func TestEntriesCountOnAfterAChangeOfLeaders(t *testing.T) {
+	type lists = map[ident.Hall][]string
+	c := site.NewCrowd()
+	start := time.Now()
+	for _, step := range []struct {
+		name      string
+		at        time.Duration
+		reign     site.Reign
+		changed   []site.EntryList
+		want      lists
+		different bool
+	}{
+		{"the first leader ever", 0, "a/1", []site.EntryList{{"one", []string{"x1"}}}, lists{"one": {"x1"}}, true},
+		{"all have called", time.Second, "a/1", []site.EntryList{{"one", []string{"x1", "x2", "x3"}}, {"two", []string{"y1"}}}, lists{"one": {"x1", "x2", "x3"}, "two": {"y1"}}, true},
+		{"one has ended", 10 * time.Second, "a/1", []site.EntryList{{"one", []string{"x1", "x3"}}}, lists{"one": {"x1", "x3"}, "two": {"y1"}}, true},
+		{"nothing new", 11 * time.Second, "a/1", nil, lists{"one": {"x1", "x3"}, "two": {"y1"}}, false},
+		{"another leader, one has called it", 20 * time.Second, "b/2", []site.EntryList{{"one", []string{"x3"}}, {"two", nil}}, lists{"one": {"x1", "x3"}, "two": {"y1"}}, true},
+		{"and a new one", 21 * time.Second, "b/2", []site.EntryList{{"one", []string{"x3", "x4"}}}, lists{"one": {"x1", "x3", "x4"}, "two": {"y1"}}, true},
+		{"one calls from another hall", 22 * time.Second, "b/2", []site.EntryList{{"two", []string{"x1"}}}, lists{"one": {"x3", "x4"}, "two": {"x1", "y1"}}, true},
+		{"a third leader soon after", 22500 * time.Millisecond, "c/3", []site.EntryList{{"one", []string{"x4"}}, {"two", nil}}, lists{"one": {"x3", "x4"}, "two": {"x1", "y1"}}, true},
+		{"still", 25 * time.Second, "c/3", nil, lists{"one": {"x3", "x4"}, "two": {"x1", "y1"}}, false},
+		{"those that have not called it are gone", 25500 * time.Millisecond, "c/3", nil, lists{"one": {"x4"}}, true},
+	} {
+		if got := c.Take(start.Add(step.at), step.reign, step.changed); got != step.different {
+			t.Errorf("%s: entries may be others: %v, want %v", step.name, got, step.different)
+		}
+		if diff := cmp.Diff(step.want, c.All()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
+// The retries of all entries are bounded together: an entry does not take a new leader's short list for all there are.
+func TestBudgetsAfterAChangeOfLeaders(t *testing.T) {
+	cfg := settings.DefaultSite()
+	e := site.NewEntry(&cfg, relay.Names{}, transport.TCP())
+	names := []string{"10.0.0.1:7400", "10.0.0.2:7400", "10.0.0.3:7400", "10.0.0.4:7400"}
+	e.Take(time.Now(), &site.SyncReply{Reign: "a/1", Entries: 4, Lists: []site.EntryList{{"one", names}}})
+	e.Take(time.Now(), &site.SyncReply{Reign: "b/2", Entries: 1, Lists: []site.EntryList{{"one", names[:1]}}})
+	if got := e.Sharers(); got != 4 {
+		t.Errorf("%d entries share the retries, want 4", got)
+	}
+	// A call that brings no list does not change that.
+	e.Take(time.Now(), &site.SyncReply{Reign: "b/2", Entries: 2})
+	if got := e.Sharers(); got != 4 {
+		t.Errorf("%d entries share the retries after another call, want 4", got)
+	}
+}
--- a/site/entry.go
+++ b/site/entry.go
@@ -182,11 +182,11 @@
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
-	if len(r.Lists) > 0 {
-		e.relay.SetEntries(e.neighbours.set(e.Settings.PeerAddress(), r.Lists))
+	if entries := e.neighbours.set(e.relay.Now(), e.Settings.PeerAddress(), r.Reign, r.Lists); entries != nil {
+		e.relay.SetEntries(entries)
 	}
 	e.relay.SetOthers(r.Others)
-	e.relay.Budget.SetEntries(r.Entries)
+	e.relay.Budget.SetEntries(max(r.Entries, e.neighbours.known))
 	if newest {
 		e.relay.SetConfirmed(began)
 	}
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -73,7 +73,7 @@
 
 // Set replaces the entries of a hall.
 func (n Neighbours) Set(addresses ...string) {
-	n.set(n.Address(), []EntryList{{Hall: "hall", Entries: addresses}})
+	n.set(time.Now(), n.Address(), "", []EntryList{{Hall: "hall", Entries: addresses}})
 }
 
 // Tell sends news to some entries, or to all.
@@ -206,3 +206,20 @@
 
 // CallerBounds returns the bounds on callers that are in force.
 func (e *Entry) CallerBounds() inbound.Bounds { return e.callers.Bounds() }
+
+// Crowd is the entries that an entry knows of.
+type Crowd struct{ crowd *crowd }
+
+// NewCrowd returns one that knows nobody.
+func NewCrowd() Crowd { return Crowd{newCrowd()} }
+
+// Take hears of a leader's lists.
+func (c Crowd) Take(now time.Time, reign Reign, changed []EntryList) bool {
+	return c.crowd.take(now, reign, changed)
+}
+
+// All returns those that count.
+func (c Crowd) All() map[ident.Hall][]string { return c.crowd.all() }
+
+// Sharers returns how many entries share the retries.
+func (e *Entry) Sharers() int { return e.relay.Budget.Entries() }
