Begin a successor's loads without a burst

What callers could see: the weight store's rate exceeded for a moment after a change of leaders, so loads of all take longer. Cause: each leader began with a burst of its own (4) beside its predecessor's. Change: a formation that is not the first one of a site begins with nothing saved up. Test: TestLoadsOfSeveralLeaders, 23 loads in 5 s before (19 are one leader's most), within that now. Price: the first load under a new leader comes up to a third of a second later.

--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -187,6 +187,10 @@
 	f.world, f.engine = w, engine
 	if f.began.IsZero() {
 		f.began = w.Now
+		if !f.Early {
+			// The leader before may have begun as many at once a moment ago, and the store's rate is one for all leaders.
+			f.loads = 0
+		}
 	}
 	f.byID = map[ident.Incarnation]*roster.Upstream{}
 	for i := range w.Upstreams {
