Send an upstream no more requests at once than it takes connections

What callers could see: resets, and repeats that cost the budget, at a service that takes fewer connections than its slots and queue. Cause: the bound on connections was read for idle ones only. Change: choose passes over a target whose requests, this entry's and those of others as far as known, are as many as it takes connections. Test: TestRequestsAtOnceAreBoundedByConnections, 12 more than 4 beside 2 of others before, none now.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		rated := s.rate(x, t, rank, now)
-		if !asked.Admits() || rated.load >= 1+queueOf(x.service) {
+		if !asked.Admits() || !x.hasRoom(&rated) {
 			full++
 			continue
 		}
@@ -220,6 +220,14 @@
 	return list[first]
 }
 
+// hasRoom reports whether a target takes one more request: it has slots and a queue, and each request needs a connection of its own.
+func (x *exchange) hasRoom(r *scored) bool {
+	if takes := x.service.MaxConnections; takes > 0 && r.at.Requests >= takes {
+		return false
+	}
+	return r.load < 1+queueOf(x.service)
+}
+
 func queueOf(s *httproute.Service) float64 {
 	if s.Engine == nil {
 		return plainQueue
--- a/relay/words_test.go
+++ b/relay/words_test.go
@@ -159,3 +159,41 @@
 		t.Errorf("this entry kept one at %d of %d upstreams, want about %d", kept, upstreams, expected)
 	}
 }
+
+// An upstream that takes fewer connections than it has slots for gets no more requests at once than it takes connections, by what this entry
+// sends and what others have there.
+func TestRequestsAtOnceAreBoundedByConnections(t *testing.T) {
+	const takes, slots, others = 6, 12, 2
+	arrived, release := make(chan struct{}, 2*slots), make(chan struct{})
+	u := newUpstream(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		arrived <- struct{}{}
+		<-release
+		return whole(conn, r)
+	})
+	s := newSite(t, []*upstream{u}, nil)
+	cfg := config()
+	cfg.Services[0].MaxConnections = takes
+	s.relay.SetConfig(cfg)
+	s.relay.SetRoster(&roster.Delta{Full: true, Revision: 2, Upstreams: []roster.Upstream{
+		{ID: "p0", Service: "plain", Address: u.address(), Slots: slots},
+	}})
+	s.relay.SetOthers(map[ident.Incarnation]int{"p0": others})
+	var first, rest sync.WaitGroup
+	for n := range takes - others {
+		first.Go(func() { s.do(s.request("POST", "/unsafe/x", fmt.Sprint(n), "")) })
+		<-arrived
+	}
+	for n := range slots {
+		rest.Go(func() {
+			r := s.request("POST", "/unsafe/x", fmt.Sprint(slots+n), "")
+			r.Header.Set("Deadline", "200")
+			s.do(r)
+		})
+	}
+	rest.Wait()
+	if n := len(arrived); n > 0 {
+		t.Errorf("%d requests more than %d, beside %d of others, reached an upstream that takes %d connections", n, takes-others, others, takes)
+	}
+	close(release)
+	first.Wait()
+}
