Tell successors which members late orders may put back

What callers could see: a member in two groups after a change of leaders: a head that had left its group by its own word joined and opened it again by orders of the former leader, in the moment before its next join. Cause: who is bound by late orders was known to the leader alone that had given them. Change: the roster marks these upstreams, its copies carry the mark, and a successor binds them anew from its start. Why it holds: an order is carried out at most lateMost after it was given, and the former leader gave none later.

--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -112,10 +112,21 @@
 	f.lose(g, why)
 }
 
-// bind keeps an upstream out of other groups until a time.
+// bind keeps an upstream out of other groups until a time, also under this leader's successors, who know of no single order.
 func (f *Formation) bind(id ident.Incarnation, until time.Time) {
 	if until.After(f.world.Now) && until.After(f.bound[id]) {
 		f.bound[id] = until
+		f.Roster.Bind(id, true)
+	}
+}
+
+// release ends what bind began.
+func (f *Formation) release() {
+	for id, until := range f.bound {
+		if f.byID[id] == nil || f.world.Now.After(until) {
+			delete(f.bound, id)
+			f.Roster.Bind(id, false)
+		}
 	}
 }
 
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -111,6 +112,8 @@
 	// strict is set when a member may join elsewhere only if its own head is certainly not open, also by a late order that nobody can
 	// know of.
 	strict bool
+	// spite is set when late orders are carried out at the worst moment: right before one of their group joins another.
+	spite bool
 	// opened is told of heads that open.
 	opened func(e *engine)
 	// lose tells which orders never arrive, drop which outcomes never get to the formation.
@@ -124,6 +127,8 @@
 	decisions int
 	next      int
 	faults    []string
+	// trace is what was decided, ordered and carried out.
+	trace []string
 }
 
 func models() *httproute.Engine {
@@ -194,7 +199,11 @@
 		return ident.Epoch(term<<24 | f.counter)
 	}
 	fo.Send = f.give
-	fo.Note = func(*roster.Group, string, string) { f.decisions++ }
+	fo.Note = func(g *roster.Group, decision, reason string) {
+		f.decisions++
+		f.tracef("%s/%d %v %s: %s", g.Name, g.Epoch, g.Members, decision, reason)
+	}
+	f.tracef("leader %d", f.term)
 	f.formation = fo
 }
 
@@ -240,7 +249,8 @@
 }
 
 // arrive does what becomes of an order where it is sent to, and returns its outcome.
-func (f *fleet) arrive(e *engine, o *replicaset.Order) replicaset.Outcome {
+func (f *fleet) arrive(e *engine, o *replicaset.Order) (outcome replicaset.Outcome) {
+	defer func() { f.tracef("%s of %s/%d to %s: %s", o.Action, o.Group, o.Epoch, e.id, outcome) }()
 	switch chance := f.random.Float64(); {
 	case !e.alive && !e.left:
 		return replicaset.OutcomeUnknown
@@ -265,8 +275,14 @@
 	f.faults = append(f.faults, fmt.Sprintf("%.2f s: ", f.now.Sub(f.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// tracef notes what happens; a failing test shows the end of it.
+func (f *fleet) tracef(format string, args ...any) {
+	f.trace = append(f.trace, fmt.Sprintf("%.2f s: ", f.now.Sub(f.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
 // carryOut does what an engine does with an order, and checks the rules.
 func (f *fleet) carryOut(e *engine, o *replicaset.Order) replicaset.Outcome {
+	f.tracef("%s of %s/%d carried out at %s, which is in %v, late: %v", o.Action, o.Group, o.Epoch, e.id, e.member, f.lateNow)
 	switch o.Action {
 	case replicaset.ActionJoin:
 		return f.join(e, o)
@@ -299,6 +315,9 @@
 	if e.member.Group == o.Group && e.member.Epoch == o.Epoch {
 		return replicaset.OutcomeTaken
 	}
+	if f.spite && !f.lateNow && f.random.IntN(2) == 0 {
+		f.spoil(e, o)
+	}
 	if o.Epoch < e.highest {
 		return replicaset.OutcomeFenced
 	}
@@ -334,6 +353,29 @@
 	return replicaset.OutcomeTaken
 }
 
+// spoil carries out the late orders of groups that e was in, before it joins another by o. Who joins by one is ready at once, as if that had
+// been a moment ago and nobody had heard of it yet.
+func (f *fleet) spoil(e *engine, o *replicaset.Order) {
+	f.lateNow = true
+	defer func() { f.lateNow = false }()
+	var rest []lateOrder
+	for _, action := range []replicaset.Action{replicaset.ActionJoin, replicaset.ActionOpen} {
+		rest = nil
+		for _, l := range f.late {
+			to := f.byID[l.order.To].newest()
+			if l.order.Action != action || l.order.Group == o.Group || !slices.Contains(l.order.Members, e.id) || !to.alive {
+				rest = append(rest, l)
+				continue
+			}
+			f.carryOut(to, &l.order)
+			if to.member.Epoch == l.order.Epoch && to.member.State == roster.MemberJoining {
+				to.member.State = roster.MemberReady
+			}
+		}
+		f.late = rest
+	}
+}
+
 // load is how long weights take from the store: a tenth before the first request.
 func (f *fleet) load(m *httproute.Model) time.Duration {
 	if f.now.Sub(f.began) < 10*time.Second {
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -192,10 +192,16 @@
 			f.loads = 0
 		}
 	}
+	first := f.byID == nil
 	f.byID = map[ident.Incarnation]*roster.Upstream{}
 	for i := range w.Upstreams {
-		if u := &w.Upstreams[i]; u.Service == f.Service {
-			f.byID[u.ID] = u
+		u := &w.Upstreams[i]
+		if u.Service != f.Service {
+			continue
+		}
+		f.byID[u.ID] = u
+		if first && u.Bound {
+			f.bound[u.ID] = w.Now.Add(lateMost)
 		}
 	}
 }
@@ -220,7 +226,7 @@
 	gone := func(id ident.Incarnation) bool { return f.byID[id] == nil }
 	maps.DeleteFunc(f.staging, func(id ident.Incarnation, _ staged) bool { return gone(id) })
 	maps.DeleteFunc(f.headed, func(id ident.Incarnation, _ ident.Model) bool { return gone(id) })
-	maps.DeleteFunc(f.bound, func(id ident.Incarnation, until time.Time) bool { return gone(id) || f.world.Now.After(until) })
+	f.release()
 	maps.DeleteFunc(f.stood, func(id ident.Incarnation, _ bool) bool { return gone(id) })
 	f.forgetEnded()
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -142,6 +142,7 @@
 		rec.sequence = report.Sequence
 		// An upstream that has announced its end does not take it back.
 		next.Draining = next.Draining || rec.Draining
+		next.Bound = rec.Bound
 		if reflect.DeepEqual(rec.Upstream, next) {
 			return false
 		}
@@ -154,6 +155,18 @@
 	return true
 }
 
+// Bind marks an upstream as bound, or takes the mark away.
+func (r *Roster) Bind(id ident.Incarnation, bound bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.upstreams[id]
+	if rec == nil || rec.Bound == bound {
+		return
+	}
+	rec.Bound = bound
+	r.touch(change{upstream: id})
+}
+
 // outlived reports whether report comes from an earlier life of an upstream that has started again under its id. Of one that has, the
 // earlier life is over, and so are its groups.
 func (r *Roster) outlived(now time.Time, report *Report) bool {
--- a/roster/types.go
+++ b/roster/types.go
@@ -46,6 +46,8 @@
 	// Last is the model of its newest group in this life; the roster keeps it when a report names none.
 	Last   ident.Model
 	Member Membership
+	// Bound is the leader's mark of an upstream that late orders may put back into a group that has ended; reports do not change it.
+	Bound bool
 }
 
 // Has reports whether list contains model.
