Show fields of reports and configurations that nothing reads

Cause: headers that nothing reads were told to operators, fields of JSON were not, so a wish in a report or a bound in a configuration could be passed over unseen, the class of the incident.

--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -92,7 +92,10 @@
 	orders, paces := platform.NewOrders(transport.Guarded()), platform.NewPaces(transport.Guarded())
 	orders.Heard, paces.Heard = c.Heard, c.Heard
 	c.GiveOrder, c.AskPace = orders.Give, paces.Ask
-	calls := &platform.Control{Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read, Unusable: c.Unusable}
+	calls := &platform.Control{
+		Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read,
+		Unusable: c.Unusable, Unread: c.UnreadInReport, UnreadInConfig: c.UnreadInConfig,
+	}
 	c.Handler = calls.Handler()
 	c.Reread = reread
 	ctx, end := context.WithCancel(ctx)
--- a/site/unread.go
+++ b/site/unread.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -101,3 +102,15 @@
 		c.Log.Info("upstream says what nothing reads", "upstream", id, "word", word)
 	}
 }
+
+// UnreadInReport notes fields of an upstream's report that nothing reads.
+func (c *Control) UnreadInReport(id ident.Incarnation, fields []string) {
+	for _, field := range c.Unread.Add(id, fields) {
+		c.Log.Info("upstream says what nothing reads", "upstream", id, "field", field)
+	}
+}
+
+// UnreadInConfig tells of fields of an accepted configuration that nothing reads.
+func (c *Control) UnreadInConfig(version httproute.Version, fields []string) {
+	c.Log.Info("configuration says what nothing reads", "version", version, "fields", fields)
+}
--- a/unread/list.go
+++ b/unread/list.go
@@ -70,11 +70,15 @@
 	return fresh
 }
 
-// Add notes names that another reader found.
-func (l *List[K]) Add(k K, names []string) {
+// Add notes names that another reader found, and returns those that are new of this upstream.
+func (l *List[K]) Add(k K, names []string) []string {
+	var fresh []string
 	for _, name := range names {
-		l.add(k, name[:min(nameMost, len(name))])
+		if l.add(k, name[:min(nameMost, len(name))]) {
+			fresh = append(fresh, name)
+		}
 	}
+	return fresh
 }
 
 // Each calls visit for each upstream of which something was noted.
