--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -427,14 +427,7 @@
 		f.demand = groupsOf(float64(seed%3+2), float64(seed%5+3))
 		copied := f.copied()
 		f.run(40*time.Second, func() { f.trouble(&copied) })
-		f.calm()
-		f.run(40*time.Second, nil)
-		if len(f.faults) > 0 {
-			t.Fatalf("seed %d: %v", seed, f.faults)
-		}
-		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
-			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
-		}
+		f.heals(seed)
 	}
 }
 
@@ -461,20 +454,26 @@
 				f.restart(e)
 			}
 		})
-		f.calm()
-		f.run(40*time.Second, nil)
-		if len(f.faults) > 0 {
-			t.Fatalf("seed %d: %v", seed, f.faults)
-		}
-		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
-			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
-		}
+		f.heals(seed)
+	}
+}
+
+// heals ends all trouble and checks that nothing has broken and that every model is served again.
+func (f *fleet) heals(seed uint64) {
+	f.t.Helper()
+	f.calm()
+	f.run(40*time.Second, nil)
+	if len(f.faults) > 0 {
+		f.t.Fatalf("seed %d: %v", seed, f.faults)
+	}
+	if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
+		f.t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
 	}
 }
 
 // calm ends all trouble and makes sure that there is a domain with enough upstreams.
 func (f *fleet) calm() {
-	f.lateShare, f.lostShare = 0, 0
+	f.lateShare, f.lostShare, f.garbledShare, f.droppedShare, f.reportDelay = 0, 0, 0, 0, 0
 	for _, e := range f.engines {
 		e.cut = false
 		if e.left && e.alive {
--- a/replicaset/late_test.go
+++ b/replicaset/late_test.go
@@ -20,14 +20,7 @@
 		f.demand = groupsOf(float64(seed%3+2), float64(seed%5+3))
 		copied := f.copied()
 		f.run(40*time.Second, func() { f.trouble(&copied) })
-		f.calm()
-		f.run(40*time.Second, nil)
-		if len(f.faults) > 0 {
-			t.Errorf("seed %d: %v", seed, f.faults)
-		}
-		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
-			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
-		}
+		f.heals(seed)
 	}
 }
 
@@ -133,14 +126,6 @@
 				list[f.random.IntN(len(list))].cut = false
 			}
 		})
-		f.calm()
-		f.garbledShare, f.reportDelay, f.droppedShare = 0, 0, 0
-		f.run(40*time.Second, nil)
-		if len(f.faults) > 0 {
-			t.Errorf("seed %d: %v", seed, f.faults)
-		}
-		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
-			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
-		}
+		f.heals(seed)
 	}
 }
--- a/replicaset/refused_test.go
+++ b/replicaset/refused_test.go
@@ -116,14 +116,6 @@
 				cut = cut[1:]
 			}
 		})
-		f.calm()
-		f.garbledShare, f.reportDelay = 0, 0
-		f.run(40*time.Second, nil)
-		if len(f.faults) > 0 {
-			t.Fatalf("seed %d: %v", seed, f.faults)
-		}
-		if got := f.serving(); got["large"] == 0 || got["small"] == 0 {
-			t.Errorf("seed %d: %v groups serve long after all trouble has ended", seed, got)
-		}
+		f.heals(seed)
 	}
 }
