--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -25,21 +25,6 @@
 	"time"
 )
 
-const (
-	// answerTime is how long an answer is waited for: several round trips between halls, with pauses of a busy VM.
-	answerTime = 60 * time.Millisecond
-	// deafAfter is how long questions have had no answer until an entry takes its own part; deafAgain is when it then asks again.
-	deafAfter = 700 * time.Millisecond
-	deafAgain = time.Second
-	// movedAgain is when an entry asks again that has another list of entries than the one it asked.
-	movedAgain = 200 * time.Millisecond
-	// latelyFor is how long a request counts as a late one for operators, latelyMost how many are kept.
-	latelyFor  = 10 * time.Second
-	latelyMost = 1000
-	// asksMost is how many questions on one upstream may be out at an entry.
-	asksMost = 4
-)
-
 // Seat says who coordinates an upstream.
 type Seat struct {
 	// Name is the coordinator, nothing when this entry can't know it; Self is set when it is this entry.
@@ -51,25 +36,6 @@
 	Quiet time.Duration
 }
 
-// Question asks the coordinator of an upstream for one request there, and tells it what the upstream said.
-type Question[K comparable] struct {
-	ID   uint64        `cbor:"1,keyasint"`
-	Key  K             `cbor:"2,keyasint"`
-	Rate Rate          `cbor:"3,keyasint"`
-	Age  time.Duration `cbor:"4,keyasint,omitempty"`
-	// Patience is how long the request can wait for its turn.
-	Patience time.Duration `cbor:"5,keyasint,omitempty"`
-}
-
-// Answer is the coordinator's answer, and the newest word of the upstream that it knows.
-type Answer[K comparable] struct {
-	ID   uint64        `cbor:"1,keyasint"`
-	Key  K             `cbor:"2,keyasint"`
-	Rate Rate          `cbor:"3,keyasint,omitempty"`
-	Age  time.Duration `cbor:"4,keyasint,omitempty"`
-	Grant
-}
-
 // Gate is whether a request may be meant for an upstream at a moment.
 type Gate struct {
 	// Limited is set when the upstream has named a limit.
@@ -118,30 +84,6 @@
 	apartOf map[string]map[K]bool
 }
 
-// state is what this entry knows of an upstream's limit.
-type state struct {
-	// until is when it is worth asking again, asking how many questions are out.
-	until  time.Time
-	asking int
-	// silent is since when no question was answered, asksAt when the coordinator is asked again then.
-	silent time.Time
-	asksAt time.Time
-	// sharers is how many share the limit, and at how many requests this entry was let go, refused and not answered.
-	sharers int
-	// lately are the moments of the last requests that were granted.
-	lately []time.Time
-	Counts
-}
-
-// Counts are what became of the requests of this entry that were meant for an upstream with a limit.
-type Counts struct {
-	// Granted and Refused are those that were let go and that were not, Own those of the granted that were of this entry's own part, and
-	// Unanswered the questions that had no answer.
-	Granted, Refused, Own, Unanswered int
-	// Lately is how many were granted in the last seconds.
-	Lately int
-}
-
 // Outcome is what became of one request that was meant for an upstream with a limit, or of a question.
 type Outcome string
 
@@ -278,92 +220,6 @@
 	return Permit{OK: g.OK, Limited: true, Rate: rate, After: g.After}
 }
 
-func (l *Limiter[K]) state(k K) *state {
-	s := l.states[k]
-	if s != nil {
-		return s
-	}
-	if len(l.states) > sweepAt {
-		for other := range l.states {
-			if l.states[other].asking == 0 && !l.isLimited(other) {
-				delete(l.states, other)
-			}
-		}
-	}
-	s = &state{}
-	l.states[k] = s
-	return s
-}
-
-// ask asks the coordinator and waits for its answer.
-func (l *Limiter[K]) ask(ctx context.Context, to string, k K, w Word, patience time.Duration) (*Answer[K], bool) {
-	now := l.Now()
-	l.mu.Lock()
-	s := l.state(k)
-	if now.Before(s.asksAt) || s.asking >= asksMost {
-		l.mu.Unlock()
-		return nil, false
-	}
-	s.asking++
-	id, answer := rand.Uint64(), make(chan *Answer[K], 1)
-	l.asked[id] = answer
-	l.mu.Unlock()
-	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At), Patience: patience})
-	timer := time.NewTimer(answerTime)
-	defer timer.Stop()
-	var a *Answer[K]
-	select {
-	case a = <-answer:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.asked, id)
-	s.asking--
-	if a == nil && ctx.Err() == nil {
-		s.unanswered(l.Now())
-		l.Observe(Unanswered)
-	}
-	return a, a != nil
-}
-
-// since returns the moments after a time, as many as are kept.
-func (s *state) since(from time.Time) []time.Time {
-	list := s.lately
-	for len(list) > 0 && (list[0].Before(from) || len(list) > latelyMost) {
-		list = list[1:]
-	}
-	return list
-}
-
-// unanswered notes that a question had no answer.
-func (s *state) unanswered(now time.Time) {
-	s.Unanswered++
-	if s.silent.IsZero() {
-		s.silent = now
-	}
-	s.asksAt = now.Add(answerTime)
-	if s.deaf(now) {
-		s.asksAt = now.Add(deafAgain)
-	}
-}
-
-// deaf reports whether the coordinator has not answered for so long that this entry goes by its own part.
-func (s *state) deaf(now time.Time) bool {
-	return !s.silent.IsZero() && now.Sub(s.silent) >= deafAfter
-}
-
-// take does what the coordinator answered.
-func (l *Limiter[K]) take(k K, a *Answer[K]) Permit {
-	l.Words.Hear(k, a.Rate, l.Now().Add(-a.Age))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.state(k)
-	s.silent, s.asksAt = time.Time{}, time.Time{}
-	return l.obey(k, a.Rate, a.Grant)
-}
-
 // takeOwn takes a request of this entry's own part once nobody can be asked, or none meanwhile.
 func (l *Limiter[K]) takeOwn(k K, rate Rate, seat Seat, patience time.Duration) Permit {
 	l.mu.Lock()
@@ -383,56 +239,3 @@
 	}
 	return l.obey(k, rate, g)
 }
-
-// Asked answers a question of another entry; there is no answer when this one can't know whether it coordinates the upstream.
-func (l *Limiter[K]) Asked(q *Question[K], from string) (*Answer[K], bool) {
-	seat := l.Seat(q.Key)
-	if !seat.Self && seat.Name == "" {
-		return nil, false
-	}
-	now := l.Now()
-	l.Words.Hear(q.Key, max(l.Words.Least, q.Rate), now.Add(-max(0, q.Age)))
-	w := l.Words.Newest(q.Key)
-	a := &Answer[K]{ID: q.ID, Key: q.Key, Rate: w.Rate, Age: now.Sub(w.At)}
-	if w.Rate == q.Rate {
-		// It is no news to who asks, and must not look like that.
-		a.Age = max(a.Age, q.Age)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case !w.Limited():
-		a.Grant = Grant{OK: true}
-	case !seat.Self:
-		a.Grant = Grant{After: movedAgain, Sharers: 1}
-	default:
-		a.Grant = l.grant(q.Key, w.Rate, seat, from, q.Patience)
-	}
-	return a, true
-}
-
-// Answered takes the answer to a question; one that is not waited for any more is dropped, and the request that it granted is lost.
-func (l *Limiter[K]) Answered(a *Answer[K]) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if answer := l.asked[a.ID]; answer != nil {
-		select {
-		case answer <- a:
-		default:
-		}
-	}
-}
-
-// Look returns what became of this entry's questions on an upstream, and whether it goes by its own part of the limit.
-func (l *Limiter[K]) Look(k K) (c Counts, apart bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.states[k]
-	if s == nil {
-		return Counts{}, false
-	}
-	now := l.Now()
-	s.lately = s.since(now.Add(-latelyFor))
-	s.Lately = len(s.lately)
-	return s.Counts, s.deaf(now)
-}
