Log each configuration from its offer to where it is in force

Cause: a refused configuration and a read left no line, the leader did not know which version an entry has, and an entry's line did not say how long it had waited. A late configuration, an invalid one and an unknown route could not be told apart after the fact. Change: lines for refused, decided and read ones, with the daemon that took them; the leader follows each accepted version until all entries that call have it (rollout.go), and names those that are late after a second; a histogram and a counter. Lines on operators' calls are bounded to 20 a second and kind. seldom becomes logLimiter.

--- a/result/error.go
+++ b/result/error.go
@@ -45,8 +45,11 @@
 // Unnamed is the code of an error that carries none.
 const Unnamed Code = -1
 
-// Message returns the text of err for people: its own words, without the error library's type prefix.
+// Message returns the text of err for people, nothing for nil: its own words, without the error library's type prefix.
 func Message(err error) string {
+	if err == nil {
+		return ""
+	}
 	var e *errorx.Error
 	if !errors.As(err, &e) {
 		return err.Error()
--- a/site/calls.go
+++ b/site/calls.go
@@ -54,14 +54,30 @@
 
 // Replace accepts a configuration that was checked; it returns after a majority has it on disk.
 func (c *Control) Replace(ctx context.Context, version httproute.Version, body []byte) error {
-	_, err := c.call(ctx, changeTimeout, &PassCall{Kind: CallReplace, Version: version, Body: body})
-	c.Log.Info("configuration offered", "version", version, "bytes", len(body), "code", int(result.CodeOf(err)))
+	began := clock.Now()
+	leader := c.leader()
+	_, err := c.call(ctx, changeTimeout, &PassCall{Kind: CallReplace, From: string(c.self.Name), Version: version, Body: body})
+	c.Log.Info("configuration offered", "version", version, "bytes", len(body), "leader", leader, "held", c.machine.Held().Version,
+		"took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)), "why", result.Message(err))
 	return err
 }
 
+// Refuse logs a configuration that was refused before it was offered to the leader.
+func (c *Control) Refuse(bytes int, why error) {
+	if many, ok := c.refusals.next(clock.Now()); ok {
+		c.Log.Info("configuration refused", "bytes", bytes, "code", int(result.CodeOf(why)), "why", result.Message(why), "since-last", many)
+	}
+}
+
 // Read returns the newest configuration as it was sent.
 func (c *Control) Read(ctx context.Context) ([]byte, error) {
-	reply, err := c.call(ctx, passTimeout, &PassCall{Kind: CallRead})
+	began := clock.Now()
+	leader := c.leader()
+	reply, err := c.call(ctx, passTimeout, &PassCall{Kind: CallRead, From: string(c.self.Name)})
+	if many, ok := c.reads.next(clock.Now()); ok {
+		c.Log.Info("configuration read", "version", reply.Version, "leader", leader, "held", c.machine.Held().Version,
+			"took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)), "since-last", many)
+	}
 	return reply.Body, err
 }
 
@@ -116,7 +132,7 @@
 		r.roster.Leave(clock.Now(), call.Upstream)
 		return PassReply{}, nil
 	case CallReplace:
-		return PassReply{}, c.replace(ctx, timeout, call)
+		return PassReply{}, c.replace(ctx, r, timeout, call)
 	case CallRead:
 		return c.read()
 	case CallInspect:
@@ -146,8 +162,10 @@
 	}
 }
 
-func (c *Control) replace(ctx context.Context, timeout time.Duration, call *PassCall) error {
-	if held := c.machine.Held().Version; call.Version <= held {
+func (c *Control) replace(ctx context.Context, r *reign, timeout time.Duration, call *PassCall) error {
+	began := clock.Now()
+	before := c.machine.Held().Version
+	if call.Version <= before {
 		return nil
 	}
 	d, err := catalog.NewDocument(call.Version, call.Body)
@@ -160,7 +178,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, _, err = c.node.Propose(ctx, data)
+	_, index, err := c.node.Propose(ctx, data)
+	if err == nil {
+		r.rollout.accept(clock.Now(), call.Version)
+	}
+	c.Log.Info("configuration decided", "version", call.Version, "held-before", before, "from", call.From, "index", index,
+		"packed-bytes", len(d.Packed), "took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)))
 	return err
 }
 
@@ -174,7 +197,7 @@
 		return PassReply{}, result.New(result.NoLeader, "there is no configuration yet")
 	}
 	body, err := catalog.Unpack(held.Packed)
-	return PassReply{Body: body}, err
+	return PassReply{Version: held.Version, Body: body}, err
 }
 
 // sync answers a daemon that follows, at once when there is news for it and after a moment otherwise.
--- a/site/control.go
+++ b/site/control.go
@@ -33,6 +33,8 @@
 const (
 	// snapshotEvery is the number of log entries after which a snapshot is taken; each entry is a whole configuration.
 	snapshotEvery = 32
+	// operatorLines bounds the log lines of one kind on operators' calls, in lines a second.
+	operatorLines = 20
 	// headerTime and idleTime bound the connections of upstreams and operators.
 	headerTime = 5 * time.Second
 	idleTime   = 30 * time.Second
@@ -84,7 +86,10 @@
 
 	reign    atomic.Pointer[reign]
 	reports  *reports
-	unusable seldom
+	unusable logLimiter
+	// refusals and reads bound the lines on configurations that operators offer and read.
+	refusals logLimiter
+	reads    logLimiter
 	held     *quarantine.List
 	// asked is what upstreams asked this daemon for.
 	asked *backoff.List[ident.Incarnation]
@@ -110,6 +115,7 @@
 	}
 	c.machine.Changed = c.configChanged
 	c.held = &quarantine.List{Rule: heldRule(&cfg.Quarantine)}
+	c.refusals.Lines, c.reads.Lines = operatorLines, operatorLines
 	c.limits = ratelimit.NewWords[ident.Incarnation]()
 	c.Unread = unread.New[ident.Incarnation]()
 	c.asked = backoff.New[ident.Incarnation](backoffRule(&cfg.Backoff))
--- a/site/entries.go
+++ b/site/entries.go
@@ -79,6 +79,7 @@
 		r.lists = nil
 	}
 	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
+	r.rollout.hear(now, call.From, call.Version)
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
 	r.c.hearLimits(now, call)
@@ -106,6 +107,7 @@
 func (r *reign) forgetEntry(name string) {
 	r.forgetSeen(r.entries[name])
 	delete(r.entries, name)
+	r.rollout.forget(name)
 	r.lists = nil
 }
 
--- a/site/entry.go
+++ b/site/entry.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/meter"
@@ -178,7 +179,7 @@
 	if e.unread.told(r.Reign) {
 		e.tellAllUnread()
 	}
-	newest := e.takeConfig(r)
+	newest := e.takeConfig(began, r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
@@ -194,10 +195,12 @@
 }
 
 // takeConfig puts the configuration in a reply in force. If it can't, this daemon can't be sure of anything newer than what it has.
-func (e *Entry) takeConfig(r *SyncReply) bool {
+func (e *Entry) takeConfig(began time.Time, r *SyncReply) bool {
 	if r.Config == nil && r.Patch == nil {
 		return true
 	}
+	decoding := clock.Now()
+	before := e.relay.Version()
 	body, err := e.unpack(r)
 	if err != nil {
 		e.Log.Error(err, "configuration cannot be unpacked, the whole one is asked for", "version", r.Version, "patch", r.Config == nil)
@@ -216,7 +219,9 @@
 	e.callers.SetBounds(inbound.Bounds{
 		HeaderBytes: cfg.Limits.HeaderBytes, HeaderTime: cfg.Limits.HeaderTimeout, IdleTime: cfg.Limits.IdleTimeout,
 	})
-	e.Log.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes), "packed-bytes", len(r.Config)+len(r.Patch))
+	e.Log.Info("configuration in force", "version", cfg.Version, "before", before, "routes", len(cfg.Routes),
+		"packed-bytes", len(r.Config)+len(r.Patch), "patch", r.Config == nil, "leader", r.Leader, "asked-ms", clock.Since(began).Milliseconds(),
+		"decoded-ms", clock.Since(decoding).Milliseconds())
 	return true
 }
 
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -128,7 +128,7 @@
 		},
 		roster:  roster.New(),
 		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
-		paces: newPaces(nil, logr.Discard()),
+		paces: newPaces(nil, logr.Discard()), rollout: newRollout(),
 	}}
 }
 
@@ -223,3 +223,32 @@
 
 // Sharers returns how many entries share the retries.
 func (e *Entry) Sharers() int { return e.relay.Budget.Entries() }
+
+// Rollout follows configurations to the entries.
+type Rollout struct{ rollout *rollout }
+
+// RolloutReport says how far a configuration has got.
+type RolloutReport = rolloutReport
+
+// NewRollout returns one that follows nothing.
+func NewRollout() Rollout { return Rollout{newRollout()} }
+
+// Accept begins to follow a version.
+func (r Rollout) Accept(now time.Time, version httproute.Version) { r.rollout.accept(now, version) }
+
+// Hear notes the version that an entry has in force.
+func (r Rollout) Hear(now time.Time, entry string, version httproute.Version) {
+	r.rollout.hear(now, entry, version)
+}
+
+// Reports returns what is to be logged.
+func (r Rollout) Reports(now time.Time) []RolloutReport { return r.rollout.reports(now) }
+
+// LogLimiter bounds log lines.
+type LogLimiter struct{ limiter *logLimiter }
+
+// NewLogLimiter lets so many lines a second through.
+func NewLogLimiter(lines int) LogLimiter { return LogLimiter{&logLimiter{Lines: lines}} }
+
+// Next counts one case.
+func (l LogLimiter) Next(now time.Time) (many int, ok bool) { return l.limiter.next(now) }
--- a/site/messages.go
+++ b/site/messages.go
@@ -117,7 +117,9 @@
 
 // PassCall is one call that the leader must answer.
 type PassCall struct {
-	Kind     CallKind
+	Kind CallKind
+	// From is the daemon that took the call.
+	From     string
 	Reports  []*roster.Report
 	Upstream ident.Incarnation
 	Version  httproute.Version
@@ -129,6 +131,8 @@
 	Code    result.Code
 	Text    string
 	Address string
+	// Version and Body are the configuration that was read.
+	Version httproute.Version
 	Body    []byte
 	// State answers CallInspect.
 	State *State
--- a/site/reign.go
+++ b/site/reign.go
@@ -89,6 +89,8 @@
 	apart  map[ident.Incarnation]int
 	demand Rates
 	served bool
+	// rollout follows accepted configurations to the entries.
+	rollout *rollout
 }
 
 // answersLength bounds the outcomes that wait for the leader's next look.
@@ -107,6 +109,10 @@
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 		paces:      newPaces(c.paceAsker(), c.Log),
+		rollout:    newRollout(),
+	}
+	if held := c.machine.Held().Version; held > 0 {
+		r.rollout.accept(now, held)
 	}
 	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
@@ -209,6 +215,7 @@
 	if !r.c.leads() {
 		return
 	}
+	r.logRollouts(now)
 	r.roster.Expire(now)
 	r.forgetUnread(now)
 	table := r.c.newestTable()
@@ -234,6 +241,19 @@
 	}
 }
 
+// logRollouts logs which configurations have reached all entries, and which are late at some.
+func (r *reign) logRollouts(now time.Time) {
+	for _, report := range r.rollout.reports(now) {
+		r.c.tallies.rollout(&report)
+		if len(report.Missing) == 0 {
+			r.c.Log.Info("configuration in force at all entries", "version", report.Version, "entries", report.Entries, "after-ms", report.After.Milliseconds())
+			continue
+		}
+		r.c.Log.Info("configuration late at some entries", "version", report.Version, "entries", report.Entries, "after-ms", report.After.Milliseconds(),
+			"missing", report.Missing)
+	}
+}
+
 // show brings the view for entries up to date.
 func (r *reign) show(table *httproute.Table) {
 	r.view.Follow(func(name ident.Service) bool {
--- /dev/null
+++ b/site/rollout_test.go
@@ -0,0 +1,85 @@
+package site_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/site"
+)
+
+// A leader reports a configuration once it is in force at all entries that call, and once when some are late.
+func TestRollouts(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	type report = site.RolloutReport
+	for _, c := range []struct {
+		name string
+		play func(r site.Rollout) []report
+		want []report
+	}{
+		{"no entries", func(r site.Rollout) []report {
+			r.Accept(at(0), 7)
+			return r.Reports(at(10))
+		}, []report{{Version: 7, After: 10 * time.Millisecond}}},
+		{"one entry after the other", func(r site.Rollout) []report {
+			r.Hear(at(0), "a", 6)
+			r.Hear(at(0), "b", 6)
+			r.Accept(at(10), 7)
+			r.Hear(at(100), "a", 7)
+			list := r.Reports(at(150))
+			r.Hear(at(200), "b", 8)
+			return append(list, append(r.Reports(at(210)), r.Reports(at(220))...)...)
+		}, []report{{Version: 7, After: 200 * time.Millisecond, Entries: 2}}},
+		{"one is late and then has it", func(r site.Rollout) []report {
+			var list []report
+			r.Hear(at(0), "a", 7)
+			r.Accept(at(0), 7)
+			for ms := 0; ms <= 1500; ms += 100 {
+				version := httproute.Version(6)
+				if ms == 1500 {
+					version = 7
+				}
+				r.Hear(at(ms), "b", version)
+				list = append(list, r.Reports(at(ms))...)
+			}
+			return list
+		}, []report{
+			{Version: 7, After: time.Second, Entries: 2, Missing: []string{"b"}},
+			{Version: 7, After: 1500 * time.Millisecond, Entries: 2},
+		}},
+		{"one that does not call any more does not count", func(r site.Rollout) []report {
+			r.Hear(at(0), "a", 6)
+			r.Accept(at(100), 7)
+			list := r.Reports(at(900))
+			return append(list, r.Reports(at(1000))...)
+		}, []report{{Version: 7, After: 900 * time.Millisecond, Entries: 1}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, c.play(site.NewRollout())); diff != "" {
+				t.Errorf("reports (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A log limiter writes so many lines a second, and counts those that it left out.
+func TestLogLimiter(t *testing.T) {
+	l := site.NewLogLimiter(2)
+	start := time.Now()
+	type line struct {
+		Many int
+		OK   bool
+	}
+	var got []line
+	for _, ms := range []int{0, 1, 2, 3, 1000, 1001, 1002} {
+		many, ok := l.Next(start.Add(time.Duration(ms) * time.Millisecond))
+		got = append(got, line{many, ok})
+	}
+	want := []line{{1, true}, {1, true}, {0, false}, {0, false}, {3, true}, {1, true}, {0, false}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
--- a/site/tallies.go
+++ b/site/tallies.go
@@ -14,6 +14,12 @@
 // tallyInterval is how often the leader counts groups and free upstreams.
 const tallyInterval = 500 * time.Millisecond
 
+// rolloutBuckets are the classes of times from the acceptance of a configuration until it is in force at all entries.
+var rolloutBuckets = tally.DurationBuckets{
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond,
+	1500 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second,
+}
+
 // tallies are the numbers of a control daemon. Groups and upstreams are counted by the leader only, since it began to lead.
 type tallies struct {
 	scope tally.Scope
@@ -32,6 +38,15 @@
 	t.scope.Tagged(map[string]string{"kind": string(kind), "result": result.Lookup(result.CodeOf(err)).Name}).Counter("calls").Inc(1)
 }
 
+// rollout counts how long a configuration took to all entries, or that it is late at some.
+func (t *tallies) rollout(r *rolloutReport) {
+	if len(r.Missing) > 0 {
+		t.scope.Counter("configurations_late").Inc(1)
+		return
+	}
+	t.scope.Histogram("configuration_in_force_seconds", rolloutBuckets).RecordDuration(r.After)
+}
+
 func (t *tallies) order(action replicaset.Action, outcome replicaset.Outcome) {
 	t.scope.Tagged(map[string]string{"action": string(action), "outcome": string(outcome)}).Counter("orders").Inc(1)
 }
