Compare and decode configurations as clients see them

Callers saw: an invalid configuration was acknowledged, and routes of a host in another case were answered with 404. Cause: what two sides take for the same was compared otherwise at the check than in use. The decoder took fields in any case and the last of doubled ones, routes were compared by the bytes of host and prefix, customers that share a key by their names, a service beside a split was not looked at, and a configuration without routes counted as whole. The other way round, whole numbers in other forms of JSON and fractions of weights were refused, a time-out beyond int64 became negative, and weights whose sum overflows made the choice of a service panic for each request. Why it works: operators' configurations go through a strict decoder (case, doubled fields, UTF-8, RFC 8259), hosts and prefixes are compared and looked up in one canonical form, weights are floating point. What was accepted before is read leniently (ReadConfig), so a daemon of this build takes over a log with such a configuration. TestConfigurationsAreLookedThrough sent no routes and services, which is not whole any more; it sends empty lists.

--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -88,7 +88,7 @@
 	names := namesOf(cfg)
 	c.Unread = unread.New[ident.Incarnation](names.Known()...)
 	c.Dial = transport.Guarded()
-	c.DecodeConfig = platform.DecodeConfig
+	c.DecodeConfig = platform.ReadConfig
 	orders, paces := platform.NewOrders(transport.Guarded()), platform.NewPaces(transport.Guarded())
 	orders.Heard, paces.Heard = c.Heard, c.Heard
 	c.GiveOrder, c.AskPace = orders.Give, paces.Ask
@@ -108,7 +108,7 @@
 	e := site.NewEntry(cfg, namesOf(cfg), transport.Guarded())
 	e.Log = log.Events()
 	e.Requests = log.Requests()
-	e.DecodeConfig = platform.DecodeConfig
+	e.DecodeConfig = platform.ReadConfig
 	e.Ready = platform.Ready
 	e.Reread = reread
 	onSignals(e.Stop, e.Reload)
--- a/httproute/check.go
+++ b/httproute/check.go
@@ -1,11 +1,13 @@
 package httproute
 
 import (
+	"strings"
+
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
-// place is where a route stands; no two routes may share it.
+// place is where a route stands, as clients see it; no two routes may share it.
 type place struct {
 	host   string
 	prefix string
@@ -15,6 +17,9 @@
 func Check(cfg *Config) error {
 	services := map[ident.Service]bool{}
 	for i := range cfg.Services {
+		if cfg.Services[i].Name == "" {
+			return invalid("a service has no name")
+		}
 		services[cfg.Services[i].Name] = true
 	}
 	places := map[place]bool{}
@@ -23,7 +28,7 @@
 		if err := checkRoute(r, services); err != nil {
 			return err
 		}
-		at := place{r.Host, r.Prefix}
+		at := place{canonicalHost(r.Host), strings.TrimRight(canonicalPrefix(r.Prefix), "/")}
 		if places[at] {
 			return invalid("route %s has the host and prefix of another route", r.Name)
 		}
@@ -36,7 +41,7 @@
 	if r.Timeout <= 0 {
 		return invalid("route %s has no time-out", r.Name)
 	}
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		if !services[s.Service] {
 			return invalid("route %s names service %s, which is not declared", r.Name, s.Service)
@@ -53,14 +58,13 @@
 }
 
 func checkKeys(customers []Customer) error {
-	owners := map[string]ident.Customer{}
+	owners := map[string]int{}
 	for i := range customers {
-		c := &customers[i]
-		for _, h := range c.KeyHashes {
-			if owner, taken := owners[h]; taken && owner != c.Name {
-				return invalid("customers %s and %s have the same key", owner, c.Name)
+		for _, h := range customers[i].KeyHashes {
+			if owner, taken := owners[h]; taken && owner != i {
+				return invalid("customers %s and %s have the same key", customers[owner].Name, customers[i].Name)
 			}
-			owners[h] = c.Name
+			owners[h] = i
 		}
 	}
 	return nil
--- a/httproute/config.go
+++ b/httproute/config.go
@@ -54,7 +54,7 @@
 // Share is one service of a route and its weight.
 type Share struct {
 	Service ident.Service
-	Weight  int
+	Weight  float64
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/httproute/httproute_test.go
+++ b/httproute/httproute_test.go
@@ -62,7 +62,9 @@
 }
 
 func TestRoute(t *testing.T) {
-	table := httproute.NewTable(config())
+	cfg := config()
+	cfg.Routes = append(cfg.Routes, route("e", "BIG.Example.", "/"), route("f", "h", "/y%20z/"), route("g", "p:8080", "/"))
+	table := httproute.NewTable(cfg)
 	for _, c := range []struct {
 		host, path string
 		want       ident.Class
@@ -75,6 +77,15 @@
 		{"h", "/", "a"},
 		{"h:8080", "/x/1", "b"},
 		{"i", "/x/1", "d"},
+		{"H", "/x/1", "b"},
+		{"h.", "/x/1", "b"},
+		{"h:80", "/x/1", "b"},
+		{"H.:8080", "/x/1", "b"},
+		{"big.example", "/1", "e"},
+		{"h", "/y z/1", "f"},
+		{"p:8080", "/1", "g"},
+		{"P:8080", "/1", "g"},
+		{"p", "/1", ""},
 		{"i", "/", ""},
 		{"j", "/x/1", ""},
 		{"", "/x/1", ""},
@@ -120,6 +131,24 @@
 	}
 }
 
+// Weights may be fractions, and beyond all integers.
+func TestPickWithAnyWeights(t *testing.T) {
+	table := httproute.NewTable(config())
+	for _, weight := range []float64{1e-9, 0.1, 1, 1 << 62, 1e300} {
+		r := &httproute.Route{Split: []httproute.Share{{Service: "s", Weight: weight}, {Service: "none", Weight: 0}, {Service: "t", Weight: weight}}}
+		counts := map[ident.Service]int{}
+		for range 2000 {
+			counts[table.Pick(r).Name]++
+		}
+		if counts["s"] < 850 || counts["t"] < 850 {
+			t.Errorf("counts %v for two weights of %g", counts, weight)
+		}
+	}
+	if got := table.Pick(&httproute.Route{Split: []httproute.Share{{Service: "s"}}}); got != nil {
+		t.Errorf("picked %v by no weight", got)
+	}
+}
+
 func TestRepeatable(t *testing.T) {
 	got := map[string]bool{}
 	for _, r := range []httproute.Route{
