Decide a repeated order once

Callers saw: nothing by itself; an operator that hears nothing for a second sends the same order to another daemon, and each repeat made the next one slower. Cause: the leader packed, wrote, synced and copied each repeat as an order of its own while the first was under way, up to eight times 400 kB before compression; and a first sender that left took its order with it. Evidence: TestRepeatedOrderIsDecidedOnce, 8 decisions of one order for each of eight versions before, 1 after. Why it works: orders of the same version and body that are under way at the leader share one decision (x/sync/singleflight), under a time-out of its own.

--- a/site/calls.go
+++ b/site/calls.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -114,12 +117,14 @@
 
 // answer does what call asks for, as leader.
 func (c *Control) answer(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
-	reply, err := c.answerAsLeader(ctx, timeout, call)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := c.answerAsLeader(ctx, call)
 	c.tallies.call(call.Kind, err)
 	return reply, err
 }
 
-func (c *Control) answerAsLeader(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
+func (c *Control) answerAsLeader(ctx context.Context, call *PassCall) (PassReply, error) {
 	r := c.reign.Load()
 	if r == nil || !c.leads() {
 		return PassReply{}, result.New(result.NoLeader, "this daemon does not lead, or not surely")
@@ -132,7 +137,7 @@
 		r.roster.Leave(clock.Now(), call.Upstream)
 		return PassReply{}, nil
 	case CallReplace:
-		return PassReply{}, c.replace(ctx, r, timeout, call)
+		return PassReply{}, c.replace(ctx, r, call)
 	case CallRead:
 		return c.read()
 	case CallInspect:
@@ -162,7 +167,32 @@
 	}
 }
 
-func (c *Control) replace(ctx context.Context, r *reign, timeout time.Duration, call *PassCall) error {
+// replace accepts a configuration.
+func (c *Control) replace(ctx context.Context, r *reign, call *PassCall) error {
+	if call.Version > c.machine.Held().Version {
+		return c.decide(ctx, r, call)
+	}
+	return nil
+}
+
+// decide writes a configuration to the log, once for all calls that bring it at the same time.
+func (c *Control) decide(ctx context.Context, r *reign, call *PassCall) error {
+	key := strconv.FormatUint(uint64(call.Version), 10) + "/" + strconv.FormatUint(xxhash.Sum64(call.Body), 16)
+	decided := c.offers.DoChan(key, func() (any, error) {
+		// Whoever brought it first may leave; the others wait for the same decision.
+		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		defer cancel()
+		return nil, c.propose(ctx, r, call)
+	})
+	select {
+	case d := <-decided:
+		return d.Err
+	case <-ctx.Done():
+		return result.New(result.NoLeader, "the change was not confirmed in time")
+	}
+}
+
+func (c *Control) propose(ctx context.Context, r *reign, call *PassCall) error {
 	began := clock.Now()
 	before := c.machine.Held().Version
 	if call.Version <= before {
@@ -176,8 +206,7 @@
 	if err != nil {
 		return result.Wrap(err, result.ChangeInvalid, "the configuration cannot be encoded")
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	c.decided.Add(1)
 	_, index, err := c.node.Propose(ctx, data)
 	if err == nil {
 		r.rollout.accept(clock.Now(), call.Version)
--- a/site/control.go
+++ b/site/control.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/catalog"
@@ -89,8 +90,12 @@
 	unusable logLimiter
 	// refusals and reads bound the lines on configurations that operators offer and read.
 	refusals logLimiter
-	reads    logLimiter
-	held     *quarantine.List
+	// offers are the decisions on configurations that are under way.
+	offers singleflight.Group
+	// decided counts the configurations that this daemon wrote to the log as leader.
+	decided atomic.Int64
+	reads   logLimiter
+	held    *quarantine.List
 	// asked is what upstreams asked this daemon for.
 	asked *backoff.List[ident.Incarnation]
 	// limits are the limits that upstreams named to this daemon.
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -252,3 +252,6 @@
 
 // Next counts one case.
 func (l LogLimiter) Next(now time.Time) (many int, ok bool) { return l.limiter.next(now) }
+
+// Decided returns how many configurations the daemon wrote to the log as leader.
+func (c *Control) Decided() int64 { return c.decided.Load() }
--- /dev/null
+++ b/site/inforce_test.go
@@ -0,0 +1,96 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/link"
+	"github.com/dunlinquay/dunlinquay/site"
+)
+
+// slowEntry asks the leader as an entry does and puts each configuration in force after a while.
+type slowEntry struct {
+	version atomic.Uint64
+	calls   atomic.Int64
+}
+
+func (e *slowEntry) run(ctx context.Context, addresses []string, after func(version httproute.Version) time.Duration) {
+	at := addresses[0]
+	for i := 0; ctx.Err() == nil; i++ {
+		client := link.NewClient(at, "Site")
+		call := &site.SyncCall{From: "127.0.2.9:1", Hall: "hall", Entry: true, Version: httproute.Version(e.version.Load())}
+		var reply site.SyncReply
+		err := client.Call(ctx, 2*time.Second, "Sync", call, &reply)
+		client.Close()
+		if err != nil || !reply.Leads {
+			at = addresses[i%len(addresses)]
+			continue
+		}
+		e.calls.Add(1)
+		if reply.Version > call.Version {
+			select {
+			case <-time.After(after(reply.Version)):
+			case <-ctx.Done():
+			}
+			e.version.Store(uint64(reply.Version))
+		}
+	}
+}
+
+func (d *daemons) peers(hosts ...string) []string {
+	var list []string
+	for _, host := range hosts {
+		list = append(list, fmt.Sprintf("%s:%d", host, d.port))
+	}
+	return list
+}
+
+// startSite starts three control daemons and an entry that needs so long for each configuration but the first.
+func startSite(t *testing.T, after time.Duration) (d *daemons, hosts []string, e *slowEntry, end context.CancelFunc) {
+	t.Helper()
+	d = newDaemons(t)
+	hosts = []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	d.voters(hosts[0], 3)
+	e = &slowEntry{}
+	ctx, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		e.run(ctx, d.peers(hosts...), func(version httproute.Version) time.Duration {
+			if version == 1 {
+				return 0
+			}
+			return after
+		})
+	})
+	t.Cleanup(func() { end(); wg.Wait() })
+	d.until("the entry has the first configuration", func() bool { return e.version.Load() == 1 })
+	return d, hosts, e, end
+}
+
+// An order that comes again while it is under way, here or at another daemon, is decided once.
+func TestRepeatedOrderIsDecidedOnce(t *testing.T) {
+	d, hosts, _, end := startSite(t, time.Millisecond)
+	end()
+	for version := httproute.Version(2); version < 10; version++ {
+		before := d.running[hosts[0]].control.Decided() + d.running[hosts[1]].control.Decided() + d.running[hosts[2]].control.Decided()
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() { _ = d.offer(hosts[i%3], version) })
+		}
+		wg.Wait()
+		d.replace(hosts[0], version)
+		after := d.running[hosts[0]].control.Decided() + d.running[hosts[1]].control.Decided() + d.running[hosts[2]].control.Decided()
+		if after != before+1 {
+			t.Errorf("version %d: %d decisions of one order that came eight times", version, after-before)
+		}
+	}
+}
