Confirm a configuration once the entries have it in force

Cause: a confirmation meant that a majority's disks had the change. When each entry had it was left to that entry's own call, and nobody looked, so the time allowed to put it in force was spent on whatever held an entry up, and the operator could not know. Change: the leader knows from each entry's call which version it has (rollout.go) and confirms once all entries that call have it, or 0.6 s after the decision: operators go elsewhere after a second. An entry that has not called for a second does not count (TestChangeIsConfirmedWithoutAnEntry). An older order that is acknowledged again waits no longer than the first.

--- a/site/calls.go
+++ b/site/calls.go
@@ -55,7 +55,7 @@
 	return err
 }
 
-// Replace accepts a configuration that was checked; it returns after a majority has it on disk.
+// Replace accepts a configuration that was checked; it returns after a majority has it on disk, and the entries that can be reached in force.
 func (c *Control) Replace(ctx context.Context, version httproute.Version, body []byte) error {
 	began := clock.Now()
 	leader := c.leader()
@@ -167,11 +167,14 @@
 	}
 }
 
-// replace accepts a configuration.
+// replace accepts a configuration and returns when the entries have it in force, as far as they can be reached.
 func (c *Control) replace(ctx context.Context, r *reign, call *PassCall) error {
 	if call.Version > c.machine.Held().Version {
-		return c.decide(ctx, r, call)
+		if err := c.decide(ctx, r, call); err != nil {
+			return err
+		}
 	}
+	r.rollout.wait(ctx, call.Version)
 	return nil
 }
 
--- a/site/inforce_test.go
+++ b/site/inforce_test.go
@@ -76,6 +76,34 @@
 	return d, hosts, e, end
 }
 
+// A change is confirmed once the entries that can be reached have it in force.
+func TestConfirmedChangeIsInForce(t *testing.T) {
+	d, hosts, e, _ := startSite(t, 150*time.Millisecond)
+	for version := httproute.Version(2); version < 8; version++ {
+		host := hosts[version%3]
+		d.replace(host, version)
+		if got := e.version.Load(); got < uint64(version) {
+			t.Errorf("version %d is confirmed by %s, the entry has %d", version, host, got)
+		}
+	}
+}
+
+// An entry that does not put a change in force holds its confirmation up for less than operators wait, and one that is gone not at all.
+func TestChangeIsConfirmedWithoutAnEntry(t *testing.T) {
+	d, hosts, e, end := startSite(t, time.Hour)
+	began := time.Now()
+	d.replace(hosts[0], 2)
+	if took := time.Since(began); took >= time.Second {
+		t.Errorf("confirmed after %v beside an entry that does not take it", took)
+	}
+	end()
+	d.until("the entry does not count any more", func() bool {
+		began = time.Now()
+		d.replace(hosts[0], httproute.Version(3+e.calls.Add(1)))
+		return time.Since(began) < 300*time.Millisecond
+	})
+}
+
 // An order that comes again while it is under way, here or at another daemon, is decided once.
 func TestRepeatedOrderIsDecidedOnce(t *testing.T) {
 	d, hosts, _, end := startSite(t, time.Millisecond)
--- a/site/rollout.go
+++ b/site/rollout.go
@@ -1,10 +1,12 @@
 package site
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 )
 
@@ -12,6 +14,8 @@
 	// entryCalls is how old the newest call of an entry may be for its version to count: entries call again after each answer, and
 	// the leader keeps a call for syncHoldMost and syncGatherMost at most.
 	entryCalls = time.Second
+	// inForceWait bounds how long a confirmation waits for entries: operators ask another daemon after a second without an answer.
+	inForceWait = 600 * time.Millisecond
 	// rolloutLate is when a configuration that some entries don't have is logged with their names.
 	rolloutLate = time.Second
 	// rolloutsKept bounds the configurations that are followed, lateNames the entries in one line.
@@ -24,6 +28,8 @@
 	mu      sync.Mutex
 	entries map[string]entryVersion
 	pending []*pendingVersion
+	// changed is closed when an entry has put another version in force.
+	changed chan struct{}
 }
 
 // entryVersion is the version that an entry had in force at the time of its newest call.
@@ -49,7 +55,7 @@
 }
 
 func newRollout() *rollout {
-	return &rollout{entries: map[string]entryVersion{}}
+	return &rollout{entries: map[string]entryVersion{}, changed: make(chan struct{})}
 }
 
 // accept begins to follow a version.
@@ -67,7 +73,12 @@
 func (r *rollout) hear(now time.Time, entry string, version httproute.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.entries[entry].version
 	r.entries[entry] = entryVersion{version, now}
+	if version != before {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
 }
 
 // forget drops an entry that does not call any more.
@@ -77,6 +88,38 @@
 	delete(r.entries, entry)
 }
 
+// wait returns when every entry that calls has the version or a newer one, or inForceWait after that was accepted.
+func (r *rollout) wait(ctx context.Context, version httproute.Version) {
+	for {
+		now := clock.Now()
+		rest, changed := r.look(now, version)
+		if rest <= 0 {
+			return
+		}
+		timer := time.NewTimer(rest)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// look returns how long a confirmation of the version has to wait yet, and a channel that is closed when that may have changed.
+func (r *rollout) look(now time.Time, version httproute.Version) (time.Duration, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.IndexFunc(r.pending, func(p *pendingVersion) bool { return p.version >= version })
+	if i < 0 || len(r.lacking(now, version)) == 0 {
+		return 0, r.changed
+	}
+	return inForceWait - now.Sub(r.pending[i].accepted), r.changed
+}
+
 // lacking returns the entries that call and have an older version; the mutex is held.
 func (r *rollout) lacking(now time.Time, version httproute.Version) []string {
 	var names []string
