Check every clause on configurations in the soak, at their real size and under a quota

Cause: the soak had one operator with one order under way, six routes and one kind of wrong configuration, and looked at times only by routes of an older version; what the users saw could not show.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -51,6 +51,8 @@
 	f.IntVar(&plan.Controls, "controls", 5, "control daemons")
 	f.IntVar(&plan.Entries, "entries", 3, "entries")
 	f.IntVar(&plan.Engines, "engines", 16, "model engines")
+	f.IntVar(&plan.Routes, "routes", 0, "routes that are added on the way")
+	f.Float64Var(&plan.Share, "share", 0, "part of a core that each process gets, as by a quota; 0 for all that there is")
 	f.IntVar(&plan.Plains, "plains", 3, "plain upstreams")
 	return cmd
 }
--- /dev/null
+++ b/soak/configs.go
@@ -0,0 +1,119 @@
+package soak
+
+// The configurations of the soak. What version n holds follows from n alone, so
+// that every check can tell what any version allows:
+//
+//	/vN/          a route of version N only, on a host whose case changes from version to version
+//	/hang/        a route to upstreams that do not answer, whose time-out changes
+//	/addedI/      routes that are added at version addedFrom and stay
+//	key-N, N-1    keys that come and go beside one that stays
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/platform"
+)
+
+const (
+	firstVersion = 10
+	// addedFrom is the version from which on the configuration has its real size.
+	addedFrom = firstVersion + 10
+	// keysKept is how many configurations a key is in.
+	keysKept = 2
+	// wrongVersions are so far above all others that one in force would show.
+	wrongVersions = 1_000_000
+	// hangLeast and hangStep make the time-outs of the route whose upstreams don't answer.
+	hangLeast = 200 * time.Millisecond
+	hangStep  = 100 * time.Millisecond
+	hangSteps = 4
+)
+
+// hangTimeout is the time-out of the route whose upstreams don't answer.
+func hangTimeout(n uint64) time.Duration {
+	return hangLeast + time.Duration(n%hangSteps)*hangStep
+}
+
+// keysOf are the keys that a version has.
+func keysOf(n uint64) []string {
+	keys := []string{stableKey}
+	for i := range uint64(keysKept) {
+		keys = append(keys, keyOf(n-i))
+	}
+	return keys
+}
+
+// configOf returns version n with so many added routes.
+func configOf(n uint64, added int) []byte {
+	route := func(name ident.Class, k httproute.Kind, service ident.Service, resumable bool) httproute.Route {
+		return httproute.Route{
+			Name: name, Host: siteHost, Prefix: "/" + string(name) + "/", Kind: k, Resumable: resumable, Timeout: callerWait, Aim: time.Second,
+			GapAim: 300 * time.Millisecond, Attempts: 2, Split: []httproute.Share{{Service: service, Weight: 1}},
+		}
+	}
+	cfg := &httproute.Config{
+		Version: httproute.Version(n),
+		Routes: []httproute.Route{
+			route("stream", httproute.KindStream, modelService, true), route("once", httproute.KindStream, modelService, false),
+			route("pay", httproute.KindUnsafe, plainService, false), route("look", httproute.KindSafe, plainService, false),
+			route(ident.Class(fmt.Sprintf("v%d", n)), httproute.KindSafe, plainService, false), route("hang", httproute.KindUnsafe, plainService, false),
+		},
+		Services: []httproute.Service{
+			{Name: plainService, HealthPath: "/healthz", MaxConnections: 100},
+			{Name: modelService, HealthPath: "/healthz", MaxConnections: 100, Engine: &httproute.Engine{
+				Slots: slots, Stride: 1, Step: time.Millisecond, ReadRate: 10000, LoadsPerSecond: 50, ConcurrentLoads: 50, FarFactor: 3, Models: models,
+			}},
+		},
+		Customers: []httproute.Customer{{Name: customer}},
+		Limits:    httproute.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+	own, hang := &cfg.Routes[4], &cfg.Routes[5]
+	own.Public, hang.Public = true, true
+	if n%2 == 1 {
+		own.Host = strings.ToUpper(siteHost)
+	}
+	hang.Timeout = hangTimeout(n)
+	for i := range added {
+		if n >= addedFrom {
+			cfg.Routes = append(cfg.Routes, route(ident.Class(fmt.Sprintf("added%d", i)), httproute.KindSafe, plainService, false))
+		}
+	}
+	return platform.EncodeConfig(cfg, map[ident.Customer][]string{customer: keysOf(n)})
+}
+
+// defect makes a configuration invalid by replacing a text, at its first place.
+type defect struct{ name, old, with string }
+
+var defects = []defect{
+	{"a route to no service", `"service":"plain","weight":1`, `"service":"nowhere","weight":1`},
+	{"a share of no service", `"weight":1}`, `"weight":1},{"service":"nowhere","weight":0}`},
+	{"no service beside a split", `"trafficSplit":[`, `"service":"nowhere","trafficSplit":[`},
+	{"no weight", `"weight":1}`, `"weight":0}`},
+	{"no time-out", `"timeoutMs":`, `"timeoutMs":0,"later":`},
+	{"a time-out twice", `"timeoutMs":`, `"timeoutMs":0,"timeoutMs":`},
+	{"a time-out in another case", `"timeoutMs":`, `"TimeoutMs":`},
+	{"two routes in one place", `"/once/"`, `"/stream/"`},
+	{"two routes on one host in two cases", `"host":"` + siteHost + `","pathPrefix":"/once/"`, `"host":"SITE.test","pathPrefix":"/stream/"`},
+	{"a shared key", `"tenants":[`, `"tenants":[{"name":"` + string(customer) + `","apiKeys":["` + stableKey + `"]},`},
+	{"no routes", `"routes":`, `"paths":`},
+	{"an end too soon", `"tenants":[`, ``},
+}
+
+// apply returns a configuration with the defect.
+func (d *defect) apply(body []byte) []byte {
+	if d.with == "" {
+		short, _, _ := strings.Cut(string(body), d.old)
+		return []byte(short)
+	}
+	return []byte(strings.Replace(string(body), d.old, d.with, 1))
+}
+
+// wrongConfig returns an invalid configuration and what is wrong with it.
+func wrongConfig(random *rand.Rand, n uint64, added int) (body []byte, name string) {
+	d := one(random, defects)
+	return d.apply(configOf(n+wrongVersions, added)), d.name
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -232,9 +232,9 @@
 
 func (s *soak) freeze(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.daemons())
-	d.signal(syscall.SIGSTOP)
+	d.pause(true)
 	wait := between(random, 200*time.Millisecond, 7*time.Second)
-	s.after(ctx, wait, func() { d.signal(syscall.SIGCONT) })
+	s.after(ctx, wait, func() { d.pause(false) })
 	return fmt.Sprintf("%s for %v", d.name, wait)
 }
 
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -3,84 +3,69 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
-	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/platform"
 )
 
 const (
 	changePause = 900 * time.Millisecond
-	changeLimit = 3 * time.Second
-	probePause  = 60 * time.Millisecond
-	// inForce is when an accepted configuration must be in force at daemons that nothing disturbs.
-	inForce = 3 * time.Second
-	// probedBack is how many versions back are asked for: more than are accepted within inForce.
-	probedBack = 25
+	// orderPatience is how long an operator waits for an answer before the order goes to another daemon.
+	orderPatience = time.Second
+	changeLimit   = 3 * time.Second
 	// readSlack is how old what is read back may be.
-	readSlack = 2500 * time.Millisecond
-	// keysKept is how many configurations a key is in.
-	keysKept = 2
+	readSlack = 2 * time.Second
+	// operatorCount is how many operators change the configuration at the same time.
+	operatorCount = 2
+	// rounds is of how many changes one is followed by an order of another kind.
+	rounds = 3
 )
 
-// configOf returns configuration n: the routes of all, one route of its own, and the newest keys.
-func configOf(n uint64) (body []byte, keys []string) {
-	route := func(name ident.Class, k httproute.Kind, service ident.Service, resumable bool) httproute.Route {
-		return httproute.Route{
-			Name: name, Host: siteHost, Prefix: "/" + string(name) + "/", Kind: k, Resumable: resumable, Timeout: callerWait, Aim: time.Second,
-			GapAim: 300 * time.Millisecond, Attempts: 2, Split: []httproute.Share{{Service: service, Weight: 1}},
-		}
-	}
-	cfg := &httproute.Config{
-		Version: httproute.Version(n),
-		Routes: []httproute.Route{
-			route("stream", httproute.KindStream, modelService, true), route("once", httproute.KindStream, modelService, false),
-			route("pay", httproute.KindUnsafe, plainService, false), route("look", httproute.KindSafe, plainService, false),
-			route(ident.Class(fmt.Sprintf("v%d", n)), httproute.KindSafe, plainService, false),
-		},
-		Services: []httproute.Service{
-			{Name: plainService, HealthPath: "/healthz", MaxConnections: 100},
-			{Name: modelService, HealthPath: "/healthz", MaxConnections: 100, Engine: &httproute.Engine{
-				Slots: slots, Stride: 1, Step: time.Millisecond, ReadRate: 10000, LoadsPerSecond: 50, ConcurrentLoads: 50, FarFactor: 3, Models: models,
-			}},
-		},
-		Customers: []httproute.Customer{{Name: customer}},
-		Limits:    httproute.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-	}
-	cfg.Routes[4].Public = true
-	keys = []string{stableKey}
-	for i := range uint64(keysKept) {
-		keys = append(keys, keyOf(n-i))
-	}
-	return platform.EncodeConfig(cfg, map[ident.Customer][]string{customer: keys}), keys
-}
-
-// change offers configurations one after the other, each until it is acknowledged.
+// change offers configurations one after the other, each until it is acknowledged; other operators do the same.
 func (s *soak) change(ctx context.Context, random *rand.Rand) {
-	for n := uint64(firstVersion); ctx.Err() == nil; n += 1 + uint64(random.IntN(3)) {
-		body, keys := configOf(n)
-		s.offered.Store(n)
+	for ctx.Err() == nil {
+		n := s.offered.Add(1 + uint64(random.IntN(3)))
+		body := configOf(n, s.Routes)
 		for ctx.Err() == nil && !s.offer(ctx, random, body) {
 			pause(ctx, probePause)
 		}
-		if ctx.Err() == nil {
-			s.truth.accepted(httproute.Version(n), keys)
-			s.notef("version %d accepted", n)
+		if ctx.Err() != nil {
+			return
 		}
-		s.offerWrong(ctx, random, n)
+		s.truth.accepted(httproute.Version(n))
+		s.notef("version %d accepted", n)
+		s.offerOthers(ctx, random, n)
 		pause(ctx, time.Duration(random.Int64N(int64(2*changePause))))
 	}
 }
 
+// offer sends an order to one daemon, and to another one while the first does not answer.
 func (s *soak) offer(ctx context.Context, random *rand.Rand, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, changeLimit)
 	defer cancel()
-	d := s.controls[random.IntN(len(s.controls))]
+	answers := make(chan bool, 2)
+	first, second := random.IntN(len(s.controls)), random.IntN(len(s.controls))
+	s.tasks.Go(func() { answers <- s.order(ctx, first, body) })
+	timer := time.NewTimer(orderPatience)
+	defer timer.Stop()
+	select {
+	case ok := <-answers:
+		return ok
+	case <-timer.C:
+	}
+	s.tasks.Go(func() { answers <- s.order(ctx, second, body) })
+	if <-answers {
+		return true
+	}
+	return <-answers
+}
+
+// order sends a valid configuration to a daemon and reports whether that acknowledges it.
+func (s *soak) order(ctx context.Context, i int, body []byte) bool {
+	d := s.controls[i]
 	status, text, err := call(ctx, http.MethodPost, "http://"+d.calls.address()+platform.PutPath, body)
 	if err == nil && status >= 400 && status < 500 {
 		s.truth.breaksf("%s refuses a valid configuration with %d %s", d.name, status, text)
@@ -88,31 +73,44 @@
 	return err == nil && status == http.StatusOK
 }
 
-// offerWrong offers a configuration with a route to a service that does not exist.
-func (s *soak) offerWrong(ctx context.Context, random *rand.Rand, n uint64) {
-	if random.IntN(4) > 0 {
-		return
-	}
-	body, _ := configOf(n + wrongVersions)
-	text := strings.Replace(string(body), `"service":"`+string(plainService)+`","weight"`, `"service":"nowhere","weight"`, 1)
-	if text == string(body) {
-		s.truth.breaksf("the wrong configuration is the right one")
-	}
+// offerOthers sends what must change nothing: a wrong configuration, an older one once more, and another one under an acknowledged version.
+func (s *soak) offerOthers(ctx context.Context, random *rand.Rand, n uint64) {
 	ctx, cancel := context.WithTimeout(ctx, changeLimit)
 	defer cancel()
+	if random.IntN(rounds) == 0 {
+		s.offerWrong(ctx, random, n)
+	}
+	if random.IntN(rounds) == 0 {
+		s.order(ctx, random.IntN(len(s.controls)), configOf(n, s.Routes))
+	}
+	if older := s.truth.someAccepted(random); older > 0 && random.IntN(rounds) == 0 {
+		s.order(ctx, random.IntN(len(s.controls)), configOf(uint64(older), s.Routes))
+	}
+	if random.IntN(rounds) == 0 {
+		other := configOf(n+wrongVersions, 0)
+		s.order(ctx, random.IntN(len(s.controls)), withVersion(other, n))
+	}
+}
+
+// withVersion returns a configuration under another version.
+func withVersion(body []byte, n uint64) []byte {
+	var cfg map[string]json.RawMessage
+	// What the soak has encoded can be read and encoded again.
+	_ = json.Unmarshal(body, &cfg)
+	cfg["version"], _ = json.Marshal(n)
+	out, _ := json.Marshal(cfg)
+	return out
+}
+
+func (s *soak) offerWrong(ctx context.Context, random *rand.Rand, n uint64) {
+	body, name := wrongConfig(random, n, s.Routes)
 	d := s.controls[random.IntN(len(s.controls))]
-	status, _, err := call(ctx, http.MethodPost, "http://"+d.calls.address()+platform.PutPath, []byte(text))
+	status, _, err := call(ctx, http.MethodPost, "http://"+d.calls.address()+platform.PutPath, body)
 	if err == nil && status == http.StatusOK {
-		s.truth.breaksf("%s acknowledges a route to no service", d.name)
+		s.truth.breaksf("%s acknowledges a configuration with %s", d.name, name)
 	}
 }
 
-const (
-	firstVersion = 10
-	// wrongVersions are so far above all others that one in force would show.
-	wrongVersions = 1_000_000
-)
-
 // readBack reads the configuration at any control daemon; what was acknowledged well before must be in it.
 func (s *soak) readBack(ctx context.Context, random *rand.Rand) (httproute.Version, bool) {
 	d := s.controls[random.IntN(len(s.controls))]
@@ -131,8 +129,7 @@
 		s.truth.breaksf("what %s has cannot be read: %v", d.name, err)
 		return 0, false
 	}
-	want, _ := configOf(got.Version)
-	if string(want) != string(body) {
+	if string(configOf(got.Version, s.Routes)) != string(body) {
 		s.truth.breaksf("%s has something else under version %d than was sent", d.name, got.Version)
 	}
 	if httproute.Version(got.Version) < least {
@@ -140,50 +137,3 @@
 	}
 	return httproute.Version(got.Version), true
 }
-
-// probe asks one entry again and again for routes that only one configuration each has.
-func (s *soak) probe(ctx context.Context, d *daemon, random *rand.Rand) {
-	seen := map[int]uint64{}
-	for i := 0; ctx.Err() == nil; i++ {
-		pause(ctx, probePause)
-		newest := s.offered.Load()
-		if newest == 0 {
-			continue
-		}
-		life, since, stopping := d.state()
-		version := max(firstVersion, newest-min(newest, uint64(random.IntN(probedBack))))
-		before := seen[life]
-		due := s.truth.acceptedBefore(time.Now().Add(-inForce))
-		status := s.probeOnce(ctx, d, version, fmt.Sprintf("probe-%s-%d", d.name, i))
-		now, _, _ := d.state()
-		if now != life || life == 0 || status != http.StatusOK {
-			continue
-		}
-		if version < before {
-			s.truth.breaksf("%s serves version %d after version %d", d.name, version, before)
-		}
-		seen[life] = max(before, version)
-		calm := s.Planned && !s.Untimed && !stopping && time.Since(since) > inForce
-		if calm && httproute.Version(version) < due {
-			s.truth.breaksf("%s serves version %d, and %d was accepted %v before", d.name, version, due, inForce)
-		}
-	}
-}
-
-func (s *soak) probeOnce(ctx context.Context, d *daemon, version uint64, id string) int {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v%d/x", d.link.address(), version), http.NoBody)
-	if err != nil {
-		return 0
-	}
-	req.Host = siteHost
-	req.Header.Set(platform.Names().RequestID, id)
-	s.truth.sends(&request{id: id, repeatable: true, from: senderOf(d)})
-	resp, err := s.prober.Do(req)
-	if err != nil {
-		return 0
-	}
-	resp.Body.Close()
-	return resp.StatusCode
-}
--- a/soak/process.go
+++ b/soak/process.go
@@ -31,6 +31,8 @@
 	ended   chan struct{}
 	life    int
 	started time.Time
+	// paused is set while a fault has stopped the process, held while the quota has.
+	paused, held bool
 	// stopping is set from a planned stop until the process is gone.
 	stopping bool
 }
@@ -66,7 +68,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	d.cmd, d.ended, d.stopping = cmd, make(chan struct{}), false
+	d.cmd, d.ended, d.stopping, d.paused, d.held = cmd, make(chan struct{}), false, false, false
 	d.life++
 	d.started = time.Now()
 	go d.wait(cmd, d.ended)
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -112,6 +113,10 @@
 
 func (e *engine) servePlain(w http.ResponseWriter, r *http.Request, id string) {
 	e.truth.runs(id, e.id)
+	if strings.HasPrefix(r.URL.Path, "/hang/") {
+		pause(r.Context(), callerWait)
+		panic(http.ErrAbortHandler)
+	}
 	pause(r.Context(), workTime)
 	if e.loss() {
 		panic(http.ErrAbortHandler)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,9 @@
 	Fatal bool
 	// Untimed leaves out what depends on the speed of the machine.
 	Untimed bool
+	// Routes is how many routes are added on the way, Share the part of a core that each process gets, 0 for all that there is.
+	Routes int
+	Share  float64
 	// Block chooses the loopback addresses; runs of one seed at the same time want different ones.
 	Block    int
 	Controls int
@@ -75,6 +78,7 @@
 	prober   *http.Client
 	tasks    sync.WaitGroup
 	offered  atomic.Uint64
+	probed   probes
 	wiped    time.Time
 
 	mu    sync.Mutex
@@ -88,6 +92,8 @@
 	defer end()
 	s := &soak{Plan: *plan, truth: newTruth(), prober: transport.New(transport.Fresh, transport.TCP()), wiped: time.Now()}
 	s.ctx, s.truth.untimed = ctx, plan.Untimed
+	s.offered.Store(firstVersion - 1)
+	s.probed.sent, s.probed.served = map[string]int{}, map[string]int{}
 	err := s.start(ctx)
 	if err == nil {
 		s.play(ctx)
@@ -107,13 +113,16 @@
 func (s *soak) play(ctx context.Context) {
 	load, endLoad := context.WithCancel(ctx)
 	defer endLoad()
-	s.tasks.Go(func() { s.change(load, s.random(1)) })
+	for i := range operatorCount {
+		s.tasks.Go(func() { s.change(load, s.random(uint64(10+i))) })
+	}
 	for i := range callerCount {
 		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
 		s.tasks.Go(func() { c.run(load) })
 	}
 	for i, d := range s.entries {
-		s.tasks.Go(func() { s.probe(load, d, s.random(uint64(200+i))) })
+		p := &prober{s: s, d: d, random: s.random(uint64(200 + i)), seen: map[int]uint64{}}
+		s.tasks.Go(func() { p.run(load) })
 	}
 	s.tasks.Go(func() {
 		random := s.random(2)
@@ -128,11 +137,15 @@
 	if s.Fatal {
 		s.tasks.Go(func() { s.sendFatals(trouble, load, s.random(4)) })
 	}
+	if s.Share > 0 {
+		s.tasks.Go(func() { s.notef("%d periods cut short", s.quota(trouble)) })
+	}
 	s.trouble(trouble, s.random(3))
 	endTrouble()
 	s.heal()
 	s.serves(ctx, "after all faults ended", healLimit)
 	s.lastWord(ctx)
+	s.probed.report(s.truth)
 	s.seesUnread()
 }
 
@@ -327,7 +340,7 @@
 		l.set(weather{})
 	}
 	for _, d := range s.daemons() {
-		d.signal(syscall.SIGCONT)
+		d.pause(false)
 		if _, _, stopping := d.state(); !stopping {
 			s.restart(d)
 		}
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +51,8 @@
 	requests map[string]*request
 	// removed holds when a configuration without a key was acknowledged.
 	removed map[string]time.Time
+	// gone is the number of the first key that versions may have yet.
+	gone    uint64
 	engines map[ident.Incarnation]*engine
 	acked   httproute.Version
 	// history holds when each version was acknowledged, in order.
@@ -168,16 +169,14 @@
 	}
 }
 
-// accepted notes an acknowledged configuration and the keys that it no longer has.
-func (t *truth) accepted(version httproute.Version, keys []string) {
+// accepted notes an acknowledged configuration and the keys that no version from it on has.
+func (t *truth) accepted(version httproute.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.acked = max(t.acked, version)
 	t.history = append(t.history, acceptance{version, time.Now()})
-	for _, r := range t.requests {
-		if _, ok := t.removed[r.key]; !ok && r.key != "" && !slices.Contains(keys, r.key) {
-			t.removed[r.key] = time.Now()
-		}
+	for ; t.gone+keysKept <= uint64(version); t.gone++ {
+		t.removed[keyOf(t.gone)] = time.Now()
 	}
 }
 
