Take the reports of an added service's upstreams with the configuration that declares it

Cause: the leader acknowledged and dropped reports of services that were not declared, so the upstreams of a service that a configuration brings were unknown until each of them reported again, and a service that was taken away and came back had upstreams that counted as silent. Evidence: TestUpstreamOfAnAddedServiceIsKnown fails on the code before (no upstream known after 5 s without another report) and passes. Why it works: the newest report of each such upstream is kept, 4,096 at most, and taken with its own age when a newer configuration declares the service; one that is as old as a silent upstream's is dropped.

--- a/site/calls.go
+++ b/site/calls.go
@@ -148,12 +148,15 @@
 }
 
 // takeReports takes reports of upstreams whose service is declared. Any other names nothing to use, and must not end the upstream
-// at its address; one of a service that is declared later goes on reporting.
+// at its address; it is taken once a configuration declares the service.
 func (c *Control) takeReports(r *reign, list []*roster.Report) {
 	table := c.newestTable()
 	for _, report := range list {
 		if table != nil && table.Service(report.Service) == nil {
 			c.Unusable(report.ID.UpstreamID(), result.New(result.ReportUnusable, "service %q is not declared", report.Service))
+			r.mu.Lock()
+			r.undeclared.add(clock.Now(), report)
+			r.mu.Unlock()
 			continue
 		}
 		r.roster.Take(clock.Now(), report)
--- a/site/reign.go
+++ b/site/reign.go
@@ -89,6 +89,8 @@
 	apart  map[ident.Incarnation]int
 	demand Rates
 	served bool
+	// undeclared are reports of upstreams whose service is not declared.
+	undeclared undeclared
 	// rollout follows accepted configurations to the entries.
 	rollout *rollout
 }
@@ -222,6 +224,7 @@
 	if table == nil {
 		return
 	}
+	r.takeDeclared(now, table)
 	defer r.show(table)
 	w := r.world(now)
 	r.paces.look(w, r.roster.Groups(), table)
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -191,7 +192,7 @@
 	}
 	return &httproute.Config{
 		Version: httproute.Version(version),
-		Services: []httproute.Service{{Name: "s"}, {Name: "m", Engine: &httproute.Engine{
+		Services: []httproute.Service{{Name: "s"}, {Name: ident.Service(fmt.Sprintf("only-%d", version))}, {Name: "m", Engine: &httproute.Engine{
 			LoadsPerSecond: 9, ConcurrentLoads: 9, Models: []httproute.Model{{Name: "one", Size: 1, Share: 1, Pace: 1, Load: time.Hour}},
 		}}},
 		Routes: []httproute.Route{{
@@ -342,6 +343,31 @@
 	}
 }
 
+// An upstream that reported before its service was declared serves as soon as it is, not from its next report on.
+func TestUpstreamOfAnAddedServiceIsKnown(t *testing.T) {
+	d := newDaemons(t)
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	for i, host := range hosts {
+		r := &roster.Report{
+			Upstream: roster.Upstream{ID: ident.Incarnation(fmt.Sprintf("i-%d", i)), Service: "only-2", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 4},
+			Sequence: 1,
+		}
+		d.until("the report is acknowledged", func() bool {
+			_, err := d.running[host].control.Report(context.Background(), r)
+			return err == nil
+		})
+	}
+	d.replace(hosts[1], 2)
+	d.until("the upstreams are known", func() bool {
+		s, err := site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
+		return err == nil && len(s.Upstreams) == len(hosts)
+	})
+}
+
 // Any control daemon tells operators what the leader knows and decided; without a leader none does.
 func TestInspect(t *testing.T) {
 	d := newDaemons(t)
--- /dev/null
+++ b/site/undeclared.go
@@ -0,0 +1,71 @@
+package site
+
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// undeclaredMost bounds the upstreams of services that are not declared of which the newest report is kept.
+const undeclaredMost = 4096
+
+// undeclared keeps the newest reports of upstreams whose service is not declared: they name nothing to use until a configuration
+// declares it.
+type undeclared struct {
+	reports map[ident.Incarnation]undeclaredReport
+	version httproute.Version
+}
+
+type undeclaredReport struct {
+	*roster.Report
+	at time.Time
+}
+
+// add keeps a report in place of an older one; the mutex of the reign is held.
+func (u *undeclared) add(now time.Time, r *roster.Report) {
+	old, ok := u.reports[r.ID]
+	if ok && r.Sequence <= old.Sequence {
+		return
+	}
+	for other := range u.reports {
+		if ok || len(u.reports) < undeclaredMost {
+			break
+		}
+		delete(u.reports, other)
+	}
+	if u.reports == nil {
+		u.reports = map[ident.Incarnation]undeclaredReport{}
+	}
+	u.reports[r.ID] = undeclaredReport{r, now}
+}
+
+// declared returns the reports of services that a newer configuration declares and forgets these, and all that are too old.
+func (u *undeclared) declared(now time.Time, table *httproute.Table, oldest time.Duration) []undeclaredReport {
+	if u.version == table.Config.Version {
+		return nil
+	}
+	u.version = table.Config.Version
+	var list []undeclaredReport
+	for id, r := range u.reports {
+		known := table.Service(r.Service) != nil
+		if known && now.Sub(r.at) < oldest {
+			list = append(list, r)
+		}
+		if known || now.Sub(r.at) >= oldest {
+			delete(u.reports, id)
+		}
+	}
+	return list
+}
+
+// takeDeclared takes the reports of upstreams whose service has just been declared.
+func (r *reign) takeDeclared(now time.Time, table *httproute.Table) {
+	r.mu.Lock()
+	list := r.undeclared.declared(now, table, r.roster.SilentAfter)
+	r.mu.Unlock()
+	for _, report := range list {
+		r.roster.Take(report.at, report.Report)
+	}
+}
