Give the lease up before another member is asked to take over

Cause: a leader that hands over cleared its lease in the protocol's state, and readers saw that only after the question had been sent and the step's sync was done. The next leader could accept a configuration in that time, and the old one would answer a read with the one before, for as long as its process stood still there, at most the rest of the lease. Why it works: the status that readers look at is published before the step's messages leave.

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -306,7 +306,10 @@
 
 func (n *Node) transfer() bool {
 	best, ok := n.core.CaughtUp()
-	return ok && n.core.TransferTo(n.Now(), best)
+	asked := ok && n.core.TransferTo(n.Now(), best)
+	// Readers must not see the lease any more when the other member learns that it may lead.
+	n.publish()
+	return asked
 }
 
 // process does what the core asks for, in the order that makes its promises true.
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -29,6 +29,8 @@
 
 	mu   sync.Mutex
 	live map[ident.Daemon]*quorum.Node
+	// watch sees each message as it is sent; nil where nobody looks.
+	watch func(m *quorum.Message)
 }
 
 type member struct {
@@ -145,8 +147,11 @@
 func (s *site) send(messages []quorum.Message) {
 	for i := range messages {
 		s.mu.Lock()
-		n := s.live[messages[i].To.Name]
+		n, watch := s.live[messages[i].To.Name], s.watch
 		s.mu.Unlock()
+		if watch != nil {
+			watch(&messages[i])
+		}
 		if n != nil {
 			n.Deliver(messages[i : i+1])
 		}
