Let a new leader answer reads only after a commit of its own term

Cause: a member may answer for what is newest once it has seen a commit of the present term. That was noted once in the life of a process, as follower in any earlier term, and still counted when the same process led a later one. Its lease rests on answers to heartbeats, refusals among them, so it had a lease before it knew what its predecessor had committed last. Why it works: a member that is elected forgets what it knew; its first commit of its own term comes after everything that was committed before.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -123,6 +123,8 @@
 	c.transfer = false
 	c.elected = now
 	c.lease = time.Time{}
+	// What its predecessors have committed is known with the first commit of its own.
+	c.currentFrom = 0
 	c.progress = map[MemberID]*progress{}
 	c.trackMembers(now)
 	// An entry of the own term lets the entries of earlier terms commit.
