Expel no member for one late reply

Callers saw: nothing yet; found by the model of reads with lost folders. Replies change places where a connection is opened anew while calls on the old one are still answered, as beside processes that stand still. Evidence: TestALateReplyDoesNotExpelAMember 'one' fails before; TestReadsAreNeverOlderThanWhatWasAcknowledged with lost folders has histories in which healed members have no leader before, none after. Why it works: what a member says against its own acknowledgement has to last for the election time, as refusals had to already.

--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -432,3 +432,41 @@
 		t.Fatal("a member that lost what it had acknowledged still takes part")
 	}
 }
+
+// One late reply from before a member had its first snapshot does not expel it; a member that goes on saying so has lost its folder.
+func TestALateReplyDoesNotExpelAMember(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		replies int
+		want    bool
+	}{
+		{"one", 1, false},
+		{"one after the other for longer than the election time", 15, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, leader := lead(t, 3)
+			var m *machine
+			for _, other := range g.members {
+				if other != leader {
+					m = other
+				}
+			}
+			if c.replies > 1 {
+				g.cut[m.id] = true
+			}
+			for range c.replies {
+				late := quorum.Message{Kind: quorum.MessageAppendReply, From: m.id, To: leader.id, Term: leader.core.Status().Term, Unformed: true}
+				leader.core.Step(g.now(leader), &late)
+				g.drain(leader, false)
+				g.pass(timing.Heartbeat)
+				for len(g.wire) > 0 {
+					g.deliver(0, false, false)
+				}
+			}
+			g.settle()
+			if diff := cmp.Diff(c.want, m.core.Status().Expelled); diff != "" {
+				t.Errorf("expelled (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/quorum/reads_test.go
+++ b/quorum/reads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	acked httproute.Version
 	// pending are versions by the place in the log that a leader gave them.
 	pending map[quorum.Index]pendingOrder
+	// folders counts those that were lost.
+	folders int
 	// versions are those of the log, by their place.
 	versions map[quorum.Index]httproute.Version
 	// entries are the versions that entries have in force, each told by any leader that holds a lease.
@@ -114,12 +117,12 @@
 	}
 }
 
-// No member that may answer reads has an older version than was acknowledged, whatever is lost, cut, killed or handed over.
+// No member that may answer reads has an older version than was acknowledged, whatever is lost, folders among it, cut, killed or handed over.
 func TestReadsAreNeverOlderThanWhatWasAcknowledged(t *testing.T) {
-	var acknowledged atomic.Uint64
+	var acknowledged, folders atomic.Uint64
 	t.Cleanup(func() {
-		if acknowledged.Load() < histories {
-			t.Errorf("%d versions acknowledged in %d histories", acknowledged.Load(), histories)
+		if acknowledged.Load() < histories || folders.Load() < histories/20 {
+			t.Errorf("%d versions acknowledged and %d folders lost in %d histories", acknowledged.Load(), folders.Load(), histories)
 		}
 	})
 	for seed := range uint64(histories) {
@@ -129,23 +132,90 @@
 			o := &orders{history: h, pending: map[quorum.Index]pendingOrder{}, versions: map[quorum.Index]httproute.Version{}, entries: make([]httproute.Version, 3)}
 			for range stretches / 2 {
 				h.fault()
+				if h.random.IntN(6) == 0 {
+					o.lose(h.any())
+				}
 				for range h.random.IntN(30) {
 					o.order(h.any())
 					o.turn()
 				}
 			}
-			if h.settle() == nil {
-				t.Fatal("healed members have no leader")
+			for range 3 {
+				if h.settle() == nil {
+					t.Fatal("healed members have no leader")
+				}
+				o.admit()
 			}
 			o.reads()
+			folders.Add(uint64(o.folders))
 			acknowledged.Add(uint64(o.acked))
 		})
 	}
 }
 
+// lose takes a member's folder while all others are there and in touch, and starts it again with an empty one.
+func (o *orders) lose(m *machine) {
+	for _, other := range o.members {
+		if !other.up || o.cut[other.id] || !o.admitted(other) {
+			return
+		}
+	}
+	o.folders++
+	m.id.Folder = quorum.FolderID(fmt.Sprint("new-", o.folders))
+	m.snapshot, m.hard, m.entries = nil, quorum.HardState{}, nil
+	o.start(m)
+	o.drain(m, false)
+}
+
+// admitted reports whether a member has a vote, as any leader knows.
+func (o *orders) admitted(m *machine) bool {
+	for _, l := range o.members {
+		s := l.core.Status()
+		if !l.up || s.Role != quorum.RoleLeader || !s.Current {
+			continue
+		}
+		return slices.Contains(s.Members, quorum.Member{ID: m.id, Voter: true}) && len(s.Members) == len(o.members)
+	}
+	return false
+}
+
+// admit lets a leader take in members with new folders, and drop their old ones once the new ones have their vote.
+func (o *orders) admit() {
+	for _, l := range o.members {
+		s := l.core.Status()
+		if !l.up || s.Role != quorum.RoleLeader {
+			continue
+		}
+		if members := o.nextMembers(s.Members); members != nil {
+			l.core.ProposeMembers(o.now(l), members)
+			l.core.Flush(o.now(l))
+			o.drain(l, false)
+		}
+	}
+}
+
+func (o *orders) nextMembers(now []quorum.Member) []quorum.Member {
+	present := func(id quorum.MemberID) bool {
+		return slices.ContainsFunc(o.members, func(m *machine) bool { return m.id == id })
+	}
+	if slices.ContainsFunc(now, func(m quorum.Member) bool { return !m.Voter }) {
+		return nil
+	}
+	if len(now) > len(o.members) {
+		return slices.DeleteFunc(slices.Clone(now), func(m quorum.Member) bool { return !present(m.ID) })
+	}
+	for _, m := range o.members {
+		if m.up && !slices.ContainsFunc(now, func(o quorum.Member) bool { return o.ID == m.id }) {
+			return append(slices.Clone(now), quorum.Member{ID: m.id})
+		}
+	}
+	return nil
+}
+
 // turn lets some time pass and some messages arrive, in any order.
 func (o *orders) turn() {
-	o.group.pass(time.Duration(1+o.random.IntN(60)) * time.Millisecond)
+	o.admit()
+	o.pass(time.Duration(1+o.random.IntN(60)) * time.Millisecond)
 	for range o.random.IntN(14) {
 		if len(o.wire) == 0 {
 			break
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -168,7 +168,6 @@
 	}
 	switch {
 	case m.Unformed:
-		p.next = 1
 		c.requestSnapshotUnformed(now, m.From, p)
 	case m.Granted:
 		c.acknowledged(now, m.From, p, m.Match)
@@ -181,13 +180,7 @@
 // acknowledged as synced has an older or damaged folder; one late reply alone proves nothing.
 func (c *Core) refused(now time.Time, from MemberID, p *progress, hint Index) {
 	if hint < p.match {
-		if p.suspect.IsZero() {
-			p.suspect = now
-		}
-		if now.Sub(p.suspect) >= c.timing.Election {
-			p.lost = true
-			c.send(Message{Kind: MessageExpel, To: from})
-		}
+		c.suspect(now, from, p)
 		return
 	}
 	p.next = hint + 1
@@ -200,10 +193,22 @@
 
 func (c *Core) requestSnapshotUnformed(now time.Time, to MemberID, p *progress) {
 	if p.match == 0 {
+		p.next = 1
 		c.requestSnapshot(now, to, p)
 		return
 	}
-	p.lost = true
+	c.suspect(now, to, p)
+}
+
+// suspect expels a member that has said for the election time that it lacks what it had acknowledged.
+func (c *Core) suspect(now time.Time, id MemberID, p *progress) {
+	if p.suspect.IsZero() {
+		p.suspect = now
+	}
+	if now.Sub(p.suspect) >= c.timing.Election {
+		p.lost = true
+		c.send(Message{Kind: MessageExpel, To: id})
+	}
 }
 
 func (c *Core) acknowledged(now time.Time, from MemberID, p *progress, match Index) {
