Take an order to the next leader when the one that it went to is lost

Cause: a control daemon that does not lead passes an order on over its connection to the leader. Of a lost one that connection tells nothing, and the order sat there until a time-out of another call closed it or 2.5 s were over, long after there was another leader; then it failed. Why it works: an order is given up there as soon as another leader is known, and tried again while its time lasts; a version is accepted once however often it comes.

--- a/site/calls.go
+++ b/site/calls.go
@@ -59,7 +59,7 @@
 func (c *Control) Replace(ctx context.Context, version httproute.Version, body []byte) error {
 	began := clock.Now()
 	leader := c.leader()
-	_, err := c.call(ctx, changeTimeout, &PassCall{Kind: CallReplace, From: string(c.self.Name), Version: version, Body: body})
+	_, err := c.order(ctx, changeTimeout, &PassCall{Kind: CallReplace, From: string(c.self.Name), Version: version, Body: body})
 	c.Log.Info("configuration offered", "version", version, "bytes", len(body), "leader", leader, "held", c.machine.Held().Version,
 		"took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)), "why", result.Message(err))
 	return err
@@ -76,7 +76,7 @@
 func (c *Control) Read(ctx context.Context) ([]byte, error) {
 	began := clock.Now()
 	leader := c.leader()
-	reply, err := c.call(ctx, passTimeout, &PassCall{Kind: CallRead, From: string(c.self.Name)})
+	reply, err := c.order(ctx, passTimeout, &PassCall{Kind: CallRead, From: string(c.self.Name)})
 	if many, ok := c.reads.next(clock.Now()); ok {
 		c.Log.Info("configuration read", "version", reply.Version, "leader", leader, "held", c.machine.Held().Version,
 			"took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)), "since-last", many)
@@ -84,6 +84,40 @@
 	return reply.Body, err
 }
 
+// order is call for what operators send, which may come twice: it is tried again, at the next leader if need be, as long as there is time.
+func (c *Control) order(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		leader := c.leader()
+		reply, err := c.tryOrder(ctx, leader, timeout, call)
+		switch result.CodeOf(err) {
+		case result.NoLeader, result.DaemonUnreached:
+		default:
+			return reply, err
+		}
+		pause(ctx, askPause)
+		if ctx.Err() != nil {
+			return reply, err
+		}
+	}
+}
+
+// tryOrder makes the call and gives it up once another daemon leads: the connection to one that is lost tells nothing.
+func (c *Control) tryOrder(ctx context.Context, leader string, timeout time.Duration, call *PassCall) (PassReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			if now := c.leader(); now != leader && now != "" {
+				cancel()
+			}
+			pause(ctx, askPause)
+		}
+	}()
+	return c.call(ctx, timeout, call)
+}
+
 // call answers a call here when this daemon leads, and passes it on otherwise.
 func (c *Control) call(ctx context.Context, timeout time.Duration, call *PassCall) (PassReply, error) {
 	leader := c.leader()
--- /dev/null
+++ b/site/silent_test.go
@@ -0,0 +1,119 @@
+package site_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// power makes connections from and to hosts go silent, as when a VM loses power: nothing is reset.
+type power struct {
+	mu  sync.Mutex
+	off map[string]bool
+}
+
+func (p *power) lose(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.off[host] = true
+}
+
+func (p *power) silent(a, b string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.off[a] || p.off[b]
+}
+
+// dial opens connections of a host.
+func (p *power) dial(from string) transport.Dial {
+	tcp := transport.TCP()
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		to, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		if p.silent(from, to) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		conn, err := tcp(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &powered{Conn: conn, silent: func() bool { return p.silent(from, to) }, closed: make(chan struct{})}, nil
+	}
+}
+
+// powered is a connection that may go silent.
+type powered struct {
+	net.Conn
+	silent func() bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *powered) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.silent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *powered) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *powered) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// An order that reaches a follower while its leader has lost power goes to the next leader, not into the old connection's time-out.
+func TestOrderIsNotHeldByALostLeader(t *testing.T) {
+	d := newDaemons(t)
+	p := &power{off: map[string]bool{}}
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.dial = p.dial(host)
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	d.voters(hosts[0], 3)
+	var s *site.State
+	d.until("the leader is known", func() bool {
+		var err error
+		s, err = site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
+		return err == nil && s.Leader != ""
+	})
+	lost, _, err := net.SplitHostPort(s.Leader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, host := range hosts {
+		if host == lost {
+			hosts = append(hosts[:i:i], hosts[i+1:]...)
+		}
+	}
+	d.replace(hosts[0], 2)
+	p.lose(lost)
+	began := time.Now()
+	for i, host := range hosts {
+		if err := d.offer(host, httproute.Version(3+i)); err != nil {
+			t.Errorf("%s: %v", host, err)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("two orders took %v after the leader was lost", took)
+	}
+}
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -36,6 +36,8 @@
 	ports   map[string]int
 	seeds   []string
 	running map[string]*running
+	// dial opens the connections of daemons that are started, nil for the usual way.
+	dial transport.Dial
 }
 
 type running struct {
@@ -108,6 +110,9 @@
 		d.t.Fatal(err)
 	}
 	c.DecodeConfig = decode
+	if d.dial != nil {
+		c.Dial = d.dial
+	}
 	c.GiveOrder = func(context.Context, *replicaset.Order) replicaset.Outcome { return replicaset.OutcomeRefused }
 	c.Handler = http.NotFoundHandler()
 	c.Reread = func() (*settings.Site, error) { return cfg, nil }
