Count the wait of a confirmation from the order's arrival

Callers saw: at 300 entries a configuration was acknowledged after 1.39 s in the middle (0.17 s before confirmations waited for entries), so operators that go elsewhere after a second had to ask twice. Cause: 0.6 s for the entries came on top of what the decision itself took. Change: 0.75 s from the order's arrival at the leader, however long the decision takes.

--- a/site/calls.go
+++ b/site/calls.go
@@ -249,7 +249,7 @@
 	c.decided.Add(1)
 	_, index, err := c.node.Propose(ctx, data)
 	if err == nil {
-		r.rollout.accept(clock.Now(), call.Version)
+		r.rollout.accept(began, clock.Now(), call.Version)
 	}
 	c.Log.Info("configuration decided", "version", call.Version, "held-before", before, "from", call.From, "index", index,
 		"packed-bytes", len(d.Packed), "took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)))
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -245,7 +245,9 @@
 }
 
 // Accept begins to follow a version.
-func (r Rollout) Accept(now time.Time, version httproute.Version) { r.rollout.accept(now, version) }
+func (r Rollout) Accept(offered, now time.Time, version httproute.Version) {
+	r.rollout.accept(offered, now, version)
+}
 
 // Hear notes the version that an entry has in force.
 func (r Rollout) Hear(now time.Time, entry string, version httproute.Version) {
--- a/site/reign.go
+++ b/site/reign.go
@@ -114,7 +114,7 @@
 		rollout:    newRollout(now, int(c.entriesHeard.Load())),
 	}
 	if held := c.machine.Held().Version; held > 0 {
-		r.rollout.accept(now, held)
+		r.rollout.accept(now, now, held)
 	}
 	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
--- a/site/rollout.go
+++ b/site/rollout.go
@@ -16,8 +16,9 @@
 	entryCalls = time.Second
 	// entriesArrive is how long the entries of a former leader may take to call the next one.
 	entriesArrive = 1500 * time.Millisecond
-	// inForceWait bounds how long a confirmation waits for entries: operators ask another daemon after a second without an answer.
-	inForceWait = 600 * time.Millisecond
+	// confirmWithin is the time from the offer of a configuration for which its confirmation may wait for entries: operators go to
+	// another daemon after a second without an answer.
+	confirmWithin = 750 * time.Millisecond
 	// rolloutLate is when a configuration that some entries don't have is logged with their names.
 	rolloutLate = time.Second
 	// rolloutsKept bounds the configurations that are followed, lateNames the entries in one line.
@@ -46,7 +47,9 @@
 
 // pendingVersion is a configuration that some entries may not have.
 type pendingVersion struct {
-	version  httproute.Version
+	version httproute.Version
+	// offered is when it came to the leader, accepted when a majority had it on disk.
+	offered  time.Time
 	accepted time.Time
 	// late is set once it was reported as late.
 	late bool
@@ -65,14 +68,14 @@
 	return &rollout{began: now, expected: expected, entries: map[string]entryVersion{}, changed: make(chan struct{})}
 }
 
-// accept begins to follow a version.
-func (r *rollout) accept(now time.Time, version httproute.Version) {
+// accept begins to follow a version that was offered at a time.
+func (r *rollout) accept(offered, now time.Time, version httproute.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if slices.ContainsFunc(r.pending, func(p *pendingVersion) bool { return p.version == version }) {
 		return
 	}
-	r.pending = append(r.pending, &pendingVersion{version: version, accepted: now})
+	r.pending = append(r.pending, &pendingVersion{version: version, offered: offered, accepted: now})
 	r.pending = r.pending[max(0, len(r.pending)-rolloutsKept):]
 }
 
@@ -95,7 +98,7 @@
 	delete(r.entries, entry)
 }
 
-// wait returns when every entry that calls has the version or a newer one, or inForceWait after that was accepted.
+// wait returns when every entry that calls has the version or a newer one, or confirmWithin after that was offered.
 func (r *rollout) wait(ctx context.Context, version httproute.Version) {
 	for {
 		now := clock.Now()
@@ -125,7 +128,7 @@
 	if i < 0 || !arriving && len(r.lacking(now, version)) == 0 {
 		return 0, r.changed
 	}
-	return inForceWait - now.Sub(r.pending[i].accepted), r.changed
+	return confirmWithin - now.Sub(r.pending[i].offered), r.changed
 }
 
 // lacking returns the entries that call and have an older version; the mutex is held.
--- a/site/rollout_test.go
+++ b/site/rollout_test.go
@@ -21,13 +21,13 @@
 		want []report
 	}{
 		{"no entries", func(r site.Rollout) []report {
-			r.Accept(at(0), 7)
+			r.Accept(at(0), at(0), 7)
 			return r.Reports(at(10))
 		}, []report{{Version: 7, After: 10 * time.Millisecond}}},
 		{"one entry after the other", func(r site.Rollout) []report {
 			r.Hear(at(0), "a", 6)
 			r.Hear(at(0), "b", 6)
-			r.Accept(at(10), 7)
+			r.Accept(at(10), at(10), 7)
 			r.Hear(at(100), "a", 7)
 			list := r.Reports(at(150))
 			r.Hear(at(200), "b", 8)
@@ -36,7 +36,7 @@
 		{"one is late and then has it", func(r site.Rollout) []report {
 			var list []report
 			r.Hear(at(0), "a", 7)
-			r.Accept(at(0), 7)
+			r.Accept(at(0), at(0), 7)
 			for ms := 0; ms <= 1500; ms += 100 {
 				version := httproute.Version(6)
 				if ms == 1500 {
@@ -52,7 +52,7 @@
 		}},
 		{"one that does not call any more does not count", func(r site.Rollout) []report {
 			r.Hear(at(0), "a", 6)
-			r.Accept(at(100), 7)
+			r.Accept(at(100), at(100), 7)
 			list := r.Reports(at(900))
 			return append(list, r.Reports(at(1000))...)
 		}, []report{{Version: 7, After: 900 * time.Millisecond, Entries: 1}}},
@@ -101,11 +101,12 @@
 		want     time.Duration
 	}{
 		{"nobody is known", 0, nil, 100, 0},
-		{"one that lacks it", 0, []call{{50, "a", 6}}, 100, 600 * time.Millisecond},
-		{"one that lacks it, later", 0, []call{{50, "a", 6}}, 400, 300 * time.Millisecond},
+		{"one that lacks it", 0, []call{{50, "a", 6}}, 100, 650 * time.Millisecond},
+		{"one that lacks it, later", 0, []call{{50, "a", 6}}, 400, 350 * time.Millisecond},
+		{"a decision that took long", 0, []call{{50, "a", 6}}, 760, -10 * time.Millisecond},
 		{"one that has it", 0, []call{{50, "a", 7}}, 100, 0},
 		{"one that has a newer one", 0, []call{{50, "a", 9}}, 100, 0},
-		{"one of two that the predecessor had", 2, []call{{50, "a", 7}}, 100, 600 * time.Millisecond},
+		{"one of two that the predecessor had", 2, []call{{50, "a", 7}}, 100, 650 * time.Millisecond},
 		{"both", 2, []call{{50, "a", 7}, {60, "b", 7}}, 100, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -113,7 +114,7 @@
 			for _, call := range c.calls {
 				r.Hear(at(call.ms), call.entry, call.version)
 			}
-			r.Accept(at(100), 7)
+			r.Accept(at(0), at(100), 7)
 			if diff := cmp.Diff(c.want, r.Rest(at(c.at), 7)); diff != "" {
 				t.Errorf("waits yet (-want +got):\n%s", diff)
 			}
