Name a leader's time, held work and limits by the field's terms in package site

Fields of calls between daemons are renamed as well; a daemon of the former build that follows one of this gets the whole roster with each reply. Test: TestAnEntryDoesNotGoBack; a mutant of follower.take that took older configurations had survived all tests of the package.

--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -15,8 +15,8 @@
 
 	mu        sync.Mutex
 	allotment *admission.Allotment
-	// reign is the term for which the allotment was begun.
-	reign  quorum.Term
+	// term is the term for which the allotment was begun.
+	term   quorum.Term
 	leased map[ident.Customer]admission.Share
 	until  time.Time
 }
@@ -60,8 +60,8 @@
 	limits := s.limits()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if term := s.d.control.nodes[instanceFleet].Status().Term; term != s.reign {
-		s.reign = term
+	if term := s.d.control.nodes[instanceFleet].Status().Term; term != s.term {
+		s.term = term
 		s.allotment.Begin(now)
 	}
 	if !s.allotment.MayGrant(now) {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -226,7 +226,7 @@
 }
 
 func (c *Core) tickLeader(now time.Time) {
-	// After a failed transfer the receiver may still campaign past this leader's lease, so the reign ends.
+	// After a failed transfer the receiver may still campaign past this leader's lease, so its leadership ends.
 	if !c.heardMajority(now) || c.transfer && !now.Before(c.deadline) {
 		c.becomeFollower(now, c.hard.Term, MemberID{})
 		return
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -4,7 +4,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
-// Term numbers the reign of at most one leader.
+// Term numbers the leadership of at most one leader.
 type Term uint64
 
 // Index is the position of an entry in a log, from 1.
--- a/roster/types.go
+++ b/roster/types.go
@@ -110,7 +110,7 @@
 	return g.Phase == PhaseOpen || g.Phase == PhaseClosing
 }
 
-// Revision numbers changes of a roster within one leader's reign.
+// Revision numbers changes of a roster within one leader's term.
 type Revision uint64
 
 // Delta is what changed after a revision; a Full delta replaces the copy.
--- a/site/backoff.go
+++ b/site/backoff.go
@@ -36,7 +36,7 @@
 	}
 	c.heardLimit(id, &w, now)
 	c.heardUnread(id, w.Header)
-	if r := c.reign.Load(); w.Leaving && r != nil {
+	if r := c.leadership.Load(); w.Leaving && r != nil {
 		r.drain(id, "this daemon")
 	}
 }
@@ -86,7 +86,7 @@
 }
 
 // asked returns what upstreams want, by the newest calls of all entries; the mutex is held.
-func (r *reign) asked(now time.Time) map[ident.Incarnation][]AskedState {
+func (r *leadership) asked(now time.Time) map[ident.Incarnation][]AskedState {
 	list := map[ident.Incarnation][]AskedState{}
 	for name, e := range r.entries {
 		for i := range e.seen {
@@ -103,7 +103,7 @@
 }
 
 // drainSeen takes upstreams for what they told an entry that they are: leaving.
-func (r *reign) drainSeen(call *SyncCall) {
+func (r *leadership) drainSeen(call *SyncCall) {
 	for i := range call.Seen {
 		if call.Seen[i].Leaving {
 			r.drain(call.Seen[i].ID, call.From)
@@ -112,7 +112,7 @@
 }
 
 // drain notes that an upstream told somebody that it leaves.
-func (r *reign) drain(id ident.Incarnation, told string) {
+func (r *leadership) drain(id ident.Incarnation, told string) {
 	if r.roster.Drain(id) {
 		r.c.Log.Info("upstream leaves", "upstream", id, "told", told)
 	}
--- a/site/backoff_test.go
+++ b/site/backoff_test.go
@@ -17,7 +17,7 @@
 
 // Operators see which entries an upstream asked for time, for how long still, and by whose word.
 func TestAskedIsShown(t *testing.T) {
-	r := site.NewReign()
+	r := site.NewLeading()
 	r.Note(&site.SyncCall{From: "b", Entry: true, Seen: []relay.Seen{{ID: "u", Backoff: time.Minute}, {ID: "v"}}})
 	r.Note(&site.SyncCall{From: "a", Entry: true, Seen: []relay.Seen{{ID: "u", Backoff: time.Hour, Leaving: true}}})
 	now := clock.Now()
@@ -39,7 +39,7 @@
 // An upstream that tells an entry that it leaves is a leaving one to all, also when its own word to control is lost, and a later
 // report that says otherwise does not take it back. Another life of it does not leave.
 func TestALeavingUpstreamIsKnownThroughEntries(t *testing.T) {
-	r := site.NewReign()
+	r := site.NewLeading()
 	report := func(id ident.Incarnation, sequence uint64) {
 		r.Roster().Take(clock.Now(), &roster.Report{
 			Upstream: roster.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4}, Sequence: sequence,
--- a/site/calls.go
+++ b/site/calls.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return PassReply{Code: result.CodeOf(err), Text: result.Message(err)}
 	}
-	if r := c.reign.Load(); call.Kind == CallReport && r != nil && r.roster.Len() <= sentOnMost {
+	if r := c.leadership.Load(); call.Kind == CallReport && r != nil && r.roster.Len() <= sentOnMost {
 		reply.Address = c.Settings.Listen.Control
 	}
 	return reply
@@ -159,7 +159,7 @@
 }
 
 func (c *Control) answerAsLeader(ctx context.Context, call *PassCall) (PassReply, error) {
-	r := c.reign.Load()
+	r := c.leadership.Load()
 	if r == nil || !c.leads() {
 		return PassReply{}, result.New(result.NoLeader, "this daemon does not lead, or not surely")
 	}
@@ -183,7 +183,7 @@
 
 // takeReports takes reports of upstreams whose service is declared. Any other names nothing to use, and must not end the upstream
 // at its address; it is taken once a configuration declares the service.
-func (c *Control) takeReports(r *reign, list []*roster.Report) {
+func (c *Control) takeReports(r *leadership, list []*roster.Report) {
 	table := c.newestTable()
 	for _, report := range list {
 		if table != nil && table.Service(report.Service) == nil {
@@ -205,7 +205,7 @@
 }
 
 // replace accepts a configuration and returns when the entries have it in force, as far as they can be reached.
-func (c *Control) replace(ctx context.Context, r *reign, call *PassCall) error {
+func (c *Control) replace(ctx context.Context, r *leadership, call *PassCall) error {
 	if call.Version > c.machine.Held().Version {
 		if err := c.decide(ctx, r, call); err != nil {
 			return err
@@ -216,7 +216,7 @@
 }
 
 // decide writes a configuration to the log, once for all calls that bring it at the same time.
-func (c *Control) decide(ctx context.Context, r *reign, call *PassCall) error {
+func (c *Control) decide(ctx context.Context, r *leadership, call *PassCall) error {
 	key := strconv.FormatUint(uint64(call.Version), 10) + "/" + strconv.FormatUint(xxhash.Sum64(call.Body), 16)
 	decided := c.offers.DoChan(key, func() (any, error) {
 		// Whoever brought it first may leave; the others wait for the same decision.
@@ -232,7 +232,7 @@
 	}
 }
 
-func (c *Control) propose(ctx context.Context, r *reign, call *PassCall) error {
+func (c *Control) propose(ctx context.Context, r *leadership, call *PassCall) error {
 	began := clock.Now()
 	before := c.machine.Held().Version
 	if call.Version <= before {
@@ -271,25 +271,25 @@
 
 // sync answers a daemon that follows, at once when there is news for it and after a moment otherwise.
 func (c *Control) sync(call *SyncCall) SyncReply {
-	r := c.reign.Load()
+	r := c.leadership.Load()
 	if r == nil || !c.leads() {
 		return SyncReply{Leader: c.leader(), Controls: c.controls()}
 	}
 	others, entries := r.note(call)
 	c.waitForNews(r, call, entries)
 	reply := SyncReply{
-		Leader: string(c.self.Name), Controls: c.controls(), Reign: r.name, Others: others, Entries: entries,
+		Leader: string(c.self.Name), Controls: c.controls(), Leadership: r.name, Others: others, Entries: entries,
 		Usable: r.usable(call),
 	}
 	if reply.Usable {
 		since := call.Revision
-		if call.Reign != r.name {
+		if call.Leadership != r.name {
 			since = 0
 		}
 		reply.Changes = r.shown(call).Since(since)
 	}
-	c.takeHeld(clock.Now(), call, &reply)
-	reply.Limits = r.limitsTold(clock.Now())
+	c.mergeQuarantine(clock.Now(), call, &reply)
+	reply.Limits = r.limitUpdates(clock.Now())
 	if call.Entry {
 		reply.Lists = r.changedLists(call)
 	}
@@ -309,12 +309,12 @@
 
 // usable reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
 // copy of the whole.
-func (r *reign) usable(call *SyncCall) bool {
-	return call.Reign == "" || call.Reign == r.name || r.settled(clock.Now())
+func (r *leadership) usable(call *SyncCall) bool {
+	return call.Leadership == "" || call.Leadership == r.name || r.settled(clock.Now())
 }
 
 // shown is what the caller gets of the roster.
-func (r *reign) shown(call *SyncCall) *roster.Roster {
+func (r *leadership) shown(call *SyncCall) *roster.Roster {
 	if call.Entry {
 		return r.view.Roster
 	}
@@ -323,12 +323,12 @@
 
 // waitForNews returns when something is new for the caller, or after a while in which entries tell nothing. News are
 // gathered for a moment that grows with the number of entries: all of them ask again after each answer.
-func (c *Control) waitForNews(r *reign, call *SyncCall, entries int) {
+func (c *Control) waitForNews(r *leadership, call *SyncCall, entries int) {
 	c.mu.Lock()
 	renewed := c.renewed
 	c.mu.Unlock()
 	revision, changed := r.shown(call).Changed()
-	behind := r.usable(call) && (call.Reign != r.name || call.Revision < revision)
+	behind := r.usable(call) && (call.Leadership != r.name || call.Revision < revision)
 	if behind || c.machine.Held().Version > call.Version {
 		pause(context.Background(), gatherTime(entries))
 		return
--- a/site/control.go
+++ b/site/control.go
@@ -76,7 +76,7 @@
 	// copiedAt is when the copy was last confirmed by the leader of copiedOf; recalled is set when it comes from the last
 	// life.
 	copiedAt time.Time
-	copiedOf Reign
+	copiedOf LeadershipID
 	recalled bool
 	// table is the configuration of tableOf laid out; only a leader needs it.
 	table   *httproute.Table
@@ -85,9 +85,9 @@
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
 
-	reign    atomic.Pointer[reign]
-	reports  *reports
-	unusable logLimiter
+	leadership atomic.Pointer[leadership]
+	reports    *reports
+	unusable   logLimiter
 	// refusals and reads bound the lines on configurations that operators offer and read.
 	refusals logLimiter
 	// offers are the decisions on configurations that are under way.
@@ -326,7 +326,7 @@
 	f.found, f.entries = clock.Now(), entriesUnknown
 	for ctx.Err() == nil {
 		if c.node.Status().Role == quorum.RoleLeader {
-			f.reign, f.revision = "", 0
+			f.leadership, f.revision = "", 0
 			pause(ctx, syncHold)
 			continue
 		}
@@ -342,7 +342,7 @@
 }
 
 func (c *Control) applySync(_ time.Time, r *SyncReply) bool {
-	c.hearHeld(clock.Now(), r.Held)
+	c.applyQuarantine(clock.Now(), r.Held)
 	c.entriesHeard.Store(int64(r.Entries))
 	if !r.Usable {
 		return true
@@ -351,7 +351,7 @@
 	defer c.mu.Unlock()
 	c.copied.Apply(&r.Changes)
 	c.copiedAt = clock.Now()
-	c.copiedOf = r.Reign
+	c.copiedOf = r.Leadership
 	return true
 }
 
--- a/site/entries.go
+++ b/site/entries.go
@@ -22,7 +22,7 @@
 }
 
 // sights puts together what all entries saw of each group; the mutex is held.
-func (r *reign) sights(now time.Time) map[ident.Group]replicaset.Sight {
+func (r *leadership) sights(now time.Time) map[ident.Group]replicaset.Sight {
 	sights := map[ident.Group]replicaset.Sight{}
 	for _, g := range r.roster.Groups() {
 		sights[g.Name] = replicaset.Sight{Answered: neverAnswered}
@@ -63,7 +63,7 @@
 }
 
 // note takes what an entry tells and returns what all others have at each upstream, and how many entries there are.
-func (r *reign) note(call *SyncCall) (map[ident.Incarnation]int, int) {
+func (r *leadership) note(call *SyncCall) (map[ident.Incarnation]int, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.entries[call.From]
@@ -82,7 +82,7 @@
 	r.rollout.hear(now, call.From, call.Version)
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
-	r.c.hearLimits(now, call)
+	r.c.applyLimits(now, call)
 	for id, words := range call.Unread {
 		r.c.Unread.Add(id, words)
 	}
@@ -104,7 +104,7 @@
 }
 
 // forgetEntry drops an entry that does not call any more; the mutex is held.
-func (r *reign) forgetEntry(name string) {
+func (r *leadership) forgetEntry(name string) {
 	r.forgetSeen(r.entries[name])
 	delete(r.entries, name)
 	r.rollout.forget(name)
@@ -112,7 +112,7 @@
 }
 
 // forgetSeen takes an entry's requests out of the totals; the mutex is held.
-func (r *reign) forgetSeen(e *entryState) {
+func (r *leadership) forgetSeen(e *entryState) {
 	if e == nil {
 		return
 	}
@@ -126,7 +126,7 @@
 	}
 }
 
-func (r *reign) countDemand(now time.Time, call *SyncCall) {
+func (r *leadership) countDemand(now time.Time, call *SyncCall) {
 	asked := map[ident.Model]Asked{}
 	for model, d := range call.Demand {
 		r.served = true
@@ -138,7 +138,7 @@
 }
 
 // work is the time that d takes of upstreams of the model, worked out from the engine's published figures.
-func (r *reign) work(model ident.Model, d relay.Demand) float64 {
+func (r *leadership) work(model ident.Model, d relay.Demand) float64 {
 	table := r.c.newestTable()
 	if table == nil {
 		return 0
@@ -162,7 +162,7 @@
 }
 
 // changedLists returns the lists of entries that the caller has not; the lists are put together again when entries have come or gone.
-func (r *reign) changedLists(call *SyncCall) []EntryList {
+func (r *leadership) changedLists(call *SyncCall) []EntryList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lists == nil {
@@ -183,7 +183,7 @@
 }
 
 // listEntries puts the lists together; the mutex is held.
-func (r *reign) listEntries() *entryLists {
+func (r *leadership) listEntries() *entryLists {
 	l := &entryLists{map[ident.Hall][]string{}, map[ident.Hall]ListName{}}
 	for name, e := range r.entries {
 		l.lists[e.hall] = append(l.lists[e.hall], name)
--- a/site/entry.go
+++ b/site/entry.go
@@ -166,7 +166,7 @@
 	call.Seen, call.Demand = e.relay.Look()
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
-	e.tellHeld(call)
+	e.sendQuarantine(call)
 	call.Unread = e.unread.toTell()
 	e.countAsked(e.relay.Now())
 }
@@ -174,16 +174,16 @@
 // apply puts the leader's confirmation in force; began is the moment up to which it is certainly the newest.
 func (e *Entry) apply(began time.Time, r *SyncReply) bool {
 	// Before anything that lets requests go: an entry that has just started knows of no work that is held.
-	e.hearHeld(r)
-	e.hearLimits(r)
-	if e.unread.told(r.Reign) {
+	e.applyQuarantine(r)
+	e.applyLimits(r)
+	if e.unread.told(r.Leadership) {
 		e.tellAllUnread()
 	}
 	newest := e.takeConfig(began, r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
 	}
-	if entries := e.neighbours.set(e.relay.Now(), e.Settings.PeerAddress(), r.Reign, r.Lists); entries != nil {
+	if entries := e.neighbours.set(e.relay.Now(), e.Settings.PeerAddress(), r.Leadership, r.Lists); entries != nil {
 		e.relay.SetEntries(entries)
 	}
 	e.relay.SetOthers(r.Others)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -117,12 +117,12 @@
 	return e.relay.Version(), e.relay.ConfirmedAge()
 }
 
-// Reigning is what a leader knows of entries.
-type Reigning struct{ *reign }
+// Leading is what a leader knows of entries.
+type Leading struct{ *leadership }
 
-// NewReign returns a reign that has heard of nobody.
-func NewReign() Reigning {
-	return Reigning{&reign{
+// NewLeading returns a leadership that has heard of nobody.
+func NewLeading() Leading {
+	return Leading{&leadership{
 		c: &Control{
 			Log: logr.Discard(), limits: ratelimit.NewWords[ident.Incarnation](), Unread: unread.New[ident.Incarnation](),
 		},
@@ -133,16 +133,16 @@
 }
 
 // Roster returns what the leader knows of upstreams.
-func (r Reigning) Roster() *roster.Roster { return r.roster }
+func (r Leading) Roster() *roster.Roster { return r.roster }
 
 // Note takes what an entry tells.
-func (r Reigning) Note(call *SyncCall) { r.note(call) }
+func (r Leading) Note(call *SyncCall) { r.note(call) }
 
 // NewAsked returns a control daemon that knows nothing but what upstreams asked it for, with a leader's roster.
-func NewAsked() (*Control, Reigning) {
-	r := NewReign()
+func NewAsked() (*Control, Leading) {
+	r := NewLeading()
 	r.c.asked = backoff.New[ident.Incarnation](backoff.DefaultRule())
-	r.c.reign.Store(r.reign)
+	r.c.leadership.Store(r.leadership)
 	return r.c, r
 }
 
@@ -150,7 +150,7 @@
 func (c *Control) Waits(id ident.Incarnation) bool { return c.waits(id) }
 
 // Asked returns what upstreams asked entries for.
-func (r Reigning) Asked(now time.Time) map[ident.Incarnation][]AskedState {
+func (r Leading) Asked(now time.Time) map[ident.Incarnation][]AskedState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.asked(now)
@@ -163,35 +163,37 @@
 }
 
 // Unread returns the words of an upstream that nothing reads.
-func (r Reigning) Unread(id ident.Incarnation) []string { return r.c.Unread.Of(id) }
+func (r Leading) Unread(id ident.Incarnation) []string { return r.c.Unread.Of(id) }
 
 // ForgetUnread forgets those of upstreams that have ended.
-func (r Reigning) ForgetUnread(now time.Time) { r.forgetUnread(now) }
+func (r Leading) ForgetUnread(now time.Time) { r.forgetUnread(now) }
 
-// LimitsTold returns the limits that entries are told of.
-func (r Reigning) LimitsTold(now time.Time) map[ident.Incarnation]LimitTold { return r.limitsTold(now) }
+// LimitUpdates returns the limits that entries are told of.
+func (r Leading) LimitUpdates(now time.Time) map[ident.Incarnation]LimitTold {
+	return r.limitUpdates(now)
+}
 
 // LimitStates returns the limits as operators see them.
-func (r Reigning) LimitStates(now time.Time) map[ident.Incarnation]*LimitState {
+func (r Leading) LimitStates(now time.Time) map[ident.Incarnation]*LimitState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.limitStates(now)
 }
 
 // Forget drops an entry.
-func (r Reigning) Forget(name string) {
+func (r Leading) Forget(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetEntry(name)
 }
 
 // Lists returns the lists of entries that the caller has not.
-func (r Reigning) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
+func (r Leading) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
 
-// TakeHeld takes what a caller tells of works and returns what it is told.
-func (c *Control) TakeHeld(now time.Time, call *SyncCall) SyncReply {
+// MergeQuarantine takes what a caller tells of works and returns what it is told.
+func (c *Control) MergeQuarantine(now time.Time, call *SyncCall) SyncReply {
 	var reply SyncReply
-	c.takeHeld(now, call, &reply)
+	c.mergeQuarantine(now, call, &reply)
 	return reply
 }
 
@@ -207,19 +209,19 @@
 // CallerBounds returns the bounds on callers that are in force.
 func (e *Entry) CallerBounds() inbound.Bounds { return e.callers.Bounds() }
 
-// Crowd is the entries that an entry knows of.
-type Crowd struct{ crowd *crowd }
+// KnownEntries is the entries that an entry knows of.
+type KnownEntries struct{ entries *knownEntries }
 
-// NewCrowd returns one that knows nobody.
-func NewCrowd() Crowd { return Crowd{newCrowd()} }
+// NewKnownEntries returns one that knows nobody.
+func NewKnownEntries() KnownEntries { return KnownEntries{newKnownEntries()} }
 
 // Take hears of a leader's lists.
-func (c Crowd) Take(now time.Time, reign Reign, changed []EntryList) bool {
-	return c.crowd.take(now, reign, changed)
+func (c KnownEntries) Take(now time.Time, leadership LeadershipID, changed []EntryList) bool {
+	return c.entries.take(now, leadership, changed)
 }
 
 // All returns those that count.
-func (c Crowd) All() map[ident.Hall][]string { return c.crowd.all() }
+func (c KnownEntries) All() map[ident.Hall][]string { return c.entries.all() }
 
 // Sharers returns how many entries share the retries.
 func (e *Entry) Sharers() int { return e.relay.Budget.Entries() }
@@ -268,3 +270,10 @@
 
 // Decided returns how many configurations the daemon wrote to the log as leader.
 func (c *Control) Decided() int64 { return c.decided.Load() }
+
+// Follow returns what a daemon that has a version takes of a leader's reply.
+func Follow(version httproute.Version, r *SyncReply) (config, patch []byte) {
+	f := follower{version: version}
+	f.take(r)
+	return r.Config, r.Patch
+}
--- a/site/follow.go
+++ b/site/follow.go
@@ -32,9 +32,9 @@
 	reread func()
 	log    logr.Logger
 
-	reign    Reign
-	revision roster.Revision
-	version  httproute.Version
+	leadership LeadershipID
+	revision   roster.Revision
+	version    httproute.Version
 	// entries is how many entries the leader has; one that isn't known yet may have any number.
 	entries int
 	found   time.Time
@@ -58,7 +58,7 @@
 	if address == "" {
 		return false
 	}
-	call := &SyncCall{Reign: f.reign, Revision: f.revision, Version: f.version}
+	call := &SyncCall{Leadership: f.leadership, Revision: f.revision, Version: f.version}
 	f.describe(call)
 	began := clock.Now()
 	reply, err := f.peers.sync(address, f.entries, call)
@@ -82,7 +82,7 @@
 // take remembers what this daemon then has; nothing goes back within its life.
 func (f *follower) take(r *SyncReply) {
 	if r.Usable {
-		f.reign = r.Reign
+		f.leadership = r.Leadership
 		f.revision = r.Changes.Revision
 	}
 	if r.Version <= f.version {
@@ -94,7 +94,7 @@
 	f.found = clock.Now()
 	if f.lost {
 		f.lost = false
-		f.log.Info("control leader found", "leader", f.directory.knownLeader(), "reign", f.reign)
+		f.log.Info("control leader found", "leader", f.directory.knownLeader(), "leadership", f.leadership)
 	}
 }
 
--- a/site/held.go
+++ b/site/held.go
@@ -31,18 +31,18 @@
 	ForMS int64 `json:"for-ms"`
 }
 
-// takeHeld takes what a caller tells of works, and fills in what it does not know. Control daemons that follow are told too, so that a
+// mergeQuarantine takes what a caller tells of works, and fills in what it does not know. Control daemons that follow are told too, so that a
 // new leader and one that starts again know it.
-func (c *Control) takeHeld(now time.Time, call *SyncCall, reply *SyncReply) {
-	c.hearHeld(now, call.Held)
+func (c *Control) mergeQuarantine(now time.Time, call *SyncCall, reply *SyncReply) {
+	c.applyQuarantine(now, call.Held)
 	reply.HeldSum = c.held.Sum(now)
 	if reply.HeldSum != call.HeldSum {
 		reply.Held = c.held.ToTell(now, heldMost)
 	}
 }
 
-// hearHeld takes what others know of works.
-func (c *Control) hearHeld(now time.Time, list []quarantine.Report) {
+// applyQuarantine takes what others know of works.
+func (c *Control) applyQuarantine(now time.Time, list []quarantine.Report) {
 	for i := range list {
 		c.held.Hear(now, &list[i])
 	}
@@ -57,8 +57,8 @@
 	return list
 }
 
-// tellHeld fills in what the leader is told of works.
-func (e *Entry) tellHeld(call *SyncCall) {
+// sendQuarantine fills in what the leader is told of works.
+func (e *Entry) sendQuarantine(call *SyncCall) {
 	list, now := e.relay.Quarantine, e.relay.Now()
 	call.HeldSum = list.Sum(now)
 	if call.HeldSum != e.leaderSum {
@@ -68,8 +68,8 @@
 	e.numbers.held.Update(float64(list.HeldLen(now)))
 }
 
-// hearHeld takes what the leader knows of works.
-func (e *Entry) hearHeld(r *SyncReply) {
+// applyQuarantine takes what the leader knows of works.
+func (e *Entry) applyQuarantine(r *SyncReply) {
 	e.leaderSum = r.HeldSum
 	e.relay.HearWork(r.Held, netip.AddrPort{})
 }
--- a/site/held_test.go
+++ b/site/held_test.go
@@ -42,7 +42,7 @@
 	if call.HeldSum != s.leaderSum {
 		call.Held = s.list.ToTell(now, 32)
 	}
-	reply := c.TakeHeld(now, call)
+	reply := c.MergeQuarantine(now, call)
 	s.leaderSum = reply.HeldSum
 	for i := range reply.Held {
 		s.list.Hear(now, &reply.Held[i])
--- a/site/inforce_test.go
+++ b/site/inforce_test.go
@@ -122,3 +122,16 @@
 		}
 	}
 }
+
+// A reply with an older configuration, or the one that is in force, puts nothing in force.
+func TestAnEntryDoesNotGoBack(t *testing.T) {
+	for _, c := range []struct {
+		has, gets httproute.Version
+		taken     bool
+	}{{0, 5, true}, {4, 5, true}, {5, 5, false}, {9, 5, false}} {
+		config, patch := site.Follow(c.has, &site.SyncReply{Version: c.gets, Config: []byte("c"), Patch: []byte("p")})
+		if (config != nil) != c.taken || (patch != nil) != c.taken {
+			t.Errorf("version %d at a daemon that has %d is taken: %v, %v", c.gets, c.has, config != nil, patch != nil)
+		}
+	}
+}
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -23,10 +23,10 @@
 
 // State is what the leader of a site knows and wants at one moment.
 type State struct {
-	Leader string            `json:"leader"`
-	Reign  Reign             `json:"reign"`
-	Since  time.Time         `json:"since"`
-	Config httproute.Version `json:"config-version"`
+	Leader     string            `json:"leader"`
+	Leadership LeadershipID      `json:"leadership"`
+	Since      time.Time         `json:"since"`
+	Config     httproute.Version `json:"config-version"`
 	// Settled is unset while a new leader waits until all upstreams have reported; it orders nothing then.
 	Settled   bool            `json:"settled"`
 	Controls  []string        `json:"controls"`
@@ -113,7 +113,7 @@
 	return nil, err
 }
 
-// inspect gives the state of this daemon's reign, or that of the leader's.
+// inspect gives the state of this daemon's leadership, or that of the leader's.
 func (c *Control) inspect() InspectReply {
 	reply, err := c.call(context.Background(), passTimeout, &PassCall{Kind: CallInspect})
 	if err != nil {
@@ -122,12 +122,12 @@
 	return InspectReply{State: *reply.State}
 }
 
-// state describes the reign; what it tells of groups is from the last look at them.
-func (r *reign) state(now time.Time) State {
+// state describes the leadership; what it tells of groups is from the last look at them.
+func (r *leadership) state(now time.Time) State {
 	r.looking.Lock()
 	defer r.looking.Unlock()
 	s := State{
-		Leader: string(r.c.self.Name), Reign: r.name, Since: r.began, Config: r.c.machine.Held().Version, Settled: r.settled(now),
+		Leader: string(r.c.self.Name), Leadership: r.name, Since: r.began, Config: r.c.machine.Held().Version, Settled: r.settled(now),
 		Controls: r.c.controls(), Decisions: r.decisions.list(),
 		Held: r.c.heldState(now),
 	}
@@ -153,7 +153,7 @@
 	return s
 }
 
-func (r *reign) place(u *roster.Upstream) string {
+func (r *leadership) place(u *roster.Upstream) string {
 	if f := r.formations[u.Service]; f != nil && u.Domain != "" {
 		return f.Place(u.ID)
 	}
--- a/site/crowd.go
+++ b/site/known_entries.go
@@ -13,25 +13,25 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
-// crowd is the entries by hall, as the leaders tell.
-type crowd struct {
-	reign Reign
+// knownEntries is the entries by hall, as the leaders tell.
+type knownEntries struct {
+	leadership LeadershipID
 	// since is when the leader's first list came, former the entries of the one before until they count no more.
 	since  time.Time
 	lists  map[ident.Hall][]string
 	former map[ident.Hall][]string
 }
 
-func newCrowd() *crowd {
-	return &crowd{lists: map[ident.Hall][]string{}}
+func newKnownEntries() *knownEntries {
+	return &knownEntries{lists: map[ident.Hall][]string{}}
 }
 
 // take puts changed lists of a leader in place and reports whether the entries may be others than before.
-func (c *crowd) take(now time.Time, reign Reign, changed []EntryList) bool {
+func (c *knownEntries) take(now time.Time, leadership LeadershipID, changed []EntryList) bool {
 	different := len(changed) > 0
-	if reign != c.reign {
+	if leadership != c.leadership {
 		c.former = c.all()
-		c.reign, c.since = reign, now
+		c.leadership, c.since = leadership, now
 	}
 	if c.former != nil && now.Sub(c.since) >= entryAway {
 		c.former = nil
@@ -47,7 +47,7 @@
 }
 
 // all returns the entries that count.
-func (c *crowd) all() map[ident.Hall][]string {
+func (c *knownEntries) all() map[ident.Hall][]string {
 	all := map[ident.Hall][]string{}
 	told := map[string]bool{}
 	for hall, list := range c.lists {
--- a/site/crowd_test.go
+++ b/site/known_entries_test.go
@@ -17,15 +17,15 @@
 // longer new says counts at once.
 func TestEntriesCountOnAfterAChangeOfLeaders(t *testing.T) {
 	type lists = map[ident.Hall][]string
-	c := site.NewCrowd()
+	c := site.NewKnownEntries()
 	start := time.Now()
 	for _, step := range []struct {
-		name      string
-		at        time.Duration
-		reign     site.Reign
-		changed   []site.EntryList
-		want      lists
-		different bool
+		name       string
+		at         time.Duration
+		leadership site.LeadershipID
+		changed    []site.EntryList
+		want       lists
+		different  bool
 	}{
 		{"the first leader ever", 0, "a/1", []site.EntryList{{"one", []string{"x1"}}}, lists{"one": {"x1"}}, true},
 		{"all have called", time.Second, "a/1", []site.EntryList{{"one", []string{"x1", "x2", "x3"}}, {"two", []string{"y1"}}}, lists{"one": {"x1", "x2", "x3"}, "two": {"y1"}}, true},
@@ -38,7 +38,7 @@
 		{"still", 25 * time.Second, "c/3", nil, lists{"one": {"x3", "x4"}, "two": {"x1", "y1"}}, false},
 		{"those that have not called it are gone", 25500 * time.Millisecond, "c/3", nil, lists{"one": {"x4"}}, true},
 	} {
-		if got := c.Take(start.Add(step.at), step.reign, step.changed); got != step.different {
+		if got := c.Take(start.Add(step.at), step.leadership, step.changed); got != step.different {
 			t.Errorf("%s: entries may be others: %v, want %v", step.name, got, step.different)
 		}
 		if diff := cmp.Diff(step.want, c.All()); diff != "" {
@@ -52,13 +52,13 @@
 	cfg := settings.DefaultSite()
 	e := site.NewEntry(&cfg, relay.Names{}, transport.TCP())
 	names := []string{"10.0.0.1:7400", "10.0.0.2:7400", "10.0.0.3:7400", "10.0.0.4:7400"}
-	e.Take(time.Now(), &site.SyncReply{Reign: "a/1", Entries: 4, Lists: []site.EntryList{{"one", names}}})
-	e.Take(time.Now(), &site.SyncReply{Reign: "b/2", Entries: 1, Lists: []site.EntryList{{"one", names[:1]}}})
+	e.Take(time.Now(), &site.SyncReply{Leadership: "a/1", Entries: 4, Lists: []site.EntryList{{"one", names}}})
+	e.Take(time.Now(), &site.SyncReply{Leadership: "b/2", Entries: 1, Lists: []site.EntryList{{"one", names[:1]}}})
 	if got := e.Sharers(); got != 4 {
 		t.Errorf("%d entries share the retries, want 4", got)
 	}
 	// A call that brings no list does not change that.
-	e.Take(time.Now(), &site.SyncReply{Reign: "b/2", Entries: 2})
+	e.Take(time.Now(), &site.SyncReply{Leadership: "b/2", Entries: 2})
 	if got := e.Sharers(); got != 4 {
 		t.Errorf("%d entries share the retries after another call, want 4", got)
 	}
--- a/site/reign.go
+++ b/site/leadership.go
@@ -1,6 +1,6 @@
 package site
 
-// A reign is the time in which one daemon leads. What it needs beyond the
+// A leadership is the time in which one daemon leads. What it needs beyond the
 // replicated configuration is soft: upstreams report about once a second, and
 // groups stand in their reports, so a new leader starts from the copy that it
 // had as a follower, or from nothing and waits until all have reported.
@@ -52,9 +52,9 @@
 	outcome replicaset.Outcome
 }
 
-type reign struct {
+type leadership struct {
 	c    *Control
-	name Reign
+	name LeadershipID
 	term quorum.Term
 	// began is a time of day, for operators.
 	began  time.Time
@@ -98,11 +98,11 @@
 // answersLength bounds the outcomes that wait for the leader's next look.
 const answersLength = 256
 
-func (c *Control) newReign(s *quorum.Status) *reign {
+func (c *Control) newLeadership(s *quorum.Status) *leadership {
 	now := clock.Now()
-	r := &reign{
+	r := &leadership{
 		c: c, term: s.Term, began: time.Now(), roster: roster.New(),
-		name:       Reign(string(c.self.Folder) + "/" + strconv.FormatUint(uint64(s.Term), 10)),
+		name:       LeadershipID(string(c.self.Folder) + "/" + strconv.FormatUint(uint64(s.Term), 10)),
 		formations: map[ident.Service]*replicaset.Formation{},
 		answers:    make(chan orderAnswer, answersLength),
 		entries:    map[string]*entryState{},
@@ -132,7 +132,7 @@
 	return r
 }
 
-func (r *reign) seed(now time.Time, copied *roster.Copy) {
+func (r *leadership) seed(now time.Time, copied *roster.Copy) {
 	var upstreams []roster.Upstream
 	for _, u := range copied.Upstreams {
 		upstreams = append(upstreams, u)
@@ -146,14 +146,14 @@
 	r.roster.Seed(now, upstreams, groups)
 }
 
-func (r *reign) settled(now time.Time) bool {
+func (r *leadership) settled(now time.Time) bool {
 	return !now.Before(r.settleAt)
 }
 
-// leadLoop begins and ends reigns and looks after the groups.
+// leadLoop begins and ends leaderships and looks after the groups.
 func (c *Control) leadLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		r := c.currentReign()
+		r := c.currentLeadership()
 		if r == nil {
 			pause(ctx, leadInterval/2)
 			continue
@@ -164,24 +164,24 @@
 	}
 }
 
-func (c *Control) currentReign() *reign {
+func (c *Control) currentLeadership() *leadership {
 	s := c.node.Status()
-	r := c.reign.Load()
+	r := c.leadership.Load()
 	if r != nil && (s.Role != quorum.RoleLeader || s.Term != r.term) {
-		c.Log.Info("reign ended", "reign", r.name, "leader", s.Leader, "term", s.Term)
-		c.reign.Store(nil)
+		c.Log.Info("leadership ended", "leadership", r.name, "leader", s.Leader, "term", s.Term)
+		c.leadership.Store(nil)
 		r = nil
 	}
 	if r == nil && c.leads() {
-		r = c.newReign(&s)
-		c.Log.Info("reign began", "reign", r.name, "settled-in-ms", max(0, r.settleAt.Sub(clock.Now()).Milliseconds()),
+		r = c.newLeadership(&s)
+		c.Log.Info("leadership began", "leadership", r.name, "settled-in-ms", max(0, r.settleAt.Sub(clock.Now()).Milliseconds()),
 			"upstreams", len(r.roster.Since(0).Upstreams), "version", c.machine.Held().Version)
-		c.reign.Store(r)
+		c.leadership.Store(r)
 	}
 	return r
 }
 
-func (r *reign) wait(ctx context.Context, changed <-chan struct{}) {
+func (r *leadership) wait(ctx context.Context, changed <-chan struct{}) {
 	timer := time.NewTimer(leadInterval)
 	defer timer.Stop()
 	select {
@@ -196,7 +196,7 @@
 	}
 }
 
-func (r *reign) answered(a *orderAnswer) {
+func (r *leadership) answered(a *orderAnswer) {
 	if f := r.formations[a.service]; f != nil {
 		f.Answered(&a.order, a.outcome)
 	}
@@ -206,7 +206,7 @@
 }
 
 // step looks at every service with engines; without the lease nothing is ordered.
-func (r *reign) step() {
+func (r *leadership) step() {
 	r.looking.Lock()
 	defer r.looking.Unlock()
 	for range len(r.answers) {
@@ -245,7 +245,7 @@
 }
 
 // logRollouts logs which configurations have reached all entries, and which are late at some.
-func (r *reign) logRollouts(now time.Time) {
+func (r *leadership) logRollouts(now time.Time) {
 	for _, report := range r.rollout.reports(now) {
 		r.c.tallies.rollout(&report)
 		if len(report.Missing) == 0 {
@@ -258,7 +258,7 @@
 }
 
 // show brings the view for entries up to date.
-func (r *reign) show(table *httproute.Table) {
+func (r *leadership) show(table *httproute.Table) {
 	r.view.Follow(func(name ident.Service) bool {
 		s := table.Service(name)
 		return s == nil || s.Engine == nil
@@ -267,7 +267,7 @@
 
 // arriving reports whether upstreams still come in for the first time at the start of a site: groups that are formed of
 // the first few would be spread over the domains badly.
-func (r *reign) arriving(now time.Time, upstreams int) bool {
+func (r *leadership) arriving(now time.Time, upstreams int) bool {
 	if !r.early {
 		return false
 	}
@@ -282,7 +282,7 @@
 	return now.Sub(r.lastArrived) < time.Duration(arrivalPause*report) && now.Sub(r.firstArrived) < time.Duration(arrivalLimit*report)
 }
 
-func (r *reign) formation(service ident.Service) *replicaset.Formation {
+func (r *leadership) formation(service ident.Service) *replicaset.Formation {
 	f := r.formations[service]
 	if f != nil {
 		return f
@@ -305,7 +305,7 @@
 }
 
 // order gives an order in the background, under the lease that holds at that moment.
-func (r *reign) order(service ident.Service, o replicaset.Order) {
+func (r *leadership) order(service ident.Service, o replicaset.Order) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
@@ -322,7 +322,7 @@
 	}()
 }
 
-func (r *reign) world(now time.Time) *replicaset.World {
+func (r *leadership) world(now time.Time) *replicaset.World {
 	upstreams, ages := r.roster.Upstreams(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/site/limits.go
+++ b/site/limits.go
@@ -26,8 +26,8 @@
 	Apart int
 }
 
-// hearLimits takes what upstreams told an entry of their limits.
-func (c *Control) hearLimits(now time.Time, call *SyncCall) {
+// applyLimits takes what upstreams told an entry of their limits.
+func (c *Control) applyLimits(now time.Time, call *SyncCall) {
 	for i := range call.Seen {
 		// What an entry heard of others is not passed on: the time that it was on its way would make it look younger each time.
 		if l := call.Seen[i].Limit; l != nil && l.Own {
@@ -36,9 +36,9 @@
 	}
 }
 
-// limitsTold returns the limits of which the leader has heard lately, and those of which entries take their own parts; nil where there
+// limitUpdates returns the limits of which the leader has heard lately, and those of which entries take their own parts; nil where there
 // are none.
-func (r *reign) limitsTold(now time.Time) map[ident.Incarnation]LimitTold {
+func (r *leadership) limitUpdates(now time.Time) map[ident.Incarnation]LimitTold {
 	words := r.c.limits
 	if words.Limited() == 0 {
 		return nil
@@ -56,7 +56,7 @@
 }
 
 // countApart counts the entries that go by their own parts of limits, by what one saw; the mutex is held.
-func (r *reign) countApart(seen *relay.Seen, n int) {
+func (r *leadership) countApart(seen *relay.Seen, n int) {
 	if seen.Limit == nil || !seen.Limit.Apart {
 		return
 	}
@@ -93,7 +93,7 @@
 }
 
 // limitStates returns the limits of upstreams by the newest calls of all entries; the mutex is held.
-func (r *reign) limitStates(now time.Time) map[ident.Incarnation]*LimitState {
+func (r *leadership) limitStates(now time.Time) map[ident.Incarnation]*LimitState {
 	states := map[ident.Incarnation]*LimitState{}
 	for name, e := range r.entries {
 		for i := range e.seen {
@@ -134,8 +134,8 @@
 	return l
 }
 
-// hearLimits takes what the leader has heard of limits.
-func (e *Entry) hearLimits(r *SyncReply) {
+// applyLimits takes what the leader has heard of limits.
+func (e *Entry) applyLimits(r *SyncReply) {
 	var apart map[ident.Incarnation]int
 	for id, l := range r.Limits {
 		e.relay.HearLimit(id, l.Rate, l.Age)
--- a/site/limits_test.go
+++ b/site/limits_test.go
@@ -21,30 +21,30 @@
 
 // The leader passes on what upstreams told entries of their limits, not what entries told each other, and how many go by their own parts.
 func TestLimitsAreToldByTheLeader(t *testing.T) {
-	r := site.NewReign()
+	r := site.NewLeading()
 	r.Note(&site.SyncCall{From: "a", Entry: true, Seen: []relay.Seen{
 		limitSeen("u", relay.LimitSeen{Rate: 3, Own: true, Said: 300 * time.Millisecond, Apart: true}), limitSeen("v", relay.LimitSeen{Rate: 9}),
 	}})
 	r.Note(&site.SyncCall{From: "b", Entry: true, Seen: []relay.Seen{
 		limitSeen("u", relay.LimitSeen{Rate: 2, Own: true, Said: 100 * time.Millisecond, Apart: true}),
 	}})
-	got := r.LimitsTold(clock.Now())
+	got := r.LimitUpdates(clock.Now())
 	if l := got["u"]; len(got) != 1 || l.Rate != 2 || l.Apart != 2 || l.Age < 100*time.Millisecond || l.Age > 10*time.Second {
 		t.Errorf("told %+v, want u with 2 a second and two that go by their own parts", got)
 	}
 	r.Note(&site.SyncCall{From: "b", Entry: true})
-	if got := r.LimitsTold(clock.Now().Add(time.Minute)); got["u"].Apart != 1 {
+	if got := r.LimitUpdates(clock.Now().Add(time.Minute)); got["u"].Apart != 1 {
 		t.Errorf("told %+v a minute later, want u, since one still goes by its own part", got)
 	}
 	r.Note(&site.SyncCall{From: "a", Entry: true})
-	if got := r.LimitsTold(clock.Now().Add(time.Minute)); len(got) != 0 {
+	if got := r.LimitUpdates(clock.Now().Add(time.Minute)); len(got) != 0 {
 		t.Errorf("told %+v once nobody has heard of it for long", got)
 	}
 }
 
 // Operators see a limit, since when and by whose word it holds, who coordinates it, and what each entry gets.
 func TestLimitsAreShown(t *testing.T) {
-	r := site.NewReign()
+	r := site.NewLeading()
 	counts := ratelimit.Counts{Granted: 7, Refused: 5, Own: 1, Unanswered: 2, Lately: 3}
 	r.Note(&site.SyncCall{From: "b", Entry: true, Seen: []relay.Seen{
 		limitSeen("u", relay.LimitSeen{Rate: 3, Own: true, Said: time.Hour, Since: 9 * time.Hour, Counts: counts, Apart: true}),
--- a/site/memory.go
+++ b/site/memory.go
@@ -36,26 +36,26 @@
 // rememberLoop writes the roster when it has changed, or works have come to be held.
 func (c *Control) rememberLoop(ctx context.Context) {
 	var written roster.Revision
-	var reign Reign
+	var leadership LeadershipID
 	var sum uint64
 	for ctx.Err() == nil {
 		pause(ctx, memoryInterval)
 		name, d := c.newestRoster()
 		held := c.held.Sum(clock.Now())
-		if d == nil || name == reign && d.Revision == written && held == sum {
+		if d == nil || name == leadership && d.Revision == written && held == sum {
 			continue
 		}
 		if err := c.remember(d); err != nil {
 			c.Log.Error(err, "roster not written, a restart will wait for reports", "code", int(result.CodeOf(err)))
 			continue
 		}
-		reign, written, sum = name, d.Revision, held
+		leadership, written, sum = name, d.Revision, held
 	}
 }
 
 // newestRoster returns what this daemon leads by, or its copy.
-func (c *Control) newestRoster() (Reign, *roster.Delta) {
-	if r := c.reign.Load(); r != nil {
+func (c *Control) newestRoster() (LeadershipID, *roster.Delta) {
+	if r := c.leadership.Load(); r != nil {
 		d := r.roster.Since(0)
 		return r.name, &d
 	}
@@ -88,7 +88,7 @@
 		c.Log.Error(err, "remembered roster cannot be read")
 		return
 	}
-	c.hearHeld(clock.Now(), m.Held)
+	c.applyQuarantine(clock.Now(), m.Held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.copied.Apply(&roster.Delta{Full: true, Upstreams: m.Upstreams, Groups: m.Groups})
--- a/site/messages.go
+++ b/site/messages.go
@@ -41,18 +41,18 @@
 	Leader string
 }
 
-// Reign names the time in which one leader's revisions count.
-type Reign string
+// LeadershipID names the time in which one leader's revisions count.
+type LeadershipID string
 
 // SyncCall asks the leader for what is new; it waits there until something is.
 type SyncCall struct {
 	From string
 	Hall ident.Hall
 	// Entry is set by daemons that take callers' requests.
-	Entry    bool
-	Reign    Reign
-	Revision roster.Revision
-	Version  httproute.Version
+	Entry      bool
+	Leadership LeadershipID
+	Revision   roster.Revision
+	Version    httproute.Version
 	// Whole is set by a daemon that needs the configuration whole.
 	Whole  bool
 	Seen   []relay.Seen
@@ -72,10 +72,10 @@
 
 // SyncReply is what is new at the leader. Unless Leads is set, only Leader and Controls count.
 type SyncReply struct {
-	Leads    bool
-	Leader   string
-	Controls []string
-	Reign    Reign
+	Leads      bool
+	Leader     string
+	Controls   []string
+	Leadership LeadershipID
 	// Usable is set when Changes are to be applied: a leader that has not heard of all upstreams yet knows less than a
 	// copy of its predecessor's roster.
 	Usable  bool
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -71,11 +71,11 @@
 
 	waiting chan toldNews
 	all     atomic.Pointer[addresses]
-	// crowd is the entries, names the names of the leader's lists of them, and known how many entries count; all belong to the goroutine
+	// knownEntries is the entries, names the names of the leader's lists of them, and known how many entries count; all belong to the goroutine
 	// that follows the leader.
-	crowd *crowd
-	names map[ident.Hall]ListName
-	known int
+	entries *knownEntries
+	names   map[ident.Hall]ListName
+	known   int
 	// allowed is how many datagrams may tell of prompts now, since when that was counted, next whose turn it is.
 	allowed float64
 	counted time.Time
@@ -83,7 +83,7 @@
 }
 
 func newNeighbours(hear func(n relay.News, from netip.AddrPort)) *neighbours {
-	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan toldNews, newsWaiting), crowd: newCrowd(), names: map[ident.Hall]ListName{}}
+	return &neighbours{hear: hear, log: logr.Discard(), waiting: make(chan toldNews, newsWaiting), entries: newKnownEntries(), names: map[ident.Hall]ListName{}}
 }
 
 // tell sends n to those in a list, or to all entries without one, in the background.
@@ -98,17 +98,17 @@
 }
 
 // set takes what a leader says of the entries, and returns them as the one called self sees them, nil where they are the same as before.
-func (b *neighbours) set(now time.Time, self string, reign Reign, changed []EntryList) *sharing.Entries {
+func (b *neighbours) set(now time.Time, self string, leadership LeadershipID, changed []EntryList) *sharing.Entries {
 	for _, l := range changed {
 		b.names[l.Hall] = nameList(l.Entries)
 		if len(l.Entries) == 0 {
 			delete(b.names, l.Hall)
 		}
 	}
-	if !b.crowd.take(now, reign, changed) {
+	if !b.entries.take(now, leadership, changed) {
 		return nil
 	}
-	entries := sharing.New(self, b.crowd.all())
+	entries := sharing.New(self, b.entries.all())
 	b.known = entries.Total()
 	all := &addresses{byName: map[string]netip.AddrPort{}}
 	for _, name := range entries.Others() {
--- a/site/neighbours_test.go
+++ b/site/neighbours_test.go
@@ -112,7 +112,7 @@
 
 // The leader tells an entry of the halls whose entries have changed since it was told, and of no others.
 func TestListsOfEntries(t *testing.T) {
-	r := site.NewReign()
+	r := site.NewLeading()
 	call := func(from string, hall ident.Hall) *site.SyncCall {
 		return &site.SyncCall{From: from, Hall: hall, Entry: true, Entries: map[ident.Hall]site.ListName{}}
 	}
--- a/site/undeclared.go
+++ b/site/undeclared.go
@@ -23,7 +23,7 @@
 	at time.Time
 }
 
-// add keeps a report in place of an older one; the mutex of the reign is held.
+// add keeps a report in place of an older one; the mutex of the leadership is held.
 func (u *undeclared) add(now time.Time, r *roster.Report) {
 	old, ok := u.reports[r.ID]
 	if ok && r.Sequence <= old.Sequence {
@@ -61,7 +61,7 @@
 }
 
 // takeDeclared takes the reports of upstreams whose service has just been declared.
-func (r *reign) takeDeclared(now time.Time, table *httproute.Table) {
+func (r *leadership) takeDeclared(now time.Time, table *httproute.Table) {
 	r.mu.Lock()
 	list := r.undeclared.declared(now, table, r.roster.SilentAfter)
 	r.mu.Unlock()
--- a/site/unread.go
+++ b/site/unread.go
@@ -19,9 +19,9 @@
 type unreadNews struct {
 	mu    sync.Mutex
 	fresh map[ident.Incarnation][]string
-	// sent are those of the call that is out, reign is the leader that knows all others.
-	sent  map[ident.Incarnation][]string
-	reign Reign
+	// sent are those of the call that is out, leadership is the leader that knows all others.
+	sent       map[ident.Incarnation][]string
+	leadership LeadershipID
 }
 
 // add notes a word for the leader.
@@ -52,7 +52,7 @@
 }
 
 // told notes that a leader has taken the call, and reports whether it is another one, which has to be told all.
-func (n *unreadNews) told(reign Reign) bool {
+func (n *unreadNews) told(leadership LeadershipID) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id := range n.sent {
@@ -62,8 +62,8 @@
 		}
 	}
 	n.sent = nil
-	another := n.reign != reign
-	n.reign = reign
+	another := n.leadership != leadership
+	n.leadership = leadership
 	return another
 }
 
@@ -83,7 +83,7 @@
 const forgetEvery = 10 * time.Second
 
 // forgetUnread forgets what upstreams said that have ended.
-func (r *reign) forgetUnread(now time.Time) {
+func (r *leadership) forgetUnread(now time.Time) {
 	if now.Sub(r.forgotAt) < forgetEvery {
 		return
 	}
--- a/site/unread_test.go
+++ b/site/unread_test.go
@@ -22,8 +22,8 @@
 	note := func(id ident.Incarnation, word string) {
 		e.NoteUnread(id, word)
 	}
-	take := func(reign site.Reign) {
-		e.Take(time.Now(), &site.SyncReply{Leads: true, Reign: reign})
+	take := func(leadership site.LeadershipID) {
+		e.Take(time.Now(), &site.SyncReply{Leads: true, Leadership: leadership})
 	}
 	note("u", "Queue-Hint")
 	for _, c := range []struct {
@@ -46,7 +46,7 @@
 			t.Errorf("%s (-want +got):\n%s", c.what, diff)
 		}
 	}
-	r := site.NewReign()
+	r := site.NewLeading()
 	r.Note(&site.SyncCall{From: "a", Entry: true, Unread: words{"u": {"Queue-Hint"}}})
 	if got := r.Unread("u"); len(got) != 1 {
 		t.Errorf("the leader knows %v", got)
