Call what entries think of a silent group suspicion, and confirmation, in packages relay and stall

Cause: doubt, vouch and stood were words of our own where the field says suspect, confirm and stalled (the users' table of terms). Tests: as before.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -273,7 +273,7 @@
 	if ts.outcomes >= outcomesNeeded {
 		score += failureScore * ts.failures
 	}
-	if now.Before(ts.suspect) || s.stands(ts, now) || !ts.doubted.IsZero() && now.Sub(ts.doubted) < doubtAgain {
+	if now.Before(ts.suspect) || s.stands(ts, now) || !ts.suspected.IsZero() && now.Sub(ts.suspected) < suspectAgain {
 		score += suspectScore
 	}
 	fits := x.fits(t, rank, at, first, now)
@@ -310,7 +310,7 @@
 
 // stands reports whether requests wait there for longer than an engine that works would let them, here or at enough entries.
 func (s *Relay) stands(ts *targetState, now time.Time) bool {
-	return ts.silence(now) > stallSuspect || s.stood(ts, now)
+	return ts.silence(now) > stallSuspect || s.stalled(ts, now)
 }
 
 // stateOf returns what is known of a target, which is looked for once: a choice asks several times for each of hundreds.
--- a/relay/cut.go
+++ b/relay/cut.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if f.moved {
-		t.SilentMS, t.Doubts = f.silent.Milliseconds(), f.doubts
+		t.SilentMS, t.Suspicions = f.silent.Milliseconds(), f.suspicions
 	}
 	if f.cut != nil {
 		t.Cut, t.RanMS, t.Events = cutOf(f.cut), now.Sub(f.sent).Milliseconds(), f.events
--- a/relay/heard.go
+++ b/relay/heard.go
@@ -20,11 +20,11 @@
 type News struct {
 	Head   ident.Incarnation `cbor:"1,keyasint"`
 	Prompt ident.Tokens      `cbor:"2,keyasint,omitempty"`
-	// Silent is how long the head has been silent for the sender, in ms, when it doubts that the group works.
+	// Silent is how long the head has been silent for the sender, in ms, when it suspects that the group works.
 	Silent int64 `cbor:"3,keyasint,omitempty"`
 	// Work tells of work under which upstreams ended.
 	Work *quarantine.Report `cbor:"5,keyasint,omitempty"`
-	// Worked is how long ago the group gave the sender a sign, in ms and at least 1, when others doubt that it works.
+	// Worked is how long ago the group gave the sender a sign, in ms and at least 1, when others suspect that it works.
 	Worked int64 `cbor:"4,keyasint,omitempty"`
 	// Asked is for how long the head wants nothing from the sender, in ms.
 	Asked int64 `cbor:"6,keyasint,omitempty"`
@@ -77,7 +77,7 @@
 		return
 	}
 	if !n.OfPrompt() {
-		s.hearDoubt(t, &n, from)
+		s.applySuspicion(t, &n, from)
 		return
 	}
 	ts := s.stateOf(t)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -260,7 +260,7 @@
 	}
 	var seen []Seen
 	for id, ts := range s.states {
-		stands := s.stood(ts, now)
+		stands := s.stalled(ts, now)
 		asked := s.Backoff.Of(now, id)
 		limit := s.limitSeen(id, now)
 		if ts.inflight == 0 && ts.answered.IsZero() && !ts.refused && !stands && asked.Left == 0 && limit == nil {
@@ -341,9 +341,9 @@
 	FirstMS  int64        `json:"first-ms,omitempty"`
 	Unread   ident.Tokens `json:"unread,omitempty"`
 	Requests int          `json:"requests,omitempty"`
-	// SilentMS is how long it had been silent in ms when it was given up, and Doubts how many entries doubted its group.
-	SilentMS int64 `json:"silent-ms,omitempty"`
-	Doubts   int   `json:"doubts,omitempty"`
+	// SilentMS is how long it had been silent in ms when it was given up, and Suspicions how many entries suspected its group.
+	SilentMS   int64 `json:"silent-ms,omitempty"`
+	Suspicions int   `json:"suspicions,omitempty"`
 	// Cut says how the connection of a try ended that has no whole answer, RanMS is how long after the request was sent in ms, and
 	// Events how many events had come of it.
 	Cut    Cut   `json:"cut,omitempty"`
--- a/relay/run.go
+++ b/relay/run.go
@@ -229,6 +229,6 @@
 		return
 	}
 	if t.group != "" {
-		s.doubt(t, s.Now(), dialTimeout)
+		s.suspect(t, s.Now(), dialTimeout)
 	}
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -49,17 +49,17 @@
 	passed time.Time
 	peak   ident.Tokens
 	came   int
-	// doubts are the entries that wait in vain, this one since doubted; doubtTold is when it last said so, stoodAt when there
+	// suspects are the entries that wait in vain, this one since suspected; suspectTold is when it last said so, stoodAt when there
 	// were enough of them.
-	doubts    stall.Doubts[netip.AddrPort]
-	doubted   time.Time
-	doubtTold time.Time
-	stoodAt   time.Time
+	suspicions  stall.Suspicions[netip.AddrPort]
+	suspected   time.Time
+	suspectTold time.Time
+	stoodAt     time.Time
 	// stoodLast is when there last were, stoodAgain how often before that within a short time.
 	stoodLast  time.Time
 	stoodAgain int
-	// vouched is when the group gave a sign to another entry that said so, or to this one when it last did.
-	vouched time.Time
+	// confirmedAt is when the group gave a sign to another entry that said so, or to this one when it last did.
+	confirmedAt time.Time
 	// followers watch the tries that wait there.
 	followers map[*follower]struct{}
 	// events and pauses are the number of events and the time between them since the leader was told.
@@ -108,13 +108,13 @@
 	ts.came++
 }
 
-// pass notes that a pass ended. One that took far too long ends no doubt of how the group works.
+// pass notes that a pass ended. One that took far too long ends no suspicion of how the group works.
 func (ts *targetState) pass(now time.Time, tooLong bool) {
 	ts.peak, ts.came = ts.mayBeUnread(now), 0
 	ts.passed = now
-	ts.doubts.Clear()
+	ts.suspicions.Clear()
 	if !tooLong {
-		ts.doubted, ts.stoodAt = time.Time{}, time.Time{}
+		ts.suspected, ts.stoodAt = time.Time{}, time.Time{}
 	}
 }
 
--- a/relay/doubt.go
+++ b/relay/suspect.go
@@ -3,16 +3,16 @@
 // A group of which a member is lost takes requests and answers none of them,
 // for seconds, and nobody says so. Each entry has one or two streams there, all
 // of which miss the same pass. So an entry whose streams at a group are overdue
-// tells the others that it doubts the group; when enough of those that have
+// tells the others that it suspects the group; when enough of those that have
 // requests there do, it stands still for everybody: streams and prompts move,
 // and nothing new is sent there.
 //
 //	last pass    next one due   + margin          all move
-//	    |-------------|-----------|--- doubts ------|
+//	    |-------------|-----------|--- suspicions ------|
 //	    0             45          70                75 ms
 //
-// A sign of the group ends all doubts about it; who has one tells the others,
-// since the doubters may be cut off from a group that serves the rest.
+// A sign of the group ends all suspicion of it; who has one tells the others,
+// since those that suspect it may be cut off from a group that serves the rest.
 
 import (
 	"net/netip"
@@ -23,12 +23,12 @@
 )
 
 const (
-	// doubtAgain is how often an entry that waits says again that it doubts a group: before its last word counts no more.
-	doubtAgain = 150 * time.Millisecond
-	// vouchers is how many entries with a sign of a group tell those who doubt it so, on average, and vouchAgain how old the last
-	// such word is at least: where a part of the entries is cut off from a group, they doubt it all the time.
-	vouchers   = 4
-	vouchAgain = 100 * time.Millisecond
+	// suspectAgain is how often an entry that waits says again that it suspects a group: before its last word counts no more.
+	suspectAgain = 150 * time.Millisecond
+	// confirmers is how many entries with a sign of a group tell those who suspect it so, on average, and confirmAgain how old the last
+	// such word is at least: where a part of the entries is cut off from a group, they suspect it all the time.
+	confirmers   = 4
+	confirmAgain = 100 * time.Millisecond
 	// stoodFor is how long a group that stands still is avoided when nothing more is heard of it: the leader ends it within a
 	// second, and one that works again has to be found out.
 	stoodFor = 1500 * time.Millisecond
@@ -36,12 +36,12 @@
 	// apart: at most the time after which an engine itself ends a group that stands still.
 	stoodMost  = 2
 	stoodApart = 8 * time.Second
-	// newGroup is how long a group is not doubted after this entry heard of it: what entries that heard sooner send there is not
+	// newGroup is how long a group is not suspected after this entry heard of it: what entries that heard sooner send there is not
 	// known, and the leader tells all of them within 100 ms.
 	newGroup = 300 * time.Millisecond
 	// standAgain is how often one whose group stands still looks for room elsewhere: some times in a pass.
 	standAgain = 20 * time.Millisecond
-	// newEntries is how long nothing is doubted after this entry heard of another one: until all know each other, they do not tell
+	// newEntries is how long nothing is suspected after this entry heard of another one: until all know each other, they do not tell
 	// each other of all prompts, and groups that work would be taken for standing still.
 	newEntries = 600 * time.Millisecond
 	// standingMost is the part of the groups of a model that may be taken for standing still at once: a domain that goes dark is a
@@ -55,7 +55,7 @@
 	samePass = 10 * time.Millisecond
 )
 
-// self stands for this entry among those that doubt a group.
+// self stands for this entry among those that suspect a group.
 var self netip.AddrPort
 
 // marginOf returns what is learnt of when signs of a model come, of first words or of events; the mutex is held.
@@ -93,7 +93,7 @@
 	return f.estimate + f.t.times.Pass(f.x.toRead(), f.t.slots) + f.x.launch.usual, true
 }
 
-// due returns when the group must have given a sign: after that it is doubted. The mutex is held.
+// due returns when the group must have given a sign: after that it is suspected. The mutex is held.
 func (f *follower) due() (due time.Time, ok bool) {
 	s := f.x.s
 	expected, ok := f.expected(s.Now())
@@ -111,30 +111,30 @@
 	return due, true
 }
 
-// suspects doubts the group when it is overdue, and reports whether it stands still and when to look again; the mutex is held.
+// suspects suspects the group when it is overdue, and reports whether it stands still and when to look again; the mutex is held.
 func (f *follower) suspects(now time.Time) (stands bool, again time.Duration) {
 	s, ts := f.x.s, f.state
 	due, ok := f.due()
 	if !ok {
 		return false, f.limit()
 	}
-	if s.stood(ts, now) {
+	if s.stalled(ts, now) {
 		return true, standAgain
 	}
 	if rest := due.Sub(now); rest > 0 {
 		return false, rest
 	}
-	s.doubt(f.t, now, now.Sub(f.since()))
-	return s.stood(ts, now), doubtAgain
+	s.suspect(f.t, now, now.Sub(f.since()))
+	return s.stalled(ts, now), suspectAgain
 }
 
-// doubt notes that t has been silent for too long, and tells the entries that use it; the mutex is held.
-func (s *Relay) doubt(t *target, now time.Time, silent time.Duration) {
+// suspect notes that t has been silent for too long, and tells the entries that use it; the mutex is held.
+func (s *Relay) suspect(t *target, now time.Time, silent time.Duration) {
 	ts := s.stateOf(t)
-	ts.doubts.Add(now, now.Add(-silent), self)
-	ts.doubted = now
-	if now.Sub(ts.doubtTold) >= doubtAgain {
-		ts.doubtTold = now
+	ts.suspicions.Add(now, now.Add(-silent), self)
+	ts.suspected = now
+	if now.Sub(ts.suspectTold) >= suspectAgain {
+		ts.suspectTold = now
 		s.Tell(News{Head: t.id, Silent: max(1, silent.Milliseconds())}, t.users)
 	}
 	s.judge(t, now)
@@ -148,53 +148,53 @@
 	return f.waited
 }
 
-// hearDoubt takes what another entry says of whether the group of t works; the mutex is held.
-func (s *Relay) hearDoubt(t *target, n *News, from netip.AddrPort) {
+// applySuspicion takes what another entry says of whether the group of t works; the mutex is held.
+func (s *Relay) applySuspicion(t *target, n *News, from netip.AddrPort) {
 	now := s.Now()
 	ts := s.stateOf(t)
 	if n.Worked > 0 {
-		ts.vouch(now.Add(-time.Duration(n.Worked) * time.Millisecond))
+		ts.confirm(now.Add(-time.Duration(n.Worked) * time.Millisecond))
 		return
 	}
 	since := now.Add(-time.Duration(n.Silent) * time.Millisecond)
 	if stall.Later(ts.passed, since) {
-		s.vouchFor(t, now)
+		s.confirm(t, now)
 		return
 	}
-	if stall.Later(ts.vouched, since) {
+	if stall.Later(ts.confirmedAt, since) {
 		return
 	}
-	ts.doubts.Add(now, since, from)
+	ts.suspicions.Add(now, since, from)
 	s.judge(t, now)
 }
 
-// vouchFor tells the others that the group of t works, as some of those do who have streams there.
-func (s *Relay) vouchFor(t *target, now time.Time) {
+// confirm tells the others that the group of t works, as some of those do who have streams there.
+func (s *Relay) confirm(t *target, now time.Time) {
 	ts := s.stateOf(t)
-	if now.Sub(ts.vouched) < vouchAgain {
+	if now.Sub(ts.confirmedAt) < confirmAgain {
 		return
 	}
-	ts.vouched = ts.passed
-	if requests := s.loadOf(t, now).Requests; requests > vouchers && s.Draw(requests) >= vouchers {
+	ts.confirmedAt = ts.passed
+	if requests := s.loadOf(t, now).Requests; requests > confirmers && s.Draw(requests) >= confirmers {
 		return
 	}
 	s.Tell(News{Head: t.id, Worked: max(1, now.Sub(ts.passed).Milliseconds())}, t.users)
 }
 
-// vouch notes that the group gave another entry a sign at a time.
-func (ts *targetState) vouch(at time.Time) {
-	if at.After(ts.vouched) {
-		ts.vouched = at
+// confirm notes that the group gave another entry a sign at a time.
+func (ts *targetState) confirm(at time.Time) {
+	if at.After(ts.confirmedAt) {
+		ts.confirmedAt = at
 	}
-	if ts.doubts.Refute(at) {
+	if ts.suspicions.Refute(at) {
 		ts.stoodAt = time.Time{}
 	}
 }
 
-// judge decides whether the group of t stands still by all doubts about it, and lets those look who wait there; the mutex is held.
+// judge decides whether the group of t stands still by all suspects about it, and lets those look who wait there; the mutex is held.
 func (s *Relay) judge(t *target, now time.Time) {
 	ts := s.stateOf(t)
-	if s.stood(ts, now) || ts.doubts.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
+	if s.stalled(ts, now) || ts.suspicions.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
 		return
 	}
 	ts.stoodAgain = min(stoodMost, ts.stoodAgain+1)
@@ -215,7 +215,7 @@
 			continue
 		}
 		all++
-		if s.stood(s.stateOf(o), now) {
+		if s.stalled(s.stateOf(o), now) {
 			standing++
 		}
 	}
@@ -233,8 +233,8 @@
 	return len(t.users) + 1
 }
 
-// stood reports whether a group stands still by what several entries saw; the mutex is held.
-func (s *Relay) stood(ts *targetState, now time.Time) bool {
+// stalled reports whether a group stands still by what several entries saw; the mutex is held.
+func (s *Relay) stalled(ts *targetState, now time.Time) bool {
 	return !ts.stoodAt.IsZero() && now.Sub(ts.stoodAt) < stoodFor<<ts.stoodAgain
 }
 
--- a/relay/doubt_test.go
+++ b/relay/suspect_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// stopSite returns entries that tell each other of prompts and doubts.
+// stopSite returns entries that tell each other of prompts and suspicions.
 func stopSite(p stopPlay, engines map[string]*passEngine) []*relay.Relay {
 	random := rand.New(rand.NewPCG(3, 3))
 	names := make([]string, stopEntries)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -3,7 +3,7 @@
 // A try is watched from the moment it is sent: the caller may leave, its time
 // may be up, and the upstream may go silent. A request that may be repeated is
 // then taken to another upstream, if one has room. Of a group of engines it is
-// known when its next sign is due (doubt.go); where it is not, and where only
+// known when its next sign is due (suspect.go); where it is not, and where only
 // this one connection is silent, fixed limits hold.
 
 import (
@@ -24,11 +24,11 @@
 
 	timer *time.Timer
 	stop  func() bool
-	// moved is set when the watch gave the upstream up, after it was silent for so long and so many doubted its group.
-	moved  bool
-	silent time.Duration
-	doubts int
-	ended  bool
+	// moved is set when the watch gave the upstream up, after it was silent for so long and so many suspected its group.
+	moved      bool
+	silent     time.Duration
+	suspicions int
+	ended      bool
 	// waited is when the last sign came, or the request was sent.
 	waited time.Time
 	// estimate is the time to the first word of this try, 0 where there is none; running is set with its first event.
@@ -115,7 +115,7 @@
 		return
 	}
 	f.moved = true
-	f.silent, f.doubts = now.Sub(f.waited), f.state.doubts.Count(now)
+	f.silent, f.suspicions = now.Sub(f.waited), f.state.suspicions.Count(now)
 	f.interrupt()
 }
 
--- a/stall/margin.go
+++ b/stall/margin.go
@@ -17,7 +17,7 @@
 const (
 	// unlearntMargin is the margin until enough signs have come: more than nearly all are late.
 	unlearntMargin = 100 * time.Millisecond
-	// missedPart is the part of the signs that may come after the margin. One who doubts a group too early does no harm: it
+	// missedPart is the part of the signs that may come after the margin. One who suspects a group too early does no harm: it
 	// takes several at the same time, and most signs are late for one entry only.
 	missedPart = 0.002
 	// earliest and binWidth divide the time around a bound into bins; a sign beyond the last one is not learnt from: the group
--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-func TestDoubts(t *testing.T) {
-	var d stall.Doubts[string]
+func TestSuspicions(t *testing.T) {
+	var d stall.Suspicions[string]
 	at := time.Unix(1000, 0)
 	got := []int{d.Count(at)}
 	d.Add(at, at.Add(-70*ms), "a")
@@ -56,9 +56,9 @@
 	d.Clear()
 	got = append(got, d.Count(at.Add(400*ms)))
 	if diff := cmp.Diff([]int{0, 2, 1, 0}, got); diff != "" {
-		t.Errorf("doubts (-want +got):\n%s", diff)
+		t.Errorf("suspicions (-want +got):\n%s", diff)
 	}
-	// A sign of the pass that was the last one for a doubter says nothing, one of a later pass does.
+	// A sign of the pass that was the last one for one that suspects it says nothing, one of a later pass does.
 	d.Add(at, at.Add(-70*ms), "a")
 	d.Add(at, at.Add(-40*ms), "b")
 	refuted := []bool{d.Refute(at.Add(-60 * ms)), d.Refute(at.Add(-30 * ms)), d.Refute(at.Add(-30 * ms))}
@@ -66,7 +66,7 @@
 		t.Errorf("refuted (-want +got):\n%s", diff)
 	}
 	if got := d.Count(at); got != 1 {
-		t.Errorf("%d doubts after one was refuted, want 1", got)
+		t.Errorf("%d suspects after one was refuted, want 1", got)
 	}
 }
 
@@ -81,7 +81,7 @@
 	need := stall.Witnesses(streams, entries)
 	alarms := 0
 	for range 18 * 600 * 20 {
-		var d stall.Doubts[int]
+		var d stall.Suspicions[int]
 		for range streams {
 			who := random.IntN(entries)
 			late := time.Duration((random.ExpFloat64()*4 - 15) * float64(ms))
@@ -100,7 +100,7 @@
 	if alarms > 0 {
 		t.Errorf("%d false alarms", alarms)
 	}
-	var d stall.Doubts[int]
+	var d stall.Suspicions[int]
 	var worst time.Duration
 	for range streams {
 		who := random.IntN(entries)
@@ -108,6 +108,6 @@
 		worst = max(worst, margins[who].Now())
 	}
 	if d.Count(at) < need || worst > 300*ms {
-		t.Errorf("a group that stops is doubted by %d of %d needed within %v", d.Count(at), need, pass+worst)
+		t.Errorf("a group that stops is suspected by %d of %d needed within %v", d.Count(at), need, pass+worst)
 	}
 }
