Leave more of an operator's second to the decision and the way

Cause: at 300 entries configurations were acknowledged after 970 ms in the middle and 1,116 ms at most, so some operators asked twice. Change: confirmations wait for entries until 0.6 s after the order's arrival at the leader, 0.75 s before.

--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// judge decides whether the group of t stands still by all suspects about it, and lets those look who wait there; the mutex is held.
+// judge decides whether the group of t stands still by all suspicion of it, and lets those look who wait there; the mutex is held.
 func (s *Relay) judge(t *target, now time.Time) {
 	ts := s.stateOf(t)
 	if s.stalled(ts, now) || ts.suspicions.Count(now) < stall.Witnesses(s.loadOf(t, now).Requests, s.usersOf(t)) || s.manyStand(t, now) {
--- a/site/rollout.go
+++ b/site/rollout.go
@@ -18,7 +18,7 @@
 	entriesArrive = 1500 * time.Millisecond
 	// confirmWithin is the time from the offer of a configuration for which its confirmation may wait for entries: operators go to
 	// another daemon after a second without an answer.
-	confirmWithin = 750 * time.Millisecond
+	confirmWithin = 600 * time.Millisecond
 	// rolloutLate is when a configuration that some entries don't have is logged with their names.
 	rolloutLate = time.Second
 	// rolloutsKept bounds the configurations that are followed, lateNames the entries in one line.
