Keep a route's time-out while a body arrives

Callers saw (users' record, the clauses on time-outs): requests had no final answer half a second after their route's time-out. Cause: the time of a request was looked at once its body had arrived; a caller that stopped in the middle of it, as behind a link that loses its packets, held the request for as long as the connection lived. Why it works: reading the body has the request's own deadline; what net/http then takes for the end of the connection is not the caller's. Not shown: that this is what the users saw.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +28,8 @@
 	customer *httproute.Customer
 	model    ident.Model
 	body     []byte
+	// bodyLate is set when the time was up before the body had arrived; net/http then ends the request as if its caller had left.
+	bodyLate bool
 	// content is the digest of path and body.
 	content ident.Content
 	id      string
@@ -166,9 +169,13 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readAll(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.bodyLate = true
+		x.w.Header().Set("Connection", "close")
+		return result.New(result.DeadlineUnreachable, "the body had not arrived when the time was up")
 	case errors.As(err, &tooLarge):
 		return result.New(result.TooLarge, "the body is over %d bytes", limit)
 	case err != nil:
@@ -179,6 +186,21 @@
 	return nil
 }
 
+// readAll reads the body by the time at which the request must have its answer.
+func (x *exchange) readAll(limit int64) ([]byte, error) {
+	if x.r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(x.w)
+	// Where the connection can't have a deadline, the caller's own time bounds it.
+	_ = control.SetReadDeadline(time.Now().Add(x.left()))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // defaultBodyBytes bounds a body where the configuration does not.
 const defaultBodyBytes = 4 << 20
 
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -29,7 +29,7 @@
 	case err == nil:
 	case x.started:
 		defer panic(http.ErrAbortHandler)
-	case x.r.Context().Err() != nil:
+	case x.r.Context().Err() != nil && !x.bodyLate:
 		defer panic(http.ErrAbortHandler)
 	case x.failure != nil:
 		x.writeAnswer(x.failure)
