Test that a route's time-out is kept whatever upstreams leave out

Cause: two mutants survived all tests of the relay: one that did not look at the route's time-out where the caller says nothing, one that did not watch the deadline of a try. Change: TestARouteTimeOutIsKept, four ways in which upstreams leave something out, four kinds of routes, with and without a caller's own time.

--- /dev/null
+++ b/relay/timeout_test.go
@@ -0,0 +1,104 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A caller that stops in the middle of its body gets its answer by the route's time-out, and the request does not run.
+func TestARequestWhoseBodyStopsKeepsTheTimeOut(t *testing.T) {
+	u := newUpstream(t, always(whole))
+	s := newSite(t, []*upstream{u}, nil)
+	cfg := config()
+	cfg.Routes[0].Timeout = 200 * time.Millisecond
+	s.relay.SetConfig(cfg)
+	for _, kind := range []string{"Content-Length: 10\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"} {
+		conn, err := net.Dial("tcp", s.front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		began := time.Now()
+		fmt.Fprint(conn, "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest: r1\r\nKey: secret\r\n"+kind)
+		if err := conn.SetReadDeadline(began.Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("no answer after %v: %v", time.Since(began), err)
+		}
+		resp.Body.Close()
+		if took := time.Since(began); took < 200*time.Millisecond || took > 700*time.Millisecond {
+			t.Errorf("answered after %v by a time-out of 200 ms", took)
+		}
+		if resp.StatusCode != http.StatusServiceUnavailable || len(u.arrivals()) != 0 {
+			t.Errorf("status %d, %d requests at the upstream", resp.StatusCode, len(u.arrivals()))
+		}
+	}
+	// A whole body takes nothing of this to the next request of its connection.
+	for i := range 3 {
+		if got := s.do(s.request("POST", "/safe/x", fmt.Sprint("w", i), "body")); got.Status != http.StatusOK {
+			t.Errorf("status %d", got.Status)
+		}
+	}
+}
+
+// A request ends by its route's time-out, whatever its upstreams leave out and whether or not its caller says how long it waits.
+func TestARouteTimeOutIsKept(t *testing.T) {
+	const timeout, slack = 300 * time.Millisecond, 500 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		play func(c net.Conn, r *http.Request) bool
+	}{
+		{"all of it", func(net.Conn, *http.Request) bool { return true }},
+		{"the body", func(c net.Conn, r *http.Request) bool {
+			_, err := io.WriteString(c, head(r, 200, signature, "Content-Length: 50"))
+			return err == nil
+		}},
+		{"the end", func(c net.Conn, r *http.Request) bool {
+			_, err := io.WriteString(c, head(r, 200, signature, "Content-Length: 50")+"part")
+			return err == nil
+		}},
+		{"later events", func(c net.Conn, r *http.Request) bool {
+			text := events(1, 2)
+			_, err := io.WriteString(c, head(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")+
+				fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+			return err == nil
+		}},
+	} {
+		for _, route := range []string{"safe", "unsafe", "stream", "once"} {
+			for _, says := range []string{"", "60000"} {
+				t.Run(c.name+"/"+route+"/"+says, func(t *testing.T) {
+					t.Parallel()
+					plain, heads := newUpstream(t, always(c.play)), newUpstream(t, always(c.play))
+					s := newSite(t, []*upstream{plain}, []*upstream{heads})
+					cfg := config()
+					for i := range cfg.Routes {
+						cfg.Routes[i].Timeout = timeout
+					}
+					s.relay.SetConfig(cfg)
+					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+					defer cancel()
+					r := s.request("POST", "/"+route+"/x", "r1", "body").WithContext(ctx)
+					if says != "" {
+						r.Header.Set("Deadline", says)
+					}
+					began := time.Now()
+					got := s.do(r)
+					if took := time.Since(began); took > timeout+slack {
+						t.Errorf("ended after %v with %+v", took, got)
+					}
+					if got.Status == http.StatusOK && got.Whole {
+						t.Errorf("a whole answer: %+v", got)
+					}
+				})
+			}
+		}
+	}
+}
