Guard the counters of the hand-over test

Cause: the race detector saw the test set its watch and read its counters beside the members' goroutines (go test -race ./quorum failed twice).

--- a/quorum/handover_test.go
+++ b/quorum/handover_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,22 +17,24 @@
 		leader := s.leader()
 		s.proposeMany(leader, 0, 1)
 		time.Sleep(time.Second)
-		asked, held := 0, 0
+		var asked, held atomic.Int64
+		s.mu.Lock()
 		s.watch = func(m *quorum.Message) {
 			if m.Kind != quorum.MessageTransfer {
 				return
 			}
-			asked++
+			asked.Add(1)
 			if leader.node.HoldsLease(clock.Now()) {
-				held++
+				held.Add(1)
 			}
 		}
+		s.mu.Unlock()
 		if !leader.node.HandOver(t.Context()) {
 			t.Fatal("nobody was asked")
 		}
 		time.Sleep(time.Second)
-		if asked != 1 || held != 0 {
-			t.Errorf("%d questions, %d of them under a lease", asked, held)
+		if asked.Load() != 1 || held.Load() != 0 {
+			t.Errorf("%d questions, %d of them under a lease", asked.Load(), held.Load())
 		}
 		s.stopAll()
 	})
