--- a/site/silent_test.go
+++ b/site/silent_test.go
@@ -16,6 +16,28 @@
 type power struct {
 	mu  sync.Mutex
 	off map[string]bool
+	// opened counts connections, dead is how many of the first ones are silent for good.
+	opened, dead int
+}
+
+// forget makes all connections that are open go silent for good, while new ones work.
+func (p *power) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = p.opened
+}
+
+// open counts a new connection and returns whether it is silent.
+func (p *power) open(from, to string) func() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+	n := p.opened
+	return func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return n <= p.dead || p.off[from] || p.off[to]
+	}
 }
 
 func (p *power) lose(host string) {
@@ -46,7 +68,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &powered{Conn: conn, silent: func() bool { return p.silent(from, to) }, closed: make(chan struct{})}, nil
+		return &powered{Conn: conn, silent: p.open(from, to), closed: make(chan struct{})}, nil
 	}
 }
 
@@ -127,3 +149,30 @@
 		t.Errorf("in force %v after the confirmation", took)
 	}
 }
+
+// A configuration is in force within the bound at an entry whose connections go silent for good, while new ones work.
+func TestConfigurationReachesAnEntryWhoseConnectionsGoSilent(t *testing.T) {
+	const bound = 2 * time.Second
+	d := newDaemons(t)
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	d.voters(hosts[0], 3)
+	p := &power{off: map[string]bool{}}
+	d.dial = p.dial("127.0.2.1")
+	d.entry("127.0.2.1")
+	d.until("the entry has the configuration", func() bool { return d.routed("127.0.2.1", 1) })
+	for version := httproute.Version(2); version < 6; version++ {
+		p.forget()
+		d.replace(hosts[version%3], version)
+		began := time.Now()
+		d.until("the entry has the next one", func() bool { return d.routed("127.0.2.1", version) })
+		took := time.Since(began)
+		t.Logf("version %d in force %v after its confirmation", version, took)
+		if took > bound {
+			t.Errorf("version %d in force %v after its confirmation", version, took)
+		}
+	}
+}
