--- a/soak/configs.go
+++ b/soak/configs.go
@@ -85,35 +85,13 @@
 	return platform.EncodeConfig(cfg, map[ident.Customer][]string{customer: keysOf(n)})
 }
 
-// defect makes a configuration invalid by replacing a text, at its first place.
-type defect struct{ name, old, with string }
-
-var defects = []defect{
-	{"a route to no service", `"service":"plain","weight":1`, `"service":"nowhere","weight":1`},
-	{"a share of no service", `"weight":1}`, `"weight":1},{"service":"nowhere","weight":0}`},
-	{"no service beside a split", `"trafficSplit":[`, `"service":"nowhere","trafficSplit":[`},
-	{"no weight", `"weight":1}`, `"weight":0}`},
-	{"no time-out", `"timeoutMs":`, `"timeoutMs":0,"later":`},
-	{"a time-out twice", `"timeoutMs":`, `"timeoutMs":0,"timeoutMs":`},
-	{"a time-out in another case", `"timeoutMs":`, `"TimeoutMs":`},
-	{"two routes in one place", `"/once/"`, `"/stream/"`},
-	{"two routes on one host in two cases", `"host":"` + siteHost + `","pathPrefix":"/once/"`, `"host":"SITE.test","pathPrefix":"/stream/"`},
-	{"a shared key", `"tenants":[`, `"tenants":[{"name":"` + string(customer) + `","apiKeys":["` + stableKey + `"]},`},
-	{"no routes", `"routes":`, `"paths":`},
-	{"an end too soon", `"tenants":[`, ``},
-}
-
-// apply returns a configuration with the defect.
-func (d *defect) apply(body []byte) []byte {
-	if d.with == "" {
-		short, _, _ := strings.Cut(string(body), d.old)
-		return []byte(short)
-	}
-	return []byte(strings.Replace(string(body), d.old, d.with, 1))
-}
-
 // wrongConfig returns an invalid configuration and what is wrong with it.
 func wrongConfig(random *rand.Rand, n uint64, added int) (body []byte, name string) {
-	d := one(random, defects)
-	return d.apply(configOf(n+wrongVersions, added)), d.name
+	d := one(random, platform.Defects)
+	body, err := d.Apply(configOf(n+wrongVersions, added))
+	if err != nil {
+		// What the soak has encoded can be decoded.
+		panic(err)
+	}
+	return body, d.Name
 }
--- a/soak/configs_test.go
+++ b/soak/configs_test.go
@@ -18,9 +18,14 @@
 	if cfg, err := platform.DecodeConfig(soak.WithVersion(soak.ConfigOf(40, 3), 12)); err != nil || cfg.Version != 12 || len(cfg.Routes) != 9 {
 		t.Errorf("under another version: %+v, %v", cfg, err)
 	}
-	for name, body := range soak.WrongConfigs(30, 5) {
+	for i := range platform.Defects {
+		d := &platform.Defects[i]
+		body, err := d.Apply(soak.ConfigOf(30, 5))
+		if err != nil {
+			t.Fatal(err)
+		}
 		if _, err := platform.DecodeConfig(body); result.CodeOf(err) != result.ChangeInvalid {
-			t.Errorf("%s is accepted", name)
+			t.Errorf("%s is accepted", d.Name)
 		}
 	}
 }
