--- a/quorum/reads_test.go
+++ b/quorum/reads_test.go
@@ -22,7 +22,7 @@
 	// pending are versions by the place in the log that a leader gave them.
 	pending map[quorum.Index]pendingOrder
 	// noted is how many applied entries of each member were looked at.
-	noted map[*machine]int
+	noted map[*machine]noted
 	// folders counts those that were lost.
 	folders int
 	// versions are those of the log, by their place.
@@ -31,6 +31,12 @@
 	entries []httproute.Version
 }
 
+// noted is how many entries were looked at that a member has applied since a start.
+type noted struct {
+	boots   uint64
+	entries int
+}
+
 type pendingOrder struct {
 	by      *machine
 	term    quorum.Term
@@ -40,14 +46,15 @@
 // held is the version that a member's state machine has: what was committed up to its commit, of its snapshot or its log.
 func (o *orders) held(m *machine) httproute.Version {
 	for _, m := range o.members {
-		// A member that has started again applies from its snapshot on.
-		if o.noted[m] > len(m.applied) {
-			o.noted[m] = 0
+		seen := o.noted[m]
+		if seen.boots != m.boots {
+			seen = noted{boots: m.boots}
 		}
-		for _, e := range m.applied[o.noted[m]:] {
+		for _, e := range m.applied[seen.entries:] {
 			o.note(e)
 		}
-		o.noted[m] = len(m.applied)
+		seen.entries = len(m.applied)
+		o.noted[m] = seen
 	}
 	newest := httproute.Version(0)
 	for index, version := range o.versions {
@@ -136,7 +143,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			h := &history{newGroup(t, []int{3, 5}[seed%2]), rand.New(rand.NewPCG(seed, 11))}
-			o := &orders{history: h, pending: map[quorum.Index]pendingOrder{}, versions: map[quorum.Index]httproute.Version{}, noted: map[*machine]int{}, entries: make([]httproute.Version, 3)}
+			o := &orders{history: h, pending: map[quorum.Index]pendingOrder{}, versions: map[quorum.Index]httproute.Version{}, noted: map[*machine]noted{}, entries: make([]httproute.Version, 3)}
 			for range stretches / 2 {
 				h.fault()
 				if h.random.IntN(6) == 0 {
