--- a/daemon/pairs_test.go
+++ b/daemon/pairs_test.go
@@ -11,11 +11,11 @@
 	"github.com/dunlinquay/dunlinquay/operator"
 )
 
-// fault is something that breaks, and how it is mended again.
+// fault is something that breaks, and how it is repaired.
 type fault struct {
 	name string
-	// strike breaks it and returns what mends it.
-	strike func(s *site) (mend func())
+	// strike breaks it and returns what repairs it.
+	strike func(s *site) (repair func())
 }
 
 // member returns the group's member at place i, counted round.
@@ -98,14 +98,14 @@
 				bubble(t, []string{"d1: w1 w2 w3", "d2: w4 w5 w6"}, func(t *testing.T, s *site) {
 					s.create("g", 2)
 					revisions := map[ident.Daemon]ident.Revision{}
-					mends := []func(){first.strike(s), second.strike(s)}
+					repairs := []func(){first.strike(s), second.strike(s)}
 					for n := range 6 {
 						s.askAll(n)
 						time.Sleep(time.Second)
 						s.rise(revisions)
 					}
-					for _, mend := range mends {
-						mend()
+					for _, repair := range repairs {
+						repair()
 					}
 					if s.running["b"] == nil {
 						s.start("b")
--- a/result/code.go
+++ b/result/code.go
@@ -110,7 +110,7 @@
 	{OK, "ok", http.StatusOK, exitOK, false, "The call succeeded.", "Nothing."},
 
 	{Usage, "usage", 0, exitUsage, false, "The command line is not understood.", "Read the command's --help."},
-	{SettingsSyntax, "settings-syntax", 0, exitSettings, false, "The settings file is not JSON with comments.", "Mend the place named by line and column."},
+	{SettingsSyntax, "settings-syntax", 0, exitSettings, false, "The settings file is not JSON with comments.", "Correct the place named by line and column."},
 	{SettingsUnknownKey, "settings-unknown-key", 0, exitSettings, false, "The settings file has a key that is not known.", "Remove it or correct its spelling."},
 	{SettingsType, "settings-type", 0, exitSettings, false, "A value in the settings file has the wrong type.", "Give the type that the message names."},
 	{SettingsMissing, "settings-missing", 0, exitSettings, false, "A required key is missing.", "Add the key."},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -315,7 +315,7 @@
 	s.after(ctx, wait, func() { s.add(e.service, place) })
 }
 
-// after does something after a while, or at once when ctx ends: whatever was broken is mended then.
+// after does something after a while, or at once when ctx ends: whatever was broken is repaired then.
 func (s *soak) after(ctx context.Context, wait time.Duration, do func()) {
 	s.tasks.Go(func() {
 		pause(ctx, wait)
