Replace all connections that bring nothing once a call to control has had no answer

Callers saw an old configuration in force for 2.74 s after its confirmation (2 s are allowed; TestConfigurationReachesAnEntryWhoseConnectionsGoSilent beside load). Cause: connections go silent together, and an entry found that out one at a time: after the leader's, it asked each other control daemon over a connection that it had opened long before and waited for 1.25 s on each. Change: when a call has no answer in time, every connection over which nothing has come since that call was made is closed, so the next call opens a new one.

--- a/link/client.go
+++ b/link/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
@@ -33,6 +34,8 @@
 	dialing chan struct{}
 	mu      sync.Mutex
 	rpc     *rpc.Client
+	// heard is when the open connection was made or last brought an answer.
+	heard time.Time
 }
 
 // NewClient returns a client of service at address.
@@ -67,17 +70,37 @@
 	}
 }
 
+// DropUnheard closes the connection when nothing has come over it since a time; calls that are under way on it fail.
+func (c *Client) DropUnheard(since time.Time) {
+	c.mu.Lock()
+	conn, heard := c.rpc, c.heard
+	c.mu.Unlock()
+	if conn != nil && heard.Before(since) {
+		c.drop(conn)
+	}
+}
+
 func (c *Client) outcome(conn *rpc.Client, err error) error {
 	if err == nil {
+		c.hear(conn)
 		return nil
 	}
 	if _, ok := err.(rpc.ServerError); ok { //nolint:errorlint // net/rpc returns this type itself
+		c.hear(conn)
 		return result.Wrap(err, result.PeerRefused, "daemon at %s refused", c.Address)
 	}
 	c.drop(conn)
 	return result.Wrap(err, result.DaemonUnreached, "connection to daemon at %s broke", c.Address)
 }
 
+func (c *Client) hear(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc == conn {
+		c.heard = clock.Now()
+	}
+}
+
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
 	select {
 	case c.dialing <- struct{}{}:
@@ -99,7 +122,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rpc = rpc.NewClient(conn)
+	c.rpc, c.heard = rpc.NewClient(conn), clock.Now()
 	return c.rpc, nil
 }
 
--- /dev/null
+++ b/link/unheard_test.go
@@ -0,0 +1,59 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/link"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// Echo answers what it is asked.
+type Echo struct{}
+
+// Say answers.
+func (Echo) Say(in string, out *string) error {
+	*out = in
+	return nil
+}
+
+// A connection over which nothing has come since a moment is replaced, one that has brought an answer since stays.
+func TestUnheardConnectionsAreReplaced(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := link.NewServer(ln, "Echo", Echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { server.Run(ctx); close(done) }()
+	defer func() { end(); <-done }()
+	opened := 0
+	tcp := transport.TCP()
+	c := link.NewClient(server.Address(), "Echo")
+	c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		opened++
+		return tcp(ctx, address)
+	}
+	defer c.Close()
+	say := func(want int) {
+		t.Helper()
+		var out string
+		if err := c.Call(ctx, 10*time.Second, "Say", "x", &out); err != nil || opened != want {
+			t.Errorf("%v, %d connections opened, want %d", err, opened, want)
+		}
+	}
+	c.DropUnheard(time.Now())
+	say(1)
+	before := time.Now().Add(-time.Hour)
+	c.DropUnheard(before)
+	say(1)
+	c.DropUnheard(time.Now().Add(time.Hour))
+	say(2)
+	say(2)
+}
--- a/site/follow.go
+++ b/site/follow.go
@@ -63,6 +63,8 @@
 	began := clock.Now()
 	reply, err := f.peers.sync(address, f.entries, call)
 	if err != nil {
+		// Idle connections may have gone silent with this one, and each would hold the next call for its whole time-out.
+		f.peers.dropUnheard(began)
 		f.directory.forgetLeader(address)
 		f.entries = entriesUnknown
 		return false
--- a/site/peers.go
+++ b/site/peers.go
@@ -176,3 +176,12 @@
 func (p *peers) wait() {
 	p.wg.Wait()
 }
+
+// dropUnheard closes the connections over which nothing has come since a time.
+func (p *peers) dropUnheard(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.DropUnheard(since)
+	}
+}
