--- /dev/null
+++ b/catalog/drain_test.go
@@ -0,0 +1,121 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+func encodeDrain(t interface{ Fatal(args ...any) }, hall ident.Hall, drain bool) []byte {
+	data, err := catalog.EncodeDrain(catalog.DrainOrder{Hall: hall, Drain: drain})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestTheNewestOrderOnAHallCounts(t *testing.T) {
+	m := catalog.NewMachine()
+	var told []catalog.DrainRevision
+	m.DrainChanged = func(d catalog.Drained) { told = append(told, d.Revision) }
+	m.Apply(encode(t, 7, "a"))
+	for _, c := range []struct {
+		name  string
+		hall  ident.Hall
+		drain bool
+		want  catalog.Drained
+	}{
+		{"the first", "b", true, catalog.Drained{Revision: 1, Halls: []ident.Hall{"b"}}},
+		{"again", "b", true, catalog.Drained{Revision: 1, Halls: []ident.Hall{"b"}}},
+		{"another hall", "a", true, catalog.Drained{Revision: 2, Halls: []ident.Hall{"a", "b"}}},
+		{"one that is not drained is taken back", "c", false, catalog.Drained{Revision: 2, Halls: []ident.Hall{"a", "b"}}},
+		{"taken back", "b", false, catalog.Drained{Revision: 3, Halls: []ident.Hall{"a"}}},
+		{"taken back again", "b", false, catalog.Drained{Revision: 3, Halls: []ident.Hall{"a"}}},
+		{"drained once more", "b", true, catalog.Drained{Revision: 4, Halls: []ident.Hall{"a", "b"}}},
+	} {
+		got := m.Apply(encodeDrain(t, c.hall, c.drain))
+		if diff := cmp.Diff(catalog.Answer{Held: 7, Drained: c.want}, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+	if diff := cmp.Diff([]catalog.DrainRevision{1, 2, 3, 4}, told); diff != "" {
+		t.Errorf("changes told (-want +got):\n%s", diff)
+	}
+}
+
+// A snapshot of a build that knew no orders on halls is read.
+func TestSnapshotsWithoutDrainedHalls(t *testing.T) {
+	d, err := catalog.NewDocument(5, []byte("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := catalog.Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := catalog.NewMachine()
+	if err := m.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if m.Held().Version != 5 || len(m.Drained().Halls) != 0 {
+		t.Errorf("held %d, drained %v", m.Held().Version, m.Drained().Halls)
+	}
+}
+
+// Members that apply the same log, from its beginning or from a snapshot at any place, have the same state: the newest order on each hall
+// counts, and no configuration takes one back.
+func TestMembersAgreeOnDrainedHalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := catalog.NewMachine()
+		member := catalog.NewMachine()
+		want := map[ident.Hall]bool{}
+		halls := []ident.Hall{"a", "b", "c"}
+		for n := range rapid.IntRange(1, 40).Draw(t, "entries") {
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				d, err := catalog.NewDocument(httproute.Version(rapid.IntRange(1, 9).Draw(t, "version")), []byte{byte(n)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				data, err := catalog.Encode(d)
+				if err != nil {
+					t.Fatal(err)
+				}
+				whole.Apply(data)
+				member.Apply(data)
+			case 1:
+				data, err := whole.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				member = catalog.NewMachine()
+				if err := member.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			default:
+				hall, drain := rapid.SampledFrom(halls).Draw(t, "hall"), rapid.Bool().Draw(t, "drain")
+				want[hall] = drain
+				data := encodeDrain(t, hall, drain)
+				whole.Apply(data)
+				member.Apply(data)
+			}
+			if diff := cmp.Diff(whole.Drained(), member.Drained()); diff != "" {
+				t.Fatalf("members differ:\n%s", diff)
+			}
+			if whole.Held().Version != member.Held().Version {
+				t.Fatalf("versions %d and %d", whole.Held().Version, member.Held().Version)
+			}
+			drained := whole.Drained()
+			for _, hall := range halls {
+				if drained.Has(hall) != want[hall] {
+					t.Fatalf("hall %s is drained: %v, want %v", hall, drained.Has(hall), want[hall])
+				}
+			}
+		}
+	})
+}
--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -6,16 +6,21 @@
 // need no further bookkeeping.
 //
 //	v7 -> held 7;  v7 again -> held 7;  v5 -> held 7;  v9 -> held 9
+//
+// Orders to drain a hall, or to take it back, have no versions: the one that
+// stands last in the log counts.
 
 import (
 	"bytes"
 	"compress/gzip"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -57,25 +62,72 @@
 	return body, nil
 }
 
+// DrainRevision counts the changes of the drained halls.
+type DrainRevision uint64
+
+// Drained are the halls whose upstreams get no requests, in order.
+type Drained struct {
+	Revision DrainRevision `cbor:"1,keyasint"`
+	Halls    []ident.Hall  `cbor:"2,keyasint"`
+}
+
+// Has reports whether a hall is drained.
+func (d Drained) Has(hall ident.Hall) bool {
+	return slices.Contains(d.Halls, hall)
+}
+
+// with returns the halls after one is drained or taken back.
+func (d Drained) with(o *DrainOrder) Drained {
+	halls := slices.DeleteFunc(slices.Clone(d.Halls), func(h ident.Hall) bool { return h == o.Hall })
+	if o.Drain {
+		halls = append(halls, o.Hall)
+		slices.Sort(halls)
+	}
+	return Drained{Revision: d.Revision + 1, Halls: halls}
+}
+
+// DrainOrder drains a hall, or takes it back.
+type DrainOrder struct {
+	Hall  ident.Hall `cbor:"1,keyasint"`
+	Drain bool       `cbor:"2,keyasint"`
+}
+
+// entry is one log entry: a document, or an order on a hall.
+type entry struct {
+	Document
+	Drain *DrainOrder `cbor:"3,keyasint,omitempty"`
+}
+
+// snapshot is the whole state.
+type snapshot struct {
+	Document
+	Drained Drained `cbor:"3,keyasint"`
+}
+
 // Answer tells what a proposed document did.
 type Answer struct {
 	// Held is the version that counts afterwards.
 	Held httproute.Version
 	// Changed is set when the document became the one that counts.
 	Changed bool
+	// Drained are the drained halls afterwards.
+	Drained Drained
 }
 
-// Machine holds the newest document; Changed is called without locks after each change and is set before use.
+// Machine holds the newest document and the drained halls; its functions are called without locks after each change and are set before
+// use.
 type Machine struct {
-	Changed func(d Document)
+	Changed      func(d Document)
+	DrainChanged func(d Drained)
 
-	mu   sync.RWMutex
-	held Document
+	mu      sync.RWMutex
+	held    Document
+	drained Drained
 }
 
 // NewMachine returns a machine that holds nothing.
 func NewMachine() *Machine {
-	return &Machine{Changed: func(Document) {}}
+	return &Machine{Changed: func(Document) {}, DrainChanged: func(Drained) {}}
 }
 
 // Encode returns the log entry of d.
@@ -83,14 +135,37 @@
 	return cbor.Marshal(d)
 }
 
+// EncodeDrain returns the log entry of o.
+func EncodeDrain(o DrainOrder) ([]byte, error) {
+	return cbor.Marshal(entry{Drain: &o})
+}
+
 // Apply executes one log entry; the same entries give the same state on each member.
 func (m *Machine) Apply(data []byte) Answer {
-	var d Document
-	if err := cbor.Unmarshal(data, &d); err != nil {
+	var e entry
+	if err := cbor.Unmarshal(data, &e); err != nil {
 		// The leader encoded it, so every member sees the same undecodable entry and skips it.
-		return Answer{Held: m.Held().Version}
+		return Answer{Held: m.Held().Version, Drained: m.Drained()}
 	}
-	return m.take(d, false)
+	if e.Drain != nil {
+		return m.drain(e.Drain)
+	}
+	return m.take(e.Document, false)
+}
+
+// drain carries an order out; one that changes nothing has no revision of its own.
+func (m *Machine) drain(o *DrainOrder) Answer {
+	m.mu.Lock()
+	changed := m.drained.Has(o.Hall) != o.Drain
+	if changed {
+		m.drained = m.drained.with(o)
+	}
+	answer := Answer{Held: m.held.Version, Drained: m.drained}
+	m.mu.Unlock()
+	if changed {
+		m.DrainChanged(answer.Drained)
+	}
+	return answer
 }
 
 func (m *Machine) take(d Document, replace bool) Answer {
@@ -99,12 +174,12 @@
 	if changed {
 		m.held = d
 	}
-	held := m.held
+	held, drained := m.held, m.drained
 	m.mu.Unlock()
 	if changed {
 		m.Changed(held)
 	}
-	return Answer{Held: held.Version, Changed: changed}
+	return Answer{Held: held.Version, Changed: changed, Drained: drained}
 }
 
 // Held returns the newest document; its version is 0 before the first one.
@@ -114,9 +189,18 @@
 	return m.held
 }
 
+// Drained returns the drained halls.
+func (m *Machine) Drained() Drained {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.drained
+}
+
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	return cbor.Marshal(m.Held())
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return cbor.Marshal(snapshot{m.held, m.drained})
 }
 
 // Restore replaces the whole state; empty data is the state before the first document.
@@ -124,10 +208,14 @@
 	if len(data) == 0 {
 		return nil
 	}
-	var d Document
-	if err := cbor.Unmarshal(data, &d); err != nil {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
 		return result.Wrap(err, result.StorageDamaged, "the configuration in a snapshot cannot be decoded")
 	}
-	m.take(d, true)
+	m.mu.Lock()
+	m.drained = s.Drained
+	m.mu.Unlock()
+	m.DrainChanged(s.Drained)
+	m.take(s.Document, true)
 	return nil
 }
