Bound what is sent to an upstream by a cap beside its own word

Cause: an upstream that has just started takes few requests from all entries together, a sum that no entry sees; limits that upstreams name are the same problem, solved by their coordinators. Change: Words keeps caps beside words; the lower one counts, questions and answers say which of both they go by, and no cap passes for an upstream's word at another entry. One mechanism for both, no second one. Shown by TestCaps: 28 to 30 requests of 3 s at 10 a second are let go by a coordinator that does not know the cap itself.

--- a/ratelimit/questions.go
+++ b/ratelimit/questions.go
@@ -4,6 +4,7 @@
 // datagram and has the answer with another; either may be lost.
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -26,6 +27,8 @@
 	Age  time.Duration `cbor:"4,keyasint,omitempty"`
 	// Patience is how long the request can wait for its turn.
 	Patience time.Duration `cbor:"5,keyasint,omitempty"`
+	// Capped is set when Rate is a cap, and not the upstream's word.
+	Capped bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Answer is the coordinator's answer, and the newest word of the upstream that it knows.
@@ -34,6 +37,8 @@
 	Key  K             `cbor:"2,keyasint"`
 	Rate Rate          `cbor:"3,keyasint,omitempty"`
 	Age  time.Duration `cbor:"4,keyasint,omitempty"`
+	// Cap is the cap by which the answer was worked out, 0 when it was the upstream's word.
+	Cap Rate `cbor:"8,keyasint,omitempty"`
 	Grant
 }
 
@@ -50,7 +55,7 @@
 	id, answer := rand.Uint64(), make(chan *Answer[K], 1)
 	l.asked[id] = answer
 	l.mu.Unlock()
-	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At), Patience: patience})
+	l.Ask(to, &Question[K]{ID: id, Key: k, Rate: w.Rate, Age: now.Sub(w.At), Patience: patience, Capped: w.Capped})
 	timer := time.NewTimer(answerTime)
 	defer timer.Stop()
 	var a *Answer[K]
@@ -77,7 +82,7 @@
 	defer l.mu.Unlock()
 	s := l.state(k)
 	s.silent, s.asksAt = time.Time{}, time.Time{}
-	return l.obey(k, a.Rate, a.Grant)
+	return l.obey(k, cmp.Or(a.Cap, a.Rate), a.Grant)
 }
 
 // Asked answers a question of another entry; there is no answer when this one can't know whether it coordinates the upstream.
@@ -87,9 +92,16 @@
 		return nil, false
 	}
 	now := l.Now()
-	l.Words.Hear(q.Key, max(l.Words.Least, q.Rate), now.Add(-max(0, q.Age)))
+	rate := q.Rate
+	if !q.Capped {
+		rate = 0
+		l.Words.Hear(q.Key, max(l.Words.Least, q.Rate), now.Add(-max(0, q.Age)))
+	}
 	w := l.Words.Newest(q.Key)
 	a := &Answer[K]{ID: q.ID, Key: q.Key, Rate: w.Rate, Age: now.Sub(w.At)}
+	if limit := lowest(rate, l.Words.Cap(q.Key)); limit > 0 && (!w.Limited() || limit < w.Rate) {
+		a.Cap = limit
+	}
 	if w.Rate == q.Rate {
 		// It is no news to who asks, and must not look like that.
 		a.Age = max(a.Age, q.Age)
@@ -97,16 +109,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !w.Limited():
+	case !w.Limited() && a.Cap == 0:
 		a.Grant = Grant{OK: true}
 	case !seat.Self:
 		a.Grant = Grant{After: movedAgain, Sharers: 1}
 	default:
-		a.Grant = l.grant(q.Key, w.Rate, seat, from, q.Patience)
+		a.Grant = l.grant(q.Key, cmp.Or(a.Cap, w.Rate), seat, from, q.Patience)
 	}
 	return a, true
 }
 
+// lowest returns the lower of two caps, 0 standing for none.
+func lowest(a, b Rate) Rate {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // Answered takes the answer to a question; one that is not waited for any more is dropped, and the request that it granted is lost.
 func (l *Limiter[K]) Answered(a *Answer[K]) {
 	l.mu.Lock()
--- a/ratelimit/words.go
+++ b/ratelimit/words.go
@@ -27,6 +27,8 @@
 	Since time.Time
 	// Own is set when it said so to this entry, and not to another one that told.
 	Own bool
+	// Capped is set when Rate is a cap, which is not the upstream's word.
+	Capped bool
 }
 
 // Limited reports whether there is a limit.
@@ -58,6 +60,8 @@
 
 	mu    sync.Mutex
 	words map[K]Word
+	// caps bound what is sent to upstreams whatever they say.
+	caps map[K]Rate
 	// sweep is how many words there may be until old ones are dropped.
 	sweep int
 }
@@ -138,14 +142,33 @@
 	}
 }
 
-// Of returns the newest word of an upstream.
+// Of returns the limit of an upstream: its newest word, or the cap where that is lower.
 func (s *Words[K]) Of(k K) Word {
 	if s.limited.Load() == 0 {
 		return Word{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.words[k]
+	w := s.words[k]
+	if rate, ok := s.caps[k]; ok && (!w.Limited() || rate < w.Rate) {
+		w.Rate, w.Own, w.Capped = rate, false, true
+	}
+	return w
+}
+
+// SetCaps replaces the limits that hold for upstreams whatever they say, as for those that have just started.
+func (s *Words[K]) SetCaps(caps map[K]Rate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limited.Add(int64(len(caps) - len(s.caps)))
+	s.caps = caps
+}
+
+// Cap returns the cap of an upstream, 0 where there is none.
+func (s *Words[K]) Cap(k K) Rate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.caps[k]
 }
 
 // Newest returns the newest word of an upstream, also that there is no limit any more.
@@ -164,7 +187,7 @@
 	}
 }
 
-// Limited returns how many upstreams have a limit.
+// Limited returns how many upstreams have a limit; one with a cap as well counts twice.
 func (s *Words[K]) Limited() int {
 	return int(s.limited.Load())
 }
--- a/ratelimit/words_test.go
+++ b/ratelimit/words_test.go
@@ -74,3 +74,45 @@
 		t.Errorf("%d kept, %d with a limit, rate %v", kept, s.Limited(), s.Of("long").Rate)
 	}
 }
+
+// A cap holds beside what the upstream says, the lower of both counts, and none of it passes for the upstream's word at others.
+func TestCaps(t *testing.T) {
+	w := ratelimit.NewWords[string]()
+	w.SetCaps(map[string]ratelimit.Rate{"u": 5})
+	if got := w.Of("u"); got.Rate != 5 || !got.Capped || got.Own {
+		t.Errorf("capped: %+v", got)
+	}
+	w.Name("u", 3, at(0))
+	if got := w.Of("u"); got.Rate != 3 || got.Capped {
+		t.Errorf("with a lower word: %+v", got)
+	}
+	w.Name("u", 9, at(10))
+	if got := w.Of("u"); got.Rate != 5 || !got.Capped {
+		t.Errorf("with a higher word: %+v", got)
+	}
+	w.SetCaps(nil)
+	if got := w.Of("u"); got.Rate != 9 || got.Capped || w.Limited() != 1 {
+		t.Errorf("without a cap: %+v, %d limited", got, w.Limited())
+	}
+
+	coordinator, asker := ratelimit.NewLimiter[string](), ratelimit.NewLimiter[string]()
+	now := at(0)
+	for _, l := range []*ratelimit.Limiter[string]{coordinator, asker} {
+		l.Now = func() time.Time { return now }
+		l.Draw = func() float64 { return 0 }
+	}
+	q := &ratelimit.Question[string]{ID: 1, Key: "u", Rate: 10, Capped: true, Patience: ratelimit.Patience}
+	granted := 0
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		if a, ok := coordinator.Asked(q, "a"); ok && a.OK {
+			granted++
+		}
+	}
+	if granted < 28 || granted > 30 {
+		t.Errorf("%d of 3 s at 10 a second were let go by a coordinator that does not know the cap", granted)
+	}
+	if got := coordinator.Words.Of("u"); got.Limited() {
+		t.Errorf("the cap became a word: %+v", got)
+	}
+}
