Keep for how long upstreams are cold

Change: a report says how much longer its upstream is cold; the roster keeps that until the time is over or a newer report says otherwise, a new leader keeps what its copy says until it has heard the upstream, and Chill counts the upstreams of a hall as cold until they report. Entries get a flag that changes twice in the life of an upstream, not a time that changes with each report.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,6 +24,9 @@
 // forgetLeft is how long an upstream that has signed off is kept; it finishes within ten seconds.
 const forgetLeft = 15 * time.Second
 
+// coldUnheard is how long an upstream counts as cold by what is known from elsewhere than its own reports; these come sooner.
+const coldUnheard = 10 * time.Second
+
 // reportsToReturn is how many newer reports bring back a life that another one at its address had replaced.
 const reportsToReturn = 2
 
@@ -31,6 +34,8 @@
 	Upstream
 	sequence uint64
 	heard    time.Time
+	// coldUntil is when it is warm by its last report.
+	coldUntil time.Time
 	// left is set when it has signed off and will not report again.
 	left bool
 	// reported is set once it has reported to this roster, and not only to one that this one was seeded from.
@@ -105,7 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range upstreams {
-		r.upstreams[u.ID] = &upstreamRecord{Upstream: u, heard: now}
+		r.upstreams[u.ID] = &upstreamRecord{Upstream: u, heard: now, coldUntil: now.Add(coldUnheard)}
 		r.byAddress[u.Address] = u.ID
 		r.newest[u.ID.UpstreamID()] = u.ID
 		r.touch(change{upstream: u.ID})
@@ -130,6 +135,7 @@
 	}
 	r.supersede(now, report)
 	next := report.Upstream
+	next.Cold = report.ColdFor > 0
 	if len(next.Loaded) > 0 {
 		next.Last = next.Loaded[0]
 	}
@@ -140,6 +146,7 @@
 		rec.heard = now
 		rec.reported = true
 		rec.sequence = report.Sequence
+		rec.coldUntil = now.Add(report.ColdFor)
 		// An upstream that has announced its end does not take it back.
 		next.Draining = next.Draining || rec.Draining
 		next.Bound = rec.Bound
@@ -150,11 +157,29 @@
 		r.touch(change{upstream: report.ID})
 		return true
 	}
-	r.upstreams[report.ID] = &upstreamRecord{Upstream: next, sequence: report.Sequence, heard: now, reported: true}
+	r.upstreams[report.ID] = &upstreamRecord{
+		Upstream: next, sequence: report.Sequence, heard: now, coldUntil: now.Add(report.ColdFor), reported: true,
+	}
 	r.touch(change{upstream: report.ID})
 	return true
 }
 
+// Chill counts the upstreams of a hall as cold until they report: they may have turned cold while nothing was sent there.
+func (r *Roster) Chill(now time.Time, hall ident.Hall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, rec := range r.upstreams {
+		if rec.Hall != hall {
+			continue
+		}
+		rec.coldUntil = now.Add(coldUnheard)
+		if !rec.Cold {
+			rec.Cold = true
+			r.touch(change{upstream: id})
+		}
+	}
+}
+
 // Bind marks an upstream as bound, or takes the mark away.
 func (r *Roster) Bind(id ident.Incarnation, bound bool) {
 	r.mu.Lock()
@@ -281,6 +306,10 @@
 			r.endLife(now, id)
 			continue
 		}
+		if rec.Cold && !now.Before(rec.coldUntil) {
+			rec.Cold = false
+			r.touch(change{upstream: id})
+		}
 		if silent := age >= r.SilentAfter; silent != rec.Silent {
 			rec.Silent = silent
 			r.touch(change{upstream: id})
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -304,3 +304,70 @@
 		t.Errorf("last models (-want +got):\n%s", diff)
 	}
 }
+
+// An upstream is cold for as long as its newest report says, whatever late reports say, and after its hall was taken back until it reports.
+func TestColdUpstreams(t *testing.T) {
+	at := start.Add
+	cold := func(r *roster.Report, d time.Duration) *roster.Report {
+		r.ColdFor = d
+		return r
+	}
+	for _, c := range []struct {
+		name string
+		do   func(r *roster.Roster)
+		want bool
+	}{
+		{"warm", func(r *roster.Roster) { r.Take(start, report("a", "x", 1)) }, false},
+		{"cold", func(r *roster.Roster) { r.Take(start, cold(report("a", "x", 1), 3*time.Second)) }, true},
+		{"cold until it is over", func(r *roster.Roster) {
+			r.Take(start, cold(report("a", "x", 1), 3*time.Second))
+			r.Expire(at(2900 * time.Millisecond))
+		}, true},
+		{"over", func(r *roster.Roster) {
+			r.Take(start, cold(report("a", "x", 1), 3*time.Second))
+			r.Expire(at(3 * time.Second))
+		}, false},
+		{"warm sooner", func(r *roster.Roster) {
+			r.Take(start, cold(report("a", "x", 1), 3*time.Second))
+			r.Take(at(time.Second), report("a", "x", 2))
+		}, false},
+		{"cold again", func(r *roster.Roster) {
+			r.Take(start, report("a", "x", 1))
+			r.Take(at(time.Second), cold(report("a", "x", 2), time.Second))
+		}, true},
+		{"a late report", func(r *roster.Roster) {
+			r.Take(start, report("a", "x", 2))
+			r.Take(at(time.Second), cold(report("a", "x", 1), 9*time.Second))
+		}, false},
+		{"its hall was taken back", func(r *roster.Roster) {
+			r.Take(start, report("a", "x", 1))
+			r.Chill(at(time.Second), "")
+			r.Expire(at(2 * time.Second))
+		}, true},
+		{"another hall was taken back", func(r *roster.Roster) {
+			r.Take(start, report("a", "x", 1))
+			r.Chill(at(time.Second), "other")
+		}, false},
+		{"its hall was taken back and it reports", func(r *roster.Roster) {
+			r.Take(start, report("a", "x", 1))
+			r.Chill(at(time.Second), "")
+			r.Take(at(2*time.Second), report("a", "x", 2))
+		}, false},
+		{"a new leader's copy says cold", func(r *roster.Roster) {
+			r.Seed(start, []roster.Upstream{{ID: "a", Cold: true}}, nil)
+			r.Expire(at(time.Second))
+		}, true},
+		{"a new leader has heard that it is warm", func(r *roster.Roster) {
+			r.Seed(start, []roster.Upstream{{ID: "a", Cold: true}}, nil)
+			r.Take(at(time.Second), report("a", "x", 7))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRoster()
+			c.do(r)
+			if u, _ := r.Upstream("a"); u.Cold != c.want {
+				t.Errorf("cold %v, want %v", u.Cold, c.want)
+			}
+		})
+	}
+}
--- a/roster/types.go
+++ b/roster/types.go
@@ -38,6 +38,8 @@
 	Slots   int
 	// Draining upstreams get no new work.
 	Draining bool
+	// Cold upstreams have started lately and take few requests yet.
+	Cold bool
 	// Silent upstreams have not reported for longer than SilentAfter.
 	Silent bool
 	// Loaded are the models in use, Staged those on the host.
@@ -64,6 +66,8 @@
 type Report struct {
 	Upstream
 	Sequence uint64
+	// ColdFor is how much longer the upstream is cold.
+	ColdFor time.Duration
 }
 
 // Phase is how far the leader has brought a group.
--- a/roster/view.go
+++ b/roster/view.go
@@ -92,7 +92,7 @@
 
 // put adds or replaces an upstream without what entries do not need.
 func (v *View) put(u *Upstream) {
-	out := Upstream{ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Draining: u.Draining, Silent: u.Silent}
+	out := Upstream{ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Draining: u.Draining, Silent: u.Silent, Cold: u.Cold}
 	if rec := v.upstreams[u.ID]; rec != nil {
 		if reflect.DeepEqual(rec.Upstream, out) {
 			return
