Drain halls, spare cold upstreams and keep requests at home

Change: an order on a hall goes through the log and is confirmed once the entries that call have it; an entry gets it with its first configuration. From then on its upstreams are no targets, for first tries, repeats, streams that go on and requests that wait; what is on its way looks once more before it is sent. Groups there stay as they are, nothing is formed there, and other halls make up for them. A hall that is taken back counts as cold until its upstreams report. A cold upstream is capped at nine tenths of what its service takes, by the coordinator that keeps limits; a warm member is preferred as the head of a group. Routes and customers with homes reach upstreams of these regions only, refused at once (2024) where there are none. 'dunlinquay hall drain', 'uncordon' and 'list' do the same by hand.

--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -12,7 +12,6 @@
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/result"
-	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/site"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
@@ -38,14 +37,11 @@
 
 // state asks the leader of the site, through the control daemons that are known.
 func (q *inspection) state(cmd *cobra.Command) (*site.State, error) {
-	if q.control != "" {
-		return site.Inspect(cmd.Context(), transport.Guarded(), []string{q.control})
-	}
-	cfg, err := settings.LoadSite(q.file)
+	addresses, err := q.addresses()
 	if err != nil {
 		return nil, err
 	}
-	return site.Inspect(cmd.Context(), transport.Guarded(), cfg.SeedPeers())
+	return site.Inspect(cmd.Context(), transport.Guarded(), addresses)
 }
 
 func siteGroups() *cobra.Command {
--- a/cmd/dunlinquay/main.go
+++ b/cmd/dunlinquay/main.go
@@ -58,7 +58,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRun(), newSite(), newCheck(), newKey(), newCodes(), newVersion(), newDemo(), newStandIn())
+	root.AddCommand(newRun(), newSite(), newHall(), newCheck(), newKey(), newCodes(), newVersion(), newDemo(), newStandIn())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/cmd/dunlinquay/main_test.go
+++ b/cmd/dunlinquay/main_test.go
@@ -45,6 +45,10 @@
 		{[]string{"site", "groups"}, 2},
 		{[]string{"site", "groups", "--settings", bad}, 3},
 		{[]string{"site", "groups", "--control", "127.0.0.1:1"}, 1},
+		{[]string{"hall", "list", "--control", "127.0.0.1:1"}, 1},
+		{[]string{"hall", "drain", "--control", "127.0.0.1:1"}, 2},
+		{[]string{"hall", "drain", "a", "--control", "127.0.0.1:1"}, 1},
+		{[]string{"hall", "uncordon", "a"}, 2},
 		{[]string{"site", "explain", "--control", "127.0.0.1:1"}, 2},
 		{[]string{"site", "explain", "g", "--control", "127.0.0.1:1"}, 1},
 	} {
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -93,7 +93,7 @@
 	orders.Heard, paces.Heard = c.Heard, c.Heard
 	c.GiveOrder, c.AskPace = orders.Give, paces.Ask
 	calls := &platform.Control{
-		Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read, Refuse: c.Refuse,
+		Report: c.Report, Leave: c.Leave, Replace: c.Replace, Read: c.Read, Drain: c.Drain, Refuse: c.Refuse,
 		Unusable: c.Unusable, Unread: c.UnreadInReport, UnreadInConfig: c.UnreadInConfig,
 	}
 	c.Handler = calls.Handler()
--- a/httproute/config.go
+++ b/httproute/config.go
@@ -49,6 +49,8 @@
 	GapAim   time.Duration
 	Priority int
 	Attempts int
+	// Homes are the regions whose upstreams may get its requests, all where there are none.
+	Homes []ident.Region
 }
 
 // Share is one service of a route and its weight.
@@ -67,7 +69,9 @@
 	Name           ident.Service
 	HealthPath     string
 	MaxConnections int
-	Engine         *Engine
+	// ColdRate is how many requests a second an upstream takes while it is cold, 0 when that is not bounded.
+	ColdRate float64
+	Engine   *Engine
 }
 
 // Engine is the published behaviour of a service's model engines.
@@ -131,6 +135,8 @@
 	KeyHashes   []string
 	Priority    int
 	HasPriority bool
+	// Homes are as those of routes; both bind.
+	Homes []ident.Region
 }
 
 // Limits bounds what a caller may send and how long a connection may stay idle.
--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -148,6 +148,8 @@
 // away counts the upstreams that want nothing at a choice.
 type away struct {
 	backedOff, leaving, limited int
+	// elsewhere are those in regions where the request may not go.
+	elsewhere int
 	// soonest is when the first of those that only asked for time, or take nothing more within their limits, may be tried again.
 	soonest time.Duration
 	// rate is what this entry can expect of all limits.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/estimate"
@@ -83,6 +84,10 @@
 	limits := s.Limits.Any()
 	for i := range list {
 		t := &list[i]
+		if !x.mayGoTo(t) {
+			away.elsewhere++
+			continue
+		}
 		// Whoever asked for time was overrun, and gets nothing in it.
 		asked := s.Backoff.Of(now, t.id)
 		if limits {
@@ -130,7 +135,7 @@
 	for i := range list {
 		id := list[i].id
 		gate := s.Limits.Of(now, id)
-		if !gate.Limited || x.wasTried(id) || x.noTurn[id] || s.Backoff.Of(now, id).Left > 0 {
+		if !gate.Limited || !x.mayGoTo(&list[i]) || x.wasTried(id) || x.noTurn[id] || s.Backoff.Of(now, id).Left > 0 {
 			continue
 		}
 		if next == nil || gate.Left < soonest {
@@ -235,8 +240,20 @@
 	return queuePart
 }
 
+// mayGoTo reports whether the homes of the route and of the customer allow the region of a target.
+func (x *exchange) mayGoTo(t *target) bool {
+	return allows(x.route.Homes, x.s.Regions[t.hall]) && (x.customer == nil || allows(x.customer.Homes, x.s.Regions[t.hall]))
+}
+
+// allows reports whether a region is among the homes, or there are none.
+func allows(homes []ident.Region, region ident.Region) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
+}
+
 func noTarget(known, full int, away *away) error {
 	switch {
+	case known > 0 && away.elsewhere == known:
+		return result.New(result.OutOfHome, "all %d upstreams are in regions where the request may not go", known)
 	case full > 0 && away.number() > 0:
 		return result.New(result.Overloaded, "%d upstreams are full, %d want nothing", full, away.number())
 	case full > 0:
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/sharing"
 )
@@ -42,9 +43,14 @@
 	byHead map[ident.Incarnation]*target
 	// uses are the models of which this entry uses any group.
 	uses map[ident.Model]bool
+	// caps are the limits of cold upstreams.
+	caps map[ident.Incarnation]ratelimit.Rate
+	// drained are the halls whose upstreams get nothing new, left the groups there, which may have streams yet.
+	drained map[ident.Hall]bool
+	left    []target
 }
 
-func newFleet(c *roster.Copy, table *httproute.Table, entries *sharing.Entries) *fleet {
+func newFleet(c *roster.Copy, table *httproute.Table, entries *sharing.Entries, drained map[ident.Hall]bool) *fleet {
 	f := &fleet{
 		plain:     map[ident.Service][]target{},
 		groups:    map[ident.Service]map[ident.Model][]target{},
@@ -53,11 +59,16 @@
 		heads:     map[ident.Group]ident.Incarnation{},
 		byHead:    map[ident.Incarnation]*target{},
 		uses:      map[ident.Model]bool{},
+		caps:      map[ident.Incarnation]ratelimit.Rate{},
+		drained:   drained,
 	}
 	for id, u := range c.Upstreams {
 		f.addresses[u.Address] = true
 		f.lives[id] = true
-		if u.Draining || hasEngine(table, u.Service) {
+		if rate := coldRate(table, &u); rate > 0 {
+			f.caps[id] = rate
+		}
+		if u.Draining || drained[u.Hall] || hasEngine(table, u.Service) {
 			continue
 		}
 		f.plain[u.Service] = append(f.plain[u.Service], target{
@@ -80,6 +91,9 @@
 			}
 		}
 	}
+	for i := range f.left {
+		f.byHead[f.left[i].id] = &f.left[i]
+	}
 	return f
 }
 
@@ -110,6 +124,21 @@
 	return used
 }
 
+// coldPart is the part of what a cold upstream takes that it gets.
+const coldPart = 0.9
+
+// coldRate is how many requests a second an upstream gets from all entries while it is cold, 0 when it is not or its service has no bound.
+func coldRate(table *httproute.Table, u *roster.Upstream) ratelimit.Rate {
+	if !u.Cold || table == nil {
+		return 0
+	}
+	s := table.Service(u.Service)
+	if s == nil {
+		return 0
+	}
+	return ratelimit.Rate(coldPart * s.ColdRate)
+}
+
 func hasEngine(table *httproute.Table, service ident.Service) bool {
 	if table == nil {
 		return false
@@ -132,16 +161,21 @@
 	if g.Far {
 		head.Slots = min(head.Slots, farSlotsOf(table, g))
 	}
+	t := target{
+		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, model: g.Model, far: g.Far, slow: g.Slow, silent: head.Silent,
+		times: timesOf(table, g), prompt: usualPrompt(table, g),
+	}
+	f.heads[g.Name] = head.ID
+	if f.drained[head.Hall] {
+		f.left = append(f.left, t)
+		return
+	}
 	models := f.groups[g.Service]
 	if models == nil {
 		models = map[ident.Model][]target{}
 		f.groups[g.Service] = models
 	}
-	models[g.Model] = append(models[g.Model], target{
-		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: g.Name, model: g.Model, far: g.Far, slow: g.Slow, silent: head.Silent,
-		times: timesOf(table, g), prompt: usualPrompt(table, g),
-	})
-	f.heads[g.Name] = head.ID
+	models[g.Model] = append(models[g.Model], t)
 }
 
 // timesOf returns the figures by which requests at g are rated, none for a model that the engine does not publish.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +51,8 @@
 	Dial   transport.Dial
 	Now    func() time.Time
 	Budget *Budget
+	// Regions are those of the halls, for routes and customers that are bound to some.
+	Regions map[ident.Hall]ident.Region
 	// KeysLapse is how long after the leader's newest confirmation keys are still believed.
 	KeysLapse time.Duration
 	// Observe takes each finished request; it must not block.
@@ -127,7 +131,7 @@
 		turns: map[ident.Model]chan struct{}{},
 		began: clock.Now(), informed: make(chan struct{}),
 	}
-	s.fleet = newFleet(s.copied, nil, nil)
+	s.fleet = newFleet(s.copied, nil, nil, nil)
 	s.Limits = s.newLimits()
 	s.Unread = unread.New[ident.Incarnation](names.Known()...)
 	s.pool = newPool(dial, func() time.Time { return s.Now() })
@@ -140,7 +144,7 @@
 	s.table.Store(table)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet = newFleet(s.copied, table, s.entries)
+	s.setFleet(newFleet(s.copied, table, s.entries, s.fleet.drained))
 	s.forgetClasses(cfg)
 	s.inform()
 }
@@ -161,8 +165,8 @@
 		s.mu.Unlock()
 		return
 	}
-	f := newFleet(s.copied, s.table.Load(), s.entries)
-	s.fleet = f
+	f := newFleet(s.copied, s.table.Load(), s.entries, s.fleet.drained)
+	s.setFleet(f)
 	now := s.Now()
 	for group, head := range f.heads {
 		s.state(head).belong(now, group)
@@ -186,7 +190,53 @@
 	}
 	s.entries = entries
 	s.seats.Set(entries)
-	s.fleet = newFleet(s.copied, s.table.Load(), entries)
+	s.setFleet(newFleet(s.copied, s.table.Load(), entries, s.fleet.drained))
+}
+
+// setFleet puts targets in force; the mutex is held.
+func (s *Relay) setFleet(f *fleet) {
+	s.fleet = f
+	s.Limits.Words.SetCaps(f.caps)
+}
+
+// SetDrained replaces the halls whose upstreams get no request from now on; what runs there goes on.
+func (s *Relay) SetDrained(halls []ident.Hall) {
+	drained := map[ident.Hall]bool{}
+	for _, hall := range halls {
+		drained[hall] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for hall := range s.fleet.drained {
+		if !drained[hall] {
+			s.chill(hall)
+		}
+	}
+	s.setFleet(newFleet(s.copied, s.table.Load(), s.entries, drained))
+}
+
+// Drained returns the halls whose upstreams get nothing new, in order.
+func (s *Relay) Drained() []ident.Hall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.fleet.drained))
+}
+
+// chill takes the upstreams of a hall for cold until the leader says otherwise, as it does once they have reported; the mutex is held.
+func (s *Relay) chill(hall ident.Hall) {
+	for id, u := range s.copied.Upstreams {
+		if u.Hall == hall {
+			u.Cold = true
+			s.copied.Upstreams[id] = u
+		}
+	}
+}
+
+// isDrained reports whether the upstreams of a hall get nothing new.
+func (s *Relay) isDrained(hall ident.Hall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.drained[hall]
 }
 
 // SetConfirmed notes that everything the leader had confirmed at that moment is in force here.
--- a/relay/room.go
+++ b/relay/room.go
@@ -198,6 +198,9 @@
 	var best scored
 	list := s.fleet.targets(x.service, x.model)
 	for i := range list {
+		if !x.mayGoTo(&list[i]) {
+			continue
+		}
 		at := s.loadOf(&list[i], now)
 		first := list[i].times.FirstWord(at, 0) + max(s.Backoff.Of(now, list[i].id).Left, s.Limits.Of(now, list[i].id).Left)
 		if best.target == nil || first < best.first {
--- a/relay/run.go
+++ b/relay/run.go
@@ -196,8 +196,8 @@
 		conn.Close()
 		return verdictNeverSent, nil
 	}
-	// The upstream may have asked for time, or named a limit, while the connection was opened.
-	if x.s.Backoff.Of(x.s.Now(), t.id).Left > 0 || x.limitBegan(t, permit) {
+	// The upstream may have asked for time or named a limit, or its hall may have been drained, while the connection was opened.
+	if x.s.Backoff.Of(x.s.Now(), t.id).Left > 0 || x.limitBegan(t, permit) || x.s.isDrained(t.hall) {
 		conn.Close()
 		return verdictPassedOver, nil
 	}
--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -154,13 +154,13 @@
 		for _, id := range g.Members {
 			taken[id] = true
 		}
-		if p, ok := f.placed(&g); ok {
+		if p, ok := f.placed(&g); ok && !f.world.Drained[p.Members[0].Hall] {
 			s.Groups = append(s.Groups, p)
 		}
 	}
 	for i := range f.world.Upstreams {
 		u := &f.world.Upstreams[i]
-		if u.Service != f.Service || u.Draining || u.Silent {
+		if u.Service != f.Service || u.Draining || u.Silent || f.world.Drained[u.Hall] {
 			continue
 		}
 		s.Total++
@@ -202,7 +202,7 @@
 }
 
 func (f *Formation) candidate(u *roster.Upstream) Candidate {
-	c := Candidate{ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: u.Last, Staged: u.Staged, Stood: f.stood[u.ID], Headed: f.headed[u.ID], Pace: f.world.Paces[u.ID]}
+	c := Candidate{ID: u.ID, Hall: u.Hall, Domain: u.Domain, Last: u.Last, Staged: u.Staged, Cold: u.Cold, Stood: f.stood[u.ID], Headed: f.headed[u.ID], Pace: f.world.Paces[u.ID]}
 	if st, ok := f.staging[u.ID]; ok {
 		if roster.Has(u.Staged, st.model) || f.world.Now.After(st.until) {
 			delete(f.staging, u.ID)
--- a/replicaset/engines_test.go
+++ b/replicaset/engines_test.go
@@ -121,8 +121,10 @@
 	drop      func(o *replicaset.Order) bool
 	deadSince map[ident.Incarnation]time.Time
 	// together is set when entries find out together that a group has missed a pass.
-	together  bool
-	demand    map[ident.Model]float64
+	together bool
+	demand   map[ident.Model]float64
+	// drained are the halls that get no requests.
+	drained   map[ident.Hall]bool
 	orders    int
 	decisions int
 	next      int
@@ -537,6 +539,7 @@
 func (f *fleet) world() *replicaset.World {
 	upstreams, ages := f.roster.Upstreams(f.now)
 	w := &replicaset.World{Now: f.now, Upstreams: upstreams, Ages: ages, Sights: map[ident.Group]replicaset.Sight{}, Dead: map[ident.Incarnation]bool{}, Demand: f.demand}
+	w.Drained = f.drained
 	w.Paces = map[ident.Incarnation]float64{}
 	for _, e := range f.engines {
 		if e.alive && e.pace > 1 {
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -58,6 +58,8 @@
 	Staging ident.Model
 	// Stood is set when the upstream was the head of a group that stood still although all its members reported.
 	Stood bool
+	// Cold is set while the upstream takes few requests yet.
+	Cold bool
 	// Headed is the model of the group that it was last the head of.
 	Headed ident.Model
 	// Pace is how many times longer all takes than it should; 0 and 1 are as usual.
@@ -387,11 +389,13 @@
 	return choice
 }
 
-// unlikelyHead is higher for a worse head of a group of m: one that took requests and sent nothing, and one to which entries
-// that have not heard of the change yet still send requests for another model.
+// unlikelyHead is higher for a worse head of a group of m: one that took requests and sent nothing, one that takes few requests yet, and
+// one to which entries that have not heard of the change yet still send requests for another model.
 func unlikelyHead(m *httproute.Model, c *Candidate) int {
 	switch {
 	case c.Stood:
+		return 3
+	case c.Cold:
 		return 2
 	case c.Headed != "" && c.Headed != m.Name:
 		return 1
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -95,6 +95,8 @@
 	Sights map[ident.Group]Sight
 	// Dead are upstreams that took no connection and have not reported since.
 	Dead map[ident.Incarnation]bool
+	// Drained are the halls that get no requests, so nothing is formed there.
+	Drained map[ident.Hall]bool
 	// Paces are those of the upstreams that say that they are slow: how many times longer all takes.
 	Paces map[ident.Incarnation]float64
 	// Demand is the work asked for by model, in upstream-seconds a second; nil while unknown.
--- a/result/code.go
+++ b/result/code.go
@@ -41,6 +41,7 @@
 	WorkHeld            Code = 2021
 	BackedOff           Code = 2022
 	Limited             Code = 2023
+	OutOfHome           Code = 2024
 
 	ChangeInvalid     Code = 3001
 	ChangeConflict    Code = 3002
@@ -141,6 +142,7 @@
 	{WorkHeld, "work-held", http.StatusBadGateway, exitFailed, false, "Upstreams ended each time they ran the same request; it is not sent to any for now.", "Change the request; the same one is let in once after Retry-After."},
 	{BackedOff, "upstreams-backed-off", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request asked to be left alone for a time.", "Wait for Retry-After; operators run site explain."},
 	{Limited, "upstreams-limited", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request has named how many requests it takes, and takes no more in time.", "Wait for Retry-After; operators run site explain."},
+	{OutOfHome, "no-upstream-at-home", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request is in a region where its route or its customer does not allow it.", "Add upstreams in an allowed region, or allow another one."},
 
 	{ChangeInvalid, "change-invalid", http.StatusBadRequest, exitRefused, true, "The change is malformed.", "Correct the change."},
 	{ChangeConflict, "change-conflict", http.StatusConflict, exitConflict, true, "Another change came first.", "Read the current state and decide again."},
--- a/settings/site.go
+++ b/settings/site.go
@@ -18,6 +18,8 @@
 	Name   ident.Daemon `json:"name"`
 	Hall   ident.Hall   `json:"hall"`
 	Region ident.Region `json:"region"`
+	// Halls are the halls of the site and their regions.
+	Halls map[ident.Hall]ident.Region `json:"halls,omitempty"`
 	// Listen holds the addresses of the daemon's own; empty ones are not served.
 	Listen SiteListen `json:"listen"`
 	// PeerPort is the port on which all daemons of the site listen for each other.
--- a/site/calls.go
+++ b/site/calls.go
@@ -174,6 +174,8 @@
 		return PassReply{}, c.replace(ctx, r, call)
 	case CallRead:
 		return c.read()
+	case CallDrain:
+		return PassReply{}, c.drain(ctx, r, call)
 	case CallInspect:
 		s := r.state(clock.Now())
 		return PassReply{State: &s}, nil
@@ -293,6 +295,9 @@
 	if call.Entry {
 		reply.Lists = r.changedLists(call)
 	}
+	if drained := c.machine.Drained(); drained.Revision > call.Drains {
+		reply.Drained = &drained
+	}
 	if held := c.machine.Held(); held.Version > call.Version {
 		reply.Version = held.Version
 		if !call.Whole {
@@ -329,7 +334,7 @@
 	c.mu.Unlock()
 	revision, changed := r.shown(call).Changed()
 	behind := r.usable(call) && (call.Leadership != r.name || call.Revision < revision)
-	if behind || c.machine.Held().Version > call.Version {
+	if behind || c.machine.Held().Version > call.Version || c.machine.Drained().Revision > call.Drains {
 		pause(context.Background(), gatherTime(entries))
 		return
 	}
--- a/site/control.go
+++ b/site/control.go
@@ -81,7 +81,7 @@
 	// table is the configuration of tableOf laid out; only a leader needs it.
 	table   *httproute.Table
 	tableOf httproute.Version
-	// renewed is closed when another configuration counts.
+	// renewed is closed when another configuration counts, or other halls are drained.
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
 
@@ -121,6 +121,7 @@
 		copied: roster.NewCopy(), renewed: make(chan struct{}), strangers: map[quorum.MemberID]time.Time{},
 	}
 	c.machine.Changed = c.configChanged
+	c.machine.DrainChanged = c.drainChanged
 	c.held = &quarantine.List{Rule: heldRule(&cfg.Quarantine)}
 	c.refusals.Lines, c.reads.Lines = operatorLines, operatorLines
 	c.limits = ratelimit.NewWords[ident.Incarnation]()
@@ -206,7 +207,7 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.StartFailed, "peers' address cannot be used")
 	}
-	return newServer(ln, &Handlers{Deliver: c.node.Deliver, Hello: c.hello, Join: c.join, Sync: c.sync, Pass: c.pass, Inspect: c.inspect})
+	return newServer(ln, &Handlers{Deliver: c.node.Deliver, Hello: c.hello, Join: c.join, Sync: c.sync, Pass: c.pass, Inspect: c.inspect, Drain: c.orderDrain})
 }
 
 // serverRunner is a server of links.
@@ -235,11 +236,16 @@
 // configChanged wakes those who wait for a new configuration.
 func (c *Control) configChanged(d catalog.Document) {
 	c.versions.add(d)
+	c.renew()
+	c.Log.Info("configuration held", "version", d.Version, "packed-bytes", len(d.Packed))
+}
+
+// renew wakes the calls that wait for news of what the log holds.
+func (c *Control) renew() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.renewed)
 	c.renewed = make(chan struct{})
-	c.Log.Info("configuration held", "version", d.Version, "packed-bytes", len(d.Packed))
 }
 
 // newestTable returns the newest configuration laid out, or nil before the first.
@@ -318,6 +324,7 @@
 			call.From = string(c.self.Name)
 			// The log brings the configuration here.
 			call.Version = c.machine.Held().Version
+			call.Drains = c.machine.Drained().Revision
 			call.HeldSum = c.held.Sum(clock.Now())
 		},
 		apply:  c.applySync,
--- /dev/null
+++ b/site/drain.go
@@ -0,0 +1,126 @@
+package site
+
+// Operators drain a hall before work there, and take it back afterwards. An
+// order goes through the log like a configuration, and is confirmed once the
+// entries that call have it in force.
+
+import (
+	"context"
+	"slices"
+
+	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/clock"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/link"
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// Drain drains a hall, or takes it back; it returns after a majority has the order on disk, and the entries that can be reached in force.
+func (c *Control) Drain(ctx context.Context, o catalog.DrainOrder) error {
+	began := clock.Now()
+	_, err := c.order(ctx, changeTimeout, &PassCall{Kind: CallDrain, From: string(c.self.Name), Drain: &o})
+	c.Log.Info("order on a hall", "hall", o.Hall, "drain", o.Drain, "leader", c.leader(), "took-ms", clock.Since(began).Milliseconds(),
+		"code", int(result.CodeOf(err)), "why", result.Message(err))
+	return err
+}
+
+// drain carries an order on a hall out, as leader.
+func (c *Control) drain(ctx context.Context, r *leadership, call *PassCall) error {
+	o := call.Drain
+	if o == nil || !c.knowsHall(r, o.Hall) {
+		return result.New(result.ChangeNotFound, "there is no such hall")
+	}
+	revision, err := c.decideDrain(ctx, r, call)
+	if err != nil {
+		return err
+	}
+	r.drains.wait(ctx, revision)
+	return nil
+}
+
+// decideDrain writes an order to the log and returns the revision that holds with it.
+func (c *Control) decideDrain(ctx context.Context, r *leadership, call *PassCall) (catalog.DrainRevision, error) {
+	began := clock.Now()
+	if !call.Drain.Drain && c.machine.Drained().Has(call.Drain.Hall) {
+		r.roster.Chill(began, call.Drain.Hall)
+	}
+	data, err := catalog.EncodeDrain(*call.Drain)
+	if err != nil {
+		return 0, result.Wrap(err, result.ChangeInvalid, "the order cannot be encoded")
+	}
+	value, index, err := c.node.Propose(ctx, data)
+	answer, ok := value.(catalog.Answer)
+	if err == nil && !ok {
+		err = result.New(result.NoLeader, "the order was not carried out here")
+	}
+	c.Log.Info("order on a hall decided", "hall", call.Drain.Hall, "drain", call.Drain.Drain, "from", call.From, "index", index,
+		"revision", answer.Drained.Revision, "took-ms", clock.Since(began).Milliseconds(), "code", int(result.CodeOf(err)))
+	if err != nil {
+		return 0, err
+	}
+	r.drains.accept(began, clock.Now(), answer.Drained.Revision)
+	return answer.Drained.Revision, nil
+}
+
+// knowsHall reports whether a hall is declared in the settings, or an upstream has reported from it.
+func (c *Control) knowsHall(r *leadership, hall ident.Hall) bool {
+	if _, ok := c.Settings.Halls[hall]; ok || hall == c.Settings.Hall {
+		return true
+	}
+	upstreams, _ := r.roster.Upstreams(clock.Now())
+	for i := range upstreams {
+		if upstreams[i].Hall == hall {
+			return true
+		}
+	}
+	return slices.Contains(c.machine.Drained().Halls, hall)
+}
+
+// drainChanged wakes those who wait for news.
+func (c *Control) drainChanged(d catalog.Drained) {
+	c.renew()
+	c.Log.Info("drained halls held", "revision", d.Revision, "halls", d.Halls)
+}
+
+// drainedHalls returns the halls in which nothing is formed.
+func (c *Control) drainedHalls() map[ident.Hall]bool {
+	halls := map[ident.Hall]bool{}
+	for _, hall := range c.machine.Drained().Halls {
+		halls[hall] = true
+	}
+	return halls
+}
+
+// OrderDrain asks the control daemons at addresses (host:port of their peers' listeners), one after the other, to drain a hall or to take it
+// back.
+func OrderDrain(ctx context.Context, dial transport.Dial, addresses []string, o catalog.DrainOrder) error {
+	err := result.New(result.Usage, "no control daemon is named")
+	for _, address := range addresses {
+		client := link.NewClient(address, serviceName)
+		client.Dial = dial
+		var reply PassReply
+		callErr := client.Call(ctx, changeTimeout+callTimeout, "Drain", &o, &reply)
+		client.Close()
+		switch reply.Code {
+		case result.OK:
+			if callErr == nil {
+				return nil
+			}
+			err = result.Wrap(callErr, result.DaemonUnreached, "%s does not answer", address)
+		case result.ChangeNotFound, result.ChangeInvalid:
+			return result.New(reply.Code, "%s: %s", address, reply.Text)
+		default:
+			err = result.New(reply.Code, "%s: %s", address, reply.Text)
+		}
+	}
+	return err
+}
+
+// orderDrain takes an operator's order on a hall.
+func (c *Control) orderDrain(o *catalog.DrainOrder) PassReply {
+	if err := c.Drain(context.Background(), *o); err != nil {
+		return PassReply{Code: result.CodeOf(err), Text: result.Message(err)}
+	}
+	return PassReply{}
+}
--- a/site/entries.go
+++ b/site/entries.go
@@ -80,6 +80,7 @@
 	}
 	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
 	r.rollout.hear(now, call.From, call.Version)
+	r.drains.hear(now, call.From, call.Drains)
 	r.paces.note(now, call.Seen)
 	r.drainSeen(call)
 	r.c.applyLimits(now, call)
@@ -108,6 +109,7 @@
 	r.forgetSeen(r.entries[name])
 	delete(r.entries, name)
 	r.rollout.forget(name)
+	r.drains.forget(name)
 	r.lists = nil
 }
 
--- a/site/entry.go
+++ b/site/entry.go
@@ -56,6 +56,8 @@
 	// goroutine that follows the leader.
 	body      []byte
 	wantWhole bool
+	// drains is the revision of the drained halls in force; it belongs to the same goroutine.
+	drains catalog.DrainRevision
 	// leaderSum is the digest of what the leader knows of held work; it belongs to the same goroutine.
 	leaderSum uint64
 	stop      chan struct{}
@@ -73,6 +75,7 @@
 	e.callers = inbound.New(e.relay)
 	e.numbers = newNumbers(e.meter.Scope)
 	e.relay.Hall = cfg.Hall
+	e.relay.Regions = cfg.Halls
 	e.relay.KeysLapse = time.Duration(keysPart * float64(cfg.Bounds.KeysRevoked))
 	e.relay.Budget = relay.NewBudget(relay.BudgetRule{
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
@@ -166,6 +169,7 @@
 	call.Seen, call.Demand = e.relay.Look()
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
+	call.Drains = e.drains
 	e.sendQuarantine(call)
 	call.Unread = e.unread.toTell()
 	e.countAsked(e.relay.Now())
@@ -179,6 +183,7 @@
 	if e.unread.told(r.Leadership) {
 		e.tellAllUnread()
 	}
+	e.takeDrained(r.Drained)
 	newest := e.takeConfig(began, r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
@@ -225,6 +230,16 @@
 	return true
 }
 
+// takeDrained puts the drained halls in force, unless newer ones are.
+func (e *Entry) takeDrained(d *catalog.Drained) {
+	if d == nil || d.Revision <= e.drains {
+		return
+	}
+	e.drains = d.Revision
+	e.relay.SetDrained(d.Halls)
+	e.Log.Info("drained halls in force", "revision", d.Revision, "halls", d.Halls)
+}
+
 func (e *Entry) unpack(r *SyncReply) ([]byte, error) {
 	if r.Config != nil {
 		return catalog.Unpack(r.Config)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -128,7 +128,8 @@
 		},
 		roster:  roster.New(),
 		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
-		paces: newPaces(nil, logr.Discard()), rollout: newRollout(time.Time{}, 0),
+		paces: newPaces(nil, logr.Discard()), rollout: newRollout[httproute.Version](time.Time{}, 0),
+		drains: newRollout[catalog.DrainRevision](time.Time{}, 0),
 	}}
 }
 
@@ -227,17 +228,17 @@
 func (e *Entry) Sharers() int { return e.relay.Budget.Entries() }
 
 // Rollout follows configurations to the entries.
-type Rollout struct{ rollout *rollout }
+type Rollout struct{ rollout *rollout[httproute.Version] }
 
 // RolloutReport says how far a configuration has got.
-type RolloutReport = rolloutReport
+type RolloutReport = rolloutReport[httproute.Version]
 
 // NewRollout returns one that follows nothing.
-func NewRollout() Rollout { return Rollout{newRollout(time.Time{}, 0)} }
+func NewRollout() Rollout { return Rollout{newRollout[httproute.Version](time.Time{}, 0)} }
 
 // NewRolloutAfter returns that of a leader which begins at a moment after one that had so many entries.
 func NewRolloutAfter(began time.Time, expected int) Rollout {
-	return Rollout{newRollout(began, expected)}
+	return Rollout{newRollout[httproute.Version](began, expected)}
 }
 
 // Rest returns how long a confirmation waits yet.
@@ -277,3 +278,6 @@
 	f.take(r)
 	return r.Config, r.Patch
 }
+
+// Drained returns the drained halls that are in force.
+func (e *Entry) Drained() []ident.Hall { return e.relay.Drained() }
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/link"
@@ -35,6 +36,9 @@
 	Groups    []GroupState    `json:"groups"`
 	Upstreams []UpstreamState `json:"upstreams"`
 	Decisions []GroupDecision `json:"decisions"`
+	// Drained are the halls whose upstreams get no requests, DrainRevision counts the orders on halls.
+	Drained       []ident.Hall          `json:"drained-halls"`
+	DrainRevision catalog.DrainRevision `json:"drain-revision"`
 	// Held are the works that no entry sends to upstreams now.
 	Held []HeldState `json:"held"`
 }
@@ -131,6 +135,8 @@
 		Controls: r.c.controls(), Decisions: r.decisions.list(),
 		Held: r.c.heldState(now),
 	}
+	drained := r.c.machine.Drained()
+	s.Drained, s.DrainRevision = drained.Halls, drained.Revision
 	r.mu.Lock()
 	s.Entries = len(r.entries)
 	asked, limits := r.asked(now), r.limitStates(now)
@@ -158,6 +164,8 @@
 		return f.Place(u.ID)
 	}
 	switch {
+	case r.c.machine.Drained().Has(u.Hall):
+		return "gets nothing, its hall is drained"
 	case u.Draining:
 		return "leaves"
 	case u.Silent:
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -92,7 +93,9 @@
 	// undeclared are reports of upstreams whose service is not declared.
 	undeclared undeclared
 	// rollout follows accepted configurations to the entries.
-	rollout *rollout
+	rollout *rollout[httproute.Version]
+	// drains follows orders on halls to the entries.
+	drains *rollout[catalog.DrainRevision]
 }
 
 // answersLength bounds the outcomes that wait for the leader's next look.
@@ -111,11 +114,15 @@
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 		paces:      newPaces(c.paceAsker(), c.Log),
-		rollout:    newRollout(now, int(c.entriesHeard.Load())),
+		rollout:    newRollout[httproute.Version](now, int(c.entriesHeard.Load())),
+		drains:     newRollout[catalog.DrainRevision](now, int(c.entriesHeard.Load())),
 	}
 	if held := c.machine.Held().Version; held > 0 {
 		r.rollout.accept(now, now, held)
 	}
+	if drained := c.machine.Drained().Revision; drained > 0 {
+		r.drains.accept(now, now, drained)
+	}
 	r.view = roster.NewView(r.roster)
 	report := c.Settings.Times.Report.Std()
 	r.roster.SilentAfter = time.Duration(silentReports * float64(report))
@@ -244,8 +251,12 @@
 	}
 }
 
-// logRollouts logs which configurations have reached all entries, and which are late at some.
+// logRollouts logs which configurations, and orders on halls, have reached all entries, and which are late at some.
 func (r *leadership) logRollouts(now time.Time) {
+	for _, report := range r.drains.reports(now) {
+		r.c.Log.Info("drained halls followed to the entries", "revision", report.Version, "entries", report.Entries,
+			"after-ms", report.After.Milliseconds(), "missing", report.Missing)
+	}
 	for _, report := range r.rollout.reports(now) {
 		r.c.tallies.rollout(&report)
 		if len(report.Missing) == 0 {
@@ -329,7 +340,9 @@
 	if r.served {
 		r.early = false
 	}
-	w := &replicaset.World{Now: now, Upstreams: upstreams, Ages: ages, Sights: r.sights(now), Demand: r.demand.At(now)}
+	w := &replicaset.World{
+		Now: now, Upstreams: upstreams, Ages: ages, Sights: r.sights(now), Demand: r.demand.At(now), Drained: r.c.drainedHalls(),
+	}
 	r.probes.look(w, r.roster.Groups())
 	w.Dead = r.probes.dead(now, ages)
 	return w
--- a/site/messages.go
+++ b/site/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
@@ -53,6 +54,8 @@
 	Leadership LeadershipID
 	Revision   roster.Revision
 	Version    httproute.Version
+	// Drains is the revision of the drained halls that the caller has.
+	Drains catalog.DrainRevision
 	// Whole is set by a daemon that needs the configuration whole.
 	Whole  bool
 	Seen   []relay.Seen
@@ -85,6 +88,8 @@
 	Version httproute.Version
 	Config  []byte
 	Patch   []byte
+	// Drained are the drained halls, nil when the caller has this revision of them.
+	Drained *catalog.Drained
 	// Others counts the requests of all other entries at each upstream.
 	Others map[ident.Incarnation]int
 	// Limits are the limits of upstreams that entries were told of lately.
@@ -113,6 +118,7 @@
 	CallReplace CallKind = "replace"
 	CallRead    CallKind = "read"
 	CallInspect CallKind = "inspect"
+	CallDrain   CallKind = "drain"
 )
 
 // PassCall is one call that the leader must answer.
@@ -124,6 +130,8 @@
 	Upstream ident.Incarnation
 	Version  httproute.Version
 	Body     []byte
+	// Drain is an order on a hall.
+	Drain *catalog.DrainOrder
 }
 
 // PassReply is the leader's answer; Code is 0 when the call succeeded.
--- a/site/peers.go
+++ b/site/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/link"
 	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -29,6 +30,7 @@
 	Sync    func(c *SyncCall) SyncReply
 	Pass    func(c *PassCall) PassReply
 	Inspect func() InspectReply
+	Drain   func(o *catalog.DrainOrder) PassReply
 }
 
 // Service is the receiver that net/rpc calls; its methods are the wire interface.
@@ -72,6 +74,12 @@
 	return nil
 }
 
+// Drain takes an operator's order on a hall.
+func (s *Service) Drain(o *catalog.DrainOrder, reply *PassReply) error {
+	*reply = s.handlers.Drain(o)
+	return nil
+}
+
 // newServer serves handlers on ln.
 func newServer(ln net.Listener, handlers *Handlers) (*link.Server, error) {
 	return link.NewServer(ln, serviceName, &Service{handlers})
--- a/site/rollout.go
+++ b/site/rollout.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/clock"
-	"github.com/dunlinquay/dunlinquay/httproute"
 )
 
 const (
@@ -26,28 +25,28 @@
 	lateNames    = 8
 )
 
-// rollout follows accepted configurations until every entry that calls the leader has them in force.
-type rollout struct {
+// rollout follows accepted versions, such as those of configurations, until every entry that calls the leader has them in force.
+type rollout[V ~uint64] struct {
 	// began is when the leader began, expected how many entries its predecessor had: those that have not called yet may lack anything.
 	began    time.Time
 	expected int
 
 	mu      sync.Mutex
-	entries map[string]entryVersion
-	pending []*pendingVersion
+	entries map[string]entryVersion[V]
+	pending []*pendingVersion[V]
 	// changed is closed when an entry has put another version in force.
 	changed chan struct{}
 }
 
 // entryVersion is the version that an entry had in force at the time of its newest call.
-type entryVersion struct {
-	version httproute.Version
+type entryVersion[V ~uint64] struct {
+	version V
 	at      time.Time
 }
 
 // pendingVersion is a configuration that some entries may not have.
-type pendingVersion struct {
-	version httproute.Version
+type pendingVersion[V ~uint64] struct {
+	version V
 	// offered is when it came to the leader, accepted when a majority had it on disk.
 	offered  time.Time
 	accepted time.Time
@@ -56,35 +55,35 @@
 }
 
 // rolloutReport says how far a configuration has got; Missing is empty when every entry has it.
-type rolloutReport struct {
-	Version httproute.Version
+type rolloutReport[V ~uint64] struct {
+	Version V
 	After   time.Duration
 	Entries int
 	Missing []string
 }
 
 // newRollout returns the rollout of a leader that begins now after one that had so many entries.
-func newRollout(now time.Time, expected int) *rollout {
-	return &rollout{began: now, expected: expected, entries: map[string]entryVersion{}, changed: make(chan struct{})}
+func newRollout[V ~uint64](now time.Time, expected int) *rollout[V] {
+	return &rollout[V]{began: now, expected: expected, entries: map[string]entryVersion[V]{}, changed: make(chan struct{})}
 }
 
 // accept begins to follow a version that was offered at a time.
-func (r *rollout) accept(offered, now time.Time, version httproute.Version) {
+func (r *rollout[V]) accept(offered, now time.Time, version V) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.ContainsFunc(r.pending, func(p *pendingVersion) bool { return p.version == version }) {
+	if slices.ContainsFunc(r.pending, func(p *pendingVersion[V]) bool { return p.version == version }) {
 		return
 	}
-	r.pending = append(r.pending, &pendingVersion{version: version, offered: offered, accepted: now})
+	r.pending = append(r.pending, &pendingVersion[V]{version: version, offered: offered, accepted: now})
 	r.pending = r.pending[max(0, len(r.pending)-rolloutsKept):]
 }
 
 // hear notes the version that an entry has in force.
-func (r *rollout) hear(now time.Time, entry string, version httproute.Version) {
+func (r *rollout[V]) hear(now time.Time, entry string, version V) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.entries[entry].version
-	r.entries[entry] = entryVersion{version, now}
+	r.entries[entry] = entryVersion[V]{version, now}
 	if version != before {
 		close(r.changed)
 		r.changed = make(chan struct{})
@@ -92,14 +91,14 @@
 }
 
 // forget drops an entry that does not call any more.
-func (r *rollout) forget(entry string) {
+func (r *rollout[V]) forget(entry string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.entries, entry)
 }
 
 // wait returns when every entry that calls has the version or a newer one, or confirmWithin after that was offered.
-func (r *rollout) wait(ctx context.Context, version httproute.Version) {
+func (r *rollout[V]) wait(ctx context.Context, version V) {
 	for {
 		now := clock.Now()
 		rest, changed := r.look(now, version)
@@ -120,10 +119,10 @@
 }
 
 // look returns how long a confirmation of the version has to wait yet, and a channel that is closed when that may have changed.
-func (r *rollout) look(now time.Time, version httproute.Version) (time.Duration, <-chan struct{}) {
+func (r *rollout[V]) look(now time.Time, version V) (time.Duration, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i := slices.IndexFunc(r.pending, func(p *pendingVersion) bool { return p.version >= version })
+	i := slices.IndexFunc(r.pending, func(p *pendingVersion[V]) bool { return p.version >= version })
 	arriving := len(r.entries) < r.expected && now.Sub(r.began) < entriesArrive
 	if i < 0 || !arriving && len(r.lacking(now, version)) == 0 {
 		return 0, r.changed
@@ -132,7 +131,7 @@
 }
 
 // lacking returns the entries that call and have an older version; the mutex is held.
-func (r *rollout) lacking(now time.Time, version httproute.Version) []string {
+func (r *rollout[V]) lacking(now time.Time, version V) []string {
 	var names []string
 	for name, e := range r.entries {
 		if e.version < version && now.Sub(e.at) < entryCalls {
@@ -144,21 +143,21 @@
 }
 
 // reports returns the versions that every entry has since the last call, and those that have become late.
-func (r *rollout) reports(now time.Time) []rolloutReport {
+func (r *rollout[V]) reports(now time.Time) []rolloutReport[V] {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []rolloutReport
-	r.pending = slices.DeleteFunc(r.pending, func(p *pendingVersion) bool {
+	var list []rolloutReport[V]
+	r.pending = slices.DeleteFunc(r.pending, func(p *pendingVersion[V]) bool {
 		after := now.Sub(p.accepted)
 		missing := r.lacking(now, p.version)
 		if len(missing) == 0 {
-			list = append(list, rolloutReport{Version: p.version, After: after, Entries: len(r.entries)})
+			list = append(list, rolloutReport[V]{Version: p.version, After: after, Entries: len(r.entries)})
 			return true
 		}
 		if after >= rolloutLate && !p.late {
 			p.late = true
 			missing = missing[:min(lateNames, len(missing))]
-			list = append(list, rolloutReport{Version: p.version, After: after, Entries: len(r.entries), Missing: missing})
+			list = append(list, rolloutReport[V]{Version: p.version, After: after, Entries: len(r.entries), Missing: missing})
 		}
 		return false
 	})
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -42,6 +42,7 @@
 
 type running struct {
 	control *site.Control
+	entry   *site.Entry
 	end     context.CancelFunc
 	done    chan struct{}
 }
@@ -85,6 +86,7 @@
 	cfg.PeerPort = d.port
 	cfg.Seeds = d.seeds
 	cfg.FirstStart = first
+	cfg.Halls = map[ident.Hall]ident.Region{"hall-0": "east", "hall-1": "east", "hall-2": "east"}
 	return &cfg
 }
 
@@ -138,6 +140,7 @@
 	e.Ready = func(func() bool) http.Handler { return http.NotFoundHandler() }
 	e.Reread = func() (*settings.Site, error) { return cfg, nil }
 	d.start(host, e.Run)
+	d.running[host].entry = e
 }
 
 // kill ends a daemon and waits until it is gone.
--- a/site/tallies.go
+++ b/site/tallies.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -39,7 +40,7 @@
 }
 
 // rollout counts how long a configuration took to all entries, or that it is late at some.
-func (t *tallies) rollout(r *rolloutReport) {
+func (t *tallies) rollout(r *rolloutReport[httproute.Version]) {
 	if len(r.Missing) > 0 {
 		t.scope.Counter("configurations_late").Inc(1)
 		return
