--- a/settings/decode.go
+++ b/settings/decode.go
@@ -226,7 +226,8 @@
 }
 
 func keyOf(f reflect.StructField) string {
-	return f.Tag.Get("json")
+	key, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return key
 }
 
 func fieldByKey(into reflect.Value, key string) (reflect.Value, bool) {
--- a/settings/site_test.go
+++ b/settings/site_test.go
@@ -85,3 +85,17 @@
 		})
 	}
 }
+
+// Keys that may be left out are known under their names.
+func TestSiteHallsAndApplicationHeaders(t *testing.T) {
+	cfg, err := settings.ParseSite("f", []byte(`{
+		"name": "a", "hall": "x", "halls": {"x": "east", "y": "west"}, "listen": {"callers": "10.0.0.1:1", "host": "10.0.0.1"}, "peer-port": 7000,
+		"seeds": ["10.0.0.2:3"], "application-headers": ["Trace"],
+	}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Halls["y"] != "west" || len(cfg.ApplicationHeaders) != 1 {
+		t.Errorf("halls %v, headers %v", cfg.Halls, cfg.ApplicationHeaders)
+	}
+}
