Compare a copy of the roster with another leader's by digests of its parts

Cause: revisions of two leaders can't be compared, so after each change of leaders every daemon got all that there is. Change: a roster has 64 parts, each with a digest that does not depend on order; a copy is told the parts that differ. Shown by TestDifferingBringsAnyCopyUpToDate (any two rosters), TestEachFieldCounts (a field that is added and forgotten in the digest fails it) and TestANewLeaderSendsWhatDiffers (800 upstreams: nothing where nothing differs, the parts of two changes otherwise).

--- a/roster/copy.go
+++ b/roster/copy.go
@@ -22,6 +22,9 @@
 		c.Upstreams = map[ident.Incarnation]Upstream{}
 		c.Groups = map[ident.Group]Group{}
 	}
+	if d.Replaces != 0 {
+		c.replace(d.Replaces)
+	}
 	for _, id := range d.Gone {
 		delete(c.Upstreams, id)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -79,6 +79,9 @@
 	journal []change
 	base    Revision
 	changed chan struct{}
+	// sums are the digests of the parts at revision sumsOf.
+	sums   Sums
+	sumsOf Revision
 }
 
 // New returns an empty roster.
--- /dev/null
+++ b/roster/sums_test.go
@@ -0,0 +1,136 @@
+package roster_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// seeded returns a roster of so many upstreams, every eighth of which heads a group.
+func seeded(n int) *roster.Roster {
+	var upstreams []roster.Upstream
+	var groups []roster.Group
+	for i := range n {
+		id := ident.Incarnation(fmt.Sprintf("i-%04d", i))
+		upstreams = append(upstreams, roster.Upstream{ID: id, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Hall: "h", Slots: 4})
+		if i%8 == 0 {
+			groups = append(groups, roster.Group{
+				Name: ident.Group(fmt.Sprintf("g-%04d", i)), Service: "s", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{id},
+			})
+		}
+	}
+	r := newRoster()
+	r.Seed(start, upstreams, groups)
+	return r
+}
+
+func copyOf(r *roster.Roster) *roster.Copy {
+	c := roster.NewCopy()
+	d := r.Since(0)
+	c.Apply(&d)
+	return c
+}
+
+// A new leader that knows what a copy holds sends nothing of it, and of what has changed no more than the parts that it stands in.
+func TestANewLeaderSendsWhatDiffers(t *testing.T) {
+	c := copyOf(seeded(800))
+	next := seeded(800)
+	if d := next.Differing(c.Sums()); !d.Empty() {
+		t.Errorf("%d upstreams and %d groups are sent where nothing differs", len(d.Upstreams), len(d.Groups))
+	}
+	next.Take(start, report("i-0007", "10.0.0.7:80", 1))
+	next.DropGroup("g-0016")
+	d := next.Differing(c.Sums())
+	if len(d.Upstreams) == 0 || len(d.Upstreams) > 2*800/64*3 {
+		t.Errorf("%d upstreams are sent for two changes", len(d.Upstreams))
+	}
+	c.Apply(&d)
+	if diff := cmp.Diff(copyOf(next), c); diff != "" {
+		t.Errorf("the copy afterwards (-want +got):\n%s", diff)
+	}
+}
+
+// Whatever a copy holds, it holds what the roster does once it has applied what differs.
+func TestDifferingBringsAnyCopyUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) *roster.Roster {
+			r := newRoster()
+			for i := range rapid.IntRange(0, 40).Draw(t, label) {
+				id := ident.Incarnation(fmt.Sprintf("i-%d", rapid.IntRange(0, 60).Draw(t, "id")))
+				r.Take(start, report(id, string(id), uint64(i+1)))
+				if rapid.Bool().Draw(t, "group") {
+					r.PutGroup(&roster.Group{
+						Name: ident.Group("g" + id), Epoch: ident.Epoch(rapid.IntRange(0, 2).Draw(t, "epoch")), Members: []ident.Incarnation{id},
+					})
+				}
+			}
+			return r
+		}
+		c, next := copyOf(draw("former")), draw("next")
+		d := next.Differing(c.Sums())
+		c.Apply(&d)
+		if diff := cmp.Diff(copyOf(next), c); diff != "" {
+			t.Fatalf("the copy (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Each field of an upstream and of a group counts, but for the leader's own time.
+func TestEachFieldCounts(t *testing.T) {
+	sums := func(u *roster.Upstream, g *roster.Group) roster.Sums {
+		c := roster.NewCopy()
+		c.Upstreams[u.ID], c.Groups[g.Name] = *u, *g
+		return *c.Sums()
+	}
+	base := sums(&roster.Upstream{}, &roster.Group{})
+	check := func(name string, v reflect.Value, other func() roster.Sums) {
+		for i := range v.NumField() {
+			f, field := v.Field(i), v.Type().Field(i)
+			if field.Type == reflect.TypeFor[time.Time]() {
+				continue
+			}
+			if field.Type == reflect.TypeFor[roster.Membership]() {
+				for j := range f.NumField() {
+					setOther(f.Field(j))
+					if other() == base {
+						t.Errorf("%s.%s.%s does not count", name, field.Name, field.Type.Field(j).Name)
+					}
+					f.Field(j).SetZero()
+				}
+				continue
+			}
+			setOther(f)
+			if other() == base {
+				t.Errorf("%s.%s does not count", name, field.Name)
+			}
+			f.SetZero()
+		}
+	}
+	var u roster.Upstream
+	var g roster.Group
+	check("Upstream", reflect.ValueOf(&u).Elem(), func() roster.Sums { return sums(&u, &g) })
+	check("Group", reflect.ValueOf(&g).Elem(), func() roster.Sums { return sums(&u, &g) })
+}
+
+// setOther gives a field another value than its zero.
+func setOther(f reflect.Value) {
+	switch f.Kind() {
+	case reflect.String:
+		f.SetString("x")
+	case reflect.Bool:
+		f.SetBool(true)
+	case reflect.Int:
+		f.SetInt(1)
+	case reflect.Uint64:
+		f.SetUint(1)
+	case reflect.Slice:
+		f.Set(reflect.MakeSlice(f.Type(), 1, 1))
+	}
+}
--- a/roster/types.go
+++ b/roster/types.go
@@ -119,8 +119,10 @@
 
 // Delta is what changed after a revision; a Full delta replaces the copy.
 type Delta struct {
-	Full      bool
-	Revision  Revision
+	Full     bool
+	Revision Revision
+	// Replaces are the parts of the copy that the delta replaces, as bits.
+	Replaces  uint64
 	Upstreams []Upstream
 	Groups    []Group
 	Gone      []ident.Incarnation
@@ -129,5 +131,5 @@
 
 // Empty reports whether applying d changes nothing but the revision.
 func (d *Delta) Empty() bool {
-	return !d.Full && len(d.Upstreams) == 0 && len(d.Groups) == 0 && len(d.Gone) == 0 && len(d.Dropped) == 0
+	return !d.Full && d.Replaces == 0 && len(d.Upstreams) == 0 && len(d.Groups) == 0 && len(d.Gone) == 0 && len(d.Dropped) == 0
 }
