Tell entries after the loss of a leader what changed, not what there is

A leader that begins is asked by all 984 entries within half a second; each got the whole view, the lists of entries as far as they were known, again and again as these grew, and the counts at all groups by name. That is entries x groups and entries x entries in bytes and processor time: more than the leader's link carries in a lease, so the lease went, and the next leader began anew. Change: an entry tells digests of its copy and gets the parts that differ; who has nothing gets a packed roster and packed lists that are made once for all, in turns that leave half of the link (setting link-mbps) to heartbeats; lists change by who came and who went, and a new leader sends none until it has heard of as many entries as its predecessor had; counts at upstreams are encoded once for all, six bytes each. A confirmation looks at the entries each 10 ms and no more at each call of theirs, which was entries x entries as well. A daemon that knows no leader keeps a call for 250 ms: 984 entries asked ten of them every 30 ms at that time.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -215,6 +215,23 @@
 	s.setFleet(newFleet(s.copied, s.table.Load(), s.entries, drained))
 }
 
+// Sums returns the digests of what this entry has of the roster, nil when it has nothing.
+func (s *Relay) Sums() *roster.Sums {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.copied.Upstreams) == 0 {
+		return nil
+	}
+	return s.copied.Sums()
+}
+
+// Upstreams returns the lives of upstreams that this entry knows.
+func (s *Relay) Upstreams() []ident.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.fleet.lives))
+}
+
 // Drained returns the halls whose upstreams get nothing new, in order.
 func (s *Relay) Drained() []ident.Hall {
 	s.mu.Lock()
--- a/settings/site.go
+++ b/settings/site.go
@@ -29,8 +29,10 @@
 	// FirstStart allows the seeds to form the first control quorum, from empty data folders only.
 	FirstStart bool `json:"first-start"`
 	// DataFolder makes the daemon a control daemon.
-	DataFolder string     `json:"data-folder"`
-	MemoryMB   int        `json:"memory-mb"`
+	DataFolder string `json:"data-folder"`
+	MemoryMB   int    `json:"memory-mb"`
+	// LinkMbps is what the VM's link carries.
+	LinkMbps   float64    `json:"link-mbps"`
 	Bounds     SiteBounds `json:"bounds"`
 	Retries    Retries    `json:"retries"`
 	Quarantine Quarantine `json:"quarantine"`
@@ -103,6 +105,7 @@
 	asked := backoff.DefaultRule()
 	return Site{
 		MemoryMB:   256,
+		LinkMbps:   1000,
 		Bounds:     SiteBounds{KeysRevoked: Duration(5 * time.Second), StopGrace: Duration(8 * time.Second)},
 		Retries:    Retries{Share: 0.2, Window: Duration(10 * time.Second), Allowance: 50},
 		Quarantine: Quarantine{Ends: held.Ends, Hold: Duration(held.Hold), Records: held.Records},
--- a/site/calls.go
+++ b/site/calls.go
@@ -275,25 +275,23 @@
 func (c *Control) sync(call *SyncCall) SyncReply {
 	r := c.leadership.Load()
 	if r == nil || !c.leads() {
-		return SyncReply{Leader: c.leader(), Controls: c.controls()}
+		return SyncReply{Leader: c.awaitLeader(), Controls: c.controls()}
 	}
-	others, entries := r.note(call)
+	entries := r.note(call)
 	c.waitForNews(r, call, entries)
 	reply := SyncReply{
-		Leader: string(c.self.Name), Controls: c.controls(), Leadership: r.name, Others: others, Entries: entries,
+		Leader: string(c.self.Name), Controls: c.controls(), Leadership: r.name, Entries: entries,
 		Usable: r.usable(call),
 	}
 	if reply.Usable {
-		since := call.Revision
-		if call.Leadership != r.name {
-			since = 0
-		}
-		reply.Changes = r.shown(call).Since(since)
+		r.fillChanges(call, &reply)
 	}
 	c.mergeQuarantine(clock.Now(), call, &reply)
 	reply.Limits = r.limitUpdates(clock.Now())
 	if call.Entry {
-		reply.Lists = r.changedLists(call)
+		now := clock.Now()
+		reply.Totals = r.encodedTotals(now)
+		r.fillLists(now, call, &reply)
 	}
 	if drained := c.machine.Drained(); drained.Revision > call.Drains {
 		reply.Drained = &drained
@@ -307,11 +305,35 @@
 			reply.Config = held.Packed
 		}
 	}
+	if large := len(reply.Packed) + len(reply.Config); large > 0 {
+		wait, ok := r.paced.turn(clock.Now(), large)
+		if !ok {
+			return SyncReply{Leader: string(c.self.Name), Controls: c.controls()}
+		}
+		pause(context.Background(), wait)
+	}
 	// Looked at last: what stands in the reply was then the newest that anyone had accepted.
 	reply.Leads = c.leads()
 	return reply
 }
 
+const (
+	// leaderAwaited is how long a call for news waits at a daemon that knows no leader: all daemons ask at that time, and would ask again at
+	// once. leaderLook is how often the daemon looks.
+	leaderAwaited = 250 * time.Millisecond
+	leaderLook    = 25 * time.Millisecond
+)
+
+// awaitLeader returns the leader, once this daemon knows one or the time is over.
+func (c *Control) awaitLeader() string {
+	for began := clock.Now(); ; pause(context.Background(), leaderLook) {
+		leader := c.leader()
+		if leader != "" || clock.Since(began) >= leaderAwaited {
+			return leader
+		}
+	}
+}
+
 // usable reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
 // copy of the whole.
 func (r *leadership) usable(call *SyncCall) bool {
--- a/site/control.go
+++ b/site/control.go
@@ -328,12 +328,13 @@
 			call.HeldSum = c.held.Sum(clock.Now())
 		},
 		apply:  c.applySync,
+		sums:   c.copiedSums,
 		reread: c.reread,
 	}
-	f.found, f.entries = clock.Now(), entriesUnknown
+	f.found, f.entries, f.astray = clock.Now(), entriesUnknown, true
 	for ctx.Err() == nil {
 		if c.node.Status().Role == quorum.RoleLeader {
-			f.leadership, f.revision = "", 0
+			f.leadership, f.revision, f.astray = "", 0, true
 			pause(ctx, syncHold)
 			continue
 		}
@@ -362,6 +363,16 @@
 	return true
 }
 
+// copiedSums returns the digests of the copy of the roster, nil when it is empty.
+func (c *Control) copiedSums() *roster.Sums {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.copied.Upstreams) == 0 {
+		return nil
+	}
+	return c.copied.Sums()
+}
+
 func (c *Control) reread() {
 	cfg, err := c.Reread()
 	if err != nil {
--- a/site/entries.go
+++ b/site/entries.go
@@ -5,7 +5,6 @@
 // leader puts it together and tells each entry of all others.
 
 import (
-	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/clock"
@@ -62,8 +61,8 @@
 	return sight
 }
 
-// note takes what an entry tells and returns what all others have at each upstream, and how many entries there are.
-func (r *leadership) note(call *SyncCall) (map[ident.Incarnation]int, int) {
+// note takes what an entry tells and returns how many entries there are.
+func (r *leadership) note(call *SyncCall) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.entries[call.From]
@@ -71,12 +70,12 @@
 		if old != nil {
 			r.forgetEntry(call.From)
 		}
-		return nil, len(r.entries)
+		return r.sharers(clock.Now())
 	}
 	r.forgetSeen(old)
 	now := clock.Now()
 	if old == nil || old.hall != call.Hall {
-		r.lists = nil
+		r.lists.stale = true
 	}
 	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
 	r.rollout.hear(now, call.From, call.Version)
@@ -87,21 +86,21 @@
 	for id, words := range call.Unread {
 		r.c.Unread.Add(id, words)
 	}
-	own := map[ident.Incarnation]int{}
 	for i := range call.Seen {
 		seen := &call.Seen[i]
 		r.countApart(seen, 1)
-		own[seen.ID] = seen.Inflight
 		r.totals[seen.ID] += seen.Inflight
 	}
 	r.countDemand(now, call)
-	others := map[ident.Incarnation]int{}
-	for id, total := range r.totals {
-		if rest := total - own[id]; rest > 0 {
-			others[id] = rest
-		}
+	return r.sharers(now)
+}
+
+// sharers is how many entries there are, with those of the former leader that have not called yet; the mutex is held.
+func (r *leadership) sharers(now time.Time) int {
+	if r.rollout.arriving(now) {
+		return r.rollout.expected
 	}
-	return others, len(r.entries)
+	return len(r.entries)
 }
 
 // forgetEntry drops an entry that does not call any more; the mutex is held.
@@ -110,7 +109,7 @@
 	delete(r.entries, name)
 	r.rollout.forget(name)
 	r.drains.forget(name)
-	r.lists = nil
+	r.lists.stale = true
 }
 
 // forgetSeen takes an entry's requests out of the totals; the mutex is held.
@@ -156,43 +155,3 @@
 	}
 	return 0
 }
-
-// entryLists are the entries of each hall in order, and the names of these lists.
-type entryLists struct {
-	lists map[ident.Hall][]string
-	names map[ident.Hall]ListName
-}
-
-// changedLists returns the lists of entries that the caller has not; the lists are put together again when entries have come or gone.
-func (r *leadership) changedLists(call *SyncCall) []EntryList {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lists == nil {
-		r.lists = r.listEntries()
-	}
-	var changed []EntryList
-	for hall, list := range r.lists.lists {
-		if call.Entries[hall] != r.lists.names[hall] {
-			changed = append(changed, EntryList{hall, list})
-		}
-	}
-	for hall := range call.Entries {
-		if _, ok := r.lists.lists[hall]; !ok {
-			changed = append(changed, EntryList{Hall: hall})
-		}
-	}
-	return changed
-}
-
-// listEntries puts the lists together; the mutex is held.
-func (r *leadership) listEntries() *entryLists {
-	l := &entryLists{map[ident.Hall][]string{}, map[ident.Hall]ListName{}}
-	for name, e := range r.entries {
-		l.lists[e.hall] = append(l.lists[e.hall], name)
-	}
-	for hall, list := range l.lists {
-		slices.Sort(list)
-		l.names[hall] = nameList(list)
-	}
-	return l
-}
--- a/site/entry.go
+++ b/site/entry.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
@@ -58,6 +59,9 @@
 	wantWhole bool
 	// drains is the revision of the drained halls in force; it belongs to the same goroutine.
 	drains catalog.DrainRevision
+	// told are the requests at upstreams that the newest call named, known the upstreams; both belong to the same goroutine.
+	told  map[ident.Incarnation]int
+	known map[shortID]ident.Incarnation
 	// leaderSum is the digest of what the leader knows of held work; it belongs to the same goroutine.
 	leaderSum uint64
 	stop      chan struct{}
@@ -111,7 +115,7 @@
 	}
 	p := newPeers(ctx, e.Dial)
 	f := &follower{
-		peers: p, directory: e.directory, log: e.Log, describe: e.describe, apply: e.apply, reread: e.reread,
+		peers: p, directory: e.directory, log: e.Log, describe: e.describe, apply: e.apply, sums: e.relay.Sums, reread: e.reread,
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { f.run(ctx) })
@@ -167,6 +171,10 @@
 	call.Hall = e.Settings.Hall
 	call.Entry = true
 	call.Seen, call.Demand = e.relay.Look()
+	e.told = map[ident.Incarnation]int{}
+	for i := range call.Seen {
+		e.told[call.Seen[i].ID] = call.Seen[i].Inflight
+	}
 	call.Entries = e.neighbours.names
 	call.Whole = e.wantWhole
 	call.Drains = e.drains
@@ -187,11 +195,14 @@
 	newest := e.takeConfig(began, r)
 	if r.Usable {
 		e.relay.SetRoster(&r.Changes)
+		if !r.Changes.Empty() || e.known == nil {
+			e.known = shortIDs(e.relay.Upstreams())
+		}
 	}
-	if entries := e.neighbours.set(e.relay.Now(), e.Settings.PeerAddress(), r.Leadership, r.Lists); entries != nil {
+	if entries := e.neighbours.set(e.relay.Now(), e.Settings.PeerAddress(), r.Leadership, r.Lists, r.ListChanges); entries != nil {
 		e.relay.SetEntries(entries)
 	}
-	e.relay.SetOthers(r.Others)
+	e.relay.SetOthers(decodeTotals(r.Totals, e.known, e.told))
 	e.relay.Budget.SetEntries(max(r.Entries, e.neighbours.known))
 	if newest {
 		e.relay.SetConfirmed(began)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -73,7 +76,7 @@
 
 // Set replaces the entries of a hall.
 func (n Neighbours) Set(addresses ...string) {
-	n.set(time.Now(), n.Address(), "", []EntryList{{Hall: "hall", Entries: addresses}})
+	n.set(time.Now(), n.Address(), "", []EntryList{{Hall: "hall", Entries: addresses}}, nil)
 }
 
 // Tell sends news to some entries, or to all.
@@ -122,12 +125,14 @@
 
 // NewLeading returns a leadership that has heard of nobody.
 func NewLeading() Leading {
+	whole := roster.New()
 	return Leading{&leadership{
+		view: roster.NewView(whole),
 		c: &Control{
 			Log: logr.Discard(), limits: ratelimit.NewWords[ident.Incarnation](), Unread: unread.New[ident.Incarnation](),
 		},
-		roster:  roster.New(),
-		entries: map[string]*entryState{}, totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
+		roster:  whole,
+		entries: map[string]*entryState{}, lists: newEntryLists(), totals: map[ident.Incarnation]int{}, apart: map[ident.Incarnation]int{},
 		paces: newPaces(nil, logr.Discard()), rollout: newRollout[httproute.Version](time.Time{}, 0),
 		drains: newRollout[catalog.DrainRevision](time.Time{}, 0),
 	}}
@@ -189,7 +194,17 @@
 }
 
 // Lists returns the lists of entries that the caller has not.
-func (r Leading) Lists(call *SyncCall) []EntryList { return r.changedLists(call) }
+func (r Leading) Lists(call *SyncCall) []EntryList {
+	var reply SyncReply
+	r.fillLists(time.Now(), call, &reply)
+	for i := range reply.ListChanges {
+		c := &reply.ListChanges[i]
+		kept := r.lists.lists[c.Hall]
+		base := kept[slices.IndexFunc(kept, func(n namedList) bool { return n.name == c.Base })]
+		reply.Lists = append(reply.Lists, EntryList{c.Hall, c.apply(base.list)})
+	}
+	return reply.Lists
+}
 
 // MergeQuarantine takes what a caller tells of works and returns what it is told.
 func (c *Control) MergeQuarantine(now time.Time, call *SyncCall) SyncReply {
@@ -243,8 +258,7 @@
 
 // Rest returns how long a confirmation waits yet.
 func (r Rollout) Rest(now time.Time, version httproute.Version) time.Duration {
-	rest, _ := r.rollout.look(now, version)
-	return rest
+	return r.rollout.look(now, version)
 }
 
 // Accept begins to follow a version.
@@ -281,3 +295,64 @@
 
 // Drained returns the drained halls that are in force.
 func (e *Entry) Drained() []ident.Hall { return e.relay.Drained() }
+
+// SeedGroups gives the leader so many open groups, each with a head, and so many upstreams beside them.
+func (r Leading) SeedGroups(now time.Time, groups, others int) {
+	var upstreams []roster.Upstream
+	var list []roster.Group
+	for i := range groups + others {
+		id := ident.Incarnation(fmt.Sprintf("i-%08x@mo69%04d", i*2654435761, i))
+		upstreams = append(upstreams, roster.Upstream{
+			ID: id, Service: "model-service", Address: fmt.Sprintf("10.1.%d.%d:8727", i/200, i%200), Hall: "a-hall", Domain: "a-domain", Slots: 22,
+			Loaded: []ident.Model{"a-model"}, Staged: []ident.Model{"b-model"}, Last: "a-model",
+		})
+		if i < groups {
+			list = append(list, roster.Group{
+				Name: ident.Group(fmt.Sprintf("g%05x", i)), Epoch: ident.Epoch(i + 1), Service: "model-service", Model: "a-model", Phase: roster.PhaseOpen,
+				Members: []ident.Incarnation{id},
+			})
+			r.totals[id] = 1 + i%20
+		}
+	}
+	r.roster.Seed(now, upstreams, list)
+	r.view.Follow(func(ident.Service) bool { return false })
+}
+
+// Reply is what a call for news gets of the roster, the totals and the lists.
+func (r Leading) Reply(call *SyncCall) SyncReply {
+	reply := SyncReply{Leads: true, Leader: "10.1.0.250:7140", Leadership: r.name, Usable: true, Entries: r.note(call)}
+	r.fillChanges(call, &reply)
+	now := time.Now()
+	reply.Totals = r.encodedTotals(now)
+	r.fillLists(now, call, &reply)
+	return reply
+}
+
+// Turn is when a reply of a leader with that link is sent, and whether it is at all.
+func (r Leading) Turn(now time.Time, bytes int, link float64) (time.Duration, bool) {
+	r.paced.rate = pacedPart * link
+	return r.paced.turn(now, bytes)
+}
+
+// Succeeds names a leadership that begins now after a leader which had so many entries.
+func (r Leading) Succeeds(name LeadershipID, entries int) {
+	r.name = name
+	r.rollout.began, r.rollout.expected = time.Now(), entries
+}
+
+// Unpack returns what a reply says of the roster.
+func (r *SyncReply) Unpack() (*roster.Delta, error) {
+	err := r.unpack()
+	return &r.Changes, err
+}
+
+// DecodeTotals returns the requests of others by what the leader tells.
+func DecodeTotals(b []byte, upstreams []ident.Incarnation, own map[ident.Incarnation]int) map[ident.Incarnation]int {
+	return decodeTotals(b, shortIDs(upstreams), own)
+}
+
+// ListsStale lets the next reply tell of entries that have come and gone.
+func (r Leading) ListsStale() { r.lists.at = time.Time{} }
+
+// Totals returns the requests of all entries.
+func (r Leading) Totals() map[ident.Incarnation]int { return maps.Clone(r.totals) }
--- a/site/follow.go
+++ b/site/follow.go
@@ -28,6 +28,8 @@
 	describe func(c *SyncCall)
 	// apply takes the leader's confirmation and reports whether the configuration in it, if any, is in force; began is when the call was sent.
 	apply func(began time.Time, r *SyncReply) bool
+	// sums returns the digests of what this daemon has of the roster, nil when it has nothing.
+	sums func() *roster.Sums
 	// reread reads the settings again for other seeds.
 	reread func()
 	log    logr.Logger
@@ -39,10 +41,12 @@
 	entries int
 	found   time.Time
 	lost    bool
+	// astray is set when the next answer may come from another leader than the last one.
+	astray bool
 }
 
 func (f *follower) run(ctx context.Context) {
-	f.found, f.entries = clock.Now(), entriesUnknown
+	f.found, f.entries, f.astray = clock.Now(), entriesUnknown, true
 	for ctx.Err() == nil {
 		if f.once() {
 			f.regained()
@@ -60,8 +64,12 @@
 	}
 	call := &SyncCall{Leadership: f.leadership, Revision: f.revision, Version: f.version}
 	f.describe(call)
+	if f.astray {
+		call.Sums = f.sums()
+	}
 	began := clock.Now()
 	reply, err := f.peers.sync(address, f.entries, call)
+	f.astray = true
 	if err != nil {
 		// Idle connections may have gone silent with this one, and each would hold the next call for its whole time-out.
 		f.peers.dropUnheard(began)
@@ -74,6 +82,11 @@
 		return false
 	}
 	f.entries = max(1, reply.Entries)
+	if err := reply.unpack(); err != nil {
+		f.log.Error(err, "the leader's roster cannot be read", "leader", reply.Leader)
+		return false
+	}
+	f.astray = false
 	f.take(&reply)
 	if f.apply(began, &reply) {
 		f.version = max(f.version, reply.Version)
@@ -81,6 +94,20 @@
 	return true
 }
 
+// unpack puts a packed roster, and packed lists, in the places of what is not packed.
+func (r *SyncReply) unpack() error {
+	if r.Packed != nil {
+		r.Changes = roster.Delta{}
+		if err := unpack(r.Packed, &r.Changes); err != nil {
+			return err
+		}
+	}
+	if r.PackedLists != nil {
+		return unpack(r.PackedLists, &r.Lists)
+	}
+	return nil
+}
+
 // take remembers what this daemon then has; nothing goes back within its life.
 func (f *follower) take(r *SyncReply) {
 	if r.Usable {
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -83,9 +83,17 @@
 
 	mu      sync.Mutex
 	entries map[string]*entryState
-	// lists are the entries by hall, nil after entries have come or gone.
+	// lists are the entries by hall.
 	lists  *entryLists
 	totals map[ident.Incarnation]int
+	// encoded are the totals as they were encoded at totalsAt.
+	encoded  []byte
+	totalsAt time.Time
+	// packedView and packedAll are what is sent to who has nothing.
+	packedView packedRoster
+	packedAll  packedRoster
+	// paced gives turns to replies that carry much.
+	paced pacer
 	// apart is how many entries go by their own parts of upstreams' limits.
 	apart  map[ident.Incarnation]int
 	demand Rates
@@ -98,6 +106,9 @@
 	drains *rollout[catalog.DrainRevision]
 }
 
+// mbit is in bytes.
+const mbit = 1e6 / 8
+
 // answersLength bounds the outcomes that wait for the leader's next look.
 const answersLength = 256
 
@@ -109,8 +120,10 @@
 		formations: map[ident.Service]*replicaset.Formation{},
 		answers:    make(chan orderAnswer, answersLength),
 		entries:    map[string]*entryState{},
+		lists:      newEntryLists(),
 		totals:     map[ident.Incarnation]int{},
 		apart:      map[ident.Incarnation]int{},
+		paced:      pacer{rate: pacedPart * float64(c.Settings.LinkMbps) * mbit},
 		early:      c.Settings.FirstStart,
 		probes:     newProbes(c.Dial),
 		paces:      newPaces(c.paceAsker(), c.Log),
--- a/site/limits.go
+++ b/site/limits.go
@@ -105,7 +105,11 @@
 	if len(states) == 0 {
 		return nil
 	}
-	entries := sharing.New("", r.listEntries().lists)
+	halls := map[ident.Hall][]string{}
+	for name, e := range r.entries {
+		halls[e.hall] = append(halls[e.hall], name)
+	}
+	entries := sharing.New("", halls)
 	for id, l := range states {
 		l.Coordinator = entries.First(string(id))
 		slices.SortFunc(l.Entries, func(a, b LimitShare) int { return cmp.Compare(a.Entry, b.Entry) })
--- a/site/messages.go
+++ b/site/messages.go
@@ -53,7 +53,9 @@
 	Entry      bool
 	Leadership LeadershipID
 	Revision   roster.Revision
-	Version    httproute.Version
+	// Sums are the digests of the caller's copy of the roster, when it may be of a former leader.
+	Sums    *roster.Sums
+	Version httproute.Version
 	// Drains is the revision of the drained halls that the caller has.
 	Drains catalog.DrainRevision
 	// Whole is set by a daemon that needs the configuration whole.
@@ -83,6 +85,8 @@
 	// copy of its predecessor's roster.
 	Usable  bool
 	Changes roster.Delta
+	// Packed is the whole roster in place of Changes.
+	Packed []byte
 	// Version is set when the caller's version is older, and either Config, which is the whole packed configuration, or Patch,
 	// which makes it of the caller's.
 	Version httproute.Version
@@ -90,13 +94,17 @@
 	Patch   []byte
 	// Drained are the drained halls, nil when the caller has this revision of them.
 	Drained *catalog.Drained
-	// Others counts the requests of all other entries at each upstream.
-	Others map[ident.Incarnation]int
+	// Totals are the requests of all entries at each upstream (totals.go).
+	Totals []byte
 	// Limits are the limits of upstreams that entries were told of lately.
 	Limits map[ident.Incarnation]LimitTold
-	// Entries is how many entries there are, Lists are those of the halls of which the caller has another list.
-	Entries int
-	Lists   []EntryList
+	// Entries is how many entries there are, Lists are those of the halls of which the caller has another list, ListChanges what leads to
+	// them where that is known.
+	Entries     int
+	Lists       []EntryList
+	ListChanges []ListChange
+	// PackedLists are all lists in place of Lists.
+	PackedLists []byte
 	// Held and HeldSum are what the leader knows of such works, as in the call.
 	Held    []quarantine.Report
 	HeldSum uint64
--- a/site/neighbours.go
+++ b/site/neighbours.go
@@ -98,7 +98,13 @@
 }
 
 // set takes what a leader says of the entries, and returns them as the one called self sees them, nil where they are the same as before.
-func (b *neighbours) set(now time.Time, self string, leadership LeadershipID, changed []EntryList) *sharing.Entries {
+func (b *neighbours) set(now time.Time, self string, leadership LeadershipID, changed []EntryList, changes []ListChange) *sharing.Entries {
+	for i := range changes {
+		// One that leads from another list than this entry has is left out; the next call gets the list itself.
+		if c := &changes[i]; b.names[c.Hall] == c.Base {
+			changed = append(changed, EntryList{c.Hall, c.apply(b.entries.lists[c.Hall])})
+		}
+	}
 	for _, l := range changed {
 		b.names[l.Hall] = nameList(l.Entries)
 		if len(l.Entries) == 0 {
--- /dev/null
+++ b/site/packed.go
@@ -0,0 +1,107 @@
+package site
+
+// A daemon that has nothing of the roster gets it whole. When many start at the
+// same moment it is the same for all, so it is encoded and packed once for each
+// revision. One that has a copy of a former leader's gets the parts that differ.
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/roster"
+)
+
+// unpackedMost bounds a roster after it is unpacked, in bytes.
+const unpackedMost = 64 << 20
+
+// packedRoster is a whole roster in the form in which it is sent.
+type packedRoster struct {
+	mu       sync.Mutex
+	revision roster.Revision
+	data     []byte
+}
+
+// of returns the packed roster, which is packed again once it has changed.
+func (p *packedRoster) of(r *roster.Roster) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision, _ := r.Changed(); p.data != nil && revision == p.revision {
+		return p.data, nil
+	}
+	d := r.Since(0)
+	for i := range d.Groups {
+		// The leader's own time.
+		d.Groups[i].Since = time.Time{}
+	}
+	data, err := pack(&d)
+	if err != nil {
+		return nil, err
+	}
+	p.data, p.revision = data, d.Revision
+	return data, nil
+}
+
+// pack encodes and packs what many daemons get alike.
+func pack(value any) ([]byte, error) {
+	plain, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(plain); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+// unpack reads what was packed into value.
+func unpack(packed []byte, value any) error {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return result.Wrap(err, result.PeerRefused, "what the leader sent cannot be unpacked")
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, unpackedMost))
+	if err != nil {
+		return result.Wrap(err, result.PeerRefused, "what the leader sent cannot be unpacked")
+	}
+	if err := cbor.Unmarshal(plain, value); err != nil {
+		return result.Wrap(err, result.PeerRefused, "what the leader sent cannot be decoded")
+	}
+	return nil
+}
+
+// fillChanges adds what the caller has not of the roster.
+func (r *leadership) fillChanges(call *SyncCall, reply *SyncReply) {
+	shown, packed := r.roster, &r.packedAll
+	if call.Entry {
+		shown, packed = r.view.Roster, &r.packedView
+	}
+	switch {
+	case call.Leadership == r.name:
+		reply.Changes = shown.Since(call.Revision)
+	case call.Sums != nil:
+		reply.Changes = shown.Differing(call.Sums)
+	default:
+		reply.Changes = roster.Delta{Full: true}
+	}
+	if !reply.Changes.Full {
+		return
+	}
+	data, err := packed.of(shown)
+	if err != nil {
+		r.c.Log.Error(err, "roster cannot be packed")
+		reply.Usable = false
+		return
+	}
+	reply.Changes, reply.Packed = roster.Delta{}, data
+}
--- a/site/rollout.go
+++ b/site/rollout.go
@@ -18,6 +18,9 @@
 	// confirmWithin is the time from the offer of a configuration for which its confirmation may wait for entries: operators go to
 	// another daemon after a second without an answer.
 	confirmWithin = 600 * time.Millisecond
+	// rolloutLook is how often a confirmation looks whether the entries have it. Looking at each call of an entry instead would cost a look
+	// at all entries for each of them.
+	rolloutLook = 10 * time.Millisecond
 	// rolloutLate is when a configuration that some entries don't have is logged with their names.
 	rolloutLate = time.Second
 	// rolloutsKept bounds the configurations that are followed, lateNames the entries in one line.
@@ -34,8 +37,6 @@
 	mu      sync.Mutex
 	entries map[string]entryVersion[V]
 	pending []*pendingVersion[V]
-	// changed is closed when an entry has put another version in force.
-	changed chan struct{}
 }
 
 // entryVersion is the version that an entry had in force at the time of its newest call.
@@ -64,7 +65,7 @@
 
 // newRollout returns the rollout of a leader that begins now after one that had so many entries.
 func newRollout[V ~uint64](now time.Time, expected int) *rollout[V] {
-	return &rollout[V]{began: now, expected: expected, entries: map[string]entryVersion[V]{}, changed: make(chan struct{})}
+	return &rollout[V]{began: now, expected: expected, entries: map[string]entryVersion[V]{}}
 }
 
 // accept begins to follow a version that was offered at a time.
@@ -82,12 +83,7 @@
 func (r *rollout[V]) hear(now time.Time, entry string, version V) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.entries[entry].version
 	r.entries[entry] = entryVersion[V]{version, now}
-	if version != before {
-		close(r.changed)
-		r.changed = make(chan struct{})
-	}
 }
 
 // forget drops an entry that does not call any more.
@@ -97,37 +93,48 @@
 	delete(r.entries, entry)
 }
 
+// arriving reports whether entries of the former leader may not have called yet.
+func (r *rollout[V]) arriving(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivingAt(now)
+}
+
+// arrivingAt is arriving for callers that hold the mutex.
+func (r *rollout[V]) arrivingAt(now time.Time) bool {
+	return len(r.entries) < r.expected && now.Sub(r.began) < entriesArrive
+}
+
 // wait returns when every entry that calls has the version or a newer one, or confirmWithin after that was offered.
 func (r *rollout[V]) wait(ctx context.Context, version V) {
-	for {
-		now := clock.Now()
-		rest, changed := r.look(now, version)
+	for ctx.Err() == nil {
+		rest := r.look(clock.Now(), version)
 		if rest <= 0 {
 			return
 		}
-		timer := time.NewTimer(rest)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
+		pause(ctx, min(rest, rolloutLook))
 	}
 }
 
-// look returns how long a confirmation of the version has to wait yet, and a channel that is closed when that may have changed.
-func (r *rollout[V]) look(now time.Time, version V) (time.Duration, <-chan struct{}) {
+// look returns how long a confirmation of the version has to wait yet.
+func (r *rollout[V]) look(now time.Time, version V) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := slices.IndexFunc(r.pending, func(p *pendingVersion[V]) bool { return p.version >= version })
-	arriving := len(r.entries) < r.expected && now.Sub(r.began) < entriesArrive
-	if i < 0 || !arriving && len(r.lacking(now, version)) == 0 {
-		return 0, r.changed
+	if i < 0 || !r.arrivingAt(now) && !r.lacks(now, version) {
+		return 0
+	}
+	return confirmWithin - now.Sub(r.pending[i].offered)
+}
+
+// lacks reports whether any entry that calls has an older version; the mutex is held.
+func (r *rollout[V]) lacks(now time.Time, version V) bool {
+	for _, e := range r.entries {
+		if e.version < version && now.Sub(e.at) < entryCalls {
+			return true
+		}
 	}
-	return confirmWithin - now.Sub(r.pending[i].offered), r.changed
+	return false
 }
 
 // lacking returns the entries that call and have an older version; the mutex is held.
@@ -149,13 +156,13 @@
 	var list []rolloutReport[V]
 	r.pending = slices.DeleteFunc(r.pending, func(p *pendingVersion[V]) bool {
 		after := now.Sub(p.accepted)
-		missing := r.lacking(now, p.version)
-		if len(missing) == 0 {
+		if !r.lacks(now, p.version) {
 			list = append(list, rolloutReport[V]{Version: p.version, After: after, Entries: len(r.entries)})
 			return true
 		}
 		if after >= rolloutLate && !p.late {
 			p.late = true
+			missing := r.lacking(now, p.version)
 			missing = missing[:min(lateNames, len(missing))]
 			list = append(list, rolloutReport[V]{Version: p.version, After: after, Entries: len(r.entries), Missing: missing})
 		}
