Bound what an entry holds of bodies and answers for slow callers

Cause: a body is read whole before its request is sent and an answer before it is passed on, each up to some MB, and nothing bounded them over all requests: callers that read or write slowly could take all of an entry's 184 MB. Change: bodies, and answers, each get a fifth of the VM's memory; a body beyond it is refused as not run (2006), an answer waits at its upstream until there is room. Streams hold one event each already; a caller that does not read holds its upstream back. TestSlowBodiesAreBounded (of 12 slow bodies where four fit, those beyond are refused while the others are held) fails without the bound.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -122,7 +122,13 @@
 // followWhole reads a whole answer before anything goes to the caller.
 func (f *follower) followWhole(resp *http.Response) verdict {
 	x := f.x
-	body, err := readWhole(resp)
+	// What an earlier try brought is passed on only if this one brings nothing better, and is then as small as a failure.
+	x.releaseAnswer()
+	err := x.holdAnswer(resp)
+	var body []byte
+	if err == nil {
+		body, err = readWhole(resp)
+	}
 	if err != nil {
 		f.conn.Close()
 		return f.broken(err)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,8 @@
 	// to be had.
 	noTurn     map[ident.Incarnation]bool
 	limitWaits int
+	// heldBody and heldAnswer are the bytes that are counted for it.
+	heldBody, heldAnswer int64
 	// repeatPaid is set while the budget for repeats has let the next try go.
 	repeatPaid bool
 }
@@ -178,6 +180,9 @@
 		return result.New(result.DeadlineUnreachable, "the body had not arrived when the time was up")
 	case errors.As(err, &tooLarge):
 		return result.New(result.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, errNoMemory):
+		x.w.Header().Set("Connection", "close")
+		return result.Wrap(err, result.Overloaded, "the body can't be held")
 	case err != nil:
 		return result.Wrap(err, result.Cancelled, "the body did not arrive whole")
 	}
@@ -194,7 +199,7 @@
 	control := http.NewResponseController(x.w)
 	// Where the connection can't have a deadline, the caller's own time bounds it.
 	_ = control.SetReadDeadline(time.Now().Add(x.left()))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(&bodyReader{http.MaxBytesReader(x.w, x.r.Body, limit), x})
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- /dev/null
+++ b/relay/memory_test.go
@@ -0,0 +1,137 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+// slowBody gives half of a body at once, and the rest when it is let go.
+type slowBody struct {
+	half io.Reader
+	rest <-chan struct{}
+	last io.Reader
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if n, err := b.half.Read(p); err == nil {
+		return n, nil
+	}
+	<-b.rest
+	return b.last.Read(p)
+}
+
+// Bodies that come slowly are held within a bound over all requests: what is beyond it is refused at once as not run, and what is held ends
+// well.
+func TestSlowBodiesAreBounded(t *testing.T) {
+	const size, callers, fit = 100 << 10, 12, 4
+	u := newUpstream(t, always(whole))
+	s := newSite(t, []*upstream{u}, nil)
+	s.relay.SetMemory(fit * size)
+	rest := make(chan struct{})
+	var wg sync.WaitGroup
+	statuses := make(chan int, callers)
+	for i := range callers {
+		wg.Go(func() {
+			r := s.request(http.MethodPost, "/safe/x", fmt.Sprint(i), "")
+			half := strings.Repeat("x", size/2)
+			r.Body = io.NopCloser(&slowBody{strings.NewReader(half), rest, strings.NewReader(half)})
+			r.ContentLength = size
+			statuses <- s.do(r).Status
+		})
+	}
+	refused := 0
+	for range callers - 2*fit {
+		if status := <-statuses; status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if refused != callers-2*fit {
+		t.Errorf("%d refused while the others were held, want %d", refused, callers-2*fit)
+	}
+	close(rest)
+	wg.Wait()
+	s.relay.Wait()
+	close(statuses)
+	served := 0
+	for status := range statuses {
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	if served == 0 {
+		t.Error("none of those that were held was served")
+	}
+	if got := s.do(s.request(http.MethodPost, "/safe/x", "later", strings.Repeat("x", size))); got.Status != http.StatusOK {
+		t.Errorf("status %d once all have ended: what was held is not given back", got.Status)
+	}
+	for _, r := range s.records {
+		if r.Code != result.OK && r.Code != result.Overloaded {
+			t.Errorf("code %d, %s", r.Code, r.Text)
+		}
+	}
+}
+
+// An answer that its caller does not read takes room that others wait for, at their upstreams; it is whole all the same.
+func TestSlowReadersOfAnswersAreBounded(t *testing.T) {
+	body := strings.Repeat("y", 300<<10)
+	u := newUpstream(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, head(r, 200, signature, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+		return err == nil
+	})
+	s := newSite(t, []*upstream{u}, nil)
+	s.relay.SetMemory(int64(len(body)) + 1000)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			if got := s.do(s.request(http.MethodGet, "/safe/x", fmt.Sprint(i), "")); got.Status != http.StatusOK || got.Body != body {
+				t.Errorf("status %d, %d bytes", got.Status, len(got.Body))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkSlowReaders is how much memory a thousand callers take that read nothing of their streams.
+func BenchmarkSlowReaders(b *testing.B) {
+	const readers = 1000
+	event := "id: %d\ndata: " + strings.Repeat("z", 500) + "\n\n"
+	for b.Loop() {
+		u := newUpstream(b, func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, head(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+			for n := range 10_000 {
+				text := fmt.Sprintf(event, n+1)
+				if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+					return false
+				}
+			}
+			return false
+		})
+		s := newSite(b, nil, []*upstream{u})
+		var conns []net.Conn
+		for i := range readers {
+			c, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST /stream/x HTTP/1.1\r\nHost: h\r\nRequest: %d\r\nKey: secret\r\nModel: m\r\nContent-Length: 0\r\n\r\n", i)
+			conns = append(conns, c)
+		}
+		time.Sleep(2 * time.Second)
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		b.ReportMetric(float64(m.HeapInuse+m.StackInuse)/(1<<20), "MB")
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,8 @@
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
+	// memory bounds what is held for all requests.
+	memory *memory
 	// seats say which entry coordinates an upstream.
 	seats     *ratelimit.Seats
 	pool      *pool
@@ -129,7 +131,7 @@
 		queues: map[line]*overload.Queue[*waiting]{}, promised: map[line]time.Time{},
 		usual: map[ident.Class]*overload.Usual{},
 		turns: map[ident.Model]chan struct{}{},
-		began: clock.Now(), informed: make(chan struct{}),
+		began: clock.Now(), informed: make(chan struct{}), memory: newMemory(memoryDefault),
 	}
 	s.fleet = newFleet(s.copied, nil, nil, nil)
 	s.Limits = s.newLimits()
@@ -353,6 +355,7 @@
 	s.working.Add(1)
 	defer s.working.Done()
 	x := s.newExchange(w, r)
+	defer x.releaseMemory()
 	err := x.admit()
 	if err == nil {
 		err = x.run()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -61,7 +61,7 @@
 
 // site is a relay before some upstreams, with its finished requests.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	relay *relay.Relay
 	front *httptest.Server
 
@@ -69,7 +69,7 @@
 	records []*relay.Record
 }
 
-func newSite(t *testing.T, plain, heads []*upstream) *site {
+func newSite(t testing.TB, plain, heads []*upstream) *site {
 	t.Helper()
 	s := &site{t: t, relay: relay.New(names(), transport.TCP())}
 	s.relay.KeysLapse = 4 * time.Second
--- a/relay/upstream_test.go
+++ b/relay/upstream_test.go
@@ -14,7 +14,7 @@
 
 // upstream is a worker that answers over raw connections, so that every fault of a connection can be played.
 type upstream struct {
-	t  *testing.T
+	t  testing.TB
 	ln net.Listener
 
 	mu   sync.Mutex
@@ -29,7 +29,7 @@
 	ID, Method, Path, Body, Customer, Key, Event, Incarnation string
 }
 
-func newUpstream(t *testing.T, play func(c net.Conn, r *http.Request, n int) bool) *upstream {
+func newUpstream(t testing.TB, play func(c net.Conn, r *http.Request, n int) bool) *upstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/site/entry.go
+++ b/site/entry.go
@@ -24,6 +24,8 @@
 const (
 	// keysPart is the part of the revocation bound for which keys are believed without a confirmation by the leader.
 	keysPart = 0.8
+	// heldMemoryPart is the part of the VM's memory that bodies of requests may take together, and answers the same.
+	heldMemoryPart = 0.2
 	// lookAway is how long new connections may still come after this daemon has said that it is not ready.
 	lookAway = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the last lines and the exit.
@@ -80,6 +82,7 @@
 	e.numbers = newNumbers(e.meter.Scope)
 	e.relay.Hall = cfg.Hall
 	e.relay.Regions = cfg.Halls
+	e.relay.SetMemory(int64(heldMemoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	e.relay.KeysLapse = time.Duration(keysPart * float64(cfg.Bounds.KeysRevoked))
 	e.relay.Budget = relay.NewBudget(relay.BudgetRule{
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
