Drain halls and start upstreams cold in the soak

Operators drain a hall and take it back, one at a time; each upstream is cold for 2 s after its start. On planned series a request that reaches a drained hall 3 s after the acknowledgement, or a cold upstream beyond one and a half times its rate and five, breaks a promise.

--- a/soak/configs.go
+++ b/soak/configs.go
@@ -63,8 +63,8 @@
 			route(ident.Class(fmt.Sprintf("v%d", n)), httproute.KindSafe, plainService, false), route("hang", httproute.KindUnsafe, plainService, false),
 		},
 		Services: []httproute.Service{
-			{Name: plainService, HealthPath: "/healthz", MaxConnections: 100},
-			{Name: modelService, HealthPath: "/healthz", MaxConnections: 100, Engine: &httproute.Engine{
+			{Name: plainService, HealthPath: "/healthz", MaxConnections: 100, ColdRate: coldRate},
+			{Name: modelService, HealthPath: "/healthz", MaxConnections: 100, ColdRate: coldRate, Engine: &httproute.Engine{
 				Slots: slots, Stride: 1, Step: time.Millisecond, ReadRate: 10000, LoadsPerSecond: 50, ConcurrentLoads: 50, FarFactor: 3, Models: models,
 			}},
 		},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,6 +35,7 @@
 	{"an upstream leaves", true, 3, false, (*soak).drainUpstream},
 	{"an upstream comes", true, 2, false, (*soak).addUpstream},
 	{"an upstream asks for time", true, 3, true, (*soak).turnsAway},
+	{"a hall is drained", true, 2, true, (*soak).drainHall},
 	{"an upstream names a limit", true, 3, true, (*soak).limits},
 	{"an upstream leaves without a report", false, 2, true, (*soak).leavesSilently},
 	{"kill an entry", false, 3, false, (*soak).killEntry},
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -44,6 +44,7 @@
 		return
 	}
 	defer e.freeSlot()
+	e.checkHallAndCold(id)
 	if late := e.late(); late > 0 {
 		e.truth.breaksf("%s gets request %s %v after its leaving was acknowledged", e.id, id, late)
 	}
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -54,6 +54,7 @@
 	// gone is the number of the first key that versions may have yet.
 	gone    uint64
 	engines map[ident.Incarnation]*engine
+	drains  drains
 	acked   httproute.Version
 	// history holds when each version was acknowledged, in order.
 	history []acceptance
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -94,6 +94,9 @@
 	naming *naming
 	// goesSilently is set when it says in its answers that it leaves, and in no report.
 	goesSilently bool
+	// started is when it started, whileCold are the requests of the last second that reached it while it was cold.
+	started   time.Time
+	whileCold []time.Time
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
 	watched bool
 }
@@ -101,7 +104,7 @@
 func newEngine(ctx context.Context, t *truth, id ident.Incarnation, service ident.Service, place int, reports func() []string) (*engine, error) {
 	e := &engine{
 		id: id, service: service, hall: ident.Hall(fmt.Sprintf("hall-%d", place)), domain: ident.Domain(fmt.Sprintf("domain-%d", place)),
-		truth: t, reports: reports, changed: make(chan struct{}, 1), wasReady: map[membership]bool{},
+		truth: t, reports: reports, started: time.Now(), changed: make(chan struct{}, 1), wasReady: map[membership]bool{},
 		asked: map[sender][]*asked{}, saidLeaving: map[sender]time.Time{}, random: rand.New(rand.NewPCG(hashOf(string(id)), 1)),
 	}
 	e.ctx, e.end = context.WithCancel(ctx)
@@ -218,6 +221,7 @@
 	if e.staged != "" {
 		r.Staged = []ident.Model{e.staged}
 	}
+	r.ColdFor = max(0, coldFor-time.Since(e.started))
 	e.mu.Unlock()
 	if e.post(platform.ReportPath(e.id), platform.EncodeReport(r)) && r.Draining {
 		e.mu.Lock()
