Wake calls for news when a leadership ends, and spread what lost entries ask

Cause: of 984 entries none had called the next leader 0.6 s after it began (its log: 'entries 0'), since their calls were kept at the one that had lost its lease, for up to 0.65 s; then all came within a few ms, and the next leader lost its lease after 0.93 s. Change: the end of a leadership wakes the calls that wait there; entries that have lost their leader ask after a random part of 0.5 ms for each entry of the site, none below 32 entries.

--- a/site/control.go
+++ b/site/control.go
@@ -81,7 +81,7 @@
 	// table is the configuration of tableOf laid out; only a leader needs it.
 	table   *httproute.Table
 	tableOf httproute.Version
-	// renewed is closed when another configuration counts, or other halls are drained.
+	// renewed is closed when another configuration counts, other halls are drained, or this daemon leads no more.
 	renewed   chan struct{}
 	strangers map[quorum.MemberID]time.Time
 
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -359,3 +359,22 @@
 
 // LookPause is how long a leader gathers changes after a look that took so long.
 var LookPause = lookPause
+
+// SpreadOf is the time over which so many entries ask for a leader.
+var SpreadOf = spreadOf
+
+// RenewedAtTheEnd ends the leadership of a daemon that leads, and reports whether calls that wait for news are woken by it.
+func (c *Control) RenewedAtTheEnd() bool {
+	c.mu.Lock()
+	renewed := c.renewed
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c.node.HandOver(ctx)
+	select {
+	case <-renewed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/site/follow.go
+++ b/site/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,11 @@
 const (
 	// askPause is the pause before the next control daemon is asked for the leader.
 	askPause = 30 * time.Millisecond
+	// askSpread is the time for each entry over which entries that have lost their leader ask for the next one: calls of all of them at the
+	// same moment would keep that from its voters.
+	askSpread = 500 * time.Microsecond
+	// spreadFrom is from how many entries on they spread.
+	spreadFrom = 32
 	// seedsAfter is how long no leader was found until the settings are read again for other seeds.
 	seedsAfter = 2 * time.Second
 	// entriesUnknown stands for as many entries as make a leader keep calls for longest.
@@ -41,6 +47,8 @@
 	entries int
 	found   time.Time
 	lost    bool
+	// spread is the time over which this daemon and all others ask for the next leader.
+	spread time.Duration
 	// astray is set when the next answer may come from another leader than the last one.
 	astray bool
 }
@@ -69,8 +77,8 @@
 	}
 	began := clock.Now()
 	reply, err := f.peers.sync(address, f.entries, call)
-	f.astray = true
 	if err != nil {
+		f.stray()
 		// Idle connections may have gone silent with this one, and each would hold the next call for its whole time-out.
 		f.peers.dropUnheard(began)
 		f.directory.forgetLeader(address)
@@ -79,6 +87,7 @@
 	}
 	f.directory.learn(reply.Leader, reply.Controls)
 	if !reply.Leads {
+		f.stray()
 		return false
 	}
 	f.entries = max(1, reply.Entries)
@@ -94,6 +103,22 @@
 	return true
 }
 
+// stray notes that the leader that this daemon followed is lost, or may be.
+func (f *follower) stray() {
+	if !f.astray {
+		f.spread = spreadOf(f.entries)
+	}
+	f.astray = true
+}
+
+// spreadOf is the time over which so many entries ask for a leader, 0 where they are few, or not known.
+func spreadOf(entries int) time.Duration {
+	if entries < spreadFrom || entries == entriesUnknown {
+		return 0
+	}
+	return time.Duration(entries) * askSpread
+}
+
 // unpack puts a packed roster, and packed lists, in the places of what is not packed.
 func (r *SyncReply) unpack() error {
 	if r.Packed != nil {
@@ -136,7 +161,8 @@
 	if away > seedsAfter {
 		f.reread()
 	}
-	pause(ctx, askPause)
+	pause(ctx, askPause+time.Duration(rand.Float64()*float64(f.spread)))
+	f.spread = 0
 }
 
 // pause waits for d or until ctx ends.
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -193,6 +193,8 @@
 	if r != nil && (s.Role != quorum.RoleLeader || s.Term != r.term) {
 		c.Log.Info("leadership ended", "leadership", r.name, "leader", s.Leader, "term", s.Term)
 		c.leadership.Store(nil)
+		// Calls that wait here for news go to the next leader at once.
+		c.renew()
 		r = nil
 	}
 	if r == nil && c.leads() {
--- a/site/rate_test.go
+++ b/site/rate_test.go
@@ -159,3 +159,12 @@
 		}
 	}
 }
+
+// Entries that lose their leader at the same moment ask for the next one over a time in which it can answer them, and hear its voters.
+func TestEntriesSpreadTheirQuestions(t *testing.T) {
+	for entries, want := range map[int]time.Duration{0: 0, 8: 0, 31: 0, 89: 44500 * time.Microsecond, 984: 492 * time.Millisecond, 2000: time.Second} {
+		if got := site.SpreadOf(entries); got != want {
+			t.Errorf("%d entries ask over %v, want %v", entries, got, want)
+		}
+	}
+}
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -427,3 +427,29 @@
 		return result.CodeOf(err) == result.NoLeader
 	})
 }
+
+// A call that waits for news ends with the leadership: the daemon that made it asks the next leader, not after the time that calls are kept.
+func TestCallsForNewsEndWithTheLeadership(t *testing.T) {
+	d := newDaemons(t)
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	var leader string
+	d.until("a leader is known", func() bool {
+		s, err := site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
+		if err != nil {
+			return false
+		}
+		leader = s.Leader
+		return true
+	})
+	for i, address := range d.peers(hosts...) {
+		if address == leader {
+			if !d.running[hosts[i]].control.RenewedAtTheEnd() {
+				t.Error("calls that wait are not woken when the leadership ends")
+			}
+		}
+	}
+}
