--- a/site/rate_test.go
+++ b/site/rate_test.go
@@ -148,3 +148,23 @@
 		})
 	}
 }
+
+// A look that takes long leaves the leader time for everything else before the next one.
+func TestLookPause(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{
+		0: 10 * time.Millisecond, time.Millisecond: 10 * time.Millisecond, 8 * time.Millisecond: 24 * time.Millisecond, time.Second: 50 * time.Millisecond,
+	} {
+		if got := site.LookPause(took); got != want {
+			t.Errorf("%v after a look of %v, want %v", got, took, want)
+		}
+	}
+}
+
+// Entries that lose their leader at the same moment ask for the next one over a time in which it can answer them, and hear its voters.
+func TestEntriesSpreadTheirQuestions(t *testing.T) {
+	for entries, want := range map[int]time.Duration{0: 0, 8: 0, 31: 0, 89: 44500 * time.Microsecond, 984: 492 * time.Millisecond, 2000: time.Second} {
+		if got := site.SpreadOf(entries); got != want {
+			t.Errorf("%d entries ask over %v, want %v", entries, got, want)
+		}
+	}
+}
