Let any control daemon give entries the configuration that it holds

Change: a daemon that does not lead answers with the committed configuration and drained halls where the caller has older ones. The entry puts them in force and confirms nothing by it: keys still lapse without the leader. Shown by TestAnyControlDaemonGivesWhatItHolds: the entry's connections to the leader are dead for the whole test; without the change it never has a configuration. TestDrainedHalls waits until the leader counts the entry: a confirmation waits for entries that call, and one may now have its configuration before its first call to the leader (the log of the leader says 'entries 0' in the runs that failed).

--- a/site/calls.go
+++ b/site/calls.go
@@ -275,7 +275,9 @@
 func (c *Control) sync(call *SyncCall) SyncReply {
 	r := c.leadership.Load()
 	if r == nil || !c.leads() {
-		return SyncReply{Leader: c.awaitLeader(), Controls: c.controls()}
+		reply := SyncReply{Leader: c.awaitLeader(), Controls: c.controls()}
+		c.fillCommitted(call, &reply)
+		return reply
 	}
 	entries := r.note(call)
 	c.waitForNews(r, call, entries)
@@ -293,18 +295,7 @@
 		reply.Totals = r.encodedTotals(now)
 		r.fillLists(now, call, &reply)
 	}
-	if drained := c.machine.Drained(); drained.Revision > call.Drains {
-		reply.Drained = &drained
-	}
-	if held := c.machine.Held(); held.Version > call.Version {
-		reply.Version = held.Version
-		if !call.Whole {
-			reply.Patch = c.versions.patch(call.Version, held.Version)
-		}
-		if reply.Patch == nil {
-			reply.Config = held.Packed
-		}
-	}
+	c.fillCommitted(call, &reply)
 	if large := len(reply.Packed) + len(reply.Config); large > 0 {
 		wait, ok := r.paced.turn(clock.Now(), large)
 		if !ok {
@@ -334,6 +325,25 @@
 	}
 }
 
+// fillCommitted adds what the caller has not of the configuration and of the drained halls. What this daemon holds was committed, so any may
+// tell it; only the leader can say that it is the newest.
+func (c *Control) fillCommitted(call *SyncCall, reply *SyncReply) {
+	if drained := c.machine.Drained(); drained.Revision > call.Drains {
+		reply.Drained = &drained
+	}
+	held := c.machine.Held()
+	if held.Version <= call.Version {
+		return
+	}
+	reply.Version = held.Version
+	if !call.Whole {
+		reply.Patch = c.versions.patch(call.Version, held.Version)
+	}
+	if reply.Patch == nil {
+		reply.Config = held.Packed
+	}
+}
+
 // usable reports whether the roster is of use to the caller: a part of it is better than nothing, but not better than a
 // copy of the whole.
 func (r *leadership) usable(call *SyncCall) bool {
--- a/site/control.go
+++ b/site/control.go
@@ -328,6 +328,7 @@
 			call.HeldSum = c.held.Sum(clock.Now())
 		},
 		apply:  c.applySync,
+		commit: func(time.Time, *SyncReply) bool { return true },
 		sums:   c.copiedSums,
 		reread: c.reread,
 	}
--- a/site/drain_test.go
+++ b/site/drain_test.go
@@ -22,6 +22,15 @@
 	return d.running[host].control.Drain(context.Background(), catalog.DrainOrder{Hall: hall, Drain: on})
 }
 
+// calls waits until so many entries call the leader: only those that do are waited for by a confirmation.
+func (d *daemons) calls(hosts []string, n int) {
+	d.t.Helper()
+	d.until(fmt.Sprintf("%d entries call", n), func() bool {
+		s, err := site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
+		return err == nil && s.Entries == n
+	})
+}
+
 // An order on a hall is taken by any control daemon, in force at an entry when it is confirmed, and there after all daemons were lost at
 // once; an entry that starts knows of it before its first request.
 func TestDrainedHalls(t *testing.T) {
@@ -34,6 +43,7 @@
 	d.voters(hosts[0], 3)
 	d.entry("127.0.2.1")
 	d.until("the entry has the configuration", func() bool { return d.routed("127.0.2.1", 1) })
+	d.calls(hosts, 1)
 	drained := func(halls ...ident.Hall) {
 		t.Helper()
 		if diff := cmp.Diff(halls, d.running["127.0.2.1"].entry.Drained()); diff != "" {
@@ -68,6 +78,7 @@
 	d.entry("127.0.2.1")
 	d.until("the entry has the configuration", func() bool { return d.routed("127.0.2.1", 1) })
 	drained("hall-0", "hall-2")
+	d.calls(hosts, 1)
 	d.until("the leader tells of it", func() bool {
 		s, err := site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
 		return err == nil && slices.Equal(s.Drained, []ident.Hall{"hall-0", "hall-2"})
--- a/site/entry.go
+++ b/site/entry.go
@@ -118,7 +118,7 @@
 	}
 	p := newPeers(ctx, e.Dial)
 	f := &follower{
-		peers: p, directory: e.directory, log: e.Log, describe: e.describe, apply: e.apply, sums: e.relay.Sums, reread: e.reread,
+		peers: p, directory: e.directory, log: e.Log, describe: e.describe, apply: e.apply, commit: e.commit, sums: e.relay.Sums, reread: e.reread,
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { f.run(ctx) })
@@ -213,6 +213,12 @@
 	return newest
 }
 
+// commit puts what a daemon that does not lead holds in force; it confirms nothing.
+func (e *Entry) commit(began time.Time, r *SyncReply) bool {
+	e.takeDrained(r.Drained)
+	return e.takeConfig(began, r)
+}
+
 // takeConfig puts the configuration in a reply in force. If it can't, this daemon can't be sure of anything newer than what it has.
 func (e *Entry) takeConfig(began time.Time, r *SyncReply) bool {
 	if r.Config == nil && r.Patch == nil {
--- a/site/follow.go
+++ b/site/follow.go
@@ -34,6 +34,8 @@
 	describe func(c *SyncCall)
 	// apply takes the leader's confirmation and reports whether the configuration in it, if any, is in force; began is when the call was sent.
 	apply func(began time.Time, r *SyncReply) bool
+	// commit puts what a daemon that does not lead holds of the configuration in force, and reports whether it is.
+	commit func(began time.Time, r *SyncReply) bool
 	// sums returns the digests of what this daemon has of the roster, nil when it has nothing.
 	sums func() *roster.Sums
 	// reread reads the settings again for other seeds.
@@ -88,6 +90,7 @@
 	f.directory.learn(reply.Leader, reply.Controls)
 	if !reply.Leads {
 		f.stray()
+		f.takeCommitted(began, &reply)
 		return false
 	}
 	f.entries = max(1, reply.Entries)
@@ -103,6 +106,16 @@
 	return true
 }
 
+// takeCommitted takes a newer configuration from a daemon that does not lead: while entries have no leader it was confirmed all the same.
+func (f *follower) takeCommitted(began time.Time, r *SyncReply) {
+	if r.Version <= f.version {
+		r.Config, r.Patch = nil, nil
+	}
+	if f.commit(began, r) {
+		f.version = max(f.version, r.Version)
+	}
+}
+
 // stray notes that the leader that this daemon followed is lost, or may be.
 func (f *follower) stray() {
 	if !f.astray {
--- a/site/inforce_test.go
+++ b/site/inforce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/link"
 	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 // slowEntry asks the leader as an entry does and puts each configuration in force after a while.
@@ -135,3 +137,43 @@
 		}
 	}
 }
+
+// An entry that can't reach the leader gets a confirmed configuration, and drained halls, from any control daemon that holds them.
+func TestAnyControlDaemonGivesWhatItHolds(t *testing.T) {
+	d := newDaemons(t)
+	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, host := range hosts {
+		d.control(host, true)
+	}
+	d.replace(hosts[0], 1)
+	d.voters(hosts[0], 3)
+	var leader string
+	d.until("the leader is known", func() bool {
+		s, err := site.Inspect(context.Background(), transport.TCP(), d.peers(hosts...))
+		if err == nil {
+			leader = s.Leader
+		}
+		return err == nil && leader != ""
+	})
+	host, _, err := net.SplitHostPort(leader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &power{off: map[string]bool{host: true}}
+	d.dial = p.dial("127.0.2.1")
+	d.entry("127.0.2.1")
+	d.until("the entry has the configuration", func() bool { return d.routed("127.0.2.1", 1) })
+	const bound = 2 * time.Second
+	for version := httproute.Version(2); version < 5; version++ {
+		d.replace(hosts[version%3], version)
+		began := time.Now()
+		d.until("the entry has the next one", func() bool { return d.routed("127.0.2.1", version) })
+		if took := time.Since(began); took > bound {
+			t.Errorf("version %d in force %v after its confirmation", version, took)
+		}
+	}
+	if err := d.drain(hosts[0], "hall-1", true); err != nil {
+		t.Fatal(err)
+	}
+	d.until("the hall is drained", func() bool { return len(d.running["127.0.2.1"].entry.Drained()) == 1 })
+}
