Send callers elsewhere before an entry that is cut off has to refuse them

Their keys lapsed after 4 s, they refused from then on, and the balancer, which wants to miss them twice, still sent callers: 178 of 926 answers late in two seconds. Change: an entry is not ready, and lets the connections of its callers end with their answers, once its keys lapse within 2.5 s; it serves what comes until then. Where all entries have lost control the balancer uses all of them.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -190,5 +190,5 @@
 		}
 		h[name] = values
 	}
-	x.closeIfStopping()
+	x.closeIfLeaving()
 }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -49,7 +49,7 @@
 		x.retry += time.Duration(retrySpread * rand.Float64() * float64(x.retry))
 		h.Set("Retry-After", strconv.FormatFloat(x.retry.Seconds(), 'f', 3, 64))
 	}
-	x.closeIfStopping()
+	x.closeIfLeaving()
 	if x.id != "" {
 		h.Set(x.s.Names.RequestID, x.id)
 	}
@@ -78,9 +78,10 @@
 	return retryNone
 }
 
-// closeIfStopping tells the caller to open its next connection elsewhere.
-func (x *exchange) closeIfStopping() {
-	if x.s.stopping.Load() {
+// closeIfLeaving tells the caller to open its next connection elsewhere.
+// closeIfLeaving lets the caller go elsewhere with its next request where this entry will not serve it.
+func (x *exchange) closeIfLeaving() {
+	if x.s.stopping.Load() || x.s.lapsesSoon() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,8 @@
 	dialTimeout = 60 * time.Millisecond
 	// maxArrivals bounds how often one request is sent, refusals included.
 	maxArrivals = 4
+	// leaveAhead is how long before keys lapse an entry stops being ready: balancers look each second or so, and want to miss it twice.
+	leaveAhead = 2500 * time.Millisecond
 	// unknownAfter is the age of the newest confirmation from the leader from which on an unknown route or key may be a new one.
 	unknownAfter = 1500 * time.Millisecond
 )
@@ -274,9 +276,15 @@
 	return time.Hour
 }
 
-// Ready reports whether requests can be served here.
+// Ready reports whether callers may come here: requests can be served, also when those that come now are.
 func (s *Relay) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && s.ConfirmedAge() < s.KeysLapse
+	return !s.stopping.Load() && s.table.Load() != nil && !s.lapsesSoon()
+}
+
+// lapsesSoon reports whether keys are believed for less time than the balancer and callers need to go elsewhere: an entry that is cut off
+// from control would refuse them then.
+func (s *Relay) lapsesSoon() bool {
+	return s.ConfirmedAge() > s.KeysLapse-min(leaveAhead, s.KeysLapse/2)
 }
 
 // Stop makes answers close their connections; requests go on being served.
