--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		s.Total++
-		if !taken[u.ID] && f.out(u) && f.world.Ages[u.ID] < missedReport && !f.world.Dead[u.ID] && !f.reserved(u.Domain) && f.bound[u.ID].IsZero() {
+		if !taken[u.ID] && f.free(u) {
 			s.Free = append(s.Free, f.candidate(u))
 		}
 	}
@@ -172,6 +172,12 @@
 	return s
 }
 
+// free reports whether an upstream that no group has may join one: it has left its last one for certain, and is there.
+func (f *Formation) free(u *roster.Upstream) bool {
+	there := f.world.Ages[u.ID] < missedReport && !f.world.Dead[u.ID]
+	return there && f.out(u) && !f.reserved(u.Domain) && f.bound[u.ID].IsZero()
+}
+
 // placed describes g to the planner if it serves or will serve.
 func (f *Formation) placed(g *roster.Group) (Placed, bool) {
 	p := Placed{Name: g.Name, Model: g.Model, Far: g.Far}
