--- a/site/change_test.go
+++ b/site/change_test.go
@@ -14,12 +14,7 @@
 	"github.com/dunlinquay/dunlinquay/site"
 )
 
-// After the loss of a leader every entry of a fleet of 984 asked the next one within half a second, and got the whole view, 70 KB, and the
-// entries known so far, up to 16 KB, again and again while they came in: the leader lost its lease in that, and the next one began anew.
-// The log of that day has 22 leaderships in 25 s:
-//
-//	5.4741 rosenheim-2 leadership began    6.6621 rosenheim-2 leadership ended
-//	7.1704 kempten-1   leadership began    7.8053 kempten-1   leadership ended ...
+// A new leader that tells every entry all that there is loses its lease meanwhile, and so does the next one.
 
 // changeCase is a site by its entries; it has a group for four of them, and three upstreams for each.
 type changeCase struct{ entries int }
