Take a drained hall back in the soak when its faults have ended

Cause, from its notes: hall-0 was drained at 18.92 s, the faults ended at 22.76 s and with them the context of the order that takes it back, so half of the upstreams stayed drained for good, as the program was told. Change: that order has 30 s of its own.

--- a/soak/halls.go
+++ b/soak/halls.go
@@ -19,6 +19,8 @@
 const (
 	// hallBound is how long after a hall was drained requests may still reach its upstreams.
 	hallBound = 3 * time.Second
+	// backLimit is how long taking a hall back may take.
+	backLimit = 30 * time.Second
 	// coldFor is how long an upstream is cold after its start, coldRate what it takes then in a second.
 	coldFor  = 2 * time.Second
 	coldRate = 10.0
@@ -43,7 +45,10 @@
 		}
 		pause(ctx, lasts)
 		s.truth.endDrain(hall)
-		if s.orderHall(ctx, random, platform.TakeBackPath(hall)) {
+		// The hall is taken back also when the faults have ended meanwhile: what serves then is checked.
+		back, cancel := context.WithTimeout(context.WithoutCancel(ctx), backLimit)
+		defer cancel()
+		if s.orderHall(back, random, platform.TakeBackPath(hall)) {
 			s.notef("%s taken back", hall)
 		}
 		s.truth.forgetDrain(hall)
