--- a/relay/finish.go
+++ b/relay/finish.go
@@ -78,7 +78,6 @@
 	return retryNone
 }
 
-// closeIfLeaving tells the caller to open its next connection elsewhere.
 // closeIfLeaving lets the caller go elsewhere with its next request where this entry will not serve it.
 func (x *exchange) closeIfLeaving() {
 	if x.s.stopping.Load() || x.s.lapsesSoon() {
