Serve one of the bodies that fill the memory together

Bodies that are read at the same time can each hold a part of the bounded memory, and each was refused when it needed the rest, so that none of them was served. One body that has been read in part may now wait for memory, until the request's deadline, while the others are refused and give theirs back. A body of which nothing has been read, and one that is larger than all of the memory, are still refused at once.

The answer to a refused body could be lost: the connection was closed while the caller was still sending, and a reset discards what the caller has not read.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -31,6 +31,8 @@
 	// bodyTimedOut is set when the deadline passed before the body had arrived. net/http then cancels the request's context, as it does
 	// when the caller disconnects.
 	bodyTimedOut bool
+	// bodyRefused is set when the body was not read to its end because there was no memory for it.
+	bodyRefused bool
 	// content is the digest of path and body.
 	content   ident.ContentHash
 	requestID string
@@ -185,6 +187,7 @@
 	case errors.As(err, &tooLarge):
 		return result.New(result.TooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, errMemoryLimit):
+		x.bodyRefused = true
 		x.w.Header().Set("Connection", "close")
 		return result.Wrap(err, result.Overloaded, "no memory for the body")
 	case err != nil:
@@ -200,6 +203,10 @@
 	if x.r.ContentLength == 0 {
 		return nil, nil
 	}
+	if x.r.ContentLength > x.s.memory.maxBytes {
+		return nil, errMemoryLimit
+	}
+	defer x.s.memory.waiter.CompareAndSwap(x, nil)
 	control := http.NewResponseController(x.w)
 	// A connection without read deadlines is bounded only by how long the caller waits.
 	_ = control.SetReadDeadline(time.Now().Add(x.timeLeft()))
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -54,9 +54,10 @@
 		h.Set(x.s.Headers.RequestID, x.requestID)
 	}
 	h.Set("Content-Type", jsonContentType)
+	body := `{"result-code":` + strconv.Itoa(int(info.Code)) + `,"result":"` + info.Name + `","not-run":` + strconv.FormatBool(info.NotRun) + "}\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.status = info.Status
 	x.w.WriteHeader(info.Status)
-	body := `{"result-code":` + strconv.Itoa(int(info.Code)) + `,"result":"` + info.Name + `","not-run":` + strconv.FormatBool(info.NotRun) + "}\n"
 	if _, writeErr := io.WriteString(x.w, body); writeErr != nil {
 		x.attempts = append(x.attempts, Attempt{Result: "refusal not delivered: " + writeErr.Error()})
 	}
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -80,6 +80,60 @@
 	}
 }
 
+// Bodies without an announced length that are read at the same time take all of the memory in parts. Guards against refusing each of them
+// for its rest, so that none is served.
+func TestOneOfSlowChunkedBodiesIsServed(t *testing.T) {
+	const size, callers = 100 << 10, 6
+	u := newUpstream(t, always(respondComplete))
+	s := newTestEntry(t, []*upstream{u}, nil)
+	s.relay.SetMemoryLimit(callers * size / 2)
+	resume := make(chan struct{})
+	var wg sync.WaitGroup
+	statuses := make(chan int, callers)
+	for i := range callers {
+		wg.Go(func() {
+			r := s.request(http.MethodPost, "/safe/x", fmt.Sprint(i), "")
+			half := strings.Repeat("x", size/2)
+			r.Body = io.NopCloser(&slowBody{strings.NewReader(half), resume, strings.NewReader(half)})
+			r.ContentLength = -1
+			statuses <- s.do(r).Status
+		})
+	}
+	time.AfterFunc(100*time.Millisecond, func() { close(resume) })
+	wg.Wait()
+	close(statuses)
+	served := 0
+	for status := range statuses {
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	if served == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// A body that is larger than all of the memory is refused at once. Guards against reading, or waiting with, what cannot fit.
+func TestBodyAboveMemoryBoundIsRefusedAtOnce(t *testing.T) {
+	const bound = 100 << 10
+	u := newUpstream(t, always(respondComplete))
+	s := newTestEntry(t, []*upstream{u}, nil)
+	s.relay.SetMemoryLimit(bound)
+	for _, length := range []int64{bound + 1, -1} {
+		r := s.request(http.MethodPost, "/safe/x", fmt.Sprint(length), strings.Repeat("x", bound+1))
+		r.ContentLength = length
+		if got := s.do(r); got.Status != http.StatusServiceUnavailable {
+			t.Errorf("announced length %d: status %d, want %d", length, got.Status, http.StatusServiceUnavailable)
+		}
+	}
+	s.relay.Wait()
+	for _, r := range s.records {
+		if r.Code != result.Overloaded || r.Total > time.Second {
+			t.Errorf("code %d after %v, want %d at once", r.Code, r.Total, result.Overloaded)
+		}
+	}
+}
+
 // While the memory of answers is in use, further answers wait at their upstreams; all arrive complete.
 func TestMemoryOfSlowReadersIsBounded(t *testing.T) {
 	body := strings.Repeat("y", 300<<10)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -376,6 +376,8 @@
 		err = x.run()
 	}
 	x.finish(err)
+	x.releaseMemory()
+	x.discardBody()
 }
 
 // Wait returns when no request is in progress.
