Share the delay of first events among the entries of a site

Cause: an entry learns by how much first events are later than estimated from its own first events alone, each with a weight of 0.05, from 100 ms on. With a request for a model every two seconds it does not learn the delay within a minute, and refuses requests with a short aim while groups have free slots. The deviations that entries reported were measured against that wrong mean.

Change: an entry combines its own average, weighted by its decaying count of first events, with the site's from the leader's summary, weighted by the first events of the other entries but at most by 20, which is what the own average remembers. The site's average needs 8 samples and is used for 10 s after its summary; a new leader's empty summary does not replace it. Without one the own average decides, and its first samples weigh 1/2, 1/3 and so on down to 0.05. Reports carry the sum of squares in place of deviations, so that the leader computes the deviation from the site's mean. The leader ignores sums that cannot come from their count. TestDelayIsWeightedByFirstEvents now expects 0.8 of the standard deviation, 24 ms, where the mean deviation from 0 was 20 ms.

--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -227,7 +227,7 @@
 	}
 	firstAttemptAt := x.arrivedAt.Add(-x.priorElapsed)
 	x.idleFirstEvent = timing.FirstEvent(estimate.Load{}, x.prefillTokens())
-	x.dispatchDelay = x.s.dispatchDelayOf(x.model)
+	x.dispatchDelay = x.s.dispatchDelayOf(x.model, now)
 	meanDelay := x.dispatchDelay.mean
 	x.aimDeadline = firstAttemptAt.Add(max(x.route.Aim, x.idleFirstEvent+meanDelay+time.Duration(longPromptSlack*float64(x.route.Aim))) - meanDelay)
 }
--- a/relay/entry_update.go
+++ b/relay/entry_update.go
@@ -90,7 +90,7 @@
 	now := s.Now()
 	tokens := min(update.PromptTokens, maxPeerPromptTokens)
 	firstEvent := t.timing.FirstEvent(estimate.Load{PendingPrompt: ts.pendingTokensNow(now), Requests: ts.inflight}, tokens)
-	ts.peerPrompts = append(ts.peerPrompts, peerPrompt{tokens, now, now.Add(firstEvent + s.dispatchDelayOf(t.model).mean)})
+	ts.peerPrompts = append(ts.peerPrompts, peerPrompt{tokens, now, now.Add(firstEvent + s.dispatchDelayOf(t.model, now).mean)})
 	ts.notePromptSent(now)
 }
 
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
@@ -47,6 +49,21 @@
 	return t.id, t.hasCapacity
 }
 
+// LearnDelay adds the delay of one first event of a model.
+func LearnDelay(s *Relay, service ident.Service, model ident.Model, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learnDelay(queueKey{service, model}, delay, s.Now())
+}
+
+// DispatchDelay returns the mean dispatch delay of a model and the mean deviation.
+func DispatchDelay(s *Relay, model ident.Model) (mean, deviation time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.dispatchDelayOf(model, s.Now())
+	return d.mean, d.deviation
+}
+
 // IdleConnections returns the number of idle connections to an upstream.
 func IdleConnections(s *Relay, address string) int {
 	s.pool.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,8 +99,9 @@
 	states     map[ident.Incarnation]*targetState
 	peerCounts peerCounts
 	demand     map[ident.Model]Demand
-	// dispatchDelays is how much later than estimated first events arrive, by model.
-	dispatchDelays map[ident.Model]dispatchDelay
+	// dispatchDelays is how much later than estimated first events arrive at this entry, siteDelays at all entries, by model.
+	dispatchDelays map[ident.Model]ownDelay
+	siteDelays     map[ident.Model]siteDelay
 	// eventMargins are the learnt margins of further events by model, firstEventMargins those of first events.
 	eventMargins      map[ident.Model]*stall.Margin
 	firstEventMargins map[ident.Model]*stall.Margin
@@ -133,7 +134,7 @@
 		states:         map[ident.Incarnation]*targetState{},
 		peerCounts:     peerCounts{spillCredit: map[ident.Model]float64{}},
 		demand:         map[ident.Model]Demand{},
-		dispatchDelays: map[ident.Model]dispatchDelay{}, eventMargins: map[ident.Model]*stall.Margin{}, firstEventMargins: map[ident.Model]*stall.Margin{},
+		dispatchDelays: map[ident.Model]ownDelay{}, siteDelays: map[ident.Model]siteDelay{}, eventMargins: map[ident.Model]*stall.Margin{}, firstEventMargins: map[ident.Model]*stall.Margin{},
 		queues: map[queueKey]*overload.Queue[*queuedRequest]{}, limitRetryTimes: map[queueKey]time.Time{},
 		typicalWaits: map[ident.Class]*overload.TypicalWait{},
 		startSlots:   map[ident.Model]chan struct{}{},
--- a/relay/site_load.go
+++ b/relay/site_load.go
@@ -89,7 +89,9 @@
 func (s *Relay) SetSiteLoad(summary *siteload.Summary) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.siteLoad.summary, s.siteLoad.receivedAt = summary, s.Now()
+	now := s.Now()
+	s.siteLoad.summary, s.siteLoad.receivedAt = summary, now
+	s.setSiteDelays(summary, now)
 }
 
 // siteLoadOf returns the sums over all entries for a queue, nil while no fresh ones are known; the mutex is held.
--- a/siteload/report.go
+++ b/siteload/report.go
@@ -12,6 +12,7 @@
 // report in it, and an entry without a fresh one decides by its own counts.
 
 import (
+	"math"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -53,16 +54,39 @@
 // DelaySample sums by how much first events were later than estimated.
 type DelaySample struct {
 	Count int
-	// Sum is the sum of the delays, Deviation the sum of their absolute deviations from the mean that the entry expected.
-	Sum       time.Duration
-	Deviation time.Duration
+	// Sum is the sum of the delays, Squares that of their squares in ns²: the deviation follows from these sums, while one from the mean
+	// that each entry expected would be too large until all entries know the mean.
+	Sum     time.Duration
+	Squares float64
 }
 
-// Add adds one first event that was later than estimated by delay, while expected was the mean.
-func (d *DelaySample) Add(delay, expected time.Duration) {
+const (
+	// maxSampleDelay bounds a delay in both directions. A first event of a group that had stalled says nothing about the others.
+	maxSampleDelay = 300 * time.Millisecond
+	// maxSampleCount bounds the first events in one report, which are many times those of an entry in the time between two.
+	maxSampleCount = 100_000
+)
+
+// Add adds one first event that was later than estimated by delay.
+func (d *DelaySample) Add(delay time.Duration) {
+	if d.Count >= maxSampleCount {
+		return
+	}
+	delay = min(maxSampleDelay, max(-maxSampleDelay, delay))
 	d.Count++
 	d.Sum += delay
-	d.Deviation += (delay - expected).Abs()
+	d.Squares += float64(delay) * float64(delay)
+}
+
+// valid reports whether the sums can come from that many delays within the bounds.
+func (d *DelaySample) valid() bool {
+	if d.Count < 0 || d.Count > maxSampleCount {
+		return false
+	}
+	n, bound := float64(d.Count), float64(maxSampleDelay)
+	// The sum of squares is at least the square of the sum divided by the count; rounding may make it a little smaller.
+	minSquares := float64(d.Sum) * float64(d.Sum) * (1 - 1e-9)
+	return math.Abs(float64(d.Sum)) <= n*bound && d.Squares*n >= minSquares && d.Squares <= n*bound*bound*(1+1e-9)
 }
 
 // Summary holds the sums over all entries.
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -13,6 +13,8 @@
 	rateHalfLife = time.Second
 	// delayHalfLife is the half-life of the delays of first events, which depend on the engines and change rarely.
 	delayHalfLife = 10 * time.Second
+	// meanDeviation is the mean absolute deviation as a fraction of the standard deviation of a normal distribution.
+	meanDeviation = 0.8
 	// maxReportAge is the age from which the waiting requests of an entry no longer count.
 	maxReportAge = 1500 * time.Millisecond
 	// maxKeys bounds the keys that are kept, since callers may name any model; idleAfter is when a key without requests is dropped.
@@ -44,10 +46,10 @@
 	at                     time.Time
 }
 
-// delayState holds decaying sums of the delays of first events, in ns, at a point in time.
+// delayState holds decaying sums of the delays of first events, in ns, and of their squares at a point in time.
 type delayState struct {
-	count, sum, deviation float64
-	at                    time.Time
+	count, sum, squares float64
+	at                  time.Time
 }
 
 // Apply adds the counts that an entry reported.
@@ -113,12 +115,12 @@
 }
 
 func (d *delayState) add(now time.Time, sample DelaySample) {
-	f := remaining(now.Sub(d.at), delayHalfLife)
-	d.count, d.sum, d.deviation, d.at = d.count*f, d.sum*f, d.deviation*f, now
-	if sample.Count > 0 {
+	f := DelayWeight(now.Sub(d.at))
+	d.count, d.sum, d.squares, d.at = d.count*f, d.sum*f, d.squares*f, now
+	if sample.valid() {
 		d.count += float64(sample.Count)
 		d.sum += float64(sample.Sum)
-		d.deviation += float64(sample.Deviation)
+		d.squares += sample.Squares
 	}
 }
 
@@ -126,10 +128,14 @@
 	if d.count <= 0 {
 		return DelaySummary{}
 	}
-	return DelaySummary{
-		Mean: time.Duration(d.sum / d.count), Deviation: time.Duration(d.deviation / d.count),
-		Samples: d.count * remaining(now.Sub(d.at), delayHalfLife),
-	}
+	mean := d.sum / d.count
+	deviation := meanDeviation * math.Sqrt(max(0, d.squares/d.count-mean*mean))
+	return DelaySummary{Mean: time.Duration(mean), Deviation: time.Duration(deviation), Samples: d.count * DelayWeight(now.Sub(d.at))}
+}
+
+// DelayWeight returns the weight of a delay of that age, relative to a new one.
+func DelayWeight(age time.Duration) float64 {
+	return remaining(age, delayHalfLife)
 }
 
 // remaining returns the fraction of a sum that remains after a time.
