Estimate answers by the lengths of earlier ones

Cause: the work of a request is estimated by the caller's hint, or by the typical answer of the service. Neither is corrected by what was written, so the demand that the leader plans by is wrong by the factor that the hints are wrong by.

Change: package answerlen counts the lengths of complete streams and their ratios to the hints on a logarithmic scale, by class, customer and model, in at most 512 series with a half-life of two minutes. The expected answer is the mean over these counts, each bounded by the caller's maximum, and shrinks from a customer's series to those of the class and the model, and to the hint. It replaces the hint and the typical answer in the demand reported to the leader. Entries share the counts of classes through siteload: reports hold those since the last one, and a reply holds the sums of up to 16 classes every two seconds, further classes in turn. Invalid counts are ignored. A request with a maximum of 0 tokens now counts as one token, since a complete answer has at least one.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/answerlen"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
@@ -34,9 +35,10 @@
 	// content is the digest of path and body.
 	content   ident.ContentHash
 	requestID string
-	// promptTokens is the size of the prompt, answerTokens the expected size of the answer.
+	// promptTokens is the size of the prompt, answerTokens the expected size of the answer; answerSize is what the caller says of it.
 	promptTokens ident.Tokens
 	answerTokens ident.Tokens
+	answerSize   answerlen.Size
 	// dispatchDelay is by how much times to the first event exceed the estimate, as known when the request was queued.
 	dispatchDelay dispatchDelay
 	// priorElapsed is the estimated time that the caller spent on earlier requests. An estimated first event by aimDeadline is in time;
@@ -218,9 +220,10 @@
 	if x.service.Engine == nil {
 		return
 	}
-	x.promptTokens, x.answerTokens = x.tokenCounts()
+	x.promptTokens, x.answerSize = x.tokenCounts()
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
+	x.answerTokens = x.expectedAnswer(x.s.Now())
 	d := x.s.demand[x.model]
 	d.Requests++
 	d.Prompt += x.promptTokens
@@ -232,9 +235,9 @@
 // a very large count made the sum of its model's demand overflow to a negative number, and the leader plans by that sum.
 const maxClaimedTokens = 1 << 20
 
-// tokenCounts returns the prompt's tokens and the expected tokens of the answer: the caller's estimate, or the service's typical answer, but
-// no more than the caller allows. No count exceeds the capacity of an engine, which no larger request can use.
-func (x *exchange) tokenCounts() (prompt, answer ident.Tokens) {
+// tokenCounts returns the prompt's tokens and the size of the answer: the caller's estimate or the service's typical answer, and the maximum
+// that the caller allows. No count exceeds the capacity of an engine, which no larger request can use.
+func (x *exchange) tokenCounts() (prompt ident.Tokens, answer answerlen.Size) {
 	promptText, maxAnswerText, _ := strings.Cut(x.r.Header.Get(x.s.Headers.Tokens), ",")
 	capacity := ident.Tokens(maxClaimedTokens)
 	if x.service.Engine.KVCapacity > 0 {
@@ -242,12 +245,14 @@
 	}
 	prompt, _ = parseTokenCount(promptText, capacity)
 	maxAnswer, hasMax := parseTokenCount(maxAnswerText, capacity)
-	answer, hasEstimate := parseTokenCount(x.r.Header.Get(x.s.Headers.AnswerEstimate), capacity)
-	if !hasEstimate {
-		answer = x.service.Engine.TypicalSize.Answer
+	answer = answerlen.Size{Typical: x.service.Engine.TypicalSize.Answer, Max: capacity}
+	hint, hasHint := parseTokenCount(x.r.Header.Get(x.s.Headers.AnswerEstimate), capacity)
+	if hasHint {
+		answer.Hint, answer.Typical = hint, hint
 	}
 	if hasMax {
-		answer = min(answer, maxAnswer)
+		// A size with a maximum of 0 has none, and a complete answer has at least one token.
+		answer.Max = max(1, maxAnswer)
 	}
 	return prompt, answer
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/answerlen"
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -120,6 +121,8 @@
 	candidates candidates
 	// startSlots let the streams of a model that were held at the start continue one by one.
 	startSlots map[ident.Model]chan struct{}
+	// answerLengths holds the lengths of complete answers.
+	answerLengths answerlen.Estimator
 	// siteLoad holds the counts of this entry's requests and the sums over all entries.
 	siteLoad siteLoad
 }
--- a/relay/site_load.go
+++ b/relay/site_load.go
@@ -72,7 +72,7 @@
 			s.countsOf(key).level(queued.Value.x.urgency()).Waiting++
 		})
 	}
-	report := &siteload.Report{}
+	report := &siteload.Report{Answers: s.answerLengths.TakeReport()}
 	for key, c := range s.siteLoad.counts {
 		r := siteload.QueueReport{Key: key.loadKey(), FirstEvents: c.firstEvents}
 		for _, l := range c.levels {
@@ -92,6 +92,9 @@
 	now := s.Now()
 	s.siteLoad.summary, s.siteLoad.receivedAt = summary, now
 	s.setSiteDelays(summary, now)
+	if summary != nil && summary.Answers != nil {
+		s.answerLengths.SetSite(now, summary.Answers)
+	}
 }
 
 // siteLoadOf returns the sums over all entries for a queue, nil while no fresh ones are known; the mutex is held.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -90,6 +90,7 @@
 		f.conn.Close()
 		return f.brokenOutcome(err)
 	}
+	f.x.learnAnswerLength()
 	f.returnConn(resp)
 	return outcomeDone
 }
--- a/site/calls.go
+++ b/site/calls.go
@@ -299,7 +299,7 @@
 	if call.Entry {
 		now := clock.Now()
 		reply.Totals = r.encodedTotals(now)
-		reply.Load = r.siteLoad(now)
+		reply.Load = r.siteLoad(now, call.From)
 		r.fillLists(now, call, &reply)
 	}
 	c.fillCommitted(call, &reply)
--- a/site/entries.go
+++ b/site/entries.go
@@ -18,6 +18,8 @@
 	calledAt time.Time
 	hall     ident.Hall
 	observed []relay.Observation
+	// answersSentAt is when the lengths of all entries' answers were last returned to the entry.
+	answersSentAt time.Time
 }
 
 // groupObservations merges what all entries observed of each group; the mutex is held.
@@ -77,7 +79,11 @@
 	if previous == nil || previous.hall != call.Hall {
 		r.lists.stale = true
 	}
-	r.entries[call.From] = &entryState{now, call.Hall, call.Seen}
+	state := &entryState{calledAt: now, hall: call.Hall, observed: call.Seen}
+	if previous != nil {
+		state.answersSentAt = previous.answersSentAt
+	}
+	r.entries[call.From] = state
 	r.configRollout.noteVersion(now, call.From, call.Version)
 	r.drainRollout.noteVersion(now, call.From, call.Drains)
 	r.slowdowns.addGaps(now, call.Seen)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/siteload"
 	"github.com/dunlinquay/dunlinquay/unread"
 )
 
@@ -156,6 +157,11 @@
 	return r.control, r
 }
 
+// SiteLoad returns the sums of what all entries counted, for the reply to an entry.
+func (r Leadership) SiteLoad(now time.Time, entry string) *siteload.Summary {
+	return r.siteLoad(now, entry)
+}
+
 // BackedOff reports whether a backoff that an upstream requested from the daemon is in effect.
 func (c *Control) BackedOff(id ident.Incarnation) bool { return c.backedOff(id) }
 
--- a/siteload/report.go
+++ b/siteload/report.go
@@ -15,6 +15,7 @@
 	"math"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/answerlen"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -30,6 +31,8 @@
 // Report holds what one entry counted.
 type Report struct {
 	Queues []QueueReport
+	// Answers are the lengths of the answers since the last report.
+	Answers []answerlen.Sample
 }
 
 // QueueReport holds the counts of the requests with one key.
@@ -92,6 +95,8 @@
 // Summary holds the sums over all entries.
 type Summary struct {
 	Queues []QueueSummary
+	// Answers are the lengths of the answers of all entries, nil in most summaries; see Table.Answers.
+	Answers []answerlen.Sample
 }
 
 // Queue returns the sums for a key, nil if no entry reported any requests.
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/answerlen"
 )
 
 const (
@@ -26,6 +28,7 @@
 type Table struct {
 	waiting map[string]waitingReport
 	queues  map[Key]*queueState
+	answers answerlen.Sums
 }
 
 // waitingReport holds the waiting requests of one entry at its last report.
@@ -57,6 +60,7 @@
 	if t.waiting == nil {
 		t.waiting, t.queues = map[string]waitingReport{}, map[Key]*queueState{}
 	}
+	t.answers.Add(now, report.Answers)
 	latest := waitingReport{now, map[Key][]LevelReport{}}
 	for i := range report.Queues {
 		r := &report.Queues[i]
@@ -143,6 +147,12 @@
 	return math.Exp2(-float64(max(0, elapsed)) / float64(halfLife))
 }
 
+// Answers returns the lengths of the answers of all entries. They change slowly, so each entry needs them only once in
+// answerlen.SummaryInterval.
+func (t *Table) Answers(now time.Time) []answerlen.Sample {
+	return t.answers.Summary(now)
+}
+
 // Summary returns the sums over all entries.
 func (t *Table) Summary(now time.Time) *Summary {
 	s := &Summary{}
