--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/answerlen"
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -99,8 +100,9 @@
 	states     map[ident.Incarnation]*targetState
 	peerCounts peerCounts
 	demand     map[ident.Model]Demand
-	// dispatchDelays is how much later than estimated first events arrive, by model.
-	dispatchDelays map[ident.Model]dispatchDelay
+	// dispatchDelays is how much later than estimated first events arrive at this entry, siteDelays at all entries, by model.
+	dispatchDelays map[ident.Model]ownDelay
+	siteDelays     map[ident.Model]siteDelay
 	// eventMargins are the learnt margins of further events by model, firstEventMargins those of first events.
 	eventMargins      map[ident.Model]*stall.Margin
 	firstEventMargins map[ident.Model]*stall.Margin
@@ -119,6 +121,8 @@
 	candidates candidates
 	// startSlots let the streams of a model that were held at the start continue one by one.
 	startSlots map[ident.Model]chan struct{}
+	// answerLengths holds the lengths of complete answers.
+	answerLengths answerlen.Estimator
 	// siteLoad holds the counts of this entry's requests and the sums over all entries.
 	siteLoad siteLoad
 }
@@ -133,7 +137,7 @@
 		states:         map[ident.Incarnation]*targetState{},
 		peerCounts:     peerCounts{spillCredit: map[ident.Model]float64{}},
 		demand:         map[ident.Model]Demand{},
-		dispatchDelays: map[ident.Model]dispatchDelay{}, eventMargins: map[ident.Model]*stall.Margin{}, firstEventMargins: map[ident.Model]*stall.Margin{},
+		dispatchDelays: map[ident.Model]ownDelay{}, siteDelays: map[ident.Model]siteDelay{}, eventMargins: map[ident.Model]*stall.Margin{}, firstEventMargins: map[ident.Model]*stall.Margin{},
 		queues: map[queueKey]*overload.Queue[*queuedRequest]{}, limitRetryTimes: map[queueKey]time.Time{},
 		typicalWaits: map[ident.Class]*overload.TypicalWait{},
 		startSlots:   map[ident.Model]chan struct{}{},
