Order requests by urgency over all entries and keep capacity for the more urgent

An entry of a large site sees a request of a model every second or two, so the order of its own queue decides almost nothing: less urgent requests, which have more time, took the capacity that urgent requests at other entries needed a moment later, and the engine treated the prompts of all routes alike.

Where routes of a service differ in priority, the queue now orders by urgency before rank, a retry ranks by its first arrival, and a less urgent request leaves capacity for the more urgent ones that are expected until its first event. Entries report prompt sizes and aims of each urgency and learn when requests last arrived, were sent and were refused. The priority at the engine includes that of the route. Elsewhere nothing changes.

--- a/httproute/table.go
+++ b/httproute/table.go
@@ -23,7 +23,7 @@
 	routesByHost      map[string][]prefixedRoute
 	services          map[ident.Service]*Service
 	customerByKeyHash map[string]*Customer
-	urgentServices    map[ident.Service]bool
+	routePriorities   map[ident.Service]priorityRange
 }
 
 // NewTable returns an index of cfg, which must have passed Check and must not change afterwards.
@@ -33,7 +33,7 @@
 		routesByHost:      map[string][]prefixedRoute{},
 		services:          map[ident.Service]*Service{},
 		customerByKeyHash: map[string]*Customer{},
-		urgentServices:    urgentServices(cfg),
+		routePriorities:   routePriorities(cfg),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
--- a/httproute/urgency.go
+++ b/httproute/urgency.go
@@ -18,22 +18,32 @@
 
 // HasUrgencies reports whether routes to a service have different priorities, so that its requests are ordered by urgency.
 func (t *Table) HasUrgencies(service ident.Service) bool {
-	return t.urgentServices[service]
+	p := t.routePriorities[service]
+	return p.first != p.last
 }
 
-// urgentServices returns the services whose routes have different priorities.
-func urgentServices(cfg *Config) map[ident.Service]bool {
-	first := map[ident.Service]int{}
-	differ := map[ident.Service]bool{}
+// HighestPriority returns the lowest number among the priorities of the routes to a service.
+func (t *Table) HighestPriority(service ident.Service) int {
+	return t.routePriorities[service].first
+}
+
+// priorityRange holds the lowest and the highest number among the priorities of routes.
+type priorityRange struct {
+	first, last int
+}
+
+// routePriorities returns the priorities of the routes to each service.
+func routePriorities(cfg *Config) map[ident.Service]priorityRange {
+	ranges := map[ident.Service]priorityRange{}
 	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		for _, share := range r.Split {
-			priority, ok := first[share.Service]
+		priority := cfg.Routes[i].Priority
+		for _, share := range cfg.Routes[i].Split {
+			p, ok := ranges[share.Service]
 			if !ok {
-				first[share.Service] = r.Priority
+				p = priorityRange{priority, priority}
 			}
-			differ[share.Service] = differ[share.Service] || ok && priority != r.Priority
+			ranges[share.Service] = priorityRange{min(p.first, priority), max(p.last, priority)}
 		}
 	}
-	return differ
+	return ranges
 }
--- a/overload/queue.go
+++ b/overload/queue.go
@@ -1,7 +1,8 @@
 package overload
 
 // A queue holds the requests for one model that find no capacity. Each dispatch
-// offers them to the groups, rank by rank:
+// offers them to the groups: started requests first, then one urgency after the
+// other, and within an urgency rank by rank:
 //
 //	started        first in, first out
 //	in time        earliest due time first; a request that fits nowhere does not
@@ -25,8 +26,11 @@
 //   - Callers that retry too often only compete for that share.
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/siteload"
 )
 
 const (
@@ -54,14 +58,35 @@
 
 // Queue holds the requests that wait for the groups of one model; it is not safe for concurrent use.
 type Queue[T any] struct {
-	byRank [rankCount][]*Queued[T]
-	// noLateCapacity is the period without capacity for late requests, refusals the period in which requests are refused.
+	// Floor is the fraction of the send rate that less urgent requests keep while more urgent ones wait; it is set before use.
+	Floor float64
+	// Phase returns a random number from 0 to below 1, at which the floor credit starts, so that entries do not all use theirs at the same
+	// time; it is set before use, and without it the credit starts at 0.
+	Phase func() float64
+
+	// levels hold the requests by urgency, most urgent first.
+	levels []*level[T]
+	site   Site
+	// refusals is the period in which requests are refused.
+	refusals Period
+	// offered is the level whose requests are being offered.
+	offered *level[T]
+}
+
+// level holds the waiting requests of one urgency.
+type level[T any] struct {
+	urgency siteload.Urgency
+	byRank  [rankCount][]*Queued[T]
+	// noLateCapacity is the period without capacity for late requests.
 	noLateCapacity Period
-	refusals       Period
 	// finalAttemptCredit is the capacity reserved for final attempts so far, in requests.
 	finalAttemptCredit float64
 	// rates are the send rates of the ranks.
 	rates [rankCount]rate
+	// activity is what this entry saw of requests of this urgency, floor what these may send while more urgent ones wait.
+	activity activity
+	floor    floorCredit
+	claim    Claim
 }
 
 // rate is a smoothed number of events per second at a point in time.
@@ -81,20 +106,39 @@
 	return r.perSecond * max(0, 1-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
 
+// level returns the level of an urgency.
+func (q *Queue[T]) level(u siteload.Urgency) *level[T] {
+	i, found := slices.BinarySearchFunc(q.levels, u, func(l *level[T], u siteload.Urgency) int { return cmp.Compare(l.urgency, u) })
+	if !found {
+		q.levels = slices.Insert(q.levels, i, &level[T]{urgency: u})
+	}
+	return q.levels[i]
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int {
 	n := 0
-	for _, waiting := range q.byRank {
+	for _, l := range q.levels {
+		n += l.len()
+	}
+	return n
+}
+
+func (l *level[T]) len() int {
+	n := 0
+	for _, waiting := range l.byRank {
 		n += len(waiting)
 	}
 	return n
 }
 
-// Each calls visit for each waiting request, in order.
+// Each calls visit for each waiting request, by urgency and rank.
 func (q *Queue[T]) Each(visit func(queued *Queued[T])) {
-	for _, waiting := range q.byRank {
-		for _, queued := range waiting {
-			visit(queued)
+	for _, l := range q.levels {
+		for _, waiting := range l.byRank {
+			for _, queued := range waiting {
+				visit(queued)
+			}
 		}
 	}
 }
@@ -102,13 +146,15 @@
 // Add queues a request.
 func (q *Queue[T]) Add(now time.Time, r Request, value T) *Queued[T] {
 	queued := &Queued[T]{Request: r, Value: value}
-	q.insert(now, queued)
+	l := q.level(r.Urgency)
+	l.activity.noteArrival(now, r.Needs)
+	l.insert(now, queued)
 	return queued
 }
 
-func (q *Queue[T]) insert(now time.Time, queued *Queued[T]) {
+func (l *level[T]) insert(now time.Time, queued *Queued[T]) {
 	queued.rank = queued.Rank(now)
-	waiting := q.byRank[queued.rank]
+	waiting := l.byRank[queued.rank]
 	key := queued.sortKey()
 	i, _ := slices.BinarySearchFunc(waiting, key, func(other *Queued[T], key time.Time) int {
 		if other.sortKey().After(key) {
@@ -116,28 +162,37 @@
 		}
 		return -1 // requests with equal keys keep their order of arrival
 	})
-	q.byRank[queued.rank] = slices.Insert(waiting, i, queued)
+	l.byRank[queued.rank] = slices.Insert(waiting, i, queued)
 }
 
 // sortKey is the time by which the requests of a rank are sorted.
 func (w *Queued[T]) sortKey() time.Time {
-	if w.rank == InTime {
+	switch {
+	case w.rank == InTime:
 		return w.Due
+	case w.rank != Started && !w.FirstArrival.IsZero():
+		return w.FirstArrival
 	}
 	return w.QueuedAt
 }
 
 // Remove drops a request that no longer waits.
 func (q *Queue[T]) Remove(queued *Queued[T]) {
-	waiting := q.byRank[queued.rank]
+	l := q.level(queued.Urgency)
+	waiting := l.byRank[queued.rank]
 	if i := slices.Index(waiting, queued); i >= 0 {
-		q.byRank[queued.rank] = slices.Delete(waiting, i, i+1)
+		l.byRank[queued.rank] = slices.Delete(waiting, i, i+1)
 	}
 }
 
-// NoteCapacity notes that a group had capacity for a late request.
+// NoteCapacity notes that a group had capacity for a late request: one of the urgency that is being offered, or else of any.
 func (q *Queue[T]) NoteCapacity() {
-	q.noLateCapacity.Reset()
+	for _, l := range q.levels {
+		l.noLateCapacity.Reset()
+		if l == q.offered {
+			return
+		}
+	}
 }
 
 // RetryAfter returns the time after which the caller of a request that is refused now should retry.
@@ -148,58 +203,93 @@
 // Dispatch offers the waiting requests to the groups in order and refuses those that have no chance. Send reports whether it sent or
 // ended the request; capacityRank is the rank whose capacity the request may use. Neither function may change the queue.
 func (q *Queue[T]) Dispatch(now time.Time, send func(queued *Queued[T], capacityRank Rank) bool, refuse func(queued *Queued[T])) {
-	q.demoteLate(now)
-	for rank := range Rank(rankCount) {
-		q.refuseIf(rank, refuse, func(_ int, queued *Queued[T]) bool { return now.After(queued.Expires) })
+	for _, l := range q.levels {
+		l.demoteLate(now)
+		for rank := range Rank(rankCount) {
+			l.refuseIf(now, rank, refuse, func(_ int, queued *Queued[T]) bool { return now.After(queued.Expires) })
+		}
+	}
+	for i, l := range q.levels {
+		if i == 0 {
+			q.offerReserved(now, l, send)
+		}
+		q.offer(now, l, Started, Started, len(l.byRank[Started]), send)
+	}
+	for i, l := range q.levels {
+		if l.len() == 0 {
+			continue
+		}
+		l.claim = q.claimOf(now, i)
+		if i > 0 {
+			q.offerReserved(now, l, send)
+		}
+		q.offerRanks(now, l, send)
 	}
-	if q.finalAttemptCredit >= 1 && q.offer(now, FinalAttempt, FinalAttempt, 1, send) > 0 {
-		q.finalAttemptCredit--
+	for _, l := range q.levels {
+		l.refuseHopeless(now, refuse)
 	}
-	for rank := range Rank(rankCount) {
+}
+
+// offerReserved offers the capacity that is reserved for final attempts.
+func (q *Queue[T]) offerReserved(now time.Time, l *level[T], send func(queued *Queued[T], capacityRank Rank) bool) {
+	if l.finalAttemptCredit >= 1 && q.offer(now, l, FinalAttempt, FinalAttempt, 1, send) > 0 {
+		l.finalAttemptCredit--
+	}
+}
+
+// offerRanks offers the requests of one urgency that have not started, rank by rank.
+func (q *Queue[T]) offerRanks(now time.Time, l *level[T], send func(queued *Queued[T], capacityRank Rank) bool) {
+	for rank := InTime; rank < Rank(rankCount); rank++ {
 		capacityRank := rank
 		if rank == FinalAttempt {
 			capacityRank = Late
 		}
-		sent := q.offer(now, rank, capacityRank, len(q.byRank[rank]), send)
-		if rank == InTime && len(q.byRank[FinalAttempt]) > 0 {
-			q.finalAttemptCredit = min(1, q.finalAttemptCredit+float64(sent)*finalAttemptShare)
+		sent := q.offer(now, l, rank, capacityRank, len(l.byRank[rank]), send)
+		if rank == InTime && len(l.byRank[FinalAttempt]) > 0 {
+			l.finalAttemptCredit = min(1, l.finalAttemptCredit+float64(sent)*finalAttemptShare)
 		}
 	}
-	if q.Len() == 0 {
+}
+
+// refuseHopeless refuses the requests that have no chance, after all were offered.
+func (l *level[T]) refuseHopeless(now time.Time, refuse func(queued *Queued[T])) {
+	if l.len() == 0 {
 		return
 	}
-	fullFor := q.noLateCapacity.Extend(now)
-	q.refuseIf(FinalAttempt, refuse, func(position int, queued *Queued[T]) bool {
-		return q.hopeless(FinalAttempt, position, queued.Expires.Sub(now), now)
+	fullFor := l.noLateCapacity.Extend(now)
+	l.refuseIf(now, FinalAttempt, refuse, func(position int, queued *Queued[T]) bool {
+		return l.hopeless(FinalAttempt, position, queued.Expires.Sub(now), now)
 	})
 	if fullFor > lateRefusalDelay {
-		q.refuseIf(Late, refuse, func(int, *Queued[T]) bool { return true })
+		l.refuseIf(now, Late, refuse, func(int, *Queued[T]) bool { return true })
 	}
 	if fullFor > rateWindow {
-		q.refuseIf(InTime, refuse, func(position int, queued *Queued[T]) bool {
-			return q.hopeless(InTime, position, queued.Due.Sub(now), now)
+		l.refuseIf(now, InTime, refuse, func(position int, queued *Queued[T]) bool {
+			return l.hopeless(InTime, position, queued.Due.Sub(now), now)
 		})
 	}
 }
 
 // demoteLate moves requests that can no longer be in time to their next rank.
-func (q *Queue[T]) demoteLate(now time.Time) {
-	waiting := q.byRank[InTime]
+func (l *level[T]) demoteLate(now time.Time) {
+	waiting := l.byRank[InTime]
 	lateCount := 0
 	for lateCount < len(waiting) && waiting[lateCount].Rank(now) != InTime {
 		lateCount++
 	}
 	for _, queued := range waiting[:lateCount] {
-		q.insert(now, queued)
+		l.insert(now, queued)
 	}
-	q.byRank[InTime] = slices.Delete(waiting, 0, lateCount)
+	l.byRank[InTime] = slices.Delete(waiting, 0, lateCount)
 }
 
 // offer offers the requests of a rank in order, with the capacity of capacityRank, until maxSent are sent, and returns how many were.
-func (q *Queue[T]) offer(now time.Time, rank, capacityRank Rank, maxSent int, send func(queued *Queued[T], capacityRank Rank) bool) int {
-	waiting := q.byRank[rank]
+func (q *Queue[T]) offer(now time.Time, l *level[T], rank, capacityRank Rank, maxSent int, send func(queued *Queued[T], capacityRank Rank) bool) int {
+	waiting := l.byRank[rank]
 	remaining := waiting[:0]
 	sent, failed := 0, 0
+	q.offered = l
+	defer func() { q.offered = nil }()
 	for i, queued := range waiting {
 		if sent == maxSent || failed == maxFailedOffers && rank != InTime {
 			remaining = append(remaining, waiting[i:]...)
@@ -213,30 +303,32 @@
 		remaining = append(remaining, queued)
 	}
 	clear(waiting[len(remaining):])
-	q.byRank[rank] = remaining
+	l.byRank[rank] = remaining
 	if sent > 0 {
-		q.rates[rank].add(now, sent)
+		l.rates[rank].add(now, sent)
+		q.noteSent(now, l, sent)
 	}
 	return sent
 }
 
 // hopeless reports whether a request at that position of a rank has no chance: at the present rate, those ahead of it are not sent
 // in the time that it has left.
-func (q *Queue[T]) hopeless(rank Rank, position int, timeLeft time.Duration, now time.Time) bool {
-	return position >= alwaysQueued && float64(position) > q.rates[rank].valueAt(now)*timeLeft.Seconds()
+func (l *level[T]) hopeless(rank Rank, position int, timeLeft time.Duration, now time.Time) bool {
+	return position >= alwaysQueued && float64(position) > l.rates[rank].valueAt(now)*timeLeft.Seconds()
 }
 
 // refuseIf refuses the requests of a rank for which mustRefuse returns true.
-func (q *Queue[T]) refuseIf(rank Rank, refuse func(queued *Queued[T]), mustRefuse func(position int, queued *Queued[T]) bool) {
-	waiting := q.byRank[rank]
+func (l *level[T]) refuseIf(now time.Time, rank Rank, refuse func(queued *Queued[T]), mustRefuse func(position int, queued *Queued[T]) bool) {
+	waiting := l.byRank[rank]
 	remaining := waiting[:0]
 	for _, queued := range waiting {
 		if mustRefuse(len(remaining), queued) {
+			l.activity.refusedAt = now
 			refuse(queued)
 			continue
 		}
 		remaining = append(remaining, queued)
 	}
 	clear(waiting[len(remaining):])
-	q.byRank[rank] = remaining
+	l.byRank[rank] = remaining
 }
--- a/overload/rank.go
+++ b/overload/rank.go
@@ -1,6 +1,10 @@
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/siteload"
+)
 
 // Rank orders waiting requests; lower ranks are sent first.
 type Rank int
@@ -21,8 +25,12 @@
 
 // Request holds the properties of a request by which it is queued.
 type Request struct {
+	// Urgency orders requests before all else, except that started requests go first; lower values are more urgent.
+	Urgency siteload.Urgency
 	// QueuedAt is when the request was queued.
 	QueuedAt time.Time
+	// FirstArrival is when its caller made its first attempt; it replaces QueuedAt in the order of late requests unless it is zero.
+	FirstArrival time.Time
 	// Due is the latest time at which it can be sent to an idle group and still be in time.
 	Due time.Time
 	// Expires is the latest time at which it can be sent and be answered before its caller gives up.
@@ -30,6 +38,8 @@
 	// Started and FinalAttempt are set for requests that the ranks of these names describe.
 	Started      bool
 	FinalAttempt bool
+	// Needs are what a request of this kind needs from a group.
+	Needs Needs
 }
 
 // LatestSend returns the latest time at which sending is worthwhile; a request whose caller will not retry is also sent late.
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -121,12 +121,12 @@
 	key := x.queueKey()
 	q := s.queues[key]
 	if q == nil {
-		q = &overload.Queue[*queuedRequest]{}
+		q = &overload.Queue[*queuedRequest]{Floor: s.UrgencyFloor, Phase: s.randomFraction}
 		s.queues[key] = q
 	}
-	s.countsOf(key).level(x.urgency()).Arrived++
+	s.countsOf(key).noteArrival(x)
 	queued := q.Add(now, x.queueRequest(now), req)
-	s.dispatchQueue(q, now)
+	s.dispatchQueue(key, q, now)
 	if !s.dispatchScheduled && q.Len() > 0 {
 		s.dispatchScheduled = true
 		time.AfterFunc(queueCheckInterval, s.offerPeriodically)
@@ -146,8 +146,8 @@
 	defer s.mu.Unlock()
 	now := s.Now()
 	remaining := 0
-	for _, q := range s.queues {
-		s.dispatchQueue(q, now)
+	for key, q := range s.queues {
+		s.dispatchQueue(key, q, now)
 		remaining += q.Len()
 	}
 	s.dispatchScheduled = remaining > 0
@@ -157,7 +157,8 @@
 }
 
 // dispatchQueue offers the requests in q to the groups and refuses those that cannot be sent in time; the mutex is held.
-func (s *Relay) dispatchQueue(q *overload.Queue[*queuedRequest], now time.Time) {
+func (s *Relay) dispatchQueue(key queueKey, q *overload.Queue[*queuedRequest], now time.Time) {
+	q.SetSite(now, s.siteOf(key, now))
 	// leastLoaded is computed once a request has found no capacity; later requests that would be late even there are not scored at all
 	// targets.
 	var leastLoaded candidate
@@ -168,7 +169,7 @@
 			!x.leavesCapacity(leastLoaded.target, leastLoaded.knownLoad) {
 			return false
 		}
-		chosen, err := s.chooseUntil(x, rank, queued.LatestSend(), now)
+		chosen, err := s.chooseWithin(q, queued, rank, now)
 		switch code := result.CodeOf(err); {
 		case chosen.mustWait:
 		case err == nil && chosen.hasCapacity:
@@ -246,7 +247,35 @@
 	// A request that lost time at a crashed or stalled group ranks as a final attempt: it is not refused at once like other late requests.
 	// It does not rank before requests that can be in time, since that would make those late when all groups are full.
 	finalAttempt := x.heldAtStart || x.priorElapsed >= returningElapsed || x.displaced
-	return overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt}
+	r := overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt}
+	if x.table.HasUrgencies(x.service.Name) {
+		r.Urgency, r.FirstArrival = x.urgency(), x.arrivedAt.Add(-x.priorElapsed)
+		r.Needs = overload.Needs{Prompt: x.prefillTokens(), Aim: x.route.Aim, GapAim: x.route.GapAim}
+	}
+	return r
+}
+
+// randomFraction returns a random number from 0 to below 1.
+func (s *Relay) randomFraction() float64 {
+	const steps = 1 << 16
+	return float64(s.RandomInt(steps)) / steps
+}
+
+// chooseWithin chooses a group with capacity that the request may use beside more urgent ones, or else by the floor; the mutex is held.
+func (s *Relay) chooseWithin(q *overload.Queue[*queuedRequest], queued *overload.Queued[*queuedRequest], rank overload.Rank, now time.Time) (choice, error) {
+	x := queued.Value.x
+	x.claim = q.Claim(now, queued)
+	chosen, err := s.chooseUntil(x, rank, queued.LatestSend(), now)
+	useFloor := x.claim.Floor && err == nil && !chosen.mustWait && !chosen.hasCapacity
+	x.claim = overload.Claim{}
+	if !useFloor {
+		return chosen, err
+	}
+	chosen, err = s.chooseUntil(x, rank, queued.LatestSend(), now)
+	if err == nil && !chosen.mustWait && chosen.hasCapacity {
+		q.UseFloor(queued)
+	}
+	return chosen, err
 }
 
 // hasProgress reports whether a refusal would waste work of an upstream, or events that the caller has received.
@@ -265,6 +294,9 @@
 // hasCapacityAt reports whether t, at a known load, has capacity for a request of that rank. A late request must leave capacity for others.
 // A final attempt may use the capacity for requests in time when package overload offers the request with that rank.
 func (x *exchange) hasCapacityAt(t *target, rank overload.Rank, load estimate.Load, firstEvent time.Duration, now time.Time) bool {
+	if x.claim.Restricts() && !x.leavesClaim(t, load) {
+		return false
+	}
 	if firstEvent == 0 || x.route.GapAim == 0 || load.PendingPrompt == 0 && load.Requests < t.slots || x.eventCount > 0 {
 		return true
 	}
@@ -282,6 +314,29 @@
 	return iteration <= x.route.GapAim && !now.Add(firstEvent+x.dispatchDelay.deviation).After(latest)
 }
 
+// leavesClaim reports whether t, with this request, has capacity for the more urgent requests that arrive until its first event. An idle
+// group always has.
+func (x *exchange) leavesClaim(t *target, load estimate.Load) bool {
+	if load.Requests == 0 && load.PendingPrompt == 0 {
+		return true
+	}
+	if x.claim.Contended {
+		return false
+	}
+	needs := &x.claim.Reserve
+	delay := x.dispatchDelay.mean + x.dispatchDelay.deviation
+	// An aim that an idle group does not meet is extended as in setAimDeadline.
+	aim := max(needs.Aim, t.timing.FirstEvent(estimate.Load{}, needs.Prompt)+x.dispatchDelay.mean+time.Duration(longPromptSlack*float64(needs.Aim)))
+	load.PendingPrompt += x.prefillTokens()
+	load.Requests++
+	firstEvent := t.timing.FirstEvent(load, 0)
+	expected := needs.Rate * firstEvent.Seconds() / float64(len(x.s.index.targets(x.service, x.model)))
+	load.PendingPrompt += ident.Tokens(expected * float64(needs.Prompt))
+	load.Requests += int(expected)
+	return load.Requests < t.slots && t.timing.FirstEvent(load, needs.Prompt)+delay <= aim &&
+		(needs.GapAim == 0 || t.timing.IterationTime(load.PendingPrompt+needs.Prompt, load.Requests+1) <= needs.GapAim)
+}
+
 // leavesCapacity reports whether t would have capacity left for other requests beside this one.
 func (x *exchange) leavesCapacity(t *target, load estimate.Load) bool {
 	// The first event takes one and a half iterations on average: half of the running one and the whole next one.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/overload"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/result"
 )
@@ -45,6 +46,8 @@
 	aimDeadline     time.Time
 	idleFirstEvent  time.Duration
 	callerWaitStart time.Time
+	// claim is what the request must leave to more urgent ones, while a target is being chosen for it.
+	claim overload.Claim
 	// pendingTokens are the prompt tokens that count as pending at the target of the current attempt.
 	pendingTokens ident.Tokens
 
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -53,6 +53,7 @@
 type sequence struct {
 	body       string
 	prompt     int
+	events     int
 	eventsLeft int
 	event      chan int
 	// crashed is closed when the engine crashes.
@@ -121,7 +122,7 @@
 	defer e.mu.Unlock()
 	var running []*sequence
 	for _, seq := range e.decoding {
-		seq.event <- floodEvents - seq.eventsLeft + 1
+		seq.event <- seq.events - seq.eventsLeft + 1
 		seq.eventsLeft--
 		if seq.eventsLeft > 0 {
 			running = append(running, seq)
@@ -190,7 +191,8 @@
 		if err != nil {
 			return
 		}
-		seq := &sequence{string(body), prompt, floodEvents, make(chan int, floodEvents), make(chan struct{})}
+		events := eventsOf(r)
+		seq := &sequence{string(body), prompt, events, events, make(chan int, events), make(chan struct{})}
 		e.mu.Lock()
 		if e.down {
 			e.mu.Unlock()
@@ -215,9 +217,18 @@
 	}
 }
 
+// eventsOf returns the number of events that a request asks for: the estimate of its answer in tokens, five for each event.
+func eventsOf(r *http.Request) int {
+	tokens, err := strconv.Atoi(r.Header.Get("Estimate"))
+	if err != nil {
+		return floodEvents
+	}
+	return max(1, tokens/5)
+}
+
 func (s *sequence) write(c net.Conn, r *http.Request) bool {
 	out := answerHead(r, 200, signature, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-	for range floodEvents {
+	for range s.events {
 		var number int
 		select {
 		case number = <-s.event:
@@ -226,7 +237,7 @@
 		}
 		chunk := eventText(number, number)
 		out += fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
-		if number == floodEvents {
+		if number == s.events {
 			out += "0\r\n\r\n"
 		}
 		if _, err := io.WriteString(c, out); err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,8 @@
 	keyLapseMargin = 2500 * time.Millisecond
 	// staleConfigAge is the age of the leader's newest confirmation from which an unknown route or key can be one that was added since.
 	staleConfigAge = 1500 * time.Millisecond
+	// defaultUrgencyFloor leaves callers of less urgent requests some progress, and three quarters of the capacity to more urgent ones.
+	defaultUrgencyFloor = 0.25
 )
 
 // Relay forwards callers' requests to upstreams; exported fields are set before it serves.
@@ -74,6 +76,8 @@
 	Limits *ratelimit.Limiter[ident.Incarnation]
 	// Unrecognized holds the unrecognized headers of upstreams' answers.
 	Unrecognized *unread.List[ident.Incarnation]
+	// UrgencyFloor is the fraction of the send rate that less urgent requests keep while more urgent ones wait.
+	UrgencyFloor float64
 	// RandomInt returns a random number below n.
 	RandomInt func(n int) int
 
@@ -127,7 +131,8 @@
 func New(names HeaderNames, dial transport.Dial) *Relay {
 	s := &Relay{
 		Headers: names, Dial: dial, Now: clock.Now, Observe: func(*Record) {}, SendUpdate: func(EntryUpdate, []string) {}, RandomInt: rand.IntN,
-		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()}, OnQuarantine: func(*QuarantineEvent) {},
+		UrgencyFloor: defaultUrgencyFloor,
+		Quarantine:   &quarantine.List{Rule: quarantine.DefaultRule()}, OnQuarantine: func(*QuarantineEvent) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), OnBackpressure: func(*BackpressureEvent) {},
 		rosterCopy:     roster.NewCopy(),
 		states:         map[ident.Incarnation]*targetState{},
--- a/relay/request.go
+++ b/relay/request.go
@@ -86,18 +86,30 @@
 	lowestPriority  = 9
 	// agingStep is the waiting time that raises a request by one priority at the engine.
 	agingStep = 150 * time.Millisecond
+	// routeStep is the difference of the priorities at the engine for each priority between routes of a service. A request that was delayed
+	// gains at most one less, so that it stays behind more urgent ones that have just arrived.
+	routeStep = 2
 )
 
 // enginePriority is the priority of the customer or else of the route, raised for requests that were delayed and lowered for late ones.
+// Where the routes to the service differ in priority, it is lowered for less urgent routes.
 func (x *exchange) enginePriority() int {
 	priority := x.route.Priority
 	if x.customer != nil && x.customer.HasPriority {
 		priority = x.customer.Priority
 	}
+	aging := int(x.s.Now().Sub(x.arrivedAt) / agingStep)
+	if lower := x.route.Priority - x.table.HighestPriority(x.service.Name); lower > 0 {
+		if x.customer == nil || !x.customer.HasPriority {
+			priority -= lower
+		}
+		priority += lower * routeStep
+		aging = min(aging, routeStep-1)
+	}
 	if x.missesAim() {
 		priority += latePenalty
 	} else {
-		priority += priorityHeadroom - int(x.s.Now().Sub(x.arrivedAt)/agingStep)
+		priority += priorityHeadroom - aging
 	}
 	return min(lowestPriority, max(highestPriority, priority))
 }
--- a/relay/site_load.go
+++ b/relay/site_load.go
@@ -53,6 +53,16 @@
 	return c
 }
 
+// noteArrival counts a request that has arrived.
+func (c *queueCounts) noteArrival(x *exchange) {
+	l := c.level(x.urgency())
+	l.Arrived++
+	l.Prompt += x.prefillTokens()
+	if l.Aim == 0 || x.route.Aim > 0 && x.route.Aim < l.Aim {
+		l.Aim, l.GapAim = x.route.Aim, x.route.GapAim
+	}
+}
+
 // level returns the counts of an urgency.
 func (c *queueCounts) level(u siteload.Urgency) *siteload.LevelReport {
 	l := c.levels[u]
@@ -89,7 +99,28 @@
 func (s *Relay) SetSiteLoad(summary *siteload.Summary) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.siteLoad.summary, s.siteLoad.receivedAt = summary, s.Now()
+	now := s.Now()
+	s.siteLoad.summary, s.siteLoad.receivedAt = summary, now
+	for key, q := range s.queues {
+		q.SetSite(now, s.siteOf(key, now))
+	}
+}
+
+// siteOf returns what is known of all entries' requests for a queue; the mutex is held.
+func (s *Relay) siteOf(key queueKey, now time.Time) overload.Site {
+	summary := s.siteLoadOf(key, now)
+	if summary == nil {
+		return overload.Site{}
+	}
+	return overload.Site{Levels: summary.Levels, Age: now.Sub(s.siteLoad.receivedAt), Entries: s.entryCount()}
+}
+
+// entryCount returns the number of entries of the site; the mutex is held.
+func (s *Relay) entryCount() int {
+	if s.entries != nil {
+		return s.entries.Total()
+	}
+	return s.Budget.Entries()
 }
 
 // siteLoadOf returns the sums over all entries for a queue, nil while no fresh ones are known; the mutex is held.
--- a/siteload/report.go
+++ b/siteload/report.go
@@ -48,6 +48,10 @@
 	Arrived int
 	Sent    int
 	Refused int
+	// Prompt is the sum of the prompt tokens of those that arrived; Aim is their shortest aim for the first event, GapAim that for gaps.
+	Prompt ident.Tokens
+	Aim    time.Duration
+	GapAim time.Duration
 }
 
 // DelaySample sums by how much first events were later than estimated.
@@ -102,6 +106,14 @@
 	ArrivalRate float64
 	SendRate    float64
 	RefusalRate float64
+	// SinceArrival, SinceSend and SinceRefusal are the times since the last report of each; they hold only where the rate is above 0.
+	SinceArrival time.Duration
+	SinceSend    time.Duration
+	SinceRefusal time.Duration
+	// MeanPrompt is the mean prompt size, Aim the shortest recent aim for the first event, GapAim the one for gaps between events.
+	MeanPrompt ident.Tokens
+	Aim        time.Duration
+	GapAim     time.Duration
 }
 
 // DelaySummary is the mean delay of first events and the mean deviation from it; Samples is the weight of the events behind them.
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
 )
 
 const (
@@ -18,6 +20,8 @@
 	// maxKeys bounds the keys that are kept, since callers may name any model; idleAfter is when a key without requests is dropped.
 	maxKeys   = 64
 	idleAfter = 30 * time.Second
+	// aimValidity is how long the shortest aim is kept: several times the interval between two requests of one urgency at one entry.
+	aimValidity = 10 * time.Second
 )
 
 // Table holds the reports of all entries. The zero value is an empty table; it is not safe for concurrent use.
@@ -40,8 +44,12 @@
 
 // levelState holds decaying sums of the counts at a point in time.
 type levelState struct {
-	arrived, sent, refused float64
-	at                     time.Time
+	arrived, sent, refused, prompt float64
+	at                             time.Time
+	// arrivedAt, sentAt and refusedAt are the times of the last reports with such requests.
+	arrivedAt, sentAt, refusedAt time.Time
+	aim, gapAim                  time.Duration
+	aimAt                        time.Time
 }
 
 // delayState holds decaying sums of the delays of first events, in ns, at a point in time.
@@ -105,11 +113,44 @@
 	l.arrived += float64(max(0, r.Arrived))
 	l.sent += float64(max(0, r.Sent))
 	l.refused += float64(max(0, r.Refused))
+	l.prompt += float64(max(0, r.Prompt))
+	if r.Arrived > 0 {
+		l.arrivedAt = now
+	}
+	if r.Sent > 0 {
+		l.sentAt = now
+	}
+	if r.Refused > 0 {
+		l.refusedAt = now
+	}
+	if r.Aim > 0 && (l.aim == 0 || r.Aim <= l.aim || now.Sub(l.aimAt) > aimValidity) {
+		l.aim, l.gapAim, l.aimAt = r.Aim, max(0, r.GapAim), now
+	}
 }
 
 func (l *levelState) decay(now time.Time) {
 	f := remaining(now.Sub(l.at), rateHalfLife)
-	l.arrived, l.sent, l.refused, l.at = l.arrived*f, l.sent*f, l.refused*f, now
+	l.arrived, l.sent, l.refused, l.prompt, l.at = l.arrived*f, l.sent*f, l.refused*f, l.prompt*f, now
+}
+
+func (l *levelState) summary(now time.Time, u Urgency, waiting int) LevelSummary {
+	l.decay(now)
+	// A constant rate r has the decaying sum r * halfLife / ln 2.
+	perSecond := math.Ln2 / rateHalfLife.Seconds()
+	summary := LevelSummary{
+		Urgency: u, Waiting: waiting, ArrivalRate: l.arrived * perSecond, SendRate: l.sent * perSecond, RefusalRate: l.refused * perSecond,
+		Aim: l.aim, GapAim: l.gapAim,
+	}
+	if l.arrived > 0 {
+		summary.SinceArrival, summary.MeanPrompt = now.Sub(l.arrivedAt), ident.Tokens(l.prompt/l.arrived)
+	}
+	if l.sent > 0 {
+		summary.SinceSend = now.Sub(l.sentAt)
+	}
+	if l.refused > 0 {
+		summary.SinceRefusal = now.Sub(l.refusedAt)
+	}
+	return summary
 }
 
 func (d *delayState) add(now time.Time, sample DelaySample) {
@@ -163,11 +204,7 @@
 		}
 	}
 	for _, u := range slices.Sorted(maps.Keys(q.levels)) {
-		l := q.levels[u]
-		l.decay(now)
-		// A constant rate r has the decaying sum r * halfLife / ln 2.
-		perSecond := math.Ln2 / rateHalfLife.Seconds()
-		summary.Levels = append(summary.Levels, LevelSummary{u, waiting[u], l.arrived * perSecond, l.sent * perSecond, l.refused * perSecond})
+		summary.Levels = append(summary.Levels, q.levels[u].summary(now, u, waiting[u]))
 	}
 	return summary
 }
--- a/siteload/table_test.go
+++ b/siteload/table_test.go
@@ -92,3 +92,26 @@
 		t.Errorf("%d keys are kept, want at most 64", got)
 	}
 }
+
+// Guards against less urgent requests that are kept back by what more urgent ones needed long ago, or by the longest of their aims.
+func TestNeedsOfLevel(t *testing.T) {
+	const ms = time.Millisecond
+	table := &siteload.Table{}
+	table.Apply(startTime, "a", reportOf(siteload.LevelReport{Urgency: 1, Arrived: 2, Sent: 1, Prompt: 3000, Aim: 300 * ms, GapAim: 200 * ms}))
+	table.Apply(startTime, "b", reportOf(siteload.LevelReport{Urgency: 1, Arrived: 1, Refused: 1, Prompt: 600, Aim: 500 * ms, GapAim: 250 * ms}))
+	now := startTime.Add(400 * ms)
+	table.Apply(now, "a", reportOf(siteload.LevelReport{Urgency: 1, Sent: 1}))
+	got := table.Summary(now).Queue(key).Levels[0]
+	want := siteload.LevelSummary{
+		Urgency: 1, SinceArrival: 400 * ms, SinceRefusal: 400 * ms, MeanPrompt: 1200, Aim: 300 * ms, GapAim: 200 * ms,
+	}
+	rates := cmpopts.IgnoreFields(siteload.LevelSummary{}, "ArrivalRate", "SendRate", "RefusalRate")
+	if diff := cmp.Diff(want, got, rates); diff != "" {
+		t.Errorf("level (-want +got):\n%s", diff)
+	}
+	now = now.Add(11 * time.Second)
+	table.Apply(now, "b", reportOf(siteload.LevelReport{Urgency: 1, Arrived: 1, Prompt: 600, Aim: 500 * ms, GapAim: 250 * ms}))
+	if got := table.Summary(now).Queue(key).Levels[0].Aim; got != 500*ms {
+		t.Errorf("aim %v long after the last request with a shorter one, want 500ms", got)
+	}
+}
