Limit less urgent requests to the floor only when a part of the more urgent waits or is refused

Cause: one refused or waiting request of higher urgency anywhere on the site limited all less urgent ones to the floor for a second.

Change: by the sums over all entries, a tenth of the more urgent requests must be refused, or their mean wait must exceed 50 ms. Without sums an entry decides as before.

--- a/overload/urgency.go
+++ b/overload/urgency.go
@@ -9,7 +9,7 @@
 //	none arrive anywhere                 any capacity
 //	arrive                               what leaves capacity for one more of them
 //	arrive, and it must go soon          the floor
-//	wait or are refused anywhere         the floor, and idle groups
+//	a part of them waits or is refused   the floor, and idle groups
 //
 // The floor is a fraction of all sends. Each entry has its part of it as a credit
 // that grows with the sends of more urgent requests, of all entries by the site's
@@ -31,6 +31,11 @@
 	// contentionMemory is how long after a refusal more urgent requests count as refused, and how long without contention the floor
 	// credit is kept.
 	contentionMemory = time.Second
+	// contendedFraction is the fraction of the more urgent requests of all entries that must be refused for the less urgent ones to get the
+	// floor only: a single long prompt that no group can take in time says nothing about capacity. contendedWait is their mean time in the
+	// queue that has the same effect, about one iteration of an engine.
+	contendedFraction = 0.1
+	contendedWait     = 50 * time.Millisecond
 	// floorWaitFraction is the fraction of its time to wait after which a request may use the floor. Until then the contention may end;
 	// after more than that, a group with a few requests no longer answers in time.
 	floorWaitFraction = 0.5
@@ -147,26 +152,42 @@
 	return claim
 }
 
-// contended reports whether requests that are more urgent than u wait or are refused while others of them are sent. If none are sent,
-// the capacity is of no use to them.
+// contended reports whether a part of the requests that are more urgent than u waits or is refused while others of them are sent. If none
+// are sent, the capacity is of no use to them.
 func (q *Queue[T]) contended(now time.Time, u siteload.Urgency) bool {
-	waits, sent := false, false
+	ownWaits, ownSent := false, false
 	for _, l := range q.levels {
 		if l.urgency >= u {
 			break
 		}
-		waits = waits || l.len() > 0 || within(now, l.activity.refusedAt, contentionMemory)
-		sent = sent || within(now, l.activity.sentAt, contentionMemory)
+		ownWaits = ownWaits || l.len() > 0 || within(now, l.activity.refusedAt, contentionMemory)
+		ownSent = ownSent || within(now, l.activity.sentAt, contentionMemory)
 	}
+	if len(q.site.Levels) == 0 {
+		return ownWaits && ownSent
+	}
+	return q.siteContended(u)
+}
+
+// siteContended is contended by the sums over all entries.
+func (q *Queue[T]) siteContended(u siteload.Urgency) bool {
+	var arrived, refused, sent float64
+	waiting := 0
 	for j := range q.site.Levels {
 		l := &q.site.Levels[j]
 		if l.Urgency >= u {
-			continue
+			break
+		}
+		waiting += l.Waiting
+		arrived += l.ArrivalRate
+		if l.SinceRefusal+q.site.Age <= contentionMemory {
+			refused += l.RefusalRate
+		}
+		if l.SinceSend+q.site.Age <= contentionMemory {
+			sent += l.SendRate
 		}
-		waits = waits || l.Waiting > 0 || l.RefusalRate > 0 && l.SinceRefusal+q.site.Age <= contentionMemory
-		sent = sent || l.SendRate > 0 && l.SinceSend+q.site.Age <= contentionMemory
 	}
-	return waits && sent
+	return sent > 0 && (refused > contendedFraction*arrived || float64(waiting) > contendedWait.Seconds()*arrived)
 }
 
 // accrue adds the floor credit of a level for the time since the last call: its part of what all entries send.
