Show operators the load of all entries

An operator whose callers are refused could not see what waits, arrives and is sent over all entries: only the leader and the entries' decisions had the sums.

The leader's state gets a field `load`: by service, model and urgency what waits, arrives, is sent and is refused, the delay of first events, and the lengths of answers by class.

--- a/site/export_test.go
+++ b/site/export_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/catalog"
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/inbound"
@@ -162,6 +163,13 @@
 	return r.siteLoad(now, entry)
 }
 
+// LoadState returns what operators see of the load.
+func (r Leadership) LoadState() LoadState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loadState(clock.Now())
+}
+
 // BackedOff reports whether a backoff that an upstream requested from the daemon is in effect.
 func (c *Control) BackedOff(id ident.Incarnation) bool { return c.backedOff(id) }
 
--- a/site/inspect.go
+++ b/site/inspect.go
@@ -40,6 +40,8 @@
 	DrainRevision catalog.DrainRevision `json:"drain-revision"`
 	// Held are the request fingerprints in quarantine.
 	Held []QuarantineState `json:"held"`
+	// Load is what all entries counted of the requests for each model.
+	Load LoadState `json:"load"`
 }
 
 // ModelState is the capacity of a service's model and what it needs.
@@ -139,6 +141,7 @@
 	r.mu.Lock()
 	state.Entries = len(r.entries)
 	backoffs, limits := r.backoffStates(now), r.limitStates(now)
+	state.Load = r.loadState(now)
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Explain() {
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -154,6 +154,11 @@
 	return t.answers.Summary(now)
 }
 
+// AnswerLengths describes the answers of all entries.
+func (t *Table) AnswerLengths(now time.Time) []answerlen.Lengths {
+	return t.answers.Lengths(now)
+}
+
 // Summary returns the sums over all entries.
 func (t *Table) Summary(now time.Time) *Summary {
 	s := &Summary{}
