Publish the load of all entries and say why a request was refused

Neither metrics nor request lines had the urgency of a request, and a refusal's line did not say what was known of the other entries' queues, so that the cause of a refused class could not be told from them.

The leader publishes what waits, arrives, is sent and is refused by service, model and urgency, and 0 once it no longer leads. Entries count refused requests by class, urgency and code. A request's line has its urgency and queued-ms, and for a refusal for lack of capacity site-waiting, site-rate and site-age-ms where the sums were fresh.

Measured: go test -race -p 3 of site and relay passes, with tests of the names that Prometheus reads and of the fields of the line.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -90,6 +90,10 @@
 	permitDenials int
 	// bodyBytes and answerBytes are the bytes counted against the memory bounds.
 	bodyBytes, answerBytes int64
+	// queuedFor is how long the request has waited for targets, siteAtRefusal what was known of the requests at all entries when it found
+	// no capacity.
+	queuedFor     time.Duration
+	siteAtRefusal *SiteQueue
 	// retryCharged is set while the retry budget has been charged for an attempt that was not sent yet.
 	retryCharged bool
 }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -104,6 +104,7 @@
 	if x.customer != nil {
 		record.Customer = x.customer.Name
 	}
+	x.noteQueue(record)
 	record.Revision = x.s.revision()
 	return record
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/sharing"
+	"github.com/dunlinquay/dunlinquay/siteload"
 	"github.com/dunlinquay/dunlinquay/stall"
 	"github.com/dunlinquay/dunlinquay/transport"
 	"github.com/dunlinquay/dunlinquay/unread"
@@ -419,6 +420,20 @@
 	LimitWaits int
 	// RetryAfter is the time after which the caller was told to retry.
 	RetryAfter time.Duration
+	// Urgency orders the request among others for the same groups, Queued is how long it waited for capacity.
+	Urgency siteload.Urgency
+	Queued  time.Duration
+	// Site is what was known of the requests at all entries when the request was refused, nil where nothing was known.
+	Site *SiteQueue
+}
+
+// SiteQueue describes the requests at all entries that compete with one request.
+type SiteQueue struct {
+	// Waiting is the number of waiting requests of the same or higher urgency, SendRate how many of all urgencies are sent per second.
+	Waiting  int
+	SendRate float64
+	// Age is the age of the oldest report in these numbers.
+	Age time.Duration
 }
 
 // Attempt describes the attempt to send a request to one upstream.
--- a/relay/run.go
+++ b/relay/run.go
@@ -49,7 +49,7 @@
 		if err := x.quarantineError(); err != nil {
 			return err
 		}
-		chosen, err := x.reserveTarget()
+		chosen, err := x.awaitTarget()
 		if err != nil {
 			return x.finalError(err)
 		}
--- a/site/control_metrics.go
+++ b/site/control_metrics.go
@@ -26,6 +26,7 @@
 // its leadership.
 type controlMetrics struct {
 	scope tally.Scope
+	load  loadMetrics
 
 	countedAt time.Time
 	stranded  time.Duration
@@ -34,7 +35,7 @@
 }
 
 func newControlMetrics(scope tally.Scope) *controlMetrics {
-	return &controlMetrics{scope: scope, downtime: map[ident.Model]time.Duration{}, maxOpen: map[ident.Model]int{}}
+	return &controlMetrics{scope: scope, load: loadMetrics{scope: scope, series: map[loadSeriesKey]*loadGauges{}}, downtime: map[ident.Model]time.Duration{}, maxOpen: map[ident.Model]int{}}
 }
 
 func (t *controlMetrics) countCall(kind CallKind, err error) {
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"math"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -11,6 +13,7 @@
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
+	"github.com/dunlinquay/dunlinquay/siteload"
 )
 
 // maxSeries bounds the pairs of customer and class with metrics of their own; all others are counted together.
@@ -19,6 +22,13 @@
 // maxAttemptSeries bounds the outcomes of attempts that are counted: there are about ten, plus error texts.
 const maxAttemptSeries = 32
 
+// refusalKey identifies refused requests with one code.
+type refusalKey struct {
+	class   ident.Class
+	urgency siteload.Urgency
+	code    result.Code
+}
+
 // attemptKey is the outcome of an attempt.
 type attemptKey struct {
 	result string
@@ -49,6 +59,7 @@
 	series      map[seriesKey]*series
 	firstEvents map[ident.Model]*firstEventMetrics
 	attempts    map[attemptKey]tally.Counter
+	refusals    map[refusalKey]tally.Counter
 	// quarantined is the number of fingerprints in quarantine.
 	quarantined tally.Gauge
 	// backedOff is the number of upstreams that are backed off at this entry.
@@ -68,6 +79,7 @@
 func newEntryMetrics(scope tally.Scope) *entryMetrics {
 	return &entryMetrics{
 		scope: scope, series: map[seriesKey]*series{}, firstEvents: map[ident.Model]*firstEventMetrics{}, attempts: map[attemptKey]tally.Counter{},
+		refusals:    map[refusalKey]tally.Counter{},
 		quarantined: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 	}
@@ -96,6 +108,7 @@
 		metrics.first.RecordDuration(r.FirstEvent)
 	}
 	metrics.total.RecordDuration(r.Total)
+	n.countRefusal(r)
 	for i := range r.Attempts {
 		n.countAttempt(&r.Attempts[i])
 	}
@@ -108,6 +121,28 @@
 	}
 }
 
+// countRefusal counts a request that was refused although its caller may send it again; the mutex is held.
+func (n *entryMetrics) countRefusal(r *relay.Record) {
+	if r.Route == "" || r.Status != http.StatusServiceUnavailable || !result.Lookup(r.Code).NotRun {
+		return
+	}
+	key := refusalKey{r.Route, r.Urgency, r.Code}
+	if n.refusals[key] == nil && len(n.refusals) >= maxSeries {
+		key = refusalKey{otherSeries, otherUrgency, r.Code}
+	}
+	counter := n.refusals[key]
+	if counter == nil {
+		counter = n.scope.Tagged(key.labels()).Counter("refused_requests")
+		n.refusals[key] = counter
+	}
+	counter.Inc(1)
+}
+
+// labels returns the labels of the counter.
+func (k refusalKey) labels() map[string]string {
+	return map[string]string{"class": string(k.class), "urgency": urgencyLabel(k.urgency), "code": strconv.Itoa(int(k.code)), "result": result.Lookup(k.code).Name}
+}
+
 // countAttempt counts an attempt by its outcome, and by how the connection was cut if the response is incomplete; the
 // mutex is held.
 func (n *entryMetrics) countAttempt(attempt *relay.Attempt) {
@@ -161,9 +196,15 @@
 // observe counts a finished request and writes its log line.
 func (e *Entry) observe(r *relay.Record) {
 	e.metrics.observe(r)
-	e.RequestLog.Info("request", "id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
+	fields := []any{
+		"id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
 		"code", int(r.Code), "status", r.Status, "text", r.ErrorText, "version", r.Version, "revision", r.Revision,
 		"confirmed-age-ms", r.ConfirmedAge.Milliseconds(), "tries", r.Attempts, "prompt", int(r.Prompt), "events", r.Events,
 		"first-ms", r.FirstEvent.Milliseconds(), "gap-ms", r.MaxEventGap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.PriorElapsed.Milliseconds(), "retry-ms", r.RetryAfter.Milliseconds(),
-		"limit-waits", r.LimitWaits)
+		"limit-waits", r.LimitWaits, "urgency", int(r.Urgency), "queued-ms", r.Queued.Milliseconds(),
+	}
+	if r.Site != nil {
+		fields = append(fields, "site-waiting", r.Site.Waiting, "site-rate", math.Round(r.Site.SendRate*10)/10, "site-age-ms", r.Site.Age.Milliseconds())
+	}
+	e.RequestLog.Info("request", fields...)
 }
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/inbound"
+	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
@@ -163,6 +166,38 @@
 	return r.siteLoad(now, entry)
 }
 
+// PublishedLoad returns the metrics of a control daemon, as Prometheus reads them, after it has published each of the sums.
+func PublishedLoad(summaries ...*siteload.Summary) string {
+	m := meter.New()
+	control := newControlMetrics(m.Scope)
+	for _, s := range summaries {
+		control.load.publish(s)
+	}
+	return scrape(m)
+}
+
+// scrape closes a meter, which reports what it has, and returns its metrics as Prometheus reads them.
+func scrape(m *meter.Meter) string {
+	_ = m.Close()
+	return read(m)
+}
+
+// read returns the metrics that a meter has reported, as Prometheus reads them.
+func read(m *meter.Meter) string {
+	w := httptest.NewRecorder()
+	m.NewServer().Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	return w.Body.String()
+}
+
+// Metrics returns the metrics as Prometheus reads them, as of the last second.
+func (c *Control) Metrics() string { return read(c.meter) }
+
+// Observe counts a finished request and writes its log line.
+func (e *Entry) Observe(r *relay.Record) { e.observe(r) }
+
+// Metrics returns the metrics as Prometheus reads them; nothing may be counted afterwards.
+func (e *Entry) Metrics() string { return scrape(e.meter) }
+
 // LoadState returns what operators see of the load.
 func (r Leadership) LoadState() LoadState {
 	r.mu.Lock()
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -201,6 +201,7 @@
 	if r != nil && (status.Role != quorum.RoleLeader || status.Term != r.term) {
 		c.Log.Info("leadership ended", "leadership", r.name, "leader", status.Leader, "term", status.Term)
 		c.leadership.Store(nil)
+		c.metrics.load.publish(&siteload.Summary{})
 		// Calls that wait here for updates are answered at once, so that their callers turn to the next leader.
 		c.notifyWaiting()
 		r = nil
@@ -268,6 +269,7 @@
 	snapshot := r.clusterSnapshot(now)
 	r.slowdowns.evaluate(snapshot, r.roster.Groups(), table)
 	r.control.metrics.countGroups(now, r.roster.Groups(), snapshot.Upstreams)
+	r.publishLoad(now)
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
 		if s.Engine == nil {
--- a/site/load_state_test.go
+++ b/site/load_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 }
 
 // Guards against a state whose load gets lost between the leader and the control daemon that an operator asks, and against sums that hold
-// only one entry's requests.
+// only one entry's requests. Metrics of the leader must have the same, and none once it no longer leads.
 func TestInspectShowsLoad(t *testing.T) {
 	d := newDaemons(t)
 	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
@@ -87,6 +88,28 @@
 		})
 		checkLoad(t, &s.Load)
 	}
+	// published waits until one daemon's metrics, and no other's, have a number of waiting requests.
+	published := func(want string) (host string) {
+		d.waitUntil(want+" waiting requests are published", func() bool {
+			report("a")
+			report("b")
+			count := 0
+			for h, r := range d.running {
+				if strings.Contains(r.control.Metrics(), `dunlinquay_load_waiting_requests{model="one",service="m",urgency="1002"} `+want) {
+					count, host = count+1, h
+				}
+			}
+			return count == 1
+		})
+		return host
+	}
+	leader := published("14")
+	for _, host := range hosts {
+		if host != leader {
+			d.kill(host)
+		}
+	}
+	published("0")
 }
 
 // Guards against a delay that is shown although no first event has arrived, where operators must see that it is not known.
