Run the soak with urgencies and all of scheduling

The soak's routes had one priority and its settings the defaults, so that none of its faults met the order by urgency or any part of scheduling.

The two routes to the models have different priorities, most requests the less urgent one, and the settings switch on every part of scheduling. All checks are as they were.

--- a/soak/configs.go
+++ b/soak/configs.go
@@ -3,6 +3,8 @@
 // The configurations of the soak. What version n holds follows from n alone, so
 // that every check can tell what any version allows:
 //
+//	/stream/      a route to the models, less urgent than the other one
+//	/once/        the more urgent route to the same models
 //	/vN/          a route of version N only, on a host whose case changes from version to version
 //	/hang/        a route to upstreams that do not answer, whose time-out changes
 //	/addedI/      routes that are added at version addedFrom and stay
@@ -31,6 +33,10 @@
 	hangLeast = 200 * time.Millisecond
 	hangStep  = 100 * time.Millisecond
 	hangSteps = 4
+	// urgentPriority and usualPriority are the priorities of the two routes to the models: most requests are less urgent, so that capacity
+	// is kept from them.
+	urgentPriority = 1
+	usualPriority  = 2
 )
 
 // hangTimeout is the time-out of the route whose upstreams don't answer.
@@ -71,6 +77,7 @@
 		Customers: []httproute.Customer{{Name: customer}},
 		Limits:    httproute.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
+	cfg.Routes[0].Priority, cfg.Routes[1].Priority = usualPriority, urgentPriority
 	own, hang := &cfg.Routes[4], &cfg.Routes[5]
 	own.Public, hang.Public = true, true
 	if n%2 == 1 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -203,6 +203,7 @@
 		cfg.PeerPort, cfg.Listen.Host = peerPort, outside
 		cfg.Bounds = settings.SiteBounds{KeysRevoked: settings.Duration(keyBound), StopGrace: settings.Duration(stopGrace)}
 		cfg.Times.Report = settings.Duration(reportEvery)
+		cfg.Scheduling = scheduling()
 		if i < seedCount {
 			seeds = append(seeds, address(outside, callPort))
 		}
@@ -223,6 +224,14 @@
 	return nil
 }
 
+// scheduling switches on everything that orders and places requests by what is known of all entries.
+func scheduling() settings.Scheduling {
+	on := settings.DefaultSite().Scheduling
+	on.ArrivalCheck, on.Forecast, on.Spares, on.CustomerShares = true, true, true, true
+	on.CustomerWeights = map[ident.Customer]float64{customer: 2}
+	return on
+}
+
 func (s *soak) layDaemon(ctx context.Context, cfg *settings.Site, i int, inside string) (*daemon, error) {
 	d := &daemon{bin: s.Binary, dir: s.Folder}
 	var err error
