Estimate busy groups by the time that answers really take

Cause: what the leader counted some tenths of a second ago decays by the typical answer at the engine's published speed without prefill. Answers of 31 events that take 1.3 s to 1.4 s count as 0.9 s, so entries see 28 of 30 slots in use where requests already wait for one: in a burst of 1.6 times, 178 of 2,676 requests that were sent as in time had their first event 65 ms to 400 ms later than estimated.

Change: an entry learns how long complete streams of a model take from sending to the end, and uses this for the requests that remain and for the wait for a slot once it has seen 8.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -37,6 +37,8 @@
 	PendingPrompt ident.Tokens
 	// Requests is the number of all requests, with or without events.
 	Requests int
+	// SlotTime is how long a request uses its slot on average, 0 if it is unknown; an answer of typical length is assumed then.
+	SlotTime time.Duration
 }
 
 // NewGroup returns the figures of groups of the model; slowdown multiplies all times and is 1 for a group at full speed.
@@ -73,22 +75,32 @@
 		return 0
 	}
 	currentIteration := g.iterationNanos(0, load.Requests) / 2
-	return time.Duration(currentIteration + g.slotWait(load.Requests) + g.iterationNanos(float64(load.PendingPrompt+promptTokens), load.Requests+1))
+	return time.Duration(currentIteration + g.slotWait(&load) + g.iterationNanos(float64(load.PendingPrompt+promptTokens), load.Requests+1))
 }
 
-// Remaining returns how many of the requests are still in progress after a time, if requests finish at the typical rate.
-func (g *Group) Remaining(requests int, after time.Duration) int {
-	if g.answerTime <= 0 || after <= 0 {
+// Remaining returns how many of the requests are still in progress after a time, if each uses its slot for slotTime on average; 0 stands
+// for an answer of typical length.
+func (g *Group) Remaining(requests int, after, slotTime time.Duration) int {
+	nanos := g.slotNanos(slotTime)
+	if nanos <= 0 || after <= 0 {
 		return requests
 	}
-	return int(float64(requests)/(1+float64(after)/g.answerTime) + 0.5)
+	return int(float64(requests)/(1+float64(after)/nanos) + 0.5)
 }
 
-// slotWait is the time until a slot is free: the slots become free one by one, evenly over answerTime.
-func (g *Group) slotWait(requests int) float64 {
-	excess := requests + 1 - g.slots
+// slotNanos returns the mean time for which a request uses its slot, in ns.
+func (g *Group) slotNanos(known time.Duration) float64 {
+	if known > 0 {
+		return float64(known)
+	}
+	return g.answerTime
+}
+
+// slotWait is the time until a slot is free: the slots become free one by one, evenly over the time for which requests use them.
+func (g *Group) slotWait(load *Load) float64 {
+	excess := load.Requests + 1 - g.slots
 	if excess <= 0 {
 		return 0
 	}
-	return float64(excess) / float64(g.slots) * g.answerTime
+	return float64(excess) / float64(g.slots) * g.slotNanos(load.SlotTime)
 }
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -63,6 +63,7 @@
 		{"beside ten that decode", estimate.Load{Requests: 10}, 500, 71 * time.Millisecond},
 		{"the last slot", estimate.Load{Requests: 19}, 0, 74500 * time.Microsecond},
 		{"two must finish first", estimate.Load{Requests: 21}, 0, 175 * time.Millisecond},
+		{"two must finish first that take 2 s each", estimate.Load{Requests: 21, SlotTime: 2 * time.Second}, 0, 275 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/relay/peer_counts.go
+++ b/relay/peer_counts.go
@@ -71,7 +71,7 @@
 func (s *Relay) loadOf(t *target, now time.Time) estimate.Load {
 	state := s.stateOf(t)
 	others := s.peerCounts.others[t.id]
-	load := estimate.Load{PendingPrompt: state.pendingTokensNow(now)}
+	load := estimate.Load{PendingPrompt: state.pendingTokensNow(now), SlotTime: s.slotTimes[t.model].mean}
 	if !t.inSubset {
 		load.PendingPrompt += ident.Tokens(pendingFraction * float64(others) * float64(t.typicalPrompt))
 		load.Requests = state.inflight + others
@@ -80,7 +80,7 @@
 	age := now.Sub(s.peerCounts.receivedAt) + s.peerCounts.interval/2
 	load.Requests = state.inflight + state.peerPromptsSince(now.Add(-age))
 	if others > 0 {
-		load.Requests += t.timing.Remaining(others, age)
+		load.Requests += t.timing.Remaining(others, age, load.SlotTime)
 	}
 	return load
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,6 +128,8 @@
 	startSlots map[ident.Model]chan struct{}
 	// answerLengths holds the lengths of complete answers.
 	answerLengths answerlen.Estimator
+	// slotTimes are the mean times for which requests use their slots, by model.
+	slotTimes map[ident.Model]slotTime
 	// siteLoad holds the counts of this entry's requests and the sums over all entries.
 	siteLoad siteLoad
 }
@@ -147,6 +149,7 @@
 		queues: map[queueKey]*overload.Queue[*queuedRequest]{}, limitRetryTimes: map[queueKey]time.Time{},
 		typicalWaits: map[ident.Class]*overload.TypicalWait{},
 		startSlots:   map[ident.Model]chan struct{}{},
+		slotTimes:    map[ident.Model]slotTime{},
 		siteLoad:     siteLoad{counts: map[queueKey]*queueCounts{}},
 		createdAt:    clock.Now(), firstConfirmation: make(chan struct{}), memory: newMemory(defaultMemoryBytes),
 	}
--- a/relay/shared_site_test.go
+++ b/relay/shared_site_test.go
@@ -26,7 +26,7 @@
 	sharedGapAim  = 300 * time.Millisecond
 	// loadReportInterval is the time between two calls of an entry to the leader, reportDelay the time until the sums with a report are back.
 	loadReportInterval = 200 * time.Millisecond
-	reportDelay    = 300 * time.Millisecond
+	reportDelay        = 300 * time.Millisecond
 	// updateDelay is the time that an update takes to other entries.
 	updateDelay = 2 * time.Millisecond
 )
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -91,6 +91,7 @@
 		return f.brokenOutcome(err)
 	}
 	f.x.learnAnswerLength()
+	f.x.learnSlotTime()
 	f.returnConn(resp)
 	return outcomeDone
 }
