Suspend forecasts that were worse than the average, and follow ramps and changes with less noise

Change: errors are compared apart from sampling noise. While no forecast made after a change can be judged, the level since the change or an older wave is used. A change needs 100 requests (30 before), is reduced by its selection bias, and needs 4.1 standard errors. The chosen forecasts as a whole are judged against the average and suspended while they are worse, except for waves. A test of ramps is added.

--- a/forecast/change.go
+++ b/forecast/change.go
@@ -5,10 +5,10 @@
 const (
 	// changeSignificance is how many standard errors the mean of the newest steps must differ from the level before them to count as a
 	// change: windows of several lengths are tested in each step, and a false change in an hour of steady demand is acceptable.
-	changeSignificance = 4.3
+	changeSignificance = 4.1
 	// minChangeRequests is how many requests a window must have for a change: the mean of fewer, of sizes that differ tenfold, is far off
-	// more often than its standard error says.
-	minChangeRequests = 30
+	// more often than its standard error says, and a forecast from it is worse than the average.
+	minChangeRequests = 100
 	// settledSignificance is the difference in standard errors below which an average has followed the change, minSettledSteps the least
 	// time that this takes: the quick average may be right by chance before the slow one is.
 	settledSignificance = 1.5
@@ -24,9 +24,12 @@
 	maxReferenceSteps = 40
 	// minReferenceSteps is the least length of that window.
 	minReferenceSteps = 4
+	// selectionBias is the fraction of a change, times the square of its standard errors, that is left out: the window of the largest
+	// difference is used, which exaggerates it.
+	selectionBias = 2.0
 	// changeTolerance is how much larger than the average's the squared error of the level since a change may have been so far: where
 	// changes are short, following them is worse than the average.
-	changeTolerance = 1.5
+	changeTolerance = 1.2
 )
 
 // change is the newest significant change of the level.
@@ -78,6 +81,9 @@
 	}
 	first := max(c.since, s.count-maxLevelSteps)
 	c.level, _, _ = s.window(first, s.count)
+	if z := s.significance(first, &c.before); z > 0 {
+		c.level = c.before.level + (c.level-c.before.level)*max(0, 1-selectionBias/(z*z))
+	}
 	if ok {
 		s.trend = trend{started: true, level: c.level}
 	}
@@ -143,8 +149,13 @@
 	return reference{level, requests / steps, steps}, known >= minReferenceSteps
 }
 
-// changeAllowed reports whether following changes was not worse than the average so far.
+// changeUnjudged reports whether no forecast that was made after the change was found can be judged yet.
+func (s *Series) changeUnjudged() bool {
+	return s.forecastFor(s.count-1) <= s.change.detected
+}
+
+// changeAllowed reports whether following changes was not worse than the average so far, apart from sampling noise.
 func (s *Series) changeAllowed() bool {
 	changed, average := &s.errors[Change], &s.errors[Average]
-	return s.unknown <= maxUnknownSteps && changed.mean() <= changeTolerance*average.mean()
+	return s.unknown <= maxUnknownSteps && changed.mean() <= changeTolerance*average.mean()+keptUnexplained*s.noise.mean()
 }
--- a/forecast/series.go
+++ b/forecast/series.go
@@ -53,6 +53,13 @@
 	// maxUnknownSteps is how many newest steps may be unknown before only the average is used: forecasts are extrapolations, and
 	// become worse with each step.
 	maxUnknownSteps = 4
+	// guardHalfLife is the half-life, in steps, of the errors by which all forecasts are judged, and guardTolerance how many times the
+	// average's squared error theirs may be, apart from sampling noise. Where bursts are short, choosing anew after each of them can be worse than the average, which
+	// the errors of the single methods do not show.
+	guardHalfLife  = 60
+	guardTolerance = 1.1
+	// guardRelease is the tolerance below which forecasts are used again.
+	guardRelease = 1.05
 	// maxOverSeen bounds a forecast as a multiple of the largest demand seen over targetSteps.
 	maxOverSeen = 1.25
 )
@@ -118,12 +125,18 @@
 	recentNoise decayingMean
 	recentMiss  decayingMean
 	chosen      Method
+	// chosenMiss and averageMiss are the squared errors of the chosen methods and of the average over guardHalfLife; guarded is set while
+	// the former is larger.
+	chosenMiss  decayingMean
+	averageMiss decayingMean
+	guarded     bool
 }
 
 type point struct {
 	Observation
 	// forecasts holds what each method expected at this step; NaN where it expected nothing.
 	forecasts [methodCount]float64
+	chosen    Method
 }
 
 // NewSeries returns an empty series that forecasts the demand horizon after the last step.
@@ -131,6 +144,8 @@
 	return &Series{
 		horizon: max(1, int(math.Round(horizon.Seconds()/Step.Seconds()))),
 		slow:    decayingMean{halfLife: slowHalfLife}, quick: decayingMean{halfLife: quickHalfLife}, noise: decayingMean{halfLife: errorHalfLife},
+		chosenMiss:  decayingMean{halfLife: guardHalfLife},
+		averageMiss: decayingMean{halfLife: guardHalfLife},
 		recentNoise: decayingMean{halfLife: recentHalfLife}, recentMiss: decayingMean{halfLife: recentHalfLife},
 		errors: newErrors(),
 	}
@@ -234,6 +249,9 @@
 	s.recentNoise.add(noise)
 	miss := forecasts[Average] - actual
 	s.recentMiss.add(miss * miss)
+	s.averageMiss.add(miss * miss)
+	chosenMiss := forecasts[s.at(made).chosen] - actual
+	s.chosenMiss.add(chosenMiss * chosenMiss)
 	for m, forecast := range forecasts {
 		if !math.IsNaN(forecast) {
 			s.errors[m].add((forecast - actual) * (forecast - actual))
@@ -246,26 +264,49 @@
 	return requestNoise * requestNoise * mean * mean / max(1, requests)
 }
 
-// choose selects the method with the smallest recent error if the average's error is larger by a clear margin and not explained by the
-// sampling noise.
+// choose selects the method for the next forecasts. While no forecast that was made after a change can be judged, the errors say nothing of
+// it, so that the level since the change is used, or a wave that was found before.
 func (s *Series) choose() {
+	best := s.smallestError()
+	if s.change.active && (best == Average || s.changeUnjudged() && (best != Periodic || s.wave.found >= s.change.since)) {
+		best = Average
+		if s.changeAllowed() {
+			best = Change
+		}
+	}
+	s.chosen = best
+	s.newest().chosen = best
+	s.guard()
+}
+
+// smallestError returns the method with the smallest recent error if the average's error is larger by a clear margin and not explained by
+// the sampling noise.
+func (s *Series) smallestError() Method {
 	needed, margin := unexplained, clearMargin
 	if s.chosen != Average {
 		needed, margin = keptUnexplained, keptMargin
 	}
 	average := &s.errors[Average]
+	if average.weight < minScores || average.mean() <= needed*s.noise.mean() || s.recentMiss.mean() <= needed*s.recentNoise.mean() {
+		return Average
+	}
 	best := Average
-	if average.weight >= minScores && average.mean() > needed*s.noise.mean() && s.recentMiss.mean() > needed*s.recentNoise.mean() {
-		for m := Slow; m < methodCount; m++ {
-			if s.usable(m) && s.errors[m].mean() < margin*average.mean() && s.errors[m].mean() < s.errors[best].mean() {
-				best = m
-			}
+	for m := Slow; m < methodCount; m++ {
+		if s.usable(m) && s.errors[m].mean() < margin*average.mean() && s.errors[m].mean() < s.errors[best].mean() {
+			best = m
 		}
 	}
-	if best == Average && s.change.active && s.changeAllowed() {
-		best = Change
+	return best
+}
+
+// guard suspends the use of forecasts while the chosen ones were worse than the average; they are still made and judged. It does not apply
+// to a wave, which was tested on the time before it was found.
+func (s *Series) guard() {
+	tolerance := guardTolerance
+	if s.guarded {
+		tolerance = guardRelease
 	}
-	s.chosen = best
+	s.guarded = s.chosenMiss.mean() > tolerance*s.averageMiss.mean()+s.noise.mean()
 }
 
 // usable reports whether a method expects something now and its error is known.
@@ -276,7 +317,7 @@
 // Forecast returns the demand expected one horizon after the last step, where average is the present average.
 func (s *Series) Forecast(average float64) Forecast {
 	f := Forecast{Expected: average, Method: s.chosen, Period: stepsToTime(s.wave.period)}
-	if s.count == 0 || s.unknown > maxUnknownSteps {
+	if s.count == 0 || s.unknown > maxUnknownSteps || s.guarded && s.chosen != Periodic {
 		f.Method = Average
 	}
 	if f.Method != Average {
--- a/forecast/series_test.go
+++ b/forecast/series_test.go
@@ -232,6 +232,33 @@
 	}
 }
 
+// Guards against a ramp that is planned for by an average of the past: the trend must be used, with a smaller error.
+func TestRampIsContinued(t *testing.T) {
+	for _, rise := range []time.Duration{10 * time.Second, 20 * time.Second} {
+		ramp := func(at time.Duration) float64 {
+			return 1 + min(1, max(0, (at-30*time.Second).Seconds()/rise.Seconds()))
+		}
+		var forecastError, averageError float64
+		trends := 0
+		for seed := range uint64(20) {
+			play(seed, &load{requests: 400, factor: ramp}, 30*time.Second+rise, func(_ *forecast.Series, now state) {
+				if now.at < 34*time.Second {
+					return
+				}
+				forecastError += squared(now.forecast.Expected - ramp(now.at+horizon))
+				averageError += squared(now.average - ramp(now.at+horizon))
+				if now.forecast.Method == forecast.Trend {
+					trends++
+				}
+			})
+		}
+		t.Logf("ramp of %v: error %.2f of the average's, trend used in %d steps", rise, math.Sqrt(forecastError/averageError), trends)
+		if trends == 0 || forecastError >= averageError {
+			t.Errorf("ramp of %v: squared error %.2f of the average's, trend used in %d steps", rise, forecastError/averageError, trends)
+		}
+	}
+}
+
 // Guards against waves that are continued after they have ended.
 func TestEndOfWave(t *testing.T) {
 	for seed := range uint64(10) {
--- a/forecast/wave.go
+++ b/forecast/wave.go
@@ -35,7 +35,9 @@
 type wave struct {
 	// period is in steps, 0 without a wave.
 	period float64
-	fit    fit
+	// found is the step at which the period was found.
+	found int
+	fit   fit
 }
 
 // fit holds coefficients of the mean and of the harmonics of one period.
@@ -95,6 +97,7 @@
 	found = s.refinePeriod(found)
 	if math.Abs(found-w.period) > samePeriod*found {
 		s.backtest(found)
+		w.found = s.count - 1
 	}
 	w.period = found
 }
