Use forecasts only while the mix that they expect is not worse

Cause: capacity is moved by the mix of the models' demands. A swing of 0.2 that all models have is found in the 305 requests per second of one model and not in the noise of the 81 of another, so that the plan would move groups to and fro.

Change: forecast.Models judges the expected shares of all models against those of the averages. A wave that only some models have is used once the expected mix was better, other forecasts while it was not worse; a wave that all models have is used as before.

--- a/forecast/series.go
+++ b/forecast/series.go
@@ -314,19 +314,42 @@
 	return s.unknown <= maxUnknownSteps && s.errors[m].weight >= minScores && !math.IsNaN(s.newest().forecasts[m])
 }
 
+// judgement is what was expected for a target by the method that was chosen and by the average, and what it was.
+type judgement struct {
+	chosen, average, actual float64
+}
+
+// judgement returns that of the newest target; ok is unset if it is unknown.
+func (s *Series) judgement() (j judgement, ok bool) {
+	i := s.count - 1
+	made := s.forecastFor(i)
+	actual, _, ok := s.target(i)
+	if !ok || made < s.oldest() {
+		return j, false
+	}
+	p := s.at(made)
+	return judgement{p.forecasts[p.chosen], p.forecasts[Average], actual}, true
+}
+
 // Forecast returns the demand expected one horizon after the last step, where average is the present average.
 func (s *Series) Forecast(average float64) Forecast {
-	f := Forecast{Expected: average, Method: s.chosen, Period: stepsToTime(s.wave.period)}
-	if s.count == 0 || s.unknown > maxUnknownSteps || s.guarded && s.chosen != Periodic {
-		f.Method = Average
-	}
-	if f.Method != Average {
-		f.Expected = s.newest().forecasts[f.Method]
+	if s.count == 0 || s.chosen == Average || s.unknown > maxUnknownSteps || s.guarded && s.chosen != Periodic {
+		return s.averageForecast(average)
 	}
-	if e := &s.errors[f.Method]; e.weight >= minScores {
-		f.Error = math.Sqrt(e.mean())
+	return Forecast{s.newest().forecasts[s.chosen], s.chosen, s.errorOf(s.chosen), stepsToTime(s.wave.period)}
+}
+
+// averageForecast returns the forecast by the average.
+func (s *Series) averageForecast(average float64) Forecast {
+	return Forecast{average, Average, s.errorOf(Average), stepsToTime(s.wave.period)}
+}
+
+// errorOf returns the root of the mean squared error of a method, 0 while unknown.
+func (s *Series) errorOf(m Method) float64 {
+	if s.errors[m].weight < minScores {
+		return 0
 	}
-	return f
+	return math.Sqrt(s.errors[m].mean())
 }
 
 // Peak returns the largest demand expected between now and the given time ahead, where average is the present average.
--- a/site/demand_steps.go
+++ b/site/demand_steps.go
@@ -16,7 +16,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/forecast"
@@ -43,8 +42,8 @@
 	// next is the oldest step that is not closed, 0 before the first one.
 	next int
 	open map[int]map[ident.Model]stepDemand
-	// series and averages hold the forecasts and the present averages.
-	series   map[ident.Model]*forecast.Series
+	// models and averages hold the forecasts and the present averages.
+	models   *forecast.Models
 	averages map[ident.Model]float64
 }
 
@@ -113,12 +112,11 @@
 		if r.manyJoined(d.next) {
 			d.restart(d.next)
 		}
+		observed := map[ident.Model]forecast.Observation{}
 		for model, average := range averages {
-			if d.series[model] == nil {
-				d.series[model] = forecast.NewSeries(forecastHorizon)
-			}
-			d.series[model].Add(r.observe(d.next, model, average))
+			observed[model] = r.observe(d.next, model, average)
 		}
+		d.models.Add(observed)
 		delete(d.open, d.next)
 	}
 }
@@ -126,7 +124,7 @@
 // restart forgets the demand before a step.
 func (d *demandSteps) restart(step int) {
 	d.next = max(1, step)
-	d.series = map[ident.Model]*forecast.Series{}
+	d.models = forecast.NewModels(forecastHorizon)
 	maps.DeleteFunc(d.open, func(open int, _ map[ident.Model]stepDemand) bool { return open < step })
 }
 
@@ -190,18 +188,19 @@
 // forecast replaces the rates by what is expected where that is better.
 func (d *demandSteps) forecast(rates map[ident.Model]float64) {
 	for model, average := range rates {
-		if s := d.series[model]; s != nil {
-			rates[model] = s.Forecast(average).Expected
-		}
+		rates[model] = d.models.Forecast(model, average).Expected
 	}
 }
 
 // Forecasts returns the forecasts as of the last evaluation, sorted by model.
 func (r *DemandRates) Forecasts() []ModelForecast {
 	var list []ModelForecast
-	for _, model := range slices.Sorted(maps.Keys(r.steps.series)) {
+	if r.steps.models == nil {
+		return nil
+	}
+	for _, model := range r.steps.models.Names() {
 		average := r.steps.averages[model]
-		f := r.steps.series[model].Forecast(average)
+		f := r.steps.models.Forecast(model, average)
 		list = append(list, ModelForecast{model, f.Expected, average, f.Error, f.Method.String(), f.Period.Milliseconds()})
 	}
 	return list
@@ -210,8 +209,8 @@
 // Peaks returns the largest demand per second that is expected for each model within a time; weights are loaded ahead for it.
 func (r *DemandRates) Peaks(within time.Duration) map[ident.Model]float64 {
 	peaks := map[ident.Model]float64{}
-	for model, s := range r.steps.series {
-		peaks[model] = s.Peak(within, r.steps.averages[model])
+	for model, average := range r.steps.averages {
+		peaks[model] = r.steps.models.Peak(model, within, average)
 	}
 	return peaks
 }
