--- a/site/inspect.go
+++ b/site/inspect.go
@@ -42,6 +42,8 @@
 	Held []QuarantineState `json:"held"`
 	// Load is what all entries counted of the requests for each model.
 	Load LoadState `json:"load"`
+	// Forecasts are the demands that groups are planned by, where the settings enable forecasts.
+	Forecasts []ModelForecast `json:"forecasts,omitempty"`
 }
 
 // ModelState is the capacity of a service's model and what it needs.
@@ -142,6 +144,7 @@
 	state.Entries = len(r.entries)
 	backoffs, limits := r.backoffStates(now), r.limitStates(now)
 	state.Load = r.loadState(now)
+	state.Forecasts = r.demand.Forecasts()
 	r.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(r.formations)) {
 		for _, o := range r.formations[name].Explain() {
