Count the members that a service loses, and pass the rate to Plan

Cause: a domain keeps one spare, whatever is lost. Plan has no input from which it could size spares, and does not see the members of groups that are ending.

With scheduling.spares, Plan gets the rate per second and upstream, and the members of groups that are closing or leaving. A new leader starts at 0. Nothing decides by them yet. The simulated fleet takes options.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -146,19 +146,14 @@
 }
 
 func (f *Formation) planInput() *PlanInput {
-	input := &PlanInput{Engine: f.engine, Demand: f.snapshot.Demand, BeforeFirstRequest: f.BeforeFirstRequest, Expected: map[ident.Domain]ExpectedGroups{}}
+	input := &PlanInput{Engine: f.engine, Demand: f.snapshot.Demand, BeforeFirstRequest: f.BeforeFirstRequest, Spares: f.Spares, Expected: map[ident.Domain]ExpectedGroups{}}
 	for _, c := range f.replacing {
 		input.Expected[c.Domain] = c.Expected
 	}
-	inGroup := map[ident.Incarnation]bool{}
-	for _, g := range f.groups() {
-		for _, id := range g.Members {
-			inGroup[id] = true
-		}
-		if existing, ok := f.existingGroup(&g); ok && !f.snapshot.DrainedHalls[existing.Members[0].Hall] {
-			input.Groups = append(input.Groups, existing)
-		}
+	if f.Spares {
+		input.LossRate = f.lossRate()
 	}
+	inGroup := f.addGroups(input)
 	for i := range f.snapshot.Upstreams {
 		u := &f.snapshot.Upstreams[i]
 		if u.Service != f.Service || u.Draining || u.Silent || f.snapshot.DrainedHalls[u.Hall] {
@@ -173,6 +168,24 @@
 	return input
 }
 
+// addGroups adds the groups to the input of Plan, and returns the members of all groups.
+func (f *Formation) addGroups(input *PlanInput) map[ident.Incarnation]bool {
+	inGroup := map[ident.Incarnation]bool{}
+	for _, g := range f.groups() {
+		for _, id := range g.Members {
+			inGroup[id] = true
+		}
+		existing, ok := f.existingGroup(&g)
+		if ok && !f.snapshot.DrainedHalls[existing.Members[0].Hall] {
+			input.Groups = append(input.Groups, existing)
+		}
+		if !ok && f.Spares {
+			input.Ending = append(input.Ending, f.remainingMembers(&g)...)
+		}
+	}
+	return inGroup
+}
+
 // isFree reports whether an upstream outside all groups may join one: it is reachable, has certainly left its last group, and is neither
 // reserved nor bound.
 func (f *Formation) isFree(u *roster.Upstream) bool {
@@ -199,6 +212,17 @@
 	return existing, !g.WarmUp && len(existing.Members) > 0
 }
 
+// remainingMembers returns the members of a group that can join another one when the group has ended.
+func (f *Formation) remainingMembers(g *roster.Group) []Candidate {
+	var members []Candidate
+	for _, id := range g.Members {
+		if u := f.byID[id]; u != nil && !u.Draining && !f.isLost(u) && !f.snapshot.DrainedHalls[u.Hall] {
+			members = append(members, f.candidate(u))
+		}
+	}
+	return members
+}
+
 // domainReserved reports whether a group is closing so that a better one can be formed in domain.
 func (f *Formation) domainReserved(domain ident.Domain) bool {
 	for _, c := range f.replacing {
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -101,6 +101,8 @@
 	RecordDecision func(g *roster.Group, decision, reason string)
 	// BeforeFirstRequest is set until the first request arrives.
 	BeforeFirstRequest bool
+	// Spares sizes the spares of domains by the rate of losses, and lets groups of large models take members from other groups.
+	Spares bool
 
 	// startedAt is the time of the first snapshot.
 	startedAt time.Time
@@ -127,6 +129,7 @@
 	// loadAllowance is the number of loads that may start, as of allowanceAt; it grows with the weight store's rate.
 	loadAllowance float64
 	allowanceAt   time.Time
+	losses        lossCounter
 }
 
 // NewFormation returns a formation without groups and orders.
@@ -143,12 +146,14 @@
 		lastHeaded:     map[ident.Incarnation]ident.Model{},
 		staging:        map[ident.Incarnation]stagingOrder{},
 		loadAllowance:  loadBurst,
+		losses:         lossCounter{lastInGroup: map[ident.Incarnation]time.Time{}},
 	}
 }
 
 // Step advances every group by one step and starts new ones.
 func (f *Formation) Step(snapshot *Snapshot, engine *httproute.Engine) {
 	f.setSnapshot(snapshot, engine)
+	f.countLosses()
 	f.pruneUpstreams()
 	f.adopt(f.allReported())
 	for _, g := range f.groups() {
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -135,6 +135,12 @@
 	LoadBudget int
 	// BeforeFirstRequest is set until the first request arrives; until then loads are cheap.
 	BeforeFirstRequest bool
+	// Spares is the same as in Formation.
+	Spares bool
+	// LossRate is how many upstreams are unexpectedly lost from groups per second and upstream; 0 while it is unknown.
+	LossRate float64
+	// Ending lists the members of groups that are closing or leaving, which will be free soon.
+	Ending []Candidate
 }
 
 // plan is the working state of one call of Plan.
--- a/replicaset/simulation_test.go
+++ b/replicaset/simulation_test.go
@@ -127,10 +127,12 @@
 	stallConfirmed bool
 	demand         map[ident.Model]float64
 	drainedHalls   map[ident.Hall]bool
-	ordersSent     int
-	decisions      int
-	lastID         int
-	violations     []string
+	// spares is Formation.Spares of each leader.
+	spares     bool
+	ordersSent int
+	decisions  int
+	lastID     int
+	violations []string
 	// trace lists decisions, orders and their execution.
 	trace []string
 }
@@ -146,14 +148,26 @@
 }
 
 func newFleet(t *testing.T, seed uint64, domains, perDomain int) *fleet {
+	t.Helper()
+	return newFleetOf(t, seed, &fleetOptions{domains: domains, perDomain: perDomain, config: engineConfig()})
+}
+
+// fleetOptions are the size and the settings of a fleet.
+type fleetOptions struct {
+	domains, perDomain int
+	config             *httproute.Engine
+	spares             bool
+}
+
+func newFleetOf(t *testing.T, seed uint64, options *fleetOptions) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), byID: map[ident.Incarnation]*engine{},
-		config: engineConfig(), deadSince: map[ident.Incarnation]time.Time{},
+		config: options.config, spares: options.spares, deadSince: map[ident.Incarnation]time.Time{},
 	}
 	f.startedAt = f.now
-	for d := range domains {
-		for range perDomain {
+	for d := range options.domains {
+		for range options.perDomain {
 			f.add(ident.Domain(fmt.Sprintf("domain-%d", d)), ident.Hall(fmt.Sprintf("hall-%d", d/2)), "")
 		}
 	}
@@ -197,6 +211,7 @@
 	formation.Roster = f.roster
 	formation.Fence = f.term
 	formation.BeforeFirstRequest = f.term == 1
+	formation.Spares = f.spares
 	term := f.term
 	formation.NextEpoch = func() ident.Epoch {
 		f.epochs++
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -334,6 +334,7 @@
 	f.Service = service
 	f.Roster = r.roster
 	f.Fence = uint64(r.term)
+	f.Spares = r.control.Settings.Scheduling.Spares
 	f.NextEpoch = func() ident.Epoch {
 		r.epochCounter++
 		return ident.Epoch(uint64(r.term)<<epochCounterBits | r.epochCounter)
