Keep the members of a lost large group together, and lend them the rest

Cause: a group of 16 that lost two members could not be formed again, because its domain has one spare, and its 14 other members were used for groups of 4 at once, since the large model still had the groups that its demand requires. Two losses later three groups of 4 had to be closed for one of 16. Groups were also closed while both models were short although the change took most of its gain, so groups of both models were closed for each other.

Change, with scheduling.spares only: free members that remain of a large group are not used for a model that has enough groups while the group can be formed again. Members that are missing are taken from a group in the same domain, if the load of the model falls by more than that of the donor rises, and the donor keeps its required groups. A change for a model that lacks groups is judged by the mean loads over the expected lack, so the time of draining, loading and opening counts. The decision log says what both models gain and lose.

Measured: go test -race ./replicaset ./site passes (215 s, 59 s).

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -133,7 +133,11 @@
 		for _, c := range closings {
 			if c.Group == g.Name {
 				f.replacing[g.Name] = c
-				f.setPhase(&g, roster.PhaseClosing, "domain "+string(c.Domain)+" has enough members for a better group; groups now: "+reason)
+				why := c.Reason
+				if why == "" {
+					why = "domain " + string(c.Domain) + " has enough members for a better group"
+				}
+				f.setPhase(&g, roster.PhaseClosing, why+"; groups now: "+reason)
 			}
 		}
 	}
--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -102,7 +102,7 @@
 	switch {
 	case p.deficit(m.Name) <= 0:
 		return "has the groups it needs"
-	case len(p.closingsFor(m)) > 0:
+	case p.gainsByClosing(m):
 		return "groups are closed to free the members of a better one"
 	case ready >= m.Size:
 		return fmt.Sprintf("no domain has %d free upstreams with the weights; a group across domains is formed when %.0f%% of the groups are missing", m.Size, crossDomainDeficit*100)
@@ -114,6 +114,14 @@
 	return fmt.Sprintf("only %d upstreams are free", ready+loading+other)
 }
 
+// gainsByClosing reports whether groups are closed for one of m.
+func (p *plan) gainsByClosing(m *httproute.Model) bool {
+	if p.sparesApply() {
+		return p.bestExchangeFor(m) != nil
+	}
+	return len(p.closingsFor(m)) > 0
+}
+
 // DescribeUpstream returns the group of an upstream or, if it is in no group, its state.
 func (f *Formation) DescribeUpstream(id ident.Incarnation) string {
 	u := f.byID[id]
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -99,6 +99,8 @@
 	Group    ident.Group
 	Domain   ident.Domain
 	Expected ExpectedGroups
+	// Reason is what the models gain and lose by it; "" for a group of the same model.
+	Reason string
 }
 
 // ExpectedGroups counts the groups of Model that a domain gets once other groups of the domain have closed.
@@ -156,12 +158,15 @@
 	localGroups map[ident.Domain]map[ident.Model]int
 	free        []Candidate
 	loadsLeft   int
+	// domainSizes counts the upstreams of each domain.
+	domainSizes map[ident.Domain]int
 }
 
 func newPlan(input *PlanInput) *plan {
 	p := &plan{
 		PlanInput: input, targetGroups: TargetGroups(input), requiredGroups: RequiredGroups(input), loadsLeft: input.LoadBudget,
 		capacity: map[ident.Model]float64{}, openCapacity: map[ident.Model]float64{}, localGroups: map[ident.Domain]map[ident.Model]int{},
+		domainSizes: countDomains(input),
 	}
 	p.free = append(p.free, input.Free...)
 	for i := range input.Groups {
@@ -247,19 +252,27 @@
 
 // claimMembers removes members from the free upstreams and returns the domain of the last one.
 func (p *plan) claimMembers(members []ident.Incarnation) ident.Domain {
-	var remaining []Candidate
 	var domain ident.Domain
 	for i := range p.free {
 		if slices.Contains(members, p.free[i].ID) {
 			domain = p.free[i].Domain
-			continue
 		}
-		remaining = append(remaining, p.free[i])
 	}
-	p.free = remaining
+	p.free = without(p.free, members)
 	return domain
 }
 
+// without returns the candidates that are not listed as members.
+func without(candidates []Candidate, members []ident.Incarnation) []Candidate {
+	var remaining []Candidate
+	for i := range candidates {
+		if !slices.Contains(members, candidates[i].ID) {
+			remaining = append(remaining, candidates[i])
+		}
+	}
+	return remaining
+}
+
 // planLocal plans the best group of m within one domain: the one that is ready first, then in the domain with the fewest groups of m,
 // then with the fewest upstreams left over.
 func (p *plan) planLocal(m *httproute.Model) (GroupPlan, bool) {
@@ -283,11 +296,11 @@
 	usable := byDomain(p.free, func(c *Candidate) bool { return accept(c) && (p.BeforeFirstRequest || hasWeights(m, c)) })
 	for _, domain := range sortedKeys(usable) {
 		candidates := usable[domain]
-		if len(candidates) < m.Size || !lacking && !p.leavesEnoughSpares(domain, len(allFree[domain])-m.Size) {
+		if len(candidates) < m.Size || !lacking && !p.leavesEnoughSpares(m, domain, len(allFree[domain])-m.Size) {
 			continue
 		}
 		group := fastestMembers(m, candidates)
-		if group.Loads > p.loadsLeft {
+		if group.Loads > p.loadsLeft || !lacking && p.reserved(m, domain, &group) {
 			continue
 		}
 		leftOver := len(allFree[domain]) - m.Size
@@ -307,9 +320,35 @@
 	return p.anyDeficit()
 }
 
-// leavesEnoughSpares reports whether a domain may be left with leftOver free upstreams; its first group may use all of them.
-func (p *plan) leavesEnoughSpares(domain ident.Domain, leftOver int) bool {
-	return leftOver >= sparesPerDomain || len(p.localGroups[domain]) == 0
+// countDomains counts the upstreams of each domain.
+func countDomains(input *PlanInput) map[ident.Domain]int {
+	counts := map[ident.Domain]int{}
+	add := func(candidates []Candidate) {
+		for i := range candidates {
+			counts[candidates[i].Domain]++
+		}
+	}
+	add(input.Free)
+	add(input.Ending)
+	for i := range input.Groups {
+		add(input.Groups[i].Members)
+	}
+	return counts
+}
+
+// reserved reports whether a group of m, which has enough groups, would take members that the domain keeps for a larger model.
+func (p *plan) reserved(m *httproute.Model, domain ident.Domain, group *GroupPlan) bool {
+	if !p.sparesApply() {
+		return false
+	}
+	remaining := without(p.free, group.Members)
+	return p.takesRemaining(m, domain, remaining)
+}
+
+// leavesEnoughSpares reports whether a domain may be left with leftOver free upstreams by a group of m; its first group may use all of
+// them, and so may one that most members of a lost group remain for.
+func (p *plan) leavesEnoughSpares(m *httproute.Model, domain ident.Domain, leftOver int) bool {
+	return leftOver >= sparesPerDomain || len(p.localGroups[domain]) == 0 || p.sparesApply() && p.lostGroup(m, domain)
 }
 
 // groupRank orders possible groups; a lower rank is better.
--- a/replicaset/rebalance.go
+++ b/replicaset/rebalance.go
@@ -20,6 +20,9 @@
 
 // chooseClosings returns the groups to close for the first model, by need, that gains a group.
 func (p *plan) chooseClosings() []Closing {
+	if p.sparesApply() {
+		return p.chooseExchanges()
+	}
 	for _, m := range p.byDeficit() {
 		if closings := p.closingsFor(m); len(closings) > 0 {
 			return closings
@@ -92,7 +95,7 @@
 	}
 	var closings []Closing
 	for _, g := range toClose {
-		closings = append(closings, Closing{g.Name, domain, ExpectedGroups{m.Name, ready / m.Size}})
+		closings = append(closings, Closing{Group: g.Name, Domain: domain, Expected: ExpectedGroups{m.Name, ready / m.Size}})
 	}
 	return closings
 }
--- a/replicaset/worst_timing_test.go
+++ b/replicaset/worst_timing_test.go
@@ -13,6 +13,11 @@
 // the leader, in which late orders are executed at the worst moment.
 func runWorstTiming(t *testing.T, seed uint64) *fleet {
 	f := newFleet(t, seed, 1, 10)
+	f.injectWorstTiming(seed)
+	return f
+}
+
+func (f *fleet) injectWorstTiming(seed uint64) {
 	f.run(12*time.Second, nil)
 	f.lateFraction, f.lostFraction, f.unreadableFraction, f.strict, f.worstTiming = 0.35, 0.1, 0.05, true, true
 	f.demand = demandFor(float64(seed%2+1), float64(seed%3+1))
@@ -35,7 +40,6 @@
 			f.add("domain-0", "hall-0", "")
 		}
 	})
-	return f
 }
 
 // No member joins another group while the head of its own is open, even if orders are lost, late or repeated and leaders change. In seed 137,
