Size the spares of a domain by the losses of its large group

Cause: each domain keeps one spare. Replacements for lost VMs need 16 s to load weights from the store, so when a group of 16 loses two members its domain has 14 and one, and has to close another group and load from the host.

Change, with scheduling.spares only: a domain with a group of a large model keeps as many spares as that group is expected to lose during a load from the store, plus one standard deviation, at most an eighth of the domain, while the other models have their required groups. Spares get the weights of the large model on their host and then in use.

Measured: go test -race ./replicaset ./site passes (220 s, 98 s).

--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -17,16 +17,21 @@
 		loads = append(loads, WeightLoad{c.ID, m})
 		p.loadsLeft--
 	}
-	available := p.availableMembers()
+	available, needs := p.availableMembers(), p.spareNeeds(willHaveWeights)
 	for i := range p.free {
 		c := &p.free[i]
 		if p.loadsLeft < 1 || c.Staging != "" || !withoutWeights(c) || p.BeforeFirstRequest {
 			continue
 		}
 		m := p.mostUsefulModel(available[c.Domain])
+		if need := needs[c.Domain]; need != nil && need.missing > 0 {
+			need.missing--
+			m = need.model.Name
+		}
 		available[c.Domain][m]++
 		addLoad(c, m)
 	}
+	p.chooseSpareStaging(needs, addLoad)
 	hosts := p.stagedHosts()
 	for _, c := range p.stagingCandidates() {
 		if p.loadsLeft < 1 {
@@ -171,7 +176,7 @@
 			p.loadsLeft--
 		}
 	}
-	return joins
+	return append(joins, p.chooseSpareWarmUps(toStage)...)
 }
 
 // bySize returns the models sorted by group size, largest first.
