Form groups across domains only for a model without groups

Cause: a group across domains has a third to a quarter of the throughput of another one, and holds the spares of several domains, which then cannot form their lost groups again.

Measured: go test -race ./replicaset ./site passes (223 s, 81 s).

--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -393,7 +393,7 @@
 
 // planCrossDomain plans a group from free upstreams of several domains, preferably of one hall, for a model that lacks groups.
 func (p *plan) planCrossDomain(m *httproute.Model) (GroupPlan, bool) {
-	if p.load(m, 0) <= plannedGroupLoad || p.deficit(m.Name) < crossDomainDeficit {
+	if p.load(m, 0) <= plannedGroupLoad || p.deficit(m.Name) < crossDomainDeficit || p.Spares && p.capacity[m.Name] > 0 {
 		return GroupPlan{}, false
 	}
 	readyByHall := map[ident.Hall]int{}
--- a/replicaset/spares_test.go
+++ b/replicaset/spares_test.go
@@ -129,6 +129,14 @@
 			off: []string{"close g0 for large", "close g1 for large"},
 			on:  []string{"close g0 for large", "close g1 for large", "close g2 for large", "close g3 for large"},
 		},
+		{
+			name: "a group across domains only for a model without groups", engine: engineConfig(), free: candidates("a:WWW", "b:W"),
+			groups: existingGroups("large d:WWWW", "small c:ww"), demand: demandFor(2, 0.1), off: []string{"large across domains"}, on: []string{},
+		},
+		{
+			name: "a group across domains for a model without groups", engine: engineConfig(), free: candidates("a:WWW", "b:W"),
+			groups: existingGroups("small c:ww"), demand: demandFor(2, 0.1), off: []string{"large across domains"}, on: []string{"large across domains"},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for _, spares := range []bool{false, true} {
