Rank requests of customers over their fair share after all others

Requests of one model were ordered without regard to customers, so a customer with ten times its usual load took the capacity of all others.

Package fairshare counts the work of customers in upstream-seconds, sent and unmet, with a half-life of 2 s, and finds by max-min fairness and weights which of them ask for more than their fair share. Entries report the work since their last report, and the leader returns sums for the 32 customers that ask for the most and for all others. An entry adds its own work since; without a fresh summary it uses its own counts. A request of a customer over its share comes after all others of its rank, and must leave capacity for others at its group while customers within their shares ask for any. Retries count once, estimates are corrected at the end of the answer, and few requests are no excess. The setting scheduling.customer-shares switches this; without it nothing is counted, reported or ordered.

--- a/overload/queue.go
+++ b/overload/queue.go
@@ -10,6 +10,8 @@
 //	               reserved share of the capacity
 //	late           first in, first out, with the capacity that remains
 //
+// Within a rank, requests of customers over their share come after all others.
+//
 // The rules handle these load patterns:
 //
 //   - A short burst delays requests by a few iterations. They wait, the most
@@ -109,9 +111,8 @@
 func (q *Queue[T]) insert(now time.Time, queued *Queued[T]) {
 	queued.rank = queued.Rank(now)
 	waiting := q.byRank[queued.rank]
-	key := queued.sortKey()
-	i, _ := slices.BinarySearchFunc(waiting, key, func(other *Queued[T], key time.Time) int {
-		if other.sortKey().After(key) {
+	i, _ := slices.BinarySearchFunc(waiting, queued, func(other, queued *Queued[T]) int {
+		if other.OverShare != queued.OverShare && other.OverShare || other.OverShare == queued.OverShare && other.sortKey().After(queued.sortKey()) {
 			return 1
 		}
 		return -1 // requests with equal keys keep their order of arrival
@@ -184,15 +185,13 @@
 
 // demoteLate moves requests that can no longer be in time to their next rank.
 func (q *Queue[T]) demoteLate(now time.Time) {
-	waiting := q.byRank[InTime]
-	lateCount := 0
-	for lateCount < len(waiting) && waiting[lateCount].Rank(now) != InTime {
-		lateCount++
-	}
-	for _, queued := range waiting[:lateCount] {
-		q.insert(now, queued)
-	}
-	q.byRank[InTime] = slices.Delete(waiting, 0, lateCount)
+	q.byRank[InTime] = slices.DeleteFunc(q.byRank[InTime], func(queued *Queued[T]) bool {
+		isLate := queued.Rank(now) != InTime
+		if isLate {
+			q.insert(now, queued)
+		}
+		return isLate
+	})
 }
 
 // offer offers the requests of a rank in order, with the capacity of capacityRank, until maxSent are sent, and returns how many were.
--- a/overload/queue_test.go
+++ b/overload/queue_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// Guards against requests of customers over their share that come before others of their rank, against a later rank that comes before
+// them, and against those that are never demoted because others are due later.
+func TestRequestsOverShareComeLastInTheirRank(t *testing.T) {
+	overShare := func(r overload.Request) overload.Request {
+		r.OverShare = true
+		return r
+	}
+	tester := &queueTester{capacity: 7, lateAllowed: true}
+	tester.add(0, "late, over share", overShare(dueAt(-ms)))
+	tester.add(1*ms, "late", dueAt(-ms))
+	tester.add(2*ms, "urgent, over share", overShare(dueAt(50*ms)))
+	tester.add(3*ms, "more urgent, over share", overShare(dueAt(40*ms)))
+	tester.add(4*ms, "becomes late, over share", overShare(dueAt(5*ms)))
+	tester.add(5*ms, "has time", dueAt(300*ms))
+	tester.add(6*ms, "has less time", dueAt(200*ms))
+	tester.dispatch(10 * ms)
+	want := []string{
+		"has less time", "has time", "more urgent, over share", "urgent, over share", "late", "late, over share", "becomes late, over share",
+	}
+	if diff := cmp.Diff(want, tester.sent); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
 // A late request is refused when there has been no capacity for late requests for lateRefusalDelay, and not before; any capacity seen
 // in between restarts the delay.
 func TestLateRequestsUnderSustainedOverload(t *testing.T) {
--- a/overload/rank.go
+++ b/overload/rank.go
@@ -30,6 +30,8 @@
 	// Started and FinalAttempt are set for requests that the ranks of these names describe.
 	Started      bool
 	FinalAttempt bool
+	// OverShare is set for requests of customers over their share; they come after all others of their rank.
+	OverShare bool
 }
 
 // LatestSend returns the latest time at which sending is worthwhile; a request whose caller will not retry is also sent late.
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/siteload"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
@@ -109,6 +110,31 @@
 	}
 }
 
+// BenchmarkShares is the decision whether the customer of an arriving request is over its share.
+func BenchmarkShares(b *testing.B) {
+	for _, customers := range []int{8, 24, 1000} {
+		b.Run(fmt.Sprintf("%d-customers", customers), func(b *testing.B) {
+			s := relay.New(headerNames(), transport.TCP())
+			s.SetCustomerShares(nil)
+			cfg := timedConfig()
+			s.SetConfig(cfg)
+			note := relay.ShareNoter(s, &cfg.Routes[2], "m")
+			list := make([]httproute.Customer, customers)
+			table := &siteload.Table{}
+			for i := range list {
+				list[i].Name = ident.Customer(fmt.Sprintf("customer-%04d", i))
+				note(&list[i])
+			}
+			table.Apply(s.Now(), "a", s.CollectLoad())
+			s.SetSiteLoad(table.Summary(s.Now()))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				note(&list[i%customers])
+			}
+		})
+	}
+}
+
 // BenchmarkChoose is one choice of a group among many, also while one of them has requested a backoff.
 func BenchmarkChoose(b *testing.B) {
 	for _, tt := range []struct{ groups, backedOff int }{{16, 0}, {200, 0}, {200, 1}} {
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -125,6 +125,8 @@
 		s.queues[key] = q
 	}
 	s.countsOf(key).level(x.urgency()).Arrived++
+	x.noteOverShare(now)
+	x.noteArrivedWork(now)
 	queued := q.Add(now, x.queueRequest(now), req)
 	s.dispatchQueue(q, now)
 	if !s.dispatchScheduled && q.Len() > 0 {
@@ -137,6 +139,9 @@
 // complete ends the wait of the request.
 func (w *queuedRequest) complete(chosen choice, err error) {
 	w.chosen, w.err = chosen, err
+	if err == nil {
+		w.x.noteSentWork(w.x.s.Now())
+	}
 	close(w.done)
 }
 
@@ -246,7 +251,7 @@
 	// A request that lost time at a crashed or stalled group ranks as a final attempt: it is not refused at once like other late requests.
 	// It does not rank before requests that can be in time, since that would make those late when all groups are full.
 	finalAttempt := x.heldAtStart || x.priorElapsed >= returningElapsed || x.displaced
-	return overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt}
+	return overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt, OverShare: x.overShare}
 }
 
 // hasProgress reports whether a refusal would waste work of an upstream, or events that the caller has received.
@@ -271,7 +276,7 @@
 	if x.leavesCapacity(t, load) {
 		return true
 	}
-	if rank == overload.Late {
+	if rank == overload.Late || x.leavesRoom {
 		return false
 	}
 	latest := x.aimDeadline
@@ -320,6 +325,7 @@
 
 // cancelReservation undoes reserve.
 func (x *exchange) cancelReservation(t *choice) {
+	x.settleWork(0)
 	if !x.countedAtTarget {
 		return
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -88,6 +88,10 @@
 	permitDenials int
 	// bodyBytes and answerBytes are the bytes counted against the memory bounds.
 	bodyBytes, answerBytes int64
+	// work is the work that counts for the customer. overShare is set when the request ranks after those of other customers, leavesRoom
+	// when it must also leave capacity for others.
+	work                  requestWork
+	overShare, leavesRoom bool
 	// retryCharged is set while the retry budget has been charged for an attempt that was not sent yet.
 	retryCharged bool
 }
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"net/http"
+
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
@@ -18,6 +20,21 @@
 	}
 }
 
+// ShareNoter returns a function that counts an arriving request of a customer and decides whether the customer is over its share.
+func ShareNoter(s *Relay, route *httproute.Route, model ident.Model) func(customer *httproute.Customer) {
+	table := s.table.Load()
+	x := &exchange{s: s, arrivedAt: s.Now(), table: table, route: route, service: table.Service(route.Split[0].Service), model: model, promptTokens: 1000, answerTokens: 100}
+	x.r = &http.Request{}
+	return func(customer *httproute.Customer) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := s.Now()
+		x.customer, x.work = customer, requestWork{}
+		x.noteOverShare(now)
+		x.noteArrivedWork(now)
+	}
+}
+
 // RequestsAt returns the estimated number of requests at the group with that head, -1 if there is no such group.
 func RequestsAt(s *Relay, head ident.Incarnation) int {
 	s.mu.Lock()
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -64,6 +65,8 @@
 	id        string
 	tokens    string
 	impatient bool
+	// key is the customer's key, "secret" if empty.
+	key string
 }
 
 // call returns the time to the first event from the first attempt, 0 if there was none, the longest gap between events, and the total time
@@ -84,7 +87,7 @@
 		r.Host = "h"
 		id := c.id + "." + strconv.Itoa(n)
 		for name, value := range map[string]string{
-			"Request": id, "Key": "secret", "Model": "m", "Tokens": c.tokens, "Deadline": strconv.Itoa(int(remaining.Milliseconds())),
+			"Request": id, "Key": cmp.Or(c.key, "secret"), "Model": "m", "Tokens": c.tokens, "Deadline": strconv.Itoa(int(remaining.Milliseconds())),
 		} {
 			r.Header.Set(name, value)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -121,6 +121,8 @@
 	startSlots map[ident.Model]chan struct{}
 	// siteLoad holds the counts of this entry's requests and the sums over all entries.
 	siteLoad siteLoad
+	// shares holds the work of customers, nil if requests are not ordered by customers.
+	shares *customerShares
 }
 
 // New returns a relay without a configuration.
--- a/relay/run.go
+++ b/relay/run.go
@@ -129,6 +129,7 @@
 		x.attempts = x.attempts[:len(x.attempts)-1]
 		return outcomeSkipped
 	}
+	x.settleWork(x.actualWork(f, outcome))
 	x.countedAtTarget = false
 	x.endBackoffProbe(t.id, false)
 	x.clearPending(t.state)
--- a/relay/site_load.go
+++ b/relay/site_load.go
@@ -76,6 +76,7 @@
 	for key, c := range s.siteLoad.counts {
 		r := siteload.QueueReport{Key: key.loadKey(), FirstEvents: c.firstEvents}
 		for _, l := range c.levels {
+			l.Customers = s.shares.takeReport(s.Now(), shareKey{key, l.Urgency})
 			r.Levels = append(r.Levels, *l)
 		}
 		report.Queues = append(report.Queues, r)
@@ -90,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.siteLoad.summary, s.siteLoad.receivedAt = summary, s.Now()
+	s.shares.applySummary(s.Now(), summary)
 }
 
 // siteLoadOf returns the sums over all entries for a queue, nil while no fresh ones are known; the mutex is held.
--- a/site/entry.go
+++ b/site/entry.go
@@ -96,6 +96,9 @@
 	e.relay.Backoff.Rule = backoffRule(&cfg.Backoff)
 	e.relay.OnBackpressure = e.logUpstreamSignal
 	e.relay.Limits.Observe = func(outcome ratelimit.Outcome) { e.metrics.permits[outcome].Inc(1) }
+	if cfg.Scheduling.CustomerShares {
+		e.relay.SetCustomerShares(cfg.Scheduling.CustomerWeights)
+	}
 	e.peerEntries = newPeerEntries(e.relay.Receive)
 	e.relay.SendUpdate = e.peerEntries.enqueue
 	return e
--- a/siteload/report.go
+++ b/siteload/report.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/fairshare"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -48,6 +49,14 @@
 	Arrived int
 	Sent    int
 	Refused int
+	// Customers holds the work of customers since the last report, at most MaxReportCustomers of them.
+	Customers []CustomerWork
+}
+
+// CustomerWork is the work of one customer.
+type CustomerWork struct {
+	Customer ident.Customer
+	fairshare.Usage
 }
 
 // DelaySample sums by how much first events were later than estimated.
@@ -94,6 +103,19 @@
 	Age time.Duration
 }
 
+// Level returns the sums for an urgency, nil if there are none.
+func (q *QueueSummary) Level(u Urgency) *LevelSummary {
+	if q == nil {
+		return nil
+	}
+	for i := range q.Levels {
+		if q.Levels[i].Urgency == u {
+			return &q.Levels[i]
+		}
+	}
+	return nil
+}
+
 // LevelSummary holds the sums of the requests with one key and urgency.
 type LevelSummary struct {
 	Urgency Urgency
@@ -102,6 +124,11 @@
 	ArrivalRate float64
 	SendRate    float64
 	RefusalRate float64
+	// Customers holds the decaying sums of the customers that ask for the most work, Others the number of all other customers and
+	// OthersWork the sum of their work.
+	Customers  []CustomerWork
+	Others     int
+	OthersWork fairshare.Usage
 }
 
 // DelaySummary is the mean delay of first events and the mean deviation from it; Samples is the weight of the events behind them.
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/fairshare"
 )
 
 const (
@@ -18,6 +20,11 @@
 	// maxKeys bounds the keys that are kept, since callers may name any model; idleAfter is when a key without requests is dropped.
 	maxKeys   = 64
 	idleAfter = 30 * time.Second
+	// MaxReportCustomers bounds the customers in a report for one key and urgency: far more than have requests at one entry between two
+	// reports. maxSummaryCustomers bounds those in a summary, which is sent to all entries; the others
+	// ask for less.
+	MaxReportCustomers  = 64
+	maxSummaryCustomers = 32
 )
 
 // Table holds the reports of all entries. The zero value is an empty table; it is not safe for concurrent use.
@@ -42,6 +49,8 @@
 type levelState struct {
 	arrived, sent, refused float64
 	at                     time.Time
+	// work has the work of customers, nil while no entry reports any.
+	work *fairshare.Counters
 }
 
 // delayState holds decaying sums of the delays of first events, in ns, at a point in time.
@@ -65,7 +74,9 @@
 		latest.levels[r.Key] = r.Levels
 		q.delays.add(now, r.FirstEvents)
 		for _, level := range r.Levels {
-			q.level(level.Urgency).add(now, level)
+			l := q.level(level.Urgency)
+			l.add(now, level)
+			l.addWork(now, level.Customers)
 		}
 	}
 	t.waiting[entry] = latest
@@ -107,6 +118,31 @@
 	l.refused += float64(max(0, r.Refused))
 }
 
+// addWork adds the work of customers; work beyond the bound of a report is ignored.
+func (l *levelState) addWork(now time.Time, customers []CustomerWork) {
+	if len(customers) == 0 {
+		return
+	}
+	if l.work == nil {
+		l.work = &fairshare.Counters{}
+	}
+	for _, c := range customers[:min(len(customers), MaxReportCustomers)] {
+		l.work.Add(now, c.Customer, c.Usage)
+	}
+}
+
+// summarizeWork fills in the work of customers.
+func (l *levelState) summarizeWork(now time.Time, summary *LevelSummary) {
+	if l.work == nil {
+		return
+	}
+	largest, others, rest := l.work.Largest(now, maxSummaryCustomers)
+	for _, e := range largest {
+		summary.Customers = append(summary.Customers, CustomerWork(e))
+	}
+	summary.Others, summary.OthersWork = others, rest
+}
+
 func (l *levelState) decay(now time.Time) {
 	f := remaining(now.Sub(l.at), rateHalfLife)
 	l.arrived, l.sent, l.refused, l.at = l.arrived*f, l.sent*f, l.refused*f, now
@@ -167,7 +203,12 @@
 		l.decay(now)
 		// A constant rate r has the decaying sum r * halfLife / ln 2.
 		perSecond := math.Ln2 / rateHalfLife.Seconds()
-		summary.Levels = append(summary.Levels, LevelSummary{u, waiting[u], l.arrived * perSecond, l.sent * perSecond, l.refused * perSecond})
+		level := LevelSummary{
+			Urgency: u, Waiting: waiting[u],
+			ArrivalRate: l.arrived * perSecond, SendRate: l.sent * perSecond, RefusalRate: l.refused * perSecond,
+		}
+		l.summarizeWork(now, &level)
+		summary.Levels = append(summary.Levels, level)
 	}
 	return summary
 }
--- a/siteload/table_test.go
+++ b/siteload/table_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"github.com/dunlinquay/dunlinquay/fairshare"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/siteload"
 )
@@ -92,3 +93,54 @@
 		t.Errorf("%d keys are kept, want at most 64", got)
 	}
 }
+
+func workOf(customer string, sent, unmet float64) siteload.CustomerWork {
+	return siteload.CustomerWork{Customer: ident.Customer(customer), Usage: fairshare.Usage{Sent: sent, Unmet: unmet}}
+}
+
+// Guards against customers that are counted once for each entry instead of summed over all, and against corrections that are lost.
+func TestWorkOfCustomersIsSummed(t *testing.T) {
+	table := &siteload.Table{}
+	table.Apply(startTime, "a", reportOf(siteload.LevelReport{Urgency: 1, Customers: []siteload.CustomerWork{workOf("x", 2, 1), workOf("y", 5, 0)}}))
+	table.Apply(startTime, "b", reportOf(siteload.LevelReport{Urgency: 1, Customers: []siteload.CustomerWork{workOf("x", 4, 3)}}))
+	table.Apply(startTime, "b", reportOf(siteload.LevelReport{Urgency: 1, Customers: []siteload.CustomerWork{workOf("x", 0, -1)}}))
+	got := table.Summary(startTime).Queue(key).Level(1)
+	want := []siteload.CustomerWork{workOf("x", 6, 3), workOf("y", 5, 0)}
+	if diff := cmp.Diff(want, got.Customers); diff != "" || got.Others != 0 {
+		t.Errorf("%d others, customers (-want +got):\n%s", got.Others, diff)
+	}
+}
+
+// Guards against summaries and memory that grow with the number of customers; the sum must not change.
+func TestCustomersOfSummaryAreBounded(t *testing.T) {
+	table := &siteload.Table{}
+	for i := range 50 {
+		var customers []siteload.CustomerWork
+		for j := range 100 {
+			customers = append(customers, workOf(strconv.Itoa(i)+"."+strconv.Itoa(j), float64(i), 1))
+		}
+		table.Apply(startTime, "a", reportOf(siteload.LevelReport{Customers: customers}))
+	}
+	got := table.Summary(startTime).Queue(key).Level(0)
+	sum := got.OthersWork
+	for _, c := range got.Customers {
+		sum = sum.Plus(c.Usage)
+	}
+	// A report counts for at most 64 customers, and 1,000 have accounts of their own.
+	want := fairshare.Usage{Sent: 64 * 49 * 50 / 2, Unmet: 64 * 50}
+	if diff := cmp.Diff(want, sum); diff != "" || len(got.Customers) != 32 || got.Others != 1000-32+1 {
+		t.Errorf("%d customers and %d others, sum (-want +got):\n%s", len(got.Customers), got.Others, diff)
+	}
+}
+
+// Guards against sums that include the work of customers at entries that no longer report.
+func TestWorkOfLostEntriesDecays(t *testing.T) {
+	table := &siteload.Table{}
+	table.Apply(startTime, "lost", reportOf(siteload.LevelReport{Customers: []siteload.CustomerWork{workOf("x", 100, 0)}}))
+	now := startTime.Add(10 * time.Second)
+	got := table.Summary(now).Queue(key).Level(0)
+	want := []siteload.CustomerWork{workOf("x", 100./32, 0)}
+	if diff := cmp.Diff(want, got.Customers); diff != "" {
+		t.Errorf("customers (-want +got):\n%s", diff)
+	}
+}
