--- a/overload/queue.go
+++ b/overload/queue.go
@@ -11,6 +11,8 @@
 //	               reserved share of the capacity
 //	late           first in, first out, with the capacity that remains
 //
+// Within a rank, requests of customers over their share come after all others.
+//
 // The rules handle these load patterns:
 //
 //   - A short burst delays requests by a few iterations. They wait, the most
@@ -155,9 +157,8 @@
 func (l *level[T]) insert(now time.Time, queued *Queued[T]) {
 	queued.rank = queued.Rank(now)
 	waiting := l.byRank[queued.rank]
-	key := queued.sortKey()
-	i, _ := slices.BinarySearchFunc(waiting, key, func(other *Queued[T], key time.Time) int {
-		if other.sortKey().After(key) {
+	i, _ := slices.BinarySearchFunc(waiting, queued, func(other, queued *Queued[T]) int {
+		if other.OverShare != queued.OverShare && other.OverShare || other.OverShare == queued.OverShare && other.sortKey().After(queued.sortKey()) {
 			return 1
 		}
 		return -1 // requests with equal keys keep their order of arrival
@@ -272,15 +273,13 @@
 
 // demoteLate moves requests that can no longer be in time to their next rank.
 func (l *level[T]) demoteLate(now time.Time) {
-	waiting := l.byRank[InTime]
-	lateCount := 0
-	for lateCount < len(waiting) && waiting[lateCount].Rank(now) != InTime {
-		lateCount++
-	}
-	for _, queued := range waiting[:lateCount] {
-		l.insert(now, queued)
-	}
-	l.byRank[InTime] = slices.Delete(waiting, 0, lateCount)
+	l.byRank[InTime] = slices.DeleteFunc(l.byRank[InTime], func(queued *Queued[T]) bool {
+		isLate := queued.Rank(now) != InTime
+		if isLate {
+			l.insert(now, queued)
+		}
+		return isLate
+	})
 }
 
 // offer offers the requests of a rank in order, with the capacity of capacityRank, until maxSent are sent, and returns how many were.
--- a/overload/rank.go
+++ b/overload/rank.go
@@ -40,6 +40,8 @@
 	FinalAttempt bool
 	// Needs are what a request of this kind needs from a group.
 	Needs Needs
+	// OverShare is set for requests of customers over their share; they come after all others of their rank.
+	OverShare bool
 }
 
 // LatestSend returns the latest time at which sending is worthwhile; a request whose caller will not retry is also sent late.
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -125,6 +125,8 @@
 		s.queues[key] = q
 	}
 	s.countsOf(key).noteArrival(x)
+	x.noteOverShare(now)
+	x.noteArrivedWork(now)
 	queued := q.Add(now, x.queueRequest(now), req)
 	s.dispatchQueue(key, q, now)
 	if !s.dispatchScheduled && q.Len() > 0 {
@@ -137,6 +139,9 @@
 // complete ends the wait of the request.
 func (w *queuedRequest) complete(chosen choice, err error) {
 	w.chosen, w.err = chosen, err
+	if err == nil {
+		w.x.noteSentWork(w.x.s.Now())
+	}
 	close(w.done)
 }
 
@@ -247,7 +252,7 @@
 	// A request that lost time at a crashed or stalled group ranks as a final attempt: it is not refused at once like other late requests.
 	// It does not rank before requests that can be in time, since that would make those late when all groups are full.
 	finalAttempt := x.heldAtStart || x.priorElapsed >= returningElapsed || x.displaced
-	r := overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt}
+	r := overload.Request{QueuedAt: now, Due: due, Expires: expires, Started: x.hasProgress(), FinalAttempt: finalAttempt, OverShare: x.overShare}
 	if x.table.HasUrgencies(x.service.Name) {
 		r.Urgency, r.FirstArrival = x.urgency(), x.arrivedAt.Add(-x.priorElapsed)
 		r.Needs = overload.Needs{Prompt: x.prefillTokens(), Aim: x.route.Aim, GapAim: x.route.GapAim}
@@ -303,7 +308,7 @@
 	if x.leavesCapacity(t, load) {
 		return true
 	}
-	if rank == overload.Late {
+	if rank == overload.Late || x.leavesRoom {
 		return false
 	}
 	latest := x.aimDeadline
@@ -375,6 +380,7 @@
 
 // cancelReservation undoes reserve.
 func (x *exchange) cancelReservation(t *choice) {
+	x.settleWork(0)
 	if !x.countedAtTarget {
 		return
 	}
--- a/relay/site_load.go
+++ b/relay/site_load.go
@@ -86,6 +86,7 @@
 	for key, c := range s.siteLoad.counts {
 		r := siteload.QueueReport{Key: key.loadKey(), FirstEvents: c.firstEvents}
 		for _, l := range c.levels {
+			l.Customers = s.shares.takeReport(s.Now(), shareKey{key, l.Urgency})
 			r.Levels = append(r.Levels, *l)
 		}
 		report.Queues = append(report.Queues, r)
@@ -102,6 +103,7 @@
 	now := s.Now()
 	s.siteLoad.summary, s.siteLoad.receivedAt = summary, now
 	s.setSiteDelays(summary, now)
+	s.shares.applySummary(now, summary)
 	if summary != nil && summary.Answers != nil {
 		s.answerLengths.SetSite(now, summary.Answers)
 	}
--- a/siteload/table.go
+++ b/siteload/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/answerlen"
+	"github.com/dunlinquay/dunlinquay/fairshare"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -26,6 +27,11 @@
 	idleAfter = 30 * time.Second
 	// aimValidity is how long the shortest aim is kept: several times the interval between two requests of one urgency at one entry.
 	aimValidity = 10 * time.Second
+	// MaxReportCustomers bounds the customers in a report for one key and urgency: far more than have requests at one entry between two
+	// reports. maxSummaryCustomers bounds those in a summary, which is sent to all entries; the others
+	// ask for less.
+	MaxReportCustomers  = 64
+	maxSummaryCustomers = 32
 )
 
 // Table holds the reports of all entries. The zero value is an empty table; it is not safe for concurrent use.
@@ -55,6 +61,8 @@
 	arrivedAt, sentAt, refusedAt time.Time
 	aim, gapAim                  time.Duration
 	aimAt                        time.Time
+	// work has the work of customers, nil while no entry reports any.
+	work *fairshare.Counters
 }
 
 // delayState holds decaying sums of the delays of first events, in ns, and of their squares at a point in time.
@@ -79,7 +87,9 @@
 		latest.levels[r.Key] = r.Levels
 		q.delays.add(now, r.FirstEvents)
 		for _, level := range r.Levels {
-			q.level(level.Urgency).add(now, level)
+			l := q.level(level.Urgency)
+			l.add(now, level)
+			l.addWork(now, level.Customers)
 		}
 	}
 	t.waiting[entry] = latest
@@ -134,6 +144,31 @@
 	}
 }
 
+// addWork adds the work of customers; work beyond the bound of a report is ignored.
+func (l *levelState) addWork(now time.Time, customers []CustomerWork) {
+	if len(customers) == 0 {
+		return
+	}
+	if l.work == nil {
+		l.work = &fairshare.Counters{}
+	}
+	for _, c := range customers[:min(len(customers), MaxReportCustomers)] {
+		l.work.Add(now, c.Customer, c.Usage)
+	}
+}
+
+// summarizeWork fills in the work of customers.
+func (l *levelState) summarizeWork(now time.Time, summary *LevelSummary) {
+	if l.work == nil {
+		return
+	}
+	largest, others, rest := l.work.Largest(now, maxSummaryCustomers)
+	for _, e := range largest {
+		summary.Customers = append(summary.Customers, CustomerWork(e))
+	}
+	summary.Others, summary.OthersWork = others, rest
+}
+
 func (l *levelState) decay(now time.Time) {
 	f := remaining(now.Sub(l.at), rateHalfLife)
 	l.arrived, l.sent, l.refused, l.prompt, l.at = l.arrived*f, l.sent*f, l.refused*f, l.prompt*f, now
@@ -225,7 +260,10 @@
 		}
 	}
 	for _, u := range slices.Sorted(maps.Keys(q.levels)) {
-		summary.Levels = append(summary.Levels, q.levels[u].summary(now, u, waiting[u]))
+		l := q.levels[u]
+		level := l.summary(now, u, waiting[u])
+		l.summarizeWork(now, &level)
+		summary.Levels = append(summary.Levels, level)
 	}
 	return summary
 }
