--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -95,7 +95,6 @@
 		f.formGroup(&d.Groups[i], d.Reason)
 	}
 	f.closeGroups(d.Close, d.Reason)
-	f.dissolveGroups(d.Dissolve, d.Reason)
 	for _, l := range d.Stage {
 		f.stageWeights(l)
 	}
@@ -144,17 +143,6 @@
 	}
 }
 
-// dissolveGroups starts closing groups whose members become spares; their requests have the usual time to finish.
-func (f *Formation) dissolveGroups(dissolutions []Dissolution, reason string) {
-	for _, g := range f.groups() {
-		for _, d := range dissolutions {
-			if d.Group == g.Name {
-				f.setPhase(&g, roster.PhaseClosing, d.Reason+"; groups now: "+reason)
-			}
-		}
-	}
-}
-
 func (f *Formation) stageWeights(l WeightLoad) {
 	f.useLoads(1)
 	f.staging[l.ID] = stagingOrder{l.Model, f.snapshot.Now.Add(f.loadTimeout(l.Model))}
--- a/replicaset/borrow.go
+++ b/replicaset/borrow.go
@@ -246,10 +246,9 @@
 	return slices.ContainsFunc(p.Engine.Models, func(other httproute.Model) bool { return other.Size < m.Size })
 }
 
-// lostGroup reports whether most members of a lost group of a large model remain in a domain, which are more than the spares that it keeps.
+// lostGroup reports whether most members of a lost group of a large model remain in a domain.
 func (p *plan) lostGroup(m *httproute.Model, domain ident.Domain) bool {
-	remaining := countLast(m, domain, p.free) + countLast(m, domain, p.Ending)
-	return p.isLarge(m) && 2*remaining > m.Size && remaining > p.keptSpares(m, domain)
+	return p.isLarge(m) && 2*(countLast(m, domain, p.free)+countLast(m, domain, p.Ending)) > m.Size
 }
 
 // canRestore reports whether a domain has the members of a group of m, or can take the missing ones from another group.
--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -59,7 +59,7 @@
 		if report.Serving > 0 {
 			report.Load = p.load(m, 0)
 		}
-		report.Why = p.explain(m, report.Rooms) + p.describeSpares()
+		report.Why = p.explain(m, report.Rooms)
 		reports = append(reports, report)
 	}
 	return reports
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -116,8 +116,6 @@
 	Stage  []WeightLoad
 	WarmUp []WeightLoad
 	Close  []Closing
-	// Dissolve lists groups whose members become spares.
-	Dissolve []Dissolution
 	// Reason lists the groups that every model has and should have.
 	Reason string
 }
@@ -196,7 +194,6 @@
 	}
 	if len(d.Close) == 0 && !input.BeforeFirstRequest {
 		d.Groups = append(d.Groups, p.formGroups((*plan).planCrossDomain)...)
-		d.Dissolve = p.chooseDissolutions()
 	}
 	d.Stage = p.chooseStaging()
 	d.WarmUp = p.chooseWarmUps(d.Stage)
@@ -211,7 +208,7 @@
 		m := p.Engine.Models[i].Name
 		parts = append(parts, fmt.Sprintf("%s %.1f of %.0f", m, p.capacity[m], p.wantedGroups(m)))
 	}
-	return strings.Join(parts, ", ") + p.describeSpares()
+	return strings.Join(parts, ", ")
 }
 
 // formGroups plans groups, for the model with the largest deficit first, until choose finds none for any model.
@@ -345,7 +342,7 @@
 		return false
 	}
 	remaining := without(p.free, group.Members)
-	return p.takesSpares(m, domain, remaining) || p.takesRemaining(m, domain, remaining)
+	return p.takesRemaining(m, domain, remaining)
 }
 
 // leavesEnoughSpares reports whether a domain may be left with leftOver free upstreams by a group of m; its first group may use all of
--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -17,21 +17,16 @@
 		loads = append(loads, WeightLoad{c.ID, m})
 		p.loadsLeft--
 	}
-	available, needs := p.availableMembers(), p.spareNeeds(willHaveWeights)
+	available := p.availableMembers()
 	for i := range p.free {
 		c := &p.free[i]
 		if p.loadsLeft < 1 || c.Staging != "" || !withoutWeights(c) || p.BeforeFirstRequest {
 			continue
 		}
 		m := p.mostUsefulModel(available[c.Domain])
-		if need := needs[c.Domain]; need != nil && need.missing > 0 {
-			need.missing--
-			m = need.model.Name
-		}
 		available[c.Domain][m]++
 		addLoad(c, m)
 	}
-	p.chooseSpareStaging(needs, addLoad)
 	hosts := p.stagedHosts()
 	for _, c := range p.stagingCandidates() {
 		if p.loadsLeft < 1 {
@@ -176,7 +171,7 @@
 			p.loadsLeft--
 		}
 	}
-	return append(joins, p.chooseSpareWarmUps(toStage)...)
+	return joins
 }
 
 // bySize returns the models sorted by group size, largest first.
