--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -154,9 +154,6 @@
 	for _, c := range f.replacing {
 		input.Expected[c.Domain] = c.Expected
 	}
-	if f.Spares {
-		input.LossRate = f.lossRate()
-	}
 	inGroup := f.addGroups(input)
 	for i := range f.snapshot.Upstreams {
 		u := &f.snapshot.Upstreams[i]
@@ -278,3 +275,8 @@
 	// Beyond the number of loads that the store serves concurrently, each load only takes longer.
 	return max(0, min(int(f.loadAllowance), f.engine.ConcurrentLoads-len(f.staging)))
 }
+
+// isLost reports whether an upstream neither reports nor accepts connections.
+func (f *Formation) isLost(u *roster.Upstream) bool {
+	return !u.Draining && (u.Silent || f.snapshot.Unreachable[u.ID])
+}
--- a/replicaset/bench_test.go
+++ b/replicaset/bench_test.go
@@ -24,7 +24,7 @@
 			}
 			input := &replicaset.PlanInput{
 				Engine: scarceConfig(), Free: candidates(free...), Groups: existingGroups(groups...), Demand: demandOf(scarceConfig(), 60, small), Usable: 3000,
-				Spares: spares, LossRate: lossRate, LoadBudget: 4,
+				Spares: spares, LoadBudget: 4,
 			}
 			b.Run(fmt.Sprintf("spares=%v/small=%v", spares, small), func(b *testing.B) {
 				for b.Loop() {
--- a/replicaset/borrow.go
+++ b/replicaset/borrow.go
@@ -20,7 +20,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
-// sparesApply reports whether the demand is known and spares are sized by the rate of losses.
+// sparesApply reports whether the demand is known and lost groups are formed again by exchanges.
 func (p *plan) sparesApply() bool {
 	return p.Spares && len(p.requiredGroups) > 0
 }
--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -104,8 +104,6 @@
 		return "has the groups it needs"
 	case p.gainsByClosing(m):
 		return "groups are closed to free the members of a better one"
-	case ready >= m.Size && p.Spares:
-		return fmt.Sprintf("no domain has %d free upstreams with the weights; a group across domains is formed only for a model without groups", m.Size)
 	case ready >= m.Size:
 		return fmt.Sprintf("no domain has %d free upstreams with the weights; a group across domains is formed when %.0f%% of the groups are missing", m.Size, crossDomainDeficit*100)
 	case ready+loading+other >= m.Size:
--- a/replicaset/export_test.go
+++ b/replicaset/export_test.go
@@ -2,6 +2,3 @@
 
 // EndedGroupCount returns how many ended and lost groups are kept.
 func (f *Formation) EndedGroupCount() int { return len(f.endedGroups) + len(f.lostGroups) }
-
-// LossRate returns the losses per second and upstream.
-func (f *Formation) LossRate() float64 { return f.lossRate() }
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -101,7 +101,7 @@
 	RecordDecision func(g *roster.Group, decision, reason string)
 	// BeforeFirstRequest is set until the first request arrives.
 	BeforeFirstRequest bool
-	// Spares sizes the spares of domains by the rate of losses, and lets groups of large models take members from other groups.
+	// Spares lets lost groups of large models be formed again from their remaining members and members of other groups.
 	Spares bool
 
 	// startedAt is the time of the first snapshot.
@@ -129,7 +129,6 @@
 	// loadAllowance is the number of loads that may start, as of allowanceAt; it grows with the weight store's rate.
 	loadAllowance float64
 	allowanceAt   time.Time
-	losses        lossCounter
 }
 
 // NewFormation returns a formation without groups and orders.
@@ -146,14 +145,12 @@
 		lastHeaded:     map[ident.Incarnation]ident.Model{},
 		staging:        map[ident.Incarnation]stagingOrder{},
 		loadAllowance:  loadBurst,
-		losses:         lossCounter{lastInGroup: map[ident.Incarnation]time.Time{}},
 	}
 }
 
 // Step advances every group by one step and starts new ones.
 func (f *Formation) Step(snapshot *Snapshot, engine *httproute.Engine) {
 	f.setSnapshot(snapshot, engine)
-	f.countLosses()
 	f.pruneUpstreams()
 	f.adopt(f.allReported())
 	for _, g := range f.groups() {
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -139,8 +139,6 @@
 	BeforeFirstRequest bool
 	// Spares is the same as in Formation.
 	Spares bool
-	// LossRate is how many upstreams are unexpectedly lost from groups per second and upstream; 0 while it is unknown.
-	LossRate float64
 	// Ending lists the members of groups that are closing or leaving, which will be free soon.
 	Ending []Candidate
 }
@@ -390,7 +388,7 @@
 
 // planCrossDomain plans a group from free upstreams of several domains, preferably of one hall, for a model that lacks groups.
 func (p *plan) planCrossDomain(m *httproute.Model) (GroupPlan, bool) {
-	if p.load(m, 0) <= plannedGroupLoad || p.deficit(m.Name) < crossDomainDeficit || p.Spares && p.capacity[m.Name] > 0 {
+	if p.load(m, 0) <= plannedGroupLoad || p.deficit(m.Name) < crossDomainDeficit {
 		return GroupPlan{}, false
 	}
 	readyByHall := map[ident.Hall]int{}
--- a/replicaset/spares_test.go
+++ b/replicaset/spares_test.go
@@ -14,9 +14,6 @@
 	"github.com/dunlinquay/dunlinquay/replicaset"
 )
 
-// lossRate is that of 222 upstreams which lose two members of groups every three seconds.
-const lossRate = 2.0 / 3 / 222
-
 // scarceGroups returns settled groups of 16 and of 4, spread over the domains b to f, and those of domain a as given.
 func scarceGroups(inA []string, large, small int) []replicaset.ExistingGroup {
 	list := slices.Clone(inA)
@@ -54,14 +51,13 @@
 	unevenGroups := existingGroups(slices.Concat(
 		slices.Repeat([]string{"large a:WWWWWWWW"}, 9), slices.Repeat([]string{"small a:wwww"}, 18))...)
 	for _, c := range []struct {
-		name     string
-		engine   *httproute.Engine
-		free     []replicaset.Candidate
-		ending   []replicaset.Candidate
-		groups   []replicaset.ExistingGroup
-		demand   map[ident.Model]float64
-		lossRate float64
-		off, on  []string
+		name    string
+		engine  *httproute.Engine
+		free    []replicaset.Candidate
+		ending  []replicaset.Candidate
+		groups  []replicaset.ExistingGroup
+		demand  map[ident.Model]float64
+		off, on []string
 	}{
 		{
 			name: "members that remain of a large group are used for it together with the spares", engine: scarceConfig(), free: candidates("a:" + strings.Repeat("W", 16)),
@@ -97,20 +93,12 @@
 			off: []string{"close g0 for large", "close g1 for large"},
 			on:  []string{"close g0 for large", "close g1 for large", "close g2 for large", "close g3 for large"},
 		},
-		{
-			name: "a group across domains only for a model without groups", engine: engineConfig(), free: candidates("a:WWW", "b:W"),
-			groups: existingGroups("large d:WWWW", "small c:ww"), demand: demandFor(2, 0.1), off: []string{"large across domains"}, on: []string{},
-		},
-		{
-			name: "a group across domains for a model without groups", engine: engineConfig(), free: candidates("a:WWW", "b:W"),
-			groups: existingGroups("small c:ww"), demand: demandFor(2, 0.1), off: []string{"large across domains"}, on: []string{"large across domains"},
-		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for _, spares := range []bool{false, true} {
 				want, input := c.off, &replicaset.PlanInput{Engine: c.engine, Free: c.free, Groups: c.groups, Demand: c.demand, Usable: 222, Spares: spares}
 				if spares {
-					want, input.LossRate, input.Ending = c.on, c.lossRate, c.ending
+					want, input.Ending = c.on, c.ending
 				}
 				d := replicaset.Plan(input)
 				if diff := cmp.Diff(want, changes(&d)); diff != "" {
@@ -125,7 +113,7 @@
 func TestReasonsWithSpares(t *testing.T) {
 	plan := func(free string, groups []replicaset.ExistingGroup, large float64) replicaset.Decision {
 		return replicaset.Plan(&replicaset.PlanInput{
-			Engine: scarceConfig(), Free: candidates(free), Groups: groups, Demand: demandOf(scarceConfig(), large, 22), Usable: 222, Spares: true, LossRate: lossRate,
+			Engine: scarceConfig(), Free: candidates(free), Groups: groups, Demand: demandOf(scarceConfig(), large, 22), Usable: 222, Spares: true,
 		})
 	}
 	lent := plan("a:"+strings.Repeat("W", 15), scarceGroups(smallIn(5), 5, 25), 5)
@@ -135,12 +123,11 @@
 	}
 }
 
-// drawInput draws the input of a plan: some domains with groups and free upstreams, and any demand and rate of losses.
+// drawInput draws the input of a plan: some domains with groups and free upstreams, and any demand.
 func drawInput(t *rapid.T) *replicaset.PlanInput {
 	input := &replicaset.PlanInput{
 		Engine: engineConfig(), Usable: 100, Spares: true, LoadBudget: rapid.IntRange(0, 6).Draw(t, "loads"),
-		LossRate: rapid.Float64Range(0, 0.05).Draw(t, "loss rate"),
-		Demand:   demandFor(rapid.Float64Range(0, 12).Draw(t, "large"), rapid.Float64Range(0, 20).Draw(t, "small")),
+		Demand: demandFor(rapid.Float64Range(0, 12).Draw(t, "large"), rapid.Float64Range(0, 20).Draw(t, "small")),
 	}
 	marks := rapid.SampledFrom([]rune("LSWwls*"))
 	draw := func(domain string, size int) string {
--- a/settings/site.go
+++ b/settings/site.go
@@ -105,7 +105,8 @@
 	UrgencyFloor float64 `json:"urgency-floor"`
 	// ArrivalCheck refuses a request on arrival if the requests ahead of it at all entries leave it no time.
 	ArrivalCheck bool `json:"arrival-check"`
-	// Forecast plans groups by the expected demand, Spares sizes spare VMs by the rate of losses.
+	// Forecast plans groups by the expected demand. Spares lets a lost group of a large model be formed again at once, from its remaining
+	// members and members of other groups.
 	Forecast bool `json:"forecast"`
 	Spares   bool `json:"spares"`
 	// CustomerShares orders waiting requests of the same urgency by the customers' shares, CustomerWeights are the weights of these
