--- a/cmd/dunlinquay/load.go
+++ b/cmd/dunlinquay/load.go
@@ -17,7 +17,8 @@
 		Use: "load", Short: "Show what waits, arrives, is sent and is refused at all entries of a site", Args: cobra.NoArgs,
 		Long: "Show, by service, model and urgency, how many requests wait at all entries and how many arrive, are sent to groups and\n" +
 			"are refused per second; for each model how much later than estimated first events are; and for each class how long\n" +
-			"answers are. Lower urgencies are more urgent: 1000 times the customer's priority and that of the route.",
+			"answers are. Lower urgencies are more urgent: 1000 times the customer's priority and that of the route. Where the\n" +
+			"settings enable them, also the recent work of customers in upstream-seconds and the expected demand.",
 		Example: "  dunlinquay site load --settings /etc/dunlinquay/site.json",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := q.state(cmd)
@@ -40,6 +41,8 @@
 		delayRow(t, &s.Load.Queues[i])
 	}
 	answersTable(t, s.Load.Answers)
+	customersTable(t, s.Load.Queues)
+	forecastTable(t, s.Forecasts)
 }
 
 func queueRows(t io.Writer, q *site.QueueState) {
@@ -58,6 +61,21 @@
 	fmt.Fprintf(t, "%s\t%s\t%.1f ms\t%.1f ms\t%.0f\n", q.Service, q.Model, q.Delay.MeanMS, q.Delay.DeviationMS, q.Delay.Samples)
 }
 
+// customersTable shows the work of customers where the settings order requests by their shares.
+func customersTable(t io.Writer, queues []site.QueueState) {
+	headShown := false
+	for i := range queues {
+		for j := range queues[i].Customers {
+			if !headShown {
+				fmt.Fprintln(t, "\nSERVICE\tMODEL\tURGENCY\tCUSTOMER\tWORK SENT\tWORK UNMET")
+				headShown = true
+			}
+			c := &queues[i].Customers[j]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%.2f\t%.2f\n", queues[i].Service, queues[i].Model, c.Urgency, c.Customer, c.Sent, c.Unmet)
+		}
+	}
+}
+
 func answersTable(t io.Writer, answers []site.AnswerState) {
 	if len(answers) == 0 {
 		return
--- a/cmd/dunlinquay/main_test.go
+++ b/cmd/dunlinquay/main_test.go
@@ -108,7 +108,7 @@
 		Queues: []site.QueueState{
 			{Service: "chat", Model: "large", AgeMS: 240, Delay: &site.DelayState{MeanMS: 7.25, DeviationMS: 12, Samples: 31.6}, Levels: []site.LevelState{
 				{Urgency: 1001, Arrived: 24.1, Sent: 24}, {Urgency: 1002, Waiting: 12, Arrived: 16.1, Sent: 9, Refused: 7.1},
-			}},
+			}, Customers: []site.CustomerState{{Urgency: 1002, Customer: "north", Sent: 3.5, Unmet: 1.25}}},
 			{Service: "chat", Model: "small", Levels: []site.LevelState{{Urgency: 0, Waiting: 1}}},
 		},
 		Answers: []site.AnswerState{
@@ -134,6 +134,9 @@
 CLASS    MODEL  ANSWERS  MEAN TOKENS  MEDIAN  NINE OF TEN UP TO  RATIO TO HINT
 summary  large  800      15           13      29                 1.25
 draft    small  9        160          150     300                -
+
+SERVICE  MODEL  URGENCY  CUSTOMER  WORK SENT  WORK UNMET
+chat     large  1002     north     3.50       1.25
 `
 	if diff := cmp.Diff(want, out.String()); diff != "" {
 		t.Errorf("table (-want +got):\n%s", diff)
--- a/site/load_state.go
+++ b/site/load_state.go
@@ -25,6 +25,16 @@
 	Levels []LevelState `json:"levels"`
 	// Delay is by how much first events are later than estimated, nil without any.
 	Delay *DelayState `json:"first-event-delay,omitempty"`
+	// Customers holds the work of the customers that ask for the most, where the settings order requests by their shares.
+	Customers []CustomerState `json:"customers,omitempty"`
+}
+
+// CustomerState is the recent work of a customer in upstream-seconds: what was sent to upstreams, and what found no capacity.
+type CustomerState struct {
+	Urgency  siteload.Urgency `json:"urgency"`
+	Customer ident.Customer   `json:"customer"`
+	Sent     float64          `json:"sent"`
+	Unmet    float64          `json:"unmet"`
 }
 
 // LevelState holds the sums of the requests of one urgency.
@@ -74,6 +84,9 @@
 	state := QueueState{Service: q.Key.Service, Model: q.Key.Model, AgeMS: q.Age.Milliseconds()}
 	for _, l := range q.Levels {
 		state.Levels = append(state.Levels, LevelState{l.Urgency, l.Waiting, l.ArrivalRate, l.SendRate, l.RefusalRate})
+		for _, c := range l.Customers {
+			state.Customers = append(state.Customers, CustomerState{l.Urgency, c.Customer, c.Sent, c.Unmet})
+		}
 	}
 	if q.Delay.Samples > 0 {
 		state.Delay = &DelayState{inMilliseconds(q.Delay.Mean), inMilliseconds(q.Delay.Deviation), q.Delay.Samples}
