Count prompts of other entries as pending while they wait for a slot

Cause: on a prompt announced by another entry, Relay.Receive estimated its prefill from this entry's own requests alone, as if a slot were free. At a group whose slots are all in use the prompt waits for one, so it counted as prefilled too early.

Change: Receive estimates from the whole known load of the group, so the wait for a slot counts. TestPromptsArePendingWhileTheyWaitForASlot finds 0 of 800 tokens pending without the change.

--- a/relay/entry_update.go
+++ b/relay/entry_update.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
@@ -89,7 +88,7 @@
 	}
 	now := s.Now()
 	tokens := min(update.PromptTokens, maxPeerPromptTokens)
-	firstEvent := t.timing.FirstEvent(estimate.Load{PendingPrompt: ts.pendingTokensNow(now), Requests: ts.inflight}, tokens)
+	firstEvent := t.timing.FirstEvent(s.loadOf(t, now), tokens)
 	ts.peerPrompts = append(ts.peerPrompts, peerPrompt{tokens, now, now.Add(firstEvent + s.dispatchDelayOf(t.model, now).mean)})
 	ts.notePromptSent(now)
 }
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -36,6 +36,13 @@
 	return -1
 }
 
+// PendingPromptAt returns the estimated pending prompt tokens at the group with that head.
+func PendingPromptAt(s *Relay, head ident.Incarnation) ident.Tokens {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loadOf(s.index.byHead[head], s.Now()).PendingPrompt
+}
+
 // ChooseGroup returns the head of the group chosen for a prompt of that size, and whether the group has capacity.
 func ChooseGroup(s *Relay, route *httproute.Route, model ident.Model, prompt ident.Tokens) (ident.Incarnation, bool) {
 	s.mu.Lock()
--- a/relay/slot_time_test.go
+++ b/relay/slot_time_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"sync"
 	"testing"
@@ -45,3 +46,29 @@
 		running.Wait()
 	})
 }
+
+// slotTimeRelay returns a relay with one group, whose typical answer has floodEvents events.
+func slotTimeRelay(e *iterationEngine) *relay.Relay {
+	cfg := timedConfig()
+	cfg.Services[1].Engine.Slots = excessSlots
+	cfg.Services[1].Engine.TypicalSize = httproute.RequestSize{Prompt: 800, Answer: floodEvents * 5}
+	cfg.Routes = []httproute.Route{newRoute("stream", httproute.KindStream, "model", 1)}
+	s := relayForEngines(map[string]*iterationEngine{"h0": e})
+	s.SetConfig(cfg)
+	s.SetConfirmed(time.Now())
+	setGroups(s, 1, 1)
+	return s
+}
+
+// Guards against prompts of other entries that count as prefilled while they still wait for a slot.
+func TestPromptsArePendingWhileTheyWaitForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := slotTimeRelay(&iterationEngine{slots: excessSlots})
+		s.SetPeerCounts(map[ident.Incarnation]int{"h0": excessSlots + 14})
+		s.Receive(relay.EntryUpdate{Head: "h0", PromptTokens: 800}, netip.AddrPortFrom(netip.IPv4Unspecified(), 1))
+		time.Sleep(300 * time.Millisecond)
+		if got := relay.PendingPromptAt(s, "h0"); got != 800 {
+			t.Errorf("%d tokens are pending before a slot is free, want 800", got)
+		}
+	})
+}
