--- a/relay/urgency_test.go
+++ b/relay/urgency_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
 )
 
 // burstOfLessUrgent is a steady load of urgent callers, and one of less urgent ones that rises to 2.6 times for seven seconds.
@@ -49,20 +50,35 @@
 // Guards against priority inversion: an entry that sees few urgent requests sends less urgent ones, which have more time, to the groups that
 // urgent requests at other entries need a moment later. The less urgent keep their floor, also where only own counts are known.
 func TestBurstOfLessUrgentRequests(t *testing.T) {
-	for _, tt := range []struct {
-		name   string
-		groups int
-		lost   func(entry int, at time.Duration) bool
-		// mayInvert is set where an entry cannot know what others need.
-		mayInvert bool
-	}{
-		{"three groups", 3, nil, false},
-		{"two groups", 2, nil, false},
-		{"all reports are lost", 3, func(int, time.Duration) bool { return true }, true},
-	} {
+	playBursts(t, []burstCase{
+		{name: "three groups", groups: 3},
+		{name: "two groups", groups: 2},
+		{name: "all reports are lost", groups: 3, lost: func(int, time.Duration) bool { return true }, mayInvert: true},
+	})
+}
+
+// Guards against the same where requests are refused on arrival.
+func TestBurstOfLessUrgentRequestsWithArrivalCheck(t *testing.T) {
+	playBursts(t, []burstCase{{name: "three groups", groups: 3, arrivalCheck: true}, {name: "two groups", groups: 2, arrivalCheck: true}})
+}
+
+// burstCase is one play of a burst of less urgent requests.
+type burstCase struct {
+	name   string
+	groups int
+	lost   func(entry int, at time.Duration) bool
+	// mayInvert is set where an entry cannot know what others need.
+	mayInvert    bool
+	arrivalCheck bool
+}
+
+func playBursts(t *testing.T, cases []burstCase) {
+	t.Helper()
+	for _, tt := range cases {
 		t.Run(tt.name, func(t *testing.T) {
 			load := burstOfLessUrgent(tt.groups)
 			load.lost = tt.lost
+			load.prepare = func(s *relay.Relay) { s.ArrivalCheck = tt.arrivalCheck }
 			calls := runShared(t, load)
 			if inverted := inversions(t, calls, load.duration, "urgent", "patient"); len(inverted) > 0 && !tt.mayInvert {
 				t.Errorf("from %v, fewer of the urgent than of the less urgent callers were answered in time", inverted)
