Make up for less urgent sends that fall short of the floor

Cause: each entry has its part of the floor as a credit and uses it only for a request that waits there at that moment. What stays unused at an entry is lost to the others, so all entries together always send a little less than the floor.

Change: entries see by the sums what the less urgent send together. What that is short of the floor, at most what arrives, is added to the credit of all within a second.

--- a/overload/urgency.go
+++ b/overload/urgency.go
@@ -43,6 +43,9 @@
 	// theirs at once.
 	maxFloorCredit  = 2.0
 	floorCreditTime = 500 * time.Millisecond
+	// A shortfall is made up within shortfallTime. It is bounded to what the floor allows in maxShortfallTime.
+	shortfallTime    = time.Second
+	maxShortfallTime = 2 * time.Second
 )
 
 // Needs are what a kind of request needs from a group; they are unknown if Aim is 0.
@@ -91,6 +94,8 @@
 	credit      float64
 	contendedAt time.Time
 	accruedAt   time.Time
+	// shortfall is by how many requests the sends of all entries are short of the floor.
+	shortfall float64
 }
 
 func (a *activity) noteArrival(now time.Time, needs Needs) {
@@ -201,20 +206,33 @@
 	f := &l.floor
 	if q.contended(now, l.urgency) {
 		if !within(now, f.contendedAt, contentionMemory) {
-			f.credit, f.accruedAt = q.phase(), now
+			f.credit, f.accruedAt, f.shortfall = q.phase(), now, 0
 		}
 		f.contendedAt = now
 	}
 	elapsed := min(contentionMemory, now.Sub(f.accruedAt))
 	f.accruedAt = now
+	perSecond := q.floorRate(l, elapsed) / float64(max(1, q.site.Entries))
+	f.credit = min(max(maxFloorCredit, floorCreditTime.Seconds()*perSecond), f.credit+elapsed.Seconds()*perSecond)
+}
+
+// floorRate returns the rate at which the floor credit of all entries together grows, in requests per second: that of the floor, and what
+// makes up for earlier sends that fell short of it, because entries without waiting requests leave their credit unused.
+func (q *Queue[T]) floorRate(l *level[T], elapsed time.Duration) float64 {
 	sendRate := 0.0
 	for j := range q.site.Levels {
 		if q.site.Levels[j].Urgency < l.urgency {
 			sendRate += q.site.Levels[j].SendRate
 		}
 	}
-	perSecond := sendRate * q.floorRatio() / float64(max(1, q.site.Entries))
-	f.credit = min(max(maxFloorCredit, floorCreditTime.Seconds()*perSecond), f.credit+elapsed.Seconds()*perSecond)
+	floor := sendRate * q.floorRatio()
+	own := q.siteLevel(l.urgency)
+	if own == nil {
+		return floor
+	}
+	missing := min(floor, own.ArrivalRate) - own.SendRate
+	l.floor.shortfall = min(maxShortfallTime.Seconds()*floor, max(0, l.floor.shortfall+elapsed.Seconds()*missing))
+	return floor + l.floor.shortfall/shortfallTime.Seconds()
 }
 
 // noteSent notes that requests of the level were sent. Without sums over all entries, less urgent ones get credit for them.
--- a/overload/urgency_test.go
+++ b/overload/urgency_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -175,6 +176,72 @@
 	})
 }
 
+// floorSite is a site that sends urgent requests at a constant rate while others of them are refused. Less urgent ones arrive at random
+// entries, can use the floor for a short time, and are refused after it.
+type floorSite struct {
+	queues      []*overload.Queue[string]
+	table       siteload.Table
+	sendRate    float64
+	arrivalRate float64
+	eligibleFor time.Duration
+	sent        int
+}
+
+// step plays one interval between two reports.
+func (p *floorSite) step(at time.Duration, random *rand.Rand) {
+	const interval, steps = 200 * ms, 20
+	sentBefore := p.sent
+	for i := range steps {
+		now := startTime.Add(at + interval*time.Duration(i)/steps)
+		for _, q := range p.queues {
+			if random.Float64() < p.arrivalRate*(interval/steps).Seconds()/float64(len(p.queues)) {
+				r := requestOf(patient, now.Sub(startTime)+p.eligibleFor)
+				r.QueuedAt = now.Add(-p.eligibleFor)
+				q.Add(now, r, "patient")
+			}
+			q.Dispatch(now, func(queued *overload.Queued[string], _ overload.Rank) bool {
+				if claim := q.Claim(now, queued); !claim.Floor {
+					return false
+				}
+				q.UseFloor(queued)
+				p.sent++
+				return true
+			}, func(*overload.Queued[string]) {})
+		}
+	}
+	urgentSent := int(p.sendRate * interval.Seconds())
+	report := siteload.QueueReport{Levels: []siteload.LevelReport{
+		{Urgency: urgent, Arrived: 2 * urgentSent, Sent: urgentSent, Refused: urgentSent, Prompt: 1000, Aim: 300 * ms},
+		{Urgency: patient, Arrived: int(p.arrivalRate * interval.Seconds()), Sent: p.sent - sentBefore},
+	}}
+	now := startTime.Add(at + interval)
+	p.table.Apply(now, "all", &siteload.Report{Queues: []siteload.QueueReport{report}})
+	for _, q := range p.queues {
+		q.SetSite(now, overload.Site{Levels: p.table.Summary(now).Queues[0].Levels, Entries: len(p.queues)})
+	}
+}
+
+// Guards against a floor that is a part short, because entries without a less urgent request leave their credit unused.
+func TestFloorIsKeptByEntriesWithRequests(t *testing.T) {
+	const entries, floor, warmUp, duration = 30, 0.25, 2 * time.Second, 20 * time.Second
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		p := &floorSite{sendRate: 20, arrivalRate: 12, eligibleFor: 200 * ms}
+		for range entries {
+			p.queues = append(p.queues, &overload.Queue[string]{Floor: floor, Phase: random.Float64})
+		}
+		for at := time.Duration(0); at < warmUp+duration; at += 200 * ms {
+			if at == warmUp {
+				p.sent = 0
+			}
+			p.step(at, random)
+		}
+		if want := floor / (1 - floor) * p.sendRate * duration.Seconds(); float64(p.sent) < want {
+			t.Errorf("seed %d: %d less urgent requests were sent, want at least %.0f", seed, p.sent, want)
+		}
+	}
+}
+
 // Guards against capacity that is kept back from a request while no more urgent one is around, whatever else is known of the site.
 func TestWorkConserving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
