Follow the iterations of a group to know what runs there

Callers saw streams that were late although the entry had just taken their request as in time: 14% of the answers in a flood, 102 of 114 of them first attempts of its first two and a half seconds; in an overload with two groups 19 to 23 of 44 urgent callers in a window.

Cause: what others have at a group was the leader's count, less what had ended since by a mean time that an entry learns in quiet times, plus the updates since the count. The count is older than half of the interval between two of them when the exchange with the leader takes time, so the requests between it and the first counted update are missed; and with more prompts each answer takes longer than was learnt, so those that remain are missed too. A request then waits for a slot for longer than the mean rate at which slots become free, since all requests at the group began together.

The margin plays no part.

Change: updates also carry the expected length of the answer. Each entry follows the iterations of a group by the published times (estimate.Batch): prefill of each prompt once, steps for those that run, and slots in the order of arrival. It uses the larger of this and the count, since updates may be lost, and the time at which a slot becomes free. The request line has "counted", what the counts alone show.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -13,6 +13,7 @@
 // prompts differ in size by a factor of ten.
 
 import (
+	"math"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/httproute"
@@ -27,6 +28,9 @@
 	iterationBase  float64
 	perSequence    float64
 	slots          int
+	// stepsPerIteration is the number of answer tokens in an event, typicalAnswer the length of a typical answer in tokens.
+	stepsPerIteration float64
+	typicalAnswer     ident.Tokens
 	// answerTime is how long an answer of typical length uses its slot while all slots are in use, in ns.
 	answerTime float64
 }
@@ -39,6 +43,8 @@
 	Requests int
 	// SlotTime is how long a request uses its slot on average, 0 if it is unknown; an answer of typical length is assumed then.
 	SlotTime time.Duration
+	// SlotWait is the least time until a slot is free, as far as it is known.
+	SlotWait time.Duration
 }
 
 // NewGroup returns the figures of groups of the model; slowdown multiplies all times and is 1 for a group at full speed.
@@ -49,6 +55,8 @@
 		iterationBase: stepsPerIteration * float64(engine.StepTime) * slowFactor,
 		perSequence:   stepsPerIteration * float64(engine.StepTimePerSequence) * slowFactor,
 		slots:         max(1, engine.Slots),
+
+		stepsPerIteration: stepsPerIteration, typicalAnswer: engine.TypicalSize.Answer,
 	}
 	if engine.PrefillRate > 0 {
 		g.perPromptToken = float64(time.Second) / engine.PrefillRate * slowFactor
@@ -67,6 +75,14 @@
 	return promptTokens*g.perPromptToken + g.iterationBase + g.perSequence*float64(min(decoding, g.slots))
 }
 
+// answerIterations returns the iterations that an answer takes; a length of 0 stands for the typical one.
+func (g *Group) answerIterations(answer ident.Tokens) float64 {
+	if answer <= 0 {
+		answer = g.typicalAnswer
+	}
+	return max(1, math.Ceil(float64(answer)/g.stepsPerIteration))
+}
+
 // FirstEvent returns the time to the first event of a request: half of the iteration in progress when it arrives, the wait for a slot
 // if none is free, and the iteration that prefills its prompt together with the other pending ones. It is 0 for an upstream whose
 // figures are not known.
@@ -96,11 +112,12 @@
 	return g.answerTime
 }
 
-// slotWait is the time until a slot is free: the slots become free one by one, evenly over the time for which requests use them.
+// slotWait is the time until a slot is free: the known one, or longer if the slots become free one by one, evenly over the time for which
+// requests use them.
 func (g *Group) slotWait(load *Load) float64 {
 	excess := load.Requests + 1 - g.slots
 	if excess <= 0 {
 		return 0
 	}
-	return float64(excess) / float64(g.slots) * g.slotNanos(load.SlotTime)
+	return max(float64(load.SlotWait), float64(excess)/float64(g.slots)*g.slotNanos(load.SlotTime))
 }
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -64,6 +64,8 @@
 		{"the last slot", estimate.Load{Requests: 19}, 0, 74500 * time.Microsecond},
 		{"two must finish first", estimate.Load{Requests: 21}, 0, 175 * time.Millisecond},
 		{"two must finish first that take 2 s each", estimate.Load{Requests: 21, SlotTime: 2 * time.Second}, 0, 275 * time.Millisecond},
+		{"the first slot is free in 300 ms", estimate.Load{Requests: 21, SlotWait: 300 * time.Millisecond}, 0, 375 * time.Millisecond},
+		{"a slot is free, whatever was known", estimate.Load{Requests: 10, SlotWait: 300 * time.Millisecond}, 500, 71 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/relay/answer_length.go
+++ b/relay/answer_length.go
@@ -22,6 +22,14 @@
 	return x.s.answerLengths.Mean(now, x.answerKey(), x.answerSize)
 }
 
+// remainingAnswer returns the expected tokens of the answer without the events that the caller already has, 0 if they are unknown.
+func (x *exchange) remainingAnswer() ident.Tokens {
+	if x.answerTokens <= 0 {
+		return 0
+	}
+	return max(1, x.answerTokens-(x.prefillTokens()-x.promptTokens))
+}
+
 // learnAnswerLength counts the answer of a stream that has ended. A stream that the caller continued has only a part of its answer.
 func (x *exchange) learnAnswerLength() {
 	if x.service.Engine == nil || x.r.Header.Get(x.s.Headers.EventID) != "" {
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -394,10 +394,15 @@
 func (s *Relay) countAtTarget(x *exchange, t *choice) {
 	x.countedAtTarget = true
 	x.pendingTokens = x.prefillTokens()
-	s.stateOf(t.target).addRequest(s.Now(), x.pendingTokens)
-	x.backoffProbe = s.Backoff.BeginProbe(s.Now(), t.id)
+	state, now := s.stateOf(t.target), s.Now()
+	if t.firstEvent > 0 && t.inSubset {
+		t.countedRequests = state.inflight + s.countedRequests(t.target, now)
+	}
+	state.batch.AddOwn(&t.timing, now, state.inflight, x.pendingTokens)
+	state.addRequest(now, x.pendingTokens)
+	x.backoffProbe = s.Backoff.BeginProbe(now, t.id)
 	if x.pendingTokens > 0 {
-		s.SendUpdate(EntryUpdate{Head: t.id, PromptTokens: x.pendingTokens}, t.users)
+		s.SendUpdate(EntryUpdate{Head: t.id, PromptTokens: x.pendingTokens, AnswerTokens: x.remainingAnswer()}, t.users)
 	}
 	if !t.inSubset {
 		// Streams that continue, and entries whose subset has no group of the model, need no credit.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -70,6 +70,8 @@
 	// requests per second that this entry can expect within all limits.
 	availableIn  time.Duration
 	expectedRate ratelimit.Rate
+	// countedRequests are the requests at a group by the leader's counts, for the record.
+	countedRequests int
 }
 
 // targets returns the targets that serve a model of a service.
--- a/relay/entry_update.go
+++ b/relay/entry_update.go
@@ -19,6 +19,8 @@
 type EntryUpdate struct {
 	Head         ident.Incarnation `cbor:"1,keyasint"`
 	PromptTokens ident.Tokens      `cbor:"2,keyasint,omitempty"`
+	// AnswerTokens is the expected length of the answer to a prompt, 0 if it is unknown.
+	AnswerTokens ident.Tokens `cbor:"10,keyasint,omitempty"`
 	// SilentMS is how long the head has been silent for the sender, in ms, when the sender suspects the group.
 	SilentMS int64 `cbor:"3,keyasint,omitempty"`
 	// QuarantineReport is about a request under which upstreams crashed.
@@ -90,6 +92,7 @@
 	tokens := min(update.PromptTokens, maxPeerPromptTokens)
 	firstEvent := t.timing.FirstEvent(s.loadOf(t, now), tokens)
 	ts.peerPrompts = append(ts.peerPrompts, peerPrompt{tokens, now, now.Add(firstEvent + s.dispatchDelayOf(t.model, now).mean)})
+	ts.batch.Add(&t.timing, now, ts.inflight, tokens, min(update.AnswerTokens, maxPeerPromptTokens))
 	ts.notePromptSent(now)
 }
 
--- a/relay/peer_counts.go
+++ b/relay/peer_counts.go
@@ -77,10 +77,20 @@
 		load.Requests = state.inflight + others
 		return load
 	}
+	// The counts lag behind a rise of the load, in which the updates show more requests. Where updates get lost, the counts show more.
+	load.Requests = state.inflight + max(s.countedRequests(t, now), state.batch.Running(&t.timing, now, state.inflight))
+	load.SlotWait = state.batch.SlotWait(&t.timing, now, state.inflight)
+	return load
+}
+
+// countedRequests returns the requests of other entries at t by the leader's counts: those that remain of the counted ones, and those that
+// updates have announced since.
+func (s *Relay) countedRequests(t *target, now time.Time) int {
+	state := s.stateOf(t)
 	age := now.Sub(s.peerCounts.receivedAt) + s.peerCounts.interval/2
-	load.Requests = state.inflight + state.peerPromptsSince(now.Add(-age))
-	if others > 0 {
-		load.Requests += t.timing.Remaining(others, age, load.SlotTime)
+	n := state.peerPromptsSince(now.Add(-age))
+	if others := s.peerCounts.others[t.id]; others > 0 {
+		n += t.timing.Remaining(others, age, s.slotTimes[t.model].mean)
 	}
-	return load
+	return n
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -455,10 +455,12 @@
 	Result   string            `json:"result"`
 	// StartMS is its start, in ms after the request arrived.
 	StartMS int64 `json:"at-ms"`
-	// EstimateMS is the estimated time to first event in ms; PendingPrompt and Requests are the known load of the upstream.
+	// EstimateMS is the estimated time to first event in ms; PendingPrompt and Requests are the known load of the upstream, Counted is the
+	// part of Requests that the leader's counts show.
 	EstimateMS    int64        `json:"first-ms,omitempty"`
 	PendingPrompt ident.Tokens `json:"unread,omitempty"`
 	Requests      int          `json:"requests,omitempty"`
+	Counted       int          `json:"counted,omitempty"`
 	// SilentMS is how long the upstream had been silent when the attempt was abandoned, Suspicions how many entries suspected its group.
 	SilentMS   int64 `json:"silent-ms,omitempty"`
 	Suspicions int   `json:"suspicions,omitempty"`
--- a/relay/run.go
+++ b/relay/run.go
@@ -120,7 +120,7 @@
 	}
 	x.attempts = append(x.attempts, Attempt{
 		Upstream: t.id, Group: t.group, StartMS: elapsed.Milliseconds(), EstimateMS: t.firstEvent.Milliseconds(),
-		PendingPrompt: t.knownLoad.PendingPrompt, Requests: t.knownLoad.Requests, PassedOver: x.skippedUpstreams,
+		PendingPrompt: t.knownLoad.PendingPrompt, Requests: t.knownLoad.Requests, Counted: t.countedRequests, PassedOver: x.skippedUpstreams,
 	})
 	outcome, f := x.send(t)
 	if outcome == outcomeNoPermit {
--- a/relay/state.go
+++ b/relay/state.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/estimate"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/stall"
 )
@@ -33,6 +34,8 @@
 	pendingTokens ident.Tokens
 	// peerPrompts are prompts that other entries sent to the target.
 	peerPrompts []peerPrompt
+	// batch follows the requests of other entries at the target.
+	batch estimate.Batch
 	// waitingSince is when the target last made progress, or since when requests have waited there if that is later.
 	waitingSince time.Time
 	// movedAwayAt is when a request was moved to another target because this one was silent. That wait counts until progress.
