Leave a whole iteration and a margin for gaps to more urgent requests

Callers of urgent requests were late in calm windows in which all less urgent ones were in time: a single one by some milliseconds, and seldom all streams of a group at once, by a gap of 325 to 336 ms with an aim of 300.

Cause: a less urgent prompt is sent where the next urgent request would be in time on average, with half of the running iteration until its own begins. One that arrives at the start of an iteration waits for all of it. The gaps that such a prompt leaves had no margin, while first events have that for the usual error.

Change: what a less urgent request must leave is computed with the whole running iteration, and with the usual error for gaps.

--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -361,12 +361,15 @@
 	aim := max(needs.Aim, t.timing.FirstEvent(estimate.Load{}, needs.Prompt)+x.dispatchDelay.mean+time.Duration(longPromptSlack*float64(needs.Aim)))
 	load.PendingPrompt += x.prefillTokens()
 	load.Requests++
+	iteration := t.timing.IterationTime(0, load.Requests)
 	firstEvent := t.timing.FirstEvent(load, 0)
 	expected := needs.Rate * firstEvent.Seconds() / float64(len(x.s.index.targets(x.service, x.model)))
 	load.PendingPrompt += ident.Tokens(expected * float64(needs.Prompt))
 	load.Requests += int(expected)
-	return load.Requests < t.slots && t.timing.FirstEvent(load, needs.Prompt)+delay <= aim &&
-		(needs.GapAim == 0 || t.timing.IterationTime(load.PendingPrompt+needs.Prompt, load.Requests+1) <= needs.GapAim)
+	// The estimate has half of the running iteration, but a request that arrives at its start waits for all of it.
+	latestFirstEvent := t.timing.FirstEvent(load, needs.Prompt) + iteration/2
+	gap := t.timing.IterationTime(load.PendingPrompt+needs.Prompt, load.Requests+1) + x.dispatchDelay.deviation
+	return load.Requests < t.slots && latestFirstEvent+delay <= aim && (needs.GapAim == 0 || gap <= needs.GapAim)
 }
 
 // leavesCapacity reports whether t would have capacity left for other requests beside this one.
