--- a/relay/margin_test.go
+++ b/relay/margin_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 type marginGroup struct {
 	relay *relay.Relay
 	// sent counts the requests that this entry has sent.
-	sent int
+	sent atomic.Int64
 }
 
 // runMargin calls play with an entry whose group runs 20 requests of other entries. There is an urgent route with that aim and one that is
@@ -41,7 +42,7 @@
 			cfg.Routes = append(cfg.Routes, r)
 		}
 		g := &marginGroup{relay: relayForEngines(map[string]*iterationEngine{"h0": e})}
-		g.relay.SendUpdate = func(relay.EntryUpdate, []string) { g.sent++ }
+		g.relay.SendUpdate = func(relay.EntryUpdate, []string) { g.sent.Add(1) }
 		g.relay.SetConfig(cfg)
 		g.relay.SetConfirmed(time.Now())
 		setGroups(g.relay, 1, 1)
@@ -75,7 +76,7 @@
 func TestLessUrgentLeaveAMarginForGaps(t *testing.T) {
 	for _, tt := range []struct {
 		pending ident.Tokens
-		want    int
+		want    int64
 	}{
 		// An iteration of 53 ms and 20 ms for each 1,000 tokens, with an error of 30 ms.
 		{300, 2},
@@ -85,8 +86,8 @@
 			send("urgent", "400,40")
 			g.receivePrompt(tt.pending)
 			send("patient", "1000,40")
-			if g.sent != tt.want {
-				t.Errorf("%d requests were sent at once beside %d pending tokens, want %d", g.sent, tt.pending, tt.want)
+			if got := g.sent.Load(); got != tt.want {
+				t.Errorf("%d requests were sent at once beside %d pending tokens, want %d", got, tt.pending, tt.want)
 			}
 		})
 	}
@@ -96,7 +97,7 @@
 func TestLessUrgentLeaveAWholeIteration(t *testing.T) {
 	for _, tt := range []struct {
 		pending ident.Tokens
-		want    int
+		want    int64
 	}{
 		// The next urgent request needs 130 ms for the usual delay, 53 ms for an iteration, 20 ms for each 1,000 of its and all pending
 		// tokens, and up to 52 ms until the running iteration ends.
@@ -107,8 +108,8 @@
 			send("urgent", "400,40")
 			g.receivePrompt(tt.pending)
 			send("patient", "1500,40")
-			if g.sent != tt.want {
-				t.Errorf("%d requests were sent at once beside %d pending tokens, want %d", g.sent, tt.pending, tt.want)
+			if got := g.sent.Load(); got != tt.want {
+				t.Errorf("%d requests were sent at once beside %d pending tokens, want %d", got, tt.pending, tt.want)
 			}
 		})
 	}
