Show the state of the retry budget in request lines and metrics

A log did not show by how many entries an entry divided the allowance, or what it had counted, when it allowed or denied a retry, so the causes of too many retries could not be told apart. Request lines get "retry-budget" with each decision; dunlinquay_retry_decisions and dunlinquay_retry_budget_entries show the same over time. No decision changes.

Test: TestRetryDecisionsAreObservable.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -66,22 +66,38 @@
 	b.currentSecond(service).requests++
 }
 
+// RetryDecision is a decision on a retry with the state of the budget that led to it.
+type RetryDecision struct {
+	Allowed bool `json:"allowed"`
+	// Requests and Retries are those of this entry within the window, without the retry in question; Limit bounds the retries.
+	Requests float64 `json:"requests"`
+	Retries  float64 `json:"retries"`
+	Limit    float64 `json:"limit"`
+	// Entries is how many entries share the rule, as far as this entry knows.
+	Entries int `json:"entries"`
+}
+
 // AllowRetry reports whether the budget allows one more retry, and counts the retry if so.
 func (b *RetryBudget) AllowRetry(service ident.Service) bool {
+	return b.Decide(service).Allowed
+}
+
+// Decide is AllowRetry with the state of the budget that led to the decision.
+func (b *RetryBudget) Decide(service ident.Service) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.currentSecond(service)
-	requests, retries := 0.0, 0.0
+	d := RetryDecision{Entries: b.entries}
 	for _, s := range b.secondsByService[service] {
-		requests += s.requests
-		retries += s.retries
+		d.Requests += s.requests
+		d.Retries += s.retries
 	}
-	allowed := usableFraction * (b.Rule.Ratio*requests + b.Rule.Allowance/float64(b.entries))
-	if retries+1 > allowed {
-		return false
+	d.Limit = usableFraction * (b.Rule.Ratio*d.Requests + b.Rule.Allowance/float64(b.entries))
+	d.Allowed = d.Retries+1 <= d.Limit
+	if d.Allowed {
+		current.retries++
 	}
-	current.retries++
-	return true
+	return d
 }
 
 // currentSecond returns the counts of the current second of a service and drops those outside the window.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -107,6 +107,8 @@
 	overShare, leavesRoom bool
 	// retryCharged is set while the retry budget has been charged for an attempt that was not sent yet.
 	retryCharged bool
+	// retryDecisions are the decisions of the retry budget on this request.
+	retryDecisions []RetryDecision
 }
 
 func (s *Relay) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -93,7 +93,7 @@
 	record := &Record{
 		ID: x.requestID, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, ConfirmedAge: x.s.ConfirmedAge(), Attempts: x.attempts,
 		Prompt: x.promptTokens, Events: x.eventCount, FirstEvent: x.firstEventAfter, ExpectedFirstEvent: x.expectedFirstEvent, MaxEventGap: x.longestGap, Total: x.s.Now().Sub(x.arrivedAt),
-		PriorElapsed: x.priorElapsed, RetryAfter: x.sentRetryAfter, LimitWaits: x.permitDenials,
+		PriorElapsed: x.priorElapsed, RetryAfter: x.sentRetryAfter, LimitWaits: x.permitDenials, RetryDecisions: x.retryDecisions,
 	}
 	if err != nil {
 		record.ErrorText = result.Message(err)
--- a/relay/run.go
+++ b/relay/run.go
@@ -53,7 +53,7 @@
 		if err != nil {
 			return x.finalError(err)
 		}
-		if x.sendCount > 0 && !x.retryCharged && !x.s.Budget.AllowRetry(x.service.Name) {
+		if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
 			x.cancelReservation(&chosen)
 			return x.finalError(result.New(result.Overloaded, "the retry budget of the service is used up"))
 		}
@@ -78,6 +78,13 @@
 	}
 }
 
+// allowRetry reports whether the retry budget of the service allows to send the request once more.
+func (x *exchange) allowRetry() bool {
+	decision := x.s.Budget.Decide(x.service.Name)
+	x.retryDecisions = append(x.retryDecisions, decision)
+	return decision.Allowed
+}
+
 // mayRetry reports whether the route allows another attempt after one with that outcome.
 func (x *exchange) mayRetry(outcome attemptOutcome) bool {
 	switch outcome {
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -67,6 +67,9 @@
 	// limited is the number of upstreams with a limit, permits count the requests for permits.
 	limited tally.Gauge
 	permits map[ratelimit.Outcome]tally.Counter
+	// retriesAllowed and retriesDenied count the decisions of the retry budget, retryEntries is the number of entries that share it.
+	retriesAllowed, retriesDenied tally.Counter
+	retryEntries                  tally.Gauge
 }
 
 // firstEventMetrics are the times to first event of one model: as expected, as observed, and the difference.
@@ -82,9 +85,14 @@
 		refusals:    map[refusalKey]tally.Counter{},
 		quarantined: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
+		retriesAllowed: retryCounter(scope, "allowed"), retriesDenied: retryCounter(scope, "denied"), retryEntries: scope.Gauge("retry_budget_entries"),
 	}
 }
 
+func retryCounter(scope tally.Scope, decision string) tally.Counter {
+	return scope.Tagged(map[string]string{"decision": decision}).Counter("retry_decisions")
+}
+
 // permitCounters returns the counters of requests for permits by their outcome.
 func permitCounters(scope tally.Scope) map[ratelimit.Outcome]tally.Counter {
 	counters := map[ratelimit.Outcome]tally.Counter{}
@@ -109,6 +117,7 @@
 	}
 	metrics.total.RecordDuration(r.Total)
 	n.countRefusal(r)
+	n.countRetries(r.RetryDecisions)
 	for i := range r.Attempts {
 		n.countAttempt(&r.Attempts[i])
 	}
@@ -121,6 +130,18 @@
 	}
 }
 
+// countRetries counts the decisions of the retry budget on a request.
+func (n *entryMetrics) countRetries(decisions []relay.RetryDecision) {
+	for i := range decisions {
+		if decisions[i].Allowed {
+			n.retriesAllowed.Inc(1)
+		} else {
+			n.retriesDenied.Inc(1)
+		}
+		n.retryEntries.Update(float64(decisions[i].Entries))
+	}
+}
+
 // countRefusal counts a request that was refused although its caller may send it again; the mutex is held.
 func (n *entryMetrics) countRefusal(r *relay.Record) {
 	if r.Route == "" || r.Status != http.StatusServiceUnavailable || !result.Lookup(r.Code).NotRun {
@@ -206,5 +227,8 @@
 	if r.Site != nil {
 		fields = append(fields, "site-waiting", r.Site.Waiting, "site-rate", math.Round(r.Site.SendRate*10)/10, "site-age-ms", r.Site.Age.Milliseconds())
 	}
+	if len(r.RetryDecisions) > 0 {
+		fields = append(fields, "retry-budget", r.RetryDecisions)
+	}
 	e.RequestLog.Info("request", fields...)
 }
--- a/site/load_metrics_test.go
+++ b/site/load_metrics_test.go
@@ -102,6 +102,29 @@
 	}, []string{`dunlinquay_refused_requests{class="draft"`, `dunlinquay_refused_requests{class="summary",code="0"`})
 }
 
+// Guards against decisions of the retry budget that neither a metric nor the request line shows.
+func TestRetryDecisionsAreObservable(t *testing.T) {
+	entry := newMetricsEntry()
+	var line string
+	entry.RequestLog = funcr.NewJSON(func(obj string) { line = obj }, funcr.Options{})
+	entry.Observe(&relay.Record{ID: "1", RetryDecisions: []relay.RetryDecision{
+		{Allowed: true, Requests: 40, Retries: 2, Limit: 3.5, Entries: 8}, {Requests: 41, Retries: 3, Limit: 3.7, Entries: 8},
+	}})
+	var got struct {
+		RetryBudget []relay.RetryDecision `json:"retry-budget"`
+	}
+	if err := json.Unmarshal([]byte(line), &got); err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	want := []relay.RetryDecision{{Allowed: true, Requests: 40, Retries: 2, Limit: 3.5, Entries: 8}, {Requests: 41, Retries: 3, Limit: 3.7, Entries: 8}}
+	if diff := cmp.Diff(want, got.RetryBudget); diff != "" {
+		t.Errorf("decisions in the request line (-want +got):\n%s", diff)
+	}
+	checkMetrics(t, entry.Metrics(), []string{
+		`dunlinquay_retry_decisions{decision="allowed"} 1`, `dunlinquay_retry_decisions{decision="denied"} 1`, `dunlinquay_retry_budget_entries 8`,
+	}, nil)
+}
+
 // newMetricsEntry returns an entry that is not run.
 func newMetricsEntry() *site.Entry {
 	cfg := settings.DefaultSite()
