Test the retry budget of entries that restart

The test fails: entries that restart while all requests fail make 674 to 1,000 retries in a window that allows 560 (40 entries; two thirds or all of them, at once or in waves, with or without control).

--- a/site/export_test.go
+++ b/site/export_test.go
@@ -295,6 +295,15 @@
 // RetrySharers returns how many entries share the retry budget.
 func (e *Entry) RetrySharers() int { return e.relay.Budget.Entries() }
 
+// Close ends the goroutines of an entry that was not run.
+func (e *Entry) Close() {
+	_ = e.callerServer.Close()
+	_ = e.meter.Close()
+}
+
+// RetryBudget returns the entry's part of the retry budget.
+func (e *Entry) RetryBudget() *relay.RetryBudget { return e.relay.Budget }
+
 // Rollout tracks configurations until the entries have them in force.
 type Rollout struct{ rollout *rollout[httproute.Version] }
 
