Count what restarted entries may have retried before

Cause: the counts of retries are kept in each process. A process that starts has none, and its whole part of the allowance, although its former process used both up to the same moment. Restarts in a row multiply this. Class of the fault: a bound on a sum over time and processes that is kept in the memory of one process.

Change: entries report their uptime, and the leader returns which fraction of the entries started within the window. Old processes together use 0.85 of the rule; new ones, in their first window, share what that leaves of the ratio and have no part of the allowance. The requests of a process are its own, so several restarts in a row add nothing. With few new entries each of them uses 0.85 of its ratio as before, so a rolling restart loses the allowance of those that have just started only. An entry that does not know the fraction (older leader, no reply yet) takes all to be new.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -2,7 +2,8 @@
 
 // Retries are bounded over all entries together. Each entry may use its local
 // share: a ratio of the requests that it received itself, and an equal part of the
-// fixed allowance. Counts are kept per second, so the window slides.
+// fixed allowance. Counts are kept per second, so the window slides. A process that
+// has just started does not know these counts of its former process, and uses less.
 
 import (
 	"sync"
@@ -33,10 +34,15 @@
 type RetryBudget struct {
 	Rule RetryBudgetRule
 	Now  func() time.Time
-
-	mu               sync.Mutex
-	start            time.Time
-	entries          int
+	// StartedAt is when this process started. Retries of its former process within the last window are not known. It is zero if there
+	// was no former process.
+	StartedAt time.Time
+
+	mu      sync.Mutex
+	start   time.Time
+	entries int
+	// newEntryFraction is the fraction of the entries that started within the window, 0 if it is not known.
+	newEntryFraction float64
 	secondsByService map[ident.Service][]secondCounts
 }
 
@@ -52,6 +58,13 @@
 	b.entries = max(1, n)
 }
 
+// SetNewEntryFraction sets the fraction of the entries that started within the window, 0 if it is not known.
+func (b *RetryBudget) SetNewEntryFraction(fraction float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.newEntryFraction = fraction
+}
+
 // Entries returns how many entries share the rule.
 func (b *RetryBudget) Entries() int {
 	b.mu.Lock()
@@ -75,6 +88,8 @@
 	Limit    float64 `json:"limit"`
 	// Entries is how many entries share the rule, as far as this entry knows.
 	Entries int `json:"entries"`
+	// New is set in the first window of this process, in which it has no part of the allowance.
+	New bool `json:"new,omitempty"`
 }
 
 // AllowRetry reports whether the budget allows one more retry, and counts the retry if so.
@@ -92,7 +107,12 @@
 		d.Requests += s.requests
 		d.Retries += s.retries
 	}
-	d.Limit = usableFraction * (b.Rule.Ratio*d.Requests + b.Rule.Allowance/float64(b.entries))
+	d.New = !b.StartedAt.IsZero() && b.Now().Sub(b.StartedAt) < b.Rule.Window
+	if d.New {
+		d.Limit = b.usableByNewEntry() * b.Rule.Ratio * d.Requests
+	} else {
+		d.Limit = usableFraction * (b.Rule.Ratio*d.Requests + b.Rule.Allowance/float64(b.entries))
+	}
 	d.Allowed = d.Retries+1 <= d.Limit
 	if d.Allowed {
 		current.retries++
@@ -100,6 +120,16 @@
 	return d
 }
 
+// usableByNewEntry is the fraction of the ratio that an entry uses in its first window. Its former process may have used its whole part of
+// the rule just before, so all new entries together use what the former processes left.
+func (b *RetryBudget) usableByNewEntry() float64 {
+	fraction := b.newEntryFraction
+	if fraction <= 0 {
+		fraction = 1
+	}
+	return min(usableFraction, (1-usableFraction)/fraction)
+}
+
 // currentSecond returns the counts of the current second of a service and drops those outside the window.
 func (b *RetryBudget) currentSecond(service ident.Service) *secondCounts {
 	// Differences of Now follow the monotonic clock, unlike the time of day.
--- a/site/calls.go
+++ b/site/calls.go
@@ -300,6 +300,7 @@
 		now := clock.Now()
 		reply.Totals = r.encodedTotals(now)
 		reply.Load = r.siteLoad(now, call.From)
+		reply.NewEntryFraction = r.newEntryFraction(now)
 		r.fillLists(now, call, &reply)
 	}
 	c.fillCommitted(call, &reply)
--- a/site/entries.go
+++ b/site/entries.go
@@ -84,6 +84,7 @@
 		state.answersSentAt = previous.answersSentAt
 	}
 	r.entries[call.From] = state
+	r.starts.note(now, call.From, call.Uptime)
 	r.configRollout.noteVersion(now, call.From, call.Version)
 	r.drainRollout.noteVersion(now, call.From, call.Drains)
 	r.slowdowns.addGaps(now, call.Seen)
@@ -113,6 +114,13 @@
 	return len(r.entries)
 }
 
+// newEntryFraction returns the fraction of the known entries that started within the window of the retry budget.
+func (r *leadership) newEntryFraction(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts.fraction(now, len(r.entries))
+}
+
 // removeEntry removes an entry that has stopped calling; the mutex is held.
 func (r *leadership) removeEntry(name string) {
 	r.subtractRequests(r.entries[name])
--- a/site/entry.go
+++ b/site/entry.go
@@ -72,6 +72,7 @@
 	stop                   chan struct{}
 	stopOnce               sync.Once
 	wasReady               atomic.Bool
+	startedAt              time.Time
 }
 
 // NewEntry returns an entry that uses the given header names with callers and upstreams.
@@ -79,7 +80,7 @@
 	e := &Entry{
 		Settings: cfg, Log: logr.Discard(), RequestLog: logr.Discard(), Dial: dial,
 		relay: relay.New(headers, dial), directory: newControlDirectory(cfg.SeedPeers()),
-		meter: meter.New(), stop: make(chan struct{}),
+		meter: meter.New(), stop: make(chan struct{}), startedAt: clock.Now(),
 	}
 	e.callerServer = inbound.New(e.relay)
 	e.metrics = newEntryMetrics(e.meter.Scope)
@@ -90,6 +91,7 @@
 	e.relay.Budget = relay.NewRetryBudget(relay.RetryBudgetRule{
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
 	})
+	e.relay.Budget.StartedAt = e.startedAt
 	e.relay.UrgencyFloor, e.relay.ArrivalCheck = cfg.Scheduling.UrgencyFloor, cfg.Scheduling.ArrivalCheck
 	e.relay.Observe = e.observe
 	e.relay.Quarantine.Rule = quarantineRule(&cfg.Quarantine)
@@ -181,6 +183,7 @@
 	call.From = e.Settings.PeerAddress()
 	call.Hall = e.Settings.Hall
 	call.Entry = true
+	call.Uptime = clock.Since(e.startedAt)
 	call.Seen, call.Demand = e.relay.CollectObservations()
 	call.Load = e.relay.CollectLoad()
 	e.sentInflight = map[ident.Incarnation]int{}
@@ -220,6 +223,7 @@
 	if reply.Load != nil {
 		e.relay.SetSiteLoad(reply.Load)
 	}
+	e.relay.Budget.SetNewEntryFraction(reply.NewEntryFraction)
 	e.relay.Budget.SetEntries(max(reply.Entries, e.peerEntries.entryCount))
 	if newest {
 		e.relay.SetConfirmed(sentAt)
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -25,6 +25,7 @@
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
 	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/siteload"
 	"github.com/dunlinquay/dunlinquay/unread"
 )
@@ -141,12 +142,17 @@
 			Log: logr.Discard(), limits: ratelimit.NewLimitTable[ident.Incarnation](), Unrecognized: unread.New[ident.Incarnation](),
 		},
 		roster:  full,
-		entries: map[string]*entryState{}, lists: newEntryLists(), totals: map[ident.Incarnation]int{}, localShareEntries: map[ident.Incarnation]int{},
+		entries: map[string]*entryState{}, starts: newEntryStarts(defaultRetries().Window.Std()), lists: newEntryLists(), totals: map[ident.Incarnation]int{}, localShareEntries: map[ident.Incarnation]int{},
 		slowdowns: newSlowdownTracker(nil, logr.Discard()), configRollout: newRollout[httproute.Version](time.Time{}, 0),
 		drainRollout: newRollout[catalog.DrainRevision](time.Time{}, 0),
 	}}
 }
 
+func defaultRetries() settings.Retries {
+	cfg := settings.DefaultSite()
+	return cfg.Retries
+}
+
 // Roster returns the leader's roster.
 func (r Leadership) Roster() *roster.Roster { return r.roster }
 
@@ -387,6 +393,7 @@
 	r.fillChanges(call, &reply)
 	now := time.Now()
 	reply.Totals = r.encodedTotals(now)
+	reply.NewEntryFraction = r.newEntryFraction(now)
 	r.fillLists(now, call, &reply)
 	return reply
 }
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -89,6 +89,7 @@
 
 	mu      sync.Mutex
 	entries map[string]*entryState
+	starts  *entryStarts
 	// lists are the entries by hall.
 	lists  *entryLists
 	totals map[ident.Incarnation]int
@@ -133,6 +134,7 @@
 		formations:        map[ident.Service]*replicaset.Formation{},
 		orderResults:      make(chan orderResult, orderResultQueueLength),
 		entries:           map[string]*entryState{},
+		starts:            newEntryStarts(c.Settings.Retries.Window.Std()),
 		lists:             newEntryLists(),
 		totals:            map[ident.Incarnation]int{},
 		localShareEntries: map[ident.Incarnation]int{},
--- a/site/messages.go
+++ b/site/messages.go
@@ -59,6 +59,8 @@
 	Version httproute.Version
 	// Drains is the revision of the caller's drained halls.
 	Drains catalog.DrainRevision
+	// Uptime is how long the caller has been running.
+	Uptime time.Duration
 	// Whole is set by a daemon that needs the whole configuration instead of a patch.
 	Whole  bool
 	Seen   []relay.Observation
@@ -106,9 +108,12 @@
 	Limits map[ident.Incarnation]LimitSummary
 	// Entries is how many entries there are. Lists are the lists of halls of which the caller has another list;
 	// ListChanges are sent instead where the leader knows the caller's list.
-	Entries     int
-	Lists       []EntryList
-	ListChanges []ListChange
+	Entries int
+	// NewEntryFraction is the fraction of the entries that started within the window of the retry budget, 0 if it is
+	// not known.
+	NewEntryFraction float64
+	Lists            []EntryList
+	ListChanges      []ListChange
 	// PackedLists are all lists, compressed, in place of Lists.
 	PackedLists []byte
 	// Held and HeldSum are the leader's quarantine reports and their digest, as in SyncCall.
