Count retries until they have left every window

Cause: an entry counted retries by whole seconds of its process, nine seconds and the part of the tenth that has passed. Retries at the start of a burst were forgotten up to a second before the rule forgets them, and the rule's window then holds two bursts.

Change: counts are kept in fortieths of the window. Requests count while their interval lies within the window, retries for two intervals more: the oldest has partly passed, and a retry arrives later than it was allowed.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -2,8 +2,9 @@
 
 // Retries are bounded over all entries together. Each entry may use its local
 // share: a ratio of the requests that it received itself, and an equal part of the
-// fixed allowance. Counts are kept per second, so the window slides. A process that
-// has just started does not know these counts of its former process, and uses less.
+// fixed allowance. Counts are kept in short intervals, so the window slides. A
+// process that has just started does not know these counts of its former process,
+// and uses less.
 
 import (
 	"sync"
@@ -24,7 +25,16 @@
 // usableFraction is the fraction of the rule that entries use, since the number of entries changes and their windows are not aligned.
 const usableFraction = 0.85
 
-type secondCounts struct {
+const (
+	// intervalsPerWindow is the number of intervals of a window in which requests and retries are counted.
+	intervalsPerWindow = 40
+	// retryIntervals is the number of intervals over which retries count. The oldest interval has partly passed, and a retry arrives at an
+	// upstream later than it was allowed.
+	retryIntervals = intervalsPerWindow + 2
+)
+
+// intervalCounts are the counts of one interval.
+type intervalCounts struct {
 	index    int64
 	requests float64
 	retries  float64
@@ -43,12 +53,12 @@
 	entries int
 	// newEntryFraction is the fraction of the entries that started within the window, 0 if it is not known.
 	newEntryFraction float64
-	secondsByService map[ident.Service][]secondCounts
+	intervals        map[ident.Service][]intervalCounts
 }
 
 // NewRetryBudget returns an empty budget for one entry.
 func NewRetryBudget(rule RetryBudgetRule) *RetryBudget {
-	return &RetryBudget{Rule: rule, Now: clock.Now, entries: 1, secondsByService: map[ident.Service][]secondCounts{}}
+	return &RetryBudget{Rule: rule, Now: clock.Now, entries: 1, intervals: map[ident.Service][]intervalCounts{}}
 }
 
 // SetEntries sets how many entries share the rule.
@@ -76,7 +86,7 @@
 func (b *RetryBudget) CountRequest(service ident.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentSecond(service).requests++
+	b.currentInterval(service).requests++
 }
 
 // RetryDecision is a decision on a retry with the state of the budget that led to it.
@@ -101,13 +111,15 @@
 func (b *RetryBudget) Decide(service ident.Service) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current := b.currentSecond(service)
+	current := b.currentInterval(service)
 	d := RetryDecision{Entries: b.entries}
-	for _, s := range b.secondsByService[service] {
-		d.Requests += s.requests
-		d.Retries += s.retries
+	for _, c := range b.intervals[service] {
+		if c.index > current.index-intervalsPerWindow {
+			d.Requests += c.requests
+		}
+		d.Retries += c.retries
 	}
-	d.New = !b.StartedAt.IsZero() && b.Now().Sub(b.StartedAt) < b.Rule.Window
+	d.New = !b.StartedAt.IsZero() && b.Now().Sub(b.StartedAt) < retryIntervals*b.intervalLength()
 	if d.New {
 		d.Limit = b.usableByNewEntry() * b.Rule.Ratio * d.Requests
 	} else {
@@ -130,22 +142,25 @@
 	return min(usableFraction, (1-usableFraction)/fraction)
 }
 
-// currentSecond returns the counts of the current second of a service and drops those outside the window.
-func (b *RetryBudget) currentSecond(service ident.Service) *secondCounts {
+func (b *RetryBudget) intervalLength() time.Duration {
+	return max(1, b.Rule.Window/intervalsPerWindow)
+}
+
+// currentInterval returns the counts of the current interval of a service and drops those that no longer count.
+func (b *RetryBudget) currentInterval(service ident.Service) *intervalCounts {
 	// Differences of Now follow the monotonic clock, unlike the time of day.
 	now := b.Now()
 	if b.start.IsZero() {
 		b.start = now
 	}
-	index := int64(now.Sub(b.start) / time.Second)
-	list := b.secondsByService[service]
-	oldest := index - int64(b.Rule.Window/time.Second)
-	for len(list) > 0 && list[0].index <= oldest {
+	index := int64(now.Sub(b.start) / b.intervalLength())
+	list := b.intervals[service]
+	for len(list) > 0 && list[0].index <= index-retryIntervals {
 		list = list[1:]
 	}
 	if len(list) == 0 || list[len(list)-1].index != index {
-		list = append(list, secondCounts{index: index})
+		list = append(list, intervalCounts{index: index})
 	}
-	b.secondsByService[service] = list
+	b.intervals[service] = list
 	return &list[len(list)-1]
 }
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -66,3 +66,33 @@
 		})
 	}
 }
+
+// Guards against windows that end up to a second early: retries that were made 9 to 10 s ago still count.
+func TestRetriesInUnalignedWindows(t *testing.T) {
+	rule := relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 20}
+	const step = 10 * time.Millisecond
+	for firstAt := time.Duration(0); firstAt < time.Second; firstAt += 70 * time.Millisecond {
+		now := time.Unix(1000, 0)
+		startedAt := now
+		b := relay.NewRetryBudget(rule)
+		b.Now = func() time.Time { return now }
+		b.CountRequest("s")
+		var retries []time.Duration
+		for ; now.Sub(startedAt) < 25*time.Second; now = now.Add(step) {
+			for now.Sub(startedAt) >= firstAt && b.AllowRetry("s") {
+				retries = append(retries, now.Sub(startedAt))
+			}
+		}
+		for i, from := range retries {
+			inWindow := 0
+			for _, at := range retries[i:] {
+				if at < from+rule.Window {
+					inWindow++
+				}
+			}
+			if float64(inWindow) > rule.Ratio+rule.Allowance {
+				t.Fatalf("first retries at %v: %d retries in the window from %v, want at most 20", firstAt, inWindow, from)
+			}
+		}
+	}
+}
