Divide the allowance of retries by all entries that used it

Cause: an entry divides the allowance by the number of entries that the leader knows now. Entries that have left used their parts in the same window, those that stay then use larger ones: 157 retries where 100 are allowed when one of ten remains. An entry that has heard of no leader divided by one, and on routes that need no keys it serves in that state: the whole allowance.

Change: a smaller number applies a window later, and without a number an entry has no part of the allowance.

TestRetriesWhenEntriesLeave: 108 to 157 retries of 100 allowed in 7 of 9 cases -> none. TestRetriesWhileEntriesAreUnknown: 102 retries of 20 -> 17.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -48,9 +48,11 @@
 	// was no former process.
 	StartedAt time.Time
 
-	mu      sync.Mutex
-	start   time.Time
-	entries int
+	mu    sync.Mutex
+	start time.Time
+	// entryCounts are the numbers of entries that were known within the window, each smaller than the one before. A number that a later
+	// one reaches is dropped.
+	entryCounts []entryCount
 	// newEntryFraction is the fraction of the entries that started within the window, 0 if it is not known.
 	newEntryFraction float64
 	intervals        map[ident.Service][]intervalCounts
@@ -58,14 +60,43 @@
 
 // NewRetryBudget returns an empty budget for one entry.
 func NewRetryBudget(rule RetryBudgetRule) *RetryBudget {
-	return &RetryBudget{Rule: rule, Now: clock.Now, entries: 1, intervals: map[ident.Service][]intervalCounts{}}
+	return &RetryBudget{Rule: rule, Now: clock.Now, entryCounts: []entryCount{{n: 1}}, intervals: map[ident.Service][]intervalCounts{}}
 }
 
-// SetEntries sets how many entries share the rule.
+// entryCount is a number of entries and when it became known.
+type entryCount struct {
+	n     int
+	since time.Time
+}
+
+// SetEntries sets how many entries share the rule. A smaller number than before applies after a window, since the entries that have left
+// may have used their parts in this one. If n is 0, the number is not known, and entries have no part of the allowance.
 func (b *RetryBudget) SetEntries(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = max(1, n)
+	if n <= 0 {
+		b.entryCounts = nil
+		return
+	}
+	kept := b.entryCounts
+	for len(kept) > 0 && kept[len(kept)-1].n < n {
+		kept = kept[:len(kept)-1]
+	}
+	if len(kept) == 0 || kept[len(kept)-1].n > n {
+		kept = append(kept, entryCount{n, b.Now()})
+	}
+	b.entryCounts = kept
+}
+
+// largestEntryCount returns the largest number of entries within the window, 0 if none is known; the mutex is held.
+func (b *RetryBudget) largestEntryCount(now time.Time) int {
+	for len(b.entryCounts) > 1 && now.Sub(b.entryCounts[1].since) >= b.retention() {
+		b.entryCounts = b.entryCounts[1:]
+	}
+	if len(b.entryCounts) == 0 {
+		return 0
+	}
+	return b.entryCounts[0].n
 }
 
 // SetNewEntryFraction sets the fraction of the entries that started within the window, 0 if it is not known.
@@ -75,11 +106,14 @@
 	b.newEntryFraction = fraction
 }
 
-// Entries returns how many entries share the rule.
+// Entries returns how many entries share the rule, 1 if that is not known.
 func (b *RetryBudget) Entries() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.entries
+	if len(b.entryCounts) == 0 {
+		return 1
+	}
+	return b.entryCounts[len(b.entryCounts)-1].n
 }
 
 // CountRequest counts a request for a service.
@@ -96,7 +130,7 @@
 	Requests float64 `json:"requests"`
 	Retries  float64 `json:"retries"`
 	Limit    float64 `json:"limit"`
-	// Entries is how many entries share the rule, as far as this entry knows.
+	// Entries is the largest number of entries that shared the rule within the window, as far as this entry knows, 0 if it knows none.
 	Entries int `json:"entries"`
 	// New is set in the first window of this process, in which it has no part of the allowance.
 	New bool `json:"new,omitempty"`
@@ -112,18 +146,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.currentInterval(service)
-	d := RetryDecision{Entries: b.entries}
+	now := b.Now()
+	d := RetryDecision{Entries: b.largestEntryCount(now)}
 	for _, c := range b.intervals[service] {
 		if c.index > current.index-intervalsPerWindow {
 			d.Requests += c.requests
 		}
 		d.Retries += c.retries
 	}
-	d.New = !b.StartedAt.IsZero() && b.Now().Sub(b.StartedAt) < retryIntervals*b.intervalLength()
+	d.New = !b.StartedAt.IsZero() && now.Sub(b.StartedAt) < b.retention()
 	if d.New {
 		d.Limit = b.usableByNewEntry() * b.Rule.Ratio * d.Requests
 	} else {
-		d.Limit = usableFraction * (b.Rule.Ratio*d.Requests + b.Rule.Allowance/float64(b.entries))
+		d.Limit = usableFraction * (b.Rule.Ratio*d.Requests + b.allowanceOfEntry(d.Entries))
 	}
 	d.Allowed = d.Retries+1 <= d.Limit
 	if d.Allowed {
@@ -132,6 +167,14 @@
 	return d
 }
 
+// allowanceOfEntry is an entry's part of the allowance.
+func (b *RetryBudget) allowanceOfEntry(entries int) float64 {
+	if entries <= 0 {
+		return 0
+	}
+	return b.Rule.Allowance / float64(entries)
+}
+
 // usableByNewEntry is the fraction of the ratio that an entry uses in its first window. Its former process may have used its whole part of
 // the rule just before, so all new entries together use what the former processes left.
 func (b *RetryBudget) usableByNewEntry() float64 {
@@ -146,6 +189,11 @@
 	return max(1, b.Rule.Window/intervalsPerWindow)
 }
 
+// retention is how long a retry counts.
+func (b *RetryBudget) retention() time.Duration {
+	return retryIntervals * b.intervalLength()
+}
+
 // currentInterval returns the counts of the current interval of a service and drops those that no longer count.
 func (b *RetryBudget) currentInterval(service ident.Service) *intervalCounts {
 	// Differences of Now follow the monotonic clock, unlike the time of day.
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -96,3 +96,59 @@
 		}
 	}
 }
+
+// Guards against entries that divide the allowance of a window by fewer entries than used it.
+func TestRetriesWhenEntriesLeave(t *testing.T) {
+	rule := relay.RetryBudgetRule{Window: 10 * time.Second, Allowance: 100}
+	const entries = 10
+	for remaining := 1; remaining < entries; remaining++ {
+		now := time.Unix(1000, 0)
+		var budgets []*relay.RetryBudget
+		for range entries {
+			b := relay.NewRetryBudget(rule)
+			b.Now = func() time.Time { return now }
+			b.SetEntries(entries)
+			budgets = append(budgets, b)
+		}
+		retries := 0
+		useAll := func() {
+			for _, b := range budgets {
+				for b.AllowRetry("s") {
+					retries++
+				}
+			}
+		}
+		useAll()
+		now = now.Add(4 * time.Second)
+		budgets = budgets[:remaining]
+		for _, b := range budgets {
+			b.SetEntries(remaining)
+		}
+		useAll()
+		if float64(retries) > rule.Allowance {
+			t.Errorf("%d retries after %d of %d entries have left, want at most %.0f", retries, entries-remaining, entries, rule.Allowance)
+		}
+		now = now.Add(12 * time.Second)
+		retries = 0
+		useAll()
+		if float64(retries) < 0.8*rule.Allowance {
+			t.Errorf("%d retries of the %d remaining entries in the next window, want at least %.0f", retries, remaining, 0.8*rule.Allowance)
+		}
+	}
+}
+
+// Guards against an entry that takes the whole allowance because it does not know yet how many entries there are.
+func TestRetriesWhileEntriesAreUnknown(t *testing.T) {
+	b := relay.NewRetryBudget(relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
+	b.SetEntries(0)
+	for range 100 {
+		b.CountRequest("s")
+	}
+	retries := 0
+	for b.AllowRetry("s") {
+		retries++
+	}
+	if retries > 20 {
+		t.Errorf("%d retries for 100 requests, want at most a fifth", retries)
+	}
+}
--- a/site/entry.go
+++ b/site/entry.go
@@ -92,6 +92,7 @@
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
 	})
 	e.relay.Budget.StartedAt = e.startedAt
+	e.relay.Budget.SetEntries(0)
 	e.relay.UrgencyFloor, e.relay.ArrivalCheck = cfg.Scheduling.UrgencyFloor, cfg.Scheduling.ArrivalCheck
 	e.relay.Observe = e.observe
 	e.relay.Quarantine.Rule = quarantineRule(&cfg.Quarantine)
