Show in request lines how many upstreams were avoided

Request lines did not show whether an entry refused because its groups were full or because they were suspect, by itself or by the suspicions of others. Lines get "targets" and "suspect-targets" where any was. No decision changes.

Test: TestRequestLineHasSuspectTargets.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -115,6 +115,7 @@
 		scored.limited = availability.Limited
 		c.add(scored)
 	}
+	x.suspectTargets, x.knownTargets = len(c.suspect), len(targets)
 	tier := c.bestTier()
 	if len(tier) == 0 {
 		return s.waitOrFail(x, targets, full, &unavail, now)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -90,6 +90,9 @@
 	// how many upstreams were unavailable when the target was chosen.
 	backoffProbe     bool
 	skippedUpstreams int
+	// knownTargets is the number of targets at the last choice, suspectTargets how many of them were avoided because they failed recently or
+	// are suspected, by this entry or others.
+	knownTargets, suspectTargets int
 	// countedAtTarget is set while the request counts at the target of the current attempt.
 	countedAtTarget bool
 	// noPermitAt are the upstreams without a permit in the time that the request can wait, permitDenials is how often a permit was denied.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -430,6 +430,8 @@
 	PriorElapsed time.Duration
 	// LimitWaits is how often no permit was granted for the chosen upstream.
 	LimitWaits int
+	// Targets is the number of targets at the last choice, SuspectTargets how many of them were suspect.
+	Targets, SuspectTargets int
 	// RetryDecisions are the decisions of the retry budget on further attempts, in order.
 	RetryDecisions []RetryDecision
 	// RetryAfter is the time after which the caller was told to retry.
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -227,6 +227,9 @@
 	if r.Site != nil {
 		fields = append(fields, "site-waiting", r.Site.Waiting, "site-rate", math.Round(r.Site.SendRate*10)/10, "site-age-ms", r.Site.Age.Milliseconds())
 	}
+	if r.SuspectTargets > 0 {
+		fields = append(fields, "targets", r.Targets, "suspect-targets", r.SuspectTargets)
+	}
 	if len(r.RetryDecisions) > 0 {
 		fields = append(fields, "retry-budget", r.RetryDecisions)
 	}
--- a/site/load_metrics_test.go
+++ b/site/load_metrics_test.go
@@ -102,6 +102,17 @@
 	}, []string{`dunlinquay_refused_requests{class="draft"`, `dunlinquay_refused_requests{class="summary",code="0"`})
 }
 
+// Guards against requests whose lines do not show that upstreams were avoided.
+func TestRequestLineHasSuspectTargets(t *testing.T) {
+	entry := newMetricsEntry()
+	var line string
+	entry.RequestLog = funcr.NewJSON(func(obj string) { line = obj }, funcr.Options{})
+	entry.Observe(&relay.Record{ID: "1", Targets: 12, SuspectTargets: 5})
+	if want := `"targets":12,"suspect-targets":5`; !strings.Contains(line, want) {
+		t.Errorf("%s has no %s", line, want)
+	}
+}
+
 // Guards against decisions of the retry budget that neither a metric nor the request line shows.
 func TestRetryDecisionsAreObservable(t *testing.T) {
 	entry := newMetricsEntry()
