--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -156,6 +156,8 @@
 // unavailable counts the upstreams that accept no request when a target is chosen.
 type unavailable struct {
 	backedOff, leaving, limited int
+	// unreachable counts those to which this entry has no path.
+	unreachable int
 	// outsideRegion counts those outside the home regions of the request.
 	outsideRegion int
 	// soonest is the time until the first backed-off or limited upstream is available.
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -223,7 +223,7 @@
 	var best candidate
 	targets := s.index.targets(x.service, x.model)
 	for i := range targets {
-		if !x.regionAllowed(&targets[i]) {
+		if !x.regionAllowed(&targets[i]) || s.stateOf(&targets[i]).unreachable && x.avoidsUnreachable() {
 			continue
 		}
 		load := s.loadOf(&targets[i], now)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -86,18 +86,36 @@
 // none; the mutex is held.
 func (s *Relay) choose(x *exchange, rank overload.Rank, now time.Time) (choice, error) {
 	targets := s.index.targets(x.service, x.model)
+	full, unavail := s.collectCandidates(x, targets, rank, now)
 	c := &s.candidates
-	c.reset()
-	full := 0
-	var unavail unavailable
+	tier := c.bestTier()
+	x.suspectTargets, x.knownTargets, x.unreachableTargets = len(c.suspect), len(targets), unavail.unreachable
+	x.lacksPath = unavail.unreachable > 0 && len(tier) == 0 && full+unavail.backedOff+unavail.limited == 0
+	if len(tier) == 0 {
+		return s.waitOrFail(x, targets, full, &unavail, now)
+	}
+	x.skippedUpstreams = unavail.total()
+	if tier[0].inSubset && s.entries != nil && !s.entries.AllUseAll() {
+		return choice{candidate: lowestScore(tier), maxPermitWait: ratelimit.MaxWaitWithAlternatives}, nil
+	}
+	return choice{candidate: preferLimited(tier, s.betterOfTwo(tier)), maxPermitWait: ratelimit.MaxWaitWithAlternatives}, nil
+}
+
+// collectCandidates sets the candidates to the targets that can take the request, and counts the others; the mutex is held.
+func (s *Relay) collectCandidates(x *exchange, targets []target, rank overload.Rank, now time.Time) (full int, unavail unavailable) {
+	s.candidates.reset()
 	var availability ratelimit.Availability
-	hasLimits := s.Limits.HasLimits()
+	hasLimits, avoidsUnreachable := s.Limits.HasLimits(), x.avoidsUnreachable()
 	for i := range targets {
 		t := &targets[i]
 		if !x.regionAllowed(t) {
 			unavail.outsideRegion++
 			continue
 		}
+		if avoidsUnreachable && s.stateOf(t).unreachable {
+			unavail.unreachable++
+			continue
+		}
 		// An upstream that requested a backoff is overloaded and gets no request until the backoff ends.
 		backoffState := s.Backoff.StateOf(now, t.id)
 		if hasLimits {
@@ -113,18 +131,9 @@
 		}
 		scored.hasCapacity = scored.hasCapacity && s.mayUseCapacity(x, t)
 		scored.limited = availability.Limited
-		c.add(scored)
-	}
-	x.suspectTargets, x.knownTargets = len(c.suspect), len(targets)
-	tier := c.bestTier()
-	if len(tier) == 0 {
-		return s.waitOrFail(x, targets, full, &unavail, now)
-	}
-	x.skippedUpstreams = unavail.total()
-	if tier[0].inSubset && s.entries != nil && !s.entries.AllUseAll() {
-		return choice{candidate: lowestScore(tier), maxPermitWait: ratelimit.MaxWaitWithAlternatives}, nil
+		s.candidates.add(scored)
 	}
-	return choice{candidate: preferLimited(tier, s.betterOfTwo(tier)), maxPermitWait: ratelimit.MaxWaitWithAlternatives}, nil
+	return full, unavail
 }
 
 // waitOrFail returns the choice for a request that no target can take now: an upstream with a limit to wait for, or else an error.
@@ -145,6 +154,9 @@
 	for i := range targets {
 		id := targets[i].id
 		availability := s.Limits.Availability(now, id)
+		if s.stateOf(&targets[i]).unreachable && x.avoidsUnreachable() {
+			continue
+		}
 		if !availability.Limited || !x.regionAllowed(&targets[i]) || x.wasAttempted(id) || x.noPermitAt[id] || s.Backoff.StateOf(now, id).Remaining > 0 {
 			continue
 		}
@@ -277,6 +289,8 @@
 			unavail.limited, total, unavail.backedOff, unavail.soonest)
 	case unavail.backedOff > 0:
 		return result.New(result.BackedOff, "%d of %d upstreams are backed off; the first is available in %v", unavail.backedOff, total, unavail.soonest)
+	case unavail.unreachable > 0:
+		return result.New(result.NoWholeGroup, "%d of %d upstreams cannot be reached from this entry", unavail.unreachable, total)
 	case unavail.leaving > 0:
 		return result.New(result.NoWholeGroup, "the last %d upstreams are shutting down", unavail.leaving)
 	case total > 0:
@@ -305,7 +319,7 @@
 	if ts.outcomeCount >= minOutcomes {
 		score += failureRateWeight * ts.failureRate
 	}
-	if now.Before(ts.suspectUntil) || s.unresponsive(ts, now) || !ts.suspectedAt.IsZero() && now.Sub(ts.suspectedAt) < suspicionInterval {
+	if ts.unreachable || now.Before(ts.suspectUntil) || s.unresponsive(ts, now) || !ts.suspectedAt.IsZero() && now.Sub(ts.suspectedAt) < suspicionInterval {
 		score += suspectPenalty
 	}
 	hasCapacity := x.hasCapacityAt(t, rank, knownLoad, firstEvent, now)
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -92,6 +92,11 @@
 		}
 		c.Close()
 	}
+	return p.open(ctx, address)
+}
+
+// open opens a new connection.
+func (p *connPool) open(ctx context.Context, address string) (*upstreamConn, error) {
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -102,6 +107,29 @@
 	}, nil
 }
 
+// keep keeps a new connection for the next request, or closes it if there is an idle one.
+func (p *connPool) keep(c *upstreamConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) > 0 {
+		c.Close()
+		return
+	}
+	c.idleSince = p.now()
+	c.expires = c.idleSince.Add(defaultIdleTimeout)
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// drop closes the idle connections to an address.
+func (p *connPool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
 func (p *connPool) pop(address string) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -110,6 +110,17 @@
 	overShare, leavesRoom bool
 	// retryCharged is set while the retry budget has been charged for an attempt that was not sent yet.
 	retryCharged bool
+	// unreachableTargets is how many targets were not chosen because they are unreachable from this entry; lacksPath is set when no other
+	// target was left for that reason.
+	unreachableTargets int
+	lacksPath          bool
+	// forwarded is set for a request of another entry. triedEntries are the entries to which the request was forwarded, entryCode is the
+	// result code of the answer of one.
+	forwarded    *forwardedRequest
+	triedEntries map[string]bool
+	entryCode    result.Code
+	// counted is set once the request counts in the retry budget and the demand.
+	counted bool
 	// retryDecisions are the decisions of the retry budget on this request.
 	retryDecisions []RetryDecision
 }
@@ -117,7 +128,7 @@
 func (s *Relay) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
 		s: s, w: w, r: r, arrivedAt: s.Now(), table: s.table.Load(),
-		requestID: r.Header.Get(s.Headers.RequestID), triedUpstreams: map[ident.Incarnation]bool{},
+		requestID: r.Header.Get(s.Headers.RequestID), triedUpstreams: map[ident.Incarnation]bool{}, triedEntries: map[string]bool{},
 	}
 }
 
@@ -143,9 +154,24 @@
 	x.model = ident.Model(x.r.Header.Get(x.s.Headers.Model))
 	x.lastEventID = x.r.Header.Get(x.s.Headers.EventID)
 	x.priorElapsed = x.s.estimatePriorElapsed(x.route.Name, x.callerTimeout())
+	if !x.startsCutOff() {
+		x.count()
+	}
+	return x.readBody()
+}
+
+// count counts the request in the retry budget and the demand, unless another entry did.
+func (x *exchange) count() {
+	if x.counted {
+		return
+	}
+	x.counted = true
+	x.setTokenCounts()
+	if x.forwarded != nil && x.forwarded.counted {
+		return
+	}
 	x.s.Budget.CountRequest(x.service.Name)
 	x.countDemand()
-	return x.readBody()
 }
 
 // findRoute finds the route for the host and path. Without one the error is NotFound only if the configuration is certain to be current.
@@ -242,8 +268,8 @@
 // defaultMaxBodyBytes bounds a body where the configuration has no bound.
 const defaultMaxBodyBytes = 4 << 20
 
-// countDemand adds the request to the demand for its model, whether it will be served or not.
-func (x *exchange) countDemand() {
+// setTokenCounts sets the sizes of the prompt and of the expected answer.
+func (x *exchange) setTokenCounts() {
 	if x.service.Engine == nil {
 		return
 	}
@@ -251,6 +277,15 @@
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
 	x.answerTokens = x.expectedAnswer(x.s.Now())
+}
+
+// countDemand adds the request to the demand for its model, whether it will be served or not.
+func (x *exchange) countDemand() {
+	if x.service.Engine == nil {
+		return
+	}
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
 	d := x.s.demand[x.model]
 	d.Requests++
 	d.Prompt += x.promptTokens
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -41,6 +41,11 @@
 
 // refuse writes a refusal with its code. If the request did not run, or can be repeated, the refusal has a Retry-After header.
 func (x *exchange) refuse(err error) {
+	if x.declines(err) {
+		x.status = http.StatusServiceUnavailable
+		decline(x.w, result.Message(err))
+		return
+	}
 	info := result.Lookup(result.CodeOf(err))
 	x.s.noteRefusal()
 	h := x.w.Header()
@@ -56,6 +61,9 @@
 	if x.requestID != "" {
 		h.Set(x.s.Headers.RequestID, x.requestID)
 	}
+	if x.forwarded != nil {
+		h.Set(headerResultCode, strconv.Itoa(int(info.Code)))
+	}
 	h.Set("Content-Type", jsonContentType)
 	body := `{"result-code":` + strconv.Itoa(int(info.Code)) + `,"result":"` + info.Name + `","not-run":` + strconv.FormatBool(info.NotRun) + "}\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -97,6 +105,11 @@
 	}
 	if err != nil {
 		record.ErrorText = result.Message(err)
+	} else if x.entryCode != result.OK {
+		record.Code, record.ErrorText = x.entryCode, "refused by the entry to which the request was forwarded"
+	}
+	if x.forwarded != nil {
+		record.ForwardedBy = x.r.RemoteAddr
 	}
 	if x.table != nil {
 		record.Version = x.table.Config.Version
--- /dev/null
+++ b/relay/forward.go
@@ -0,0 +1,328 @@
+package relay
+
+// An entry that reaches none of the upstreams of a request sends the request
+// through another entry, which serves it like a request of its own callers:
+//
+//	caller -> entry without a path -> other entry -> upstream
+//
+// The other entry declines what it cannot serve before anything ran: it is cut off
+// as well, stops, has an older configuration, or already carries enough for others.
+// A request is forwarded once only. It counts in the retry budget and the demand of
+// the entry that sends it to an upstream.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+const (
+	// maxForwardTries bounds the entries to which a request is offered.
+	maxForwardTries = 5
+	// declinedPeriod is how long an entry that declined, or could not be reached, is avoided.
+	declinedPeriod = 500 * time.Millisecond
+	// maxForwarded bounds the requests that an entry carries for others at the same time.
+	maxForwarded = 64
+)
+
+// Headers between entries.
+const (
+	// headerForwardVersion is the version of the configuration of the entry that forwards.
+	headerForwardVersion = "Entry-Version"
+	// headerForwardAttempts is the number of upstreams that may still run the request.
+	headerForwardAttempts = "Entry-Attempts"
+	// headerForwardCounted is set if the request was counted at the entry that forwards.
+	headerForwardCounted = "Entry-Counted"
+	// headerDeclined is set in an answer by which an entry declines a request, headerResultCode is the result code of any other answer.
+	headerDeclined   = "Entry-Declined"
+	headerResultCode = "Entry-Result-Code"
+)
+
+var forwardHeaders = map[string]bool{
+	headerForwardVersion: true, headerForwardAttempts: true, headerForwardCounted: true, headerDeclined: true, headerResultCode: true,
+}
+
+var errDeclined = errors.New("declined by the entry")
+
+// forwardedRequest is what an entry says of a request that it forwards.
+type forwardedRequest struct {
+	version  httproute.Version
+	attempts int
+	counted  bool
+}
+
+// mayForward reports whether the request may be sent through another entry; the mutex is held.
+func (x *exchange) mayForward() bool {
+	return x.forwarded == nil && x.s.hasOtherEntries()
+}
+
+// hasOtherEntries reports whether this entry knows others; the mutex is held.
+func (s *Relay) hasOtherEntries() bool {
+	return s.entries != nil && s.entries.Total() > 1
+}
+
+// avoidsUnreachable reports whether the request is sent to no unreachable upstream, since another entry may reach one; the mutex is held.
+func (x *exchange) avoidsUnreachable() bool {
+	return x.forwarded != nil || x.mayForward()
+}
+
+// shouldForward reports whether the request was not sent because upstreams are unreachable from this entry.
+func (x *exchange) shouldForward() bool {
+	if !x.lacksPath || x.timeLeft() <= 0 || x.r.Context().Err() != nil {
+		return false
+	}
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return x.mayForward()
+}
+
+// startsCutOff reports whether all upstreams of the request are unreachable when it arrives.
+func (x *exchange) startsCutOff() bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return x.mayForward() && x.s.cutOffFrom(x)
+}
+
+// forward sends the request through another entry and reports whether one accepted it; err is then the error of the request.
+func (x *exchange) forward() (accepted bool, err error) {
+	for range maxForwardTries {
+		address := x.chooseEntry()
+		if address == "" || x.timeLeft() <= 0 {
+			return false, nil
+		}
+		outcome := x.forwardTo(address)
+		x.attempts[len(x.attempts)-1].Result = string(outcome)
+		switch outcome {
+		case outcomeDone:
+			return true, nil
+		case outcomeCallerGone:
+			return true, result.New(result.Cancelled, "the caller disconnected")
+		case outcomeExpired:
+			return true, x.expiredError()
+		case outcomeBroken:
+			return true, x.finalError(result.New(result.UpstreamFailed, "the answer of entry %s broke off", address))
+		}
+		x.s.avoidEntry(entryService{address, x.service.Name})
+	}
+	return false, nil
+}
+
+// chooseEntry returns the address of an entry that was not tried yet and did not decline shortly before, preferably in this hall, or "".
+func (x *exchange) chooseEntry() string {
+	s := x.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for _, addresses := range [][]string{s.entries.OthersIn(s.Hall), s.entries.Others()} {
+		usable := addresses[:0:0]
+		for _, address := range addresses {
+			if !x.triedEntries[address] && !now.Before(s.avoidedEntries[entryService{address, x.service.Name}]) {
+				usable = append(usable, address)
+			}
+		}
+		if len(usable) > 0 {
+			return usable[s.RandomInt(len(usable))]
+		}
+	}
+	return ""
+}
+
+// entryService is an entry and a service whose requests it may serve.
+type entryService struct {
+	address string
+	service ident.Service
+}
+
+// avoidEntry keeps requests for a service from being forwarded to an entry for a while.
+func (s *Relay) avoidEntry(e entryService) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for other, until := range s.avoidedEntries {
+		if !now.Before(until) {
+			delete(s.avoidedEntries, other)
+		}
+	}
+	s.avoidedEntries[e] = now.Add(declinedPeriod)
+}
+
+// forwardTo sends the request to an entry and forwards its answer. The request was not accepted if the outcome is outcomeNeverSent or
+// outcomeNotRun.
+func (x *exchange) forwardTo(address string) attemptOutcome {
+	s := x.s
+	x.triedEntries[address] = true
+	x.attempts = append(x.attempts, Attempt{Entry: address, StartMS: s.Now().Sub(x.arrivedAt).Milliseconds()})
+	ctx, cancel := context.WithTimeout(x.r.Context(), min(dialTimeout, x.timeLeft()))
+	conn, err := s.entryPool.get(ctx, address, !x.route.Repeatable())
+	cancel()
+	if err != nil {
+		if x.r.Context().Err() != nil {
+			return outcomeCallerGone
+		}
+		return outcomeNeverSent
+	}
+	interrupt := func() { _ = conn.SetDeadline(time.Unix(1, 0)) }
+	stopCallerWatch := context.AfterFunc(x.r.Context(), interrupt)
+	defer stopCallerWatch()
+	if err := conn.SetDeadline(time.Now().Add(x.timeLeft())); err != nil {
+		interrupt()
+	}
+	resp, err := x.exchangeWithEntry(conn)
+	if errors.Is(err, errDeclined) {
+		s.entryPool.put(conn, resp, maxIdlePerUpstream)
+		return outcomeNotRun
+	}
+	if err == nil {
+		err = x.forwardEntryAnswer(resp)
+	}
+	if err != nil {
+		conn.Close()
+		return x.entryOutcome(err)
+	}
+	s.entryPool.put(conn, resp, maxIdlePerUpstream)
+	return outcomeDone
+}
+
+// exchangeWithEntry sends the request and returns the head of the answer, or errDeclined with an answer that was read to its end.
+func (x *exchange) exchangeWithEntry(conn *upstreamConn) (*http.Response, error) {
+	attempts := max(1, x.route.MaxAttempts-x.runCount)
+	// From here on upstreams may run the request as often as the route allows.
+	x.runCount += attempts
+	if err := x.writeForwarded(conn.bw, attempts); err != nil {
+		x.mayHaveRun = true
+		return nil, err
+	}
+	resp, err := http.ReadResponse(conn.br, x.r)
+	if err != nil {
+		x.mayHaveRun = true
+		return nil, err
+	}
+	if resp.Header.Get(headerDeclined) == "" {
+		x.mayHaveRun = true
+		return resp, nil
+	}
+	x.runCount -= attempts
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+		resp.Close = true
+	}
+	return resp, errDeclined
+}
+
+// writeForwarded writes the caller's request for another entry.
+func (x *exchange) writeForwarded(bw *bufio.Writer, attempts int) error {
+	names := &x.s.Headers
+	replaced := map[string]bool{http.CanonicalHeaderKey(names.Deadline): true, http.CanonicalHeaderKey(names.EventID): true}
+	x.writeCallerHead(bw, func(name string) bool { return replaced[name] || forwardHeaders[name] })
+	writeHeader(bw, names.Deadline, strconv.FormatInt(max(1, x.timeLeft().Milliseconds()), 10))
+	if x.lastEventID != "" {
+		writeHeader(bw, names.EventID, x.lastEventID)
+	}
+	writeHeader(bw, headerForwardVersion, strconv.FormatUint(uint64(x.table.Config.Version), 10))
+	writeHeader(bw, headerForwardAttempts, strconv.Itoa(attempts))
+	if x.counted {
+		writeHeader(bw, headerForwardCounted, "1")
+	}
+	return x.writeBody(bw)
+}
+
+// forwardEntryAnswer forwards the answer of an entry to the caller.
+func (x *exchange) forwardEntryAnswer(resp *http.Response) error {
+	// An answer without a code is a stream or was complete; only its end tells.
+	if code, err := strconv.Atoi(resp.Header.Get(headerResultCode)); err == nil {
+		x.entryCode = result.Code(code)
+	}
+	for name := range forwardHeaders {
+		resp.Header.Del(name)
+	}
+	if resp.StatusCode == http.StatusOK && x.route.Kind == httproute.KindStream {
+		return x.forwardEntryStream(resp)
+	}
+	x.releaseAnswer()
+	if err := x.reserveAnswer(resp); err != nil {
+		return err
+	}
+	body, err := readAnswerBody(resp)
+	if err != nil {
+		return err
+	}
+	unsigned := resp.Header.Get(x.s.Headers.Signature) == ""
+	if x.headSent || resp.StatusCode < http.StatusMultipleChoices && unsigned {
+		return errNoSignature
+	}
+	x.sentRetryAfter = retryAfterOf(resp)
+	x.firstEventAfter = x.s.Now().Sub(x.arrivedAt)
+	x.writeAnswer(&answer{resp.StatusCode, resp.Header, body})
+	return nil
+}
+
+// retryAfterOf returns the Retry-After of an entry's refusal, 0 if there is none.
+func retryAfterOf(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// forwardEntryStream forwards events until the stream ends or breaks.
+func (x *exchange) forwardEntryStream(resp *http.Response) error {
+	if resp.Header.Get(x.s.Headers.Signature) == "" {
+		return errNoSignature
+	}
+	events := &eventReader{br: bufio.NewReaderSize(resp.Body, readBufferBytes)}
+	for {
+		ev, err := events.next()
+		switch {
+		case errors.Is(err, io.EOF) && x.lastEventID == "":
+			return errNoEvents
+		case errors.Is(err, io.EOF):
+			x.writeStreamHead(resp)
+			return nil
+		case err != nil:
+			return err
+		}
+		if skip, err := x.checkEventOrder(&ev); err != nil {
+			return err
+		} else if skip {
+			continue
+		}
+		if err := x.writeEvent(resp, &ev); err != nil {
+			return err
+		}
+		x.noteEntryEvent(&ev)
+	}
+}
+
+// noteEntryEvent accounts for an event that came from another entry.
+func (x *exchange) noteEntryEvent(ev *event) {
+	now := x.s.Now()
+	if x.eventCount == 0 {
+		x.firstEventAfter = now.Sub(x.arrivedAt)
+		x.lastEventAt = now
+	}
+	x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
+	x.lastEventAt = now
+	x.eventCount++
+	if ev.id != "" {
+		x.lastEventID = ev.id
+	}
+}
+
+// entryOutcome returns the outcome of a request whose answer from another entry failed with err.
+func (x *exchange) entryOutcome(err error) attemptOutcome {
+	switch {
+	case x.r.Context().Err() != nil, errors.Is(err, errCallerNotReading):
+		return outcomeCallerGone
+	case x.timeLeft() <= 0:
+		return outcomeExpired
+	}
+	return outcomeBroken
+}
--- a/relay/queue_record.go
+++ b/relay/queue_record.go
@@ -41,6 +41,7 @@
 	if x.service == nil {
 		return
 	}
+	record.UnreachableTargets = x.unreachableTargets
 	record.Targets, record.SuspectTargets = x.knownTargets, x.suspectTargets
 	record.Urgency, record.Queued, record.Site = x.urgency(), x.queuedFor, x.siteAtRefusal
 }
--- /dev/null
+++ b/relay/reach.go
@@ -0,0 +1,202 @@
+package relay
+
+// A connection that cannot be opened shows that the upstream has failed, or that
+// this entry has lost its path to it. Such an upstream is unreachable until a probe
+// opens a connection: requests are sent to other upstreams, or, if there is none,
+// through another entry (forward.go). An entry that has heard from no upstream
+// since the connection failed checks its paths to all of them at once, so that it
+// knows within two dial time-outs that it is cut off. A site's only entry has no
+// other path and does none of this.
+
+import (
+	"context"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+)
+
+const (
+	// probeInterval is the interval between two rounds of probes, probesPerRound how many unreachable upstreams a round probes.
+	probeInterval  = 200 * time.Millisecond
+	probesPerRound = 4
+	// maxPathProbes bounds the connections that a check of all paths opens at once.
+	maxPathProbes = 64
+)
+
+// ReachabilityEvent says that this entry lost its paths to all upstreams of a service, or has one again, for the log.
+type ReachabilityEvent struct {
+	CutOff bool
+	// Unreachable is the number of unreachable upstreams of all services, Total that of all upstreams.
+	Unreachable, Total int
+}
+
+// reachability is what this entry knows of its paths to upstreams; it is guarded by the relay's mutex.
+type reachability struct {
+	// lastContactAt is when any upstream last sent something or accepted a connection.
+	lastContactAt time.Time
+	// pathsCheckedAt is when all paths were last checked, nextProbe the index of the next upstream to probe in a round.
+	pathsCheckedAt time.Time
+	nextProbe      int
+	probeScheduled bool
+	cutOff         bool
+}
+
+// noteContact records that an upstream sent something; the mutex is held.
+func (s *Relay) noteContact(now time.Time) {
+	s.reach.lastContactAt = now
+}
+
+// noteConnected records that a connection to an upstream was opened; the mutex is held.
+func (s *Relay) noteConnected(ts *targetState) {
+	s.noteContact(s.Now())
+	if !ts.unreachable {
+		return
+	}
+	if unreachable, total := s.countUnreachable(); unreachable == total {
+		// The path of this entry is back. Upstreams that are still unreachable are found by requests, without connections to all at once.
+		for _, t := range s.index.allTargets() {
+			s.stateOf(t).unreachable = false
+		}
+	}
+	ts.unreachable = false
+	s.updateCutOff()
+}
+
+// markUnreachable records that no connection to t can be opened; the mutex is held.
+func (s *Relay) markUnreachable(t *target) {
+	ts := s.stateOf(t)
+	if !ts.unreachable {
+		ts.unreachable = true
+		s.pool.drop(t.address)
+		s.updateCutOff()
+	}
+	s.scheduleProbes()
+}
+
+// countUnreachable counts the unreachable upstreams; the mutex is held.
+func (s *Relay) countUnreachable() (unreachable, total int) {
+	for _, t := range s.index.allTargets() {
+		total++
+		if s.stateOf(t).unreachable {
+			unreachable++
+		}
+	}
+	return unreachable, total
+}
+
+// updateCutOff calls OnReachability if this entry lost all paths or has one again; the mutex is held.
+func (s *Relay) updateCutOff() {
+	unreachable, total := s.countUnreachable()
+	cutOff := total > 0 && unreachable == total
+	if cutOff != s.reach.cutOff {
+		s.reach.cutOff = cutOff
+		s.OnReachability(ReachabilityEvent{cutOff, unreachable, total})
+	}
+}
+
+// checkPaths probes all upstreams, unless it did so shortly before; the mutex is held.
+func (s *Relay) checkPaths(now time.Time) {
+	if now.Sub(s.reach.pathsCheckedAt) < probeInterval {
+		return
+	}
+	s.reach.pathsCheckedAt = now
+	started := 0
+	for _, t := range s.index.allTargets() {
+		if started < maxPathProbes && !s.stateOf(t).unreachable && s.startProbe(t) {
+			started++
+		}
+	}
+}
+
+// checkPath probes the upstream of a silent request; the mutex is held.
+func (s *Relay) checkPath(t *target, now time.Time) {
+	if ts := s.stateOf(t); s.hasOtherEntries() && !ts.unreachable && now.Sub(ts.probedAt) >= probeInterval {
+		s.startProbe(t)
+	}
+}
+
+// scheduleProbes starts rounds of probes until no upstream is unreachable; the mutex is held.
+func (s *Relay) scheduleProbes() {
+	if s.reach.probeScheduled {
+		return
+	}
+	s.reach.probeScheduled = true
+	time.AfterFunc(probeInterval, s.probeUnreachable)
+}
+
+// probeUnreachable probes some of the unreachable upstreams, in rotation.
+func (s *Relay) probeUnreachable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reach.probeScheduled = false
+	var unreachable []*target
+	for _, t := range s.index.allTargets() {
+		if s.stateOf(t).unreachable {
+			unreachable = append(unreachable, t)
+		}
+	}
+	for range min(probesPerRound, len(unreachable)) {
+		s.reach.nextProbe++
+		s.startProbe(unreachable[s.reach.nextProbe%len(unreachable)])
+	}
+	if len(unreachable) > 0 {
+		s.scheduleProbes()
+	}
+}
+
+// startProbe opens a connection to t in the background, unless that is under way; the mutex is held.
+func (s *Relay) startProbe(t *target) bool {
+	ts := s.stateOf(t)
+	if ts.probing {
+		return false
+	}
+	ts.probing, ts.probedAt = true, s.Now()
+	id, address := t.id, t.address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		conn, err := s.pool.open(ctx, address)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		ts.probing = false
+		switch current := s.index.target(id); {
+		case err == nil:
+			s.pool.keep(conn)
+			s.noteConnected(ts)
+		case current != nil && current.address == address:
+			s.markUnreachable(current)
+		}
+	}()
+	return true
+}
+
+// cutOffFrom reports whether all upstreams that the request may be sent to are unreachable from this entry; the mutex is held.
+func (s *Relay) cutOffFrom(x *exchange) bool {
+	targets := s.index.targets(x.service, x.model)
+	allowed := 0
+	for i := range targets {
+		if !x.regionAllowed(&targets[i]) {
+			continue
+		}
+		if !s.stateOf(&targets[i]).unreachable {
+			return false
+		}
+		allowed++
+	}
+	return allowed > 0
+}
+
+// allTargets returns the targets of all services.
+func (f *targetIndex) allTargets() []*target {
+	return f.all
+}
+
+// target returns the target with an id, nil if there is none.
+func (f *targetIndex) target(id ident.Incarnation) *target {
+	for _, t := range f.all {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,6 +74,8 @@
 	// changes; it must not block.
 	Backoff        *backoff.List[ident.Incarnation]
 	OnBackpressure func(event *BackpressureEvent)
+	// OnReachability is called when this entry lost its paths to all upstreams, and when it has one again; it must not block.
+	OnReachability func(event ReachabilityEvent)
 	// Limits keeps this entry, together with all others, within the limits that upstreams name.
 	Limits *ratelimit.Limiter[ident.Incarnation]
 	// Unrecognized holds the unrecognized headers of upstreams' answers.
@@ -89,11 +91,12 @@
 	memory *memory
 	// coordinators tells which entry coordinates an upstream's limit.
 	coordinators *ratelimit.Coordinators
-	pool         *connPool
-	table        atomic.Pointer[httproute.Table]
-	confirmedAt  atomic.Pointer[time.Time]
-	stopping     atomic.Bool
-	inProgress   sync.WaitGroup
+	// pool keeps connections to upstreams, entryPool those to other entries.
+	pool, entryPool *connPool
+	table           atomic.Pointer[httproute.Table]
+	confirmedAt     atomic.Pointer[time.Time]
+	stopping        atomic.Bool
+	inProgress      sync.WaitGroup
 	// createdAt is when the relay was created; firstConfirmation is closed with the first confirmation by the leader.
 	createdAt         time.Time
 	firstConfirmation chan struct{}
@@ -124,6 +127,9 @@
 	typicalWaits map[ident.Class]*overload.TypicalWait
 	// quarantineSyncScheduled is set while reports are sent periodically to other entries.
 	quarantineSyncScheduled bool
+	reach                   reachability
+	// avoidedEntries are the entries to which no request is forwarded, and until when.
+	avoidedEntries map[entryService]time.Time
 	// candidates is reused by every choice.
 	candidates candidates
 	// startSlots let the streams of a model that were held at the start continue one by one.
@@ -145,6 +151,7 @@
 		UrgencyFloor: defaultUrgencyFloor,
 		Quarantine:   &quarantine.List{Rule: quarantine.DefaultRule()}, OnQuarantine: func(*QuarantineEvent) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), OnBackpressure: func(*BackpressureEvent) {},
+		OnReachability: func(ReachabilityEvent) {}, avoidedEntries: map[entryService]time.Time{},
 		rosterCopy:     roster.NewCopy(),
 		states:         map[ident.Incarnation]*targetState{},
 		peerCounts:     peerCounts{spillCredit: map[ident.Model]float64{}},
@@ -160,7 +167,8 @@
 	s.index = newTargetIndex(s.rosterCopy, nil, nil, nil)
 	s.Limits = s.newLimiter()
 	s.Unrecognized = unread.New[ident.Incarnation](names.Recognized()...)
-	s.pool = newConnPool(dial, func() time.Time { return s.Now() })
+	now := func() time.Time { return s.Now() }
+	s.pool, s.entryPool = newConnPool(dial, now), newConnPool(dial, now)
 	return s
 }
 
@@ -215,6 +223,11 @@
 		s.newEntryAt = s.Now()
 	}
 	s.entries = entries
+	known := map[string]bool{}
+	for _, address := range entries.Others() {
+		known[address] = true
+	}
+	s.entryPool.prune(func(address string) bool { return known[address] })
 	s.coordinators.SetEntries(entries)
 	s.setIndex(newTargetIndex(s.rosterCopy, s.table.Load(), entries, s.index.drainedHalls))
 }
@@ -384,13 +397,16 @@
 
 // ServeHTTP serves one caller's request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(s.newExchange(w, r))
+}
+
+func (s *Relay) serve(x *exchange) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Done()
-	x := s.newExchange(w, r)
 	defer x.releaseMemory()
 	err := x.admit()
 	if err == nil {
-		err = x.run()
+		err = x.serve()
 	}
 	x.finish(err)
 	x.releaseMemory()
@@ -430,6 +446,10 @@
 	PriorElapsed time.Duration
 	// LimitWaits is how often no permit was granted for the chosen upstream.
 	LimitWaits int
+	// ForwardedBy is the entry that forwarded the request, "" if it came from a caller.
+	ForwardedBy string
+	// UnreachableTargets is how many targets were unreachable from this entry at the last choice.
+	UnreachableTargets int
 	// Targets is the number of targets at the last choice, SuspectTargets how many of them were suspect.
 	Targets, SuspectTargets int
 	// RetryDecisions are the decisions of the retry budget on further attempts, in order.
@@ -454,9 +474,11 @@
 
 // Attempt describes the attempt to send a request to one upstream.
 type Attempt struct {
-	Upstream ident.Incarnation `json:"to"`
-	Group    ident.Group       `json:"group,omitempty"`
-	Result   string            `json:"result"`
+	Upstream ident.Incarnation `json:"to,omitempty"`
+	// Entry is the entry through which the request was sent, in place of an upstream.
+	Entry  string      `json:"entry,omitempty"`
+	Group  ident.Group `json:"group,omitempty"`
+	Result string      `json:"result"`
 	// StartMS is its start, in ms after the request arrived.
 	StartMS int64 `json:"at-ms"`
 	// EstimateMS is the estimated time to first event in ms; PendingPrompt and Requests are the known load of the upstream, Counted is the
--- a/relay/request.go
+++ b/relay/request.go
@@ -16,24 +16,13 @@
 
 // writeRequest writes the caller's request, with the headers that the relay sets itself.
 func (x *exchange) writeRequest(conn *upstreamConn, t *target) error {
-	bw := conn.bw
-	writeStrings(bw, x.r.Method, " ", x.r.RequestURI, " HTTP/1.1\r\n")
-	writeHeader(bw, "Host", x.r.Host)
-	names := &x.s.Headers
+	bw, names := conn.bw, &x.s.Headers
 	ownHeaders := map[string]bool{
 		http.CanonicalHeaderKey(names.Key): true, http.CanonicalHeaderKey(names.Customer): true,
 		http.CanonicalHeaderKey(names.Incarnation): true, http.CanonicalHeaderKey(names.Deadline): true,
 		http.CanonicalHeaderKey(names.EventID): true, http.CanonicalHeaderKey(names.Priority): true,
 	}
-	connectionNamed := connectionOptions(x.r.Header)
-	for name, values := range x.r.Header {
-		if hopByHopHeaders[name] || ownHeaders[name] || connectionNamed[name] {
-			continue
-		}
-		for _, v := range values {
-			writeHeader(bw, name, v)
-		}
-	}
+	x.writeCallerHead(bw, func(name string) bool { return ownHeaders[name] })
 	writeHeader(bw, names.Incarnation, t.id.UpstreamID())
 	writeHeader(bw, names.Deadline, strconv.FormatInt(max(1, x.timeLeft().Milliseconds()), 10))
 	if x.customer != nil {
@@ -45,6 +34,26 @@
 	if x.service.Engine != nil {
 		writeHeader(bw, names.Priority, strconv.Itoa(x.enginePriority()))
 	}
+	return x.writeBody(bw)
+}
+
+// writeCallerHead writes the request line and the caller's headers, without those that concern one connection only or are skipped.
+func (x *exchange) writeCallerHead(bw *bufio.Writer, skip func(name string) bool) {
+	writeStrings(bw, x.r.Method, " ", x.r.RequestURI, " HTTP/1.1\r\n")
+	writeHeader(bw, "Host", x.r.Host)
+	connectionNamed := connectionOptions(x.r.Header)
+	for name, values := range x.r.Header {
+		if hopByHopHeaders[name] || connectionNamed[name] || skip(name) {
+			continue
+		}
+		for _, v := range values {
+			writeHeader(bw, name, v)
+		}
+	}
+}
+
+// writeBody ends the head with the body's length, writes the body and sends all of it.
+func (x *exchange) writeBody(bw *bufio.Writer) error {
 	if len(x.body) > 0 || x.r.Method != http.MethodGet && x.r.Method != http.MethodHead {
 		writeHeader(bw, "Content-Length", strconv.Itoa(len(x.body)))
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -37,6 +37,17 @@
 	outcomeCallerGone attemptOutcome = "caller-gone"
 )
 
+// serve serves an admitted request: through another entry if this one reaches no upstream when the request arrives, or else itself.
+func (x *exchange) serve() error {
+	if !x.counted {
+		if accepted, err := x.forward(); accepted {
+			return err
+		}
+		x.count()
+	}
+	return x.run()
+}
+
 // run sends the request to one upstream after another until it has an answer or must not be sent again.
 func (x *exchange) run() error {
 	x.paceHeldStream()
@@ -51,7 +62,7 @@
 		}
 		chosen, err := x.awaitTarget()
 		if err != nil {
-			return x.finalError(err)
+			return x.forwardOrFail(err)
 		}
 		if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
 			x.cancelReservation(&chosen)
@@ -78,6 +89,19 @@
 	}
 }
 
+// forwardOrFail sends a request for which no upstream was found through another entry, if this entry's own paths are the cause; otherwise it
+// returns the final error.
+func (x *exchange) forwardOrFail(err error) error {
+	if !x.shouldForward() || x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
+		return x.finalError(err)
+	}
+	x.retryCharged = x.sendCount > 0
+	if accepted, forwardErr := x.forward(); accepted {
+		return forwardErr
+	}
+	return x.finalError(err)
+}
+
 // allowRetry reports whether the retry budget of the service allows to send the request once more.
 func (x *exchange) allowRetry() bool {
 	decision := x.s.Budget.Decide(x.service.Name)
@@ -93,7 +117,7 @@
 	case outcomeNotRun:
 		return x.sendCount < maxSends
 	}
-	return x.route.Repeatable() && x.runCount < x.route.MaxAttempts && x.sendCount < maxSends
+	return x.route.Repeatable() && x.runCount < x.maxRuns() && x.sendCount < maxSends
 }
 
 // expiredError returns the error of a request whose deadline has passed.
@@ -190,17 +214,23 @@
 	if !permit.OK {
 		return outcomeNoPermit, nil
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), min(dialTimeout, x.timeLeft()))
+	dialStart, timeout := x.s.Now(), min(dialTimeout, x.timeLeft())
+	ctx, cancel := context.WithTimeout(x.r.Context(), timeout)
 	conn, err := x.s.pool.get(ctx, t.address, !x.route.Repeatable())
 	cancel()
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return outcomeCallerGone, nil
 		}
-		x.s.noteDialError(t.target, err)
+		if timeout == dialTimeout {
+			x.s.noteDialError(t.target, dialStart, err)
+		}
 		x.displaced = true
 		return outcomeNeverSent, nil
 	}
+	if !conn.reused {
+		x.s.noteOpened(t.target)
+	}
 	// Keys may have lapsed while this process was suspended; no request is sent on lapsed keys.
 	if x.customer != nil && x.s.ConfirmedAge() > x.s.KeyValidity {
 		conn.Close()
@@ -231,9 +261,15 @@
 
 // noteDialError records that a connection could not be opened. If it was refused, no process listens there any more. Otherwise the upstream
 // may be unreachable, and the suspicion keeps other entries from sending requests there.
-func (s *Relay) noteDialError(t *target, err error) {
+func (s *Relay) noteDialError(t *target, dialStart time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.hasOtherEntries() {
+		s.markUnreachable(t)
+		if !s.reach.lastContactAt.After(dialStart) {
+			s.checkPaths(s.Now())
+		}
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		s.stateOf(t).connectionRefused = true
 		return
@@ -242,3 +278,10 @@
 		s.suspectTarget(t, s.Now(), dialTimeout)
 	}
 }
+
+// noteOpened records that a connection was opened.
+func (s *Relay) noteOpened(t *target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteConnected(s.stateOf(t))
+}
--- a/relay/state.go
+++ b/relay/state.go
@@ -68,6 +68,11 @@
 	// eventCount and eventGapTotal are the events, and the sum of the gaps before them, since the last observation sent to the leader.
 	eventCount    int
 	eventGapTotal time.Duration
+	// unreachable is set when no connection can be opened, until a probe opens one; probing is set while one is under way, and probedAt is
+	// when the last one started.
+	unreachable bool
+	probing     bool
+	probedAt    time.Time
 	// suspectUntil is until when the target is avoided after a failure.
 	suspectUntil time.Time
 	// connectionRefused is set when no process listens at the address any more, crashProbe while this is being checked.
@@ -87,6 +92,7 @@
 	*ts = targetState{
 		group: group, groupSince: now, inflight: ts.inflight, pendingTokens: ts.pendingTokens, outcomeCount: ts.outcomeCount,
 		failureRate: ts.failureRate, waitingSince: ts.waitingSince, forwarders: ts.forwarders, crashProbe: ts.crashProbe,
+		unreachable: ts.unreachable, probing: ts.probing, probedAt: ts.probedAt,
 	}
 	if ts.inflight == 0 {
 		ts.waitingSince = time.Time{}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -113,7 +113,7 @@
 			return errNoEvents
 		}
 		if errors.Is(err, io.EOF) {
-			f.writeHeadOnce(resp)
+			x.writeStreamHead(resp)
 			return nil
 		}
 		if err != nil {
@@ -127,19 +127,27 @@
 			f.noteProgress()
 			continue
 		}
-		f.writeHeadOnce(resp)
-		if _, err := x.w.Write(ev.raw); err != nil {
-			return errCallerNotReading
-		}
-		if err := x.flush(); err != nil {
-			return errCallerNotReading
+		if err := x.writeEvent(resp, &ev); err != nil {
+			return err
 		}
 		f.recordEvent(&ev)
 	}
 }
 
-func (f *forwarder) writeHeadOnce(resp *http.Response) {
-	x := f.x
+// writeEvent sends an event to the caller, after the head of the stream.
+func (x *exchange) writeEvent(resp *http.Response, ev *event) error {
+	x.writeStreamHead(resp)
+	if _, err := x.w.Write(ev.raw); err != nil {
+		return errCallerNotReading
+	}
+	if err := x.flush(); err != nil {
+		return errCallerNotReading
+	}
+	return nil
+}
+
+// writeStreamHead sends the head of a stream to the caller once.
+func (x *exchange) writeStreamHead(resp *http.Response) {
 	if x.headSent {
 		return
 	}
@@ -193,6 +201,7 @@
 	x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	x.lastEventAt = now
 	f.waitingSince = now
+	s.noteContact(now)
 	f.eventCount++
 	x.eventCount++
 	if ev.id != "" {
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -125,6 +125,7 @@
 	if remaining := due.Sub(now); remaining > 0 {
 		return false, remaining
 	}
+	s.checkPath(f.target, now)
 	s.suspectTarget(f.target, now, now.Sub(f.lastProgress()))
 	return s.declaredStalled(ts, now), suspicionInterval
 }
--- a/relay/target_index.go
+++ b/relay/target_index.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/dunlinquay/dunlinquay/estimate"
@@ -43,6 +45,8 @@
 	heads        map[ident.Group]ident.Incarnation
 	// byHead are the groups by head.
 	byHead map[ident.Incarnation]*target
+	// all are the targets of all services.
+	all []*target
 	// usedModels are the models with a group in the subset of this entry.
 	usedModels map[ident.Model]bool
 	// coldLimits are the limits of cold upstreams.
@@ -93,12 +97,30 @@
 			}
 		}
 	}
+	index.collectTargets()
 	for i := range index.drainedGroups {
 		index.byHead[index.drainedGroups[i].id] = &index.drainedGroups[i]
 	}
 	return index
 }
 
+// collectTargets sets all, in the order of services and models.
+func (f *targetIndex) collectTargets() {
+	collect := func(targets []target) {
+		for i := range targets {
+			f.all = append(f.all, &targets[i])
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(f.plainTargets)) {
+		collect(f.plainTargets[service])
+	}
+	for _, service := range slices.Sorted(maps.Keys(f.groupTargets)) {
+		for _, model := range slices.Sorted(maps.Keys(f.groupTargets[service])) {
+			collect(f.groupTargets[service][model])
+		}
+	}
+}
+
 // assignUsers sets which entries use each group of one model, and reports whether this entry uses any.
 func assignUsers(targets []target, entries *sharing.Entries) bool {
 	if entries == nil || entries.AllUseAll() {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -53,7 +53,7 @@
 	if err := f.conn.SetDeadline(time.Now().Add(f.x.timeLeft())); err != nil {
 		f.interrupt()
 	}
-	if f.x.route.Repeatable() && f.x.runCount+1 < f.x.route.MaxAttempts {
+	if f.x.route.Repeatable() && f.x.runCount+1 < f.x.maxRuns() {
 		// The timer may fire before it is stored.
 		f.x.s.mu.Lock()
 		defer f.x.s.mu.Unlock()
@@ -108,6 +108,9 @@
 	now := s.Now()
 	stalled, recheckIn := f.checkSuspicion(now)
 	remaining := f.maxSilence() - now.Sub(f.waitingSince)
+	if remaining <= 0 {
+		s.checkPath(f.target, now)
+	}
 	if remaining > 0 && (!stalled || !s.gainsByMoving(f, now)) {
 		f.timer.Reset(min(remaining, recheckIn))
 		return
@@ -125,15 +128,27 @@
 // still answers other requests only for a group with spare capacity: a long wait there is a long iteration, and the prefill done so far
 // would be lost.
 func (s *Relay) hasAlternative(f *forwarder, now time.Time) bool {
+	if s.isForwardedNext(f.x) {
+		return true
+	}
 	needsCapacity := f.x.service.Engine != nil && f.x.eventCount == 0 && !s.unresponsive(f.state, now)
 	return s.anyAlternative(f.x, now, func(c *candidate) bool { return c.hasCapacity || !needsCapacity })
 }
 
+// isForwardedNext reports whether a further attempt would be made through another entry, since this one reaches no upstream; the mutex is
+// held.
+func (s *Relay) isForwardedNext(x *exchange) bool {
+	return x.mayForward() && s.cutOffFrom(x)
+}
+
 // gainsByMoving reports whether a request at a stalled group should move now: if it can be in time at another group, or another group has
 // spare capacity. When all groups are full, a request that is late anyway waits until its group is replaced, so that it does not make
 // others late. The mutex is held.
 func (s *Relay) gainsByMoving(f *forwarder, now time.Time) bool {
 	x := f.x
+	if s.isForwardedNext(x) {
+		return true
+	}
 	deadline := x.aimDeadline
 	if x.eventCount > 0 {
 		deadline = x.lastEventAt.Add(x.route.GapAim - x.dispatchDelay.mean)
@@ -165,6 +180,7 @@
 	defer s.mu.Unlock()
 	f.waitingSince = s.Now()
 	f.state.noteProgress(f.waitingSince)
+	s.noteContact(f.waitingSince)
 }
 
 // brokenOutcome returns the outcome of an attempt whose connection failed with err, which may have been ended by this entry.
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -110,6 +110,17 @@
 	return names
 }
 
+// OthersIn returns the entries of a hall but this one.
+func (e *Entries) OthersIn(hall ident.Hall) []string {
+	var names []string
+	for _, o := range e.halls[hall] {
+		if o.name != e.self {
+			names = append(names, o.name)
+		}
+	}
+	return names
+}
+
 // Self returns the name of this entry.
 func (e *Entries) Self() string {
 	return e.self
--- a/site/entry.go
+++ b/site/entry.go
@@ -32,6 +32,8 @@
 	notReadyGrace = 2500 * time.Millisecond
 	// stopMargin is kept of the stop grace for the last log lines and the exit.
 	stopMargin = 700 * time.Millisecond
+	// forwardHeaderBytes is the room for the headers that entries add to a forwarded request.
+	forwardHeaderBytes = 1 << 10
 	// readyHeaderTimeout bounds reading the headers of the platform's readiness request.
 	readyHeaderTimeout = 5 * time.Second
 )
@@ -51,7 +53,9 @@
 	relay *relay.Relay
 	// callerServer serves callers within the bounds of the configuration.
 	callerServer *inbound.Server
-	directory    *controlDirectory
+	// forwardServer serves requests that other entries forward.
+	forwardServer *inbound.Server
+	directory     *controlDirectory
 	// peerEntries exchanges updates with the other entries.
 	peerEntries  *peerEntries
 	meter        *meter.Meter
@@ -83,6 +87,7 @@
 		meter: meter.New(), stop: make(chan struct{}), startedAt: clock.Now(),
 	}
 	e.callerServer = inbound.New(e.relay)
+	e.forwardServer = inbound.New(&relay.EntryHandler{Relay: e.relay})
 	e.metrics = newEntryMetrics(e.meter.Scope)
 	e.relay.Hall = cfg.Hall
 	e.relay.Regions = cfg.Halls
@@ -99,6 +104,7 @@
 	e.relay.OnQuarantine = e.logQuarantineEvent
 	e.relay.Backoff.Rule = backoffRule(&cfg.Backoff)
 	e.relay.OnBackpressure = e.logUpstreamSignal
+	e.relay.OnReachability = e.logReachability
 	e.relay.Limits.Observe = func(outcome ratelimit.Outcome) { e.metrics.permits[outcome].Inc(1) }
 	if cfg.Scheduling.CustomerShares {
 		e.relay.SetCustomerShares(cfg.Scheduling.CustomerWeights)
@@ -150,9 +156,10 @@
 }
 
 func (e *Entry) listen() ([]server, error) {
-	e.callerServer.Log = e.Log
+	e.callerServer.Log, e.forwardServer.Log = e.Log, e.Log
 	return serveAll(e.Log, []listener{
 		{e.Settings.Listen.Callers, e.callerServer},
+		{e.Settings.PeerListen(), e.forwardServer},
 		{e.Settings.Listen.Ready, &http.Server{Handler: e.ReadyHandler(e.ready), ReadHeaderTimeout: readyHeaderTimeout}},
 		{e.Settings.Listen.Metrics, e.meter.NewServer()},
 	})
@@ -174,9 +181,15 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	sleep(ctx, notReadyGrace)
-	if err := e.callerServer.Shutdown(ctx); err != nil {
-		e.Log.Info("requests still in progress at the end of the stop grace", "error", err.Error())
+	var wg sync.WaitGroup
+	for _, server := range []*inbound.Server{e.callerServer, e.forwardServer} {
+		wg.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				e.Log.Info("requests still in progress at the end of the stop grace", "error", err.Error())
+			}
+		})
 	}
+	wg.Wait()
 }
 
 // fillCall fills in what this entry reports to the leader with each call.
@@ -264,6 +277,9 @@
 	e.callerServer.SetBounds(inbound.Bounds{
 		MaxHeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Limits.HeaderTimeout, IdleTimeout: cfg.Limits.IdleTimeout,
 	})
+	if cfg.Limits.HeaderBytes > 0 {
+		e.forwardServer.SetBounds(inbound.Bounds{MaxHeaderBytes: cfg.Limits.HeaderBytes + forwardHeaderBytes})
+	}
 	e.Log.Info("configuration in force", "version", cfg.Version, "before", versionBefore, "routes", len(cfg.Routes),
 		"packed-bytes", len(reply.Config)+len(reply.Patch), "patch", reply.Config == nil, "leader", reply.Leader, "asked-ms", clock.Since(sentAt).Milliseconds(),
 		"decoded-ms", clock.Since(decodeStart).Milliseconds())
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -70,6 +70,8 @@
 	// retriesAllowed and retriesDenied count the decisions of the retry budget, retryEntries is the number of entries that share it.
 	retriesAllowed, retriesDenied tally.Counter
 	retryEntries                  tally.Gauge
+	// cutOff is 1 while no upstream can be reached.
+	cutOff tally.Gauge
 }
 
 // firstEventMetrics are the times to first event of one model: as expected, as observed, and the difference.
@@ -86,6 +88,7 @@
 		quarantined: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 		retriesAllowed: retryCounter(scope, "allowed"), retriesDenied: retryCounter(scope, "denied"), retryEntries: scope.Gauge("retry_budget_entries"),
+		cutOff: scope.Gauge("cut_off"),
 	}
 }
 
@@ -167,6 +170,10 @@
 // countAttempt counts an attempt by its outcome, and by how the connection was cut if the response is incomplete; the
 // mutex is held.
 func (n *entryMetrics) countAttempt(attempt *relay.Attempt) {
+	if attempt.Entry != "" {
+		n.scope.Tagged(map[string]string{"result": attempt.Result}).Counter("forwarded_requests").Inc(1)
+		return
+	}
 	key := attemptKey{attempt.Result, attempt.ConnFailure}
 	counter := n.attempts[key]
 	if counter == nil {
@@ -214,6 +221,19 @@
 	return s
 }
 
+// logReachability logs that this entry lost its paths to all upstreams, or has one again.
+func (e *Entry) logReachability(event relay.ReachabilityEvent) {
+	e.metrics.cutOff.Update(boolGauge(event.CutOff))
+	e.Log.Info("paths to upstreams changed", "cut-off", event.CutOff, "unreachable", event.Unreachable, "upstreams", event.Total)
+}
+
+func boolGauge(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
 // observe counts a finished request and writes its log line.
 func (e *Entry) observe(r *relay.Record) {
 	e.metrics.observe(r)
@@ -227,6 +247,12 @@
 	if r.Site != nil {
 		fields = append(fields, "site-waiting", r.Site.Waiting, "site-rate", math.Round(r.Site.SendRate*10)/10, "site-age-ms", r.Site.Age.Milliseconds())
 	}
+	if r.ForwardedBy != "" {
+		fields = append(fields, "forwarded-by", r.ForwardedBy)
+	}
+	if r.UnreachableTargets > 0 {
+		fields = append(fields, "unreachable-targets", r.UnreachableTargets)
+	}
 	if r.SuspectTargets > 0 {
 		fields = append(fields, "targets", r.Targets, "suspect-targets", r.SuspectTargets)
 	}
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -304,6 +304,7 @@
 // Close ends the goroutines of an entry that was not run.
 func (e *Entry) Close() {
 	_ = e.callerServer.Close()
+	_ = e.forwardServer.Close()
 	_ = e.meter.Close()
 }
 
