Forward the part of requests that unreachable upstreams would get

Cause: requests are sent through other entries only when all upstreams of the request are unreachable, so one that is left gets the requests of the whole entry.

Change: an entry that reaches less than half of all upstreams forwards requests with the probability that they would go to an unreachable one, and declines those of other entries. Half or more may really have failed, so it keeps its requests then.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -27,6 +27,8 @@
 		decline(w, "too many requests of other entries")
 	case h.Relay.stopping.Load():
 		decline(w, "stopping")
+	case h.Relay.ReachesFew():
+		decline(w, "most upstreams are unreachable from here as well")
 	case h.Relay.Version() < forwarded.version:
 		decline(w, "older configuration")
 	default:
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -154,7 +154,7 @@
 	x.model = ident.Model(x.r.Header.Get(x.s.Headers.Model))
 	x.lastEventID = x.r.Header.Get(x.s.Headers.EventID)
 	x.priorElapsed = x.s.estimatePriorElapsed(x.route.Name, x.callerTimeout())
-	if !x.startsCutOff() {
+	if !x.prefersOtherEntry() {
 		x.count()
 	}
 	return x.readBody()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -84,11 +84,17 @@
 	return x.mayForward()
 }
 
-// startsCutOff reports whether all upstreams of the request are unreachable when it arrives.
-func (x *exchange) startsCutOff() bool {
-	x.s.mu.Lock()
-	defer x.s.mu.Unlock()
-	return x.mayForward() && x.s.cutOffFrom(x)
+// prefersOtherEntry reports whether the request is sent through another entry on arrival. An entry that reaches few of all upstreams forwards
+// the part of its requests that it would send to the others, so that those which it reaches get no more than before.
+func (x *exchange) prefersOtherEntry() bool {
+	s := x.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !x.mayForward() {
+		return false
+	}
+	unreachable, total := s.unreachableFor(x)
+	return unreachable > 0 && (unreachable == total || s.reach.reachesFew && s.RandomInt(total) < unreachable)
 }
 
 // forward sends the request through another entry and reports whether one accepted it; err is then the error of the request.
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -38,7 +38,9 @@
 	pathsCheckedAt time.Time
 	nextProbe      int
 	probeScheduled bool
-	cutOff         bool
+	// cutOff is set while all upstreams are unreachable, reachesFew while most are.
+	cutOff     bool
+	reachesFew bool
 }
 
 // noteContact records that an upstream sent something; the mutex is held.
@@ -84,9 +86,10 @@
 	return unreachable, total
 }
 
-// updateCutOff calls OnReachability if this entry lost all paths or has one again; the mutex is held.
+// updateCutOff sets cutOff and reachesFew, and calls OnReachability if this entry lost all paths or has one again; the mutex is held.
 func (s *Relay) updateCutOff() {
 	unreachable, total := s.countUnreachable()
+	s.reach.reachesFew = 2*unreachable > total
 	cutOff := total > 0 && unreachable == total
 	if cutOff != s.reach.cutOff {
 		s.reach.cutOff = cutOff
@@ -170,20 +173,32 @@
 	return true
 }
 
-// cutOffFrom reports whether all upstreams that the request may be sent to are unreachable from this entry; the mutex is held.
-func (s *Relay) cutOffFrom(x *exchange) bool {
+// unreachableFor counts the upstreams that the request may be sent to, and those of them that are unreachable; the mutex is held.
+func (s *Relay) unreachableFor(x *exchange) (unreachable, total int) {
 	targets := s.index.targets(x.service, x.model)
-	allowed := 0
 	for i := range targets {
 		if !x.regionAllowed(&targets[i]) {
 			continue
 		}
-		if !s.stateOf(&targets[i]).unreachable {
-			return false
+		total++
+		if s.stateOf(&targets[i]).unreachable {
+			unreachable++
 		}
-		allowed++
 	}
-	return allowed > 0
+	return unreachable, total
+}
+
+// cutOffFrom reports whether all upstreams that the request may be sent to are unreachable from this entry; the mutex is held.
+func (s *Relay) cutOffFrom(x *exchange) bool {
+	unreachable, total := s.unreachableFor(x)
+	return total > 0 && unreachable == total
+}
+
+// ReachesFew reports whether most upstreams are unreachable from this entry.
+func (s *Relay) ReachesFew() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reach.reachesFew
 }
 
 // allTargets returns the targets of all services.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -201,6 +201,7 @@
 	}
 	index := newTargetIndex(s.rosterCopy, s.table.Load(), s.entries, s.index.drainedHalls)
 	s.setIndex(index)
+	s.updateCutOff()
 	now := s.Now()
 	for group, head := range index.heads {
 		s.stateFor(head).resetForGroup(now, group)
--- a/site/cut_off_test.go
+++ b/site/cut_off_test.go
@@ -40,9 +40,11 @@
 type upstreamPath struct {
 	upstreams map[string]bool
 
-	mu    sync.Mutex
-	mode  cutMode
-	conns map[*pathConn]struct{}
+	mu   sync.Mutex
+	mode cutMode
+	// spared is an upstream that stays reachable.
+	spared string
+	conns  map[*pathConn]struct{}
 	// dials counts new connections to upstreams.
 	dials int
 }
@@ -68,7 +70,7 @@
 
 // dial opens a connection as the entry does.
 func (p *upstreamPath) dial(ctx context.Context, address string) (net.Conn, error) {
-	if !p.upstreams[address] {
+	if !p.upstreams[address] || address == p.spared {
 		return transport.TCP()(ctx, address)
 	}
 	p.mu.Lock()
@@ -131,8 +133,10 @@
 	reply   site.SyncReply
 
 	mu sync.Mutex
-	// runs counts the runs of each request that must not be repeated.
-	runs map[string]int
+	// runs counts the runs of each request that must not be repeated, arrivals the streams of callers
+	// of the first entry by upstream.
+	runs     map[string]int
+	arrivals map[string]int
 }
 
 const (
@@ -174,7 +178,7 @@
 
 func newCutSite(t *testing.T) *cutSite {
 	t.Helper()
-	s := &cutSite{t: t, runs: map[string]int{}}
+	s := &cutSite{t: t, runs: map[string]int{}, arrivals: map[string]int{}}
 	config, err := catalog.NewDocument(1, []byte("1"))
 	if err != nil {
 		t.Fatal(err)
@@ -243,6 +247,11 @@
 // serveUpstream answers as a worker or the head of a group.
 func (s *cutSite) serveUpstream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request")
+	s.mu.Lock()
+	if strings.Contains(id, "-0-stream-") {
+		s.arrivals[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()]++
+	}
+	s.mu.Unlock()
 	w.Header().Set("Request", id)
 	w.Header().Set("Signature", "s")
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
@@ -387,6 +396,29 @@
 	}
 }
 
+// Guards against an entry that sends all requests of a model to the only group that it reaches.
+func TestEntryThatReachesOneGroup(t *testing.T) {
+	t.Parallel()
+	s := newCutSite(t)
+	spared := s.reply.Changes.Upstreams[cutSitePlain].Address
+	s.paths[0].spared = spared
+	s.load("before", time.Second)
+	s.paths[0].cut(cutSilent)
+	s.load("cut", time.Second)
+	s.mu.Lock()
+	s.arrivals = map[string]int{}
+	s.mu.Unlock()
+	counts := s.load("late", 3*time.Second)
+	s.checkFirstAttempts(counts, 1)
+	streams := 0
+	for _, u := range s.reply.Changes.Upstreams[cutSitePlain:] {
+		streams += s.arrivals[u.Address]
+	}
+	if got := s.arrivals[spared]; 2*got > streams {
+		t.Errorf("%d of %d streams of callers of the entry were sent to one of %d groups", got, streams, cutSiteGroups)
+	}
+}
+
 // checkFirstAttempts compares the first entries, which are cut off, with the others: callers are not served less than two thirds as often,
 // unless at most 10 and one in 50 of all requests fail there.
 func (s *cutSite) checkFirstAttempts(counts []cutSiteCount, cutEntries int) {
