Don't count a lost path as crashes of upstreams

Callers whose request was in progress when their entry lost its path got "held" for a minute at every entry: the connections broke and new ones were refused at several upstreams, which is what a request that crashes upstreams looks like.

Change: a refused connection counts as a crash only if another upstream can be reached meanwhile: one of up to four that are dialled at once, or one that was heard from since.

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -24,6 +24,8 @@
 	quarantineSyncBatch    = 4
 	// crashProbeTimeout bounds a crash probe: a VM whose process has ended refuses connections within a round trip.
 	crashProbeTimeout = dialTimeout
+	// pathSamples is how many other upstreams are probed to learn whether this entry has lost its path.
+	pathSamples = 4
 	// A crash is published to all entries at once from publishMinCrashes crashes on, or if the request had at most publishMaxEvents events.
 	// Most requests in a crashed batch have had events for many iterations; only the few without could be the cause.
 	publishMinCrashes = 2
@@ -115,11 +117,11 @@
 
 // upstreamCrashed reports whether the upstream of t, whose connection broke, has crashed: no process listens at its address any more. A
 // connection can also be broken by a link, a proxy or an upstream that still runs, which must not lead to quarantine. The request waits for
-// the result, one round trip, because its next attempt could crash one more upstream.
+// the result, two round trips, because its next attempt could crash one more upstream.
 func (s *Relay) upstreamCrashed(t *target) bool {
 	s.mu.Lock()
 	ts := s.stateOf(t)
-	if ts.connectionRefused {
+	if ts.crashed {
 		s.mu.Unlock()
 		return true
 	}
@@ -140,17 +142,69 @@
 func (s *Relay) probeCrash(t *target, ts *targetState, probe *crashProbe) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	crashed := transport.RefusesConnections(ctx, s.pool.dial, t.address)
+	refused := transport.RefusesConnections(ctx, s.pool.dial, t.address)
+	crashed := refused && s.reachesAnother(ctx, t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	probe.crashed = crashed
-	if probe.crashed {
-		ts.connectionRefused = true
-	}
+	ts.connectionRefused = ts.connectionRefused || refused
+	ts.crashed = ts.crashed || crashed
 	ts.crashProbe = nil
 	close(probe.done)
 }
 
+// reachesAnother reports whether a connection to another upstream can be opened, or there is no other one. If none can, this entry has lost
+// its path, and refused connections say nothing about an upstream.
+func (s *Relay) reachesAnother(ctx context.Context, t *target) bool {
+	addresses := s.otherAddresses(t)
+	if len(addresses) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connected := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			conn, err := s.pool.dial(ctx, address)
+			if err == nil {
+				conn.Close()
+			}
+			connected <- err == nil
+		}()
+	}
+	for range addresses {
+		if <-connected {
+			return true
+		}
+	}
+	return false
+}
+
+// otherAddresses returns up to pathSamples addresses of other upstreams, in random order, reachable ones first.
+func (s *Relay) otherAddresses(t *target) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reachable, others []string
+	all := s.index.allTargets()
+	if len(all) == 0 {
+		return nil
+	}
+	offset := s.RandomInt(len(all))
+	for i := range all {
+		other := all[(i+offset)%len(all)]
+		ts := s.stateOf(other)
+		switch {
+		case other.address == t.address:
+		case ts.unreachable || ts.connectionRefused:
+			others = append(others, other.address)
+		default:
+			reachable = append(reachable, other.address)
+		}
+	}
+	reachable = append(reachable, others...)
+	return reachable[:min(pathSamples, len(reachable))]
+}
+
 // noteCrash records that an incarnation crashed while it ran a request with the fingerprint, after eventCount events of the request.
 func (s *Relay) noteCrash(fingerprint quarantine.Fingerprint, incarnation ident.Incarnation, eventCount int) {
 	s.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,7 +71,12 @@
 
 func newTestEntry(t testing.TB, plain, heads []*upstream) *testEntry {
 	t.Helper()
-	s := &testEntry{t: t, relay: relay.New(headerNames(), transport.TCP())}
+	return newTestEntryWithDial(t, transport.TCP(), plain, heads)
+}
+
+func newTestEntryWithDial(t testing.TB, dial transport.Dial, plain, heads []*upstream) *testEntry {
+	t.Helper()
+	s := &testEntry{t: t, relay: relay.New(headerNames(), dial)}
 	s.relay.KeyValidity = 4 * time.Second
 	s.relay.Budget = relay.NewRetryBudget(relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
 	s.relay.Observe = func(r *relay.Record) {
--- a/relay/run.go
+++ b/relay/run.go
@@ -271,7 +271,9 @@
 		}
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.stateOf(t).connectionRefused = true
+		ts := s.stateOf(t)
+		ts.connectionRefused = true
+		ts.crashed = ts.crashed || s.reach.lastContactAt.After(dialStart)
 		return
 	}
 	if t.group != "" {
--- a/relay/state.go
+++ b/relay/state.go
@@ -75,8 +75,10 @@
 	probedAt    time.Time
 	// suspectUntil is until when the target is avoided after a failure.
 	suspectUntil time.Time
-	// connectionRefused is set when no process listens at the address any more, crashProbe while this is being checked.
+	// connectionRefused is set when a connection was refused, crashed when no process listens at the address although other upstreams are
+	// reachable, and crashProbe while this is being checked.
 	connectionRefused bool
+	crashed           bool
 	crashProbe        *crashProbe
 	// blamedMember is the member that the head named as the cause of a failure.
 	blamedMember string
@@ -139,7 +141,7 @@
 	ts.lastContact = now
 	ts.waitingSince = now
 	ts.movedAwayAt = time.Time{}
-	ts.connectionRefused = false
+	ts.connectionRefused, ts.crashed = false, false
 	ts.blamedMember = ""
 }
 
