Test how entries serve and decline forwarded requests

At most one run, maxAttempts, retry budget, own answer, caller's disconnect, no second hop, older configuration, stop, lapsed keys. The tests pass on the code as it is.

--- /dev/null
+++ b/relay/forward_test.go
@@ -0,0 +1,207 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/sharing"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+// forwardSite is two entries before the same upstreams, of which the first reaches none.
+type forwardSite struct {
+	cut, other *testEntry
+	plain      []*upstream
+	heads      []*upstream
+	// entryAddress is where other serves requests of other entries, forwarded counts them.
+	entryAddress string
+	forwarded    atomic.Int64
+	// otherCut is set while the second entry reaches no upstream either.
+	otherCut atomic.Bool
+}
+
+func newForwardSite(t *testing.T, respond responder) *forwardSite {
+	t.Helper()
+	f := &forwardSite{}
+	for range 2 {
+		f.plain = append(f.plain, newUpstream(t, respond))
+		f.heads = append(f.heads, newUpstream(t, respond))
+	}
+	upstreams := map[string]bool{}
+	for _, u := range append(f.plain, f.heads...) {
+		upstreams[u.address()] = true
+	}
+	dial := func(lost func() bool) transport.Dial {
+		return func(ctx context.Context, address string) (net.Conn, error) {
+			if upstreams[address] && lost() {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+			}
+			return transport.TCP()(ctx, address)
+		}
+	}
+	f.cut = newTestEntryWithDial(t, dial(func() bool { return true }), f.plain, f.heads)
+	f.other = newTestEntryWithDial(t, dial(f.otherCut.Load), f.plain, f.heads)
+	handler := &relay.EntryHandler{Relay: f.other.relay}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.forwarded.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f.entryAddress = server.Listener.Addr().String()
+	lists := map[ident.Hall][]string{"hall": {"127.0.0.1:1", f.entryAddress}}
+	f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", lists))
+	f.other.relay.SetEntries(sharing.New(f.entryAddress, lists))
+	return f
+}
+
+// arrivals returns how many requests have reached upstreams.
+func (f *forwardSite) arrivals() int {
+	n := 0
+	for _, u := range append(f.plain, f.heads...) {
+		n += len(u.received())
+	}
+	return n
+}
+
+func respondKind(c net.Conn, r *http.Request, _ int) bool {
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		return respondStream(c, r, 1, 3, true)
+	}
+	return respondComplete(c, r)
+}
+
+// Guards against forwarded requests that are changed, served twice, or counted at the wrong entry.
+func TestForwardedRequests(t *testing.T) {
+	f := newForwardSite(t, respondKind)
+	// The entry learns from this request that it reaches no upstream, so the request counts there.
+	if got := f.cut.do(f.cut.request("POST", "/safe/x?q=1", "id-first", "body id-first")); got.Status != http.StatusOK {
+		t.Fatalf("status %d", got.Status)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i, path := range []string{"/safe/x?q=1", "/unsafe/x?q=1", "/stream/x?q=1"} {
+		id := fmt.Sprint("id-", i)
+		want := "answer to " + id
+		if strings.HasPrefix(path, "/stream/") {
+			want = eventText(1, 3)
+		}
+		if got := f.cut.do(f.cut.request("POST", path, id, "body "+id)); got != (reply{http.StatusOK, want, true}) {
+			t.Errorf("%s: %+v, want a complete answer %q", path, got, want)
+		}
+	}
+	if got := f.arrivals(); got != 4 {
+		t.Errorf("%d arrivals of 4 requests", got)
+	}
+	for _, u := range append(f.plain, f.heads...) {
+		for _, r := range u.received() {
+			if !strings.HasSuffix(r.Path, "?q=1") || r.Body != "body "+r.ID || r.Customer != "office" || r.Key != "" {
+				t.Errorf("upstream received %+v", r)
+			}
+		}
+	}
+	for _, tt := range []struct {
+		name  string
+		relay *relay.Relay
+		want  float64
+	}{{"the entry without a path", f.cut.relay, 1}, {"the entry that sends them", f.other.relay, 2}} {
+		if got := tt.relay.Budget.Decide("plain").Requests; got != tt.want {
+			t.Errorf("%.0f requests count in the retry budget of %s, want %.0f", got, tt.name, tt.want)
+		}
+	}
+}
+
+// Guards against forwarded requests that run at an entry which should decline them, and against ones that go round.
+func TestEntriesDeclineForwardedRequests(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prepare func(f *forwardSite)
+	}{
+		{"the other entry is cut off as well", func(f *forwardSite) { f.otherCut.Store(true) }},
+		{"the other entry stops", func(f *forwardSite) { f.other.relay.Stop() }},
+		{"the other entry has an older configuration", func(f *forwardSite) {
+			cfg := config()
+			cfg.Version = 2
+			f.cut.relay.SetConfig(cfg)
+		}},
+		{"the other entry's keys have lapsed", func(f *forwardSite) { f.other.relay.SetConfirmed(time.Now().Add(-time.Minute)) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newForwardSite(t, respondKind)
+			tt.prepare(f)
+			got := f.cut.do(f.cut.request("POST", "/unsafe/x", "id", "body"))
+			if got.Status != http.StatusServiceUnavailable || !strings.Contains(got.Body, `"not-run":true`) {
+				t.Errorf("answer %+v, want 503 and not run", got)
+			}
+			if f.arrivals() != 0 || f.forwarded.Load() != 1 {
+				t.Errorf("%d arrivals at upstreams, %d forwarded requests; want 0 and 1", f.arrivals(), f.forwarded.Load())
+			}
+		})
+	}
+}
+
+// Guards against a second run of a request that must not be repeated, when the entry that it was forwarded to ends.
+func TestForwardedRequestWhoseEntryEnds(t *testing.T) {
+	var f *forwardSite
+	f = newForwardSite(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		f.other.server.CloseClientConnections()
+		return resetConn(c)
+	})
+	for i, path := range []string{"/unsafe/x", "/once/x"} {
+		got := f.cut.do(f.cut.request("POST", path, fmt.Sprint(i), "body"))
+		if got.Status == http.StatusOK || got.Status == http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d for a request that may have run", path, got.Status)
+		}
+		if arrivals := f.arrivals(); arrivals != i+1 {
+			t.Errorf("%s: %d arrivals of %d requests", path, arrivals, i+1)
+		}
+	}
+}
+
+// Guards against forwarded requests that run at more upstreams than the route allows.
+func TestForwardedRequestKeepsMaxAttempts(t *testing.T) {
+	f := newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, answerHead(r, 500, signature, "Content-Length: 4")+"fail")
+		return err == nil
+	})
+	for range 10 {
+		f.other.relay.Budget.CountRequest("plain")
+	}
+	if got := f.cut.do(f.cut.request("POST", "/safe/x", "id", "body")); got.Status != 500 || got.Body != "fail" {
+		t.Errorf("answer %+v, want the upstream's failure", got)
+	}
+	if got := f.arrivals(); got != 2 {
+		t.Errorf("%d arrivals, want 2 as the route allows", got)
+	}
+}
+
+// Guards against upstreams that go on working for callers who have disconnected from the entry that forwards.
+func TestForwardedRequestWhoseCallerDisconnects(t *testing.T) {
+	ended := make(chan struct{})
+	f := newForwardSite(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		stayOpenSilent(c)
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	resp, err := http.DefaultClient.Do(f.cut.request("POST", "/unsafe/x", "id", "body").WithContext(ctx))
+	if err == nil {
+		resp.Body.Close()
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the upstream's connection is still open 5 s after the caller disconnected")
+	}
+}
