--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -185,7 +185,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var reachable, others []string
-	all := s.index.allTargets()
+	all := s.index.all
 	if len(all) == 0 {
 		return nil
 	}
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -23,10 +23,10 @@
 	maxPathProbes = 64
 )
 
-// ReachabilityEvent says that this entry lost its paths to all upstreams of a service, or has one again, for the log.
+// ReachabilityEvent says that this entry lost its paths to all upstreams, or has one again, for the log.
 type ReachabilityEvent struct {
 	CutOff bool
-	// Unreachable is the number of unreachable upstreams of all services, Total that of all upstreams.
+	// Unreachable is the number of unreachable upstreams, Total that of all.
 	Unreachable, Total int
 }
 
@@ -56,7 +56,7 @@
 	}
 	if unreachable, total := s.countUnreachable(); unreachable == total {
 		// The path of this entry is back. Upstreams that are still unreachable are found by requests, without connections to all at once.
-		for _, t := range s.index.allTargets() {
+		for _, t := range s.index.all {
 			s.stateOf(t).unreachable = false
 		}
 	}
@@ -77,7 +77,7 @@
 
 // countUnreachable counts the unreachable upstreams; the mutex is held.
 func (s *Relay) countUnreachable() (unreachable, total int) {
-	for _, t := range s.index.allTargets() {
+	for _, t := range s.index.all {
 		total++
 		if s.stateOf(t).unreachable {
 			unreachable++
@@ -104,7 +104,7 @@
 	}
 	s.reach.pathsCheckedAt = now
 	started := 0
-	for _, t := range s.index.allTargets() {
+	for _, t := range s.index.all {
 		if started < maxPathProbes && !s.stateOf(t).unreachable && s.startProbe(t) {
 			started++
 		}
@@ -133,7 +133,7 @@
 	defer s.mu.Unlock()
 	s.reach.probeScheduled = false
 	var unreachable []*target
-	for _, t := range s.index.allTargets() {
+	for _, t := range s.index.all {
 		if s.stateOf(t).unreachable {
 			unreachable = append(unreachable, t)
 		}
@@ -201,11 +201,6 @@
 	return s.reach.reachesFew
 }
 
-// allTargets returns the targets of all services.
-func (f *targetIndex) allTargets() []*target {
-	return f.all
-}
-
 // target returns the target with an id, nil if there is none.
 func (f *targetIndex) target(id ident.Incarnation) *target {
 	for _, t := range f.all {
