Test entries without a path in simulated time

It now runs in a synctest bubble, with connections in memory: the same entries, upstreams, cuts, loads and bounds, and updates between entries, which the former had as datagrams. It also checks that nothing is sent through other entries a second after the cut; the former check, that any connection had been opened, held from the start. TestEntryForwardsToPeerPort keeps what only real entries show, the listener on the peer port, without a bound on time.

--- /dev/null
+++ b/relay/cut_off_test.go
@@ -0,0 +1,487 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/roster"
+	"github.com/dunlinquay/dunlinquay/sharing"
+)
+
+// memoryNetwork connects clients and HTTP servers of one synctest bubble.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+// memoryListener accepts the connections that are dialled to its address.
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(l.address))
+}
+
+// serve starts a server and returns what ends it.
+func (n *memoryNetwork) serve(address string, handler http.Handler) (end func()) {
+	l := &memoryListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	return func() { _ = server.Close() }
+}
+
+func (n *memoryNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.done:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// cutMode is what happens to the connections from an entry to all upstreams.
+type cutMode string
+
+const (
+	cutNone    cutMode = ""
+	cutSilent  cutMode = "silent"
+	cutReset   cutMode = "reset"
+	cutRefused cutMode = "refused"
+	// cutNewOnly refuses new connections, while open ones work.
+	cutNewOnly cutMode = "new connections only"
+)
+
+// upstreamPath is the network between one entry and all upstreams.
+type upstreamPath struct {
+	network   *memoryNetwork
+	upstreams map[string]bool
+
+	mu   sync.Mutex
+	mode cutMode
+	// spared is an upstream that stays reachable.
+	spared string
+	conns  map[*pathConn]struct{}
+}
+
+func (p *upstreamPath) cut(mode cutMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode != cutReset {
+		return
+	}
+	for c := range p.conns {
+		c.Close()
+	}
+}
+
+func (p *upstreamPath) current() cutMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// dial opens a connection as the entry does.
+func (p *upstreamPath) dial(ctx context.Context, address string) (net.Conn, error) {
+	if !p.upstreams[address] || address == p.spared {
+		return p.network.dial(ctx, address)
+	}
+	switch p.current() {
+	case cutSilent, cutReset:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case cutRefused, cutNewOnly:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	conn, err := p.network.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &pathConn{conn, p}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns == nil {
+		p.conns = map[*pathConn]struct{}{}
+	}
+	p.conns[c] = struct{}{}
+	return c, nil
+}
+
+// pathConn is a connection to an upstream that loses everything while the path is silent.
+type pathConn struct {
+	net.Conn
+	path *upstreamPath
+}
+
+func (c *pathConn) silent() bool {
+	mode := c.path.current()
+	return mode == cutSilent || mode == cutRefused
+}
+
+func (c *pathConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent() {
+			return n, err
+		}
+	}
+}
+
+func (c *pathConn) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// cutSite is a site of entries with plain workers and groups of one engine.
+type cutSite struct {
+	t       *testing.T
+	network *memoryNetwork
+	paths   []*upstreamPath
+	entries []*relay.Relay
+	// addresses are those of the entries, groups those of the heads of groups.
+	addresses []string
+	groups    []string
+	ends      []func()
+
+	mu sync.Mutex
+	// runs counts the runs of each request that must not be repeated, streams those of callers of the first entry by upstream.
+	runs    map[string]int
+	streams map[string]int
+	// forwarded counts the requests that entries sent through others.
+	forwarded int
+}
+
+const (
+	cutSiteEntries = 3
+	// cutSitePlain and cutSiteGroups are the numbers of workers and groups.
+	cutSitePlain  = 3
+	cutSiteGroups = 6
+	// cutSiteEvents is the number of events in a stream.
+	cutSiteEvents = 5
+)
+
+func cutSiteConfig() *httproute.Config {
+	cfg := timedConfig()
+	cfg.Routes = []httproute.Route{
+		newRoute("safe", httproute.KindSafe, "plain", 2), newRoute("unsafe", httproute.KindUnsafe, "plain", 1), newRoute("stream", httproute.KindStream, "model", 2),
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		r.Public, r.Timeout, r.Aim, r.GapAim = true, 4*time.Second, 400*time.Millisecond, 300*time.Millisecond
+	}
+	e := cfg.Services[1].Engine
+	e.Slots, e.TypicalSize = 26, httproute.RequestSize{Prompt: 600, Answer: 25}
+	return cfg
+}
+
+// newCutSite starts a site in a synctest bubble; stop ends it.
+func newCutSite(t *testing.T) *cutSite {
+	t.Helper()
+	s := &cutSite{t: t, network: &memoryNetwork{listeners: map[string]*memoryListener{}}, runs: map[string]int{}, streams: map[string]int{}}
+	delta := roster.Delta{Full: true, Revision: 1}
+	upstreams := map[string]bool{}
+	for i := range cutSitePlain + cutSiteGroups {
+		address := fmt.Sprintf("10.2.0.%d:80", i)
+		upstreams[address] = true
+		s.ends = append(s.ends, s.network.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveUpstream(address, w, r) })))
+		u := roster.Upstream{ID: ident.Incarnation(fmt.Sprintf("u%d", i)), Service: "plain", Address: address, Slots: 16}
+		if i >= cutSitePlain {
+			u.Service, u.Slots = "model", 26
+			s.groups = append(s.groups, address)
+			delta.Groups = append(delta.Groups, roster.Group{
+				Name: ident.Group(fmt.Sprintf("g%d", i)), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{u.ID},
+			})
+		}
+		delta.Upstreams = append(delta.Upstreams, u)
+	}
+	for i := range cutSiteEntries {
+		s.addresses = append(s.addresses, fmt.Sprintf("10.1.0.%d:70", i))
+	}
+	for i, address := range s.addresses {
+		path := &upstreamPath{network: s.network, upstreams: upstreams}
+		e := relay.New(headerNames(), path.dial)
+		e.Budget = relay.NewRetryBudget(relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
+		e.Budget.SetEntries(cutSiteEntries)
+		e.SendUpdate = func(update relay.EntryUpdate, to []string) { s.deliver(i, update, to) }
+		e.SetConfig(cutSiteConfig())
+		e.ApplyRoster(&delta)
+		e.SetConfirmed(time.Now())
+		s.paths, s.entries = append(s.paths, path), append(s.entries, e)
+		handler := &relay.EntryHandler{Relay: e}
+		s.ends = append(s.ends, s.network.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			s.forwarded++
+			s.mu.Unlock()
+			handler.ServeHTTP(w, r)
+		})))
+	}
+	for i, e := range s.entries {
+		e.SetEntries(sharing.New(s.addresses[i], map[ident.Hall][]string{"hall": s.addresses}))
+	}
+	return s
+}
+
+func (s *cutSite) stop() {
+	for _, end := range s.ends {
+		end()
+	}
+}
+
+// deliver sends an update from one entry to others.
+func (s *cutSite) deliver(from int, update relay.EntryUpdate, to []string) {
+	for i, e := range s.entries {
+		if i != from && (to == nil || slices.Contains(to, s.addresses[i])) {
+			time.AfterFunc(time.Millisecond, func() { e.Receive(update, netip.MustParseAddrPort(s.addresses[from])) })
+		}
+	}
+}
+
+// serveUpstream answers as a worker or the head of a group.
+func (s *cutSite) serveUpstream(address string, w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request")
+	s.mu.Lock()
+	if strings.HasPrefix(r.URL.Path, "/unsafe/") {
+		s.runs[id]++
+	}
+	if strings.Contains(id, "-0-stream-") {
+		s.streams[address]++
+	}
+	s.mu.Unlock()
+	w.Header().Set("Request", id)
+	w.Header().Set("Signature", "s")
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(w, cutSiteBody(r.URL.Path, id))
+		return
+	}
+	first := 1
+	if last := r.Header.Get("Event"); last != "" {
+		_, _ = fmt.Sscanf(last, "%d", &first)
+		first++
+	}
+	for i := first; i <= cutSiteEvents; i++ {
+		time.Sleep(30 * time.Millisecond)
+		if r.Context().Err() != nil {
+			return
+		}
+		_, _ = io.WriteString(w, cutSiteEvent(id, i))
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func cutSiteEvent(id string, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, id)
+}
+
+// cutSiteBody is the whole answer to a request.
+func cutSiteBody(path, id string) string {
+	if !strings.HasPrefix(path, "/stream/") {
+		return "answer to " + id
+	}
+	var b strings.Builder
+	for i := 1; i <= cutSiteEvents; i++ {
+		b.WriteString(cutSiteEvent(id, i))
+	}
+	return b.String()
+}
+
+// request sends one request to an entry and reports whether it was served.
+func (s *cutSite) request(entry int, class, id string) (served bool) {
+	path := "/" + class + "/x"
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body of "+id))
+	r.Host = "h"
+	for name, value := range map[string]string{"Request": id, "Deadline": "4000", "Model": "m", "Tokens": "600,25"} {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	defer func() {
+		// An answer that breaks off ends with a panic, as net/http wants it.
+		if recover() != nil {
+			served = false
+		}
+	}()
+	s.entries[entry].ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		return false
+	}
+	if got, want := w.Body.String(), cutSiteBody(path, id); got != want {
+		s.t.Errorf("%s: answer %q, want %q", id, got, want)
+	}
+	return true
+}
+
+// cutSiteCount counts the requests of one kind and those that were served.
+type cutSiteCount struct{ sent, served int }
+
+// load sends requests of all classes to all entries for d, and returns the counts by entry.
+func (s *cutSite) load(name string, d time.Duration) []cutSiteCount {
+	counts := make([]cutSiteCount, len(s.entries))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		for entry := range s.entries {
+			for _, class := range []string{"safe", "unsafe", "stream"} {
+				id := fmt.Sprintf("%s-%d-%s-%d", name, entry, class, n)
+				wg.Go(func() {
+					served := s.request(entry, class, id)
+					mu.Lock()
+					defer mu.Unlock()
+					counts[entry].sent++
+					if served {
+						counts[entry].served++
+					}
+				})
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	return counts
+}
+
+// Guards against entries that refuse what other entries could serve, because they reach no upstream themselves.
+func TestEntriesWithoutPathToUpstreams(t *testing.T) {
+	for _, mode := range []cutMode{cutSilent, cutReset, cutRefused, cutNewOnly} {
+		for _, cutEntries := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d of %d entries", mode, cutEntries, cutSiteEntries), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newCutSite(t)
+					defer s.stop()
+					s.playCut(mode, cutEntries)
+				})
+			})
+		}
+	}
+}
+
+// playCut cuts entries off for a while and checks what is served meanwhile and afterwards.
+func (s *cutSite) playCut(mode cutMode, cutEntries int) {
+	s.load("before", time.Second)
+	for i := range cutEntries {
+		s.paths[i].cut(mode)
+	}
+	// The rule counts from 3 s after the cut on.
+	s.load("cut", 3*time.Second)
+	s.checkFirstAttempts(s.load("late", 1500*time.Millisecond), cutEntries)
+	for i := range cutEntries {
+		s.paths[i].cut(cutNone)
+	}
+	s.load("healed", time.Second)
+	s.mu.Lock()
+	s.forwarded = 0
+	s.mu.Unlock()
+	for entry, c := range s.load("after", time.Second) {
+		if c.served < c.sent*49/50 {
+			s.t.Errorf("a second after the cut entry %d served %d of %d requests", entry, c.served, c.sent)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forwarded > 0 {
+		s.t.Errorf("a second after the cut %d requests were sent through other entries", s.forwarded)
+	}
+	for id, runs := range s.runs {
+		if runs > 1 {
+			s.t.Errorf("%s ran %d times", id, runs)
+		}
+	}
+}
+
+// Guards against an entry that sends all requests of a model to the only group that it reaches.
+func TestEntryThatReachesOneGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCutSite(t)
+		defer s.stop()
+		spared := s.groups[0]
+		s.paths[0].spared = spared
+		s.load("before", time.Second)
+		s.paths[0].cut(cutSilent)
+		s.load("cut", time.Second)
+		s.mu.Lock()
+		s.streams = map[string]int{}
+		s.mu.Unlock()
+		s.checkFirstAttempts(s.load("late", 3*time.Second), 1)
+		s.paths[0].cut(cutNone)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		streams := 0
+		for _, address := range s.groups {
+			streams += s.streams[address]
+		}
+		if got := s.streams[spared]; 2*got > streams {
+			t.Errorf("%d of %d streams of callers of the entry were sent to one of %d groups", got, streams, cutSiteGroups)
+		}
+	})
+}
+
+// checkFirstAttempts compares the first entries, which are cut off, with the others: callers are not served less than two thirds as often,
+// unless at most 10 and one in 50 of all requests fail there.
+func (s *cutSite) checkFirstAttempts(counts []cutSiteCount, cutEntries int) {
+	s.t.Helper()
+	var cut, others, all cutSiteCount
+	for entry, c := range counts {
+		part := &others
+		if entry < cutEntries {
+			part = &cut
+		}
+		part.sent, part.served = part.sent+c.sent, part.served+c.served
+		all.sent += c.sent
+	}
+	s.t.Logf("cut off: %d of %d served, others: %d of %d", cut.served, cut.sent, others.served, others.sent)
+	cutRate, otherRate := float64(cut.served)/float64(cut.sent), float64(others.served)/float64(others.sent)
+	if cutRate < otherRate*2/3 && cut.sent-cut.served > 10+all.sent/50 {
+		s.t.Errorf("entries that are cut off served %d of %d requests, the others %d of %d", cut.served, cut.sent, others.served, others.sent)
+	}
+	if otherRate < 0.9 {
+		s.t.Errorf("entries that are not cut off served %d of %d requests", others.served, others.sent)
+	}
+}
