Try an unreachable upstream if no other entry accepts a request

An entry whose connections took more than 60 ms, as on a starved machine, took upstreams to be unreachable, and refused what no other entry accepted until a probe opened a connection, up to 0.2 s later. Now such a request has one attempt at an upstream that is taken to be unreachable.

TestRequestThatNoEntryAccepts: 503 -> 200.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -114,6 +114,9 @@
 	// target was left for that reason.
 	unreachableTargets int
 	lacksPath          bool
+	// triesUnreachable is set when no other entry accepted the request: it is then sent to an unreachable target, which may be reachable
+	// again since the last probe.
+	triesUnreachable bool
 	// forwarded is set for a request of another entry. triedEntries are the entries to which the request was forwarded, entryCode is the
 	// result code of the answer of one.
 	forwarded    *forwardedRequest
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -71,12 +71,12 @@
 
 // avoidsUnreachable reports whether the request is sent to no unreachable upstream, since another entry may reach one; the mutex is held.
 func (x *exchange) avoidsUnreachable() bool {
-	return x.forwarded != nil || x.mayForward()
+	return x.forwarded != nil || x.mayForward() && !x.triesUnreachable
 }
 
 // shouldForward reports whether the request was not sent because upstreams are unreachable from this entry.
 func (x *exchange) shouldForward() bool {
-	if !x.lacksPath || x.timeLeft() <= 0 || x.r.Context().Err() != nil {
+	if !x.lacksPath || x.triesUnreachable || x.timeLeft() <= 0 || x.r.Context().Err() != nil {
 		return false
 	}
 	x.s.mu.Lock()
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -27,8 +27,8 @@
 	// entryAddress is where other serves requests of other entries, forwarded counts them.
 	entryAddress string
 	forwarded    atomic.Int64
-	// otherCut is set while the second entry reaches no upstream either.
-	otherCut atomic.Bool
+	// otherCut is set while the second entry reaches no upstream either, healed once the first one reaches them.
+	otherCut, healed atomic.Bool
 }
 
 func newForwardSite(t *testing.T, respond responder) *forwardSite {
@@ -50,7 +50,7 @@
 			return transport.TCP()(ctx, address)
 		}
 	}
-	f.cut = newTestEntryWithDial(t, dial(func() bool { return true }), f.plain, f.heads)
+	f.cut = newTestEntryWithDial(t, dial(func() bool { return !f.healed.Load() }), f.plain, f.heads)
 	f.other = newTestEntryWithDial(t, dial(f.otherCut.Load), f.plain, f.heads)
 	handler := &relay.EntryHandler{Relay: f.other.relay}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -149,6 +149,19 @@
 	}
 }
 
+// Guards against refusals of requests that no other entry accepts, although the path is back since the last probe.
+func TestRequestThatNoEntryAccepts(t *testing.T) {
+	f := newForwardSite(t, respondKind)
+	f.other.relay.Stop()
+	if got := f.cut.do(f.cut.request("POST", "/safe/x", "first", "body")); got.Status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", got.Status)
+	}
+	f.healed.Store(true)
+	if got := f.cut.do(f.cut.request("POST", "/safe/x", "second", "body")); got.Status != http.StatusOK {
+		t.Errorf("status %d after the path is back", got.Status)
+	}
+}
+
 // Guards against a second run of a request that must not be repeated, when the entry that it was forwarded to ends.
 func TestForwardedRequestWhoseEntryEnds(t *testing.T) {
 	var f *forwardSite
--- a/relay/run.go
+++ b/relay/run.go
@@ -60,9 +60,9 @@
 		if err := x.quarantineError(); err != nil {
 			return err
 		}
-		chosen, err := x.awaitTarget()
-		if err != nil {
-			return x.forwardOrFail(err)
+		chosen, ended, err := x.nextTarget()
+		if ended {
+			return err
 		}
 		if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
 			x.cancelReservation(&chosen)
@@ -89,17 +89,29 @@
 	}
 }
 
-// forwardOrFail sends a request for which no upstream was found through another entry, if this entry's own paths are the cause; otherwise it
-// returns the final error.
-func (x *exchange) forwardOrFail(err error) error {
-	if !x.shouldForward() || x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
-		return x.finalError(err)
+// nextTarget reserves the next target. If there is none, the request has ended with err, or another entry has served it.
+func (x *exchange) nextTarget() (chosen choice, ended bool, err error) {
+	chosen, err = x.awaitTarget()
+	if err != nil && x.shouldForward() {
+		if accepted, err := x.forwardInstead(); accepted {
+			return chosen, true, err
+		}
+		x.triesUnreachable = true
+		chosen, err = x.awaitTarget()
 	}
-	x.retryCharged = x.sendCount > 0
-	if accepted, forwardErr := x.forward(); accepted {
-		return forwardErr
+	if err != nil {
+		return chosen, true, x.finalError(err)
 	}
-	return x.finalError(err)
+	return chosen, false, nil
+}
+
+// forwardInstead sends a request for which no upstream was found through another entry, if the retry budget allows it.
+func (x *exchange) forwardInstead() (accepted bool, err error) {
+	if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
+		return true, x.finalError(result.New(result.Overloaded, "the retry budget of the service is used up"))
+	}
+	x.retryCharged = x.sendCount > 0
+	return x.forward()
 }
 
 // allowRetry reports whether the retry budget of the service allows to send the request once more.
@@ -113,7 +125,7 @@
 func (x *exchange) mayRetry(outcome attemptOutcome) bool {
 	switch outcome {
 	case outcomeNeverSent:
-		return true
+		return !x.triesUnreachable
 	case outcomeNotRun:
 		return x.sendCount < maxSends
 	}
