Let checks of forwarding and restarts fail where they should

Cause: read again, TestForwardedRequestWhoseEntryEnds closed the server of the other entry's own callers, so the entry that carried the request never ended; no test failed if new entries got no retries at all; and one test slept for 100 ms outside a bubble.

Change: the first closes the connections between the entries while the upstream answers; TestFewRestartedEntriesKeepTheirRatio is new; the sleep waits for the event instead.

No product code changes.

--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -24,9 +24,9 @@
 	cut, other *testEntry
 	plain      []*upstream
 	heads      []*upstream
-	// entryAddress is where other serves requests of other entries, forwarded counts them.
-	entryAddress string
-	forwarded    atomic.Int64
+	// entryServer is where other serves requests of other entries, forwarded counts them.
+	entryServer *httptest.Server
+	forwarded   atomic.Int64
 	// otherCut is set while the second entry reaches no upstream either, healed once the first one reaches them.
 	otherCut, healed atomic.Bool
 }
@@ -53,15 +53,15 @@
 	f.cut = newTestEntryWithDial(t, dial(func() bool { return !f.healed.Load() }), f.plain, f.heads)
 	f.other = newTestEntryWithDial(t, dial(f.otherCut.Load), f.plain, f.heads)
 	handler := &relay.EntryHandler{Relay: f.other.relay}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.entryServer = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.forwarded.Add(1)
 		handler.ServeHTTP(w, r)
 	}))
-	t.Cleanup(server.Close)
-	f.entryAddress = server.Listener.Addr().String()
-	lists := map[ident.Hall][]string{"hall": {"127.0.0.1:1", f.entryAddress}}
+	t.Cleanup(f.entryServer.Close)
+	address := f.entryServer.Listener.Addr().String()
+	lists := map[ident.Hall][]string{"hall": {"127.0.0.1:1", address}}
 	f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", lists))
-	f.other.relay.SetEntries(sharing.New(f.entryAddress, lists))
+	f.other.relay.SetEntries(sharing.New(address, lists))
 	return f
 }
 
@@ -84,11 +84,17 @@
 // Guards against forwarded requests that are changed, served twice, or counted at the wrong entry.
 func TestForwardedRequests(t *testing.T) {
 	f := newForwardSite(t, respondKind)
+	cutOff := make(chan struct{})
+	f.cut.relay.OnReachability = func(event relay.ReachabilityEvent) {
+		if event.CutOff {
+			close(cutOff)
+		}
+	}
 	// The entry learns from this request that it reaches no upstream, so the request counts there.
 	if got := f.cut.do(f.cut.request("POST", "/safe/x?q=1", "id-first", "body id-first")); got.Status != http.StatusOK {
 		t.Fatalf("status %d", got.Status)
 	}
-	time.Sleep(100 * time.Millisecond)
+	<-cutOff
 	for i, path := range []string{"/safe/x?q=1", "/unsafe/x?q=1", "/stream/x?q=1"} {
 		id := fmt.Sprint("id-", i)
 		want := "answer to " + id
@@ -165,9 +171,9 @@
 // Guards against a second run of a request that must not be repeated, when the entry that it was forwarded to ends.
 func TestForwardedRequestWhoseEntryEnds(t *testing.T) {
 	var f *forwardSite
-	f = newForwardSite(t, func(c net.Conn, _ *http.Request, _ int) bool {
-		f.other.server.CloseClientConnections()
-		return resetConn(c)
+	f = newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
+		f.entryServer.CloseClientConnections()
+		return respondKind(c, r, 0)
 	})
 	for i, path := range []string{"/unsafe/x", "/once/x"} {
 		got := f.cut.do(f.cut.request("POST", path, fmt.Sprint(i), "body"))
--- a/site/retry_budget_test.go
+++ b/site/retry_budget_test.go
@@ -162,3 +162,23 @@
 		})
 	}
 }
+
+// Guards against a few restarted entries that are refused the retries of their own requests, as all entries are when all restart.
+func TestFewRestartedEntriesKeepTheirRatio(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRetrySite(t)
+		s.run(14*time.Second, false)
+		s.restart(0.1)
+		s.run(9*time.Second, true)
+		restarted := int(0.1 * retrySiteEntries)
+		for i, e := range s.entries {
+			if i < restarted {
+				d := e.RetryBudget().Decide(retrySiteService)
+				if want := s.settings.Retries.Share * d.Requests / 2; d.Retries < want {
+					t.Errorf("entry %d made %.0f retries for %.0f requests, want at least %.0f", i, d.Retries, d.Requests, want)
+				}
+			}
+			s.stop(i)
+		}
+	})
+}
