Sum the served groups of TestTurnsOfTheMix in one order

Cause: turnMix added the two models' values in the order of a map, so equal runs gave sums that differ in the last bit. The simulations themselves are the same in each run.

Change: the models are added in a fixed order; the check and its bound stay as they are.

--- a/replicaset/replay_losses_test.go
+++ b/replicaset/replay_losses_test.go
@@ -131,9 +131,13 @@
 	f.run(duration, func() {
 		wave := amplitude * math.Sin(2*math.Pi*f.now.Sub(startedAt).Seconds()/13)
 		f.demand = demandOf(config, large*(1+wave), small*(1-wave))
-		for model, required := range map[ident.Model]float64{"large": large * (1 + wave), "small": small * (1 - wave)} {
-			groups := f.countGroups(model, func(head, member *engine) bool { return member.domain == head.domain })
-			served += min(1, float64(groups)/required) / 2 * float64(tick) / float64(duration)
+		// In the order of a map the sums of equal runs would differ by rounding.
+		for _, required := range []struct {
+			model  ident.Model
+			groups float64
+		}{{"large", large * (1 + wave)}, {"small", small * (1 - wave)}} {
+			groups := f.countGroups(required.model, func(head, member *engine) bool { return member.domain == head.domain })
+			served += min(1, float64(groups)/required.groups) / 2 * float64(tick) / float64(duration)
 		}
 	})
 	if len(f.violations) > 0 {
