Answer 502 to a forwarded request that ran before and is then refused

What callers see: 503 with "not run" for a repeatable request that an upstream has run. An entry sent it to the one upstream that it reached, which broke the connection, forwarded it, and returned the other entry's refusal as it was.

Cause: an entry to which a request is forwarded knows its own attempts only, so "not run" in its refusal says nothing of earlier ones.

Change: if an upstream may have run the request before it was forwarded, a refusal that says "not run" ends it with upstream-failed (502), with the other entry's Retry-After if that is longer than the usual one. Requests that must not be repeated were never forwarded after an attempt that may have run.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -50,7 +50,11 @@
 	headerForwardVersion: true, headerForwardAttempts: true, headerForwardCounted: true, headerDeclined: true, headerResultCode: true,
 }
 
-var errDeclined = errors.New("declined by the entry")
+var (
+	errDeclined = errors.New("declined by the entry")
+	// errRefusedAfterRun means that an entry refused a request that may have run before.
+	errRefusedAfterRun = errors.New("refused by the entry, may have run before")
+)
 
 // forwardedRequest is what an entry says of a request that it forwards.
 type forwardedRequest struct {
@@ -113,6 +117,8 @@
 			return true, result.New(result.Cancelled, "the caller disconnected")
 		case outcomeExpired:
 			return true, x.expiredError()
+		case outcomeFailed:
+			return true, x.finalError(result.New(result.UpstreamFailed, "entry %s refused the request after another attempt", address))
 		case outcomeBroken:
 			return true, x.finalError(result.New(result.UpstreamFailed, "the answer of entry %s broke off", address))
 		}
@@ -184,13 +190,14 @@
 	if err := conn.SetDeadline(time.Now().Add(x.timeLeft())); err != nil {
 		interrupt()
 	}
+	ranBefore := x.mayHaveRun
 	resp, err := x.exchangeWithEntry(conn)
 	if errors.Is(err, errDeclined) {
 		s.entryPool.put(conn, resp, maxIdlePerUpstream)
 		return outcomeNotRun
 	}
 	if err == nil {
-		err = x.forwardEntryAnswer(resp)
+		err = x.forwardEntryAnswer(resp, ranBefore)
 	}
 	if err != nil {
 		conn.Close()
@@ -242,12 +249,17 @@
 	return x.writeBody(bw)
 }
 
-// forwardEntryAnswer forwards the answer of an entry to the caller.
-func (x *exchange) forwardEntryAnswer(resp *http.Response) error {
+// forwardEntryAnswer forwards the answer of an entry to the caller. If the request may have run before, a refusal that says "not run" is not
+// forwarded: it is true of the attempts of that entry only.
+func (x *exchange) forwardEntryAnswer(resp *http.Response, ranBefore bool) error {
 	// An answer without a code is a stream or was complete; only its end tells.
 	if code, err := strconv.Atoi(resp.Header.Get(headerResultCode)); err == nil {
 		x.entryCode = result.Code(code)
 	}
+	if ranBefore && result.Lookup(x.entryCode).NotRun {
+		x.minRetryAfter = retryAfterOf(resp)
+		return errRefusedAfterRun
+	}
 	for name := range forwardHeaders {
 		resp.Header.Del(name)
 	}
@@ -332,6 +344,8 @@
 		return outcomeCallerGone
 	case x.timeLeft() <= 0:
 		return outcomeExpired
+	case errors.Is(err, errRefusedAfterRun):
+		return outcomeFailed
 	}
 	return outcomeBroken
 }
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -27,8 +27,10 @@
 	// entryServer is where other serves requests of other entries, forwarded counts them.
 	entryServer *httptest.Server
 	forwarded   atomic.Int64
-	// otherCut is set while the second entry reaches no upstream either, healed once the first one reaches them.
+	// otherCut is set while the second entry reaches no upstream either, healed once the first one reaches them. spared is an upstream that
+	// the first one reaches all the time.
 	otherCut, healed atomic.Bool
+	spared           atomic.Pointer[upstream]
 }
 
 func newForwardSite(t *testing.T, respond responder) *forwardSite {
@@ -42,16 +44,19 @@
 	for _, u := range append(f.plain, f.heads...) {
 		upstreams[u.address()] = true
 	}
-	dial := func(lost func() bool) transport.Dial {
+	dial := func(lost func(address string) bool) transport.Dial {
 		return func(ctx context.Context, address string) (net.Conn, error) {
-			if upstreams[address] && lost() {
+			if upstreams[address] && lost(address) {
 				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 			}
 			return transport.TCP()(ctx, address)
 		}
 	}
-	f.cut = newTestEntryWithDial(t, dial(func() bool { return !f.healed.Load() }), f.plain, f.heads)
-	f.other = newTestEntryWithDial(t, dial(f.otherCut.Load), f.plain, f.heads)
+	f.cut = newTestEntryWithDial(t, dial(func(address string) bool {
+		spared := f.spared.Load()
+		return !f.healed.Load() && (spared == nil || address != spared.address())
+	}), f.plain, f.heads)
+	f.other = newTestEntryWithDial(t, dial(func(string) bool { return f.otherCut.Load() }), f.plain, f.heads)
 	handler := &relay.EntryHandler{Relay: f.other.relay}
 	f.entryServer = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.forwarded.Add(1)
@@ -224,3 +229,25 @@
 		t.Error("the upstream's connection is still open 5 s after the caller disconnected")
 	}
 }
+
+// Guards against a forwarded request that is reported as not run, although an upstream of the first entry has run it.
+func TestForwardedRequestThatRanBefore(t *testing.T) {
+	var arrivals atomic.Int64
+	f := newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if arrivals.Add(1) == 1 {
+			return false
+		}
+		return respondNotRun(c, r)
+	})
+	f.spared.Store(f.plain[0])
+	for range 10 {
+		f.cut.relay.Budget.CountRequest("plain")
+	}
+	got := f.cut.do(f.cut.request("POST", "/safe/x", "id", "body"))
+	if f.forwarded.Load() == 0 {
+		t.Fatalf("no request was forwarded, answer %+v", got)
+	}
+	if got.Status != http.StatusBadGateway || strings.Contains(got.Body, `"not-run":true`) {
+		t.Errorf("answer %+v to a request that ran, want 502", got)
+	}
+}
