Record the result code of forwarded requests whose upstream failed

Operators saw code 0 in the request line of the entry that forwards, with status 500: only refusals carried the code to it.

Change: an upstream's own failure answer that an entry returns for another one carries the code as well.

TestRecordOfForwardedRequestWhoseUpstreamFails fails before (code 0, 2012 at the other entry), passes after, 5 of 5 runs.

--- a/relay/finish.go
+++ b/relay/finish.go
@@ -32,6 +32,7 @@
 	case x.r.Context().Err() != nil && !x.bodyTimedOut:
 		defer panic(http.ErrAbortHandler)
 	case x.failureAnswer != nil:
+		x.setResultCode(result.CodeOf(err))
 		x.writeAnswer(x.failureAnswer)
 	default:
 		x.refuse(err)
@@ -61,9 +62,7 @@
 	if x.requestID != "" {
 		h.Set(x.s.Headers.RequestID, x.requestID)
 	}
-	if x.forwarded != nil {
-		h.Set(headerResultCode, strconv.Itoa(int(info.Code)))
-	}
+	x.setResultCode(info.Code)
 	h.Set("Content-Type", jsonContentType)
 	body := `{"result-code":` + strconv.Itoa(int(info.Code)) + `,"result":"` + info.Name + `","not-run":` + strconv.FormatBool(info.NotRun) + "}\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -74,6 +73,13 @@
 	}
 }
 
+// setResultCode tells the entry that forwarded the request how it ended, for its record.
+func (x *exchange) setResultCode(code result.Code) {
+	if x.forwarded != nil {
+		x.w.Header().Set(headerResultCode, strconv.Itoa(int(code)))
+	}
+}
+
 func (s *Relay) noteRefusal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,7 +112,7 @@
 	if err != nil {
 		record.ErrorText = result.Message(err)
 	} else if x.entryCode != result.OK {
-		record.Code, record.ErrorText = x.entryCode, "refused by the entry to which the request was forwarded"
+		record.Code, record.ErrorText = x.entryCode, "failed at the entry to which the request was forwarded"
 	}
 	if x.forwarded != nil {
 		record.ForwardedBy = x.r.RemoteAddr
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/sharing"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
@@ -208,6 +209,28 @@
 	}
 }
 
+// Guards against a record without the result code of a request whose upstream failed behind another entry.
+func TestRecordOfForwardedRequestWhoseUpstreamFails(t *testing.T) {
+	f := newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, answerHead(r, 500, signature, "Content-Length: 4")+"fail")
+		return err == nil
+	})
+	f.cut.do(f.cut.request("POST", "/unsafe/x", "id", "body"))
+	for _, entry := range []*testEntry{f.cut, f.other} {
+		entry.mu.Lock()
+		defer entry.mu.Unlock()
+		if len(entry.records) != 1 {
+			t.Fatalf("%d records of one request", len(entry.records))
+		}
+		if got := entry.records[0]; got.Code != result.OutcomeUnknown && got.Code != result.UpstreamFailed || got.Status != 500 {
+			t.Errorf("code %d, status %d in the record", got.Code, got.Status)
+		}
+	}
+	if got, want := f.cut.records[0].Code, f.other.records[0].Code; got != want {
+		t.Errorf("code %d at the entry that forwards, %d at the other", got, want)
+	}
+}
+
 // Guards against upstreams that go on working for callers who have disconnected from the entry that forwards.
 func TestForwardedRequestWhoseCallerDisconnects(t *testing.T) {
 	ended := make(chan struct{})
