--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -209,6 +209,21 @@
 	}
 }
 
+// Guards against upstreams whose answers have the headers between entries: they must not make an entry forward a request that has run.
+func TestForwardedRequestWhoseUpstreamDeclines(t *testing.T) {
+	f := newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
+		const body = "whole"
+		_, err := io.WriteString(c, answerHead(r, 200, signature, "Entry-Declined: full", "Entry-Result-Code: 2006", "Content-Length: 5")+body)
+		return err == nil
+	})
+	if got, want := f.cut.do(f.cut.request("POST", "/unsafe/x", "id", "body")), (reply{200, "whole", true}); got != want {
+		t.Errorf("answer %+v, want %+v", got, want)
+	}
+	if got := f.arrivals(); got != 1 {
+		t.Errorf("%d arrivals of a request that must not be repeated", got)
+	}
+}
+
 // Guards against a record without the result code of a request whose upstream failed behind another entry.
 func TestRecordOfForwardedRequestWhoseUpstreamFails(t *testing.T) {
 	f := newForwardSite(t, func(c net.Conn, r *http.Request, _ int) bool {
