Share the loop that forwards the events of a stream

The loops for answers of upstreams and of other entries were the same but for what they record. Streams from other entries are now checked for a content encoding as well. No other change; the relay's tests of streams and forwarding pass.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -264,7 +264,7 @@
 		resp.Header.Del(name)
 	}
 	if resp.StatusCode == http.StatusOK && x.route.Kind == httproute.KindStream {
-		return x.forwardEntryStream(resp)
+		return x.forwardEvents(resp, func() {}, x.noteEntryEvent)
 	}
 	x.releaseAnswer()
 	if err := x.reserveAnswer(resp); err != nil {
@@ -293,35 +293,6 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// forwardEntryStream forwards events until the stream ends or breaks.
-func (x *exchange) forwardEntryStream(resp *http.Response) error {
-	if resp.Header.Get(x.s.Headers.Signature) == "" {
-		return errNoSignature
-	}
-	events := &eventReader{br: bufio.NewReaderSize(resp.Body, readBufferBytes)}
-	for {
-		ev, err := events.next()
-		switch {
-		case errors.Is(err, io.EOF) && x.lastEventID == "":
-			return errNoEvents
-		case errors.Is(err, io.EOF):
-			x.writeStreamHead(resp)
-			return nil
-		case err != nil:
-			return err
-		}
-		if skip, err := x.checkEventOrder(&ev); err != nil {
-			return err
-		} else if skip {
-			continue
-		}
-		if err := x.writeEvent(resp, &ev); err != nil {
-			return err
-		}
-		x.noteEntryEvent(&ev)
-	}
-}
-
 // noteEntryEvent accounts for an event that came from another entry.
 func (x *exchange) noteEntryEvent(ev *event) {
 	now := x.s.Now()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -78,10 +78,7 @@
 
 // forwardStream forwards events until the stream ends, breaks or is abandoned.
 func (f *forwarder) forwardStream(resp *http.Response) attemptOutcome {
-	err := f.checkSignature(resp)
-	if err == nil {
-		err = f.forwardEvents(resp)
-	}
+	err := f.x.forwardEvents(resp, f.noteProgress, f.recordEvent)
 	if errors.Is(err, errCallerNotReading) {
 		f.conn.Close()
 		return outcomeCallerGone
@@ -97,26 +94,29 @@
 }
 
 // checkSignature rejects an answer that is not signed, or is encoded and can't be split into events.
-func (f *forwarder) checkSignature(resp *http.Response) error {
-	if resp.Header.Get(f.x.s.Headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
+func (x *exchange) checkSignature(resp *http.Response) error {
+	if resp.Header.Get(x.s.Headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
 		return errNoSignature
 	}
 	return nil
 }
 
-func (f *forwarder) forwardEvents(resp *http.Response) error {
-	x := f.x
+// forwardEvents forwards events until the stream ends or breaks. It calls skipped for each event that was forwarded before, and forwarded
+// for any other one once the caller has it.
+func (x *exchange) forwardEvents(resp *http.Response, skipped func(), forwarded func(ev *event)) error {
+	if err := x.checkSignature(resp); err != nil {
+		return err
+	}
 	events := &eventReader{br: bufio.NewReaderSize(resp.Body, readBufferBytes)}
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && x.lastEventID == "" {
+		switch {
+		case errors.Is(err, io.EOF) && x.lastEventID == "":
 			return errNoEvents
-		}
-		if errors.Is(err, io.EOF) {
+		case errors.Is(err, io.EOF):
 			x.writeStreamHead(resp)
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 		skip, err := x.checkEventOrder(&ev)
@@ -124,13 +124,13 @@
 			return err
 		}
 		if skip {
-			f.noteProgress()
+			skipped()
 			continue
 		}
 		if err := x.writeEvent(resp, &ev); err != nil {
 			return err
 		}
-		f.recordEvent(&ev)
+		forwarded(&ev)
 	}
 }
 
