Play cuts of entries in series, among other faults

The soak cannot cut the path between one entry and all upstreams: its links are before each upstream, and accept a connection before they know whose it is. It checks that answers are whole, that requests run as often as they may, that none which was reported as not run has run or runs later, and that all is served again afterwards.

--- a/relay/cut_off_test.go
+++ b/relay/cut_off_test.go
@@ -32,13 +32,33 @@
 	ends      []func()
 
 	mu sync.Mutex
-	// runs counts the runs of each request that must not be repeated, streams those of callers of the first entry by upstream.
+	// entryEnds end the servers of the entries for each other, nil for those that have ended.
+	entryEnds []func()
+	// runs counts the runs of each request, streams those of streams of the first entry's callers by upstream.
 	runs    map[string]int
 	streams map[string]int
+	// refused are the requests that were reported as not run.
+	refused map[string]bool
 	// forwarded counts the requests that entries sent through others.
 	forwarded int
+	// faults are those of upstreams by address, suspended are the entries that answer no other entry for now.
+	faults    map[string]upstreamFault
+	suspended map[int]bool
 }
 
+// upstreamFault is what an upstream does instead of answering.
+type upstreamFault string
+
+const (
+	// faultCloses runs a request and closes the connection, faultBreaksOff does so within the answer.
+	faultCloses    upstreamFault = "closes"
+	faultBreaksOff upstreamFault = "breaks off"
+	faultFails     upstreamFault = "fails"
+	faultRefuses   upstreamFault = "refuses"
+	// faultSilent runs a request and sends nothing.
+	faultSilent upstreamFault = "silent"
+)
+
 const (
 	cutSiteEntries = 3
 	// cutSitePlain and cutSiteGroups are the numbers of workers and groups.
@@ -65,7 +85,10 @@
 // newCutSite starts a site in a synctest bubble; stop ends it.
 func newCutSite(t *testing.T) *cutSite {
 	t.Helper()
-	s := &cutSite{t: t, network: &memoryNetwork{listeners: map[string]*memoryListener{}}, runs: map[string]int{}, streams: map[string]int{}}
+	s := &cutSite{
+		t: t, network: &memoryNetwork{listeners: map[string]*memoryListener{}}, runs: map[string]int{}, streams: map[string]int{},
+		refused: map[string]bool{}, faults: map[string]upstreamFault{}, suspended: map[int]bool{},
+	}
 	delta := roster.Delta{Full: true, Revision: 1}
 	upstreams := map[string]bool{}
 	for i := range cutSitePlain + cutSiteGroups {
@@ -85,7 +108,7 @@
 	for i := range cutSiteEntries {
 		s.addresses = append(s.addresses, fmt.Sprintf("10.1.0.%d:70", i))
 	}
-	for i, address := range s.addresses {
+	for i := range s.addresses {
 		path := &upstreamPath{network: s.network, upstreams: upstreams}
 		e := relay.New(headerNames(), path.dial)
 		e.Budget = relay.NewRetryBudget(relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
@@ -95,13 +118,8 @@
 		e.ApplyRoster(&delta)
 		e.SetConfirmed(time.Now())
 		s.paths, s.entries = append(s.paths, path), append(s.entries, e)
-		handler := &relay.EntryHandler{Relay: e}
-		s.ends = append(s.ends, s.network.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.mu.Lock()
-			s.forwarded++
-			s.mu.Unlock()
-			handler.ServeHTTP(w, r)
-		})))
+		s.entryEnds = append(s.entryEnds, nil)
+		s.serveEntry(i)
 	}
 	for i, e := range s.entries {
 		e.SetEntries(sharing.New(s.addresses[i], map[ident.Hall][]string{"hall": s.addresses}))
@@ -113,6 +131,45 @@
 	for _, end := range s.ends {
 		end()
 	}
+	for i := range s.entries {
+		s.endEntry(i)
+	}
+}
+
+// serveEntry serves requests that other entries forward to an entry, until endEntry is called.
+func (s *cutSite) serveEntry(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entryEnds[i] != nil {
+		return
+	}
+	handler := &relay.EntryHandler{Relay: s.entries[i]}
+	s.entryEnds[i] = s.network.serve(s.addresses[i], http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.forwarded++
+		s.mu.Unlock()
+		for s.isSuspended(i) {
+			time.Sleep(resendInterval)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+}
+
+// endEntry closes the connections from other entries and refuses new ones.
+func (s *cutSite) endEntry(i int) {
+	s.mu.Lock()
+	end := s.entryEnds[i]
+	s.entryEnds[i] = nil
+	s.mu.Unlock()
+	if end != nil {
+		end()
+	}
+}
+
+func (s *cutSite) isSuspended(entry int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspended[entry]
 }
 
 // deliver sends an update from one entry to others.
@@ -127,16 +184,40 @@
 // serveUpstream answers as a worker or the head of a group.
 func (s *cutSite) serveUpstream(address string, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request")
+	// net/http notices only after the body that the connection has ended.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	w.Header().Set("Request", id)
 	s.mu.Lock()
-	if strings.HasPrefix(r.URL.Path, "/unsafe/") {
+	fault := s.faults[address]
+	if fault != faultRefuses {
 		s.runs[id]++
 	}
 	if strings.Contains(id, "-0-stream-") {
 		s.streams[address]++
 	}
 	s.mu.Unlock()
-	w.Header().Set("Request", id)
+	switch fault {
+	case faultCloses:
+		panic(http.ErrAbortHandler)
+	case faultRefuses:
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case faultSilent:
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Signature", "s")
+	if fault == faultFails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if fault == faultBreaksOff {
+		w.Header().Set("Content-Length", "1000")
+		defer panic(http.ErrAbortHandler)
+	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		time.Sleep(10 * time.Millisecond)
 		_, _ = io.WriteString(w, cutSiteBody(r.URL.Path, id))
@@ -149,7 +230,7 @@
 	}
 	for i := first; i <= cutSiteEvents; i++ {
 		time.Sleep(30 * time.Millisecond)
-		if r.Context().Err() != nil {
+		if r.Context().Err() != nil || fault == faultBreaksOff && i == cutSiteEvents {
 			return
 		}
 		_, _ = io.WriteString(w, cutSiteEvent(id, i))
@@ -190,6 +271,7 @@
 	}()
 	s.entries[entry].ServeHTTP(w, r)
 	if w.Code != http.StatusOK {
+		s.noteFailure(id, w)
 		return false
 	}
 	if got, want := w.Body.String(), cutSiteBody(path, id); got != want {
@@ -198,6 +280,40 @@
 	return true
 }
 
+// noteFailure notes whether a request was reported as not run, and checks that.
+func (s *cutSite) noteFailure(id string, answer *httptest.ResponseRecorder) {
+	notRun := strings.Contains(answer.Body.String(), `"not-run":true`)
+	switch answer.Code {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		notRun = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[id] = notRun
+	if notRun && s.runs[id] > 0 {
+		s.t.Errorf("%s: status %d, %s after %d runs", id, answer.Code, answer.Body, s.runs[id])
+	}
+}
+
+// checkRuns checks that requests ran as often as they may: those that were reported as not run never, also not later.
+func (s *cutSite) checkRuns() {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, runs := range s.runs {
+		most := 2
+		if strings.Contains(id, "-unsafe-") {
+			most = 1
+		}
+		if s.refused[id] {
+			most = 0
+		}
+		if runs > most {
+			s.t.Errorf("%s ran %d times, want at most %d", id, runs, most)
+		}
+	}
+}
+
 // cutSiteCount counts the requests of one kind and those that were served.
 type cutSiteCount struct{ sent, served int }
 
@@ -264,16 +380,12 @@
 			s.t.Errorf("a second after the cut entry %d served %d of %d requests", entry, c.served, c.sent)
 		}
 	}
+	s.checkRuns()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.forwarded > 0 {
 		s.t.Errorf("a second after the cut %d requests were sent through other entries", s.forwarded)
 	}
-	for id, runs := range s.runs {
-		if runs > 1 {
-			s.t.Errorf("%s ran %d times", id, runs)
-		}
-	}
 }
 
 // Guards against an entry that sends all requests of a model to the only group that it reaches.
