Ask the next entry if one does not accept a forwarded request

What callers saw: a request that an entry forwarded to another one, whose VM was suspended at that time, waited until its deadline (5.0 s in the test) and timed out, although a third entry would have served it. In a hall with two entries it was chosen for every request.

Cause: the whole request was sent at once, so a silent entry might have run it, and nothing told this entry from one that was working.

Change: an entry gets the head with "Expect: 100-continue" and the body only after it has accepted. Without a reply within 200 ms the request has not run there and goes to the next entry. Silent entries are passed over for half a second; if no other is left, one is asked again, for a second. A forwarded request now counts where its body has arrived, so that it counts once.

TestForwardedRequestsPassASilentEntry fails before (504 after 5.0 s, the silent entry had all four requests whole) and passes after. TestRequestsWaitForTheLastSilentEntry fails if silent entries are not asked again (0 of 5 served).

--- a/relay/cut_off_test.go
+++ b/relay/cut_off_test.go
@@ -415,6 +415,31 @@
 	})
 }
 
+// Guards against requests that are refused because the only other entry that may serve them is silent for a moment.
+func TestRequestsWaitForTheLastSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCutSite(t)
+		defer s.stop()
+		s.paths[0].cut(cutRefused)
+		s.load("cut", time.Second)
+		s.endEntry(1)
+		s.setSuspended(2, true)
+		time.AfterFunc(600*time.Millisecond, func() { s.setSuspended(2, false) })
+		var wg sync.WaitGroup
+		// The later requests arrive when it is known that the entry is silent.
+		for i := range 5 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				if id := fmt.Sprint("late-0-unsafe-", i); !s.request(0, "unsafe", id) {
+					t.Errorf("%s is not served", id)
+				}
+			})
+		}
+		wg.Wait()
+		s.checkRuns()
+	})
+}
+
 // checkFirstAttempts compares the first entries, which are cut off, with the others: callers are not served less than two thirds as often,
 // unless at most 10 and one in 50 of all requests fail there.
 func (s *cutSite) checkFirstAttempts(counts []cutSiteCount, cutEntries int) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -157,10 +157,17 @@
 	x.model = ident.Model(x.r.Header.Get(x.s.Headers.Model))
 	x.lastEventID = x.r.Header.Get(x.s.Headers.EventID)
 	x.priorElapsed = x.s.estimatePriorElapsed(x.route.Name, x.callerTimeout())
-	if !x.prefersOtherEntry() {
+	if x.forwarded == nil && !x.prefersOtherEntry() {
 		x.count()
 	}
-	return x.readBody()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	if x.forwarded != nil {
+		// Another entry serves, and counts, a request whose body does not arrive.
+		x.count()
+	}
+	return nil
 }
 
 // count counts the request in the retry budget and the demand, unless another entry did.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -7,6 +7,8 @@
 //
 // The other entry declines what it cannot serve before anything ran: it is cut off
 // as well, stops, has an older configuration, or already carries enough for others.
+// It gets the body only after it has accepted the head ("Expect: 100-continue"), so
+// one that does not answer cannot run the request, and the next entry is asked.
 // A request is forwarded once only. It counts in the retry budget and the demand of
 // the entry that sends it to an upstream.
 
@@ -16,6 +18,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -27,6 +30,10 @@
 const (
 	// maxForwardTries bounds the entries to which a request is offered.
 	maxForwardTries = 5
+	// acceptTimeout bounds the time in which an entry accepts the head of a request, lastAcceptTimeout that of a silent entry which is asked
+	// since no other is left.
+	acceptTimeout     = 200 * time.Millisecond
+	lastAcceptTimeout = time.Second
 	// declinedPeriod is how long an entry that declined, or could not be reached, is avoided.
 	declinedPeriod = 500 * time.Millisecond
 	// maxForwarded bounds the requests that an entry carries for others at the same time.
@@ -52,6 +59,9 @@
 
 var (
 	errDeclined = errors.New("declined by the entry")
+	// errNotAccepted means that the entry did not reply to the head of the request in time, errNotOffered that the connection failed before.
+	errNotAccepted = errors.New("not accepted by the entry")
+	errNotOffered  = errors.New("not offered to the entry")
 	// errRefusedAfterRun means that an entry refused a request that may have run before.
 	errRefusedAfterRun = errors.New("refused by the entry, may have run before")
 )
@@ -104,11 +114,15 @@
 // forward sends the request through another entry and reports whether one accepted it; err is then the error of the request.
 func (x *exchange) forward() (accepted bool, err error) {
 	for range maxForwardTries {
-		address := x.chooseEntry()
+		address, silent := x.chooseEntry()
 		if address == "" || x.timeLeft() <= 0 {
 			return false, nil
 		}
-		outcome := x.forwardTo(address)
+		acceptIn := acceptTimeout
+		if silent {
+			acceptIn = lastAcceptTimeout
+		}
+		outcome := x.forwardTo(address, acceptIn)
 		x.attempts[len(x.attempts)-1].Result = string(outcome)
 		switch outcome {
 		case outcomeDone:
@@ -122,29 +136,43 @@
 		case outcomeBroken:
 			return true, x.finalError(result.New(result.UpstreamFailed, "the answer of entry %s broke off", address))
 		}
-		x.s.avoidEntry(entryService{address, x.service.Name})
+		if silent {
+			return false, nil
+		}
+		x.s.avoidEntry(entryService{address, x.service.Name}, outcome == outcomeNotAccepted)
 	}
 	return false, nil
 }
 
-// chooseEntry returns the address of an entry that was not tried yet and did not decline shortly before, preferably in this hall, or "".
-func (x *exchange) chooseEntry() string {
+// chooseEntry returns the address of an entry to ask, or "". An entry in this hall is preferred to others, and any that answers to one that
+// was silent shortly before.
+func (x *exchange) chooseEntry() (address string, silent bool) {
 	s := x.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Now()
-	for _, addresses := range [][]string{s.entries.OthersIn(s.Hall), s.entries.Others()} {
-		usable := addresses[:0:0]
-		for _, address := range addresses {
-			if !x.triedEntries[address] && !now.Before(s.avoidedEntries[entryService{address, x.service.Name}]) {
-				usable = append(usable, address)
+	for _, silent := range []bool{false, true} {
+		for _, addresses := range [][]string{s.entries.OthersIn(s.Hall), s.entries.Others()} {
+			if usable := x.usableEntries(addresses, silent); len(usable) > 0 {
+				return usable[s.RandomInt(len(usable))], silent
 			}
 		}
-		if len(usable) > 0 {
-			return usable[s.RandomInt(len(usable))]
+	}
+	return "", false
+}
+
+// usableEntries returns the entries that are not avoided, or, if silent is set, those that are avoided only for their silence; the mutex is
+// held.
+func (x *exchange) usableEntries(addresses []string, silent bool) []string {
+	now := x.s.Now()
+	var usable []string
+	for _, address := range addresses {
+		avoided := x.s.avoidedEntries[entryService{address, x.service.Name}]
+		isAvoided := now.Before(avoided.until)
+		if silent && isAvoided && avoided.silent || !silent && !isAvoided && !x.triedEntries[address] {
+			usable = append(usable, address)
 		}
 	}
-	return ""
+	return usable
 }
 
 // entryService is an entry and a service whose requests it may serve.
@@ -153,22 +181,28 @@
 	service ident.Service
 }
 
+// avoidance is until when an entry is avoided, and whether it was silent, in place of declining.
+type avoidance struct {
+	until  time.Time
+	silent bool
+}
+
 // avoidEntry keeps requests for a service from being forwarded to an entry for a while.
-func (s *Relay) avoidEntry(e entryService) {
+func (s *Relay) avoidEntry(e entryService, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	for other, until := range s.avoidedEntries {
-		if !now.Before(until) {
+	for other, avoided := range s.avoidedEntries {
+		if !now.Before(avoided.until) {
 			delete(s.avoidedEntries, other)
 		}
 	}
-	s.avoidedEntries[e] = now.Add(declinedPeriod)
+	s.avoidedEntries[e] = avoidance{now.Add(declinedPeriod), silent}
 }
 
-// forwardTo sends the request to an entry and forwards its answer. The request was not accepted if the outcome is outcomeNeverSent or
-// outcomeNotRun.
-func (x *exchange) forwardTo(address string) attemptOutcome {
+// forwardTo sends the request to an entry and forwards its answer. The request was not accepted if the outcome is outcomeNeverSent,
+// outcomeNotAccepted or outcomeNotRun.
+func (x *exchange) forwardTo(address string, acceptIn time.Duration) attemptOutcome {
 	s := x.s
 	if x.triedEntries == nil {
 		x.triedEntries = map[string]bool{}
@@ -184,14 +218,10 @@
 		}
 		return outcomeNeverSent
 	}
-	interrupt := func() { _ = conn.SetDeadline(time.Unix(1, 0)) }
-	stopCallerWatch := context.AfterFunc(x.r.Context(), interrupt)
+	stopCallerWatch := context.AfterFunc(x.r.Context(), func() { interruptConn(conn) })
 	defer stopCallerWatch()
-	if err := conn.SetDeadline(time.Now().Add(x.timeLeft())); err != nil {
-		interrupt()
-	}
 	ranBefore := x.mayHaveRun
-	resp, err := x.exchangeWithEntry(conn)
+	resp, err := x.exchangeWithEntry(conn, acceptIn)
 	if errors.Is(err, errDeclined) {
 		s.entryPool.put(conn, resp, maxIdlePerUpstream)
 		return outcomeNotRun
@@ -207,35 +237,74 @@
 	return outcomeDone
 }
 
-// exchangeWithEntry sends the request and returns the head of the answer, or errDeclined with an answer that was read to its end.
-func (x *exchange) exchangeWithEntry(conn *upstreamConn) (*http.Response, error) {
+// interruptConn ends the reads and writes of a connection.
+func interruptConn(conn *upstreamConn) { _ = conn.SetDeadline(time.Unix(1, 0)) }
+
+// boundConn bounds the next reads and writes of a connection; it stays interrupted if the caller has disconnected.
+func (x *exchange) boundConn(conn *upstreamConn, d time.Duration) {
+	if err := conn.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil {
+		interruptConn(conn)
+	}
+}
+
+// exchangeWithEntry offers the request to an entry, sends the body if that accepts, and returns the head of the answer. With errNotAccepted and
+// errNotOffered the request did not run; with errDeclined neither, and the answer was read to its end.
+func (x *exchange) exchangeWithEntry(conn *upstreamConn, acceptIn time.Duration) (*http.Response, error) {
 	attempts := max(1, x.route.MaxAttempts-x.runCount)
+	x.boundConn(conn, min(acceptIn, x.timeLeft()))
+	resp, err := x.offer(conn, attempts)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errNotAccepted
+	} else if err != nil {
+		return nil, errNotOffered
+	}
+	if resp.StatusCode != http.StatusContinue {
+		x.boundConn(conn, x.timeLeft())
+		return x.checkDeclined(resp)
+	}
 	// From here on upstreams may run the request as often as the route allows.
+	ranBefore := x.mayHaveRun
+	x.mayHaveRun = true
 	x.runCount += attempts
-	if err := x.writeForwarded(conn.bw, attempts); err != nil {
-		x.mayHaveRun = true
+	x.boundConn(conn, x.timeLeft())
+	if err := x.writeForwardedBody(conn.bw); err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(conn.br, x.r)
-	if err != nil {
-		x.mayHaveRun = true
+	if resp, err = http.ReadResponse(conn.br, x.r); err != nil {
 		return nil, err
 	}
+	resp, err = x.checkDeclined(resp)
+	if errors.Is(err, errDeclined) {
+		x.mayHaveRun = ranBefore
+		x.runCount -= attempts
+	}
+	return resp, err
+}
+
+// offer sends the head of the request to an entry and returns the head of its reply: to continue, or the answer to a request that it does
+// not run.
+func (x *exchange) offer(conn *upstreamConn, attempts int) (*http.Response, error) {
+	if err := x.writeForwardedHead(conn.bw, attempts); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(conn.br, x.r)
+}
+
+// checkDeclined reads the rest of an answer that declines the request, and returns errDeclined with it.
+func (x *exchange) checkDeclined(resp *http.Response) (*http.Response, error) {
 	if resp.Header.Get(headerDeclined) == "" {
-		x.mayHaveRun = true
 		return resp, nil
 	}
-	x.runCount -= attempts
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
 		resp.Close = true
 	}
 	return resp, errDeclined
 }
 
-// writeForwarded writes the caller's request for another entry.
-func (x *exchange) writeForwarded(bw *bufio.Writer, attempts int) error {
+// writeForwardedHead writes the head of the caller's request for another entry.
+func (x *exchange) writeForwardedHead(bw *bufio.Writer, attempts int) error {
 	names := &x.s.Headers
-	replaced := map[string]bool{http.CanonicalHeaderKey(names.Deadline): true, http.CanonicalHeaderKey(names.EventID): true}
+	replaced := map[string]bool{http.CanonicalHeaderKey(names.Deadline): true, http.CanonicalHeaderKey(names.EventID): true, "Expect": true}
 	x.writeCallerHead(bw, func(name string) bool { return replaced[name] || forwardHeaders[name] })
 	writeHeader(bw, names.Deadline, strconv.FormatInt(max(1, x.timeLeft().Milliseconds()), 10))
 	if x.lastEventID != "" {
@@ -246,7 +315,26 @@
 	if x.counted {
 		writeHeader(bw, headerForwardCounted, "1")
 	}
-	return x.writeBody(bw)
+	writeHeader(bw, "Expect", "100-continue")
+	if len(x.body) > 0 {
+		writeHeader(bw, "Content-Length", strconv.Itoa(len(x.body)))
+	} else {
+		// A body of length 0 would end with the head, and the request could run without having been accepted.
+		writeHeader(bw, "Transfer-Encoding", "chunked")
+	}
+	writeStrings(bw, "\r\n")
+	return bw.Flush()
+}
+
+// writeForwardedBody writes the caller's body for another entry.
+func (x *exchange) writeForwardedBody(bw *bufio.Writer) error {
+	if len(x.body) == 0 {
+		writeStrings(bw, "0\r\n\r\n")
+	}
+	if _, err := bw.Write(x.body); err != nil {
+		return err
+	}
+	return bw.Flush()
 }
 
 // forwardEntryAnswer forwards the answer of an entry to the caller. If the request may have run before, a refusal that says "not run" is not
@@ -317,6 +405,10 @@
 		return outcomeExpired
 	case errors.Is(err, errRefusedAfterRun):
 		return outcomeFailed
+	case errors.Is(err, errNotAccepted):
+		return outcomeNotAccepted
+	case errors.Is(err, errNotOffered):
+		return outcomeNeverSent
 	}
 	return outcomeBroken
 }
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -174,6 +174,34 @@
 	}
 }
 
+// Guards against requests that wait until their deadline at an entry that is suspended, although another one would serve them.
+func TestForwardedRequestsPassASilentEntry(t *testing.T) {
+	f := newForwardSite(t, respondKind)
+	silent := newUpstream(t, always(func(c net.Conn, _ *http.Request) bool { return stayOpenSilent(c) }))
+	other := f.entryServer.Listener.Addr().String()
+	f.cut.relay.Hall = "near"
+	f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"near": {"127.0.0.1:1", silent.address()}, "far": {other}}))
+	for i, tt := range []struct{ method, path, body string }{
+		{"POST", "/unsafe/x", "body"}, {"POST", "/safe/x", ""}, {"GET", "/safe/x", ""}, {"POST", "/stream/x", "body"},
+	} {
+		// By then the silent entry is tried again.
+		time.Sleep(600 * time.Millisecond)
+		f.cut.relay.SetConfirmed(time.Now())
+		f.other.relay.SetConfirmed(time.Now())
+		started := time.Now()
+		got := f.cut.do(f.cut.request(tt.method, tt.path, fmt.Sprint(i), tt.body))
+		if took := time.Since(started); got.Status != http.StatusOK || !got.Complete || took > 2*time.Second {
+			t.Errorf("%s %s: answer %+v after %v", tt.method, tt.path, got, took)
+		}
+	}
+	if got := f.arrivals(); got != 4 {
+		t.Errorf("%d arrivals of 4 requests", got)
+	}
+	if got := len(silent.received()); got > 0 {
+		t.Errorf("the silent entry received %d whole requests", got)
+	}
+}
+
 // Guards against a second run of a request that must not be repeated, when the entry that it was forwarded to ends.
 func TestForwardedRequestWhoseEntryEnds(t *testing.T) {
 	var f *forwardSite
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,8 +128,8 @@
 	// quarantineSyncScheduled is set while reports are sent periodically to other entries.
 	quarantineSyncScheduled bool
 	reach                   reachability
-	// avoidedEntries are the entries to which no request is forwarded, and until when.
-	avoidedEntries map[entryService]time.Time
+	// avoidedEntries are the entries to which no request is forwarded for a while, unless they were only silent and no other is left.
+	avoidedEntries map[entryService]avoidance
 	// candidates is reused by every choice.
 	candidates candidates
 	// startSlots let the streams of a model that were held at the start continue one by one.
@@ -151,7 +151,7 @@
 		UrgencyFloor: defaultUrgencyFloor,
 		Quarantine:   &quarantine.List{Rule: quarantine.DefaultRule()}, OnQuarantine: func(*QuarantineEvent) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), OnBackpressure: func(*BackpressureEvent) {},
-		OnReachability: func(ReachabilityEvent) {}, avoidedEntries: map[entryService]time.Time{},
+		OnReachability: func(ReachabilityEvent) {}, avoidedEntries: map[entryService]avoidance{},
 		rosterCopy:     roster.NewCopy(),
 		states:         map[ident.Incarnation]*targetState{},
 		peerCounts:     peerCounts{spillCredit: map[ident.Model]float64{}},
--- a/relay/run.go
+++ b/relay/run.go
@@ -17,6 +17,8 @@
 	outcomeDone attemptOutcome = "done"
 	// outcomeNeverSent means that no byte of the request was sent.
 	outcomeNeverSent attemptOutcome = "never-sent"
+	// outcomeNotAccepted means that another entry did not accept the request in time.
+	outcomeNotAccepted attemptOutcome = "not-accepted"
 	// outcomeNotRun means that the upstream refused the request without running it.
 	outcomeNotRun attemptOutcome = "not-run"
 	// outcomeFailed means that the upstream answered with a server error.
