--- a/relay/accept.go
+++ b/relay/accept.go
@@ -46,6 +46,8 @@
 	for name := range forwardHeaders {
 		h.Del(name)
 	}
+	// The expectation is that of the other entry. Upstreams get the body with the head.
+	h.Del("Expect")
 	if versionErr != nil || attemptsErr != nil || attempts < 1 {
 		return nil, result.New(result.BadRequest, "not a request of another entry")
 	}
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -116,7 +116,7 @@
 	}
 	for _, u := range append(f.plain, f.heads...) {
 		for _, r := range u.received() {
-			if !strings.HasSuffix(r.Path, "?q=1") || r.Body != "body "+r.ID || r.Customer != "office" || r.Key != "" {
+			if !strings.HasSuffix(r.Path, "?q=1") || r.Body != "body "+r.ID || r.Customer != "office" || r.Key != "" || r.Expect != "" {
 				t.Errorf("upstream received %+v", r)
 			}
 		}
--- a/relay/upstream_test.go
+++ b/relay/upstream_test.go
@@ -26,7 +26,7 @@
 
 // receivedRequest has the parts of a received request that tests check.
 type receivedRequest struct {
-	ID, Method, Path, Body, Customer, Key, Event, Incarnation string
+	ID, Method, Path, Body, Customer, Key, Event, Incarnation, Expect string
 }
 
 func newUpstream(t testing.TB, respond func(c net.Conn, r *http.Request, n int) bool) *upstream {
@@ -68,7 +68,7 @@
 		u.mu.Lock()
 		u.requests = append(u.requests, receivedRequest{
 			r.Header.Get("Request"), r.Method, r.RequestURI, string(body), r.Header.Get("Customer"), r.Header.Get("Key"),
-			r.Header.Get("Event"), r.Header.Get("Life"),
+			r.Header.Get("Event"), r.Header.Get("Life"), r.Header.Get("Expect"),
 		})
 		n := len(u.requests)
 		u.mu.Unlock()
