Bound connections to upstreams and entries by the same code

The attempt's watch and the forwarding to entries set deadlines and interrupted reads in two ways. The one for upstreams could set a new deadline over the interruption if the caller disconnected between the two calls; that is by reading, no run or test shows it. Both now use the one that checks the caller afterwards.

Measured: the relay's tests of forwarding, streams, callers, deadlines, stalls, cuts and crashes pass; benchmarks were not run.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -65,6 +65,16 @@
 	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
 }
 
+// interrupt ends the read or write in progress and all later ones; whoever reads closes the connection.
+func (c *upstreamConn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
+// boundConn bounds the next reads and writes of a connection; it stays interrupted if the caller has disconnected.
+func (x *exchange) boundConn(c *upstreamConn, d time.Duration) {
+	if err := c.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil {
+		c.interrupt()
+	}
+}
+
 // connPool keeps idle connections by address, the most recently used one last.
 type connPool struct {
 	dial transport.Dial
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -218,7 +218,7 @@
 		}
 		return outcomeNeverSent
 	}
-	stopCallerWatch := context.AfterFunc(x.r.Context(), func() { interruptConn(conn) })
+	stopCallerWatch := context.AfterFunc(x.r.Context(), conn.interrupt)
 	defer stopCallerWatch()
 	ranBefore := x.mayHaveRun
 	resp, err := x.exchangeWithEntry(conn, acceptIn)
@@ -238,16 +238,6 @@
 	return outcomeDone
 }
 
-// interruptConn ends the reads and writes of a connection.
-func interruptConn(conn *upstreamConn) { _ = conn.SetDeadline(time.Unix(1, 0)) }
-
-// boundConn bounds the next reads and writes of a connection; it stays interrupted if the caller has disconnected.
-func (x *exchange) boundConn(conn *upstreamConn, d time.Duration) {
-	if err := conn.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil {
-		interruptConn(conn)
-	}
-}
-
 // exchangeWithEntry offers the request to an entry, sends the body if that accepts, and returns the head of the answer. With errNotAccepted and
 // errNotOffered the request did not run; with errDeclined neither, and the answer was read to its end.
 func (x *exchange) exchangeWithEntry(conn *upstreamConn, acceptIn time.Duration) (*http.Response, error) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -49,10 +49,8 @@
 func (f *forwarder) watch() {
 	f.waitingSince = f.x.s.Now()
 	f.sentAt = f.waitingSince
-	f.stopCallerWatch = context.AfterFunc(f.x.r.Context(), f.interrupt)
-	if err := f.conn.SetDeadline(time.Now().Add(f.x.timeLeft())); err != nil {
-		f.interrupt()
-	}
+	f.stopCallerWatch = context.AfterFunc(f.x.r.Context(), f.conn.interrupt)
+	f.x.boundConn(f.conn, f.x.timeLeft())
 	if f.x.route.Repeatable() && f.x.runCount+1 < f.x.maxRuns() {
 		// The timer may fire before it is stored.
 		f.x.s.mu.Lock()
@@ -73,11 +71,6 @@
 	}
 }
 
-func (f *forwarder) interrupt() {
-	// A deadline in the past ends the read in progress; the connection is closed by the reader.
-	_ = f.conn.SetDeadline(time.Unix(1, 0))
-}
-
 // maxSilence is the fixed time-out for an upstream without progress.
 func (f *forwarder) maxSilence() time.Duration {
 	switch {
@@ -121,7 +114,7 @@
 	}
 	f.abandoned = true
 	f.silentFor, f.suspicionCount = now.Sub(f.waitingSince), f.state.suspicions.Count(now)
-	f.interrupt()
+	f.conn.interrupt()
 }
 
 // hasAlternative reports whether the request should move to another target; the mutex is held. A stream without events leaves a group that
