--- a/ident/ident.go
+++ b/ident/ident.go
@@ -55,6 +55,9 @@
 // Tokens counts language model tokens.
 type Tokens int
 
+// PromptPart is the id that a caller gives a part of a prompt, in lower case.
+type PromptPart string
+
 // ContentHash is the hash of a request's path and body, which stays the same when a caller sends the request again.
 type ContentHash uint64
 
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -6,6 +6,7 @@
 // and stop sending these requests.
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -54,6 +55,8 @@
 	lossRate float64
 	// path is the route of the request.
 	path string
+	// groups is the number of groups, 0 means crashGroups.
+	groups int
 }
 
 // crashCluster is a running scenario: the entries, the engines and the times of crashes.
@@ -76,9 +79,10 @@
 }
 
 func newCrashCluster(scenario crashScenario) *crashCluster {
-	c := &crashCluster{scenario: scenario, startedAt: time.Now(), incarnations: make([]int, crashGroups), gone: make([]bool, crashGroups)}
+	groups := cmp.Or(scenario.groups, crashGroups)
+	c := &crashCluster{scenario: scenario, startedAt: time.Now(), incarnations: make([]int, groups), gone: make([]bool, groups)}
 	byAddress := map[string]*iterationEngine{}
-	for i := range crashGroups {
+	for i := range groups {
 		e := &iterationEngine{slots: excessSlots}
 		e.onRun = func(body string) bool { return c.noteRun(i, body) }
 		c.engines = append(c.engines, e)
@@ -130,7 +134,7 @@
 
 // noteRun records that an engine starts to run a request with the body, and reports whether the engine crashes.
 func (c *crashCluster) noteRun(i int, body string) bool {
-	if body != crashBody {
+	if !strings.HasPrefix(body, crashBody) {
 		return false
 	}
 	c.mu.Lock()
@@ -161,7 +165,7 @@
 	c.mu.Lock()
 	c.revision++
 	d := roster.Delta{Full: true, Revision: c.revision}
-	for i := range crashGroups {
+	for i := range c.engines {
 		if c.gone[i] {
 			continue
 		}
@@ -189,17 +193,19 @@
 	}
 }
 
-// send sends one request to an entry.
-func (c *crashCluster) send(s *relay.Relay, path, id, body string) {
+// send sends one request to an entry, parts is the value of the header that names the parts of its prompt.
+func (c *crashCluster) send(s *relay.Relay, path, id, body, parts string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	r.Host = "h"
 	for name, value := range map[string]string{
-		"Request": id, "Key": "secret", "Model": "m", "Tokens": "800,40", "Deadline": "6000",
+		"Request": id, "Key": "secret", "Model": "m", "Tokens": "800,40", "Deadline": "6000", "Parts": parts,
 	} {
 		r.Header.Set(name, value)
 	}
+	w := httptest.NewRecorder()
 	defer func() { _ = recover() }() // an aborted answer panics, as in net/http
-	s.ServeHTTP(httptest.NewRecorder(), r)
+	s.ServeHTTP(w, r)
+	return w
 }
 
 // run sends requests until the end of the scenario.
@@ -211,7 +217,7 @@
 		for n := 0; time.Since(c.startedAt) < crashTestDuration; n++ {
 			for i := range c.scenario.copies {
 				s := c.entries[(n*7+i*3)%len(c.entries)]
-				wg.Go(func() { c.send(s, c.scenario.path, "crash-"+strconv.Itoa(n)+"."+strconv.Itoa(i), crashBody) })
+				wg.Go(func() { c.send(s, c.scenario.path, "crash-"+strconv.Itoa(n)+"."+strconv.Itoa(i), crashBody, "") })
 			}
 			time.Sleep(crashInterval)
 		}
@@ -220,7 +226,7 @@
 		time.Sleep(time.Duration(random.ExpFloat64() / crashRate * float64(time.Second)))
 		s := c.entries[random.IntN(len(c.entries))]
 		id := strconv.Itoa(n)
-		wg.Go(func() { c.send(s, "/stream/x", id, "body "+id) })
+		wg.Go(func() { c.send(s, "/stream/x", id, "body "+id, "") })
 	}
 	wg.Wait()
 }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -114,6 +115,9 @@
 	} else if x.entryCode != result.OK {
 		record.Code, record.ErrorText = x.entryCode, "failed at the entry to which the request was forwarded"
 	}
+	if slices.ContainsFunc(x.attempts, func(a Attempt) bool { return a.ConnFailure != "" }) {
+		record.PromptParts = x.promptParts
+	}
 	if x.forwarded != nil {
 		record.ForwardedBy = x.r.RemoteAddr
 	}
--- a/relay/names.go
+++ b/relay/names.go
@@ -24,6 +24,8 @@
 	// Model is the model, Tokens the prompt's tokens and the maximum tokens of the answer.
 	Model  string
 	Tokens string
+	// PromptParts has the parts of the prompt in order, comma-separated as ID:TOKENS; the last one belongs to the request or its session.
+	PromptParts string
 	// AnswerEstimate is the caller's estimate of the answer's tokens, which is often far off for a single request.
 	AnswerEstimate string
 	// Priority orders requests at an engine; 0 is first.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -95,6 +95,7 @@
 		x.s.noteSurvived(x.fingerprint())
 	case outcomeBroken:
 		if f.cutErr != nil && connFailureOf(f.cutErr) != ConnUnusable && x.s.upstreamCrashed(t) {
+			x.attempts[len(x.attempts)-1].Crashed = true
 			x.s.noteCrash(x.fingerprint(), t.id, f.eventCount)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -436,8 +436,10 @@
 	ConfirmedAge time.Duration
 	Attempts     []Attempt
 	Prompt       ident.Tokens
-	Events       int
-	FirstEvent   time.Duration
+	// PromptParts are the parts of the prompt, set when the connection of an attempt was cut.
+	PromptParts []ident.PromptPart
+	Events      int
+	FirstEvent  time.Duration
 	// ExpectedFirstEvent is the time to first event by the estimate of the first attempt, 0 without one.
 	ExpectedFirstEvent time.Duration
 	// MaxEventGap is the longest gap between two events.
@@ -496,6 +498,8 @@
 	ConnFailure ConnFailure `json:"cut,omitempty"`
 	RanMS       int64       `json:"ran-ms,omitempty"`
 	Events      int         `json:"events,omitempty"`
+	// Crashed is set when the upstream was found to have crashed.
+	Crashed bool `json:"crashed,omitempty"`
 	// Status is the upstream's status if it failed or refused, RetryAfter its Retry-After header; Leaving is set when it announced that it
 	// is leaving.
 	Status     int    `json:"status,omitempty"`
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,7 +27,7 @@
 func headerNames() relay.HeaderNames {
 	return relay.HeaderNames{
 		RequestID: "Request", Deadline: "Deadline", Key: "Key", Customer: "Customer", Incarnation: "Life", Signature: "Signature",
-		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", AnswerEstimate: "Estimate", Priority: "Priority",
+		NotRun: "Not-Run", Blamed: "Blamed", EventID: "Event", Model: "Model", Tokens: "Tokens", PromptParts: "Parts", AnswerEstimate: "Estimate", Priority: "Priority",
 		Backpressure: backoff.HeaderNames{Leaving: "Leaving", Limit: "Limit"},
 	}
 }
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -244,6 +244,9 @@
 		"first-ms", r.FirstEvent.Milliseconds(), "gap-ms", r.MaxEventGap.Milliseconds(), "total-ms", r.Total.Milliseconds(), "spent-ms", r.PriorElapsed.Milliseconds(), "retry-ms", r.RetryAfter.Milliseconds(),
 		"limit-waits", r.LimitWaits, "urgency", int(r.Urgency), "queued-ms", r.Queued.Milliseconds(),
 	}
+	if len(r.PromptParts) > 0 {
+		fields = append(fields, "parts", r.PromptParts)
+	}
 	if r.Site != nil {
 		fields = append(fields, "site-waiting", r.Site.Waiting, "site-rate", math.Round(r.Site.SendRate*10)/10, "site-age-ms", r.Site.Age.Milliseconds())
 	}
