Reproduce the crashes by a prompt part in a test

TestPromptPartThatCrashesUpstreams sends requests that share one part and are never alike to 8 or 30 entries before 32 groups, with two repetitions by each caller, beside 120 other requests per second that share the other parts.

TestCrashesWithoutABadPart guards the other side: crashes of many upstreams at once must not stop the requests that were waiting there.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -65,6 +65,10 @@
 	startedAt time.Time
 	entries   []*relay.Relay
 	engines   []*iterationEngine
+	addresses []string
+	byAddress map[string]*iterationEngine
+	// losses decides which updates between entries are lost.
+	losses *rand.Rand
 
 	mu       sync.Mutex
 	revision roster.Revision
@@ -81,32 +85,35 @@
 func newCrashCluster(scenario crashScenario) *crashCluster {
 	groups := cmp.Or(scenario.groups, crashGroups)
 	c := &crashCluster{scenario: scenario, startedAt: time.Now(), incarnations: make([]int, groups), gone: make([]bool, groups)}
-	byAddress := map[string]*iterationEngine{}
+	c.byAddress, c.losses = map[string]*iterationEngine{}, rand.New(rand.NewPCG(5, 5))
 	for i := range groups {
 		e := &iterationEngine{slots: excessSlots}
 		e.onRun = func(body string) bool { return c.noteRun(i, body) }
 		c.engines = append(c.engines, e)
-		byAddress["h"+strconv.Itoa(i)] = e
+		c.byAddress["h"+strconv.Itoa(i)] = e
 	}
-	addresses := make([]string, scenario.entries)
-	for i := range addresses {
-		addresses[i] = "10.0.0." + strconv.Itoa(i) + ":7"
+	for i := range scenario.entries {
+		c.addresses = append(c.addresses, "10.0.0."+strconv.Itoa(i)+":7")
 	}
-	random := rand.New(rand.NewPCG(5, 5))
-	for i := range addresses {
-		s := relayForEngines(byAddress)
-		s.SendUpdate = func(n relay.EntryUpdate, to []string) { c.deliver(random, addresses, i, n, to) }
-		s.Observe = c.observe
-		s.Budget.SetEntries(scenario.entries)
-		s.SetConfig(crashConfig())
-		s.SetConfirmed(time.Now())
-		s.SetEntries(sharing.New(addresses[i], map[ident.Hall][]string{"hall": addresses}))
-		c.entries = append(c.entries, s)
+	for i := range c.addresses {
+		c.entries = append(c.entries, c.newEntry(i))
 	}
 	c.publishRoster()
 	return c
 }
 
+// newEntry returns a new process of the entry with the index.
+func (c *crashCluster) newEntry(i int) *relay.Relay {
+	s := relayForEngines(c.byAddress)
+	s.SendUpdate = func(n relay.EntryUpdate, to []string) { c.deliver(i, n, to) }
+	s.Observe = c.observe
+	s.Budget.SetEntries(len(c.addresses))
+	s.SetConfig(crashConfig())
+	s.SetConfirmed(time.Now())
+	s.SetEntries(sharing.New(c.addresses[i], map[ident.Hall][]string{"hall": c.addresses}))
+	return s
+}
+
 func crashConfig() *httproute.Config {
 	cfg := timedConfig()
 	e := cfg.Services[1].Engine
@@ -120,18 +127,24 @@
 }
 
 // deliver sends an update from one entry to others.
-func (c *crashCluster) deliver(random *rand.Rand, addresses []string, from int, update relay.EntryUpdate, to []string) {
-	for j, peer := range c.entries {
+func (c *crashCluster) deliver(from int, update relay.EntryUpdate, to []string) {
+	for j, address := range c.addresses {
 		c.mu.Lock()
-		lost := random.Float64() < c.scenario.lossRate
+		lost := c.losses.Float64() < c.scenario.lossRate
 		c.mu.Unlock()
-		if j == from || lost || to != nil && !slices.Contains(to, addresses[j]) {
+		if j == from || lost || to != nil && !slices.Contains(to, address) {
 			continue
 		}
-		time.AfterFunc(datagramDelay, func() { peer.Receive(update, netip.MustParseAddrPort(addresses[from])) })
+		time.AfterFunc(datagramDelay, func() { c.entry(j).Receive(update, netip.MustParseAddrPort(c.addresses[from])) })
 	}
 }
 
+func (c *crashCluster) entry(i int) *relay.Relay {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[i]
+}
+
 // noteRun records that an engine starts to run a request with the body, and reports whether the engine crashes.
 func (c *crashCluster) noteRun(i int, body string) bool {
 	if !strings.HasPrefix(body, crashBody) {
@@ -141,12 +154,23 @@
 	defer c.mu.Unlock()
 	c.runStarts = append(c.runStarts, time.Since(c.startedAt))
 	c.crashes = append(c.crashes, time.Since(c.startedAt))
+	c.scheduleRestart(i)
+	return true
+}
+
+// scheduleRestart takes a crashed engine out of the roster and restarts it later.
+func (c *crashCluster) scheduleRestart(i int) {
 	time.AfterFunc(crashRosterDelay, func() { c.setGone(i, true) })
 	time.AfterFunc(crashRestartDelay, func() {
 		c.engines[i].restart()
 		c.setGone(i, false)
 	})
-	return true
+}
+
+// crashEngine crashes an engine whatever it runs.
+func (c *crashCluster) crashEngine(i int) {
+	c.engines[i].crash()
+	c.scheduleRestart(i)
 }
 
 // setGone removes an engine from the roster, or adds it with a new incarnation.
@@ -175,8 +199,9 @@
 			Name: ident.Group("g" + id), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{id},
 		})
 	}
+	entries := slices.Clone(c.entries)
 	c.mu.Unlock()
-	for _, s := range c.entries {
+	for _, s := range entries {
 		s.ApplyRoster(&d)
 	}
 }
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -42,12 +42,13 @@
 	slowUntil time.Time
 	rejected  int
 	// down is set after a crash until restart. onRun is called with the body of each request that the engine starts to run; the engine
-	// crashes if it returns true.
-	down     bool
-	onRun    func(body string) bool
-	waiting  []*sequence
-	decoding []*sequence
-	conns    []net.Conn
+	// crashes if it returns true. onArrival is called with the body of each request that reaches the engine.
+	down      bool
+	onRun     func(body string) bool
+	onArrival func(body string)
+	waiting   []*sequence
+	decoding  []*sequence
+	conns     []net.Conn
 }
 
 type sequence struct {
@@ -191,6 +192,9 @@
 		if err != nil {
 			return
 		}
+		if e.onArrival != nil {
+			e.onArrival(string(body))
+		}
 		events := eventsOf(r)
 		seq := &sequence{string(body), prompt, events, events, make(chan int, events), make(chan struct{})}
 		e.mu.Lock()
--- /dev/null
+++ b/relay/part_crash_test.go
@@ -0,0 +1,276 @@
+package relay_test
+
+// These tests guard against a prompt part that crashes every upstream that begins an answer on it. The requests with it are never alike, so no
+// two of them have the same fingerprint, and they share their customer and their other parts with requests that are served.
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/relay"
+)
+
+const (
+	partGroups  = 32
+	partEntries = 8
+	// partRate is the load of other callers in requests per second, partSubjects how many second parts their prompts have.
+	partRate     = 120
+	partSubjects = 40
+	// partAt is when requests with the part first arrive, partSettled how much earlier all requests end before that.
+	partAt      = 3 * time.Second
+	partSettled = time.Second
+	// partCallerRetries is how often the caller of a request with the part repeats it, each time at another entry.
+	partCallerRetries = 2
+	// partContact is how long after the fifth crash further arrivals are not counted, partLostGrace how long a decline of other requests is not.
+	partContact   = 3 * time.Second
+	partLostGrace = 2 * partContact
+	// maxLateArrivals bounds the arrivals of requests with the part after partContact.
+	maxLateArrivals = 3
+)
+
+// partScenario is a site with requests that have a prompt part which crashes upstreams.
+type partScenario struct {
+	entries  int
+	lossRate float64
+	// rate is the rate of requests with the part, duration how long they come.
+	rate     float64
+	duration time.Duration
+	// header returns the prompt parts of the n-th request with the part.
+	header func(n int) string
+	// soundRate is the rate of the other requests, 0 means partRate.
+	soundRate float64
+	// restartEvery is the interval at which one entry after the other restarts, 0 means that none does.
+	restartEvery time.Duration
+}
+
+// partCluster is a running partScenario.
+type partCluster struct {
+	*crashCluster
+	scenario partScenario
+	random   *rand.Rand
+
+	// arrivals are when requests with the part reached upstreams; the cluster's mutex guards it and what follows.
+	arrivals []time.Duration
+	// sound are the outcomes of the other requests at their first attempt.
+	sound []soundRequest
+}
+
+// soundRequest is a request without the part.
+type soundRequest struct {
+	at     time.Duration
+	served bool
+}
+
+func newPartCluster(scenario partScenario) *partCluster {
+	c := &partCluster{scenario: scenario, random: rand.New(rand.NewPCG(7, 7))}
+	c.crashCluster = newCrashCluster(crashScenario{
+		entries: scenario.entries, lossRate: scenario.lossRate, groups: partGroups, path: "/stream/x",
+	})
+	for _, e := range c.engines {
+		e.onArrival = c.noteArrival
+	}
+	return c
+}
+
+func (c *partCluster) noteArrival(body string) {
+	if !strings.HasPrefix(body, crashBody) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals = append(c.arrivals, time.Since(c.startedAt))
+}
+
+func (c *partCluster) randomEntry() *relay.Relay {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[c.random.IntN(len(c.entries))]
+}
+
+// sendCrashing sends the n-th request with the part, and repeats it at once at other entries while it fails.
+func (c *partCluster) sendCrashing(n int) {
+	for i := range partCallerRetries + 1 {
+		w := c.send(c.randomEntry(), "/stream/x", fmt.Sprintf("crash-%d.%d", n, i), fmt.Sprint(crashBody, n), c.scenario.header(n))
+		if w != nil && w.Code == http.StatusOK {
+			return
+		}
+	}
+}
+
+// sendSound sends the n-th request without the part, whose other parts requests with the part may share.
+func (c *partCluster) sendSound(n int) {
+	at := time.Since(c.startedAt)
+	w := c.send(c.randomEntry(), "/stream/x", fmt.Sprint("sound-", n), fmt.Sprint("body ", n), fmt.Sprintf("a0:400,5%d:300,c%d:100", n%partSubjects, n))
+	served := w != nil && w.Code == http.StatusOK && strings.Contains(w.Body.String(), "id: "+strconv.Itoa(floodEvents)+"\n")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sound = append(c.sound, soundRequest{at, served})
+}
+
+// load sends the requests of the scenario until its end.
+func (c *partCluster) load() {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(partAt)
+		random := rand.New(rand.NewPCG(8, 8))
+		for n := 0; time.Since(c.startedAt) < c.scenario.duration; n++ {
+			wg.Go(func() { c.sendCrashing(n) })
+			time.Sleep(time.Duration(random.ExpFloat64() / c.scenario.rate * float64(time.Second)))
+		}
+	})
+	if c.scenario.restartEvery > 0 {
+		wg.Go(func() {
+			for i := 0; time.Since(c.startedAt) < c.scenario.duration; i++ {
+				time.Sleep(c.scenario.restartEvery)
+				c.restartEntry(i % len(c.entries))
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(9, 9))
+	for n := 0; time.Since(c.startedAt) < c.scenario.duration; n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / cmp.Or(c.scenario.soundRate, partRate) * float64(time.Second)))
+		wg.Go(func() { c.sendSound(n) })
+	}
+	wg.Wait()
+}
+
+// restartEntry replaces an entry by a new process, which receives the quarantine reports of the leader before it is ready; here they are those
+// of another entry.
+func (c *partCluster) restartEntry(i int) {
+	other := c.entries[(i+1)%len(c.entries)]
+	s := c.newEntry(i)
+	s.ApplyQuarantineReports(other.Quarantine.ToSend(time.Now(), 32), netip.AddrPort{})
+	c.mu.Lock()
+	c.entries[i] = s
+	c.mu.Unlock()
+	c.publishRoster()
+}
+
+// lateArrivals returns how many requests with the part reached upstreams later than partContact after the fifth crash.
+func (c *partCluster) lateArrivals() int {
+	n := 0
+	for _, at := range c.arrivals {
+		if len(c.crashes) >= 5 && at > c.crashes[4]+partContact {
+			n++
+		}
+	}
+	return n
+}
+
+// servedFraction returns the fraction of the requests without the part that were served, of those that came in [from, to).
+func (c *partCluster) servedFraction(from, to time.Duration) float64 {
+	served, total := 0, 0
+	for _, r := range c.sound {
+		if r.at < from || r.at >= to {
+			continue
+		}
+		total++
+		if r.served {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, total))
+}
+
+// runPart runs f on a cluster with running engines.
+func runPart(t *testing.T, scenario partScenario, f func(c *partCluster)) *partCluster {
+	t.Helper()
+	var c *partCluster
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c = newPartCluster(scenario)
+		var running sync.WaitGroup
+		for _, e := range c.engines {
+			running.Go(func() { e.run(ctx) })
+		}
+		f(c)
+		time.Sleep(crashRestartDelay + time.Second)
+		for _, e := range c.engines {
+			e.close()
+		}
+		cancel()
+		running.Wait()
+	})
+	return c
+}
+
+// Requests with a part that has crashed five upstreams reach at most three more, wherever the part stands, and other requests are served.
+func TestPromptPartThatCrashesUpstreams(t *testing.T) {
+	inTheMiddle := func(n int) string { return fmt.Sprintf("a0:400,bad:300,d%d:100", n) }
+	for name, scenario := range map[string]partScenario{
+		"in the middle":                     {header: inTheMiddle},
+		"first":                             {header: func(n int) string { return fmt.Sprintf("bad:400,5%d:300,d%d:100", n%partSubjects, n) }},
+		"beside the same parts":             {header: func(n int) string { return fmt.Sprintf("a0:400,51:150,bad:150,52:50,d%d:100", n) }},
+		"beside a part of few requests":     {header: func(n int) string { return fmt.Sprintf("bad:400,5%d:300,d%d:100", 7, n) }, soundRate: 40},
+		"few other requests":                {header: inTheMiddle, soundRate: 3},
+		"in the middle, seldom":             {header: inTheMiddle, rate: 0.7, duration: 30 * time.Second},
+		"a third of the updates lost":       {header: inTheMiddle, lossRate: 0.33},
+		"thirty entries":                    {header: inTheMiddle, entries: 30},
+		"entries restart one after another": {header: inTheMiddle, restartEvery: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario.entries = cmp.Or(scenario.entries, partEntries)
+			scenario.rate = cmp.Or(scenario.rate, 6)
+			scenario.duration = cmp.Or(scenario.duration, 22*time.Second)
+			c := runPart(t, scenario, (*partCluster).load)
+			if len(c.crashes) == 0 {
+				t.Fatal("no upstream crashed")
+			}
+			lastCounted := c.crashes[min(len(c.crashes), 5)-1]
+			before, after := c.servedFraction(0, partAt-partSettled), c.servedFraction(lastCounted+partLostGrace, scenario.duration)
+			t.Logf("%d upstreams crashed, %d late arrivals, %.2f of the other requests served before, %.2f after", len(c.crashes), c.lateArrivals(), before, after)
+			if c.lateArrivals() > maxLateArrivals {
+				t.Errorf("%d requests reached upstreams later than %v after the fifth crash, want at most %d", c.lateArrivals(), partContact, maxLateArrivals)
+			}
+			if after < 0.95*before {
+				t.Errorf("%.2f of the other requests served, %.2f before the crashes, want at least 95%% of that", after, before)
+			}
+		})
+	}
+}
+
+// Upstreams that crash at the same moments for another reason, under requests that wait for their first event, quarantine no part.
+func TestCrashesWithoutABadPart(t *testing.T) {
+	for name, crashing := range map[string]int{"a third of the groups": partGroups / 3, "all groups": partGroups} {
+		t.Run(name, func(t *testing.T) {
+			const duration, interval, rounds = 20 * time.Second, 4 * time.Second, 4
+			c := runPart(t, partScenario{entries: partEntries}, func(c *partCluster) {
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					for range rounds {
+						time.Sleep(interval)
+						for i := range crashing {
+							c.crashEngine(i)
+						}
+					}
+				})
+				for n := range int(duration.Seconds() * partRate) {
+					wg.Go(func() { c.sendSound(n) })
+					time.Sleep(time.Second / partRate)
+				}
+				wg.Wait()
+			})
+			before, after := c.servedFraction(0, interval/2), c.servedFraction(duration-interval/4, duration)
+			if after < 0.95*before {
+				t.Errorf("%.2f of the requests served after the last crash, %.2f before, want at least 95%% of that", after, before)
+			}
+			parts := 0
+			for _, s := range c.entries {
+				parts += s.Quarantine.QuarantinedLen(c.startedAt.Add(duration))
+			}
+			if parts > 0 {
+				t.Errorf("%d quarantines at the end, want none", parts)
+			}
+		})
+	}
+}
