Quarantine prompt parts under which upstreams crash

Callers of one route got refusals, broken streams and late answers for half a minute at a time, since requests with one prompt part crashed one upstream after the other.

Cause: evidence was kept by a key that is narrower than its cause. Crashes were counted by customer and digest of path and body. Requests that share the part that crashes upstreams, and nothing else, have ever new digests, so nothing was counted twice, and each of them crashed up to two upstreams, with its caller's repetitions six.

Change: crashes are also counted by part of the prompt, per service and model, for requests whose answer had not begun; the last part is not counted. An event, or a whole answer, clears all parts of its prompt. Crashes at three moments quarantine a part at all entries for 2 s, then one request is admitted as a trial; each trial that crashes an upstream prolongs that to 20 s, 1 h, 24 h and 7 d. Parts that reach the limit together with the cause are told apart by requests that have only one of them. Requests with a quarantined part are refused at once with code 2025 as not run, queued ones too. Streams that have begun continue.

It works because a part that is the cause is never cleared, while all others are cleared by any answer that begins with them, and because the third crash is known to all entries within a datagram's time. Reports are the existing ones with three more fields: older daemons pass them on as reports on a content that no request has.

TestCrashesWithoutABadPart still passes.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -91,10 +91,21 @@
 	return max(0, r.trialUntil.Sub(now), l.quarantinedUntil(r).Sub(now))
 }
 
+// confirmed reports whether the crashes are enough for a quarantine, which may have ended since.
+func (l *List) confirmed(r *record) bool {
+	if r.part {
+		return r.moments >= l.Rule.Crashes
+	}
+	return len(r.crashes) >= l.Rule.Crashes
+}
+
 // quarantinedUntil returns the end of a record's quarantine, the zero time when there is none.
 func (l *List) quarantinedUntil(r *record) time.Time {
-	if len(r.crashes) < l.Rule.Crashes {
+	switch {
+	case !l.confirmed(r):
 		return time.Time{}
+	case r.part:
+		return r.lastCrash.Add(partDurations[min(r.failedTrials, len(partDurations)-1)])
 	}
 	return r.lastCrash.Add(min(MaxDuration, l.Rule.InitialDuration<<(len(r.crashes)-l.Rule.Crashes)))
 }
@@ -105,10 +116,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.records[fingerprint]
-	if r == nil || len(r.crashes) < l.Rule.Crashes {
+	if r == nil || !l.confirmed(r) {
 		return Report{}, false
 	}
-	r.trialUntil = now.Add(trialTimeout)
+	r.beginTrial(now)
 	report = r.report(fingerprint, now)
 	report.Trying = true
 	return report, true
@@ -119,6 +130,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.recordOf(fingerprint)
+	if r.part {
+		l.countPartCrash(now, r, crash)
+	}
 	r.add([]CrashID{crash})
 	r.lastCrash, r.changedAt, r.trialUntil = now, now, time.Time{}
 	l.digestStale = true
@@ -134,7 +148,8 @@
 	if r == nil || len(r.crashes) == 0 {
 		return Report{}, false
 	}
-	*r = record{cleared: r.cleared + 1, changedAt: now}
+	r.clear(r.cleared + 1)
+	r.changedAt, r.trialUntil = now, time.Time{}
 	l.digestStale = true
 	return r.report(fingerprint, now), true
 }
@@ -149,22 +164,30 @@
 	}
 	r := l.recordOf(fingerprint)
 	if report.Cleared < r.cleared {
+		if r.part && len(report.Ends) >= partSharedCrashes {
+			// The sender has not heard of the answer.
+			r.everShared, r.changedAt, l.digestStale = true, now, true
+		}
 		return false
 	}
 	if report.Trying {
-		r.trialUntil = now.Add(trialTimeout)
+		r.beginTrial(now)
 	}
 	changed := report.Cleared > r.cleared
 	if changed {
-		*r = record{cleared: report.Cleared, trialUntil: r.trialUntil}
+		r.clear(report.Cleared)
 	}
-	if r.add(report.Ends) {
+	crashedAt := now.Add(-time.Duration(min(max(0, report.AgeMS), r.maxAge().Milliseconds())) * time.Millisecond)
+	added := r.add(report.Ends)
+	if added {
 		changed = true
 		if !report.Trying {
 			r.trialUntil = time.Time{}
 		}
 	}
-	crashedAt := now.Add(-time.Duration(min(max(0, report.AgeMS), MaxDuration.Milliseconds())) * time.Millisecond)
+	if r.part && r.mergePart(report, added, crashedAt) {
+		changed = true
+	}
 	if len(report.Ends) > 0 && crashedAt.Sub(r.lastCrash) > sameCrashTolerance {
 		r.lastCrash = crashedAt
 		changed = true
@@ -187,7 +210,7 @@
 	if len(l.records) >= l.Rule.MaxRecords {
 		l.evictOne()
 	}
-	r := &record{}
+	r := &record{part: fingerprint.Part != ""}
 	l.records[fingerprint] = r
 	return r
 }
@@ -247,9 +270,20 @@
 	return l.reports(now, func(r *record) bool { return l.quarantinedUntil(r).After(now) })
 }
 
+// Kept returns the reports that a new process needs: those on quarantines, and on parts of prompts whose quarantine has ended without a trial.
+func (l *List) Kept(now time.Time) []Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reports(now, func(r *record) bool { return l.isKept(now, r) })
+}
+
+func (l *List) isKept(now time.Time, r *record) bool {
+	return l.quarantinedUntil(r).After(now) || r.part && l.confirmed(r)
+}
+
 // toShare returns the reports that other entries need: on recent changes and on quarantines.
 func (l *List) toShare(now time.Time) []Report {
-	return l.reports(now, func(r *record) bool { return now.Sub(r.changedAt) < resendFor || l.quarantinedUntil(r).After(now) })
+	return l.reports(now, func(r *record) bool { return r.isShared() && now.Sub(r.changedAt) < resendFor || l.isKept(now, r) })
 }
 
 // reports returns the reports on the included records in a fixed order, and deletes outdated records.
@@ -257,14 +291,14 @@
 	var list []Report
 	for fingerprint, r := range l.records {
 		switch {
-		case now.Sub(r.changedAt) > retention && !l.quarantinedUntil(r).After(now):
+		case now.Sub(r.changedAt) > retention && now.Sub(l.quarantinedUntil(r)) > r.retentionAfterQuarantine():
 			delete(l.records, fingerprint)
 		case include(r):
 			list = append(list, r.report(fingerprint, now))
 		}
 	}
 	slices.SortFunc(list, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Customer, b.Customer))
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Part, b.Part))
 	})
 	return list
 }
@@ -311,6 +345,10 @@
 		for _, crash := range list[i].Ends {
 			write(uint64(crash))
 		}
+		if list[i].Part != "" {
+			write(uint64(list[i].Moments))
+			write(uint64(list[i].FailedTrials))
+		}
 	}
 	return digest.Sum64()
 }
--- a/quarantine/work.go
+++ b/quarantine/work.go
@@ -9,10 +9,24 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
-// Fingerprint identifies a request that is sent again under another id, by customer and content.
+// Fingerprint identifies what requests under which upstreams crash can have in common: either their customer and content, if one request is
+// sent again under another id, or a part of their prompts.
 type Fingerprint struct {
 	Customer ident.Customer
 	Content  ident.ContentHash
+	// Part is the id of a part of the prompt, "" otherwise; Content is then the digest of the service, the model and the id.
+	Part ident.PromptPart
+}
+
+// PartFingerprint returns the fingerprint of a part of the prompts for a model.
+func PartFingerprint(service ident.Service, model ident.Model, part ident.PromptPart) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, name := range []string{string(service), string(model), string(part)} {
+		_, _ = digest.WriteString(name) // a hash accepts everything
+		_, _ = digest.Write([]byte{0})
+	}
+	return Fingerprint{Content: ident.ContentHash(digest.Sum64()), Part: part}
 }
 
 // ContentOf returns the digest of a path with query and a body.
@@ -46,15 +60,29 @@
 	AgeMS int64 `cbor:"5,keyasint,omitempty"`
 	// Trying is set when the sender is running a trial after a quarantine.
 	Trying bool `cbor:"6,keyasint,omitempty"`
+	// Part is the part of prompts that the report is about, if it is about one. Moments and FailedTrials are what the sender counted for it;
+	// of two reports with equal Cleared the higher ones count.
+	Part         ident.PromptPart `cbor:"7,keyasint,omitempty"`
+	Moments      int              `cbor:"8,keyasint,omitempty"`
+	FailedTrials int              `cbor:"9,keyasint,omitempty"`
 }
 
 // Fingerprint returns the fingerprint that the report is about.
 func (r *Report) Fingerprint() Fingerprint {
-	return Fingerprint{r.Customer, r.Content}
+	return Fingerprint{r.Customer, r.Content, r.Part}
 }
 
 // record is what is known of one fingerprint.
 type record struct {
+	// part is set for a part of prompts. moments is the number of moments at which upstreams crashed under requests with it, the last of which
+	// began at momentAt; failedTrials is how many trials ended in a crash.
+	part         bool
+	moments      int
+	momentAt     time.Time
+	failedTrials int
+	// everShared is set once the part has had partSharedCrashes crashes, and stays set when they are cleared.
+	everShared bool
+
 	cleared uint32
 	crashes []CrashID
 	// lastCrash is the time of the newest crash, changedAt the time of the last change.
@@ -76,6 +104,7 @@
 		r.crashes = r.crashes[:min(len(r.crashes), MaxCrashes)]
 		added = true
 	}
+	r.everShared = r.everShared || len(r.crashes) >= partSharedCrashes
 	return added
 }
 
@@ -84,5 +113,13 @@
 	if len(r.crashes) == 0 {
 		age = 0
 	}
-	return Report{Customer: fingerprint.Customer, Content: fingerprint.Content, Cleared: r.cleared, Ends: slices.Clone(r.crashes), AgeMS: age}
+	return Report{
+		Customer: fingerprint.Customer, Content: fingerprint.Content, Part: fingerprint.Part, Cleared: r.cleared, Ends: slices.Clone(r.crashes), AgeMS: age,
+		Moments: r.moments, FailedTrials: r.failedTrials,
+	}
+}
+
+// clear forgets the crashes; the answer that cleared them was the cleared-th.
+func (r *record) clear(cleared uint32) {
+	*r = record{part: r.part, everShared: r.everShared, cleared: cleared, trialUntil: r.trialUntil}
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -135,7 +135,7 @@
 	}
 	f.returnConn(resp)
 	signed := resp.Header.Get(x.s.Headers.Signature) != ""
-	success := resp.StatusCode < http.StatusMultipleChoices
+	success := isSuccess(resp.StatusCode)
 	if success && (!signed || resp.Header.Get("Content-Encoding") != "") {
 		return outcomeBroken
 	}
@@ -153,6 +153,10 @@
 	return outcomeDone
 }
 
+func isSuccess(status int) bool {
+	return status < http.StatusMultipleChoices
+}
+
 // isUpstreamFailure reports whether a status is a failure after which another upstream could succeed.
 func isUpstreamFailure(status int) bool {
 	return status >= http.StatusInternalServerError
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -31,7 +31,9 @@
 	model     ident.Model
 	// promptParts are the parts that the caller names, without those beyond maxPromptParts.
 	promptParts []ident.PromptPart
-	body        []byte
+	// quarantineParts are their fingerprints.
+	quarantineParts []quarantine.Fingerprint
+	body            []byte
 	// bodyTimedOut is set when the deadline passed before the body had arrived. net/http then cancels the request's context, as it does
 	// when the caller disconnects.
 	bodyTimedOut bool
@@ -157,7 +159,7 @@
 		return result.New(result.NoWholeGroup, "the route's service is not declared")
 	}
 	x.model = ident.Model(x.r.Header.Get(x.s.Headers.Model))
-	x.promptParts = parsePromptParts(x.r.Header.Values(x.s.Headers.PromptParts))
+	x.setPromptParts()
 	x.lastEventID = x.r.Header.Get(x.s.Headers.EventID)
 	x.priorElapsed = x.s.estimatePriorElapsed(x.route.Name, x.callerTimeout())
 	if x.forwarded == nil && !x.prefersOtherEntry() {
--- a/relay/flood_test.go
+++ b/relay/flood_test.go
@@ -158,6 +158,13 @@
 	e.conns = nil
 }
 
+// load returns the number of requests at the engine.
+func (e *iterationEngine) load() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.waiting) + len(e.decoding)
+}
+
 func (e *iterationEngine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/relay/part_crash_test.go
+++ b/relay/part_crash_test.go
@@ -4,11 +4,12 @@
 // two of them have the same fingerprint, and they share their customer and their other parts with requests that are served.
 
 import (
-	"cmp"
+	stdcmp "cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -17,6 +18,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
 )
 
@@ -40,7 +44,9 @@
 
 // partScenario is a site with requests that have a prompt part which crashes upstreams.
 type partScenario struct {
-	entries  int
+	entries int
+	// groups is the number of groups, 0 means partGroups.
+	groups   int
 	lossRate float64
 	// rate is the rate of requests with the part, duration how long they come.
 	rate     float64
@@ -74,7 +80,7 @@
 func newPartCluster(scenario partScenario) *partCluster {
 	c := &partCluster{scenario: scenario, random: rand.New(rand.NewPCG(7, 7))}
 	c.crashCluster = newCrashCluster(crashScenario{
-		entries: scenario.entries, lossRate: scenario.lossRate, groups: partGroups, path: "/stream/x",
+		entries: scenario.entries, lossRate: scenario.lossRate, groups: stdcmp.Or(scenario.groups, partGroups), path: "/stream/x",
 	})
 	for _, e := range c.engines {
 		e.onArrival = c.noteArrival
@@ -138,7 +144,7 @@
 	}
 	random := rand.New(rand.NewPCG(9, 9))
 	for n := 0; time.Since(c.startedAt) < c.scenario.duration; n++ {
-		time.Sleep(time.Duration(random.ExpFloat64() / cmp.Or(c.scenario.soundRate, partRate) * float64(time.Second)))
+		time.Sleep(time.Duration(random.ExpFloat64() / stdcmp.Or(c.scenario.soundRate, partRate) * float64(time.Second)))
 		wg.Go(func() { c.sendSound(n) })
 	}
 	wg.Wait()
@@ -219,9 +225,9 @@
 		"entries restart one after another": {header: inTheMiddle, restartEvery: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			scenario.entries = cmp.Or(scenario.entries, partEntries)
-			scenario.rate = cmp.Or(scenario.rate, 6)
-			scenario.duration = cmp.Or(scenario.duration, 22*time.Second)
+			scenario.entries = stdcmp.Or(scenario.entries, partEntries)
+			scenario.rate = stdcmp.Or(scenario.rate, 6)
+			scenario.duration = stdcmp.Or(scenario.duration, 22*time.Second)
 			c := runPart(t, scenario, (*partCluster).load)
 			if len(c.crashes) == 0 {
 				t.Fatal("no upstream crashed")
@@ -274,3 +280,86 @@
 		})
 	}
 }
+
+// quarantineBadPart makes an entry quarantine the part "bad", by reports of another one.
+func quarantineBadPart(s *relay.Relay) {
+	list := &quarantine.List{Rule: quarantine.DefaultRule()}
+	now := time.Now().Add(-time.Second)
+	for n := range 3 {
+		list.Crashed(now.Add(time.Duration(n)*200*time.Millisecond), quarantine.PartFingerprint("model", "m", "bad"), quarantine.CrashID(n))
+	}
+	s.ApplyQuarantineReports(list.ToSend(time.Now(), 1), netip.AddrPort{})
+}
+
+// A request with a quarantined part is refused at once as not run, with the remaining time, also while it is queued.
+func TestRefusalOfAQuarantinedPart(t *testing.T) {
+	const queuedFor, groups = 100 * time.Millisecond, 2
+	runPart(t, partScenario{entries: 1, groups: groups}, func(c *partCluster) {
+		s := c.entries[0]
+		var records []*relay.Record
+		s.Observe = func(r *relay.Record) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if strings.HasPrefix(r.ID, "crash") {
+				records = append(records, r)
+			}
+		}
+		for _, e := range c.engines {
+			e.stall(time.Second)
+		}
+		var wg sync.WaitGroup
+		for n := range 2 * groups * excessSlots {
+			wg.Go(func() { c.sendSound(n) })
+		}
+		synctest.Wait()
+		var answers [2]*httptest.ResponseRecorder
+		send := func(i int) {
+			answers[i] = c.send(s, "/once/x", fmt.Sprint("crash-", i), crashBody, "a0:1,BAD:1,own:1")
+		}
+		wg.Go(func() { send(0) })
+		time.Sleep(queuedFor)
+		quarantineBadPart(s)
+		synctest.Wait()
+		send(1)
+		for i, w := range answers {
+			if w == nil {
+				t.Fatalf("request %d has no answer", i)
+			}
+			want := `{"result-code":2025,"result":"prompt-part-quarantined","not-run":true}` + "\n"
+			if diff := cmp.Diff(want, w.Body.String()); w.Code != http.StatusServiceUnavailable || diff != "" {
+				t.Errorf("request %d: status %d, body (-want +got):\n%s", i, w.Code, diff)
+			}
+			if after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64); err != nil || after < 1 || after > 3 {
+				t.Errorf("request %d: Retry-After %q, want the remaining 1.4 s and up to half of it", i, w.Header().Get("Retry-After"))
+			}
+		}
+		if len(records) != 2 || len(c.arrivals) > 0 || records[0].Queued != queuedFor || records[0].Total > queuedFor || records[1].Total > 0 {
+			t.Errorf("%d records, %d requests at upstreams, want both refused at once: %+v", len(records), len(c.arrivals), records)
+		}
+		wg.Wait()
+	})
+}
+
+// A stream that has begun is continued at another upstream although one of its parts is quarantined meanwhile, which clears the part.
+func TestBegunStreamWithAQuarantinedPart(t *testing.T) {
+	runPart(t, partScenario{entries: 1}, func(c *partCluster) {
+		s := c.entries[0]
+		var w *httptest.ResponseRecorder
+		var wg sync.WaitGroup
+		wg.Go(func() { w = c.send(s, "/stream/x", "sound", "body", "bad:400,own:100") })
+		time.Sleep(150 * time.Millisecond)
+		quarantineBadPart(s)
+		for i := range c.engines {
+			if c.engines[i].load() > 0 {
+				c.crashEngine(i)
+			}
+		}
+		wg.Wait()
+		if w == nil || !strings.Contains(w.Body.String(), "id: "+strconv.Itoa(floodEvents)+"\n") {
+			t.Error("the stream is not complete")
+		}
+		if n := s.Quarantine.QuarantinedLen(time.Now()); n > 0 {
+			t.Errorf("%d quarantines after an answer has begun", n)
+		}
+	})
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -66,7 +66,7 @@
 func (x *exchange) quarantineErrorLocked(now time.Time) error {
 	remaining := x.s.Quarantine.Remaining(now, x.fingerprint())
 	if remaining <= 0 {
-		return nil
+		return x.partQuarantineError(now)
 	}
 	x.minRetryAfter = remaining
 	return result.New(result.WorkHeld, "upstreams crashed while they ran the same request, content %v; quarantined for another %v", x.content, remaining.Round(time.Millisecond))
@@ -81,22 +81,40 @@
 	if err := x.quarantineErrorLocked(now); err != nil {
 		return err
 	}
-	if report, ok := s.Quarantine.BeginTrial(now, x.fingerprint()); ok {
-		s.OnQuarantine(&QuarantineEvent{Report: report})
-		s.publishQuarantine(&report)
+	s.beginTrial(now, x.fingerprint())
+	for _, part := range x.quarantineParts {
+		s.beginTrial(now, part)
 	}
 	return nil
 }
 
+// beginTrial records a trial if the fingerprint was quarantined; the mutex is held.
+func (s *Relay) beginTrial(now time.Time, fingerprint quarantine.Fingerprint) {
+	report, ok := s.Quarantine.BeginTrial(now, fingerprint)
+	if !ok {
+		return
+	}
+	s.OnQuarantine(&QuarantineEvent{Report: report})
+	if fingerprint.Part != "" {
+		s.publishPart(&report)
+		return
+	}
+	s.publishQuarantine(&report)
+}
+
 // noteEvidence records whether the upstream survived the request or crashed under it.
 func (x *exchange) noteEvidence(t *target, f *forwarder, outcome attemptOutcome) {
 	switch outcome {
-	case outcomeDone, outcomeFailed:
+	case outcomeDone:
+		x.s.noteSurvived(x.fingerprint())
+		x.noteSuccess()
+	case outcomeFailed:
 		x.s.noteSurvived(x.fingerprint())
 	case outcomeBroken:
 		if f.cutErr != nil && connFailureOf(f.cutErr) != ConnUnusable && x.s.upstreamCrashed(t) {
 			x.attempts[len(x.attempts)-1].Crashed = true
 			x.s.noteCrash(x.fingerprint(), t.id, f.eventCount)
+			x.notePartCrashes(t.id)
 		}
 	}
 }
@@ -222,8 +240,13 @@
 
 // sendQuarantineEvent passes a report to OnQuarantine if its fingerprint is quarantined; the mutex is held.
 func (s *Relay) sendQuarantineEvent(now time.Time, report *quarantine.Report, from netip.AddrPort) {
-	if remaining := s.Quarantine.Remaining(now, report.Fingerprint()); remaining > 0 {
-		s.OnQuarantine(&QuarantineEvent{*report, remaining, from})
+	remaining := s.Quarantine.Remaining(now, report.Fingerprint())
+	if remaining <= 0 {
+		return
+	}
+	s.OnQuarantine(&QuarantineEvent{*report, remaining, from})
+	if report.Part != "" {
+		s.refuseQueuedParts(now)
 	}
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -60,7 +60,7 @@
 		// A request whose fingerprint is quarantined is sent to no upstream. A request that crashes upstreams and is repeated by its
 		// caller would otherwise crash one after the other.
 		if err := x.quarantineError(); err != nil {
-			return err
+			return x.quarantineRefusal(err)
 		}
 		chosen, ended, err := x.nextTarget()
 		if ended {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -190,6 +190,9 @@
 	x.clearPendingLocked(f.state)
 	f.state.noteIteration(now, tooLate)
 	f.streaming = true
+	if f.eventCount == 0 {
+		x.noteAnswerBegun(now)
+	}
 	if x.eventCount == 0 {
 		x.firstEventAfter = now.Sub(x.arrivedAt)
 		f.state.noteProgress(now)
--- a/result/code.go
+++ b/result/code.go
@@ -42,6 +42,7 @@
 	BackedOff           Code = 2022
 	Limited             Code = 2023
 	OutOfHome           Code = 2024
+	PartQuarantined     Code = 2025
 
 	ChangeInvalid     Code = 3001
 	ChangeConflict    Code = 3002
@@ -143,6 +144,7 @@
 	{BackedOff, "upstreams-backed-off", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request asked to be left alone for a time.", "Wait for Retry-After; operators run site explain."},
 	{Limited, "upstreams-limited", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request has named how many requests it takes, and takes no more in time.", "Wait for Retry-After; operators run site explain."},
 	{OutOfHome, "no-upstream-at-home", http.StatusServiceUnavailable, exitRefused, true, "Every upstream that could run the request is in a region where its route or its customer does not allow it.", "Add upstreams in an allowed region, or allow another one."},
+	{PartQuarantined, "prompt-part-quarantined", http.StatusServiceUnavailable, exitFailed, true, "Upstreams crashed each time they began an answer to a prompt with one of its parts; such requests are not sent for now.", "Change that part of the prompt; a single request with it is sent after Retry-After."},
 
 	{ChangeInvalid, "change-invalid", http.StatusBadRequest, exitRefused, true, "The change is malformed.", "Correct the change."},
 	{ChangeConflict, "change-conflict", http.StatusConflict, exitConflict, true, "Another change came first.", "Read the current state and decide again."},
