Send all quarantines to an entry that has just started

A sync reply has 32 quarantine reports at most, in rotation. With more of them, an entry that had just started became ready with a part of them, and could send what the others had quarantined. What control daemons saved lacked parts of prompts whose quarantine had ended and that wait for a trial: after a restart of all daemons such a part was unknown, and could crash three upstreams more.

The reply to a caller without reports now has all quarantines, 256 at most, and the same are saved.

TestFirstSyncHasAllQuarantines: 32 -> 100 of 100 reports after the first sync. TestPartQuarantineSurvivesRestart failed before. A report on a part with an id of the longest form fits into a datagram (TestQuarantineReportFitsDatagram).

--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -17,9 +17,9 @@
 // maxSyncReports bounds the quarantine reports of one sync, 26 to 98 bytes each in CBOR with a short customer name.
 const maxSyncReports = 32
 
-// maxSavedReports bounds the quarantine reports that are saved to disk; those with the longest quarantine left are
-// kept.
-const maxSavedReports = 256
+// maxKeptReports bounds the quarantine reports that are saved to disk or sent to an entry that has just started; those
+// with the most crashes go first.
+const maxKeptReports = 256
 
 // QuarantineState is a quarantined request fingerprint, as operators see it.
 type QuarantineState struct {
@@ -36,9 +36,20 @@
 func (c *Control) mergeQuarantine(now time.Time, call *SyncCall, reply *SyncReply) {
 	c.applyQuarantine(now, call.Held)
 	reply.HeldSum = c.quarantine.Digest(now)
-	if reply.HeldSum != call.HeldSum {
-		reply.Held = c.quarantine.ToSend(now, maxSyncReports)
+	if reply.HeldSum == call.HeldSum {
+		return
 	}
+	if call.HeldSum == 0 {
+		// The caller may have just started, and must know all quarantines before it sends requests.
+		reply.Held = c.keptReports(now)
+	}
+	reply.Held = append(reply.Held, c.quarantine.ToSend(now, maxSyncReports)...)
+}
+
+// keptReports returns the reports that a new process needs, maxKeptReports at most.
+func (c *Control) keptReports(now time.Time) []quarantine.Report {
+	reports := c.quarantine.Kept(now)
+	return reports[:min(len(reports), maxKeptReports)]
 }
 
 // applyQuarantine applies quarantine reports of other daemons.
--- a/site/quarantine_test.go
+++ b/site/quarantine_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -91,21 +92,23 @@
 	}
 }
 
-// A quarantine report with the longest customer name and all crashes fits into a datagram.
+// Quarantine reports with the longest customer name or part, and all crashes, fit into a datagram.
 func TestQuarantineReportFitsDatagram(t *testing.T) {
 	a, _ := startPeerEntries(t)
 	b, receivedByB := startPeerEntries(t)
 	a.SetEntries(b.Address())
-	report := quarantine.Report{
-		Customer: ident.Customer(strings.Repeat("n", ident.MaxNameLength)), Content: 1<<64 - 1, Cleared: 1<<32 - 1, AgeMS: 3_600_000, Trying: true,
-	}
-	for n := range quarantine.MaxCrashes {
-		report.Ends = append(report.Ends, ^quarantine.CrashID(n))
-	}
-	want := relay.EntryUpdate{QuarantineReport: &report}
-	a.Enqueue(want)
-	if diff := cmp.Diff(want, <-receivedByB); diff != "" {
-		t.Errorf("received (-want +got):\n%s", diff)
+	for _, report := range []quarantine.Report{
+		{Customer: ident.Customer(strings.Repeat("n", ident.MaxNameLength)), Content: 1<<64 - 1, Cleared: 1<<32 - 1, AgeMS: 3_600_000, Trying: true},
+		{Part: ident.PromptPart(strings.Repeat("f", 32)), Content: 1<<64 - 1, Cleared: 1<<32 - 1, AgeMS: 7 * 24 * 3_600_000, Trying: true, Moments: 9, FailedTrials: 5},
+	} {
+		for n := range quarantine.MaxCrashes {
+			report.Ends = append(report.Ends, ^quarantine.CrashID(n))
+		}
+		want := relay.EntryUpdate{QuarantineReport: &report}
+		a.Enqueue(want)
+		if diff := cmp.Diff(want, <-receivedByB); diff != "" {
+			t.Errorf("received (-want +got):\n%s", diff)
+		}
 	}
 }
 
@@ -157,3 +160,51 @@
 		t.Errorf("%d of 36 reports were due in nine calls of four", len(sent))
 	}
 }
+
+// An entry that has just started knows all quarantines after its first sync, before it is ready.
+func TestFirstSyncHasAllQuarantines(t *testing.T) {
+	now := time.Now()
+	leader := newStoppedControl(t, t.TempDir())
+	entry := &quarantineSyncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	var parts []quarantine.Fingerprint
+	for n := range 100 {
+		parts = append(parts, quarantine.PartFingerprint("service", "model", ident.PromptPart(strconv.Itoa(n))))
+		for i := range 3 {
+			entry.list.Crashed(now.Add(time.Duration(i-3)*time.Second), parts[n], quarantine.CrashID(3*n+i))
+		}
+	}
+	for range 10 {
+		entry.sync(now, leader)
+	}
+	fresh := &quarantineSyncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	fresh.sync(now, leader)
+	for _, part := range parts {
+		if remaining, _ := fresh.list.RemainingOfParts(now, []quarantine.Fingerprint{part}); remaining == 0 {
+			t.Fatalf("part %s is not quarantined after the first sync, %d reports were received", part.Part, fresh.received)
+		}
+	}
+}
+
+// The quarantine of a part survives a restart of all daemons at once, also while it waits for its next trial.
+func TestPartQuarantineSurvivesRestart(t *testing.T) {
+	dir := t.TempDir()
+	first := newStoppedControl(t, dir)
+	now := time.Now()
+	entry := &quarantineSyncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	part := quarantine.PartFingerprint("service", "model", "5c1e07a2")
+	for n := range 3 {
+		entry.list.Crashed(now.Add(time.Duration(n-60)*time.Second), part, quarantine.CrashID(n))
+	}
+	entry.sync(now, first)
+	if err := first.SaveRoster(); err != nil {
+		t.Fatal(err)
+	}
+	first.CloseFolder()
+	second := newStoppedControl(t, dir)
+	second.LoadRoster()
+	fresh := &quarantineSyncer{list: &quarantine.List{Rule: quarantine.DefaultRule()}}
+	fresh.sync(time.Now(), second)
+	if _, ok := fresh.list.BeginTrial(time.Now(), part); !ok {
+		t.Error("the next request with the part is not a trial after a restart of all daemons")
+	}
+}
--- a/site/roster_file.go
+++ b/site/roster_file.go
@@ -69,8 +69,7 @@
 }
 
 func (c *Control) saveRoster(snapshot *roster.Delta) error {
-	reports := c.quarantine.Quarantined(clock.Now())
-	content, err := cbor.Marshal(savedRoster{snapshot.Upstreams, snapshot.Groups, reports[:min(len(reports), maxSavedReports)]})
+	content, err := cbor.Marshal(savedRoster{snapshot.Upstreams, snapshot.Groups, c.keptReports(clock.Now())})
 	if err != nil {
 		return err
 	}
