Show quarantined prompt parts to operators, and let them release one

`site groups` and `site explain` list parts with their crashes and failed trials, also those that wait for a trial; log lines of a quarantine name the part. `site release NAME` ends the quarantine of a part or a content: the leader clears it, and entries receive that with their next syncs.

List.Quarantined had no caller left; Kept takes its place.

TestReleaseOfAPromptPart; two of its lines would not compile before.

--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -98,10 +99,13 @@
 	if len(held) == 0 {
 		return
 	}
-	fmt.Fprintln(t, "\nHELD CONTENT\tCUSTOMER\tUPSTREAMS ENDED\tFOR ANOTHER")
+	fmt.Fprintln(t, "\nHELD CONTENT\tPROMPT PART\tCUSTOMER\tUPSTREAMS CRASHED\tFAILED TRIALS\tFOR ANOTHER")
 	for _, h := range held {
-		left := (time.Duration(h.ForMS) * time.Millisecond).Round(time.Second)
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", h.Content, h.Customer, h.Ends, left)
+		left := "until a trial"
+		if h.ForMS > 0 {
+			left = (time.Duration(h.ForMS) * time.Millisecond).Round(time.Second).String()
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\n", h.Content, cmp.Or(string(h.Part), "-"), cmp.Or(string(h.Customer), "-"), h.Ends, h.FailedTrials, left)
 	}
 }
 
@@ -183,13 +187,30 @@
 	return strings.Join(names, ",")
 }
 
+func siteRelease() *cobra.Command {
+	q := &inspection{}
+	return q.flags(&cobra.Command{
+		Use: "release NAME", Short: "End the quarantine of a request content or a prompt part", Args: cobra.ExactArgs(1),
+		Long:    "End the quarantine of a request content or a prompt part, as listed by site groups. If upstreams crash again, it is quarantined again.",
+		Example: "  dunlinquay site release 5c1e07a2 --settings /etc/dunlinquay/site.json",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			addresses, err := q.addresses()
+			if err != nil {
+				return err
+			}
+			return site.Release(cmd.Context(), transport.TCPWithPeerTimeout(), addresses, args[0])
+		},
+	})
+}
+
 func siteExplain() *cobra.Command {
 	q := &inspection{}
 	return q.flags(&cobra.Command{
 		Use: "explain NAME", Short: "Say what a model, a group, an upstream or held work of a site does, and why", Args: cobra.ExactArgs(1),
 		Long: "Say what a model, a group or an upstream of a site does, and why: for a model what keeps it from having more groups,\n" +
 			"domain by domain; for a group its members and the decisions on it, also after it has ended; for an upstream what it\n" +
-			"does and the decisions on its groups; for a customer or the content of a request what is held because upstreams ended.",
+			"does and the decisions on its groups; for a customer, the content of a request or a part of prompts what is held\n" +
+			"because upstreams crashed.",
 		Example: "  dunlinquay site explain prosa-large --settings /etc/dunlinquay/site.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := q.state(cmd)
@@ -233,7 +254,7 @@
 	})
 	part.Forecasts = slices.DeleteFunc(slices.Clone(s.Forecasts), func(f site.ModelForecast) bool { return string(f.Model) != name })
 	part.Held = slices.DeleteFunc(slices.Clone(s.Held), func(h site.QuarantineState) bool {
-		return h.Content != name && string(h.Customer) != name
+		return h.Content != name && string(h.Customer) != name && string(h.Part) != name
 	})
 	return &part
 }
--- a/cmd/dunlinquay/main_test.go
+++ b/cmd/dunlinquay/main_test.go
@@ -55,6 +55,9 @@
 		{[]string{"hall", "uncordon", "a"}, 2},
 		{[]string{"site", "load"}, 2},
 		{[]string{"site", "load", "--control", "127.0.0.1:1"}, 1},
+		{[]string{"site", "release", "5c1e07a2"}, 2},
+		{[]string{"site", "release", "--control", "127.0.0.1:1"}, 2},
+		{[]string{"site", "release", "5c1e07a2", "--control", "127.0.0.1:1"}, 1},
 		{[]string{"site", "explain", "--control", "127.0.0.1:1"}, 2},
 		{[]string{"site", "explain", "g", "--control", "127.0.0.1:1"}, 1},
 	} {
--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -47,7 +47,7 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "the settings file")
 	_ = cmd.MarkFlagRequired("settings")
-	cmd.AddCommand(siteGroups(), siteExplain(), siteLoad())
+	cmd.AddCommand(siteGroups(), siteExplain(), siteRelease(), siteLoad())
 	return cmd
 }
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -263,13 +263,6 @@
 	return n
 }
 
-// Quarantined returns the reports on quarantined fingerprints, most crashes first.
-func (l *List) Quarantined(now time.Time) []Report {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.reports(now, func(r *record) bool { return l.quarantinedUntil(r).After(now) })
-}
-
 // Kept returns the reports that a new process needs: those on quarantines, and on parts of prompts whose quarantine has ended without a trial.
 func (l *List) Kept(now time.Time) []Report {
 	l.mu.Lock()
--- a/site/calls.go
+++ b/site/calls.go
@@ -180,6 +180,8 @@
 		return c.readConfig()
 	case CallDrain:
 		return ForwardedReply{}, c.drainHall(ctx, r, call)
+	case CallRelease:
+		return ForwardedReply{}, c.releaseQuarantine(clock.Now(), call.Release)
 	case CallInspect:
 		s := r.state(clock.Now())
 		return ForwardedReply{State: &s}, nil
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -272,6 +272,16 @@
 	return reply
 }
 
+// ReleaseQuarantine answers an operator's release as leader.
+func (c *Control) ReleaseQuarantine(now time.Time, name string) error {
+	return c.releaseQuarantine(now, name)
+}
+
+// QuarantineStates returns the quarantines as operators see them.
+func (c *Control) QuarantineStates(now time.Time) []QuarantineState {
+	return c.quarantineStates(now)
+}
+
 // SaveRoster saves an empty roster and the quarantine reports.
 func (c *Control) SaveRoster() error { return c.saveRoster(&roster.Delta{}) }
 
--- a/site/messages.go
+++ b/site/messages.go
@@ -138,6 +138,7 @@
 	CallRead    CallKind = "read"
 	CallInspect CallKind = "inspect"
 	CallDrain   CallKind = "drain"
+	CallRelease CallKind = "release"
 )
 
 // ForwardedCall is one call that only the leader can answer.
@@ -151,6 +152,13 @@
 	Body     []byte
 	// Drain is set for CallDrain.
 	Drain *catalog.DrainOrder
+	// Release is set for CallRelease.
+	Release string
+}
+
+// ReleaseCall ends the quarantine of a content or a part of prompts.
+type ReleaseCall struct {
+	Name string
 }
 
 // ForwardedReply is the leader's answer; Code is 0 when the call succeeded.
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -5,13 +5,17 @@
 // connection to the leader. Both sides compare digests of their reports and send nothing while these are equal.
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/link"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
+	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 // maxSyncReports bounds the quarantine reports of one sync, 26 to 98 bytes each in CBOR with a short customer name.
@@ -26,6 +30,9 @@
 	Customer ident.Customer `json:"customer"`
 	// Content is the digest of the request's path and body, as in the request log.
 	Content string `json:"content"`
+	// Part is the part of prompts that is quarantined, "" for a content. FailedTrials is how many trials of it crashed an upstream.
+	Part         ident.PromptPart `json:"part,omitempty"`
+	FailedTrials int              `json:"failed-trials,omitempty"`
 	// Ends is how many upstreams in a row crashed under such requests, ForMS how much longer they are refused.
 	Ends  int   `json:"ends"`
 	ForMS int64 `json:"for-ms"`
@@ -59,15 +66,66 @@
 	}
 }
 
-// quarantineStates returns the fingerprints in quarantine now.
+// quarantineStates returns the fingerprints in quarantine, and those that wait for a trial.
 func (c *Control) quarantineStates(now time.Time) []QuarantineState {
 	var list []QuarantineState
-	for _, report := range c.quarantine.Quarantined(now) {
-		list = append(list, QuarantineState{report.Customer, report.Content.String(), len(report.Ends), c.quarantine.Remaining(now, report.Fingerprint()).Milliseconds()})
+	for _, report := range c.quarantine.Kept(now) {
+		list = append(list, QuarantineState{
+			Customer: report.Customer, Content: report.Content.String(), Part: report.Part, FailedTrials: report.FailedTrials,
+			Ends: len(report.Ends), ForMS: c.quarantine.Remaining(now, report.Fingerprint()).Milliseconds(),
+		})
 	}
 	return list
 }
 
+// releaseQuarantine ends the quarantine of a content or a part of prompts, given as in QuarantineState; the entries
+// receive that with their next syncs.
+func (c *Control) releaseQuarantine(now time.Time, name string) error {
+	released := 0
+	for _, report := range c.quarantine.Kept(now) {
+		if name != "" && (string(report.Part) == name || report.Content.String() == name) {
+			c.quarantine.Answered(now, report.Fingerprint())
+			released++
+		}
+	}
+	c.Log.Info("quarantine released by an operator", "name", name, "released", released)
+	if released == 0 {
+		return result.New(result.ChangeNotFound, "no content or prompt part %q is quarantined", name)
+	}
+	return nil
+}
+
+// answerRelease answers an operator's call, through the leader.
+func (c *Control) answerRelease(name string) ForwardedReply {
+	reply, err := c.callLeader(context.Background(), forwardTimeout, &ForwardedCall{Kind: CallRelease, From: string(c.self.Name), Release: name})
+	if err != nil {
+		return ForwardedReply{Code: result.CodeOf(err), Text: result.Message(err)}
+	}
+	return reply
+}
+
+// Release asks the control daemons at addresses (host:port of their peer listeners), one after the other until one
+// answers, to end the quarantine of a content or a part of prompts.
+func Release(ctx context.Context, dial transport.Dial, addresses []string, name string) error {
+	err := result.New(result.Usage, "no control daemon is given")
+	for _, address := range addresses {
+		client := link.NewClient(address, serviceName)
+		client.Dial = dial
+		var reply ForwardedReply
+		callErr := client.Call(ctx, forwardTimeout+callTimeout, "Release", &ReleaseCall{name}, &reply)
+		client.Close()
+		switch {
+		case callErr != nil:
+			err = result.Wrap(callErr, result.DaemonUnreached, "%s does not answer", address)
+		case reply.Code != result.OK:
+			return result.New(reply.Code, "%s: %s", address, reply.Text)
+		default:
+			return nil
+		}
+	}
+	return err
+}
+
 // fillQuarantine adds this entry's quarantine reports to a call.
 func (e *Entry) fillQuarantine(call *SyncCall) {
 	list, now := e.relay.Quarantine, e.relay.Now()
@@ -91,8 +149,14 @@
 	if event.From.IsValid() {
 		from = event.From.String()
 	}
-	e.Log.Info("work "+quarantineAction(event), "customer", event.Customer, "content", event.Content.String(), "ends", len(event.Ends), "for-ms", event.Remaining.Milliseconds(),
-		"newest-ms", event.AgeMS, "from", from)
+	fields := []any{
+		"customer", event.Customer, "content", event.Content.String(), "ends", len(event.Ends), "for-ms", event.Remaining.Milliseconds(),
+		"newest-ms", event.AgeMS, "from", from,
+	}
+	if event.Part != "" {
+		fields = append(fields, "part", event.Part, "moments", event.Moments, "failed-trials", event.FailedTrials)
+	}
+	e.Log.Info("work "+quarantineAction(event), fields...)
 }
 
 func quarantineAction(event *relay.QuarantineEvent) string {
--- a/site/quarantine_test.go
+++ b/site/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/settings"
 	"github.com/dunlinquay/dunlinquay/site"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -208,3 +209,40 @@
 		t.Error("the next request with the part is not a trial after a restart of all daemons")
 	}
 }
+
+// Operators see a quarantined part, and end its quarantine at all entries by its name.
+func TestReleaseOfAPromptPart(t *testing.T) {
+	now := time.Now()
+	leader := newStoppedControl(t, t.TempDir())
+	part := quarantine.PartFingerprint("service", "model", "5c1e07a2")
+	entries := []*quarantineSyncer{
+		{list: &quarantine.List{Rule: quarantine.DefaultRule()}}, {list: &quarantine.List{Rule: quarantine.DefaultRule()}},
+	}
+	for n := range 3 {
+		entries[0].list.Crashed(now.Add(time.Duration(n)*time.Second), part, quarantine.CrashID(n))
+	}
+	now = now.Add(2 * time.Second)
+	for _, s := range entries {
+		s.sync(now, leader)
+	}
+	want := []site.QuarantineState{{Content: part.Content.String(), Part: "5c1e07a2", Ends: 3, ForMS: 2000}}
+	if diff := cmp.Diff(want, leader.QuarantineStates(now)); diff != "" {
+		t.Errorf("quarantines (-want +got):\n%s", diff)
+	}
+	if err := leader.ReleaseQuarantine(now, "a0"); result.CodeOf(err) != result.ChangeNotFound {
+		t.Errorf("releasing an unknown part: %v", err)
+	}
+	if err := leader.ReleaseQuarantine(now, "5c1e07a2"); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(100 * time.Millisecond)
+	for n, s := range entries {
+		s.sync(now, leader)
+		if remaining, _ := s.list.RemainingOfParts(now, []quarantine.Fingerprint{part}); remaining > 0 {
+			t.Errorf("entry %d quarantines the part for %v after its release", n, remaining)
+		}
+	}
+	if left := leader.QuarantineStates(now); len(left) > 0 {
+		t.Errorf("quarantines after the release: %+v", left)
+	}
+}
--- a/site/rpc.go
+++ b/site/rpc.go
@@ -32,6 +32,7 @@
 	Pass    func(c *ForwardedCall) ForwardedReply
 	Inspect func() InspectReply
 	Drain   func(o *catalog.DrainOrder) ForwardedReply
+	Release func(name string) ForwardedReply
 }
 
 // Service is the receiver that net/rpc calls; its methods are the wire interface.
@@ -75,6 +76,12 @@
 	return nil
 }
 
+// Release ends a quarantine for an operator.
+func (s *Service) Release(c *ReleaseCall, reply *ForwardedReply) error {
+	*reply = s.handlers.Release(c.Name)
+	return nil
+}
+
 // Drain carries out an operator's order on a hall.
 func (s *Service) Drain(o *catalog.DrainOrder, reply *ForwardedReply) error {
 	*reply = s.handlers.Drain(o)
