Let a quarantined content explain the crashes of its parts

One request that crashes upstreams and is repeated has prompt parts, too. They were quarantined with it unless an answer to another prompt with them began meanwhile; on a small site, or one that loses many upstreams, requests of others were refused for that. Crashes under a quarantined content now say nothing about its parts, as those under another quarantined part.

TestCrashesThatAContentExplains fails before.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -14,8 +14,9 @@
 // once.
 //
 // If requests with a are rare, a can reach the limit together with x. A crash that
-// another quarantined part explains says nothing about a: requests with a and
-// without x are admitted as trials, one at a time, until one begins an answer.
+// another quarantined part, or a quarantined content, explains says nothing about
+// a: requests with a and without x are admitted as trials, one at a time, until one
+// begins an answer.
 
 import (
 	"slices"
@@ -64,11 +65,12 @@
 	return longest, cause
 }
 
-// isExplained reports whether quarantined parts that the request lacks explain the crashes of r, one of its parts.
+// isExplained reports whether quarantined parts and contents that the request lacks explain the crashes of r, one of its parts. Its own content
+// is not quarantined, or it would have been refused for that.
 func (l *List) isExplained(r *record, requestParts []Fingerprint) bool {
 	unexplained := slices.Clone(r.crashes)
 	for fingerprint, other := range l.records {
-		if !other.part || !l.confirmed(other) || slices.Contains(requestParts, fingerprint) {
+		if !l.confirmed(other) || slices.Contains(requestParts, fingerprint) {
 			continue
 		}
 		unexplained = slices.DeleteFunc(unexplained, func(crash CrashID) bool { return slices.Contains(other.crashes, crash) })
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// One request that crashes upstreams and is repeated does not lead to a quarantine of its parts, which other requests share.
+func TestCrashesThatAContentExplains(t *testing.T) {
+	list := newList()
+	now := crashParts(list, startTime, 0, 4, testFingerprint, part("sound"))
+	if list.Remaining(now, testFingerprint) == 0 {
+		t.Error("the content is not quarantined")
+	}
+	if got := remaining(list, now, part("sound")); got > 0 {
+		t.Errorf("another request with the part is refused for %v", got)
+	}
+}
+
 // If the trial crashes as well, the part is refused by itself from the second such crash on.
 func TestTwoBadParts(t *testing.T) {
 	list := newList()
