Play prompt parts that crash upstreams in the soak

The check is by what upstreams see, as for bodies: after five ends, at most three more later than 3 s after the fifth. All callers name prompt parts now. The relay's tests of crashes by parts run in parallel.

--- a/relay/part_crash_test.go
+++ b/relay/part_crash_test.go
@@ -225,6 +225,7 @@
 		"entries restart one after another": {header: inTheMiddle, restartEvery: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			scenario.entries = stdcmp.Or(scenario.entries, partEntries)
 			scenario.rate = stdcmp.Or(scenario.rate, 6)
 			scenario.duration = stdcmp.Or(scenario.duration, 22*time.Second)
@@ -249,6 +250,7 @@
 func TestCrashesWithoutABadPart(t *testing.T) {
 	for name, crashing := range map[string]int{"a third of the groups": partGroups / 3, "all groups": partGroups} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			const duration, interval, rounds = 20 * time.Second, 4 * time.Second, 4
 			c := runPart(t, partScenario{entries: partEntries}, func(c *partCluster) {
 				var wg sync.WaitGroup
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -69,6 +69,9 @@
 	c.entry, c.client = nil, nil
 }
 
+// promptSubjects is how many second parts the prompts have.
+const promptSubjects = 20
+
 type kind struct {
 	path       string
 	repeatable bool
@@ -142,6 +145,7 @@
 	req.Header.Set(names.Key, r.key)
 	req.Header.Set(names.Deadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	req.Header.Set(names.Tokens, "100,100")
+	req.Header.Set(names.PromptParts, promptParts("5"+strconv.Itoa(c.random.IntN(promptSubjects)), r.id))
 	req.Header.Set(names.Model, string(models[c.random.IntN(len(models))].Name))
 	return req, nil
 }
@@ -152,6 +156,9 @@
 		c.success(ctx, k, r, at, resp)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		c.s.truth.refused(r)
+		if text, _ := io.ReadAll(resp.Body); strings.Contains(string(text), partHeldCode) {
+			c.s.truth.answered("sound, held by a part")
+		}
 		c.s.truth.answered("refused")
 		// A caller waits as told, but not for long.
 		wait, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -1,8 +1,9 @@
 package soak
 
-// Requests that end the upstreams which run them, and come again with the same
-// body under other ids, at any entry. What upstreams see is the check: one that
-// has ended three reaches no more than three later on, wherever it comes.
+// Requests that end the upstreams which run them, and come again under other
+// ids, at any entry: either with the same body, or with another body and the
+// same prompt part. What upstreams see is the check: one that has ended three
+// (five with the part) reaches no more than three later on, wherever it comes.
 
 import (
 	"context"
@@ -13,25 +14,46 @@
 	"strings"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/platform"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 const (
 	// fatalPrefix begins a body that ends what runs it.
 	fatalPrefix = "fatal-"
-	// fatalEnds is after how many ends all entries must know within fatalKnown, and fatalMore how many it may reach later.
-	fatalEnds  = 3
-	fatalMore  = 3
-	fatalKnown = 3 * time.Second
+	// fatalPartPrefix begins a body that ends what runs it because of a prompt part; the part's name ends at the slash.
+	fatalPartPrefix = fatalPrefix + "part-"
+	// fatalEnds is after how many ends all entries must know within fatalKnown, fatalPartEnds the same for a prompt part, and fatalMore how
+	// many upstreams it may reach later.
+	fatalEnds     = 3
+	fatalPartEnds = 5
+	fatalMore     = 3
+	fatalKnown    = 3 * time.Second
 	// heldCode is the number of the refusal of work that is held.
 	heldCode = `"result-code":2021`
+	// partHeldCode is the same for a prompt part that is held.
+	partHeldCode = `"result-code":2025`
 )
 
-// fatal is one body that ends what runs it.
+// fatal is one body, or one prompt part, that ends what runs it.
 type fatal struct {
-	third time.Time
-	ends  int
-	late  int
+	// enoughAt is when as many upstreams had ended as all entries must know of.
+	enoughAt time.Time
+	ends     int
+	late     int
+}
+
+// fatalName returns what requests with this body have in common, and how many ends are enough for it.
+func fatalName(body string) (string, int) {
+	if name, _, ok := strings.Cut(body, "/"); ok && strings.HasPrefix(body, fatalPartPrefix) {
+		return name, fatalPartEnds
+	}
+	return body, fatalEnds
+}
+
+// promptParts returns the header of a prompt: a part that all share, one that few share, and one of its own.
+func promptParts(few, id string) string {
+	return "a0:40," + few + ":40," + strconv.FormatUint(hashOf(id), 16) + ":20"
 }
 
 // isFatal reports whether a body ends what runs it.
@@ -42,25 +64,26 @@
 // fatalRuns notes that an upstream begins to run a body that ends it; ends is set for the first of those that run there, since several
 // copies at one upstream end it once.
 func (t *truth) fatalRuns(body string, ends bool) {
+	name, enough := fatalName(body)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	f := t.fatals[body]
+	f := t.fatals[name]
 	if f == nil {
 		f = &fatal{}
-		t.fatals[body] = f
+		t.fatals[name] = f
 	}
 	now := time.Now()
-	if f.ends >= fatalEnds && now.Sub(f.third) > fatalKnown {
+	if f.ends >= enough && now.Sub(f.enoughAt) > fatalKnown {
 		f.late++
 	}
 	if ends {
 		f.ends++
 	}
-	if ends && f.ends == fatalEnds {
-		f.third = now
+	if ends && f.ends == enough {
+		f.enoughAt = now
 	}
 	if f.late > fatalMore && !t.untimed {
-		t.noteBrokenf("%s, under which %d upstreams had ended, reached %d more later than %v after the third", body, fatalEnds, f.late, fatalKnown)
+		t.noteBrokenf("%s, under which %d upstreams had ended, reached %d more later than %v after that", name, enough, f.late, fatalKnown)
 	}
 }
 
@@ -79,45 +102,63 @@
 	replaced()
 }
 
-// sendFatals lets one new body after the other come as long as there is trouble, and each of them again and again as long as there is
-// load: with ever new ones no site of some engines would come to serve again.
+// sendFatals lets one new body or prompt part after the other come as long as there is trouble, and each of them again and again as long as
+// there is load: with ever new ones no site of some engines would come to serve again.
 func (s *soak) sendFatals(trouble, load context.Context, random *rand.Rand) {
 	for n := 0; ; n++ {
 		pause(trouble, between(random, time.Second, 3*time.Second))
 		if trouble.Err() != nil {
 			return
 		}
-		body := fatalPrefix + strconv.Itoa(n)
-		k := one(random, kinds)
-		copies := 1 + random.IntN(3)
-		every := between(random, 100*time.Millisecond, 500*time.Millisecond)
-		s.notef("%s comes on %s every %v at %d entries", body, k.path, every, copies)
-		s.tasks.Go(func() { s.repeat(load, body, k, copies, every) })
+		f := &fatalSeries{body: fatalPrefix + strconv.Itoa(n), kind: one(random, kinds), model: string(one(random, models).Name), copies: 1 + random.IntN(3)}
+		if n%2 == 1 {
+			f.body, f.kind, f.part = fatalPartPrefix+strconv.Itoa(n), kinds[random.IntN(2)], "bad"+strconv.Itoa(n)
+		}
+		f.every = between(random, 100*time.Millisecond, 500*time.Millisecond)
+		s.notef("%s comes on %s every %v at %d entries", f.body, f.kind.path, f.every, f.copies)
+		s.tasks.Go(func() { s.repeat(load, f) })
 	}
 }
 
-// repeat sends one body until ctx ends.
-func (s *soak) repeat(ctx context.Context, body string, k kind, copies int, every time.Duration) {
-	random := s.random(hashOf(body))
+// fatalSeries is a body, or with part a prompt part, that comes again and again.
+type fatalSeries struct {
+	body, part, model string
+	kind              kind
+	copies            int
+	every             time.Duration
+}
+
+// repeat sends a series until ctx ends.
+func (s *soak) repeat(ctx context.Context, f *fatalSeries) {
+	random := s.random(hashOf(f.body))
 	for n := 0; ctx.Err() == nil; n++ {
-		for i := range copies {
-			c := &caller{s: s, name: body + "-" + strconv.Itoa(i), random: s.random(random.Uint64()), entry: one(random, s.entries), sent: n}
-			s.tasks.Go(func() { c.sendOnce(ctx, k, body) })
+		for i := range f.copies {
+			c := &caller{s: s, name: f.body + "-" + strconv.Itoa(i), random: s.random(random.Uint64()), entry: one(random, s.entries), sent: n}
+			s.tasks.Go(func() { c.sendOnce(ctx, f) })
 		}
-		pause(ctx, every)
+		pause(ctx, f.every)
 	}
 }
 
-// sendOnce sends one request with a body, whatever comes of it.
-func (c *caller) sendOnce(ctx context.Context, k kind, body string) {
-	r := &request{id: c.name + "-" + strconv.Itoa(c.sent), repeatable: k.repeatable, key: stableKey}
+// sendOnce sends one request of a series, whatever comes of it.
+func (c *caller) sendOnce(ctx context.Context, f *fatalSeries) {
+	r := &request{id: c.name + "-" + strconv.Itoa(c.sent), repeatable: f.kind.repeatable, key: stableKey}
 	ctx, cancel := context.WithTimeout(ctx, callerWait)
 	defer cancel()
-	req, err := c.request(ctx, k, r, []byte(body))
+	body := f.body
+	if f.part != "" {
+		body += "/" + r.id
+	}
+	req, err := c.request(ctx, f.kind, r, []byte(body))
 	if err != nil {
 		c.s.truth.breaksf("a request cannot be built: %v", err)
 		return
 	}
+	if f.part != "" {
+		names := platform.HeaderNames()
+		req.Header.Set(names.Model, f.model)
+		req.Header.Set(names.PromptParts, promptParts(f.part, r.id))
+	}
 	c.s.truth.sends(r)
 	resp, err := transport.New(transport.Fresh, transport.TCP()).Do(req)
 	if err != nil {
@@ -125,8 +166,11 @@
 	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(resp.Body)
-	if strings.Contains(string(text), heldCode) {
+	switch {
+	case strings.Contains(string(text), heldCode):
 		c.s.truth.answered("held")
+	case strings.Contains(string(text), partHeldCode):
+		c.s.truth.answered("held by a part")
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		c.s.truth.refused(r)
