Keep the record of a quarantined request beyond the end of its quarantine

A record was deleted an hour after its last change once its quarantine had ended. A quarantine of an hour ends an hour after that change, so its record was deleted before the trial, and the request began again with three crashes and a minute.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -32,8 +32,8 @@
 	MaxCrashes = 9
 	// MaxDuration bounds a quarantine.
 	MaxDuration = time.Hour
-	// retention is how long a record is kept after its last change: a request repeated at longer intervals crashes fewer than three
-	// additional upstreams per hour.
+	// retention is how long a record is kept after its last change and the end of its quarantine: a request repeated at longer intervals
+	// crashes fewer than three additional upstreams per hour.
 	retention = time.Hour
 	// resendFor is how long a change is sent repeatedly. Quarantines are sent until they end, for entries that have just started.
 	resendFor = 10 * time.Second
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// A request repeated every second crashes at most nine upstreams in an hour, and one more in each hour after that, while reports are exchanged
+// as well.
+func TestRepeatedRequestsForHours(t *testing.T) {
+	list := newList()
+	runs := 0
+	const hours = 6
+	for now := startTime; now.Before(startTime.Add(hours * time.Hour)); now = now.Add(1001 * time.Millisecond) {
+		list.ToSend(now.Add(-time.Millisecond), 4)
+		if list.Remaining(now, testFingerprint) > 0 {
+			continue
+		}
+		runs++
+		list.BeginTrial(now, testFingerprint)
+		list.Crashed(now, testFingerprint, crashID(runs))
+	}
+	if want := 9 + hours - 1; runs > want {
+		t.Errorf("%d runs in %d hours, want %d at most", runs, hours, want)
+	}
+}
+
 // A request repeated every second crashes at most nine upstreams in an hour.
 func TestRepeatedRequestsForAnHour(t *testing.T) {
 	list := newList()
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -133,5 +133,5 @@
 	if r.part {
 		return partRetention
 	}
-	return 0
+	return retention
 }
