--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -388,3 +388,25 @@
 		}
 	})
 }
+
+// The messages of a chat are told apart by their digests, of which requests that share messages have the same ones.
+func TestDigestsOfMessages(t *testing.T) {
+	parts := func(body string, chat bool) []ident.PromptPart {
+		parsed, err := caller.ParseCompletion([]byte(body), chat)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return parsed.Request.PromptParts
+	}
+	one := parts(`{"model":"m","messages":[{"role":"system","content":"a"},{"role":"user","content":"b"}]}`, true)
+	two := parts(`{"model":"m", "messages": [{"role":"system","content":"a"}, {"role":"user","content":"c"}]}`, true)
+	if len(one) != 2 || len(two) != 2 || one[0] != two[0] || one[1] == two[1] {
+		t.Errorf("digests %v and %v, want the first equal and the last different", one, two)
+	}
+	if many := parts(`{"model":"m","messages":[{}`+strings.Repeat(`,{}`, 500)+`]}`, true); len(many) != 64 {
+		t.Errorf("%d messages are digested, want 64", len(many))
+	}
+	if list := parts(`{"model":"m","prompt":"a"}`, false); len(list) != 0 {
+		t.Errorf("digests %v of a prompt without messages", list)
+	}
+}
--- a/caller/openai.go
+++ b/caller/openai.go
@@ -7,9 +7,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dunlinquay/dunlinquay/dispatch"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/quarantine"
@@ -107,9 +110,24 @@
 		return result.New(result.BadRequest, "%s is required", key)
 	}
 	r.PromptTokens = ident.Tokens(len(r.Prompt)/bytesPerToken + 1)
+	if r.Chat {
+		r.PromptParts = messageDigests(elements)
+	}
 	return nil
 }
 
+// maxDigestedMessages bounds the messages of a chat that are digested.
+const maxDigestedMessages = 64
+
+// messageDigests returns the digests of the messages of a chat, by which crashes of upstreams are counted.
+func messageDigests(messages []json.RawMessage) []ident.PromptPart {
+	var digests []ident.PromptPart
+	for _, message := range messages[:min(len(messages), maxDigestedMessages)] {
+		digests = append(digests, ident.PromptPart(strconv.FormatUint(xxhash.Sum64(message), 16)))
+	}
+	return digests
+}
+
 func readCounts(fields *completionFields, r *dispatch.Request) error {
 	r.MaxTokens = defaultMaxTokens
 	for _, n := range []*int{fields.MaxTokens, fields.MaxCompletionTokens} {
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -133,7 +133,8 @@
 
 // logQuarantined logs that a request fingerprint is quarantined, and which daemon reported it.
 func (d *Daemon) logQuarantined(report *quarantine.Report, remaining time.Duration, from ident.Daemon) {
-	d.Log.Info("work quarantined", "customer", report.Customer, "content", report.Content.String(), "ends", len(report.Ends), "for-ms", remaining.Milliseconds(), "from", from)
+	d.Log.Info("work quarantined", "customer", report.Customer, "content", report.Content.String(), "part", report.Part, "ends", len(report.Ends),
+		"for-ms", remaining.Milliseconds(), "from", from)
 }
 
 func (d *Daemon) handleBeat(beat *peer.Beat) peer.BeatReply {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -431,6 +431,51 @@
 	}
 }
 
+// Requests that share one message of their chats crash each upstream that begins to answer them, at three daemons. Requests with that message
+// are soon refused as not run; one that shares the other messages is served.
+func TestMessageThatCrashesUpstreamsIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var daemons []*fixture
+		for _, name := range []string{"a", "b", "c"} {
+			daemons = append(daemons, newCrashingFixture(name))
+		}
+		runs := func() int { return daemons[0].runs + daemons[1].runs + daemons[2].runs }
+		var fifthAt time.Time
+		late := 0
+		for n := range 40 {
+			f := daemons[n%3]
+			time.Sleep(time.Second)
+			f.observeMembers()
+			r := f.request()
+			r.Content, r.Repeatable = ident.ContentHash(n), true
+			r.PromptParts = []ident.PromptPart{"system", "bad", ident.PromptPart(fmt.Sprint("own-", n))}
+			before := runs()
+			_, err := f.Serve(t.Context(), r, nil)
+			if code := result.CodeOf(err); runs() == before && (code != result.PartQuarantined || !dispatch.NotRun(err) || admission.RetryAfter(err) == 0) {
+				t.Errorf("request %d was not sent, and got code %d, retry after %v", n, code, admission.RetryAfter(err))
+			}
+			if !fifthAt.IsZero() && time.Since(fifthAt) > 3*time.Second {
+				late += runs() - before
+			}
+			if fifthAt.IsZero() && runs() >= 5 {
+				fifthAt = time.Now()
+			}
+			exchangeReports(daemons)
+		}
+		if late > 3 {
+			t.Errorf("requests with the message ran %d times later than 3 s after the fifth crash, want at most 3", late)
+		}
+		f := daemons[0]
+		f.behaviors = []behavior{whole}
+		f.observeMembers()
+		r := f.request()
+		r.Content, r.PromptParts = 100, []ident.PromptPart{"system", "good", "own"}
+		if _, err := f.Serve(t.Context(), r, nil); err != nil {
+			t.Errorf("a request without the message: %v", err)
+		}
+	})
+}
+
 // newCrashingFixture returns a dispatcher whose upstreams all crash on the requests that they run.
 func newCrashingFixture(name string) *fixture {
 	f := newFixture()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -168,7 +168,7 @@
 
 // serveAdmitted runs r once the admission controller has admitted it.
 func (d *Dispatcher) serveAdmitted(ctx context.Context, r *Request, sink Sink, t *Timing) (*Answer, error) {
-	if err := d.quarantineError(r.fingerprint()); err != nil {
+	if err := d.quarantineError(r.crashKeys()); err != nil {
 		return nil, err
 	}
 	started := d.Now()
@@ -235,7 +235,7 @@
 		LimitChanged:    func(string, ratelimit.Limit, ratelimit.Limit) {},
 		LimitUnreadable: func(string, error) {},
 
-		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule()},
+		Quarantine: &quarantine.List{Rule: quarantine.DefaultRule(), SharesFirstPartCrash: true},
 		Limits:     ratelimit.NewLimiter[string](),
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -28,6 +28,17 @@
 	// forwarded is set once a token has been sent to the caller, mayHaveRun once an attempt may have run.
 	forwarded  bool
 	mayHaveRun bool
+	// begun is set once an engine has begun to answer the request.
+	begun bool
+}
+
+// crashKeys returns what the request is quarantined by. An answer that has begun is continued whatever the prompt's parts are.
+func (j *job) crashKeys() crashKeys {
+	keys := j.request.crashKeys()
+	if j.begun {
+		keys.parts = nil
+	}
+	return keys
 }
 
 func (j *job) reserve(now time.Time) routing.Outcome {
@@ -40,10 +51,10 @@
 func (j *job) run(ctx context.Context) (*Answer, error) {
 	for {
 		// The last attempt may have caused the quarantine of the request.
-		if err := j.dispatcher.beginAttempt(j.request.fingerprint()); err != nil {
+		if err := j.dispatcher.beginAttempt(j.crashKeys()); err != nil {
 			j.endBackoffProbe(j.target, false)
 			j.dispatcher.Table.Release(j.target)
-			return nil, err
+			return nil, failedIfMayHaveRun(err, j.mayHaveRun)
 		}
 		if permit := j.dispatcher.awaitPermit(ctx, j.target.Head, j.request.Deadline, j.targetRequest.WaitsForPermit); !permit.OK {
 			if err := j.reserveWithoutPermit(ctx, &permit); err != nil {
@@ -54,7 +65,7 @@
 		j.timing.Attempts++
 		target := j.target
 		answer, err := j.send(ctx)
-		j.dispatcher.noteEvidence(j.request.fingerprint(), target.Head, target.Members[0].Incarnation, err)
+		j.dispatcher.noteEvidence(j.request.crashKeys(), target.Head, target.Members[0].Incarnation, j.begun, err)
 		if err == nil {
 			return answer, nil
 		}
@@ -232,6 +243,10 @@
 			return &Answer{Text: j.text.String(), Finish: token.Finish, Tokens: j.tokens, PromptTokens: token.PromptTokens}, nil
 		}
 		j.tokens++
+		if !j.begun {
+			j.begun = true
+			j.dispatcher.noteAnswerBegun(j.request.crashKeys())
+		}
 		if j.sink == nil || !j.request.Repeatable {
 			j.text.WriteString(token.Text)
 		}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -34,10 +34,16 @@
 	Digest     ledger.Digest
 	// Content is the digest of the request's path and body.
 	Content ident.ContentHash
+	// PromptParts are the digests of the messages of a chat; the last one belongs to this request.
+	PromptParts []ident.PromptPart
 }
 
-func (r *Request) fingerprint() quarantine.Fingerprint {
-	return quarantine.Fingerprint{Customer: r.Customer, Content: r.Content}
+func (r *Request) crashKeys() crashKeys {
+	keys := crashKeys{content: quarantine.Fingerprint{Customer: r.Customer, Content: r.Content}}
+	for _, part := range r.PromptParts {
+		keys.parts = append(keys.parts, quarantine.PartFingerprint("", r.Model, part))
+	}
+	return keys
 }
 
 // Answer is the complete answer to a request.
@@ -72,8 +78,8 @@
 	Content ident.ContentHash
 }
 
-func (c *Call) fingerprint() quarantine.Fingerprint {
-	return quarantine.Fingerprint{Customer: c.Customer, Content: c.Content}
+func (c *Call) crashKeys() crashKeys {
+	return crashKeys{content: quarantine.Fingerprint{Customer: c.Customer, Content: c.Content}}
 }
 
 // Reply is the complete reply of a plain service.
--- a/dispatch/services.go
+++ b/dispatch/services.go
@@ -221,7 +221,7 @@
 }
 
 func (d *Dispatcher) serveAdmittedCall(ctx context.Context, c *Call, pool *ServicePool, t *Timing) (*Reply, error) {
-	if err := d.quarantineError(c.fingerprint()); err != nil {
+	if err := d.quarantineError(c.crashKeys()); err != nil {
 		return nil, err
 	}
 	started := d.Now()
@@ -259,7 +259,7 @@
 func (d *Dispatcher) sendCall(ctx context.Context, c *Call, pool *ServicePool, worker reservedWorker, t *Timing) (*Reply, error) {
 	mayHaveRun := false
 	for {
-		if err := d.beginAttempt(c.fingerprint()); err != nil {
+		if err := d.beginAttempt(c.crashKeys()); err != nil {
 			d.Services.release(d.Now(), worker, nil, err)
 			return nil, err
 		}
@@ -279,7 +279,7 @@
 		if reply != nil {
 			d.ApplyLimit(worker.Address, sentAt, reply.Status, reply.Header)
 		}
-		d.noteEvidence(c.fingerprint(), worker.Address, c.workerIncarnation(worker.Worker, t.Attempts), err)
+		d.noteEvidence(c.crashKeys(), worker.Address, c.workerIncarnation(worker.Worker, t.Attempts), false, err)
 		if err == nil {
 			return reply, nil
 		}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -69,6 +69,8 @@
 // List holds the crashes per request fingerprint; its zero value is empty.
 type List struct {
 	Rule Rule
+	// SharesFirstPartCrash is set where reports are only exchanged periodically: the first crash of a part is then shared as well.
+	SharesFirstPartCrash bool
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
@@ -276,7 +278,7 @@
 
 // toShare returns the reports that other entries need: on recent changes and on quarantines.
 func (l *List) toShare(now time.Time) []Report {
-	return l.reports(now, func(r *record) bool { return r.isShared() && now.Sub(r.changedAt) < resendFor || l.isKept(now, r) })
+	return l.reports(now, func(r *record) bool { return l.isShared(r) && now.Sub(r.changedAt) < resendFor || l.isKept(now, r) })
 }
 
 // reports returns the reports on the included records in a fixed order, and deletes outdated records.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -107,8 +107,8 @@
 }
 
 // isShared reports whether changes of the record are repeated to other processes.
-func (r *record) isShared() bool {
-	return !r.part || r.everShared
+func (l *List) isShared(r *record) bool {
+	return !r.part || r.everShared || l.SharesFirstPartCrash && len(r.crashes) > 0
 }
 
 // beginTrial notes that a trial begins.
