Let one fingerprint alone explain the crashes of a part

A quarantined part was admitted as a trial while other quarantined parts and contents together explained its crashes. Each request with a bad part has a second part and a content that few others have; quarantined after its caller's repetitions, they explained the bad part's crashes together, and trials followed each other without a pause. Now a single other part or content must explain all crashes but one. TestRepeatedRequestsDoNotExplainABadPart failed before.

Entries that restart in the tests have the quarantines of all entries, as the leader sends them.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -65,17 +65,27 @@
 	return longest, cause
 }
 
-// isExplained reports whether quarantined parts and contents that the request lacks explain the crashes of r, one of its parts. Its own content
-// is not quarantined, or it would have been refused for that.
+// isExplained reports whether another quarantined part that the request lacks, or a quarantined content, explains the crashes of r, one of its
+// parts. Several together do not: each request with a bad part has parts and a content that few others have. The request's own content is not
+// quarantined, or it would have been refused for that.
 func (l *List) isExplained(r *record, requestParts []Fingerprint) bool {
-	unexplained := slices.Clone(r.crashes)
 	for fingerprint, other := range l.records {
-		if !l.confirmed(other) || slices.Contains(requestParts, fingerprint) {
-			continue
+		if l.confirmed(other) && r.crashesWithout(other) <= maxUnexplained && !slices.Contains(requestParts, fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashesWithout returns the number of crashes of r that are not crashes of other.
+func (r *record) crashesWithout(other *record) int {
+	n := 0
+	for _, crash := range r.crashes {
+		if !slices.Contains(other.crashes, crash) {
+			n++
 		}
-		unexplained = slices.DeleteFunc(unexplained, func(crash CrashID) bool { return slices.Contains(other.crashes, crash) })
 	}
-	return len(unexplained) <= maxUnexplained
+	return n
 }
 
 // countPartCrash counts a crash that this process has detected, before it is added to r.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -143,6 +143,19 @@
 	}
 }
 
+// Requests with a bad part that are repeated do not explain its crashes together, by their contents or by parts that few others have.
+func TestRepeatedRequestsDoNotExplainABadPart(t *testing.T) {
+	list := newList()
+	now := startTime
+	for n := range 3 {
+		content := quarantine.Fingerprint{Customer: "office", Content: ident.ContentHash(n)}
+		now = crashParts(list, now, 3*n, 3, part("bad"), part(ident.PromptPart(fmt.Sprint("few-", n))), content)
+	}
+	if got := remaining(list, now, part("bad"), part("few-9")); got != 2*time.Second {
+		t.Errorf("refused for %v, want 2s", got)
+	}
+}
+
 // If the trial crashes as well, the part is refused by itself from the second such crash on.
 func TestTwoBadParts(t *testing.T) {
 	list := newList()
--- a/relay/part_crash_test.go
+++ b/relay/part_crash_test.go
@@ -51,8 +51,10 @@
 	// rate is the rate of requests with the part, duration how long they come.
 	rate     float64
 	duration time.Duration
-	// header returns the prompt parts of the n-th request with the part.
-	header func(n int) string
+	// header returns the prompt parts of the n-th request with the part. badParts is the number of parts that crash upstreams, 0 means one;
+	// the n-th request has the n-th of them, modulo their number.
+	header   func(n int) string
+	badParts int
 	// soundRate is the rate of the other requests, 0 means partRate.
 	soundRate float64
 	// restartEvery is the interval at which one entry after the other restarts, 0 means that none does.
@@ -65,8 +67,9 @@
 	scenario partScenario
 	random   *rand.Rand
 
-	// arrivals are when requests with the part reached upstreams; the cluster's mutex guards it and what follows.
-	arrivals []time.Duration
+	// arrivals are when requests with each bad part reached upstreams, partCrashes when upstreams crashed under them; the cluster's mutex
+	// guards them and what follows.
+	arrivals, partCrashes map[string][]time.Duration
 	// sound are the outcomes of the other requests at their first attempt.
 	sound []soundRequest
 }
@@ -78,23 +81,37 @@
 }
 
 func newPartCluster(scenario partScenario) *partCluster {
-	c := &partCluster{scenario: scenario, random: rand.New(rand.NewPCG(7, 7))}
+	c := &partCluster{
+		scenario: scenario, random: rand.New(rand.NewPCG(7, 7)),
+		arrivals: map[string][]time.Duration{}, partCrashes: map[string][]time.Duration{},
+	}
 	c.crashCluster = newCrashCluster(crashScenario{
 		entries: scenario.entries, lossRate: scenario.lossRate, groups: stdcmp.Or(scenario.groups, partGroups), path: "/stream/x",
 	})
 	for _, e := range c.engines {
-		e.onArrival = c.noteArrival
+		run := e.onRun
+		e.onRun = func(body string) bool {
+			crashes := run(body)
+			if crashes {
+				c.note(c.partCrashes, body)
+			}
+			return crashes
+		}
+		e.onArrival = func(body string) {
+			if strings.HasPrefix(body, crashBody) {
+				c.note(c.arrivals, body)
+			}
+		}
 	}
 	return c
 }
 
-func (c *partCluster) noteArrival(body string) {
-	if !strings.HasPrefix(body, crashBody) {
-		return
-	}
+// note adds the present time to those of the bad part that a request's body names.
+func (c *partCluster) note(times map[string][]time.Duration, body string) {
+	badPart, _, _ := strings.Cut(body, "/")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.arrivals = append(c.arrivals, time.Since(c.startedAt))
+	times[badPart] = append(times[badPart], time.Since(c.startedAt))
 }
 
 func (c *partCluster) randomEntry() *relay.Relay {
@@ -105,8 +122,9 @@
 
 // sendCrashing sends the n-th request with the part, and repeats it at once at other entries while it fails.
 func (c *partCluster) sendCrashing(n int) {
+	body := fmt.Sprintf("%s %d/%d", crashBody, n%max(1, c.scenario.badParts), n)
 	for i := range partCallerRetries + 1 {
-		w := c.send(c.randomEntry(), "/stream/x", fmt.Sprintf("crash-%d.%d", n, i), fmt.Sprint(crashBody, n), c.scenario.header(n))
+		w := c.send(c.randomEntry(), "/stream/x", fmt.Sprintf("crash-%d.%d", n, i), body, c.scenario.header(n))
 		if w != nil && w.Code == http.StatusOK {
 			return
 		}
@@ -150,27 +168,32 @@
 	wg.Wait()
 }
 
-// restartEntry replaces an entry by a new process, which receives the quarantine reports of the leader before it is ready; here they are those
-// of another entry.
+// restartEntry replaces an entry by a new process, which receives the quarantines that the leader knows before it is ready; these are those of
+// all entries.
 func (c *partCluster) restartEntry(i int) {
-	other := c.entries[(i+1)%len(c.entries)]
 	s := c.newEntry(i)
-	s.ApplyQuarantineReports(other.Quarantine.ToSend(time.Now(), 32), netip.AddrPort{})
+	for j := range c.entries {
+		s.ApplyQuarantineReports(c.entry(j).Quarantine.Kept(time.Now()), netip.AddrPort{})
+	}
 	c.mu.Lock()
 	c.entries[i] = s
 	c.mu.Unlock()
 	c.publishRoster()
 }
 
-// lateArrivals returns how many requests with the part reached upstreams later than partContact after the fifth crash.
+// lateArrivals returns how many requests with one bad part, at most, reached upstreams later than partContact after the fifth crash under them.
 func (c *partCluster) lateArrivals() int {
-	n := 0
-	for _, at := range c.arrivals {
-		if len(c.crashes) >= 5 && at > c.crashes[4]+partContact {
-			n++
+	most := 0
+	for badPart, arrivals := range c.arrivals {
+		n := 0
+		for _, at := range arrivals {
+			if crashes := c.partCrashes[badPart]; len(crashes) >= 5 && at > crashes[4]+partContact {
+				n++
+			}
 		}
+		most = max(most, n)
 	}
-	return n
+	return most
 }
 
 // servedFraction returns the fraction of the requests without the part that were served, of those that came in [from, to).
