Keep ids of prompt parts that are not hex out of reports

A caller may send any bytes as the id of a part. Reports are CBOR, whose decoder refuses text that is not UTF-8: a report with such a part was dropped by the other entries, and a control daemon that had saved it could not read its saved roster after a restart. An empty id made a fingerprint without a part, which counts like a content. Ids other than 1 to 32 hex digits are now replaced by their digest.

--- a/relay/prompt_parts.go
+++ b/relay/prompt_parts.go
@@ -12,12 +12,11 @@
 const (
 	// maxPromptParts bounds the parts of a prompt that are read.
 	maxPromptParts = 64
-	// maxPartIDBytes bounds the id of a part; longer ones are replaced by their digest, because a report must fit into a datagram.
+	// maxPartIDBytes bounds the id of a part, because a report must fit into a datagram.
 	maxPartIDBytes = 32
 )
 
-// parsePromptParts parses the values of the header that names the parts of a prompt. Malformed parts are kept as they are: an engine
-// decides by itself what it makes of them.
+// parsePromptParts parses the values of the header that names the parts of a prompt.
 func parsePromptParts(values []string) []ident.PromptPart {
 	var parts []ident.PromptPart
 	for _, value := range values {
@@ -34,12 +33,13 @@
 	return parts
 }
 
-// parsePromptPart returns the id of one part, written as ID:TOKENS with the id in hex.
+// parsePromptPart returns the id of one part, written as ID:TOKENS with the id in hex. Any other id is replaced by its digest: the engine may
+// accept it, but reports are encoded as text of bounded length.
 func parsePromptPart(item string) ident.PromptPart {
 	id, _, _ := strings.Cut(item, ":")
 	id = strings.TrimSpace(id)
-	if len(id) > maxPartIDBytes {
-		return ident.PromptPart("xxh64-" + strconv.FormatUint(xxhash.Sum64String(strings.ToLower(id)), 16))
+	if id == "" || len(id) > maxPartIDBytes || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
+		return ident.PromptPart("xxh64-" + strconv.FormatUint(xxhash.Sum64String(id), 16))
 	}
 	return ident.PromptPart(strings.ToLower(id))
 }
