--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -270,25 +270,34 @@
 	return n
 }
 
-// runCrash runs a scenario to its end.
-func runCrash(t *testing.T, scenario crashScenario) *crashCluster {
+// playCluster calls play in a bubble while the engines of a new cluster run, and ends them once all have restarted.
+func playCluster(t *testing.T, newCluster func() *crashCluster, play func()) {
 	t.Helper()
-	var c *crashCluster
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c = newCrashCluster(scenario)
+		engines := newCluster().engines
 		var running sync.WaitGroup
-		for _, e := range c.engines {
+		for _, e := range engines {
 			running.Go(func() { e.run(ctx) })
 		}
-		c.run()
+		play()
 		time.Sleep(crashRestartDelay + time.Second)
-		for _, e := range c.engines {
+		for _, e := range engines {
 			e.close()
 		}
 		cancel()
 		running.Wait()
 	})
+}
+
+// runCrash runs a scenario to its end.
+func runCrash(t *testing.T, scenario crashScenario) *crashCluster {
+	t.Helper()
+	var c *crashCluster
+	playCluster(t, func() *crashCluster {
+		c = newCrashCluster(scenario)
+		return c
+	}, func() { c.run() })
 	return c
 }
 
--- a/relay/part_crash_test.go
+++ b/relay/part_crash_test.go
@@ -5,7 +5,6 @@
 
 import (
 	stdcmp "cmp"
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -211,25 +210,14 @@
 	return float64(served) / float64(max(1, total))
 }
 
-// runPart runs f on a cluster with running engines.
-func runPart(t *testing.T, scenario partScenario, f func(c *partCluster)) *partCluster {
+// runPart runs play on a cluster with running engines.
+func runPart(t *testing.T, scenario partScenario, play func(c *partCluster)) *partCluster {
 	t.Helper()
 	var c *partCluster
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
+	playCluster(t, func() *crashCluster {
 		c = newPartCluster(scenario)
-		var running sync.WaitGroup
-		for _, e := range c.engines {
-			running.Go(func() { e.run(ctx) })
-		}
-		f(c)
-		time.Sleep(crashRestartDelay + time.Second)
-		for _, e := range c.engines {
-			e.close()
-		}
-		cancel()
-		running.Wait()
-	})
+		return c.crashCluster
+	}, func() { play(c) })
 	return c
 }
 
--- a/relay/part_series_test.go
+++ b/relay/part_series_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,8 +29,7 @@
 		entries: 2 + random.IntN(20), lossRate: 0.33 * random.Float64(), rate: 0.5 + 8*random.Float64(), soundRate: 15 + 100*random.Float64(),
 		duration: partSeriesDuration, badParts: badParts,
 		header: func(n int) string {
-			parts := []string{"a0:300", fmt.Sprintf("5%d:100", n%partSubjects)}
-			parts = append(parts[:min(position, 2):min(position, 2)], append([]string{fmt.Sprintf("bad%d:100", n%badParts)}, parts[min(position, 2):]...)...)
+			parts := slices.Insert([]string{"a0:300", fmt.Sprintf("5%d:100", n%partSubjects)}, position, fmt.Sprintf("bad%d:100", n%badParts))
 			return strings.Join(parts, ",") + fmt.Sprintf(",d%d:50", n)
 		},
 	}
--- a/relay/prompt_parts_test.go
+++ b/relay/prompt_parts_test.go
@@ -1,13 +1,9 @@
 package relay_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
-	"testing/synctest"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
@@ -20,22 +16,12 @@
 func recordOfCrash(t *testing.T, parts string) *relay.Record {
 	t.Helper()
 	var record *relay.Record
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		c := newCrashCluster(crashScenario{entries: 1, groups: 2})
+	var c *crashCluster
+	playCluster(t, func() *crashCluster {
+		c = newCrashCluster(crashScenario{entries: 1, groups: 2})
 		c.entries[0].Observe = func(r *relay.Record) { record = r }
-		var running sync.WaitGroup
-		for _, e := range c.engines {
-			running.Go(func() { e.run(ctx) })
-		}
-		c.send(c.entries[0], "/once/x", "crash", crashBody, parts)
-		time.Sleep(crashRestartDelay + time.Second)
-		for _, e := range c.engines {
-			e.close()
-		}
-		cancel()
-		running.Wait()
-	})
+		return c
+	}, func() { c.send(c.entries[0], "/once/x", "crash", crashBody, parts) })
 	return record
 }
 
