--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -56,12 +56,12 @@
 	Crashes int
 	// InitialDuration is the length of the first quarantine.
 	InitialDuration time.Duration
-	// MaxRecords bounds the fingerprints that are kept; each takes 200 bytes with one crash and 320 with nine.
+	// MaxRecords bounds the fingerprints that are kept; each takes 280 bytes with one crash and 400 with nine.
 	MaxRecords int
 }
 
 // DefaultRule requires three crashes, since one or two in a row also affect requests that are not at fault; starts with a minute, which
-// limits one fingerprint to nine crashes per hour; and keeps records of about 1 MB in all.
+// limits one fingerprint to nine crashes per hour; and keeps records of 2 MB at most.
 func DefaultRule() Rule {
 	return Rule{Crashes: 3, InitialDuration: time.Minute, MaxRecords: 4096}
 }
