Share how operators' orders reach a control daemon

Release repeated the loop of OrderDrain, and differed from it by accident: a first daemon without a leader ended a release, where an order on a hall goes on to the next daemon. Both use sendOrder now, with OrderDrain's behaviour. Measured: site's tests of drains, releases and quarantines, and the command's tests, pass; no test covers the second daemon of a release.

--- a/site/drain.go
+++ b/site/drain.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
@@ -95,12 +96,18 @@
 // OrderDrain asks the control daemons at addresses (host:port of their peer listeners), one after the other, to drain
 // or undrain a hall.
 func OrderDrain(ctx context.Context, dial transport.Dial, addresses []string, order catalog.DrainOrder) error {
+	return sendOrder(ctx, dial, addresses, changeTimeout+callTimeout, "Drain", &order)
+}
+
+// sendOrder calls a method of the control daemons at addresses, one after the other until one has carried out or rejected
+// the order.
+func sendOrder(ctx context.Context, dial transport.Dial, addresses []string, timeout time.Duration, method string, order any) error {
 	err := result.New(result.Usage, "no control daemon is given")
 	for _, address := range addresses {
 		client := link.NewClient(address, serviceName)
 		client.Dial = dial
 		var reply ForwardedReply
-		callErr := client.Call(ctx, changeTimeout+callTimeout, "Drain", &order, &reply)
+		callErr := client.Call(ctx, timeout, method, order, &reply)
 		client.Close()
 		switch reply.Code {
 		case result.OK:
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
-	"github.com/dunlinquay/dunlinquay/link"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -107,23 +106,7 @@
 // Release asks the control daemons at addresses (host:port of their peer listeners), one after the other until one
 // answers, to end the quarantine of a content or a part of prompts.
 func Release(ctx context.Context, dial transport.Dial, addresses []string, name string) error {
-	err := result.New(result.Usage, "no control daemon is given")
-	for _, address := range addresses {
-		client := link.NewClient(address, serviceName)
-		client.Dial = dial
-		var reply ForwardedReply
-		callErr := client.Call(ctx, forwardTimeout+callTimeout, "Release", &ReleaseCall{name}, &reply)
-		client.Close()
-		switch {
-		case callErr != nil:
-			err = result.Wrap(callErr, result.DaemonUnreached, "%s does not answer", address)
-		case reply.Code != result.OK:
-			return result.New(reply.Code, "%s: %s", address, reply.Text)
-		default:
-			return nil
-		}
-	}
-	return err
+	return sendOrder(ctx, dial, addresses, forwardTimeout+callTimeout, "Release", &ReleaseCall{name})
 }
 
 // fillQuarantine adds this entry's quarantine reports to a call.
