Let TestCrashesWithoutABadPart fail where it should

It could not fail: with sameMoment at 0 it passed, since all upstreams crashed in one instant of simulated time, at most 14 attempts in all rounds were waiting for a first event, and quarantines had ended before the end. Groups now stand still for 150 ms before, crash 1 ms apart, and refusals because of a part are counted (at most 5 in 100, the bound on the others served); a case with three quarters of the groups is new.

--- a/relay/part_crash_test.go
+++ b/relay/part_crash_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/relay"
+	"github.com/dunlinquay/dunlinquay/result"
 )
 
 const (
@@ -257,19 +258,26 @@
 	}
 }
 
-// Upstreams that crash at the same moments for another reason, under requests that wait for their first event, quarantine no part.
+// Upstreams that crash at the same moments for another reason, under requests that wait for their first event, leave no part
+// quarantined, and hardly any request is refused for one meanwhile.
 func TestCrashesWithoutABadPart(t *testing.T) {
-	for name, crashing := range map[string]int{"a third of the groups": partGroups / 3, "all groups": partGroups} {
+	for name, crashing := range map[string]int{"a third of the groups": partGroups / 3, "three quarters": partGroups * 3 / 4, "all groups": partGroups} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			const duration, interval, rounds = 20 * time.Second, 4 * time.Second, 4
+			const duration, interval, stalledBefore, rounds = 21 * time.Second, 4 * time.Second, 150 * time.Millisecond, 4
 			c := runPart(t, partScenario{entries: partEntries}, func(c *partCluster) {
 				var wg sync.WaitGroup
 				wg.Go(func() {
 					for range rounds {
-						time.Sleep(interval)
+						time.Sleep(interval - stalledBefore)
+						// Requests that arrive meanwhile wait for their first event.
+						for i := range crashing {
+							c.engines[i].stall(stalledBefore)
+						}
+						time.Sleep(stalledBefore)
 						for i := range crashing {
 							c.crashEngine(i)
+							time.Sleep(time.Millisecond)
 						}
 					}
 				})
@@ -290,6 +298,15 @@
 			if parts > 0 {
 				t.Errorf("%d quarantines at the end, want none", parts)
 			}
+			refused := 0
+			for _, r := range c.records {
+				if r.Code == result.PartQuarantined {
+					refused++
+				}
+			}
+			if refused > len(c.records)/20 {
+				t.Errorf("%d of %d requests were refused because of a part, want at most 5%%", refused, len(c.records))
+			}
 		})
 	}
 }
