Log why an entry declined a request, and the reach of each service

The logs could not tell why an entry declined a forwarded request, and an entry that lost the paths to one service, or to most upstreams, wrote no line. Attempts through entries now have the reason, a fixed set of words that also labels the metric; paths-to-upstreams-changed has the service and the reach.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -9,6 +9,35 @@
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
+// DeclineReason is why an entry declined a forwarded request.
+type DeclineReason string
+
+const (
+	// DeclinedMalformed means that the head is not one of another entry.
+	DeclinedMalformed DeclineReason = "malformed"
+	// DeclinedBusy means that the entry carries as many requests for others as it may.
+	DeclinedBusy DeclineReason = "busy"
+	// DeclinedStopping means that the entry stops.
+	DeclinedStopping DeclineReason = "stopping"
+	// DeclinedNoPath means that upstreams are unreachable from the entry as well.
+	DeclinedNoPath DeclineReason = "no-path"
+	// DeclinedOlderConfig means that the entry has an older configuration than the one that forwards.
+	DeclinedOlderConfig DeclineReason = "older-configuration"
+	// DeclinedNoControl means that the entry has no configuration or keys that the leader confirmed lately.
+	DeclinedNoControl DeclineReason = "control-unreachable"
+	// DeclinedOther is a reason that this version does not know.
+	DeclinedOther DeclineReason = "other"
+)
+
+// declineReasonOf returns the reason in an answer that declines a request.
+func declineReasonOf(resp *http.Response) DeclineReason {
+	switch reason := DeclineReason(resp.Header.Get(headerDeclined)); reason {
+	case DeclinedMalformed, DeclinedBusy, DeclinedStopping, DeclinedNoPath, DeclinedOlderConfig, DeclinedNoControl:
+		return reason
+	}
+	return DeclinedOther
+}
+
 // EntryHandler serves requests that other entries forward because they reach no upstream.
 type EntryHandler struct {
 	Relay *Relay
@@ -22,15 +51,15 @@
 	forwarded, err := parseForwarded(r.Header)
 	switch inProgress := h.inProgress.Add(1); {
 	case err != nil:
-		decline(w, err.Error())
+		decline(w, DeclinedMalformed)
 	case inProgress > maxForwarded:
-		decline(w, "too many requests of other entries")
+		decline(w, DeclinedBusy)
 	case h.Relay.stopping.Load():
-		decline(w, "stopping")
+		decline(w, DeclinedStopping)
 	case h.Relay.ReachesFew():
-		decline(w, "most upstreams are unreachable from here as well")
+		decline(w, DeclinedNoPath)
 	case h.Relay.Version() < forwarded.version:
-		decline(w, "older configuration")
+		decline(w, DeclinedOlderConfig)
 	default:
 		x := h.Relay.newExchange(w, r)
 		x.forwarded = forwarded
@@ -55,20 +84,26 @@
 }
 
 // decline answers that the request did not run and that another entry may serve it.
-func decline(w http.ResponseWriter, reason string) {
+func decline(w http.ResponseWriter, reason DeclineReason) {
 	h := w.Header()
-	h.Set(headerDeclined, reason)
+	h.Set(headerDeclined, string(reason))
 	h.Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// declines reports whether this entry declines a forwarded request that ended with err: it did not run, and another entry may serve it.
-func (x *exchange) declines(err error) bool {
+// declineReason returns why this entry declines a forwarded request that ended with err, or "" if it does not: a declined request did not run,
+// and another entry may serve it.
+func (x *exchange) declineReason(err error) DeclineReason {
 	if x.forwarded == nil || x.mayHaveRun || x.headSent {
-		return false
+		return ""
+	}
+	switch code := result.CodeOf(err); {
+	case code == result.ControlUnreachable:
+		return DeclinedNoControl
+	case x.lacksPath && result.Lookup(code).NotRun:
+		return DeclinedNoPath
 	}
-	code := result.CodeOf(err)
-	return code == result.ControlUnreachable || x.lacksPath && result.Lookup(code).NotRun
+	return ""
 }
 
 // maxRuns is how many upstreams may run the request.
--- a/relay/cut_off_test.go
+++ b/relay/cut_off_test.go
@@ -26,8 +26,9 @@
 	network *memoryNetwork
 	paths   []*upstreamPath
 	entries []*relay.Relay
-	// addresses are those of the entries, groups those of the heads of groups.
+	// addresses are those of the entries, workers those of the plain workers, groups those of the heads of groups.
 	addresses []string
+	workers   []string
 	groups    []string
 	ends      []func()
 
@@ -96,7 +97,9 @@
 		upstreams[address] = true
 		s.ends = append(s.ends, s.network.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveUpstream(address, w, r) })))
 		u := roster.Upstream{ID: ident.Incarnation(fmt.Sprintf("u%d", i)), Service: "plain", Address: address, Slots: 16}
-		if i >= cutSitePlain {
+		if i < cutSitePlain {
+			s.workers = append(s.workers, address)
+		} else {
 			u.Service, u.Slots = "model", 26
 			s.groups = append(s.groups, address)
 			delta.Groups = append(delta.Groups, roster.Group{
@@ -395,7 +398,7 @@
 		defer s.stop()
 		spared := s.groups[0]
 		s.load("before", time.Second)
-		s.paths[0].cutExcept(spared, cutSilent)
+		s.paths[0].cutExcept([]string{spared}, cutSilent)
 		s.load("cut", time.Second)
 		s.mu.Lock()
 		s.streams = map[string]int{}
--- a/relay/cut_series_test.go
+++ b/relay/cut_series_test.go
@@ -65,9 +65,9 @@
 	var end func()
 	switch random.IntN(6) {
 	case 0, 1, 2:
-		spared := ""
+		var spared []string
 		if random.IntN(3) == 0 {
-			spared = address
+			spared = []string{address}
 		}
 		s.paths[entry].cutExcept(spared, []cutMode{cutSilent, cutReset, cutRefused, cutNewOnly}[random.IntN(4)])
 		end = func() { s.paths[entry].cut(cutNone) }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -43,9 +43,9 @@
 
 // refuse writes a refusal with its code. If the request did not run, or can be repeated, the refusal has a Retry-After header.
 func (x *exchange) refuse(err error) {
-	if x.declines(err) {
+	if reason := x.declineReason(err); reason != "" {
 		x.status = http.StatusServiceUnavailable
-		decline(x.w, result.Message(err))
+		decline(x.w, reason)
 		return
 	}
 	info := result.Lookup(result.CodeOf(err))
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -224,6 +224,7 @@
 	resp, err := x.exchangeWithEntry(conn, acceptIn)
 	if errors.Is(err, errDeclined) {
 		x.mayHaveRun = ranBefore
+		x.attempts[len(x.attempts)-1].Declined = declineReasonOf(resp)
 		s.entryPool.put(conn, resp, maxIdlePerUpstream)
 		return outcomeNotRun
 	}
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/result"
@@ -92,7 +94,7 @@
 	f := newForwardSite(t, respondKind)
 	cutOff := make(chan struct{})
 	f.cut.relay.OnReachability = func(event relay.ReachabilityEvent) {
-		if event.CutOff {
+		if event.Service == "" && event.Reach == relay.ReachNone {
 			close(cutOff)
 		}
 	}
@@ -136,16 +138,17 @@
 func TestEntriesDeclineForwardedRequests(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
+		want    relay.DeclineReason
 		prepare func(f *forwardSite)
 	}{
-		{"the other entry is cut off as well", func(f *forwardSite) { f.otherCut.Store(true) }},
-		{"the other entry stops", func(f *forwardSite) { f.other.relay.Stop() }},
-		{"the other entry has an older configuration", func(f *forwardSite) {
+		{"the other entry is cut off as well", relay.DeclinedNoPath, func(f *forwardSite) { f.otherCut.Store(true) }},
+		{"the other entry stops", relay.DeclinedStopping, func(f *forwardSite) { f.other.relay.Stop() }},
+		{"the other entry has an older configuration", relay.DeclinedOlderConfig, func(f *forwardSite) {
 			cfg := config()
 			cfg.Version = 2
 			f.cut.relay.SetConfig(cfg)
 		}},
-		{"the other entry's keys have lapsed", func(f *forwardSite) { f.other.relay.SetConfirmed(time.Now().Add(-time.Minute)) }},
+		{"the other entry's keys have lapsed", relay.DeclinedNoControl, func(f *forwardSite) { f.other.relay.SetConfirmed(time.Now().Add(-time.Minute)) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newForwardSite(t, respondKind)
@@ -157,6 +160,17 @@
 			if f.arrivals() != 0 || f.forwarded.Load() != 1 {
 				t.Errorf("%d arrivals at upstreams, %d forwarded requests; want 0 and 1", f.arrivals(), f.forwarded.Load())
 			}
+			f.cut.mu.Lock()
+			defer f.cut.mu.Unlock()
+			var reasons []relay.DeclineReason
+			for _, a := range f.cut.records[0].Attempts {
+				if a.Entry != "" {
+					reasons = append(reasons, a.Declined)
+				}
+			}
+			if diff := cmp.Diff([]relay.DeclineReason{tt.want}, reasons); diff != "" {
+				t.Errorf("reasons in the record (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
--- a/relay/memory_network_test.go
+++ b/relay/memory_network_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -91,17 +92,17 @@
 
 	mu   sync.Mutex
 	mode cutMode
-	// spared is an upstream that stays reachable.
-	spared string
+	// spared are the upstreams that stay reachable.
+	spared []string
 	conns  map[*pathConn]struct{}
 }
 
 func (p *upstreamPath) cut(mode cutMode) {
-	p.cutExcept("", mode)
+	p.cutExcept(nil, mode)
 }
 
-// cutExcept cuts the path to all upstreams but one.
-func (p *upstreamPath) cutExcept(spared string, mode cutMode) {
+// cutExcept cuts the path to all upstreams but the spared ones.
+func (p *upstreamPath) cutExcept(spared []string, mode cutMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spared, p.mode = spared, mode
@@ -109,7 +110,7 @@
 		return
 	}
 	for c := range p.conns {
-		if c.address != spared {
+		if !slices.Contains(spared, c.address) {
 			c.reset()
 		}
 	}
@@ -118,7 +119,7 @@
 func (p *upstreamPath) modeTo(address string) cutMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if address == p.spared {
+	if slices.Contains(p.spared, address) {
 		return cutNone
 	}
 	return p.mode
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -9,7 +9,10 @@
 // other path and does none of this.
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/ident"
@@ -23,13 +26,50 @@
 	maxPathProbes = 64
 )
 
-// ReachabilityEvent says that this entry lost its paths to all upstreams, or has one again, for the log.
+// Reach is how many of a set of upstreams this entry reaches.
+type Reach string
+
+const (
+	// ReachMost means at least half of the upstreams.
+	ReachMost Reach = "most"
+	// ReachFew means less than half of the upstreams.
+	ReachFew Reach = "few"
+	// ReachNone means no upstream.
+	ReachNone Reach = "none"
+)
+
+// ReachabilityEvent says that the reach of this entry has changed, for the log.
 type ReachabilityEvent struct {
-	CutOff bool
+	// Service is the service of the upstreams, empty if they are those of all services.
+	Service ident.Service
+	Reach   Reach
 	// Unreachable is the number of unreachable upstreams, Total that of all.
 	Unreachable, Total int
 }
 
+// pathCount counts upstreams and those of them that are unreachable.
+type pathCount struct {
+	unreachable, total int
+}
+
+func (c *pathCount) add(unreachable bool) {
+	c.total++
+	if unreachable {
+		c.unreachable++
+	}
+}
+
+// reach returns the reach among the counted upstreams.
+func (c pathCount) reach() Reach {
+	switch {
+	case c.total > 0 && c.unreachable == c.total:
+		return ReachNone
+	case 2*c.unreachable > c.total:
+		return ReachFew
+	}
+	return ReachMost
+}
+
 // reachability is what this entry knows of its paths to upstreams; it is guarded by the relay's mutex.
 type reachability struct {
 	// lastContactAt is when any upstream last sent something or accepted a connection.
@@ -38,10 +78,11 @@
 	pathsCheckedAt time.Time
 	nextProbe      int
 	probeScheduled bool
-	// anyUnreachable is set while some upstream is unreachable, cutOff while all are, reachesFew while most are.
+	// anyUnreachable is set while some upstream is unreachable, reachesFew while most are.
 	anyUnreachable bool
-	cutOff         bool
 	reachesFew     bool
+	// reported is the reach of the last event for each service, and for all services together under the empty name; absent for ReachMost.
+	reported map[ident.Service]Reach
 }
 
 // noteContact records that an upstream sent something; the mutex is held.
@@ -55,14 +96,14 @@
 	if !ts.unreachable {
 		return
 	}
-	if unreachable, total := s.countUnreachable(); unreachable == total {
+	if s.countPaths()[""].reach() == ReachNone {
 		// The path of this entry is back. Upstreams that are still unreachable are found by requests, without connections to all at once.
 		for _, t := range s.index.all {
 			s.stateOf(t).unreachable = false
 		}
 	}
 	ts.unreachable = false
-	s.updateCutOff()
+	s.updateReach()
 }
 
 // markUnreachable records that no connection to t can be opened; the mutex is held.
@@ -71,30 +112,42 @@
 	if !ts.unreachable {
 		ts.unreachable = true
 		s.pool.drop(t.address)
-		s.updateCutOff()
+		s.updateReach()
 	}
 	s.scheduleProbes()
 }
 
-// countUnreachable counts the unreachable upstreams; the mutex is held.
-func (s *Relay) countUnreachable() (unreachable, total int) {
+// countPaths counts the upstreams of each service, and those of all services under the empty name; the mutex is held.
+func (s *Relay) countPaths() map[ident.Service]pathCount {
+	counts := map[ident.Service]pathCount{}
 	for _, t := range s.index.all {
-		total++
-		if s.stateOf(t).unreachable {
-			unreachable++
+		for _, service := range []ident.Service{"", t.service} {
+			c := counts[service]
+			c.add(s.stateOf(t).unreachable)
+			counts[service] = c
 		}
 	}
-	return unreachable, total
+	return counts
 }
 
-// updateCutOff sets anyUnreachable, cutOff and reachesFew, and calls OnReachability if this entry lost all paths or has one again; the mutex is held.
-func (s *Relay) updateCutOff() {
-	unreachable, total := s.countUnreachable()
-	s.reach.anyUnreachable, s.reach.reachesFew = unreachable > 0, 2*unreachable > total
-	cutOff := total > 0 && unreachable == total
-	if cutOff != s.reach.cutOff {
-		s.reach.cutOff = cutOff
-		s.OnReachability(ReachabilityEvent{cutOff, unreachable, total})
+// updateReach sets anyUnreachable and reachesFew, and calls OnReachability for each service whose reach has changed; the mutex is held.
+func (s *Relay) updateReach() {
+	counts := s.countPaths()
+	all := counts[""]
+	s.reach.anyUnreachable, s.reach.reachesFew = all.unreachable > 0, all.reach() != ReachMost
+	for service := range s.reach.reported {
+		if _, ok := counts[service]; !ok {
+			delete(s.reach.reported, service)
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
+		c := counts[service]
+		reach := c.reach()
+		if reach == cmp.Or(s.reach.reported[service], ReachMost) {
+			continue
+		}
+		s.reach.reported[service] = reach
+		s.OnReachability(ReachabilityEvent{service, reach, c.unreachable, c.total})
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,7 +74,7 @@
 	// changes; it must not block.
 	Backoff        *backoff.List[ident.Incarnation]
 	OnBackpressure func(event *BackpressureEvent)
-	// OnReachability is called when this entry lost its paths to all upstreams, and when it has one again; it must not block.
+	// OnReachability is called when this entry reaches more or fewer upstreams of a service than before; it must not block.
 	OnReachability func(event ReachabilityEvent)
 	// Limits keeps this entry, together with all others, within the limits that upstreams name.
 	Limits *ratelimit.Limiter[ident.Incarnation]
@@ -165,6 +165,7 @@
 		createdAt:    clock.Now(), firstConfirmation: make(chan struct{}), memory: newMemory(defaultMemoryBytes),
 	}
 	s.index = newTargetIndex(s.rosterCopy, nil, nil, nil)
+	s.reach.reported = map[ident.Service]Reach{}
 	s.Limits = s.newLimiter()
 	s.Unrecognized = unread.New[ident.Incarnation](names.Recognized()...)
 	now := func() time.Time { return s.Now() }
@@ -235,7 +236,7 @@
 // setIndex replaces the target index; the mutex is held.
 func (s *Relay) setIndex(index *targetIndex) {
 	s.index = index
-	s.updateCutOff()
+	s.updateReach()
 	s.Limits.Table.SetCaps(index.coldLimits)
 }
 
@@ -479,9 +480,11 @@
 type Attempt struct {
 	Upstream ident.Incarnation `json:"to,omitempty"`
 	// Entry is the entry through which the request was sent, in place of an upstream.
-	Entry  string      `json:"entry,omitempty"`
-	Group  ident.Group `json:"group,omitempty"`
-	Result string      `json:"result"`
+	Entry string `json:"entry,omitempty"`
+	// Declined is why that entry declined the request.
+	Declined DeclineReason `json:"declined,omitempty"`
+	Group    ident.Group   `json:"group,omitempty"`
+	Result   string        `json:"result"`
 	// StartMS is its start, in ms after the request arrived.
 	StartMS int64 `json:"at-ms"`
 	// EstimateMS is the estimated time to first event in ms; PendingPrompt and Requests are the known load of the upstream, Counted is the
--- a/relay/target_index.go
+++ b/relay/target_index.go
@@ -16,6 +16,7 @@
 // target is an upstream to which requests can be sent: a worker of a plain service, or the head of an open group.
 type target struct {
 	id            ident.Incarnation
+	service       ident.Service
 	address       string
 	hall          ident.Hall
 	slots         int
@@ -78,7 +79,7 @@
 			continue
 		}
 		index.plainTargets[upstream.Service] = append(index.plainTargets[upstream.Service], target{
-			id: id, address: upstream.Address, hall: upstream.Hall, slots: upstream.Slots, silent: upstream.Silent, inSubset: true,
+			id: id, service: upstream.Service, address: upstream.Address, hall: upstream.Hall, slots: upstream.Slots, silent: upstream.Silent, inSubset: true,
 		})
 	}
 	for name := range rosterCopy.Groups {
@@ -186,7 +187,7 @@
 		head.Slots = min(head.Slots, crossDomainSlotsOf(table, group))
 	}
 	t := target{
-		id: head.ID, address: head.Address, hall: head.Hall, slots: head.Slots, group: group.Name, model: group.Model, crossDomain: group.Far, hasSlowMember: group.Slow, silent: head.Silent,
+		id: head.ID, service: group.Service, address: head.Address, hall: head.Hall, slots: head.Slots, group: group.Name, model: group.Model, crossDomain: group.Far, hasSlowMember: group.Slow, silent: head.Silent,
 		timing: timingOf(table, group), typicalPrompt: typicalPromptOf(table, group),
 	}
 	f.heads[group.Name] = head.ID
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -171,7 +171,7 @@
 // mutex is held.
 func (n *entryMetrics) countAttempt(attempt *relay.Attempt) {
 	if attempt.Entry != "" {
-		n.scope.Tagged(map[string]string{"result": attempt.Result}).Counter("forwarded_requests").Inc(1)
+		n.scope.Tagged(map[string]string{"result": attempt.Result, "declined": string(attempt.Declined)}).Counter("forwarded_requests").Inc(1)
 		return
 	}
 	key := attemptKey{attempt.Result, attempt.ConnFailure}
@@ -221,10 +221,13 @@
 	return s
 }
 
-// logReachability logs that this entry lost its paths to all upstreams, or has one again.
+// logReachability logs how many upstreams of a service, or of all services, this entry reaches.
 func (e *Entry) logReachability(event relay.ReachabilityEvent) {
-	e.metrics.cutOff.Update(boolGauge(event.CutOff))
-	e.Log.Info("paths to upstreams changed", "cut-off", event.CutOff, "unreachable", event.Unreachable, "upstreams", event.Total)
+	cutOff := event.Reach == relay.ReachNone
+	if event.Service == "" {
+		e.metrics.cutOff.Update(boolGauge(cutOff))
+	}
+	e.Log.Info("paths to upstreams changed", "service", event.Service, "reach", event.Reach, "cut-off", cutOff, "unreachable", event.Unreachable, "upstreams", event.Total)
 }
 
 func boolGauge(v bool) float64 {
