--- a/relay/cut_off_test.go
+++ b/relay/cut_off_test.go
@@ -62,13 +62,15 @@
 
 const (
 	cutSiteEntries = 3
-	// cutSitePlain and cutSiteGroups are the numbers of workers and groups.
-	cutSitePlain  = 3
-	cutSiteGroups = 6
+	cutSitePlain   = 3
+	cutSiteGroups  = 6
 	// cutSiteEvents is the number of events in a stream.
 	cutSiteEvents = 5
 )
 
+// cutSiteSize has the numbers of entries, plain workers and groups of a site.
+type cutSiteSize struct{ entries, plain, groups int }
+
 func cutSiteConfig() *httproute.Config {
 	cfg := timedConfig()
 	cfg.Routes = []httproute.Route{
@@ -83,8 +85,14 @@
 	return cfg
 }
 
-// newCutSite starts a site in a synctest bubble; stop ends it.
+// newCutSite starts a small site in a synctest bubble; stop ends it.
 func newCutSite(t *testing.T) *cutSite {
+	t.Helper()
+	return newCutSiteOf(t, cutSiteSize{cutSiteEntries, cutSitePlain, cutSiteGroups})
+}
+
+// newCutSiteOf is newCutSite for a site of that size.
+func newCutSiteOf(t *testing.T, size cutSiteSize) *cutSite {
 	t.Helper()
 	s := &cutSite{
 		t: t, network: &memoryNetwork{listeners: map[string]*memoryListener{}}, runs: map[string]int{}, streams: map[string]int{},
@@ -92,12 +100,12 @@
 	}
 	delta := roster.Delta{Full: true, Revision: 1}
 	upstreams := map[string]bool{}
-	for i := range cutSitePlain + cutSiteGroups {
+	for i := range size.plain + size.groups {
 		address := fmt.Sprintf("10.2.0.%d:80", i)
 		upstreams[address] = true
 		s.ends = append(s.ends, s.network.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveUpstream(address, w, r) })))
 		u := roster.Upstream{ID: ident.Incarnation(fmt.Sprintf("u%d", i)), Service: "plain", Address: address, Slots: 16}
-		if i < cutSitePlain {
+		if i < size.plain {
 			s.workers = append(s.workers, address)
 		} else {
 			u.Service, u.Slots = "model", 26
@@ -108,14 +116,14 @@
 		}
 		delta.Upstreams = append(delta.Upstreams, u)
 	}
-	for i := range cutSiteEntries {
+	for i := range size.entries {
 		s.addresses = append(s.addresses, fmt.Sprintf("10.1.0.%d:70", i))
 	}
 	for i := range s.addresses {
 		path := &upstreamPath{network: s.network, upstreams: upstreams}
 		e := relay.New(headerNames(), path.dial)
 		e.Budget = relay.NewRetryBudget(relay.RetryBudgetRule{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100})
-		e.Budget.SetEntries(cutSiteEntries)
+		e.Budget.SetEntries(size.entries)
 		e.SendUpdate = func(update relay.EntryUpdate, to []string) { s.deliver(i, update, to) }
 		e.SetConfig(cutSiteConfig())
 		e.ApplyRoster(&delta)
