Accept forwarded requests whose upstreams this entry reaches

Cause: an entry declined every forwarded request while it reached less than half of all upstreams together. One that has lost the models' 40 of 44 still reaches all plain workers, and was the only kind of entry that did.

It now declines on arrival only if most of the upstreams that the request may be sent to are unreachable as well. An entry that reaches one group of many still declines requests for its model. Declined requests have the reason in the record and do not count as refusals to callers.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -56,8 +56,6 @@
 		decline(w, DeclinedBusy)
 	case h.Relay.stopping.Load():
 		decline(w, DeclinedStopping)
-	case h.Relay.ReachesFew():
-		decline(w, DeclinedNoPath)
 	case h.Relay.Version() < forwarded.version:
 		decline(w, DeclinedOlderConfig)
 	default:
@@ -91,6 +89,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// lacksPathForOther reports whether this entry declines a forwarded request before it has the body, since most upstreams are unreachable from
+// here, also of those that the request may be sent to: the few that are left would get the requests of all entries that are cut off.
+func (x *exchange) lacksPathForOther() bool {
+	s := x.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.forwarded != nil && s.reach.reachesFew && s.pathsFor(x).reach() != ReachMost
+}
+
 // declineReason returns why this entry declines a forwarded request that ended with err, or "" if it does not: a declined request did not run,
 // and another entry may serve it.
 func (x *exchange) declineReason(err error) DeclineReason {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -121,9 +121,10 @@
 	// triesUnreachable is set when no other entry accepted the request: it is then sent to an unreachable target, which may be reachable
 	// again since the last probe.
 	triesUnreachable bool
-	// forwarded is set for a request of another entry. triedEntries are the entries to which the request was forwarded, entryCode is the
+	// forwarded is set for a request of another entry, declined once this entry has declined it. triedEntries are the entries to which the request was forwarded, entryCode is the
 	// result code of the answer of one.
 	forwarded    *forwardedRequest
+	declined     DeclineReason
 	triedEntries map[string]bool
 	entryCode    result.Code
 	// counted is set once the request counts in the retry budget and the demand.
@@ -159,6 +160,10 @@
 		return result.New(result.NoWholeGroup, "the route's service is not declared")
 	}
 	x.model = ident.Model(x.r.Header.Get(x.s.Headers.Model))
+	if x.lacksPathForOther() {
+		x.lacksPath = true
+		return result.New(result.NoWholeGroup, "most upstreams are unreachable from this entry")
+	}
 	x.setPromptParts()
 	x.lastEventID = x.r.Header.Get(x.s.Headers.EventID)
 	x.priorElapsed = x.s.estimatePriorElapsed(x.route.Name, x.callerTimeout())
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -44,7 +44,7 @@
 // refuse writes a refusal with its code. If the request did not run, or can be repeated, the refusal has a Retry-After header.
 func (x *exchange) refuse(err error) {
 	if reason := x.declineReason(err); reason != "" {
-		x.status = http.StatusServiceUnavailable
+		x.status, x.declined = http.StatusServiceUnavailable, reason
 		decline(x.w, reason)
 		return
 	}
@@ -119,7 +119,7 @@
 		record.PromptParts = x.promptParts
 	}
 	if x.forwarded != nil {
-		record.ForwardedBy = x.r.RemoteAddr
+		record.ForwardedBy, record.Declined = x.r.RemoteAddr, x.declined
 	}
 	if x.table != nil {
 		record.Version = x.table.Config.Version
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -107,8 +107,8 @@
 	if !s.reach.anyUnreachable || !x.mayForward() {
 		return false
 	}
-	unreachable, total := s.unreachableFor(x)
-	return unreachable > 0 && (unreachable == total || s.reach.reachesFew && s.RandomInt(total) < unreachable)
+	paths := s.pathsFor(x)
+	return paths.reach() == ReachNone || s.reach.reachesFew && paths.total > 0 && s.RandomInt(paths.total) < paths.unreachable
 }
 
 // forward sends the request through another entry and reports whether one accepted it; err is then the error of the request.
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -227,32 +227,16 @@
 	return true
 }
 
-// unreachableFor counts the upstreams that the request may be sent to, and those of them that are unreachable; the mutex is held.
-func (s *Relay) unreachableFor(x *exchange) (unreachable, total int) {
+// pathsFor counts the upstreams that the request may be sent to, and those of them that are unreachable; the mutex is held.
+func (s *Relay) pathsFor(x *exchange) pathCount {
+	var c pathCount
 	targets := s.index.targets(x.service, x.model)
 	for i := range targets {
-		if !x.regionAllowed(&targets[i]) {
-			continue
-		}
-		total++
-		if s.stateOf(&targets[i]).unreachable {
-			unreachable++
+		if x.regionAllowed(&targets[i]) {
+			c.add(s.stateOf(&targets[i]).unreachable)
 		}
 	}
-	return unreachable, total
-}
-
-// cutOffFrom reports whether all upstreams that the request may be sent to are unreachable from this entry; the mutex is held.
-func (s *Relay) cutOffFrom(x *exchange) bool {
-	unreachable, total := s.unreachableFor(x)
-	return total > 0 && unreachable == total
-}
-
-// ReachesFew reports whether most upstreams are unreachable from this entry.
-func (s *Relay) ReachesFew() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reach.reachesFew
+	return c
 }
 
 // target returns the target with an id, nil if there is none.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -450,8 +450,9 @@
 	PriorElapsed time.Duration
 	// LimitWaits is how often no permit was granted for the chosen upstream.
 	LimitWaits int
-	// ForwardedBy is the entry that forwarded the request, "" if it came from a caller.
+	// ForwardedBy is the entry that forwarded the request, "" if it came from a caller. Declined is why this entry declined it, "" if it did not.
 	ForwardedBy string
+	Declined    DeclineReason
 	// UnreachableTargets is how many targets were unreachable from this entry at the last choice.
 	UnreachableTargets int
 	// Targets is the number of targets at the last choice, SuspectTargets how many of them were suspect.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -131,7 +131,7 @@
 // isForwardedNext reports whether a further attempt would be made through another entry, since this one reaches no upstream; the mutex is
 // held.
 func (s *Relay) isForwardedNext(x *exchange) bool {
-	return s.reach.anyUnreachable && x.mayForward() && s.cutOffFrom(x)
+	return s.reach.anyUnreachable && x.mayForward() && s.pathsFor(x).reach() == ReachNone
 }
 
 // gainsByMoving reports whether a request at a stalled group should move now: if it can be in time at another group, or another group has
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -147,7 +147,7 @@
 
 // countRefusal counts a request that was refused although its caller may send it again; the mutex is held.
 func (n *entryMetrics) countRefusal(r *relay.Record) {
-	if r.Route == "" || r.Status != http.StatusServiceUnavailable || !result.Lookup(r.Code).NotRun {
+	if r.Declined != "" || r.Route == "" || r.Status != http.StatusServiceUnavailable || !result.Lookup(r.Code).NotRun {
 		return
 	}
 	key := refusalKey{r.Route, r.Urgency, r.Code}
@@ -256,6 +256,9 @@
 	if r.ForwardedBy != "" {
 		fields = append(fields, "forwarded-by", r.ForwardedBy)
 	}
+	if r.Declined != "" {
+		fields = append(fields, "declined", r.Declined)
+	}
 	if r.UnreachableTargets > 0 {
 		fields = append(fields, "unreachable-targets", r.UnreachableTargets)
 	}
