Remember and name entries that accept forwarded requests

Where few entries have a path, callers of the others got 2008 although the few could serve them: an entry asked at most ten others at random, and forgot after half a second which ones had declined.

Entries now remember up to eight others that accepted a request for a service, and name one when they decline for want of a path. After the first offer that is not accepted these are asked before random ones, so what one entry has found spreads with the declines and needs no messages of its own. The first offer stays random, so that the load is spread where many accept.

TestNamedAcceptorIsAnEntry guards the new header.

--- a/relay/declined_forward_test.go
+++ b/relay/declined_forward_test.go
@@ -43,6 +43,18 @@
 		if late.served < late.sent*49/50 {
 			t.Errorf("%d of %d requests were served", late.served, late.sent)
 		}
+		// The entries that had a path lose it, and others have one again.
+		for i, path := range s.paths {
+			path.cut(cutSilent)
+			if i < entries-cut {
+				path.cut(cutNone)
+			}
+		}
+		s.loadInTurn("cut again", 4*time.Second)
+		late = s.loadInTurn("late again", 4*time.Second)
+		if late.served < late.sent*49/50 {
+			t.Errorf("after other entries were cut off, %d of %d requests were served", late.served, late.sent)
+		}
 		s.heal()
 		s.checkRuns()
 	})
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -121,12 +121,13 @@
 	// triesUnreachable is set when no other entry accepted the request: it is then sent to an unreachable target, which may be reachable
 	// again since the last probe.
 	triesUnreachable bool
-	// forwarded is set for a request of another entry, declined once this entry has declined it. triedEntries are the entries to which the request was forwarded, entryCode is the
-	// result code of the answer of one.
-	forwarded    *forwardedRequest
-	declined     DeclineReason
-	triedEntries map[string]bool
-	entryCode    result.Code
+	// forwarded is set for a request of another entry, declined once this entry has declined it. triedEntries are the entries to which the
+	// request was forwarded, namedAcceptors those that they named when they declined it, entryCode is the result code of the answer of one.
+	forwarded      *forwardedRequest
+	declined       DeclineReason
+	triedEntries   map[string]bool
+	namedAcceptors []string
+	entryCode      result.Code
 	// counted is set once the request counts in the retry budget and the demand.
 	counted bool
 	// retryDecisions are the decisions of the retry budget on this request.
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -45,6 +45,11 @@
 func (x *exchange) refuse(err error) {
 	if reason := x.declineReason(err); reason != "" {
 		x.status, x.declined = http.StatusServiceUnavailable, reason
+		if reason == DeclinedNoPath {
+			if acceptor := x.s.anyAcceptor(x.service.Name); acceptor != "" {
+				x.w.Header().Set(headerAcceptor, acceptor)
+			}
+		}
 		decline(x.w, reason)
 		return
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -7,6 +7,7 @@
 //
 // The other entry declines what it cannot serve before anything ran: it is cut off
 // as well, stops, has an older configuration, or already carries enough for others.
+// If it knows an entry that accepted a request for the same service, it names that one.
 // It gets the body only after it has accepted the head ("Expect: 100-continue"), so
 // one that does not answer cannot run the request, and the next entry is asked.
 // A request is forwarded once only. It counts in the retry budget and the demand of
@@ -19,6 +20,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,6 +40,8 @@
 	declinedPeriod = 500 * time.Millisecond
 	// maxForwarded bounds the requests that an entry carries for others at the same time.
 	maxForwarded = 64
+	// maxAcceptors bounds the entries that are remembered because they accepted a request for a service.
+	maxAcceptors = 8
 )
 
 // Headers between entries.
@@ -48,13 +52,16 @@
 	headerForwardAttempts = "Entry-Attempts"
 	// headerForwardCounted is set if the request was counted at the entry that forwards.
 	headerForwardCounted = "Entry-Counted"
-	// headerDeclined is set in an answer by which an entry declines a request, headerResultCode is the result code of any other answer.
+	// headerDeclined is set in an answer by which an entry declines a request, headerAcceptor is another entry that accepted one for the same
+	// service. headerResultCode is the result code of any other answer.
 	headerDeclined   = "Entry-Declined"
+	headerAcceptor   = "Entry-Acceptor"
 	headerResultCode = "Entry-Result-Code"
 )
 
 var forwardHeaders = map[string]bool{
-	headerForwardVersion: true, headerForwardAttempts: true, headerForwardCounted: true, headerDeclined: true, headerResultCode: true,
+	headerForwardVersion: true, headerForwardAttempts: true, headerForwardCounted: true, headerDeclined: true, headerAcceptor: true,
+	headerResultCode: true,
 }
 
 var (
@@ -139,19 +146,29 @@
 		if silent {
 			return false, nil
 		}
-		x.s.avoidEntry(entryService{address, x.service.Name}, outcome == outcomeNotAccepted)
+		entry := entryService{address, x.service.Name}
+		x.s.avoidEntry(entry, outcome == outcomeNotAccepted)
+		if x.attempts[len(x.attempts)-1].Declined != DeclinedBusy {
+			x.s.forgetAcceptor(entry)
+		}
 	}
 	return false, nil
 }
 
 // chooseEntry returns the address of an entry to ask, or "". An entry in this hall is preferred to others, and any that answers to one that
-// was silent shortly before.
+// was silent shortly before. After the first one that did not accept, entries that accepted other requests are preferred: if only few have a
+// path, it takes long to find them by chance. The first one is chosen by chance, so that these few do not get all requests if others have a path.
 func (x *exchange) chooseEntry() (address string, silent bool) {
 	s := x.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	others := s.entries.Others()
 	for _, silent := range []bool{false, true} {
-		for _, addresses := range [][]string{s.entries.OthersIn(s.Hall), s.entries.Others()} {
+		lists := [][]string{s.entries.OthersIn(s.Hall), others}
+		if len(x.triedEntries) > 0 {
+			lists = append([][]string{x.namedAcceptors, s.acceptors[x.service.Name]}, lists...)
+		}
+		for _, addresses := range lists {
 			if usable := x.usableEntries(addresses, silent); len(usable) > 0 {
 				return usable[s.RandomInt(len(usable))], silent
 			}
@@ -160,6 +177,48 @@
 	return "", false
 }
 
+// noteAcceptor remembers an entry that accepted a request for a service, in place of the one that was added first if there are many.
+func (s *Relay) noteAcceptor(e entryService) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	acceptors := s.acceptors[e.service]
+	if slices.Contains(acceptors, e.address) {
+		return
+	}
+	if len(acceptors) >= maxAcceptors {
+		acceptors = slices.Delete(acceptors, 0, 1)
+	}
+	s.acceptors[e.service] = append(acceptors, e.address)
+}
+
+// forgetAcceptor forgets an entry that does not accept requests for a service any more.
+func (s *Relay) forgetAcceptor(e entryService) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acceptors[e.service] = slices.DeleteFunc(s.acceptors[e.service], func(address string) bool { return address == e.address })
+}
+
+// anyAcceptor returns an entry that accepted a request for a service, or "".
+func (s *Relay) anyAcceptor(service ident.Service) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	acceptors := s.acceptors[service]
+	if len(acceptors) == 0 {
+		return ""
+	}
+	return acceptors[s.RandomInt(len(acceptors))]
+}
+
+// noteNamedAcceptor notes an entry that another one named when it declined the request.
+func (x *exchange) noteNamedAcceptor(address string) {
+	s := x.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address != "" && slices.Contains(s.entries.Others(), address) {
+		x.namedAcceptors = append(x.namedAcceptors, address)
+	}
+}
+
 // usableEntries returns the entries that are not avoided and that this request did not ask, or, if silent is set, those that are avoided only
 // for their silence, asked or not; the mutex is held.
 func (x *exchange) usableEntries(addresses []string, silent bool) []string {
@@ -225,6 +284,7 @@
 	if errors.Is(err, errDeclined) {
 		x.mayHaveRun = ranBefore
 		x.attempts[len(x.attempts)-1].Declined = declineReasonOf(resp)
+		x.noteNamedAcceptor(resp.Header.Get(headerAcceptor))
 		s.entryPool.put(conn, resp, maxIdlePerUpstream)
 		return outcomeNotRun
 	}
@@ -254,6 +314,7 @@
 		x.boundConn(conn, x.timeLeft())
 		return x.checkDeclined(resp)
 	}
+	x.s.noteAcceptor(entryService{conn.address, x.service.Name})
 	// From here on upstreams may run the request as often as the route allows.
 	x.mayHaveRun = true
 	x.runCount += attempts
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// Guards against requests that are sent to an address that is not one of an entry, because an answer names it.
+func TestNamedAcceptorIsAnEntry(t *testing.T) {
+	var strangerCalls atomic.Int64
+	stranger := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { strangerCalls.Add(1) }))
+	defer stranger.Close()
+	f := newForwardSite(t, respondKind)
+	declining := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Entry-Declined", string(relay.DeclinedNoPath))
+		w.Header().Set("Entry-Acceptor", stranger.Listener.Addr().String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer declining.Close()
+	f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"hall": {"127.0.0.1:1", declining.Listener.Addr().String()}}))
+	if got := f.cut.do(f.cut.request("POST", "/unsafe/x", "id", "body")); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got.Status)
+	}
+	if got := strangerCalls.Load(); got != 0 {
+		t.Errorf("%d requests at an address that is not one of an entry", got)
+	}
+}
+
 // Guards against a second run of a request that must not be repeated, when the entry that it was forwarded to ends.
 func TestForwardedRequestWhoseEntryEnds(t *testing.T) {
 	var f *forwardSite
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,6 +130,8 @@
 	reach                   reachability
 	// avoidedEntries are the entries to which no request is forwarded for a while, unless they were only silent and no other is left.
 	avoidedEntries map[entryService]avoidance
+	// acceptors are entries that accepted requests which this one forwarded, by service.
+	acceptors map[ident.Service][]string
 	// candidates is reused by every choice.
 	candidates candidates
 	// startSlots let the streams of a model that were held at the start continue one by one.
@@ -152,6 +154,7 @@
 		Quarantine:   &quarantine.List{Rule: quarantine.DefaultRule()}, OnQuarantine: func(*QuarantineEvent) {},
 		Backoff: backoff.New[ident.Incarnation](backoff.DefaultRule()), OnBackpressure: func(*BackpressureEvent) {},
 		OnReachability: func(ReachabilityEvent) {}, avoidedEntries: map[entryService]avoidance{},
+		acceptors:      map[ident.Service][]string{},
 		rosterCopy:     roster.NewCopy(),
 		states:         map[ident.Incarnation]*targetState{},
 		peerCounts:     peerCounts{spillCredit: map[ident.Model]float64{}},
@@ -229,6 +232,9 @@
 		known[address] = true
 	}
 	s.entryPool.prune(func(address string) bool { return known[address] })
+	for service, acceptors := range s.acceptors {
+		s.acceptors[service] = slices.DeleteFunc(acceptors, func(address string) bool { return !known[address] })
+	}
 	s.coordinators.SetEntries(entries)
 	s.setIndex(newTargetIndex(s.rosterCopy, s.table.Load(), entries, s.index.drainedHalls))
 }
