Reproduce reach that is mixed up between services in two tests

The same cause elsewhere: evidence about one service is taken for evidence about another. TestPathsOfOneServiceAreRestored: when the first plain worker is reachable again, all groups count as reachable.

--- a/relay/declined_forward_test.go
+++ b/relay/declined_forward_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/relay"
 )
 
 // Guards against entries that decline requests of a service whose upstreams they reach, because they have lost those of another service.
@@ -90,3 +92,88 @@
 	wg.Wait()
 	return count
 }
+
+// Guards against entries that take the paths to all services for restored when the first connection to one of them opens.
+func TestPathsOfOneServiceAreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCutSite(t)
+		defer s.stop()
+		s.load("before", time.Second)
+		s.paths[0].cut(cutReset)
+		s.load("cut", time.Second)
+		var mu sync.Mutex
+		restored := false
+		s.entries[0].OnReachability = func(event relay.ReachabilityEvent) {
+			mu.Lock()
+			defer mu.Unlock()
+			restored = restored || event.Service == "model"
+		}
+		s.paths[0].cutExcept(s.workers, cutReset)
+		s.load("one service", 2*time.Second)
+		mu.Lock()
+		if restored {
+			t.Error("the reach of the model's groups has changed, but only the plain workers are reachable again")
+		}
+		mu.Unlock()
+		s.heal()
+	})
+}
+
+// Guards against entries that find their lost paths to the upstreams of one service one by one, by a failed request each, since they hear from
+// another service.
+func TestCutFromOneServiceIsNoticed(t *testing.T) {
+	const groups = 40
+	for _, mode := range []cutMode{cutSilent, cutReset, cutRefused} {
+		t.Run(string(mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCutSiteOf(t, cutSiteSize{cutSiteEntries, cutSitePlain, groups})
+				defer s.stop()
+				s.load("before", time.Second)
+				var mu sync.Mutex
+				noticed := false
+				s.entries[0].OnReachability = func(event relay.ReachabilityEvent) {
+					mu.Lock()
+					defer mu.Unlock()
+					noticed = noticed || event.Service == "model" && event.Reach == relay.ReachNone
+				}
+				s.paths[0].cutExcept(s.workers, mode)
+				s.loadWithFewStreams("cut", 4*time.Second)
+				late := s.loadWithFewStreams("late", 4*time.Second)
+				s.heal()
+				mu.Lock()
+				defer mu.Unlock()
+				if !noticed {
+					t.Error("the entry has not noticed that it reaches no group")
+				}
+				if late.served < late.sent*49/50 {
+					t.Errorf("%d of %d streams were served", late.served, late.sent)
+				}
+			})
+		})
+	}
+}
+
+// loadWithFewStreams sends the first entry a plain request every 10 ms and a stream every 500 ms for d, and returns the counts of streams.
+func (s *cutSite) loadWithFewStreams(name string, d time.Duration) cutSiteCount {
+	var count cutSiteCount
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		wg.Go(func() { s.request(0, "safe", fmt.Sprintf("%s-0-safe-%d", name, n)) })
+		if n%50 == 0 {
+			wg.Go(func() {
+				served := s.request(0, "stream", fmt.Sprintf("%s-0-stream-%d", name, n))
+				mu.Lock()
+				defer mu.Unlock()
+				count.sent++
+				if served {
+					count.served++
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	wg.Wait()
+	return count
+}
