Restore the paths to upstreams of one service at a time

An entry that reached no upstream took all of them for reachable when the first connection opened. If only one service was back, requests for the others were sent on lost paths again until each upstream had failed once.

The first connection now restores the upstreams of its service.

--- a/relay/reach.go
+++ b/relay/reach.go
@@ -90,16 +90,18 @@
 	s.reach.lastContactAt = now
 }
 
-// noteConnected records that a connection to an upstream was opened; the mutex is held.
-func (s *Relay) noteConnected(ts *targetState) {
+// noteConnected records that a connection to an upstream of a service was opened; the mutex is held.
+func (s *Relay) noteConnected(service ident.Service, ts *targetState) {
 	s.noteContact(s.Now())
 	if !ts.unreachable {
 		return
 	}
-	if s.countPaths()[""].reach() == ReachNone {
+	if s.countPaths()[service].reach() == ReachNone {
 		// The path of this entry is back. Upstreams that are still unreachable are found by requests, without connections to all at once.
 		for _, t := range s.index.all {
-			s.stateOf(t).unreachable = false
+			if t.service == service {
+				s.stateOf(t).unreachable = false
+			}
 		}
 	}
 	ts.unreachable = false
@@ -208,7 +210,7 @@
 		return false
 	}
 	ts.probing, ts.probedAt = true, s.Now()
-	id, address := t.id, t.address
+	id, service, address := t.id, t.service, t.address
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
@@ -219,7 +221,7 @@
 		switch current := s.index.target(id); {
 		case err == nil:
 			s.pool.keep(conn)
-			s.noteConnected(ts)
+			s.noteConnected(service, ts)
 		case current != nil && current.address == address:
 			s.markUnreachable(current)
 		}
--- a/relay/run.go
+++ b/relay/run.go
@@ -299,5 +299,5 @@
 func (s *Relay) noteOpened(t *target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.noteConnected(s.stateOf(t))
+	s.noteConnected(t.service, s.stateOf(t))
 }
