Check the paths to each service by what was heard from it

An entry that had lost the paths to one service and heard from another took each upstream of the first for reachable until a request had failed there: callers waited 60 ms or more for each, 2 of 8 streams were not served.

Cause: all paths are checked if nothing was heard from any upstream since the failed connection was begun, and one service that answers was enough for the others. Contact is now kept by service, and a probe of an overdue request's upstream that fails starts the check as well.

--- a/relay/reach.go
+++ b/relay/reach.go
@@ -4,8 +4,8 @@
 // this entry has lost its path to it. Such an upstream is unreachable until a probe
 // opens a connection: requests are sent to other upstreams, or, if there is none,
 // through another entry (forward.go). An entry that has heard from no upstream
-// since the connection failed checks its paths to all of them at once, so that it
-// knows within two dial time-outs that it is cut off. A site's only entry has no
+// of a service since the connection was begun checks its paths to all of them at
+// once, so that it knows within two dial time-outs that it is cut off. A site's only entry has no
 // other path and does none of this.
 
 import (
@@ -72,10 +72,11 @@
 
 // reachability is what this entry knows of its paths to upstreams; it is guarded by the relay's mutex.
 type reachability struct {
-	// lastContactAt is when any upstream last sent something or accepted a connection.
+	// contactAt is when any upstream of a service last sent something or accepted a connection, lastContactAt when one of any service did.
+	contactAt     map[ident.Service]time.Time
 	lastContactAt time.Time
-	// pathsCheckedAt is when all paths were last checked, nextProbe the index of the next upstream to probe in a round.
-	pathsCheckedAt time.Time
+	// pathsCheckedAt is when the paths to a service were last checked, nextProbe the index of the next upstream to probe in a round.
+	pathsCheckedAt map[ident.Service]time.Time
 	nextProbe      int
 	probeScheduled bool
 	// anyUnreachable is set while some upstream is unreachable, reachesFew while most are.
@@ -85,14 +86,14 @@
 	reported map[ident.Service]Reach
 }
 
-// noteContact records that an upstream sent something; the mutex is held.
-func (s *Relay) noteContact(now time.Time) {
-	s.reach.lastContactAt = now
+// noteContact records that an upstream of a service sent something; the mutex is held.
+func (s *Relay) noteContact(service ident.Service, now time.Time) {
+	s.reach.contactAt[service], s.reach.lastContactAt = now, now
 }
 
 // noteConnected records that a connection to an upstream of a service was opened; the mutex is held.
 func (s *Relay) noteConnected(service ident.Service, ts *targetState) {
-	s.noteContact(s.Now())
+	s.noteContact(service, s.Now())
 	if !ts.unreachable {
 		return
 	}
@@ -108,13 +109,14 @@
 	s.updateReach()
 }
 
-// markUnreachable records that no connection to t can be opened; the mutex is held.
-func (s *Relay) markUnreachable(t *target) {
+// markUnreachable records that the connection to t which was begun at startedAt cannot be opened; the mutex is held.
+func (s *Relay) markUnreachable(t *target, startedAt time.Time) {
 	ts := s.stateOf(t)
 	if !ts.unreachable {
 		ts.unreachable = true
 		s.pool.drop(t.address)
 		s.updateReach()
+		s.checkPaths(startedAt)
 	}
 	s.scheduleProbes()
 }
@@ -153,15 +155,22 @@
 	}
 }
 
-// checkPaths probes all upstreams, unless it did so shortly before; the mutex is held.
-func (s *Relay) checkPaths(now time.Time) {
-	if now.Sub(s.reach.pathsCheckedAt) < probeInterval {
-		return
+// checkPaths probes the upstreams of all services of which nothing was heard since a time, unless it did so shortly before; the mutex is held.
+func (s *Relay) checkPaths(since time.Time) {
+	now := s.Now()
+	silent := map[ident.Service]bool{}
+	for _, t := range s.index.all {
+		if _, known := silent[t.service]; known {
+			continue
+		}
+		silent[t.service] = !s.reach.contactAt[t.service].After(since) && now.Sub(s.reach.pathsCheckedAt[t.service]) >= probeInterval
+		if silent[t.service] {
+			s.reach.pathsCheckedAt[t.service] = now
+		}
 	}
-	s.reach.pathsCheckedAt = now
 	started := 0
 	for _, t := range s.index.all {
-		if started < maxPathProbes && !s.stateOf(t).unreachable && s.startProbe(t) {
+		if started < maxPathProbes && silent[t.service] && !s.stateOf(t).unreachable && s.startProbe(t) {
 			started++
 		}
 	}
@@ -209,7 +218,8 @@
 	if ts.probing {
 		return false
 	}
-	ts.probing, ts.probedAt = true, s.Now()
+	startedAt := s.Now()
+	ts.probing, ts.probedAt = true, startedAt
 	id, service, address := t.id, t.service, t.address
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -223,7 +233,7 @@
 			s.pool.keep(conn)
 			s.noteConnected(service, ts)
 		case current != nil && current.address == address:
-			s.markUnreachable(current)
+			s.markUnreachable(current, startedAt)
 		}
 	}()
 	return true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -168,7 +168,7 @@
 		createdAt:    clock.Now(), firstConfirmation: make(chan struct{}), memory: newMemory(defaultMemoryBytes),
 	}
 	s.index = newTargetIndex(s.rosterCopy, nil, nil, nil)
-	s.reach.reported = map[ident.Service]Reach{}
+	s.reach = reachability{contactAt: map[ident.Service]time.Time{}, pathsCheckedAt: map[ident.Service]time.Time{}, reported: map[ident.Service]Reach{}}
 	s.Limits = s.newLimiter()
 	s.Unrecognized = unread.New[ident.Incarnation](names.Recognized()...)
 	now := func() time.Time { return s.Now() }
--- a/relay/run.go
+++ b/relay/run.go
@@ -279,10 +279,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hasOtherEntries() {
-		s.markUnreachable(t)
-		if !s.reach.lastContactAt.After(dialStart) {
-			s.checkPaths(s.Now())
-		}
+		s.markUnreachable(t, dialStart)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		ts := s.stateOf(t)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -204,7 +204,7 @@
 	x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	x.lastEventAt = now
 	f.waitingSince = now
-	s.noteContact(now)
+	s.noteContact(f.target.service, now)
 	f.eventCount++
 	x.eventCount++
 	if ev.id != "" {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -173,7 +173,7 @@
 	defer s.mu.Unlock()
 	f.waitingSince = s.Now()
 	f.state.noteProgress(f.waitingSince)
-	s.noteContact(f.waitingSince)
+	s.noteContact(f.target.service, f.waitingSince)
 }
 
 // brokenOutcome returns the outcome of an attempt whose connection failed with err, which may have been ended by this entry.
