--- a/relay/declined_forward_test.go
+++ b/relay/declined_forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,6 +63,35 @@
 	})
 }
 
+// Guards against requests that are refused because the few entries with a path carry no more, although their groups have capacity.
+func TestFewEntriesCarryTheRequestsOfOthers(t *testing.T) {
+	const entries, cut, groups, streams = 40, 37, 24, 360
+	synctest.Test(t, func(t *testing.T) {
+		s := newCutSiteOf(t, cutSiteSize{entries, cutSitePlain, groups})
+		defer s.stop()
+		for i := range cut {
+			s.paths[i].cut(cutRefused)
+		}
+		s.loadInTurn("cut", 4*time.Second)
+		var served atomic.Int64
+		var wg sync.WaitGroup
+		for n := range streams {
+			wg.Go(func() {
+				if s.request(n%cut, "stream", fmt.Sprintf("late-%d-stream-%d", n%cut, n)) {
+					served.Add(1)
+				}
+			})
+			time.Sleep(time.Millisecond / 4)
+		}
+		wg.Wait()
+		if got := served.Load(); got < streams*49/50 {
+			t.Errorf("%d of %d streams were served", got, streams)
+		}
+		s.heal()
+		s.checkRuns()
+	})
+}
+
 // heal ends all cuts and waits until the probes of unreachable upstreams have ended.
 func (s *cutSite) heal() {
 	for _, path := range s.paths {
