--- a/relay/cut_series_test.go
+++ b/relay/cut_series_test.go
@@ -65,10 +65,7 @@
 	var end func()
 	switch random.IntN(6) {
 	case 0, 1, 2:
-		var spared []string
-		if random.IntN(3) == 0 {
-			spared = []string{address}
-		}
+		spared := [][]string{nil, {address}, s.workers, s.groups}[random.IntN(4)]
 		s.paths[entry].cutExcept(spared, []cutMode{cutSilent, cutReset, cutRefused, cutNewOnly}[random.IntN(4)])
 		end = func() { s.paths[entry].cut(cutNone) }
 	case 3:
