Reproduce a lost path to one service that counts as crashes

The same cause again, by reading: a refused connection counts as a crash of the upstream if any other upstream is reached, of whichever service. TestLostPathToOneServiceIsNoCrash: streams of one body break at four engines with the path to them; the body is quarantined (2021) when the path is back, since a plain worker was reached all the time.

--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -15,6 +15,16 @@
 
 // Guards against breaks of this entry's own path that count as crashes of the upstreams and quarantine what its callers asked for.
 func TestLostPathIsNoCrash(t *testing.T) {
+	playLostPath(t, false)
+}
+
+// Guards against the same while another service is still reached.
+func TestLostPathToOneServiceIsNoCrash(t *testing.T) {
+	playLostPath(t, true)
+}
+
+// playLostPath breaks the streams of one body at several upstreams when the path to the engines, or to all upstreams, is lost.
+func playLostPath(t *testing.T, reachesPlain bool) {
 	const requests = 4
 	var lost atomic.Bool
 	lose := make(chan struct{})
@@ -30,13 +40,14 @@
 			return resetConn(c)
 		}))
 	}
+	plain := []*upstream{newUpstream(t, respondKind)}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		if lost.Load() {
+		if lost.Load() && (!reachesPlain || address != plain[0].address()) {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		}
 		return transport.TCP()(ctx, address)
 	}
-	s := newTestEntryWithDial(t, dial, nil, heads)
+	s := newTestEntryWithDial(t, dial, plain, heads)
 	cfg := config()
 	cfg.Services[1].Engine.Slots = 1
 	cfg.Routes[2].MaxAttempts = 1
