Read the changes of forwarding again

The check whether an entry declines a forwarded request locked the relay for each request, forwarded or not; only forwarded ones do now. Tests count served requests in one place; a comment on reported events was wrong.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -92,10 +92,13 @@
 // lacksPathForOther reports whether this entry declines a forwarded request before it has the body, since most upstreams are unreachable from
 // here, also of those that the request may be sent to: the few that are left would get the requests of all entries that are cut off.
 func (x *exchange) lacksPathForOther() bool {
+	if x.forwarded == nil {
+		return false
+	}
 	s := x.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return x.forwarded != nil && s.reach.reachesFew && s.pathsFor(x).reach() != ReachMost
+	return s.reach.reachesFew && s.pathsFor(x).reach() != ReachMost
 }
 
 // declineReason returns why this entry declines a forwarded request that ended with err, or "" if it does not: a declined request did not run,
--- a/relay/cut_off_test.go
+++ b/relay/cut_off_test.go
@@ -328,6 +328,17 @@
 // cutSiteCount counts the requests of one kind and those that were served.
 type cutSiteCount struct{ sent, served int }
 
+// countRequest sends one request to an entry and counts it under mu.
+func (s *cutSite) countRequest(mu *sync.Mutex, count *cutSiteCount, entry int, class, id string) {
+	served := s.request(entry, class, id)
+	mu.Lock()
+	defer mu.Unlock()
+	count.sent++
+	if served {
+		count.served++
+	}
+}
+
 // load sends requests of all classes to all entries for d, and returns the counts by entry.
 func (s *cutSite) load(name string, d time.Duration) []cutSiteCount {
 	counts := make([]cutSiteCount, len(s.entries))
@@ -338,15 +349,7 @@
 		for entry := range s.entries {
 			for _, class := range []string{"safe", "unsafe", "stream"} {
 				id := fmt.Sprintf("%s-%d-%s-%d", name, entry, class, n)
-				wg.Go(func() {
-					served := s.request(entry, class, id)
-					mu.Lock()
-					defer mu.Unlock()
-					counts[entry].sent++
-					if served {
-						counts[entry].served++
-					}
-				})
+				wg.Go(func() { s.countRequest(&mu, &counts[entry], entry, class, id) })
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/relay/declined_forward_test.go
+++ b/relay/declined_forward_test.go
@@ -108,15 +108,8 @@
 	end := time.Now().Add(d)
 	for n := 0; time.Now().Before(end); n++ {
 		entry := n % len(s.entries)
-		wg.Go(func() {
-			served := s.request(entry, "unsafe", fmt.Sprintf("%s-%d-unsafe-%d", name, entry, n))
-			mu.Lock()
-			defer mu.Unlock()
-			count.sent++
-			if served {
-				count.served++
-			}
-		})
+		id := fmt.Sprintf("%s-%d-unsafe-%d", name, entry, n)
+		wg.Go(func() { s.countRequest(&mu, &count, entry, "unsafe", id) })
 		time.Sleep(25 * time.Millisecond)
 	}
 	wg.Wait()
@@ -192,15 +185,8 @@
 	for n := 0; time.Now().Before(end); n++ {
 		wg.Go(func() { s.request(0, "safe", fmt.Sprintf("%s-0-safe-%d", name, n)) })
 		if n%50 == 0 {
-			wg.Go(func() {
-				served := s.request(0, "stream", fmt.Sprintf("%s-0-stream-%d", name, n))
-				mu.Lock()
-				defer mu.Unlock()
-				count.sent++
-				if served {
-					count.served++
-				}
-			})
+			id := fmt.Sprintf("%s-0-stream-%d", name, n)
+			wg.Go(func() { s.countRequest(&mu, &count, 0, "stream", id) })
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -130,7 +130,8 @@
 			acceptIn = lastAcceptTimeout
 		}
 		outcome := x.forwardTo(address, acceptIn)
-		x.attempts[len(x.attempts)-1].Result = string(outcome)
+		attempt := &x.attempts[len(x.attempts)-1]
+		attempt.Result = string(outcome)
 		switch outcome {
 		case outcomeDone:
 			return true, nil
@@ -148,7 +149,7 @@
 		}
 		entry := entryService{address, x.service.Name}
 		x.s.avoidEntry(entry, outcome == outcomeNotAccepted)
-		if x.attempts[len(x.attempts)-1].Declined != DeclinedBusy {
+		if attempt.Declined != DeclinedBusy {
 			x.s.forgetAcceptor(entry)
 		}
 	}
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -81,7 +81,7 @@
 	// anyUnreachable is set while some upstream is unreachable, reachesFew while most are.
 	anyUnreachable bool
 	reachesFew     bool
-	// reported is the reach of the last event for each service, and for all services together under the empty name; absent for ReachMost.
+	// reported is the reach of the last event for each service, and for all services together under the empty name.
 	reported map[ident.Service]Reach
 }
 
