Keep keys valid in the tests of answer lengths

Keys of the tests' entries are valid for 4 s, so the probe after the 500 requests was refused and no demand counted. With a pause of 4.1 s before the probe all seven cases fail like that, on a copy. The test is not about keys; they are now valid for an hour, as in the other long tests, and with the same pause all cases pass. Checks and bounds are unchanged.

--- a/relay/answer_length_test.go
+++ b/relay/answer_length_test.go
@@ -35,6 +35,7 @@
 	cfg.Services[1].Engine.TypicalSize = httproute.RequestSize{Prompt: 100, Answer: 116}
 	cfg.Routes[2].MaxAttempts = 1
 	s.relay.SetConfig(cfg)
+	s.relay.KeyValidity = time.Hour
 	return s
 }
 
