--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -199,39 +199,28 @@
 	return false
 }
 
-// otherAddresses returns up to pathSamples addresses of other upstreams of the same service, in random order, reachable ones first. Those of
-// other services are used only if there are none: an entry can lose the path to one service alone.
+// otherAddresses returns up to pathSamples addresses of other upstreams, in random order, reachable ones first.
 func (s *Relay) otherAddresses(t *target) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var sameService, anyService []*target
-	for _, other := range s.index.all {
-		if other.address == t.address {
-			continue
-		}
-		anyService = append(anyService, other)
-		if other.service == t.service {
-			sameService = append(sameService, other)
-		}
-	}
-	others := sameService
-	if len(others) == 0 {
-		others = anyService
-	}
-	if len(others) == 0 {
+	var reachable, others []string
+	all := s.index.all
+	if len(all) == 0 {
 		return nil
 	}
-	var reachable, lost []string
-	offset := s.RandomInt(len(others))
-	for i := range others {
-		other := others[(i+offset)%len(others)]
-		if ts := s.stateOf(other); ts.unreachable || ts.connectionRefused {
-			lost = append(lost, other.address)
-		} else {
+	offset := s.RandomInt(len(all))
+	for i := range all {
+		other := all[(i+offset)%len(all)]
+		ts := s.stateOf(other)
+		switch {
+		case other.address == t.address:
+		case ts.unreachable || ts.connectionRefused:
+			others = append(others, other.address)
+		default:
 			reachable = append(reachable, other.address)
 		}
 	}
-	reachable = append(reachable, lost...)
+	reachable = append(reachable, others...)
 	return reachable[:min(pathSamples, len(reachable))]
 }
 
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -72,8 +72,9 @@
 
 // reachability is what this entry knows of its paths to upstreams; it is guarded by the relay's mutex.
 type reachability struct {
-	// contactAt is when any upstream of a service last sent something or accepted a connection.
-	contactAt map[ident.Service]time.Time
+	// contactAt is when any upstream of a service last sent something or accepted a connection, lastContactAt when one of any service did.
+	contactAt     map[ident.Service]time.Time
+	lastContactAt time.Time
 	// pathsCheckedAt is when the paths to a service were last checked, nextProbe the index of the next upstream to probe in a round.
 	pathsCheckedAt map[ident.Service]time.Time
 	nextProbe      int
@@ -87,7 +88,7 @@
 
 // noteContact records that an upstream of a service sent something; the mutex is held.
 func (s *Relay) noteContact(service ident.Service, now time.Time) {
-	s.reach.contactAt[service] = now
+	s.reach.contactAt[service], s.reach.lastContactAt = now, now
 }
 
 // noteConnected records that a connection to an upstream of a service was opened; the mutex is held.
--- a/relay/run.go
+++ b/relay/run.go
@@ -284,7 +284,7 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		ts := s.stateOf(t)
 		ts.connectionRefused = true
-		ts.crashed = ts.crashed || s.reach.contactAt[t.service].After(dialStart)
+		ts.crashed = ts.crashed || s.reach.lastContactAt.After(dialStart)
 		return
 	}
 	if t.group != "" {
