--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -29,6 +29,8 @@
 	OnRequest func(w *Worker, id string)
 	// OnRun is called when work on a request starts.
 	OnRun func(w *Worker, id string)
+	// OnBeat is called after each heartbeat.
+	OnBeat func(w *Worker, acknowledged bool)
 	// Answer writes the answer instead of the usual one, if it is set and returns true.
 	Answer func(w *Worker, rw http.ResponseWriter, r *http.Request, body []byte) bool
 
@@ -70,7 +72,10 @@
 			return
 		default:
 		}
-		w.Beat()
+		by := w.Beat()
+		if w.OnBeat != nil {
+			w.OnBeat(w, by != nil)
+		}
 		select {
 		case <-w.stopBeat:
 			return
