Replicate the announcements of upstreams that shut down

What callers saw: requests went on to an upstream that had signed off, as long as it served, after the daemon that had acknowledged the sign-off was killed. For the operator the acknowledgement was worth nothing.

Cause: the leader acknowledged a sign-off, or a report that says draining, once its roster in memory had it. The next leader starts from a copy without it. A report is repeated a second later, a sign-off never, and neither is by an upstream that is cut off from control.

Fix: the leader writes each announcement to the replicated log before it is acknowledged, those that arrive during a write as one entry, and a new leader applies them to its roster. That holds as long as a majority's disks do, which is what accepted configurations have. Followers forward reports that say draining apart from others, which must not wait for a disk. A record is removed two minutes after its upstream has left the leader's roster.

--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -1,7 +1,7 @@
 package catalog
 
-// Each log entry is a complete configuration or a drain order. The machine
-// keeps only the configuration with the highest version. An equal or lower
+// Each log entry is a complete configuration, a drain order or a change of the
+// departures. The machine keeps only the configuration with the highest version. An equal or lower
 // version changes nothing, so resends and concurrent operators need no further
 // bookkeeping.
 //
@@ -91,16 +91,19 @@
 	Drain bool       `cbor:"2,keyasint"`
 }
 
-// logEntry is a document or, if Drain is set, a drain order.
+// logEntry is a document or, if Drain or Departures is set, a drain order or a change of the departures. Members of builds
+// without departures take such a change for a document without a version, which changes nothing.
 type logEntry struct {
 	Document
-	Drain *DrainOrder `cbor:"3,keyasint,omitempty"`
+	Drain      *DrainOrder      `cbor:"3,keyasint,omitempty"`
+	Departures *DepartureChange `cbor:"4,keyasint,omitempty"`
 }
 
 // snapshot is the encoded form of the machine's state.
 type snapshot struct {
 	Document
-	Drained Drained `cbor:"3,keyasint"`
+	Drained    Drained     `cbor:"3,keyasint"`
+	Departures []Departure `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the result of applying a log entry.
@@ -113,20 +116,21 @@
 	Drained Drained
 }
 
-// Machine holds the newest document and the drained halls. Its callbacks must be set before use; they are called after each change,
-// without the lock held.
+// Machine holds the newest document, the drained halls and the departures. Its callbacks must be set before use; they are called after
+// each change, without the lock held.
 type Machine struct {
 	Changed      func(d Document)
 	DrainChanged func(d Drained)
 
-	mu      sync.RWMutex
-	current Document
-	drained Drained
+	mu         sync.RWMutex
+	current    Document
+	drained    Drained
+	departures map[ident.Incarnation]Departure
 }
 
-// NewMachine returns a machine without a document or drained halls.
+// NewMachine returns a machine without a document, drained halls or departures.
 func NewMachine() *Machine {
-	return &Machine{Changed: func(Document) {}, DrainChanged: func(Drained) {}}
+	return &Machine{Changed: func(Document) {}, DrainChanged: func(Drained) {}, departures: map[ident.Incarnation]Departure{}}
 }
 
 // Encode returns d as a log entry.
@@ -146,8 +150,11 @@
 		// The log is the same on every member, so all of them skip this entry.
 		return Answer{Version: m.Current().Version, Drained: m.Drained()}
 	}
-	if e.Drain != nil {
+	switch {
+	case e.Drain != nil:
 		return m.applyDrainOrder(e.Drain)
+	case e.Departures != nil:
+		return m.applyDepartures(e.Departures)
 	}
 	return m.setDocument(e.Document, false)
 }
@@ -200,7 +207,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return cbor.Marshal(snapshot{m.current, m.drained})
+	return cbor.Marshal(snapshot{m.current, m.drained, m.sortedDepartures()})
 }
 
 // Restore replaces the whole state with a snapshot; empty data, the snapshot of an empty log, changes nothing.
@@ -216,6 +223,7 @@
 	m.drained = s.Drained
 	m.mu.Unlock()
 	m.DrainChanged(s.Drained)
+	m.restoreDepartures(s.Departures)
 	m.setDocument(s.Document, true)
 	return nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,8 +1,8 @@
 package roster
 
-// A new leader rebuilds the roster from reports, so nothing of it goes through the log. Two rules keep late messages
-// from reviving what has ended: ended incarnations are remembered, and at one address, or of one upstream id, only one
-// incarnation counts.
+// A new leader rebuilds the roster from reports; only the announcements of upstreams that shut down, which are not
+// repeated, reach it through the log. Two rules keep late messages from reviving what has ended: ended incarnations are
+// remembered, and at one address, or of one upstream id, only one incarnation counts.
 //
 // Each change gets a revision and is kept in a journal. A copy requests the changes after its own revision, so that the
 // cost of a change does not grow with the roster.
@@ -73,6 +73,8 @@
 	newestByID        map[string]ident.Incarnation
 	groups            map[ident.Group]Group
 	endedIncarnations map[ident.Incarnation]endedRecord
+	// announced are upstreams that announced their shutdown to an earlier leader and have not reported to this one.
+	announced map[ident.Incarnation]bool
 	// journal holds the changes after revision journalBase, one for each revision.
 	journal     []change
 	journalBase Revision
@@ -90,6 +92,7 @@
 		newestByID:        map[string]ident.Incarnation{},
 		groups:            map[ident.Group]Group{},
 		endedIncarnations: map[ident.Incarnation]endedRecord{},
+		announced:         map[ident.Incarnation]bool{},
 		changed:           make(chan struct{}),
 	}
 }
@@ -158,6 +161,7 @@
 		r.recordChange(change{upstream: report.ID})
 		return true
 	}
+	next.Draining = next.Draining || r.announced[report.ID]
 	r.upstreams[report.ID] = &upstreamRecord{
 		Upstream: next, sequence: report.Sequence, lastContact: now, coldUntil: now.Add(report.ColdFor), reported: true,
 	}
@@ -258,14 +262,35 @@
 	r.recordChange(change{upstream: previous})
 }
 
-// SignOff records that an upstream has signed off. The upstream may still finish its requests, so it stays as draining
-// until it is dropped. An id without a start time stands for the newest incarnation.
-func (r *Roster) SignOff(now time.Time, id ident.Incarnation) {
+// SignOff records that an upstream has signed off, and returns its incarnation: an id without a start time stands for the
+// newest one. The upstream may still finish its requests, so it stays as draining until it is dropped.
+func (r *Roster) SignOff(now time.Time, id ident.Incarnation) ident.Incarnation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if newest, known := r.newestByID[id.UpstreamID()]; known && id.StartTime() == 0 {
 		id = newest
 	}
+	r.signOff(now, id)
+	return id
+}
+
+// ApplyDeparture applies the announcement of a shutdown that an earlier leader acknowledged; signedOff tells whether the
+// upstream had signed off.
+func (r *Roster) ApplyDeparture(now time.Time, id ident.Incarnation, signedOff bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if signedOff {
+		r.signOff(now, id)
+		return
+	}
+	if r.upstreams[id] == nil {
+		r.announced[id] = true
+		return
+	}
+	r.markDraining(id)
+}
+
+func (r *Roster) signOff(now time.Time, id ident.Incarnation) {
 	record := r.upstreams[id]
 	if record == nil {
 		r.markEnded(now, id)
@@ -284,6 +309,10 @@
 func (r *Roster) MarkDraining(id ident.Incarnation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.markDraining(id)
+}
+
+func (r *Roster) markDraining(id ident.Incarnation) bool {
 	record := r.upstreams[id]
 	if record == nil || record.Draining {
 		return false
@@ -295,6 +324,7 @@
 
 func (r *Roster) markEnded(now time.Time, id ident.Incarnation) {
 	delete(r.upstreams, id)
+	delete(r.announced, id)
 	r.endedIncarnations[id] = endedRecord{endedAt: now}
 	r.recordChange(change{upstream: id})
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -372,3 +372,35 @@
 		})
 	}
 }
+
+// A departure that an earlier leader acknowledged holds against reports of the same incarnation, and only of that.
+func TestAppliedDepartures(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name             string
+		known, signedOff bool
+		reports          ident.Incarnation
+		// present and draining describe the upstream after its report.
+		present, draining bool
+	}{
+		{"draining, in the copy", true, false, "i-1@a", true, true},
+		{"draining, not in the copy", false, false, "i-1@a", true, true},
+		{"signed off, in the copy", true, true, "i-1@a", true, true},
+		{"signed off, not in the copy", false, true, "i-1@a", false, false},
+		{"signed off, then started again", true, true, "i-1@b", true, false},
+		{"draining and not in the copy, then started again", false, false, "i-1@b", true, false},
+	} {
+		r := roster.New()
+		u := roster.Upstream{ID: "i-1@a", Service: "s", Address: "127.0.0.1:1"}
+		if c.known {
+			r.Seed(now, []roster.Upstream{u}, nil)
+		}
+		r.ApplyDeparture(now, "i-1@a", c.signedOff)
+		u.ID = c.reports
+		r.ApplyReport(now, &roster.Report{Upstream: u, Sequence: 1})
+		got, present := r.Upstream(c.reports)
+		if present != c.present || got.Draining != c.draining {
+			t.Errorf("%s: present %v, draining %v", c.name, present, got.Draining)
+		}
+	}
+}
--- a/site/calls.go
+++ b/site/calls.go
@@ -36,6 +36,9 @@
 // report applies a report here when this daemon leads; otherwise it forwards the report to the leader in a batch.
 func (c *Control) report(ctx context.Context, report *roster.Report) (string, error) {
 	if c.leader() != string(c.self.Name) {
+		if report.Draining {
+			return c.drainingForwarder.submit(ctx, report)
+		}
 		return c.reportForwarder.submit(ctx, report)
 	}
 	_, err := c.answerWithTimeout(ctx, forwardTimeout, &ForwardedCall{Kind: CallReport, Reports: []*roster.Report{report}})
@@ -48,7 +51,7 @@
 	return reply.Address, err
 }
 
-// Leave applies an upstream's notice that it has stopped.
+// Leave applies an upstream's notice that it has stopped; it returns after a majority has the notice on disk.
 func (c *Control) Leave(ctx context.Context, id ident.Incarnation) error {
 	_, err := c.callLeader(ctx, forwardTimeout, &ForwardedCall{Kind: CallLeave, Upstream: id})
 	c.Log.Info("upstream gone", "upstream", id, "acknowledged", err == nil)
@@ -170,10 +173,9 @@
 	switch call.Kind {
 	case CallReport:
 		c.applyReports(r, call.Reports)
-		return ForwardedReply{}, nil
+		return ForwardedReply{}, c.recordDraining(ctx, call.Reports)
 	case CallLeave:
-		r.roster.SignOff(clock.Now(), call.Upstream)
-		return ForwardedReply{}, nil
+		return ForwardedReply{}, c.signOff(ctx, r, call.Upstream)
 	case CallReplace:
 		return ForwardedReply{}, c.replaceConfig(ctx, r, call)
 	case CallRead:
--- a/site/control.go
+++ b/site/control.go
@@ -87,8 +87,12 @@
 	stateChanged chan struct{}
 	joinRequests map[quorum.MemberID]time.Time
 
-	leadership        atomic.Pointer[leadership]
-	reportForwarder   *reportForwarder
+	leadership      atomic.Pointer[leadership]
+	reportForwarder *reportForwarder
+	// drainingForwarder forwards the reports of upstreams that shut down: their confirmation waits for the leader's
+	// disk, which must not delay other reports.
+	drainingForwarder *reportForwarder
+	departures        *departureLog
 	unusableReportLog logLimiter
 	// refusedConfigLog and configReadLog limit the log lines on configurations that operators offer and read.
 	refusedConfigLog logLimiter
@@ -129,7 +133,8 @@
 	c.limits = ratelimit.NewLimitTable[ident.Incarnation]()
 	c.Unrecognized = unread.New[ident.Incarnation]()
 	c.backoffs = backoff.New[ident.Incarnation](backoffRule(&cfg.Backoff))
-	c.reportForwarder = newReportForwarder(c.forwardReports)
+	c.reportForwarder, c.drainingForwarder = newReportForwarder(c.forwardReports), newReportForwarder(c.forwardReports)
+	c.departures = c.newDepartureLog()
 	c.meter = meter.New()
 	c.metrics = newControlMetrics(c.meter.Scope)
 	return c, nil
@@ -156,6 +161,8 @@
 	wg.Go(func() { server.Run(ctx) })
 	wg.Go(func() { c.memberLoop(ctx) })
 	wg.Go(func() { c.reportForwarder.run(ctx) })
+	wg.Go(func() { c.drainingForwarder.run(ctx) })
+	wg.Go(func() { c.departures.run(ctx) })
 	wg.Go(func() { c.leadLoop(ctx) })
 	wg.Go(func() { c.followLoop(ctx) })
 	wg.Go(func() { c.saveRosterLoop(ctx) })
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -481,3 +481,15 @@
 
 // Forecasts returns the forecasts that operators see.
 func (r Leadership) Forecasts() []ModelForecast { return r.demand.Forecasts() }
+
+// DepartureExpiry finds departures whose upstreams have ended.
+type DepartureExpiry struct{ expiry departureExpiry }
+
+// Expired returns the departures to remove, of upstreams that have all announced their shutdown.
+func (e *DepartureExpiry) Expired(now time.Time, ids []ident.Incarnation, r *roster.Roster) []ident.Incarnation {
+	var list []catalog.Departure
+	for _, id := range ids {
+		list = append(list, catalog.Departure{ID: id})
+	}
+	return e.expiry.expired(now, list, r)
+}
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -2,7 +2,8 @@
 
 // A leadership is one daemon's term as leader. Besides the replicated configuration it needs only soft state, which
 // upstreams rebuild by reporting about once a second, with their groups. A new leader starts from the copy of the
-// roster that it kept as a follower, or without one waits until all upstreams have reported.
+// roster that it kept as a follower, or without one waits until all upstreams have reported. What upstreams do not
+// report again, their announcements of shutdown, is replicated as well.
 
 import (
 	"context"
@@ -118,6 +119,8 @@
 	configRollout *rollout[httproute.Version]
 	// drainRollout tracks orders on halls until the entries have them in force.
 	drainRollout *rollout[catalog.DrainRevision]
+	// departureExpiry is guarded by evaluating.
+	departureExpiry departureExpiry
 }
 
 // bytesPerMbit converts megabits to bytes.
@@ -166,6 +169,9 @@
 	if !fresh && !c.Settings.FirstStart {
 		r.settledAt = now.Add(settleReportIntervals * reportInterval)
 	}
+	for _, d := range c.stateMachine.Departures() {
+		r.roster.ApplyDeparture(now, d.ID, d.SignedOff)
+	}
 	return r
 }
 
@@ -266,6 +272,7 @@
 	}
 	r.logRollouts(now)
 	r.roster.Expire(now)
+	r.expireDepartures(now)
 	r.pruneUnrecognized(now)
 	table := r.control.newestTable()
 	if table == nil {
