Log and count answers that an entry does not complete

The users' record of answers cut around a configuration change does not say who ended them: the retry budget, a lack of other upstreams, the last attempt, the deadline or the stop of the process. Each is now recorded as 'interruption' in the request's line, as 'answer interrupted' in the log of the daemon (20 lines a second) and in interrupted_answers{reason}. At its end an entry waits up to 200 ms for these lines.

No change of what callers get.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -132,6 +132,8 @@
 	counted bool
 	// retryDecisions are the decisions of the retry budget on this request.
 	retryDecisions []RetryDecision
+	// endReason is why no further attempt was made, interruption why the caller's connection was closed without a complete answer.
+	endReason, interruption InterruptReason
 }
 
 func (s *Relay) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -28,9 +28,8 @@
 func (x *exchange) finish(err error) {
 	switch {
 	case err == nil:
-	case x.headSent:
-		defer panic(http.ErrAbortHandler)
-	case x.r.Context().Err() != nil && !x.bodyTimedOut:
+	case x.headSent, x.r.Context().Err() != nil && !x.bodyTimedOut:
+		x.interruption = x.interrupted()
 		defer panic(http.ErrAbortHandler)
 	case x.failureAnswer != nil:
 		x.setResultCode(result.CodeOf(err))
@@ -114,6 +113,7 @@
 		ID: x.requestID, Model: x.model, Content: x.content, Code: result.CodeOf(err), Status: x.status, ConfirmedAge: x.s.ConfirmedAge(), Attempts: x.attempts,
 		Prompt: x.promptTokens, Events: x.eventCount, FirstEvent: x.firstEventAfter, ExpectedFirstEvent: x.expectedFirstEvent, MaxEventGap: x.longestGap, Total: x.s.Now().Sub(x.arrivedAt),
 		PriorElapsed: x.priorElapsed, RetryAfter: x.sentRetryAfter, LimitWaits: x.permitDenials, RetryDecisions: x.retryDecisions,
+		Interruption: x.interruption,
 	}
 	if err != nil {
 		record.ErrorText = result.Message(err)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -140,8 +140,10 @@
 		case outcomeExpired:
 			return true, x.expiredError()
 		case outcomeFailed:
+			x.endReason = InterruptedAttempt
 			return true, x.finalError(result.New(result.UpstreamFailed, "entry %s refused the request after another attempt", address))
 		case outcomeBroken:
+			x.endReason = InterruptedAttempt
 			return true, x.finalError(result.New(result.UpstreamFailed, "the answer of entry %s broke off", address))
 		}
 		if silent {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,7 +96,9 @@
 	table           atomic.Pointer[httproute.Table]
 	confirmedAt     atomic.Pointer[time.Time]
 	stopping        atomic.Bool
-	inProgress      sync.WaitGroup
+	// closing is set once the connections of callers are about to be closed.
+	closing    atomic.Bool
+	inProgress sync.WaitGroup
 	// createdAt is when the relay was created; firstConfirmation is closed with the first confirmation by the leader.
 	createdAt         time.Time
 	firstConfirmation chan struct{}
@@ -335,6 +337,11 @@
 	s.stopping.Store(true)
 }
 
+// Close notes that the connections of callers are closed from now on, whether their requests have ended or not.
+func (s *Relay) Close() {
+	s.closing.Store(true)
+}
+
 // Stopping reports whether Stop was called.
 func (s *Relay) Stopping() bool {
 	return s.stopping.Load()
@@ -465,6 +472,8 @@
 	Targets, SuspectTargets int
 	// RetryDecisions are the decisions of the retry budget on further attempts, in order.
 	RetryDecisions []RetryDecision
+	// Interruption is why this entry closed the caller's connection before the answer was complete, "" if it did not.
+	Interruption InterruptReason
 	// RetryAfter is the time after which the caller was told to retry.
 	RetryAfter time.Duration
 	// Urgency orders the request among others for the same groups, Queued is how long it waited for capacity.
--- a/relay/run.go
+++ b/relay/run.go
@@ -60,6 +60,7 @@
 		// A request whose fingerprint is quarantined is sent to no upstream. A request that crashes upstreams and is repeated by its
 		// caller would otherwise crash one after the other.
 		if err := x.quarantineError(); err != nil {
+			x.endReason = InterruptedQuarantine
 			return x.quarantineRefusal(err)
 		}
 		chosen, ended, err := x.nextTarget()
@@ -68,7 +69,7 @@
 		}
 		if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
 			x.cancelReservation(&chosen)
-			return x.finalError(result.New(result.Overloaded, "the retry budget of the service is used up"))
+			return x.budgetError()
 		}
 		x.retryCharged = x.sendCount > 0
 		outcome := x.attempt(&chosen)
@@ -86,6 +87,7 @@
 			continue
 		}
 		if !x.mayRetry(outcome) {
+			x.endReason = InterruptedAttempt
 			return x.finalError(result.New(result.UpstreamFailed, "the last attempt ended as %s", outcome))
 		}
 	}
@@ -102,6 +104,7 @@
 		chosen, err = x.awaitTarget()
 	}
 	if err != nil {
+		x.endReason = InterruptedNoTarget
 		return chosen, true, x.finalError(err)
 	}
 	return chosen, false, nil
@@ -110,12 +113,18 @@
 // forwardInstead sends a request for which no upstream was found through another entry, if the retry budget allows it.
 func (x *exchange) forwardInstead() (accepted bool, err error) {
 	if x.sendCount > 0 && !x.retryCharged && !x.allowRetry() {
-		return true, x.finalError(result.New(result.Overloaded, "the retry budget of the service is used up"))
+		return true, x.budgetError()
 	}
 	x.retryCharged = x.sendCount > 0
 	return x.forward()
 }
 
+// budgetError returns the error of a request that the retry budget does not allow to be sent again.
+func (x *exchange) budgetError() error {
+	x.endReason = InterruptedBudget
+	return x.finalError(result.New(result.Overloaded, "the retry budget of the service is used up"))
+}
+
 // allowRetry reports whether the retry budget of the service allows to send the request once more.
 func (x *exchange) allowRetry() bool {
 	decision := x.s.Budget.Decide(x.service.Name)
@@ -136,6 +145,7 @@
 
 // expiredError returns the error of a request whose deadline has passed.
 func (x *exchange) expiredError() error {
+	x.endReason = InterruptedDeadline
 	if x.mayHaveRun {
 		return result.New(result.TimedOut, "no complete answer before the deadline")
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -34,6 +34,10 @@
 	stopMargin = 700 * time.Millisecond
 	// forwardHeaderBytes is the room for the headers that entries add to a forwarded request.
 	forwardHeaderBytes = 1 << 10
+	// handlersEndTimeout bounds the wait for the log lines of requests that the end of this process interrupts.
+	handlersEndTimeout = 200 * time.Millisecond
+	// interruptionLinesPerSecond bounds the log lines on answers that this entry did not complete.
+	interruptionLinesPerSecond = 20
 	// readyHeaderTimeout bounds reading the headers of the platform's readiness request.
 	readyHeaderTimeout = 5 * time.Second
 )
@@ -77,6 +81,7 @@
 	stopOnce               sync.Once
 	wasReady               atomic.Bool
 	startedAt              time.Time
+	interruptionLog        logLimiter
 }
 
 // NewEntry returns an entry that uses the given header names with callers and upstreams.
@@ -97,6 +102,7 @@
 		Ratio: cfg.Retries.Share, Window: cfg.Retries.Window.Std(), Allowance: cfg.Retries.Allowance,
 	})
 	e.relay.Budget.StartedAt = e.startedAt
+	e.interruptionLog.linesPerSecond = interruptionLinesPerSecond
 	e.relay.Budget.SetEntries(0)
 	e.relay.UrgencyFloor, e.relay.ArrivalCheck = cfg.Scheduling.UrgencyFloor, cfg.Scheduling.ArrivalCheck
 	e.relay.Observe = e.observe
@@ -146,11 +152,13 @@
 		e.drainRequests(ctx)
 	}
 	cancel()
+	e.relay.Close()
 	for _, s := range servers {
 		_ = s.Close()
 	}
 	wg.Wait()
 	links.wait()
+	e.awaitHandlers()
 	e.Log.Info("entry stopped")
 	return e.meter.Close()
 }
@@ -192,6 +200,21 @@
 	wg.Wait()
 }
 
+// awaitHandlers waits until the requests whose connections were closed have been logged.
+func (e *Entry) awaitHandlers() {
+	ended := make(chan struct{})
+	go func() {
+		e.relay.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(handlersEndTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+}
+
 // fillCall fills in what this entry reports to the leader with each call.
 func (e *Entry) fillCall(call *SyncCall) {
 	call.From = e.Settings.PeerAddress()
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -72,6 +72,8 @@
 	retryEntries                  tally.Gauge
 	// cutOff is 1 while no upstream can be reached.
 	cutOff tally.Gauge
+	// interruptions count answers that this entry did not complete.
+	interruptions map[relay.InterruptReason]tally.Counter
 }
 
 // firstEventMetrics are the times to first event of one model: as expected, as observed, and the difference.
@@ -88,7 +90,7 @@
 		quarantined: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 		retriesAllowed: retryCounter(scope, "allowed"), retriesDenied: retryCounter(scope, "denied"), retryEntries: scope.Gauge("retry_budget_entries"),
-		cutOff: scope.Gauge("cut_off"),
+		cutOff: scope.Gauge("cut_off"), interruptions: map[relay.InterruptReason]tally.Counter{},
 	}
 }
 
@@ -120,6 +122,7 @@
 	}
 	metrics.total.RecordDuration(r.Total)
 	n.countRefusal(r)
+	n.countInterruption(r.Interruption)
 	n.countRetries(r.RetryDecisions)
 	for i := range r.Attempts {
 		n.countAttempt(&r.Attempts[i])
@@ -133,6 +136,19 @@
 	}
 }
 
+// countInterruption counts an answer that this entry did not complete; the mutex is held.
+func (n *entryMetrics) countInterruption(reason relay.InterruptReason) {
+	if reason == "" {
+		return
+	}
+	counter := n.interruptions[reason]
+	if counter == nil {
+		counter = n.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("interrupted_answers")
+		n.interruptions[reason] = counter
+	}
+	counter.Inc(1)
+}
+
 // countRetries counts the decisions of the retry budget on a request.
 func (n *entryMetrics) countRetries(decisions []relay.RetryDecision) {
 	for i := range decisions {
@@ -237,9 +253,23 @@
 	return 0
 }
 
+// logInterruption logs an answer that this entry did not complete, besides its request line: the log of requests may be kept for a shorter
+// time.
+func (e *Entry) logInterruption(r *relay.Record) {
+	if r.Interruption == "" {
+		return
+	}
+	if occurrences, ok := e.interruptionLog.allow(e.relay.Now()); ok {
+		e.Log.Info("answer interrupted", "id", r.ID, "route", r.Route, "reason", r.Interruption, "text", r.ErrorText, "code", int(r.Code),
+			"version", r.Version, "events", r.Events, "total-ms", r.Total.Milliseconds(), "tries", r.Attempts, "retry-budget", r.RetryDecisions,
+			"stopping", e.relay.Stopping(), "since-last", occurrences)
+	}
+}
+
 // observe counts a finished request and writes its log line.
 func (e *Entry) observe(r *relay.Record) {
 	e.metrics.observe(r)
+	e.logInterruption(r)
 	fields := []any{
 		"id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
 		"code", int(r.Code), "status", r.Status, "text", r.ErrorText, "version", r.Version, "revision", r.Revision,
@@ -265,6 +295,9 @@
 	if r.SuspectTargets > 0 {
 		fields = append(fields, "targets", r.Targets, "suspect-targets", r.SuspectTargets)
 	}
+	if r.Interruption != "" {
+		fields = append(fields, "interruption", r.Interruption)
+	}
 	if len(r.RetryDecisions) > 0 {
 		fields = append(fields, "retry-budget", r.RetryDecisions)
 	}
