End a request's watch before its connection is kept

What callers saw: 502 now and then for a request whose upstream was well, since the caller of the request before had disconnected at the end of its answer.

Cause: the connection to the upstream was returned to the pool before the watch ended that interrupts it when the caller disconnects or the upstream is silent, so the interruption could hit the next request on it.

Fix: the watch holds the connection only while the request uses it, and ends before the connection is kept.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -68,6 +68,38 @@
 // interrupt ends the read or write in progress and all later ones; whoever reads closes the connection.
 func (c *upstreamConn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
+// callerWatch interrupts a connection when the caller disconnects, or on demand, until it ends: the connection may carry another request
+// then.
+type callerWatch struct {
+	stop func() bool
+
+	mu   sync.Mutex
+	conn *upstreamConn
+}
+
+// watchCaller returns the watch of a connection that carries a request with ctx.
+func watchCaller(ctx context.Context, conn *upstreamConn) *callerWatch {
+	w := &callerWatch{conn: conn}
+	w.stop = context.AfterFunc(ctx, w.interrupt)
+	return w
+}
+
+func (w *callerWatch) interrupt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil {
+		w.conn.interrupt()
+	}
+}
+
+// end ends the watch; it can be called again.
+func (w *callerWatch) end() {
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn = nil
+}
+
 // boundConn bounds the next reads and writes of a connection; it stays interrupted if the caller has disconnected.
 func (x *exchange) boundConn(c *upstreamConn, d time.Duration) {
 	if err := c.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil {
@@ -211,6 +243,7 @@
 
 // returnConn returns the connection to the pool after the answer has been read.
 func (f *forwarder) returnConn(answer *http.Response) {
+	f.unwatch()
 	f.x.s.pool.put(f.conn, answer, f.x.maxIdleConns(f.target))
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -280,14 +280,15 @@
 		}
 		return outcomeNeverSent
 	}
-	stopCallerWatch := context.AfterFunc(x.r.Context(), conn.interrupt)
-	defer stopCallerWatch()
+	watch := watchCaller(x.r.Context(), conn)
+	defer watch.end()
 	ranBefore := x.mayHaveRun
 	resp, err := x.exchangeWithEntry(conn, acceptIn)
 	if errors.Is(err, errDeclined) {
 		x.mayHaveRun = ranBefore
 		x.attempts[len(x.attempts)-1].Declined = declineReasonOf(resp)
 		x.noteNamedAcceptor(resp.Header.Get(headerAcceptor))
+		watch.end()
 		s.entryPool.put(conn, resp, maxIdlePerUpstream)
 		return outcomeNotRun
 	}
@@ -298,6 +299,7 @@
 		conn.Close()
 		return x.entryOutcome(err)
 	}
+	watch.end()
 	s.entryPool.put(conn, resp, maxIdlePerUpstream)
 	return outcomeDone
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -8,7 +8,6 @@
 // fixed time-outs apply.
 
 import (
-	"context"
 	"time"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
@@ -23,8 +22,8 @@
 	state  *targetState
 	conn   *upstreamConn
 
-	timer           *time.Timer
-	stopCallerWatch func() bool
+	timer       *time.Timer
+	callerWatch *callerWatch
 	// abandoned is set when the watch ended the attempt because the upstream was silent. silentFor is for how long, suspicionCount how
 	// many entries suspected the group then.
 	abandoned      bool
@@ -49,7 +48,7 @@
 func (f *forwarder) watch() {
 	f.waitingSince = f.x.s.Now()
 	f.sentAt = f.waitingSince
-	f.stopCallerWatch = context.AfterFunc(f.x.r.Context(), f.conn.interrupt)
+	f.callerWatch = watchCaller(f.x.r.Context(), f.conn)
 	f.x.boundConn(f.conn, f.x.timeLeft())
 	if f.x.route.Repeatable() && f.x.runCount+1 < f.x.maxRuns() {
 		// The timer may fire before it is stored.
@@ -60,8 +59,9 @@
 	}
 }
 
+// unwatch ends the watch; it can be called again.
 func (f *forwarder) unwatch() {
-	f.stopCallerWatch()
+	f.callerWatch.end()
 	f.x.s.mu.Lock()
 	defer f.x.s.mu.Unlock()
 	f.ended = true
@@ -114,7 +114,7 @@
 	}
 	f.abandoned = true
 	f.silentFor, f.suspicionCount = now.Sub(f.waitingSince), f.state.suspicions.Count(now)
-	f.conn.interrupt()
+	f.callerWatch.interrupt()
 }
 
 // hasAlternative reports whether the request should move to another target; the mutex is held. A stream without events leaves a group that
