Pause engines in the soak

The engines of a site, or some of them, are silent for 1 to 1.3 s while their connections stay open, as SIGSTOP does; configurations change meanwhile.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -54,6 +54,8 @@
 	f.IntVar(&plan.Routes, "routes", 0, "routes that are added on the way")
 	f.Float64Var(&plan.Share, "share", 0, "part of a core that each process gets, as by a quota; 0 for all that there is")
 	f.IntVar(&plan.Plains, "plains", 3, "plain upstreams")
+	f.IntVar(&plan.Callers, "callers", 0, "callers; 0 for the usual number")
+	f.Float64Var(&plan.Allowance, "allowance", 0, "allowance of a service's retry budget over all entries; 0 for that of the settings")
 	return cmd
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	callerCount = 12
+	defaultCallers = 12
 	callerWait  = 6 * time.Second
 	callerPause = 25 * time.Millisecond
 	// siteHost is the host of every route.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -37,6 +37,7 @@
 	{"an upstream asks for time", true, 3, true, (*soak).turnsAway},
 	{"a hall is drained", true, 2, true, (*soak).drainHall},
 	{"an upstream names a limit", true, 3, true, (*soak).limits},
+	{"the engines pause", true, 3, true, (*soak).pauseEngines},
 	{"an upstream leaves without a report", false, 2, true, (*soak).leavesSilently},
 	{"kill an entry", false, 3, false, (*soak).killEntry},
 	{"kill a control daemon", false, 3, true, (*soak).killControl},
@@ -186,6 +187,36 @@
 	return fmt.Sprintf("%s, %.1f times for %v", e.id, pace, wait)
 }
 
+const (
+	// minEnginePause and maxEnginePause bound how long engines are paused; control dissolves groups that are silent for longer.
+	minEnginePause = time.Second
+	maxEnginePause = 1300 * time.Millisecond
+	// betweenPauses is the time between two pauses, in which all requests make progress.
+	betweenPauses = time.Second
+	// allPauseFraction is the fraction of the pauses that concern all engines, somePaused the fraction of the engines in the others.
+	allPauseFraction = 0.5
+	somePaused       = 0.6
+)
+
+// pauseEngines makes engines silent: their connections stay open, and they continue where they were. They go on reporting, since upstreams
+// here report so often that control would take such a pause for a loss.
+func (s *soak) pauseEngines(_ context.Context, random *rand.Rand) string {
+	all := random.Float64() < allPauseFraction
+	wait := between(random, minEnginePause, maxEnginePause)
+	if time.Now().Before(s.nextPause) {
+		return ""
+	}
+	s.nextPause = time.Now().Add(wait + betweenPauses)
+	paused := 0
+	for _, e := range s.alive() {
+		if e.service == modelService && (all || random.Float64() < somePaused) {
+			e.pauseUntil(time.Now().Add(wait))
+			paused++
+		}
+	}
+	return fmt.Sprintf("%d for %v", paused, wait)
+}
+
 func (s *soak) killEntry(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.entries)
 	d.kill()
--- a/soak/orders.go
+++ b/soak/orders.go
@@ -14,6 +14,7 @@
 )
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	e.awaitResume()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -29,6 +29,7 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	e.awaitResume()
 	names := platform.HeaderNames()
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
@@ -151,6 +152,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventsOf(id); n++ {
 		pause(r.Context(), time.Duration(e.groupPace()*float64(eventTime)))
+		e.awaitResume()
 		if r.Context().Err() != nil || e.standsStill(r, epoch) || e.loss() {
 			panic(http.ErrAbortHandler)
 		}
@@ -184,6 +186,7 @@
 
 // tell answers who asks how fast the engine is.
 func (e *engine) tell(w http.ResponseWriter, _ *http.Request) {
+	e.awaitResume()
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(platform.EncodeSlowdown(e.ownPace()))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +56,10 @@
 	Entries  int
 	Engines  int
 	Plains   int
+	// Callers is how many callers there are, 0 for the usual number. Allowance is the allowance of the retry budget of a service over all
+	// entries, 0 for that of the settings.
+	Callers   int
+	Allowance float64
 }
 
 // Report is what a run came to.
@@ -80,6 +85,8 @@
 	offered  atomic.Uint64
 	probed   probes
 	wiped    time.Time
+	// nextPause is from when on engines can be paused again.
+	nextPause time.Time
 
 	mu    sync.Mutex
 	notes []string
@@ -116,7 +123,7 @@
 	for i := range operatorCount {
 		s.tasks.Go(func() { s.change(load, s.random(uint64(10+i))) })
 	}
-	for i := range callerCount {
+	for i := range cmp.Or(s.Callers, defaultCallers) {
 		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
 		s.tasks.Go(func() { c.run(load) })
 	}
@@ -204,6 +211,7 @@
 		cfg.Bounds = settings.SiteBounds{KeysRevoked: settings.Duration(keyBound), StopGrace: settings.Duration(stopGrace)}
 		cfg.Times.Report = settings.Duration(reportEvery)
 		cfg.Scheduling = scheduling()
+		cfg.Retries.Allowance = cmp.Or(s.Allowance, cfg.Retries.Allowance)
 		if i < seedCount {
 			seeds = append(seeds, address(outside, callPort))
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -97,6 +97,8 @@
 	// started is when it started, whileCold are the requests of the last second that reached it while it was cold.
 	started   time.Time
 	whileCold []time.Time
+	// resumesAt is when a pause of the upstream ends.
+	resumesAt time.Time
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
 	watched bool
 }
@@ -172,6 +174,25 @@
 	}()
 }
 
+func (e *engine) pauseUntil(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumesAt = at
+}
+
+// awaitResume waits while the upstream is paused.
+func (e *engine) awaitResume() {
+	for e.ctx.Err() == nil {
+		e.mu.Lock()
+		wait := time.Until(e.resumesAt)
+		e.mu.Unlock()
+		if wait <= 0 {
+			return
+		}
+		pause(e.ctx, wait)
+	}
+}
+
 func (e *engine) change() {
 	select {
 	case e.changed <- struct{}{}:
