Don't take upstreams unknown to a new leader for silent

What callers saw: streams cut at the end of a pause of about a second of their engines, when the control leader had changed during the pause.

Cause: the leader dissolves a stalled group after 0.7 s, in place of 1.5, if a member has missed a report. An upstream that has not reported to a new leader counts with a report age of 2 s, so that it had always missed one; the head was told to leave and closed its streams when it resumed.

Fix: an upstream that has not reported to this leader has missed a report once the leader is as old as a missed report, 1.7 s. A group that lost a member just before a change of leaders is dissolved up to 0.8 s later, unless the member accepts no connections, which is seen as before.

--- a/replicaset/formation_test.go
+++ b/replicaset/formation_test.go
@@ -196,6 +196,41 @@
 	}
 }
 
+// A new leader took upstreams that had not reported to it yet for ones that had missed a report, and dissolved groups that paused around the
+// change of leaders.
+func TestPauseAroundLeaderChange(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(t, seed, 6, 8)
+		f.run(12*time.Second, nil)
+		f.demand = demandFor(6, 6)
+		f.run(20*time.Second, nil)
+		before := f.openGroups()
+		pausedSince := f.now
+		pause := func(since time.Time) {
+			for _, e := range f.engines {
+				if e.member.State == roster.MemberOpen {
+					e.pausedSince = since
+				}
+			}
+		}
+		pause(pausedSince)
+		f.run(300*time.Millisecond, nil)
+		f.elect(f.copyRoster())
+		f.run(900*time.Millisecond, nil)
+		pause(time.Time{})
+		f.run(2*time.Second, nil)
+		now := f.openGroups()
+		for name := range before {
+			if !now[name] {
+				t.Errorf("seed %d: group %s was dissolved", seed, name)
+			}
+		}
+		if len(f.violations) > 0 {
+			t.Error(f.violations)
+		}
+	}
+}
+
 // A group whose stall is confirmed is dissolved as soon as a member is known to accept no connections, but not before. A group that only
 // pauses stays open.
 func TestStalledGroup(t *testing.T) {
--- a/replicaset/serving.go
+++ b/replicaset/serving.go
@@ -68,12 +68,22 @@
 		if f.isCutOff(g, id) {
 			continue
 		}
-		reportMissed = reportMissed || f.snapshot.ReportAges[id] >= missedReportAge
+		reportMissed = reportMissed || f.hasMissedReport(id)
 		unreachable = unreachable || f.snapshot.Unreachable[id]
 	}
 	return f.stallReason(g, reportMissed, unreachable)
 }
 
+// hasMissedReport reports whether the next report of an upstream is overdue. An upstream that has not reported to a new leader may have
+// reported to its predecessor.
+func (f *Formation) hasMissedReport(id ident.Incarnation) bool {
+	since := f.snapshot.ReportAges[id]
+	if !f.hasReported(id) {
+		since = f.snapshot.Now.Sub(f.startedAt)
+	}
+	return since >= missedReportAge
+}
+
 // isCutOff reports whether a member works but is cut off from control: the group has answered entries long after the member's last
 // report.
 func (f *Formation) isCutOff(g *roster.Group, id ident.Incarnation) bool {
