--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -199,9 +199,10 @@
 	var outcome attemptOutcome
 	x.boundConn(h.f.conn, min(hedgeStepTimeout, x.timeLeft()))
 	x.exchangeReservation(&h.reservation, func(*reservation) {
-		h.resp, outcome = h.f.acceptAnswer()
-		if h.resp != nil {
-			outcome = x.awaitHedgeBody(h)
+		resp, refused := h.f.acceptAnswer()
+		outcome = refused
+		if resp != nil {
+			outcome = x.awaitHedgeBody(h, resp)
 		}
 	})
 	if outcome != "" {
@@ -212,25 +213,26 @@
 }
 
 // awaitHedgeBody starts to wait for the first event, or the whole body, of the hedge's answer; if that can't be used it returns the outcome.
-func (x *exchange) awaitHedgeBody(h *hedge) attemptOutcome {
-	if x.isStream(h.resp) {
-		if err := x.checkSignature(h.resp); err != nil {
+func (x *exchange) awaitHedgeBody(h *hedge, resp *http.Response) attemptOutcome {
+	h.resp = resp
+	if x.isStream(resp) {
+		if err := x.checkSignature(resp); err != nil {
 			h.f.conn.Close()
 			return h.f.brokenOutcome(err)
 		}
-		h.events = newEventReader(h.resp)
+		h.events = newEventReader(resp)
 		h.await(func() error {
 			_, err := h.events.br.Peek(1)
 			return err
 		})
 		return ""
 	}
-	if !x.tryReserveAnswer(h.resp) {
+	if !x.tryReserveAnswer(resp) {
 		h.f.conn.Close()
 		return h.f.brokenOutcome(errNoAnswerMemory)
 	}
 	h.await(func() (err error) {
-		h.body, err = readAnswerBody(h.resp)
+		h.body, err = readAnswerBody(resp)
 		return err
 	})
 	return ""
--- a/relay/silent_upstream_test.go
+++ b/relay/silent_upstream_test.go
@@ -98,7 +98,7 @@
 			t.Parallel()
 			second := c.second
 			if second == nil {
-				second = func(c net.Conn, r *http.Request, _ int) bool {
+				second = func(_ net.Conn, r *http.Request, _ int) bool {
 					t.Errorf("request %s was sent again without a budget", r.Header.Get("Request"))
 					return false
 				}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -18,8 +18,8 @@
 
 const (
 	defaultCallers = 12
-	callerWait  = 6 * time.Second
-	callerPause = 25 * time.Millisecond
+	callerWait     = 6 * time.Second
+	callerPause    = 25 * time.Millisecond
 	// siteHost is the host of every route.
 	siteHost = "site.test"
 	// stableKey is valid in every configuration.
