End the watch of an attempt once

The stand-in of a silent path lost the bytes that it held when a read was interrupted, so that streams seemed to end early (TestCutsAmongOtherFaults, 'answer ... want', 3 of 6 runs with -race); a kernel keeps them, and so does the stand-in now.

--- a/relay/memory_network_test.go
+++ b/relay/memory_network_test.go
@@ -163,6 +163,12 @@
 	path    *upstreamPath
 	address string
 
+	// unread are bytes that have arrived, and readErr is the error behind them. A read that is interrupted while the path holds them leaves
+	// them for the next one.
+	readMu  sync.Mutex
+	unread  []byte
+	readErr error
+
 	mu sync.Mutex
 	// unsent are the bytes that the path holds.
 	unsent   []byte
@@ -176,7 +182,15 @@
 }
 
 func (c *pathConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if len(c.unread) == 0 && c.readErr == nil {
+		n, err := c.Conn.Read(b)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, err
+		}
+		c.unread, c.readErr = append(c.unread, b[:n]...), err
+	}
 	for c.silent() {
 		c.mu.Lock()
 		closed, deadline := c.closed, c.deadline
@@ -189,7 +203,12 @@
 		}
 		time.Sleep(resendInterval)
 	}
-	return n, err
+	n := copy(b, c.unread)
+	c.unread = c.unread[n:]
+	if len(c.unread) > 0 {
+		return n, nil
+	}
+	return n, c.readErr
 }
 
 func (c *pathConn) SetDeadline(t time.Time) error {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -71,10 +71,14 @@
 
 // unwatch ends the watch; it can be called again.
 func (f *forwarder) unwatch() {
-	f.callerWatch.end()
-	f.conn.onInterrupt = nil
 	f.x.s.mu.Lock()
 	defer f.x.s.mu.Unlock()
+	if f.ended {
+		// The connection may carry another request by now.
+		return
+	}
+	f.callerWatch.end()
+	f.conn.onInterrupt = nil
 	f.ended = true
 	delete(f.state.forwarders, f)
 	if f.timer != nil {
