--- a/site/departures_test.go
+++ b/site/departures_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/roster"
 	"github.com/dunlinquay/dunlinquay/site"
@@ -22,7 +25,7 @@
 	faults *connFaults
 }
 
-func startControlSite(t *testing.T) *controlSite {
+func startControlSite(t testing.TB) *controlSite {
 	t.Helper()
 	s := &controlSite{newDaemons(t), []string{"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5"}, &connFaults{poweredOff: map[string]bool{}}}
 	for _, host := range s.hosts {
@@ -174,3 +177,63 @@
 		t.Errorf("expired at %v, want %v", expired, want)
 	}
 }
+
+// BenchmarkSignOffs is the time until the sign-offs of many upstreams at the same moment, through all daemons of a site of five, are on the
+// disks of a majority.
+func BenchmarkSignOffs(b *testing.B) {
+	for _, upstreams := range []int{1, 16, 64, 256, 1024, 2793} {
+		b.Run(strconv.Itoa(upstreams), func(b *testing.B) {
+			s := startControlSite(b)
+			s.leaderAndOther()
+			run := 0
+			entries := s.logLength()
+			for b.Loop() {
+				run++
+				var wg sync.WaitGroup
+				for i := range upstreams {
+					wg.Go(func() { s.signOff(s.hosts[i%len(s.hosts)], ident.Incarnation(fmt.Sprintf("i-%d-%d@mo690000", run, i))) })
+				}
+				wg.Wait()
+			}
+			b.ReportMetric(float64(s.logLength()-entries)/float64(run), "log-entries/op")
+		})
+	}
+}
+
+// BenchmarkDepartureEntry is the size of a log entry with many departures, and the time to apply it.
+func BenchmarkDepartureEntry(b *testing.B) {
+	for _, departures := range []int{1, 64, 2793} {
+		b.Run(strconv.Itoa(departures), func(b *testing.B) {
+			var change catalog.DepartureChange
+			for i := range departures {
+				change.Added = append(change.Added, catalog.Departure{ID: ident.Incarnation(fmt.Sprintf("i-%08x@mo690000", i)), SignedOff: true})
+			}
+			data, err := catalog.EncodeDepartures(&change)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				catalog.NewMachine().Apply(data)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
+
+// signOff signs off an upstream through a daemon, as often as that is needed.
+func (s *controlSite) signOff(host string, id ident.Incarnation) {
+	for {
+		if err := s.running[host].control.Leave(context.Background(), id); err == nil {
+			return
+		}
+	}
+}
+
+// logLength returns the number of committed log entries.
+func (s *controlSite) logLength() uint64 {
+	length := uint64(0)
+	for _, r := range s.running {
+		length = max(length, r.control.CommittedEntries())
+	}
+	return length
+}
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -493,3 +493,6 @@
 	}
 	return e.expiry.expired(now, list, r)
 }
+
+// CommittedEntries returns the index of the newest committed log entry.
+func (c *Control) CommittedEntries() uint64 { return uint64(c.node.Status().Commit) }
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -31,7 +31,7 @@
 
 // daemons are the processes of a site on loopback addresses, with one folder each.
 type daemons struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	port    int
 	ports   map[string]int
@@ -48,7 +48,7 @@
 	done    chan struct{}
 }
 
-func newDaemons(t *testing.T) *daemons {
+func newDaemons(t testing.TB) *daemons {
 	t.Helper()
 	d := &daemons{t: t, dir: t.TempDir(), ports: map[string]int{}, running: map[string]*running{}}
 	hosts := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4", "127.0.1.5", "127.0.1.6", "127.0.2.1"}
@@ -75,7 +75,7 @@
 )
 
 // freePort returns a port that is free on all hosts.
-func freePort(t *testing.T, hosts ...string) int {
+func freePort(t testing.TB, hosts ...string) int {
 	t.Helper()
 	for range 100 {
 		port := firstTestPort + rand.IntN(testPorts)
