Don't close the connection of a hedge that has answered

What callers saw: an answer cut, or 502, for a request that was sent on a kept connection, when the caller of the request before had disconnected at the moment at which the whole answer of its hedge had arrived.

Cause: the answer is checked, and the connection returned to the pool, before the first attempt ends. If that ends because the caller has disconnected, dropHedge closed the connection all the same.

Evidence: found by reading the change again.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -264,7 +264,10 @@
 	if h == nil {
 		return
 	}
-	h.f.conn.Close()
+	if h.answer == nil {
+		// The connection of a whole answer has been returned and may carry another request.
+		h.f.conn.Close()
+	}
 	<-h.arrived
 	h.f.noteRun()
 	x.endHedge(outcome)
