--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -1,9 +1,9 @@
 package catalog
 
 // Each log entry is a complete configuration, a drain order or a change of the
-// departures. The machine keeps only the configuration with the highest version. An equal or lower
-// version changes nothing, so resends and concurrent operators need no further
-// bookkeeping.
+// departures. The machine keeps only the configuration with the highest version.
+// An equal or lower version changes nothing, so resends and concurrent operators
+// need no further bookkeeping.
 //
 //	apply v7: current 7;  v7 again: 7;  v5: 7;  v9: 9
 //
