Log and count what the planned stop of an entry meets

'requests still in progress at the end of the stop grace' was logged whenever http.Server.Shutdown had not returned, which looks every 0.5 s: also if the last request had ended just before, or a caller had opened a connection and sent nothing. It is now logged for requests in progress only, with their phase. New: 'connections are closed' with the requests that have ended since the stop began, 'stopping-ms' with interrupted answers, requests_ended_while_stopping{outcome}.

--- a/inbound/server.go
+++ b/inbound/server.go
@@ -44,6 +44,34 @@
 	bounds      Bounds
 	listeners   []net.Listener
 	generations []*generation
+	// states holds the open connections.
+	states map[net.Conn]http.ConnState
+}
+
+// Connections is the number of open connections in each state.
+type Connections struct {
+	// New ones have not sent a complete head yet, Active ones have a request in progress.
+	New    int `json:"new"`
+	Active int `json:"active"`
+	Idle   int `json:"idle"`
+}
+
+// Connections returns the number of open connections in each state.
+func (s *Server) Connections() Connections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n Connections
+	for _, state := range s.states {
+		switch state {
+		case http.StateNew:
+			n.New++
+		case http.StateActive:
+			n.Active++
+		case http.StateIdle:
+			n.Idle++
+		}
+	}
+	return n
 }
 
 // generation is the server of one set of bounds.
@@ -57,7 +85,7 @@
 
 // New returns a server with default bounds.
 func New(handler http.Handler) *Server {
-	s := &Server{Handler: handler, Log: logr.Discard()}
+	s := &Server{Handler: handler, Log: logr.Discard(), states: map[net.Conn]http.ConnState{}}
 	s.startGeneration(Bounds{})
 	return s
 }
@@ -88,11 +116,7 @@
 		IdleTimeout:                  orDefault(bounds.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:               orDefault(bounds.MaxHeaderBytes, defaultMaxHeaderBytes),
 		DisableGeneralOptionsHandler: true,
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateClosed || state == http.StateHijacked {
-				s.connClosed(g)
-			}
-		},
+		ConnState:                    func(conn net.Conn, state http.ConnState) { s.setState(g, conn, state) },
 	}
 	s.bounds = bounds
 	s.generations = append(s.generations, g)
@@ -118,9 +142,21 @@
 	return g.replaced
 }
 
-func (s *Server) connClosed(g *generation) {
+// setState notes the state of a connection of g.
+func (s *Server) setState(g *generation, conn net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.connClosed(g, conn)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states[conn] = state
+}
+
+func (s *Server) connClosed(g *generation, conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.states, conn)
 	g.openConns--
 	s.removeUnused()
 }
@@ -169,7 +205,7 @@
 	s.mu.Unlock()
 	if !g.listener.deliver(conn) {
 		_ = conn.Close()
-		s.connClosed(g)
+		s.connClosed(g, conn)
 	}
 }
 
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -210,3 +210,23 @@
 		synctest.Wait()
 	})
 }
+
+// Open connections are counted by their state.
+func TestConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, ln := startServer(t, inbound.Bounds{})
+		expect := func(when string, want inbound.Connections) {
+			t.Helper()
+			synctest.Wait()
+			if got := s.Connections(); got != want {
+				t.Errorf("%s: %+v, want %+v", when, got, want)
+			}
+		}
+		caller := ln.dial(t)
+		expect("before the first request", inbound.Connections{New: 1})
+		caller.request(10, 0)
+		expect("after an answer", inbound.Connections{Idle: 1})
+		caller.Close()
+		expect("after the end", inbound.Connections{})
+	})
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -225,6 +225,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.status = a.status
 	x.headSent = true
+	x.enter(phaseAnswering)
 	x.w.WriteHeader(a.status)
 	if _, err := x.w.Write(a.body); err != nil {
 		x.attempts = append(x.attempts, Attempt{Result: "answer not delivered: " + err.Error()})
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -74,6 +74,7 @@
 	// failureAnswer is an upstream's failure answer, forwarded if no later attempt succeeds.
 	failureAnswer *answer
 
+	phase phase
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent        bool
 	lastEventID     string
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -302,6 +302,7 @@
 func (x *exchange) takeOver() attemptOutcome {
 	h := x.hedge
 	x.hedge = nil
+	x.enter(phaseSent)
 	x.releaseAnswer()
 	x.reservation = h.reservation
 	if h.resp == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,6 +99,9 @@
 	// closing is set once the connections of callers are about to be closed.
 	closing    atomic.Bool
 	inProgress sync.WaitGroup
+	progress   progress
+	// stoppedAt is when Stop was called.
+	stoppedAt atomic.Pointer[time.Time]
 	// createdAt is when the relay was created; firstConfirmation is closed with the first confirmation by the leader.
 	createdAt         time.Time
 	firstConfirmation chan struct{}
@@ -334,9 +337,19 @@
 
 // Stop makes answers close their connections; requests are still served.
 func (s *Relay) Stop() {
+	now := s.Now()
+	s.stoppedAt.Store(&now)
 	s.stopping.Store(true)
 }
 
+// StoppingFor returns the time since Stop, 0 before it.
+func (s *Relay) StoppingFor() time.Duration {
+	if at := s.stoppedAt.Load(); at != nil {
+		return s.Now().Sub(*at)
+	}
+	return 0
+}
+
 // Close notes that the connections of callers are closed from now on, whether their requests have ended or not.
 func (s *Relay) Close() {
 	s.closing.Store(true)
@@ -418,8 +431,11 @@
 func (s *Relay) serve(x *exchange) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Done()
+	s.progress[phaseReading].Add(1)
+	defer func() { s.progress[x.phase].Add(-1) }()
 	defer x.releaseMemory()
 	err := x.admit()
+	x.enter(phaseWaiting)
 	if err == nil {
 		err = x.serve()
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -177,6 +177,8 @@
 
 // attempt sends the request to t, forwards the answer and records the outcome.
 func (x *exchange) attempt(t *choice) attemptOutcome {
+	x.enter(phaseSent)
+	defer x.enter(phaseWaiting)
 	record := x.beginRecord(t)
 	outcome, f := x.send(t)
 	return x.endAttempt(t, f, record, outcome)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -158,6 +158,7 @@
 		return
 	}
 	x.headSent = true
+	x.enter(phaseAnswering)
 	x.copyHeader(resp.Header)
 	x.status = resp.StatusCode
 	x.w.WriteHeader(resp.StatusCode)
--- a/site/entry.go
+++ b/site/entry.go
@@ -82,8 +82,12 @@
 	wasReady               atomic.Bool
 	startedAt              time.Time
 	interruptionLog        logLimiter
+	sinceStop              stopCounts
 }
 
+// stopCounts counts the requests that ended after a planned stop had begun.
+type stopCounts struct{ ended, refused, interrupted atomic.Int64 }
+
 // NewEntry returns an entry that uses the given header names with callers and upstreams.
 func NewEntry(cfg *settings.Site, headers relay.HeaderNames, dial transport.Dial) *Entry {
 	e := &Entry{
@@ -159,7 +163,7 @@
 	wg.Wait()
 	links.wait()
 	e.awaitHandlers()
-	e.Log.Info("entry stopped")
+	e.Log.Info("entry stopped", "interrupted", e.sinceStop.interrupted.Load(), "in-progress", e.relay.Progress().Total())
 	return e.meter.Close()
 }
 
@@ -184,7 +188,8 @@
 // drainRequests waits for callers to switch to other entries and for requests in progress to end, within the stop
 // grace.
 func (e *Entry) drainRequests(ctx context.Context) {
-	e.Log.Info("planned stop started", "grace-ms", e.Settings.Bounds.StopGrace.Std().Milliseconds())
+	e.Log.Info("planned stop started", "grace-ms", e.Settings.Bounds.StopGrace.Std().Milliseconds(), "in-progress", e.relay.Progress(),
+		"connections", e.callerServer.Connections())
 	e.relay.Stop()
 	ctx, cancel := context.WithTimeout(ctx, e.Settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
@@ -192,12 +197,22 @@
 	var wg sync.WaitGroup
 	for _, server := range []*inbound.Server{e.callerServer, e.forwardServer} {
 		wg.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				e.Log.Info("requests still in progress at the end of the stop grace", "error", err.Error())
-			}
+			_ = server.Shutdown(ctx)
 		})
 	}
 	wg.Wait()
+	e.logDrained()
+}
+
+// logDrained logs what the connections are closed on.
+func (e *Entry) logDrained() {
+	progress := e.relay.Progress()
+	if progress.Total() > 0 {
+		e.Log.Info("requests still in progress at the end of the stop grace", "in-progress", progress, "stopping-ms", e.relay.StoppingFor().Milliseconds())
+	}
+	e.Log.Info("connections are closed", "stopping-ms", e.relay.StoppingFor().Milliseconds(), "ended", e.sinceStop.ended.Load(),
+		"refused", e.sinceStop.refused.Load(), "interrupted", e.sinceStop.interrupted.Load(), "in-progress", progress.Total(),
+		"connections", e.callerServer.Connections(), "forwarded-connections", e.forwardServer.Connections())
 }
 
 // awaitHandlers waits until the requests whose connections were closed have been logged.
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -74,6 +74,8 @@
 	cutOff tally.Gauge
 	// interruptions count answers that this entry did not complete.
 	interruptions map[relay.InterruptReason]tally.Counter
+	// requestsSinceStop count requests that ended during a planned stop, by outcome.
+	requestsSinceStop map[string]tally.Counter
 }
 
 // firstEventMetrics are the times to first event of one model: as expected, as observed, and the difference.
@@ -91,9 +93,19 @@
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 		retriesAllowed: retryCounter(scope, "allowed"), retriesDenied: retryCounter(scope, "denied"), retryEntries: scope.Gauge("retry_budget_entries"),
 		cutOff: scope.Gauge("cut_off"), interruptions: map[relay.InterruptReason]tally.Counter{},
+		requestsSinceStop: stopCounters(scope),
 	}
 }
 
+// stopCounters returns the counters of requests that end during a planned stop, by outcome.
+func stopCounters(scope tally.Scope) map[string]tally.Counter {
+	counters := map[string]tally.Counter{}
+	for _, outcome := range []string{"answered", "refused", "interrupted"} {
+		counters[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_ended_while_stopping")
+	}
+	return counters
+}
+
 func retryCounter(scope tally.Scope, decision string) tally.Counter {
 	return scope.Tagged(map[string]string{"decision": decision}).Counter("retry_decisions")
 }
@@ -262,13 +274,32 @@
 	if occurrences, ok := e.interruptionLog.allow(e.relay.Now()); ok {
 		e.Log.Info("answer interrupted", "id", r.ID, "route", r.Route, "reason", r.Interruption, "text", r.ErrorText, "code", int(r.Code),
 			"version", r.Version, "events", r.Events, "total-ms", r.Total.Milliseconds(), "tries", r.Attempts, "retry-budget", r.RetryDecisions,
-			"stopping", e.relay.Stopping(), "since-last", occurrences)
+			"stopping", e.relay.Stopping(), "stopping-ms", e.relay.StoppingFor().Milliseconds(), "since-last", occurrences)
+	}
+}
+
+// countSinceStop counts a request that ended during a planned stop.
+func (e *Entry) countSinceStop(r *relay.Record) {
+	if !e.relay.Stopping() {
+		return
+	}
+	e.sinceStop.ended.Add(1)
+	outcome := "answered"
+	switch {
+	case r.Interruption != "":
+		outcome = "interrupted"
+		e.sinceStop.interrupted.Add(1)
+	case result.Lookup(r.Code).NotRun:
+		outcome = "refused"
+		e.sinceStop.refused.Add(1)
 	}
+	e.metrics.requestsSinceStop[outcome].Inc(1)
 }
 
 // observe counts a finished request and writes its log line.
 func (e *Entry) observe(r *relay.Record) {
 	e.metrics.observe(r)
+	e.countSinceStop(r)
 	e.logInterruption(r)
 	fields := []any{
 		"id", r.ID, "route", r.Route, "customer", r.Customer, "model", r.Model, "content", r.Content.String(),
