Stop entries in series in the soak, with streams as long as the routes allow

Answers cut at 7.3 s after SIGTERM (reason stop), connections closed on requests that had been sent 0.4 to 1.4 s before, and answers that an upstream closed since the leader had dissolved its group 1.2 s after it began to close it.

Upstreams that leave now finish their work first, and members that of their head, as the platform's do.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -34,6 +34,8 @@
 	entry  *daemon
 	client *http.Client
 	sent   int
+	// slow is set for a caller that pauses for seconds between two requests on one connection.
+	slow bool
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -43,10 +45,18 @@
 			continue
 		}
 		c.one(ctx)
-		pause(ctx, time.Duration(c.random.Int64N(int64(2*callerPause))))
+		pause(ctx, c.nextPause())
 	}
 }
 
+func (c *caller) nextPause() time.Duration {
+	longest := 2 * callerPause
+	if c.slow {
+		longest = slowCallerPause
+	}
+	return time.Duration(c.random.Int64N(int64(longest)))
+}
+
 // choose picks an entry that says it is ready, as a balancer does for each new connection.
 func (c *caller) choose(ctx context.Context) bool {
 	d := c.s.entries[c.random.IntN(len(c.s.entries))]
@@ -113,6 +123,9 @@
 		c.s.truth.breaksf("a request cannot be built: %v", err)
 		return
 	}
+	if c.s.Stops && c.random.Float64() < slowBodyFraction {
+		req.Body = io.NopCloser(slowBody(ctx, []byte(r.id), between(c.random, 0, slowBodyTime)))
+	}
 	at := c.entry
 	c.s.truth.sends(r)
 	resp, err := c.client.Do(req)
@@ -252,6 +265,9 @@
 	c.moveAway()
 	c.s.truth.mu.Lock()
 	defer c.s.truth.mu.Unlock()
+	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > unansweredLimit && c.s.ctx.Err() == nil {
+		c.s.truth.noteBrokenf("%s closed the connection of request %s without an answer, %v after it was sent: %s", at.name, r.id, onWay, why)
+	}
 	if c.s.Planned && r.runs > 0 && c.s.ctx.Err() == nil {
 		c.s.truth.noteBrokenf("request %s at %s was cut off although only planned things happen: %s", r.id, at.name, why)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,30 +25,35 @@
 	weight  int
 	// leaves is set when entries go on as they were, and know each other.
 	leaves bool
-	do     func(s *soak, ctx context.Context, random *rand.Rand) string
+	// stops is set for what is played with Plan.Stops only.
+	stops bool
+	do    func(s *soak, ctx context.Context, random *rand.Rand) string
 }
 
 var faults = []fault{
-	{"stop an entry", true, 3, false, (*soak).stopEntry},
-	{"stop a control daemon", true, 2, false, (*soak).stopControl},
-	{"read settings again", true, 3, false, (*soak).hangUp},
-	{"an upstream leaves", true, 3, false, (*soak).drainUpstream},
-	{"an upstream comes", true, 2, false, (*soak).addUpstream},
-	{"an upstream asks for time", true, 3, true, (*soak).turnsAway},
-	{"a hall is drained", true, 2, true, (*soak).drainHall},
-	{"an upstream names a limit", true, 3, true, (*soak).limits},
-	{"the engines pause", true, 3, true, (*soak).pauseEngines},
-	{"an upstream leaves without a report", false, 2, true, (*soak).leavesSilently},
-	{"kill an entry", false, 3, false, (*soak).killEntry},
-	{"kill a control daemon", false, 3, true, (*soak).killControl},
-	{"kill all control daemons", false, 1, true, (*soak).killControls},
-	{"lose a folder", false, 1, false, (*soak).loseFolder},
-	{"pause a process", false, 4, false, (*soak).freeze},
-	{"weather on a link", false, 8, false, (*soak).storm},
-	{"reset connections", false, 3, false, (*soak).resets},
-	{"an upstream crashes", false, 5, true, (*soak).crashUpstream},
-	{"answers get lost", false, 3, true, (*soak).loseAnswers},
-	{"an upstream turns slow", false, 3, true, (*soak).slowUpstream},
+	{"stop an entry", true, 3, false, false, (*soak).stopEntry},
+	{"stop a control daemon", true, 2, false, false, (*soak).stopControl},
+	{"read settings again", true, 3, false, false, (*soak).hangUp},
+	{"an upstream leaves", true, 3, false, false, (*soak).drainUpstream},
+	{"an upstream comes", true, 2, false, false, (*soak).addUpstream},
+	{"an upstream asks for time", true, 3, true, false, (*soak).turnsAway},
+	{"a hall is drained", true, 2, true, false, (*soak).drainHall},
+	{"an upstream names a limit", true, 3, true, false, (*soak).limits},
+	{"the engines pause", true, 3, true, false, (*soak).pauseEngines},
+	{"stop entries in series", true, 6, false, true, (*soak).stopEntries},
+	{"stop an entry that has just started", true, 2, false, true, (*soak).stopStarted},
+	{"stop the leading control daemon", true, 1, false, true, (*soak).stopLeader},
+	{"an upstream leaves without a report", false, 2, true, false, (*soak).leavesSilently},
+	{"kill an entry", false, 3, false, false, (*soak).killEntry},
+	{"kill a control daemon", false, 3, true, false, (*soak).killControl},
+	{"kill all control daemons", false, 1, true, false, (*soak).killControls},
+	{"lose a folder", false, 1, false, false, (*soak).loseFolder},
+	{"pause a process", false, 4, false, false, (*soak).freeze},
+	{"weather on a link", false, 8, false, false, (*soak).storm},
+	{"reset connections", false, 3, false, false, (*soak).resets},
+	{"an upstream crashes", false, 5, true, false, (*soak).crashUpstream},
+	{"answers get lost", false, 3, true, false, (*soak).loseAnswers},
+	{"an upstream turns slow", false, 3, true, false, (*soak).slowUpstream},
 }
 
 // trouble does one thing after the other, so that their effects overlap.
@@ -84,6 +89,8 @@
 // plays reports whether the plan has that fault in it.
 func (s *soak) plays(f *fault) bool {
 	switch {
+	case f.stops:
+		return s.Stops
 	case s.Fatal:
 		return f.planned || f.leaves
 	case s.Planned:
--- a/soak/orders.go
+++ b/soak/orders.go
@@ -65,7 +65,7 @@
 // finish makes a closing group ready again when its work is done.
 func (e *engine) finish(epoch ident.Epoch) {
 	for e.ctx.Err() == nil {
-		pause(e.ctx, eventTime)
+		pause(e.ctx, shortEventTime)
 		e.mu.Lock()
 		over := e.running == 0 || e.member.Epoch != epoch
 		if over && e.member.Epoch == epoch && e.member.State == roster.MemberClosing {
--- a/soak/serve.go
+++ b/soak/serve.go
@@ -23,7 +23,7 @@
 		if time.Now().After(limit) || r.Context().Err() != nil {
 			return true
 		}
-		pause(e.ctx, eventTime)
+		pause(e.ctx, shortEventTime)
 	}
 	return e.place().Epoch != epoch
 }
@@ -56,7 +56,7 @@
 	}
 	if isFatal(body) {
 		e.truth.runs(id, e.id)
-		pause(e.ctx, eventTime)
+		pause(e.ctx, shortEventTime)
 		e.ends(string(body))
 		panic(http.ErrAbortHandler)
 	}
@@ -151,7 +151,7 @@
 	w.Header().Set(platform.HeaderNames().Signature, "s-"+string(e.id))
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventsOf(id); n++ {
-		pause(r.Context(), time.Duration(e.groupPace()*float64(eventTime)))
+		pause(r.Context(), time.Duration(e.groupPace()*float64(e.eventTime)))
 		e.awaitResume()
 		if r.Context().Err() != nil || e.standsStill(r, epoch) || e.loss() {
 			panic(http.ErrAbortHandler)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,9 +29,9 @@
 	seedCount      = 3
 	// formLimit and healLimit bound the wait until a site serves, at first and after all faults have ended; they are long
 	// because the machine may be busy.
-	formLimit = 90 * time.Second
-	healLimit = 90 * time.Second
-	stopGrace = 6 * time.Second
+	formLimit      = 90 * time.Second
+	healLimit      = 90 * time.Second
+	shortStopGrace = 6 * time.Second
 )
 
 // Plan says what one run of the soak does; everything random follows from Seed.
@@ -45,6 +45,8 @@
 	Planned bool
 	// Fatal lets requests come that end what runs them, beside planned things, crashes of upstreams and losses of control.
 	Fatal bool
+	// Stops plays planned things only, with streams as long as the routes allow and entries that are stopped in series.
+	Stops bool
 	// Untimed leaves out what depends on the speed of the machine.
 	Untimed bool
 	// Routes is how many routes are added on the way, Share the part of a core that each process gets, 0 for all that there is.
@@ -125,6 +127,7 @@
 	}
 	for i := range cmp.Or(s.Callers, defaultCallers) {
 		c := &caller{s: s, name: "c" + strconv.Itoa(i), random: s.random(uint64(100 + i))}
+		c.slow = s.Stops && c.random.Float64() < slowCallerFraction
 		s.tasks.Go(func() { c.run(load) })
 	}
 	for i, d := range s.entries {
@@ -208,7 +211,7 @@
 		cfg := settings.DefaultSite()
 		cfg.Hall = ident.Hall("hall-" + strconv.Itoa(i%domainCount))
 		cfg.PeerPort, cfg.Listen.Host = peerPort, outside
-		cfg.Bounds = settings.SiteBounds{KeysRevoked: settings.Duration(keyBound), StopGrace: settings.Duration(stopGrace)}
+		cfg.Bounds = settings.SiteBounds{KeysRevoked: settings.Duration(keyBound), StopGrace: settings.Duration(s.stopGrace())}
 		cfg.Times.Report = settings.Duration(reportEvery)
 		cfg.Scheduling = scheduling()
 		cfg.Retries.Allowance = cmp.Or(s.Allowance, cfg.Retries.Allowance)
@@ -281,7 +284,7 @@
 		}
 		return list
 	}
-	e, err := newEngine(s.ctx, s.truth, id, service, place, reports)
+	e, err := newEngine(s.ctx, s.truth, s.eventTime(), id, service, place, reports)
 	if err != nil {
 		s.notef("upstream %s cannot start: %v", id, err)
 		return ""
--- /dev/null
+++ b/soak/stops.go
@@ -0,0 +1,126 @@
+package soak
+
+// Series of planned stops. With Plan.Stops, streams last as long as the routes
+// allow, entries are stopped several at a time, and callers use their connections
+// until the process is gone: some pause between two requests, and some send their
+// bodies slowly.
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
+)
+
+const (
+	// longEventTime makes streams last 0.6 to 4.4 s.
+	longEventTime = 200 * time.Millisecond
+	longStopGrace = 8 * time.Second
+	// maxStopsAtOnce and maxStopGap bound a series: how many entries, and the time between two of them.
+	maxStopsAtOnce = 3
+	maxStopGap     = 700 * time.Millisecond
+	// maxStartedFor is how long after its start an entry may be stopped again.
+	maxStartedFor = 1500 * time.Millisecond
+	// slowCallerFraction is the fraction of the callers that pause for up to slowCallerPause, slowBodyFraction the fraction of the bodies that
+	// take up to slowBodyTime.
+	slowCallerFraction = 0.4
+	slowCallerPause    = 4 * time.Second
+	slowBodyFraction   = 0.1
+	slowBodyTime       = 1500 * time.Millisecond
+	// unansweredLimit is how long a request may have been on its way when its connection is closed without an answer.
+	unansweredLimit = 200 * time.Millisecond
+)
+
+// eventTime is the time between two events of a stream.
+func (p *Plan) eventTime() time.Duration {
+	if p.Stops {
+		return longEventTime
+	}
+	return shortEventTime
+}
+
+func (p *Plan) stopGrace() time.Duration {
+	if p.Stops {
+		return longStopGrace
+	}
+	return shortStopGrace
+}
+
+// stopEntries stops several entries, and some of them again right after their start; one at least goes on.
+func (s *soak) stopEntries(ctx context.Context, random *rand.Rand) string {
+	var names []string
+	most := min(maxStopsAtOnce, len(s.entries)-1)
+	for _, i := range random.Perm(len(s.entries))[:1+random.IntN(max(1, most))] {
+		d := s.entries[i]
+		if !s.othersServe(d) {
+			continue
+		}
+		if name := s.stop(d); name != "" {
+			names = append(names, name)
+		}
+		pause(ctx, time.Duration(random.Int64N(int64(maxStopGap))))
+	}
+	return strings.Join(names, ", ")
+}
+
+// othersServe reports whether an entry other than d runs and is not stopping.
+func (s *soak) othersServe(d *daemon) bool {
+	for _, other := range s.entries {
+		if life, _, stopping := other.state(); other != d && life > 0 && !stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// stopStarted stops an entry that has just started.
+func (s *soak) stopStarted(_ context.Context, random *rand.Rand) string {
+	for _, i := range random.Perm(len(s.entries)) {
+		d := s.entries[i]
+		if life, since, stopping := d.state(); life > 1 && !stopping && time.Since(since) < maxStartedFor && s.othersServe(d) {
+			return s.stop(d)
+		}
+	}
+	return ""
+}
+
+// stopLeader stops the control daemon that leads.
+func (s *soak) stopLeader(ctx context.Context, _ *rand.Rand) string {
+	var peers []string
+	for _, d := range s.controls {
+		peers = append(peers, d.cfg.PeerAddress())
+	}
+	state, err := site.Inspect(ctx, transport.TCP(), peers)
+	if err != nil {
+		return ""
+	}
+	for _, d := range s.controls {
+		if d.cfg.PeerAddress() == state.Leader {
+			return s.stop(d)
+		}
+	}
+	return ""
+}
+
+// slowBody returns a reader of b that pauses in the middle.
+func slowBody(ctx context.Context, b []byte, wait time.Duration) io.Reader {
+	half := len(b) / 2
+	return io.MultiReader(bytes.NewReader(b[:half]), &pausedReader{ctx: ctx, wait: wait}, bytes.NewReader(b[half:]))
+}
+
+// pausedReader is empty and takes a while to say so.
+type pausedReader struct {
+	ctx  context.Context
+	wait time.Duration
+}
+
+// Read implements io.Reader.
+func (r *pausedReader) Read([]byte) (int, error) {
+	pause(r.ctx, r.wait)
+	return 0, io.EOF
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -30,12 +30,15 @@
 	loadTime    = 500 * time.Millisecond
 	// standTime is how long a group without a member stands still until it is broken.
 	standTime = 2 * time.Second
-	eventTime = 15 * time.Millisecond
-	workTime  = 10 * time.Millisecond
-	slots     = 16
+	// shortEventTime is the time between two events of a stream, unless the plan is one of stops.
+	shortEventTime = 15 * time.Millisecond
+	workTime       = 10 * time.Millisecond
+	slots          = 16
 	// drainTime is how long an upstream serves after its leaving was acknowledged, drainGrace when it must get nothing new.
 	drainTime  = 4 * time.Second
 	drainGrace = 3 * time.Second
+	// maxWorkTime bounds how long an upstream that leaves stays for work in progress.
+	maxWorkTime = 10 * time.Second
 )
 
 // modelService and plainService are the two services of the soak.
@@ -99,14 +102,16 @@
 	whileCold []time.Time
 	// resumesAt is when a pause of the upstream ends.
 	resumesAt time.Time
+	// eventTime is the time between two events of a stream.
+	eventTime time.Duration
 	// watched is set when new work long after the acknowledged leaving breaks a promise.
 	watched bool
 }
 
-func newEngine(ctx context.Context, t *truth, id ident.Incarnation, service ident.Service, place int, reports func() []string) (*engine, error) {
+func newEngine(ctx context.Context, t *truth, eventTime time.Duration, id ident.Incarnation, service ident.Service, place int, reports func() []string) (*engine, error) {
 	e := &engine{
 		id: id, service: service, hall: ident.Hall(fmt.Sprintf("hall-%d", place)), domain: ident.Domain(fmt.Sprintf("domain-%d", place)),
-		truth: t, reports: reports, started: time.Now(), changed: make(chan struct{}, 1), wasReady: map[membership]bool{},
+		truth: t, eventTime: eventTime, reports: reports, started: time.Now(), changed: make(chan struct{}, 1), wasReady: map[membership]bool{},
 		asked: map[sender][]*asked{}, saidLeaving: map[sender]time.Time{}, random: rand.New(rand.NewPCG(hashOf(string(id)), 1)),
 	}
 	e.ctx, e.end = context.WithCancel(ctx)
@@ -170,10 +175,40 @@
 	go func() {
 		pause(e.ctx, drainTime)
 		e.post(platform.SignOffPath(e.id), nil)
+		e.finishWork()
 		e.crash()
 	}()
 }
 
+// finishWork waits until nothing runs here, or at the head of the group that this engine is a member of: a planned end breaks no answer off.
+func (e *engine) finishWork() {
+	for end := time.Now().Add(maxWorkTime); time.Now().Before(end) && e.ctx.Err() == nil; pause(e.ctx, shortEventTime) {
+		if e.inProgress() == 0 && e.headInProgress() == 0 {
+			return
+		}
+	}
+}
+
+func (e *engine) inProgress() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+func (e *engine) headInProgress() int {
+	members := e.list()
+	if len(members) == 0 {
+		return 0
+	}
+	e.truth.mu.Lock()
+	head := e.truth.engines[members[0]]
+	e.truth.mu.Unlock()
+	if head == nil || head.place().Group != e.place().Group {
+		return 0
+	}
+	return head.inProgress()
+}
+
 func (e *engine) pauseUntil(at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
