Answer requests that arrive while an entry drains its connections

Callers saw their connection closed without an answer at an entry that stops, for requests sent 2.5 s or later after SIGTERM. http.Server.Shutdown closes idle connections also when a request has just arrived, and returns from a connection right after it has read a request; a request that was read was then dropped.

inbound.Server.Drain leaves connections open, answers each request with 'Connection: close', and returns when there was no request for 0.5 s.

--- a/inbound/server.go
+++ b/inbound/server.go
@@ -23,6 +23,9 @@
 	defaultMaxHeaderBytes = 64 << 10
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
+	// quietPeriod is how long callers must have sent no request until their connections are closed. It is longer than a request is on its way.
+	quietPeriod        = 500 * time.Millisecond
+	drainCheckInterval = 10 * time.Millisecond
 	// acceptRetryDelay is the pause after an error of Accept, which mostly means that no file descriptors are left.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -44,8 +47,10 @@
 	bounds      Bounds
 	listeners   []net.Listener
 	generations []*generation
-	// states holds the open connections.
-	states map[net.Conn]http.ConnState
+	// states holds the open connections, lastChange is when one was opened, or a request began or ended.
+	states     map[net.Conn]http.ConnState
+	lastChange time.Time
+	draining   bool
 }
 
 // Connections is the number of open connections in each state.
@@ -107,7 +112,7 @@
 	g := &generation{listener: newConnListener()}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.isReplaced(g) {
+			if s.closesAfterAnswer(g) {
 				w.Header().Set("Connection", "close")
 			}
 			s.Handler.ServeHTTP(w, r)
@@ -136,10 +141,11 @@
 
 func (s *Server) newest() *generation { return s.generations[len(s.generations)-1] }
 
-func (s *Server) isReplaced(g *generation) bool {
+// closesAfterAnswer reports whether connections of g are closed after their next answer.
+func (s *Server) closesAfterAnswer(g *generation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return g.replaced
+	return g.replaced || s.draining
 }
 
 // setState notes the state of a connection of g.
@@ -151,6 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.states[conn] = state
+	s.lastChange = time.Now()
 }
 
 func (s *Server) connClosed(g *generation, conn net.Conn) {
@@ -209,16 +216,34 @@
 	}
 }
 
-// Shutdown accepts no more connections, and waits until the requests in progress or ctx end.
-func (s *Server) Shutdown(ctx context.Context) error {
-	servers := s.stopAccepting()
-	errs := make([]error, len(servers))
-	var wg sync.WaitGroup
-	for i, server := range servers {
-		wg.Go(func() { errs[i] = server.Shutdown(ctx) })
+// Drain accepts no more connections and serves requests on open ones, each with the header "Connection: close", until there has been no
+// request for quietPeriod, or ctx ends. http.Server.Shutdown would close connections on requests that have arrived.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.stopAccepting()
+	ticker := time.NewTicker(drainCheckInterval)
+	defer ticker.Stop()
+	for !s.quiet() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
-	wg.Wait()
-	return errors.Join(errs...)
+}
+
+// quiet reports whether no request is in progress, and has been for quietPeriod.
+func (s *Server) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.states {
+		if state == http.StateActive {
+			return false
+		}
+	}
+	return time.Since(s.lastChange) >= quietPeriod
 }
 
 // Close closes the listeners and all connections immediately.
--- a/site/entry.go
+++ b/site/entry.go
@@ -196,9 +196,7 @@
 	sleep(ctx, notReadyGrace)
 	var wg sync.WaitGroup
 	for _, server := range []*inbound.Server{e.callerServer, e.forwardServer} {
-		wg.Go(func() {
-			_ = server.Shutdown(ctx)
-		})
+		wg.Go(func() { server.Drain(ctx) })
 	}
 	wg.Wait()
 	e.logDrained()
