Answer requests that the end of a planned stop meets

Callers saw a closed connection, which says nothing of whether the request ran, for requests that waited for an upstream, for their place in a queue or for the rest of their body when the stop grace of their entry ended: the process closed all connections.

Requests in progress carry the sooner end in the deadline that upstreams get.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -54,7 +54,7 @@
 		decline(w, DeclinedMalformed)
 	case inProgress > maxForwarded:
 		decline(w, DeclinedBusy)
-	case h.Relay.stopping.Load():
+	case h.Relay.Stopping():
 		decline(w, DeclinedStopping)
 	case h.Relay.Version() < forwarded.version:
 		decline(w, DeclinedOlderConfig)
@@ -108,6 +108,8 @@
 		return ""
 	}
 	switch code := result.CodeOf(err); {
+	case code == result.Stopping:
+		return DeclinedStopping
 	case code == result.ControlUnreachable:
 		return DeclinedNoControl
 	case x.lacksPath && result.Lookup(code).NotRun:
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -82,15 +82,20 @@
 	s.mu.Unlock()
 	select {
 	case <-queued.Value.done:
+		return queued.Value.chosen, queued.Value.err
 	case <-x.r.Context().Done():
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		select {
-		case <-queued.Value.done:
-		default:
-			q.Remove(queued)
-			return choice{}, result.New(result.Cancelled, "the caller disconnected while the request was queued")
+	case <-s.requestsCtx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-queued.Value.done:
+	default:
+		q.Remove(queued)
+		if x.r.Context().Err() == nil {
+			return choice{}, x.stopError()
 		}
+		return choice{}, result.New(result.Cancelled, "the caller disconnected while the request was queued")
 	}
 	return queued.Value.chosen, queued.Value.err
 }
@@ -253,8 +258,8 @@
 // queueRequest returns the request's deadlines and flags by which package overload orders the queue.
 func (x *exchange) queueRequest(now time.Time, q *overload.Queue[*queuedRequest]) overload.Request {
 	expires := x.callerWaitStart.Add(x.callerPatience())
-	if expires.After(x.deadline) {
-		expires = x.deadline
+	if end := x.latestEnd(); expires.After(end) {
+		expires = end
 	}
 	expires = expires.Add(-x.idleFirstEvent - x.dispatchDelay.mean)
 	due := x.aimDeadline.Add(-x.idleFirstEvent)
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -97,19 +97,20 @@
 // interrupt ends the read or write in progress and all later ones, unless onInterrupt continues them; whoever reads closes the connection.
 func (c *upstreamConn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-// callerWatch interrupts a connection when the caller disconnects, or on demand, until it ends: the connection may carry another request
-// then.
+// callerWatch interrupts a connection when the caller disconnects, a planned stop ends the request, or on demand, until the watch ends: the
+// connection may carry another request then.
 type callerWatch struct {
-	stop func() bool
+	stop, stopEnd func() bool
 
 	mu   sync.Mutex
 	conn *upstreamConn
 }
 
-// watchCaller returns the watch of a connection that carries a request with ctx.
-func watchCaller(ctx context.Context, conn *upstreamConn) *callerWatch {
+// watchCaller returns the watch of a connection that carries the request.
+func (x *exchange) watchCaller(conn *upstreamConn) *callerWatch {
 	w := &callerWatch{conn: conn}
-	w.stop = context.AfterFunc(ctx, w.interrupt)
+	w.stop = context.AfterFunc(x.r.Context(), w.interrupt)
+	w.stopEnd = context.AfterFunc(x.s.requestsCtx, w.interrupt)
 	return w
 }
 
@@ -124,15 +125,16 @@
 // end ends the watch; it can be called again.
 func (w *callerWatch) end() {
 	w.stop()
+	w.stopEnd()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conn = nil
 }
 
 // boundConn bounds the next reads and writes of a connection, and reports whether they are possible: the connection stays interrupted if the
-// caller has disconnected.
+// caller has disconnected or a planned stop has ended the request.
 func (x *exchange) boundConn(c *upstreamConn, d time.Duration) bool {
-	if err := c.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil {
+	if err := c.SetDeadline(time.Now().Add(d)); err != nil || x.r.Context().Err() != nil || x.s.requestsEnded() {
 		c.interrupt()
 		return false
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -269,6 +270,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.bodyTimedOut = true
 		x.w.Header().Set("Connection", "close")
+		if x.endedByStop() {
+			return x.stopError()
+		}
 		return result.New(result.DeadlineUnreachable, "the deadline passed before the body had arrived")
 	case errors.As(err, &tooLarge):
 		return result.New(result.TooLarge, "the body is larger than %d bytes", limit)
@@ -296,7 +300,11 @@
 	control := http.NewResponseController(x.w)
 	// A connection without read deadlines is bounded only by how long the caller waits.
 	_ = control.SetReadDeadline(time.Now().Add(x.timeLeft()))
+	stopped := context.AfterFunc(x.s.requestsCtx, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(&bodyReader{http.MaxBytesReader(x.w, x.r.Body, limit), x})
+	if !stopped() {
+		return nil, os.ErrDeadlineExceeded
+	}
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
@@ -387,8 +395,3 @@
 func (x *exchange) wasAttempted(id ident.Incarnation) bool {
 	return x.triedUpstreams[id]
 }
-
-// timeLeft is the time until the request's deadline.
-func (x *exchange) timeLeft() time.Duration {
-	return x.deadline.Sub(x.s.Now())
-}
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -19,6 +19,8 @@
 	retryAfterFull     = 300 * time.Millisecond
 	retryAfterNoGroup  = 700 * time.Millisecond
 	retryAfterNoConfig = 1800 * time.Millisecond
+	// retryAfterStopping is that of an entry that stops; another one can serve the request at once.
+	retryAfterStopping = 100 * time.Millisecond
 	// retryJitter is the maximum random fraction that is added, so that callers do not retry at the same time.
 	retryJitter     = 0.5
 	jsonContentType = "application/json"
@@ -97,13 +99,15 @@
 		return retryAfterFull
 	case result.ControlUnreachable:
 		return retryAfterNoConfig
+	case result.Stopping:
+		return retryAfterStopping
 	}
 	return retryAfterNoGroup
 }
 
 // closeIfStopping closes the connection after the answer if this entry will not serve the caller's next request.
 func (x *exchange) closeIfStopping() {
-	if x.s.stopping.Load() || x.s.keysLapseSoon() {
+	if x.s.Stopping() || x.s.keysLapseSoon() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -280,7 +280,7 @@
 		}
 		return outcomeNeverSent
 	}
-	watch := watchCaller(x.r.Context(), conn)
+	watch := x.watchCaller(conn)
 	defer watch.end()
 	ranBefore := x.mayHaveRun
 	resp, err := x.exchangeWithEntry(conn, acceptIn)
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -78,7 +77,7 @@
 	if x.bodyBytes == 0 || x.bodyBytes+n > m.maxBytes || !m.mayWait(x) {
 		return errMemoryLimit
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.timeLeft())
+	ctx, cancel := x.waitContext()
 	defer cancel()
 	if err := m.bodies.Acquire(ctx, n); err != nil {
 		return cmp.Or(x.r.Context().Err(), errMemoryLimit)
@@ -121,7 +120,7 @@
 // reserveAnswer waits until there is memory for an answer.
 func (x *exchange) reserveAnswer(resp *http.Response) error {
 	size := x.s.memory.answerSizeOf(resp)
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.timeLeft())
+	ctx, cancel := x.waitContext()
 	defer cancel()
 	if err := x.s.memory.answers.Acquire(ctx, size); err != nil {
 		return result.Wrap(err, result.TimedOut, "no memory for the answer in time")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -95,13 +96,14 @@
 	pool, entryPool *connPool
 	table           atomic.Pointer[httproute.Table]
 	confirmedAt     atomic.Pointer[time.Time]
-	stopping        atomic.Bool
 	// closing is set once the connections of callers are about to be closed.
 	closing    atomic.Bool
 	inProgress sync.WaitGroup
 	progress   progress
-	// stoppedAt is when Stop was called.
-	stoppedAt atomic.Pointer[time.Time]
+	// stop is the planned stop, nil before it. requestsCtx ends when requests in progress are ended, by endRequests.
+	stop        atomic.Pointer[plannedStop]
+	requestsCtx context.Context
+	endRequests context.CancelFunc
 	// createdAt is when the relay was created; firstConfirmation is closed with the first confirmation by the leader.
 	createdAt         time.Time
 	firstConfirmation chan struct{}
@@ -172,6 +174,7 @@
 		siteLoad:     siteLoad{counts: map[queueKey]*queueCounts{}},
 		createdAt:    clock.Now(), firstConfirmation: make(chan struct{}), memory: newMemory(defaultMemoryBytes),
 	}
+	s.requestsCtx, s.endRequests = context.WithCancel(context.Background())
 	s.index = newTargetIndex(s.rosterCopy, nil, nil, nil)
 	s.reach = reachability{contactAt: map[ident.Service]time.Time{}, pathsCheckedAt: map[ident.Service]time.Time{}, reported: map[ident.Service]Reach{}}
 	s.Limits = s.newLimiter()
@@ -326,7 +329,7 @@
 
 // Ready reports whether a balancer can send callers to this entry: requests that arrive now can be served to their end.
 func (s *Relay) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && !s.keysLapseSoon()
+	return !s.Stopping() && s.table.Load() != nil && !s.keysLapseSoon()
 }
 
 // keysLapseSoon reports whether keys are accepted for less time than the balancer and callers need to switch to another entry: an entry
@@ -335,31 +338,11 @@
 	return s.ConfirmedAge() > s.KeyValidity-min(keyLapseMargin, s.KeyValidity/2)
 }
 
-// Stop makes answers close their connections; requests are still served.
-func (s *Relay) Stop() {
-	now := s.Now()
-	s.stoppedAt.Store(&now)
-	s.stopping.Store(true)
-}
-
-// StoppingFor returns the time since Stop, 0 before it.
-func (s *Relay) StoppingFor() time.Duration {
-	if at := s.stoppedAt.Load(); at != nil {
-		return s.Now().Sub(*at)
-	}
-	return 0
-}
-
 // Close notes that the connections of callers are closed from now on, whether their requests have ended or not.
 func (s *Relay) Close() {
 	s.closing.Store(true)
 }
 
-// Stopping reports whether Stop was called.
-func (s *Relay) Stopping() bool {
-	return s.stopping.Load()
-}
-
 // Demand is the number of requests for a model, with their prompt tokens and expected answer tokens.
 type Demand struct {
 	Requests int
--- a/relay/run.go
+++ b/relay/run.go
@@ -108,7 +108,10 @@
 		x.triesUnreachable = true
 		chosen, err = x.awaitTarget()
 	}
-	if err != nil {
+	switch {
+	case err != nil && x.endedByStop():
+		return chosen, true, x.stopError()
+	case err != nil:
 		x.endReason = InterruptedNoTarget
 		return chosen, true, x.finalError(err)
 	}
@@ -154,6 +157,9 @@
 
 // expiredError returns the error of a request whose deadline has passed.
 func (x *exchange) expiredError() error {
+	if x.endedByStop() {
+		return x.stopError()
+	}
 	x.endReason = InterruptedDeadline
 	if x.mayHaveRun {
 		return result.New(result.TimedOut, "no complete answer before the deadline")
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -55,7 +55,7 @@
 func (f *forwarder) watch() {
 	f.waitingSince = f.x.s.Now()
 	f.sentAt = f.waitingSince
-	f.callerWatch = watchCaller(f.x.r.Context(), f.conn)
+	f.callerWatch = f.x.watchCaller(f.conn)
 	f.x.boundConn(f.conn, f.x.timeLeft())
 	if f.x.route.Repeatable() && f.x.runCount+1 < f.x.maxRuns() {
 		// The timer may fire before it is stored.
--- a/site/entry.go
+++ b/site/entry.go
@@ -30,8 +30,10 @@
 	bodyMemoryFraction = 0.2
 	// notReadyGrace is how long new connections may still arrive after this daemon has reported that it is not ready.
 	notReadyGrace = 2500 * time.Millisecond
-	// stopMargin is kept of the stop grace for the last log lines and the exit.
+	// stopMargin is kept of the stop grace for the last answers, the last log lines and the exit.
 	stopMargin = 700 * time.Millisecond
+	// answerTimeout bounds the wait for the answers of requests that the stop has ended.
+	answerTimeout = 200 * time.Millisecond
 	// forwardHeaderBytes is the room for the headers that entries add to a forwarded request.
 	forwardHeaderBytes = 1 << 10
 	// handlersEndTimeout bounds the wait for the log lines of requests that the end of this process interrupts.
@@ -190,8 +192,9 @@
 func (e *Entry) drainRequests(ctx context.Context) {
 	e.Log.Info("planned stop started", "grace-ms", e.Settings.Bounds.StopGrace.Std().Milliseconds(), "in-progress", e.relay.Progress(),
 		"connections", e.callerServer.Connections())
-	e.relay.Stop()
-	ctx, cancel := context.WithTimeout(ctx, e.Settings.Bounds.StopGrace.Std()-stopMargin)
+	requestTime := e.Settings.Bounds.StopGrace.Std() - stopMargin
+	e.relay.Stop(requestTime)
+	ctx, cancel := context.WithTimeout(ctx, requestTime+answerTimeout)
 	defer cancel()
 	sleep(ctx, notReadyGrace)
 	var wg sync.WaitGroup
