Refuse requests that a stopping entry may not complete

Callers saw streams cut at the end of the stop grace of their entry: it accepted requests until its connections were closed, whatever their answers need, also those whose body arrived seconds after SIGTERM.

An entry learns how long answers take by route and model (mean and mean deviation). During a planned stop it refuses a request at once, as not run (2016), if the answer may not end before the stop does: before the body is read and again after it. Where no answer is known it goes by the deadline.

--- /dev/null
+++ b/relay/answer_time.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/httproute"
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/result"
+)
+
+const (
+	// answerTimeWeight is the least weight of a new answer in the mean time and its mean deviation.
+	answerTimeWeight = 1.0 / 32
+	// answerTimeDeviations is how many mean deviations an answer may take longer than the mean.
+	answerTimeDeviations = 4
+)
+
+// answerTimeKey identifies requests whose answers take similar times.
+type answerTimeKey struct {
+	class ident.Class
+	model ident.Model
+}
+
+// answerTime is how long answers take from the end of the request's body to their own end.
+type answerTime struct {
+	mean, deviation time.Duration
+	seen            int
+}
+
+// add adds the time of an answer; a is nil before the first one.
+func (a *answerTime) add(d time.Duration) *answerTime {
+	if a == nil {
+		return &answerTime{mean: d, deviation: d / 2, seen: 1}
+	}
+	a.seen++
+	weight := max(answerTimeWeight, 1/float64(a.seen))
+	a.deviation += time.Duration(weight * float64((d-a.mean).Abs()-a.deviation))
+	a.mean += time.Duration(weight * float64(d-a.mean))
+	return a
+}
+
+// longest is the time within which nearly all answers end.
+func (a *answerTime) longest() time.Duration {
+	return a.mean + answerTimeDeviations*a.deviation
+}
+
+// answerTimeKey returns the key of the request's answer times. A model that the caller names to a plain service is ignored.
+func (x *exchange) answerTimeKey() answerTimeKey {
+	if x.service.Engine == nil {
+		return answerTimeKey{class: x.route.Name}
+	}
+	return answerTimeKey{x.route.Name, x.model}
+}
+
+// learnAnswerTime learns from a complete answer. A stream that the caller continued has only a part of its answer.
+func (x *exchange) learnAnswerTime() {
+	if x.status >= http.StatusMultipleChoices || x.r.Header.Get(x.s.Headers.EventID) != "" {
+		return
+	}
+	key := x.answerTimeKey()
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	x.s.answerTimes[key] = x.s.answerTimes[key].add(x.s.Now().Sub(x.servedFrom))
+}
+
+// dropUndeclaredAnswerTimes drops the times of routes that the configuration no longer declares; the mutex is held.
+func (s *Relay) dropUndeclaredAnswerTimes(cfg *httproute.Config) {
+	declared := map[ident.Class]bool{}
+	for i := range cfg.Routes {
+		declared[cfg.Routes[i].Name] = true
+	}
+	for key := range s.answerTimes {
+		if !declared[key.class] {
+			delete(s.answerTimes, key)
+		}
+	}
+}
+
+// longestAnswer is the time that the answer takes at most: as long as nearly all others of its kind, or until the deadline if none is known.
+func (x *exchange) longestAnswer() time.Duration {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	untilDeadline := x.deadline.Sub(x.s.Now())
+	if known := x.s.answerTimes[x.answerTimeKey()]; known != nil {
+		return min(known.longest(), untilDeadline)
+	}
+	return untilDeadline
+}
+
+// checkStop returns why the request is refused during a planned stop: its answer may not end before the requests in progress are ended, and
+// another entry can serve it whole.
+func (x *exchange) checkStop() error {
+	if !x.s.Stopping() {
+		return nil
+	}
+	left, longest := x.timeLeft(), x.longestAnswer()
+	if longest <= left {
+		return nil
+	}
+	return result.New(result.Stopping, "this entry stops in %d ms, and answers of this kind take up to %d ms", left.Milliseconds(), longest.Milliseconds())
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -76,6 +76,8 @@
 	failureAnswer *answer
 
 	phase phase
+	// servedFrom is when the request was admitted with its body.
+	servedFrom time.Time
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent        bool
 	lastEventID     string
@@ -189,9 +191,16 @@
 	if x.forwarded == nil && !x.prefersOtherEntry() {
 		x.count()
 	}
+	if err := x.checkStop(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if err := x.checkStop(); err != nil {
+		return err
+	}
+	x.servedFrom = x.s.Now()
 	if x.forwarded != nil {
 		// Another entry serves, and counts, a request whose body does not arrive.
 		x.count()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -147,6 +147,8 @@
 	answerLengths answerlen.Estimator
 	// slotTimes are the mean times for which requests use their slots, by model.
 	slotTimes map[ident.Model]slotTime
+	// answerTimes are how long answers take.
+	answerTimes map[answerTimeKey]*answerTime
 	// siteLoad holds the counts of this entry's requests and the sums over all entries.
 	siteLoad siteLoad
 	// shares holds the work of customers, nil if requests are not ordered by customers.
@@ -171,6 +173,7 @@
 		typicalWaits: map[ident.Class]*overload.TypicalWait{},
 		startSlots:   map[ident.Model]chan struct{}{},
 		slotTimes:    map[ident.Model]slotTime{},
+		answerTimes:  map[answerTimeKey]*answerTime{},
 		siteLoad:     siteLoad{counts: map[queueKey]*queueCounts{}},
 		createdAt:    clock.Now(), firstConfirmation: make(chan struct{}), memory: newMemory(defaultMemoryBytes),
 	}
@@ -192,6 +195,7 @@
 	defer s.mu.Unlock()
 	s.setIndex(newTargetIndex(s.rosterCopy, table, s.entries, s.index.drainedHalls))
 	s.dropUndeclaredClasses(cfg)
+	s.dropUndeclaredAnswerTimes(cfg)
 	s.signalFirstConfirmation()
 }
 
@@ -422,6 +426,9 @@
 	if err == nil {
 		err = x.serve()
 	}
+	if err == nil {
+		x.learnAnswerTime()
+	}
 	x.finish(err)
 	x.releaseMemory()
 	x.discardBody()
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -90,6 +90,64 @@
 	}
 }
 
+// A request whose answer may not end before the stop does is refused at once, also if only its body arrives late. It was accepted and cut.
+func TestStopRefusesWhatCannotEnd(t *testing.T) {
+	const answerTime = 100 * time.Millisecond
+	for _, c := range []struct {
+		name, path string
+		// learnt is how many answers the entry has seen, bodyTime how long the body takes, within how long requests may go on.
+		learnt           int
+		bodyTime, within time.Duration
+		want             int
+	}{
+		{"an answer that can end", "/safe/x", 20, 0, 2 * time.Second, http.StatusOK},
+		{"an answer that takes longer than is left", "/safe/x", 20, 0, 50 * time.Millisecond, http.StatusServiceUnavailable},
+		{"a stream that takes longer than is left", "/stream/x", 20, 0, 50 * time.Millisecond, http.StatusServiceUnavailable},
+		{"a body that arrives too late for the answer", "/safe/x", 20, 1950 * time.Millisecond, 2 * time.Second, http.StatusServiceUnavailable},
+		{"no answer known, the deadline is before the end", "/safe/x", 0, 0, time.Minute, http.StatusOK},
+		{"no answer known, the deadline is after the end", "/safe/x", 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := newUpstream(t, func(c net.Conn, r *http.Request, _ int) bool {
+				time.Sleep(answerTime)
+				if strings.HasPrefix(r.URL.Path, "/stream") {
+					return respondStream(c, r, 1, 3, true)
+				}
+				return respondComplete(c, r)
+			})
+			s := newTestEntry(t, []*upstream{u}, []*upstream{u})
+			for i := range c.learnt {
+				if got := s.do(s.request("POST", c.path, fmt.Sprintf("before-%d", i), "")); got.Status != http.StatusOK {
+					t.Fatalf("the caller got %+v before the stop", got)
+				}
+			}
+			r := s.request("POST", c.path, "a", "body")
+			if c.bodyTime > 0 {
+				part, write := io.Pipe()
+				r.Body, r.ContentLength = part, 4
+				go func() {
+					_, _ = io.WriteString(write, "bo")
+					time.Sleep(c.bodyTime)
+					_, _ = io.WriteString(write, "dy")
+				}()
+			}
+			s.relay.Stop(c.within)
+			begun := time.Now()
+			got := s.do(r)
+			if got.Status != c.want {
+				t.Errorf("the caller got %+v, want status %d", got, c.want)
+			}
+			if took := time.Since(begun); c.want != http.StatusOK && took > c.bodyTime+answerTime {
+				t.Errorf("refused after %v", took)
+			}
+			if reached := len(u.received()) - c.learnt; c.want != http.StatusOK && reached > 0 {
+				t.Error("the refused request reached the upstream")
+			}
+		})
+	}
+}
+
 // A stream that a planned stop cuts does not appear complete, and is logged as interrupted by the stop.
 func TestStreamCutByStop(t *testing.T) {
 	head := newUpstream(t, func(c net.Conn, r *http.Request, _ int) bool {
