Close connections without a request when an entry drains

A drain now interrupts the read of each connection without a request. The read looks once more for bytes that have arrived; only where there are none does the server close the connection. So a request that has arrived is answered, and one that crosses the close on the network finds a closed connection, as before.

--- /dev/null
+++ b/inbound/conn.go
@@ -0,0 +1,65 @@
+package inbound
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// callerConn is the connection of a caller. A drain closes it while no byte of a request has arrived: http.Server.Shutdown does not look, and
+// closes connections on requests.
+type callerConn struct {
+	net.Conn
+	// begun is set once bytes of the next request have been read. interrupted is set when a drain has interrupted the read for it.
+	begun, interrupted atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.begun.Store(true)
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.interrupted.Swap(false) {
+			return n, err
+		}
+		if !c.begun.Load() && !c.hasArrived() {
+			return n, err
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+	}
+}
+
+// endIfUnused makes the server close the connection, unless bytes of a request have arrived.
+func (c *callerConn) endIfUnused() {
+	if c.begun.Load() {
+		return
+	}
+	c.interrupted.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// hasArrived reports whether there are bytes to read.
+func (c *callerConn) hasArrived() bool {
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var buf [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -23,9 +23,7 @@
 	defaultMaxHeaderBytes = 64 << 10
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
-	// quietPeriod is how long callers must have sent no request until their connections are closed. It is longer than a request is on its way.
-	quietPeriod        = 500 * time.Millisecond
-	drainCheckInterval = 10 * time.Millisecond
+	drainCheckInterval    = 10 * time.Millisecond
 	// acceptRetryDelay is the pause after an error of Accept, which mostly means that no file descriptors are left.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -47,10 +45,9 @@
 	bounds      Bounds
 	listeners   []net.Listener
 	generations []*generation
-	// states holds the open connections, lastChange is when one was opened, or a request began or ended.
-	states     map[net.Conn]http.ConnState
-	lastChange time.Time
-	draining   bool
+	// states holds the open connections.
+	states   map[net.Conn]http.ConnState
+	draining bool
 }
 
 // Connections is the number of open connections in each state.
@@ -157,7 +154,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.states[conn] = state
-	s.lastChange = time.Now()
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.begun.Store(false)
+	}
 }
 
 func (s *Server) connClosed(g *generation, conn net.Conn) {
@@ -200,7 +199,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.assign(conn)
+		s.assign(&callerConn{Conn: conn})
 	}
 }
 
@@ -216,8 +215,8 @@
 	}
 }
 
-// Drain accepts no more connections and serves requests on open ones, each with the header "Connection: close", until there has been no
-// request for quietPeriod, or ctx ends. http.Server.Shutdown would close connections on requests that have arrived.
+// Drain accepts no more connections, closes those on which no request has arrived, and serves the others. It returns when none is left, or
+// when ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
@@ -225,7 +224,7 @@
 	s.stopAccepting()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	for !s.quiet() {
+	for s.endUnused() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -234,16 +233,20 @@
 	}
 }
 
-// quiet reports whether no request is in progress, and has been for quietPeriod.
-func (s *Server) quiet() bool {
+// endUnused closes connections without a request, and returns how many connections there were.
+func (s *Server) endUnused() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, state := range s.states {
-		if state == http.StateActive {
-			return false
+	for conn, state := range s.states {
+		if c, ok := conn.(*callerConn); ok && state != http.StateActive {
+			c.endIfUnused()
 		}
 	}
-	return time.Since(s.lastChange) >= quietPeriod
+	open := 0
+	for _, g := range s.generations {
+		open += g.openConns
+	}
+	return open
 }
 
 // Close closes the listeners and all connections immediately.
