Judge by size what a stopping entry can complete, and be certain of late requests

Answer times are learnt per expected token of an engine's answer. Requests that come after callers have moved are served only if their deadline is before the end of the stop.

--- a/relay/answer_time.go
+++ b/relay/answer_time.go
@@ -6,14 +6,15 @@
 
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
-	"github.com/dunlinquay/dunlinquay/result"
 )
 
 const (
 	// answerTimeWeight is the least weight of a new answer in the mean time and its mean deviation.
 	answerTimeWeight = 1.0 / 32
 	// answerTimeDeviations is how many mean deviations an answer may take longer than the mean.
-	answerTimeDeviations = 4
+	answerTimeDeviations = 3
+	// firstEventTokens is the time to the first event of a stream, in tokens of its answer.
+	firstEventTokens = 20
 )
 
 // answerTimeKey identifies requests whose answers take similar times.
@@ -22,7 +23,7 @@
 	model ident.Model
 }
 
-// answerTime is how long answers take from the end of the request's body to their own end.
+// answerTime is how long answers take from the end of the request's body to their own end, per unit of their expected size.
 type answerTime struct {
 	mean, deviation time.Duration
 	seen            int
@@ -40,7 +41,7 @@
 	return a
 }
 
-// longest is the time within which nearly all answers end.
+// longest is the time per unit within which nearly all answers end.
 func (a *answerTime) longest() time.Duration {
 	return a.mean + answerTimeDeviations*a.deviation
 }
@@ -59,9 +60,21 @@
 		return
 	}
 	key := x.answerTimeKey()
+	perUnit := time.Duration(float64(x.s.Now().Sub(x.servedFrom)) / x.expectedUnits())
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.s.answerTimes[key] = x.s.answerTimes[key].add(x.s.Now().Sub(x.servedFrom))
+	x.s.answerTimes[key] = x.s.answerTimes[key].add(perUnit)
+}
+
+// expectedUnits is the expected size of the answer: the tokens of an engine's answer, and 1 for any other.
+func (x *exchange) expectedUnits() float64 {
+	if x.service.Engine == nil {
+		return 1
+	}
+	if x.answerTokens == 0 {
+		x.setTokenCounts()
+	}
+	return float64(firstEventTokens + x.answerTokens)
 }
 
 // dropUndeclaredAnswerTimes drops the times of routes that the configuration no longer declares; the mutex is held.
@@ -77,26 +90,14 @@
 	}
 }
 
-// longestAnswer is the time that the answer takes at most: as long as nearly all others of its kind, or until the deadline if none is known.
-func (x *exchange) longestAnswer() time.Duration {
+// longestAnswer is the time within which nearly all answers of the request's kind and size end, unknown if none has been seen.
+func (x *exchange) longestAnswer(unknown time.Duration) time.Duration {
+	units := x.expectedUnits()
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	untilDeadline := x.deadline.Sub(x.s.Now())
-	if known := x.s.answerTimes[x.answerTimeKey()]; known != nil {
-		return min(known.longest(), untilDeadline)
-	}
-	return untilDeadline
-}
-
-// checkStop returns why the request is refused during a planned stop: its answer may not end before the requests in progress are ended, and
-// another entry can serve it whole.
-func (x *exchange) checkStop() error {
-	if !x.s.Stopping() {
-		return nil
-	}
-	left, longest := x.timeLeft(), x.longestAnswer()
-	if longest <= left {
-		return nil
+	known := x.s.answerTimes[x.answerTimeKey()]
+	if known == nil {
+		return unknown
 	}
-	return result.New(result.Stopping, "this entry stops in %d ms, and answers of this kind take up to %d ms", left.Milliseconds(), longest.Milliseconds())
+	return time.Duration(units * float64(known.longest()))
 }
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -142,7 +142,7 @@
 		prepare func(f *forwardSite)
 	}{
 		{"the other entry is cut off as well", relay.DeclinedNoPath, func(f *forwardSite) { f.otherCut.Store(true) }},
-		{"the other entry stops", relay.DeclinedStopping, func(f *forwardSite) { f.other.relay.Stop(time.Minute) }},
+		{"the other entry stops", relay.DeclinedStopping, func(f *forwardSite) { f.other.relay.Stop(relay.StopPlan{CallersMoved: time.Minute, End: time.Minute}) }},
 		{"the other entry has an older configuration", relay.DeclinedOlderConfig, func(f *forwardSite) {
 			cfg := config()
 			cfg.Version = 2
@@ -178,7 +178,7 @@
 // Guards against refusals of requests that no other entry accepts, although the path is back since the last probe.
 func TestRequestThatNoEntryAccepts(t *testing.T) {
 	f := newForwardSite(t, respondKind)
-	f.other.relay.Stop(time.Minute)
+	f.other.relay.Stop(relay.StopPlan{CallersMoved: time.Minute, End: time.Minute})
 	if got := f.cut.do(f.cut.request("POST", "/safe/x", "first", "body")); got.Status != http.StatusServiceUnavailable {
 		t.Fatalf("status %d", got.Status)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -509,7 +509,7 @@
 	if !s.relay.Ready() {
 		t.Error("not ready")
 	}
-	s.relay.Stop(time.Minute)
+	s.relay.Stop(relay.StopPlan{CallersMoved: time.Minute, End: time.Minute})
 	if s.relay.Ready() {
 		t.Error("ready while stopping")
 	}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -12,15 +12,24 @@
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
-// Stop begins a planned stop: answers close their connections, and requests that are still in progress after within are ended.
-func (s *Relay) Stop(within time.Duration) {
+// StopPlan is the course of a planned stop.
+type StopPlan struct {
+	// CallersMoved is the time after which new connections reach other entries. Later requests, on open connections, are served only if their
+	// deadline is before the end.
+	CallersMoved time.Duration
+	// End is the time after which requests still in progress are ended.
+	End time.Duration
+}
+
+// Stop begins a planned stop: answers close their connections, and requests that may not end in time are refused.
+func (s *Relay) Stop(plan StopPlan) {
 	now := s.Now()
-	s.stop.Store(&plannedStop{begun: now, ends: now.Add(within)})
-	time.AfterFunc(within, s.endRequests)
+	s.stop.Store(&plannedStop{begun: now, callersMoved: now.Add(plan.CallersMoved), ends: now.Add(plan.End)})
+	time.AfterFunc(plan.End, s.endRequests)
 }
 
-// plannedStop is when a planned stop has begun and when requests are ended.
-type plannedStop struct{ begun, ends time.Time }
+// plannedStop holds the times of a planned stop.
+type plannedStop struct{ begun, callersMoved, ends time.Time }
 
 // Stopping reports whether Stop was called.
 func (s *Relay) Stopping() bool {
@@ -76,3 +85,21 @@
 	x.endReason = InterruptedStop
 	return x.finalError(result.New(result.Stopping, "this entry stops"))
 }
+
+// checkStop returns why the request is refused during a planned stop: its answer may not end before the stop does, and another entry can
+// serve it whole.
+func (x *exchange) checkStop() error {
+	stop := x.s.stop.Load()
+	if stop == nil || !stop.ends.Before(x.deadline) {
+		return nil
+	}
+	now := x.s.Now()
+	longest, left := x.deadline.Sub(now), stop.ends.Sub(now)
+	if now.Before(stop.callersMoved) {
+		longest = min(longest, x.longestAnswer(longest))
+	}
+	if longest <= left {
+		return nil
+	}
+	return result.New(result.Stopping, "this entry stops in %d ms, and the answer may take %d ms", left.Milliseconds(), longest.Milliseconds())
+}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -82,7 +82,7 @@
 			awaitCondition(t, func() bool {
 				return s.relay.Progress().Total() > before.Total() && (c.slowBody || s.relay.Progress().Reading == 0)
 			})
-			s.relay.Stop(stopTime)
+			s.relay.Stop(relay.StopPlan{CallersMoved: stopTime, End: stopTime})
 			if header := <-got; (header.Get("Retry-After") != "") != c.wantRetryAfter {
 				t.Errorf("Retry-After %q", header.Get("Retry-After"))
 			}
@@ -95,17 +95,20 @@
 	const answerTime = 100 * time.Millisecond
 	for _, c := range []struct {
 		name, path string
-		// learnt is how many answers the entry has seen, bodyTime how long the body takes, within how long requests may go on.
-		learnt           int
-		bodyTime, within time.Duration
-		want             int
+		// learnt is how many answers the entry has seen, bodyTime how long the body takes.
+		learnt   int
+		bodyTime time.Duration
+		plan     relay.StopPlan
+		want     int
 	}{
-		{"an answer that can end", "/safe/x", 20, 0, 2 * time.Second, http.StatusOK},
-		{"an answer that takes longer than is left", "/safe/x", 20, 0, 50 * time.Millisecond, http.StatusServiceUnavailable},
-		{"a stream that takes longer than is left", "/stream/x", 20, 0, 50 * time.Millisecond, http.StatusServiceUnavailable},
-		{"a body that arrives too late for the answer", "/safe/x", 20, 1950 * time.Millisecond, 2 * time.Second, http.StatusServiceUnavailable},
-		{"no answer known, the deadline is before the end", "/safe/x", 0, 0, time.Minute, http.StatusOK},
-		{"no answer known, the deadline is after the end", "/safe/x", 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
+		{"an answer that can end", "/safe/x", 20, 0, relay.StopPlan{CallersMoved: time.Minute, End: 2 * time.Second}, http.StatusOK},
+		{"an answer that takes longer than is left", "/safe/x", 20, 0, relay.StopPlan{CallersMoved: time.Minute, End: 50 * time.Millisecond}, http.StatusServiceUnavailable},
+		{"a stream that takes longer than is left", "/stream/x", 20, 0, relay.StopPlan{CallersMoved: time.Minute, End: 50 * time.Millisecond}, http.StatusServiceUnavailable},
+		{"a body that arrives too late for the answer", "/safe/x", 20, 1950 * time.Millisecond, relay.StopPlan{CallersMoved: time.Minute, End: 2 * time.Second}, http.StatusServiceUnavailable},
+		{"no answer known, the deadline is before the end", "/safe/x", 0, 0, relay.StopPlan{CallersMoved: time.Minute, End: time.Minute}, http.StatusOK},
+		{"no answer known, the deadline is after the end", "/safe/x", 0, 0, relay.StopPlan{CallersMoved: time.Minute, End: 2 * time.Second}, http.StatusServiceUnavailable},
+		{"callers have moved, the deadline is before the end", "/safe/x", 20, 0, relay.StopPlan{End: time.Minute}, http.StatusOK},
+		{"callers have moved, the deadline is after the end", "/safe/x", 20, 0, relay.StopPlan{End: 2 * time.Second}, http.StatusServiceUnavailable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -132,7 +135,7 @@
 					_, _ = io.WriteString(write, "dy")
 				}()
 			}
-			s.relay.Stop(c.within)
+			s.relay.Stop(c.plan)
 			begun := time.Now()
 			got := s.do(r)
 			if got.Status != c.want {
@@ -155,7 +158,7 @@
 		return stayOpenSilent(c)
 	})
 	s := newTestEntry(t, nil, []*upstream{head})
-	time.AfterFunc(stopTime, func() { s.relay.Stop(stopTime) })
+	time.AfterFunc(stopTime, func() { s.relay.Stop(relay.StopPlan{CallersMoved: stopTime, End: stopTime}) })
 	if diff := cmp.Diff(reply{Status: http.StatusOK, Body: eventText(1, 3)}, s.do(s.request("POST", "/stream/x", "a", ""))); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
@@ -169,7 +172,7 @@
 func TestRequestAfterStop(t *testing.T) {
 	u := newUpstream(t, always(respondComplete))
 	s := newTestEntry(t, []*upstream{u}, nil)
-	s.relay.Stop(0)
+	s.relay.Stop(relay.StopPlan{})
 	got := s.do(s.request("POST", "/unsafe/x", "a", "body"))
 	if got.Status != http.StatusServiceUnavailable || !strings.Contains(got.Body, `"not-run":true`) {
 		t.Errorf("the caller got %+v", got)
--- a/site/entry.go
+++ b/site/entry.go
@@ -30,6 +30,8 @@
 	bodyMemoryFraction = 0.2
 	// notReadyGrace is how long new connections may still arrive after this daemon has reported that it is not ready.
 	notReadyGrace = 2500 * time.Millisecond
+	// firstRequestTime is how long after its connection the first request of a caller may arrive.
+	firstRequestTime = 400 * time.Millisecond
 	// stopMargin is kept of the stop grace for the last answers, the last log lines and the exit.
 	stopMargin = 700 * time.Millisecond
 	// answerTimeout bounds the wait for the answers of requests that the stop has ended.
@@ -193,7 +195,7 @@
 	e.Log.Info("planned stop started", "grace-ms", e.Settings.Bounds.StopGrace.Std().Milliseconds(), "in-progress", e.relay.Progress(),
 		"connections", e.callerServer.Connections())
 	requestTime := e.Settings.Bounds.StopGrace.Std() - stopMargin
-	e.relay.Stop(requestTime)
+	e.relay.Stop(relay.StopPlan{CallersMoved: notReadyGrace + firstRequestTime, End: requestTime})
 	ctx, cancel := context.WithTimeout(ctx, requestTime+answerTimeout)
 	defer cancel()
 	sleep(ctx, notReadyGrace)
