Hand leadership over and answer calls when a control daemon stops by plan

After SIGTERM of the leading control daemon its site had no leader until the others had noticed the loss, and operators and upstreams saw connections closed on calls in progress.

Control.Stop first transfers leadership while everything runs, then drains the calls as an entry does.

--- a/cmd/dunlinquay/site.go
+++ b/cmd/dunlinquay/site.go
@@ -98,9 +98,7 @@
 	}
 	c.Handler = calls.Handler()
 	c.LoadSettings = reread
-	ctx, end := context.WithCancel(ctx)
-	defer end()
-	onSignals(end, c.Reload)
+	onSignals(c.Stop, c.Reload)
 	return c.Run(ctx)
 }
 
--- a/site/control.go
+++ b/site/control.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinquay/dunlinquay/disk"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/quarantine"
 	"github.com/dunlinquay/dunlinquay/quorum"
@@ -98,6 +99,10 @@
 	refusedConfigLog logLimiter
 	// proposals are the configurations that are being proposed.
 	proposals singleflight.Group
+	// callServer serves the calls of upstreams and operators.
+	callServer *inbound.Server
+	stop       chan struct{}
+	stopOnce   sync.Once
 	// leaderEntryCount is how many entries the leader had that this daemon last followed.
 	leaderEntryCount atomic.Int64
 	// proposedConfigs counts the configurations that this daemon proposed as leader.
@@ -124,6 +129,7 @@
 		Settings: cfg, Log: logr.Discard(), Dial: transport.TCP(),
 		self: store.ID(), folder: folder, store: store, node: quorum.NewNode(store), stateMachine: catalog.NewMachine(), versions: &versions{},
 		directory: newControlDirectory(cfg.SeedPeers()), fatalErr: make(chan error, 1),
+		stop:       make(chan struct{}),
 		rosterCopy: roster.NewCopy(), stateChanged: make(chan struct{}), joinRequests: map[quorum.MemberID]time.Time{},
 	}
 	c.stateMachine.Changed = c.configChanged
@@ -140,7 +146,12 @@
 	return c, nil
 }
 
-// Run serves until ctx ends or the data folder fails.
+// Stop begins a planned stop, after which Run returns.
+func (c *Control) Stop() {
+	c.stopOnce.Do(func() { close(c.stop) })
+}
+
+// Run serves until a planned stop is over, ctx ends or the data folder fails.
 func (c *Control) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -151,6 +162,7 @@
 	if err != nil {
 		return err
 	}
+	c.callServer = newCallServer(c.Handler)
 	servers, err := c.listenCalls()
 	if err != nil {
 		return err
@@ -169,10 +181,11 @@
 	c.Log.Info("control daemon started", "name", c.Settings.Name, "member", c.self, "seeds", c.Settings.Seeds, "first-start", c.Settings.FirstStart)
 	select {
 	case <-ctx.Done():
+	case <-c.stop:
+		c.drain(ctx)
 	case err = <-c.fatalErr:
 		c.Log.Error(err, "control daemon failed", "code", int(result.CodeOf(err)))
 	}
-	c.transferLeadership()
 	stop()
 	for _, s := range servers {
 		_ = s.Close()
@@ -222,13 +235,33 @@
 // linkServer is the part of a link server that Run needs.
 type linkServer interface{ Run(ctx context.Context) }
 
+// newCallServer returns the server for the calls of upstreams and operators.
+func newCallServer(handler http.Handler) *inbound.Server {
+	s := inbound.New(handler)
+	s.SetBounds(inbound.Bounds{MaxHeaderBytes: http.DefaultMaxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	return s
+}
+
 func (c *Control) listenCalls() ([]server, error) {
+	c.callServer.Log = c.Log
 	return serveAll(c.Log, []listener{
-		{c.Settings.Listen.Control, &http.Server{Handler: c.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}},
+		{c.Settings.Listen.Control, c.callServer},
 		{c.Settings.Listen.Metrics, c.meter.NewServer()},
 	})
 }
 
+// drain hands leadership over and answers the calls in progress, within the stop grace. Other goroutines go on meanwhile: the transfer needs
+// the quorum, and calls are forwarded to the new leader.
+func (c *Control) drain(ctx context.Context) {
+	began := clock.Now()
+	c.Log.Info("planned stop started", "grace-ms", c.Settings.Bounds.StopGrace.Std().Milliseconds(), "connections", c.callServer.Connections())
+	ctx, cancel := context.WithTimeout(ctx, c.Settings.Bounds.StopGrace.Std()-stopMargin)
+	defer cancel()
+	c.transferLeadership()
+	c.callServer.Drain(ctx)
+	c.Log.Info("connections are closed", "stopping-ms", clock.Since(began).Milliseconds(), "connections", c.callServer.Connections())
+}
+
 // transferLeadership hands leadership to another member before this one stops.
 func (c *Control) transferLeadership() {
 	if c.node.Status().Role != quorum.RoleLeader {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/relay"
@@ -37,6 +39,10 @@
 	ports   map[string]int
 	seeds   []string
 	running map[string]*running
+	// calls handles the calls of upstreams and operators, nil if there are none.
+	calls http.Handler
+	// log gets the log lines of control daemons, nil to drop them.
+	log func(host, line string)
 	// dial opens the connections of daemons that are started, nil for TCP.
 	dial transport.Dial
 }
@@ -140,6 +146,12 @@
 	}
 	c.SendOrder = func(context.Context, *replicaset.Order) replicaset.Outcome { return replicaset.OutcomeRefused }
 	c.Handler = http.NotFoundHandler()
+	if d.calls != nil {
+		c.Handler = d.calls
+	}
+	if d.log != nil {
+		c.Log = funcr.New(func(_, line string) { d.log(host, line) }, funcr.Options{})
+	}
 	c.LoadSettings = func() (*settings.Site, error) { return cfg, nil }
 	d.start(host, c.Run)
 	d.running[host].control = c
