Count a caller's request as in progress until its answer is sent

'dunlinquay run' ended its process as soon as no handler was running after SIGTERM. net/http sends the end of an answer, and all of a short one, after the handler has returned, so that the caller could find its connection closed within the answer. Requests are counted by the state of their connections as well. Refusals of a stopping daemon close their connection, since the next request on it would be refused too.

TestRequestIsInProgressUntilAnswerIsSent: 0 requests in progress while the answer was being sent before, 1 after.

--- a/caller/server.go
+++ b/caller/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +56,9 @@
 	OnRefused func(customer ident.Customer, code result.Code)
 
 	inProgress atomic.Int64
-	stopping   atomic.Bool
+	// active holds the connections of HTTP's server whose answer has not been sent to its end.
+	active   sync.Map
+	stopping atomic.Bool
 }
 
 // NewServer returns a server that reports ready and has no customers.
@@ -75,12 +79,21 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				s.active.Store(conn, nil)
+				return
+			}
+			s.active.Delete(conn)
+		},
 	}
 }
 
-// InProgress returns the number of requests that are being handled.
+// InProgress returns the number of requests whose answers have not been sent. net/http sends the end of an answer after the handler.
 func (s *Server) InProgress() int {
-	return int(s.inProgress.Load())
+	active := 0
+	s.active.Range(func(any, any) bool { active++; return true })
+	return max(int(s.inProgress.Load()), active)
 }
 
 // Stop makes the server refuse every later request as not run; requests in progress continue.
@@ -124,6 +137,7 @@
 			s.writeError(w, r, result.New(result.Unauthorized, "no valid key in the header Authorization: Bearer KEY"), nil)
 		case s.stopping.Load():
 			s.OnRefused(customer, result.Stopping)
+			w.Header().Set("Connection", "close")
 			s.writeError(w, r, result.New(result.Stopping, "this daemon is stopping; use another one"), nil)
 		default:
 			next(w, r, customer)
