Send the heads of slow requests, and pass over cuts that the rule allows, in the soak

Slow bodies now have no length; their head goes out 0.2 s after the request was begun.

Such requests, sent within 3 s and at work in the last sixth of the grace, are not promised an end; they are counted ('cut at the end of the grace') and printed.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -124,7 +124,8 @@
 		return
 	}
 	if c.s.Stops && c.random.Float64() < slowBodyFraction {
-		req.Body = io.NopCloser(slowBody(ctx, []byte(r.id), between(c.random, 0, slowBodyTime)))
+		req.Body = io.NopCloser(slowBody(ctx, []byte(r.id), between(c.random, headDelay, slowBodyTime)))
+		req.ContentLength, r.headDelay = -1, headDelay
 	}
 	at := c.entry
 	c.s.truth.sends(r)
@@ -265,9 +266,13 @@
 	c.moveAway()
 	c.s.truth.mu.Lock()
 	defer c.s.truth.mu.Unlock()
-	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > unansweredLimit && c.s.ctx.Err() == nil {
+	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > r.headDelay+unansweredLimit && c.s.ctx.Err() == nil {
 		c.s.truth.noteBrokenf("%s closed the connection of request %s without an answer, %v after it was sent: %s", at.name, r.id, onWay, why)
 	}
+	if c.s.Stops && at.cutWithGrace(r.sent, c.s.stopGrace()) {
+		c.s.truth.answers["cut at the end of the grace"]++
+		return
+	}
 	if c.s.Planned && r.runs > 0 && c.s.ctx.Err() == nil {
 		c.s.truth.noteBrokenf("request %s at %s was cut off although only planned things happen: %s", r.id, at.name, why)
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -34,7 +34,8 @@
 	// paused is set while a fault has stopped the process, held while the quota has.
 	paused, held bool
 	// stopping is set from a planned stop until the process is gone.
-	stopping bool
+	stopping  bool
+	stoppedAt time.Time
 }
 
 func (d *daemon) control() bool { return d.cfg.DataFolder != "" }
@@ -94,7 +95,7 @@
 		return ended
 	}
 	if sig == syscall.SIGTERM {
-		d.stopping = true
+		d.stopping, d.stoppedAt = true, time.Now()
 	}
 	_ = d.cmd.Process.Signal(sig)
 	return d.ended
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -32,6 +32,10 @@
 	slowCallerPause    = 4 * time.Second
 	slowBodyFraction   = 0.1
 	slowBodyTime       = 1500 * time.Millisecond
+	// sentSoon is how long after SIGTERM callers may still be sent to an entry.
+	sentSoon = 3 * time.Second
+	// headDelay is how long net/http waits for the first bytes of a body.
+	headDelay = 200 * time.Millisecond
 	// unansweredLimit is how long a request may have been on its way when its connection is closed without an answer.
 	unansweredLimit = 200 * time.Millisecond
 )
@@ -68,6 +72,14 @@
 	return strings.Join(names, ", ")
 }
 
+// cutWithGrace reports whether a request that was just cut, and was sent soon after its entry had been sent SIGTERM, ran until the last
+// sixth of the grace: such requests are not promised an end.
+func (d *daemon) cutWithGrace(sent time.Time, grace time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping && sent.Sub(d.stoppedAt) <= sentSoon && time.Since(d.stoppedAt) >= grace*5/6
+}
+
 // othersServe reports whether an entry other than d runs and is not stopping.
 func (s *soak) othersServe(d *daemon) bool {
 	for _, other := range s.entries {
@@ -107,10 +119,10 @@
 	return ""
 }
 
-// slowBody returns a reader of b that pauses in the middle.
+// slowBody returns a reader of b that pauses first. net/http sends the head of a request whose body has no length headDelay before the body, and
+// otherwise both at once.
 func slowBody(ctx context.Context, b []byte, wait time.Duration) io.Reader {
-	half := len(b) / 2
-	return io.MultiReader(bytes.NewReader(b[:half]), &pausedReader{ctx: ctx, wait: wait}, bytes.NewReader(b[half:]))
+	return io.MultiReader(&pausedReader{ctx: ctx, wait: wait}, bytes.NewReader(b))
 }
 
 // pausedReader is empty and takes a while to say so.
