--- a/soak/callers.go
+++ b/soak/callers.go
@@ -123,13 +123,14 @@
 		c.s.truth.breaksf("a request cannot be built: %v", err)
 		return
 	}
+	do := c.client.Do
 	if c.s.Stops && c.random.Float64() < slowBodyFraction {
-		req.Body = io.NopCloser(slowBody(ctx, []byte(r.id), between(c.random, headDelay, slowBodyTime)))
-		req.ContentLength, r.headDelay = -1, headDelay
+		wait := between(c.random, 0, slowBodyTime)
+		do = func(req *http.Request) (*http.Response, error) { return c.doSlowly(ctx, req, wait) }
 	}
 	at := c.entry
 	c.s.truth.sends(r)
-	resp, err := c.client.Do(req)
+	resp, err := do(req)
 	if err != nil && ctx.Err() != nil {
 		c.s.truth.answered("caller left")
 		c.moveAway()
@@ -266,7 +267,7 @@
 	c.moveAway()
 	c.s.truth.mu.Lock()
 	defer c.s.truth.mu.Unlock()
-	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > r.headDelay+unansweredLimit && c.s.ctx.Err() == nil {
+	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > unansweredLimit && c.s.ctx.Err() == nil {
 		c.s.truth.noteBrokenf("%s closed the connection of request %s without an answer, %v after it was sent: %s", at.name, r.id, onWay, why)
 	}
 	if c.s.Stops && at.cutWithGrace(r.sent, c.s.stopGrace()) {
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -6,10 +6,12 @@
 // bodies slowly.
 
 import (
+	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"strings"
 	"time"
 
@@ -34,8 +36,6 @@
 	slowBodyTime       = 1500 * time.Millisecond
 	// sentSoon is how long after SIGTERM callers may still be sent to an entry.
 	sentSoon = 3 * time.Second
-	// headDelay is how long net/http waits for the first bytes of a body.
-	headDelay = 200 * time.Millisecond
 	// unansweredLimit is how long a request may have been on its way when its connection is closed without an answer.
 	unansweredLimit = 200 * time.Millisecond
 )
@@ -119,20 +119,42 @@
 	return ""
 }
 
-// slowBody returns a reader of b that pauses first. net/http sends the head of a request whose body has no length headDelay before the body, and
-// otherwise both at once.
-func slowBody(ctx context.Context, b []byte, wait time.Duration) io.Reader {
-	return io.MultiReader(&pausedReader{ctx: ctx, wait: wait}, bytes.NewReader(b))
-}
-
-// pausedReader is empty and takes a while to say so.
-type pausedReader struct {
-	ctx  context.Context
-	wait time.Duration
-}
-
-// Read implements io.Reader.
-func (r *pausedReader) Read([]byte) (int, error) {
-	pause(r.ctx, r.wait)
-	return 0, io.EOF
+// doSlowly sends a request on a connection of its own and pauses within its body. net/http would send the head of the request with its body.
+func (c *caller) doSlowly(ctx context.Context, req *http.Request, wait time.Duration) (*http.Response, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.entry.link.address())
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { conn.Close() })
+	var text bytes.Buffer
+	if err := req.Write(&text); err != nil {
+		return nil, err
+	}
+	part := text.Len() - int(req.ContentLength/2)
+	type answer struct {
+		resp *http.Response
+		err  error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), req) //nolint:bodyclose // one closes the body of every answer.
+		answered <- answer{resp, err}
+	}()
+	_, _ = conn.Write(text.Next(part))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var got answer
+	select {
+	case got = <-answered:
+	case <-timer.C:
+		_, _ = conn.Write(text.Bytes())
+		got = <-answered
+	}
+	resp, err := got.resp, got.err
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	resp.Close = true
+	return resp, nil
 }
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -26,8 +26,6 @@
 	repeatable bool
 	key        string
 	sent       time.Time
-	// headDelay is how long after that the head of the request goes out.
-	headDelay time.Duration
 	// notRun is set when the caller was told so.
 	notRun bool
 	runs   int
