Don't dissolve a group while it has requests that can't continue elsewhere

Callers saw streams end with a closed connection, at entries that stop and at others: the leader closes groups to form better ones, and ordered their heads to leave 1.2 s later with requests in progress, since these can continue at other groups. Those that must not be repeated, that a hedge has left without a further attempt, or whose entry has just started and has no retry budget can't.

Entries report how many requests at an upstream can't continue elsewhere; while there are any, the leader waits as long as for any other group that closes, 10 s at most.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -154,7 +154,7 @@
 		}
 		d.Retries += c.retries
 	}
-	d.New = !b.StartedAt.IsZero() && now.Sub(b.StartedAt) < b.retention()
+	d.New = b.isNew(now)
 	if d.New {
 		d.Limit = b.usableByNewEntry() * b.Rule.Ratio * d.Requests
 	} else {
@@ -167,6 +167,17 @@
 	return d
 }
 
+// IsNew reports whether this process is in its first window, in which it has no part of the allowance.
+func (b *RetryBudget) IsNew() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isNew(b.Now())
+}
+
+func (b *RetryBudget) isNew(now time.Time) bool {
+	return !b.StartedAt.IsZero() && now.Sub(b.StartedAt) < b.retention()
+}
+
 // allowanceOfEntry is an entry's part of the allowance.
 func (b *RetryBudget) allowanceOfEntry(entries int) float64 {
 	if entries <= 0 {
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -282,7 +282,7 @@
 		x.endAttempt(&h.choice, h.f, h.record, outcome)
 		x.releaseAnswer()
 	})
-	h.f.first.endMove(false)
+	h.f.first.endMove(x.runCount >= x.maxRuns() || x.sendCount >= maxSends)
 }
 
 // finishHedges continues with the hedge, if there is one, in place of an attempt that has ended with outcome.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -359,6 +359,8 @@
 	ID       ident.Incarnation
 	Group    ident.Group
 	Inflight int
+	// Pinned is how many of them can't continue at another upstream.
+	Pinned int
 	// Answered is the time since it last sent anything, negative when it never did.
 	Answered time.Duration
 	// Silence is how long requests have waited there without progress.
@@ -397,6 +399,7 @@
 		}
 		observation := Observation{ID: id, Group: groupByHead[id], Inflight: state.inflight, Answered: -1, Silence: state.waitWithoutProgress(now), Refused: state.connectionRefused, Blamed: state.blamedMember}
 		observation.Stands = stalled
+		observation.Pinned = s.pinnedRequests(state)
 		observation.Backoff, observation.Leaving, observation.Limit = backoffState.Remaining, backoffState.Leaving, limit
 		observation.Events, observation.Pauses = state.eventCount, state.eventGapTotal
 		state.eventCount, state.eventGapTotal = 0, 0
@@ -410,6 +413,22 @@
 	return observations, demand
 }
 
+// pinnedRequests counts the requests at a target that can't continue at another one: they must not be repeated, have used all attempts of
+// their route, or would need the retry budget of an entry that has just started; the mutex is held.
+func (s *Relay) pinnedRequests(state *targetState) int {
+	if s.Budget.IsNew() {
+		return state.inflight
+	}
+	movable := 0
+	for f := range state.forwarders {
+		// A request with a hedge may have used all attempts when that ends.
+		if !f.moveDenied && !f.moveRequested {
+			movable++
+		}
+	}
+	return max(0, state.inflight-movable)
+}
+
 // ServeHTTP serves one caller's request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.serve(s.newExchange(w, r))
--- a/replicaset/ending.go
+++ b/replicaset/ending.go
@@ -213,7 +213,7 @@
 
 // closeTimeoutFor is how long g may take to finish its requests.
 func (f *Formation) closeTimeoutFor(g *roster.Group) time.Duration {
-	if _, ok := f.replacing[g.Name]; ok {
+	if _, ok := f.replacing[g.Name]; ok && f.snapshot.Observations[g.Name].Pinned == 0 {
 		return replaceTimeout
 	}
 	return closeTimeout
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -46,8 +46,8 @@
 	loadTimeoutSlack  = 5 * time.Second
 	// closeTimeout is how long a closing group may take to finish its requests; an engine that shuts down stays for 10 s at most.
 	closeTimeout = 10 * time.Second
-	// replaceTimeout is the same for a group that closes for a better one: the free upstreams of the whole domain wait for it, and
-	// its requests can continue at other groups.
+	// replaceTimeout is the same for a group that closes for a better one, if all its requests can continue at other groups: the free
+	// upstreams of the whole domain wait for it.
 	replaceTimeout = 1200 * time.Millisecond
 	// stallTimeout is how long a group may be stalled while all its members report.
 	stallTimeout = 1500 * time.Millisecond
--- a/replicaset/simulation_test.go
+++ b/replicaset/simulation_test.go
@@ -125,8 +125,10 @@
 	deadSince   map[ident.Incarnation]time.Time
 	// stallConfirmed is set when entries together find that a group has missed an iteration.
 	stallConfirmed bool
-	demand         map[ident.Model]float64
-	drainedHalls   map[ident.Hall]bool
+	// pinnedWhileClosing is how many requests at the head of a closing group can't continue at another one.
+	pinnedWhileClosing int
+	demand             map[ident.Model]float64
+	drainedHalls       map[ident.Hall]bool
 	// spares is Formation.Spares of each leader.
 	spares     bool
 	ordersSent int
@@ -586,6 +588,9 @@
 			observation.SinceLastResponse = f.now.Sub(head.stalledSince)
 			observation.StalledFor = observation.SinceLastResponse
 		}
+		if head.member.State == roster.MemberClosing {
+			observation.Pinned = f.pinnedWhileClosing
+		}
 		observation.StallConfirmed = f.stallConfirmed && observation.StalledFor >= 2*tick
 		snapshot.Observations[g.Name] = observation
 	}
--- a/replicaset/types.go
+++ b/replicaset/types.go
@@ -79,6 +79,8 @@
 	StalledFor time.Duration
 	// StallConfirmed is set when the entries together found that the group has missed an iteration.
 	StallConfirmed bool
+	// Pinned is the number of requests at the head that can't continue at another group.
+	Pinned int
 	// ConnectionRefused is set when a connection to the head was refused after the head's last response.
 	ConnectionRefused bool
 	// EventGap is the recent mean time between events of the group's streams; 0 after too few events.
--- a/site/entries.go
+++ b/site/entries.go
@@ -28,6 +28,7 @@
 	for _, g := range r.roster.Groups() {
 		observations[g.Name] = replicaset.Observation{SinceLastResponse: noAnswerAge}
 	}
+	pinned := map[ident.Incarnation]int{}
 	for name, e := range r.entries {
 		callAge := now.Sub(e.calledAt)
 		if callAge > entryTimeout {
@@ -36,11 +37,18 @@
 			continue
 		}
 		for _, seen := range e.observed {
+			// Entries name only open groups.
+			pinned[seen.ID] += seen.Pinned
 			if observation, ok := observations[seen.Group]; ok {
 				observations[seen.Group] = mergeObservation(observation, &seen, callAge)
 			}
 		}
 	}
+	for _, g := range r.roster.Groups() {
+		observation := observations[g.Name]
+		observation.Pinned = pinned[g.Head()]
+		observations[g.Name] = observation
+	}
 	for name, observation := range observations {
 		// Progress that any entry observed shows that the group works.
 		observation.StalledFor = min(observation.StalledFor, observation.SinceLastResponse)
