End refusals before their connection is closed

Since a refusal of a head that is too large could be cut: net/http sends the end of the answer before it closes a connection with unread bytes, if the connection has CloseWrite, and the wrapper hid that. Seen while the diff was read again.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// CloseWrite ends the answer; net/http does so before it closes a connection with unread bytes.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // endIfUnused makes the server close the connection, unless bytes of a request have arrived.
 func (c *callerConn) endIfUnused() {
 	if c.begun.Load() {
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -365,3 +365,25 @@
 		expect("after the end", inbound.Connections{})
 	})
 }
+
+// The answer to a request whose head is too large arrives whole: the rest of the head is unread, and closing the connection resets it, so the
+// end of the answer has to be sent before.
+func TestRefusalOfLargeHeadArrives(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := inbound.New(http.NotFoundHandler())
+	go func() { _ = s.Serve(ln) }()
+	defer func() { _ = s.Close() }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go func() { _, _ = io.WriteString(conn, requestText(200<<10)) }()
+	text, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 431 ") {
+		t.Errorf("got %.40q, error %v", text, err)
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -309,9 +309,9 @@
 	control := http.NewResponseController(x.w)
 	// A connection without read deadlines is bounded only by how long the caller waits.
 	_ = control.SetReadDeadline(time.Now().Add(x.timeLeft()))
-	stopped := context.AfterFunc(x.s.requestsCtx, func() { _ = control.SetReadDeadline(time.Now()) })
+	unwatch := context.AfterFunc(x.s.requestsCtx, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(&bodyReader{http.MaxBytesReader(x.w, x.r.Body, limit), x})
-	if !stopped() {
+	if !unwatch() {
 		return nil, os.ErrDeadlineExceeded
 	}
 	if err == nil {
