--- a/result/code.go
+++ b/result/code.go
@@ -135,7 +135,7 @@
 	{TimedOut, "timed-out", http.StatusGatewayTimeout, exitFailed, false, "The deadline passed; the request may still run.", "Retry if the request may be repeated."},
 	{UpstreamFailed, "upstream-failed", http.StatusBadGateway, exitFailed, false, "The upstream failed while the request ran.", "Retry if the request may be repeated."},
 	{Cancelled, "cancelled", 499, exitFailed, false, "The caller went away.", "Nothing."},
-	{Stopping, "stopping", http.StatusServiceUnavailable, exitRefused, true, "The daemon is stopping and takes no new requests.", "Use another daemon."},
+	{Stopping, "stopping", http.StatusServiceUnavailable, exitRefused, true, "The daemon is stopping and does not take the request.", "Use another daemon."},
 	{ControlUnreachable, "control-unreachable", http.StatusServiceUnavailable, exitRefused, true, "The daemon has lost most control members and may hold old configuration.", "Use another daemon; check the network."},
 	{ServiceUnknown, "service-unknown", http.StatusNotFound, exitRefused, true, "No plain service has that name.", "Check the name in the path."},
 	{NotFound, "not-found", http.StatusNotFound, exitRefused, true, "No such path.", "Check the path."},
