--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// callerConn is the connection of a caller. A drain closes it while no byte of a request has arrived: http.Server.Shutdown does not look, and
-// closes connections on requests.
+// callerConn is the connection of a caller, which a drain closes only if no byte of a request has arrived. http.Server.Shutdown does not look for
+// such bytes.
 type callerConn struct {
 	net.Conn
 	// begun is set once bytes of the next request have been read. interrupted is set when a drain has interrupted the read for it.
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -1,9 +1,15 @@
 package relay
 
-// A planned stop ends at a known time. Until then requests are served as before.
-// Those that are still in progress at the end are ended by the relay, so that
-// callers without an answer get one that says whether the request may have run:
-// closing their connections would tell them nothing.
+// A planned stop ends at a known time. Requests that may not end before it are
+// refused on arrival, since another entry can serve them whole:
+//
+//	0            CallersMoved         End
+//	| as long as | deadline before    | requests in progress
+//	| its kind   | End                | are ended
+//
+// Requests in progress at the end are ended by the relay, so that callers without
+// an answer get one that says whether the request may have run: closing their
+// connections would tell them nothing.
 
 import (
 	"context"
@@ -21,7 +27,7 @@
 	End time.Duration
 }
 
-// Stop begins a planned stop: answers close their connections, and requests that may not end in time are refused.
+// Stop begins a planned stop, during which each answer closes its connection.
 func (s *Relay) Stop(plan StopPlan) {
 	now := s.Now()
 	s.stop.Store(&plannedStop{begun: now, callersMoved: now.Add(plan.CallersMoved), ends: now.Add(plan.End)})
