--- a/soak/soak.go
+++ b/soak/soak.go
@@ -113,6 +113,7 @@
 	}
 	end()
 	s.tasks.Wait()
+	s.noteInterruptions()
 	s.truth.mu.Lock()
 	defer s.truth.mu.Unlock()
 	return &Report{Broken: s.truth.broken, Answers: s.truth.answers, Notes: s.notes, Limits: s.truth.limits}, err
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -158,3 +160,23 @@
 	resp.Close = true
 	return resp, nil
 }
+
+// maxInterruptionNotes bounds the log lines in the notes of a run.
+const maxInterruptionNotes = 20
+
+// noteInterruptions adds to the notes what entries logged of the answers that they did not complete.
+func (s *soak) noteInterruptions() {
+	noted := 0
+	for _, d := range s.entries {
+		text, err := os.ReadFile(filepath.Join(s.Folder, string(d.name)+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, `"answer interrupted"`) && noted < maxInterruptionNotes {
+				s.notef("%s: %s", d.name, strings.TrimSpace(line))
+				noted++
+			}
+		}
+	}
+}
