--- a/soak/callers.go
+++ b/soak/callers.go
@@ -270,6 +270,10 @@
 	if onWay := time.Since(r.sent); c.s.Stops && r.runs == 0 && onWay > unansweredLimit && c.s.ctx.Err() == nil {
 		c.s.truth.noteBrokenf("%s closed the connection of request %s without an answer, %v after it was sent: %s", at.name, r.id, onWay, why)
 	}
+	if c.s.Stops && time.Since(r.sent) > callerWait-deadlineSlack {
+		c.s.truth.answers["deadline"]++
+		return
+	}
 	if c.s.Stops && at.cutWithGrace(r.sent, c.s.stopGrace()) {
 		c.s.truth.answers["cut at the end of the grace"]++
 		return
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -38,6 +38,8 @@
 	slowBodyTime       = 1500 * time.Millisecond
 	// sentSoon is how long after SIGTERM callers may still be sent to an entry.
 	sentSoon = 3 * time.Second
+	// deadlineSlack is how much sooner than its caller an entry may find that the deadline has passed, on a busy machine.
+	deadlineSlack = 100 * time.Millisecond
 	// unansweredLimit is how long a request may have been on its way when its connection is closed without an answer.
 	unansweredLimit = 200 * time.Millisecond
 )
