Drop undeclared answer times where typical waits are dropped

Cause: dropUndeclaredAnswerTimes built the same set of declared classes as dropUndeclaredClasses, and CollectObservations asked the retry budget, with its lock, whether the entry is new once for each upstream. Change: one function, and one question for each report. Not measured; no change of behaviour is meant.

--- a/relay/answer_time.go
+++ b/relay/answer_time.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -77,19 +76,6 @@
 	return float64(firstEventTokens + x.answerTokens)
 }
 
-// dropUndeclaredAnswerTimes drops the times of routes that the configuration no longer declares; the mutex is held.
-func (s *Relay) dropUndeclaredAnswerTimes(cfg *httproute.Config) {
-	declared := map[ident.Class]bool{}
-	for i := range cfg.Routes {
-		declared[cfg.Routes[i].Name] = true
-	}
-	for key := range s.answerTimes {
-		if !declared[key.class] {
-			delete(s.answerTimes, key)
-		}
-	}
-}
-
 // longestAnswer is the time within which nearly all answers of the request's kind and size end, unknown if none has been seen.
 func (x *exchange) longestAnswer(unknown time.Duration) time.Duration {
 	units := x.expectedUnits()
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -432,13 +432,14 @@
 	t.state.removeRequest()
 }
 
-// dropUndeclaredClasses drops the typical waits of classes that the configuration no longer declares; the mutex is held.
+// dropUndeclaredClasses drops the typical waits and answer times of classes that the configuration no longer declares; the mutex is held.
 func (s *Relay) dropUndeclaredClasses(cfg *httproute.Config) {
 	declared := map[ident.Class]bool{}
 	for i := range cfg.Routes {
 		declared[cfg.Routes[i].Name] = true
 	}
 	maps.DeleteFunc(s.typicalWaits, func(class ident.Class, _ *overload.TypicalWait) bool { return !declared[class] })
+	maps.DeleteFunc(s.answerTimes, func(key answerTimeKey, _ *answerTime) bool { return !declared[key.class] })
 }
 
 // estimatePriorElapsed estimates how long the caller has spent on earlier attempts, from how long callers of its class typically say they
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -195,7 +195,6 @@
 	defer s.mu.Unlock()
 	s.setIndex(newTargetIndex(s.rosterCopy, table, s.entries, s.index.drainedHalls))
 	s.dropUndeclaredClasses(cfg)
-	s.dropUndeclaredAnswerTimes(cfg)
 	s.signalFirstConfirmation()
 }
 
@@ -389,6 +388,7 @@
 	for name, head := range s.index.heads {
 		groupByHead[head] = name
 	}
+	isNew := s.Budget.IsNew()
 	var observations []Observation
 	for id, state := range s.states {
 		stalled := s.declaredStalled(state, now)
@@ -399,7 +399,7 @@
 		}
 		observation := Observation{ID: id, Group: groupByHead[id], Inflight: state.inflight, Answered: -1, Silence: state.waitWithoutProgress(now), Refused: state.connectionRefused, Blamed: state.blamedMember}
 		observation.Stands = stalled
-		observation.Pinned = s.pinnedRequests(state)
+		observation.Pinned = pinnedRequests(state, isNew)
 		observation.Backoff, observation.Leaving, observation.Limit = backoffState.Remaining, backoffState.Leaving, limit
 		observation.Events, observation.Pauses = state.eventCount, state.eventGapTotal
 		state.eventCount, state.eventGapTotal = 0, 0
@@ -414,9 +414,9 @@
 }
 
 // pinnedRequests counts the requests at a target that can't continue at another one: they must not be repeated, have used all attempts of
-// their route, or would need the retry budget of an entry that has just started; the mutex is held.
-func (s *Relay) pinnedRequests(state *targetState) int {
-	if s.Budget.IsNew() {
+// their route, or would need the retry budget of an entry that has just started (isNew); the relay's mutex is held.
+func pinnedRequests(state *targetState, isNew bool) int {
+	if isNew {
 		return state.inflight
 	}
 	movable := 0
