Hand leadership over when a control daemon fails, as before

Cause: moved the handover into the planned stop, and with it out of the path of a daemon that ends because its folder lost synced data, whose quorum member still runs. Change: the handover is tried there again. Seen while the diff was read; no test shows the fault.

--- a/site/control.go
+++ b/site/control.go
@@ -185,6 +185,7 @@
 		c.drain(ctx)
 	case err = <-c.fatalErr:
 		c.Log.Error(err, "control daemon failed", "code", int(result.CodeOf(err)))
+		c.transferLeadership()
 	}
 	stop()
 	for _, s := range servers {
