--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -104,7 +104,7 @@
 	listen := map[string]any{"host": host, "metrics": net.JoinHostPort(host, "9102")}
 	d := &daemon{site: s, name: name, host: host, control: control}
 	d.settings = map[string]any{
-		"name": name, "hall": "hall-a", "region": "region-a", "halls": map[string]string{"hall-a": "region-a"},
+		"name": name, "hall": "hall-a", "region": "region-a", "halls": map[string]string{"hall-a": "region-a", "hall-b": "region-a"},
 		"listen": listen, "peer-port": peerPort, "memory-mb": 280, "link-mbps": 170,
 		"bounds":     map[string]any{"keys-revoked": "5000ms", "stop-grace": "8s"},
 		"retries":    map[string]any{"share": 0.2, "window": "10s", "allowance": 136},
