Keep waiting control daemons as learners, promote them by need

Cause: a waiting daemon became a learner only once a vote was free, one at a time, and the log promoted it by itself. A successor that fell silent as a learner kept all others from becoming one for 10 s (learnerTimeout), and each replacement had to bring the successor up to date first.

Change: up to five waiting daemons are learners at once; nextMembers promotes one that has caught up and has answered within 0.5 s when a vote is free. Silent learners don't count towards the five. After a change the next step follows in 20 ms, not 150.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -180,7 +180,7 @@
 	list := make([]Follower, 0, len(c.members))
 	for _, m := range c.members {
 		if p := c.progress[m.ID]; m.ID != c.id && p != nil {
-			list = append(list, Follower{ID: m.ID, LastAck: p.lastAck, LostData: p.lostData})
+			list = append(list, Follower{ID: m.ID, LastAck: p.lastAck, LostData: p.lostData, CaughtUp: p.match >= c.commit})
 		}
 	}
 	return list
@@ -454,18 +454,3 @@
 		c.firstCurrentTermCommit = c.commit
 	}
 }
-
-// promoteLearner gives a learner its vote once it holds all committed entries.
-func (c *Core) promoteLearner(now time.Time) {
-	if c.role != RoleLeader || c.membersIndex > c.commit || c.termAt(c.commit) != c.hardState.Term {
-		return
-	}
-	for i, m := range c.members {
-		if p := c.progress[m.ID]; !m.Voter && p != nil && p.match >= c.commit {
-			members := append([]Member(nil), c.members...)
-			members[i].Voter = true
-			c.ProposeMembers(now, members)
-			return
-		}
-	}
-}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -56,6 +56,8 @@
 	LastAck time.Time
 	// LostData is set if there is evidence that it lost synced entries.
 	LostData bool
+	// CaughtUp is set if it holds all committed entries on disk.
+	CaughtUp bool
 }
 
 type proposal struct {
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -23,7 +23,7 @@
 	Folder FolderID     `cbor:"2,keyasint"`
 }
 
-// Member is one receiver of the log. A learner (Voter false) has no vote until it has caught up.
+// Member is one receiver of the log; a learner (Voter false) has no vote.
 type Member struct {
 	ID    MemberID `cbor:"1,keyasint"`
 	Voter bool     `cbor:"2,keyasint"`
--- a/site/members.go
+++ b/site/members.go
@@ -2,8 +2,8 @@
 
 // Formation of the control quorum. At the first start of a site the seeds know each other's addresses from their
 // settings: the seed with the lowest address asks all others for their IDs and makes them the first voters. Every other
-// control daemon asks the leader to be added as a member, and so does a daemon whose folder is empty again; the log
-// brings the new member up to date before it gets a vote.
+// control daemon asks the leader to be added as a member, and so does a daemon whose folder is empty again. It becomes a
+// learner at once and stays one until a vote is free, so that its promotion takes a single log entry.
 //
 // A voter is removed only after another member has been promoted in its place, so a majority of the voters always
 // includes one that holds what was acknowledged. This way two of five folders may be lost at once.
@@ -30,8 +30,14 @@
 	joinRequestTTL = 2 * time.Second
 	// joinAfterSilence is how long a daemon receives nothing from a leader's log before it asks to join.
 	joinAfterSilence = 700 * time.Millisecond
+	// maxLearners is the number of learners that are kept up to date: one for each voter.
+	maxLearners = maxVoters
+	// promotableWithin is how recently a learner must have answered to be promoted.
+	promotableWithin = 500 * time.Millisecond
 	// learnerTimeout is how long a learner may be silent before it is removed.
 	learnerTimeout = 10 * time.Second
+	// publishInterval is how long after a change of members the status shows it.
+	publishInterval = 20 * time.Millisecond
 )
 
 func (c *Control) memberLoop(ctx context.Context) {
@@ -47,7 +53,11 @@
 			c.fatal(result.New(result.NotAdmitted, "this data folder lost data that it had synced to disk; empty the folder"))
 			return
 		case status.Role == quorum.RoleLeader:
-			c.changeMembers(ctx, &status)
+			if c.changeMembers(ctx, &status) {
+				// The next step may follow at once: until a replaced voter is removed there are six.
+				sleep(ctx, publishInterval)
+				continue
+			}
 		case c.Settings.FirstStart && !c.quorumWorking(&status) && c.isFirstSeed():
 			c.formQuorum(ctx, &status)
 		case clock.Since(status.LastContact) > joinAfterSilence || !isMember(&status, c.self):
@@ -156,19 +166,20 @@
 	return JoinReply{Leads: leads, Leader: c.leader()}
 }
 
-// changeMembers changes the members by one step if needed.
-func (c *Control) changeMembers(ctx context.Context, status *quorum.Status) {
+// changeMembers changes the members by one step if needed, and reports whether it has.
+func (c *Control) changeMembers(ctx context.Context, status *quorum.Status) bool {
 	members, reason := nextMembers(clock.Now(), status, c.currentJoinRequests(status))
 	if members == nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := c.node.ProposeMembers(ctx, members); err != nil {
 		c.Log.Info("control members not changed yet", "why", reason, "error", result.Message(err))
-		return
+		return false
 	}
 	c.Log.Info("control members changed", "why", reason, "members", members)
+	return true
 }
 
 func (c *Control) currentJoinRequests(status *quorum.Status) []quorum.MemberID {
@@ -185,121 +196,3 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
-
-// nextMembers returns the members after the next step and the reason, or nil when no step is needed. The log promotes a
-// learner by itself once the learner has caught up.
-func nextMembers(now time.Time, status *quorum.Status, joining []quorum.MemberID) ([]quorum.Member, string) {
-	silentFor := silenceByMember(now, status)
-	voters := 0
-	learners := 0
-	for _, m := range status.Members {
-		if m.Voter {
-			voters++
-		} else {
-			learners++
-		}
-	}
-	if voters > maxVoters {
-		if id, ok := voterToRemove(status, silentFor, joining); ok {
-			return withoutMember(status.Members, id), "a silent voter has been replaced"
-		}
-	}
-	for _, m := range status.Members {
-		if !m.Voter && silentFor[m.ID] > learnerTimeout {
-			return withoutMember(status.Members, m.ID), "a learner is silent"
-		}
-	}
-	if learners > 0 {
-		return nil, ""
-	}
-	for _, id := range joining {
-		switch {
-		case replacesVoter(status, id):
-			return withLearner(status.Members, id), "a voter returned with an empty folder"
-		case voters < maxVoters:
-			return withLearner(status.Members, id), "there are fewer voters than wanted"
-		case anySilentVoter(status, silentFor):
-			return withLearner(status.Members, id), "a voter is silent"
-		}
-	}
-	return nil, ""
-}
-
-// silenceByMember returns how long each follower has not answered; one that is known to have lost its log counts as
-// silent for an hour.
-func silenceByMember(now time.Time, status *quorum.Status) map[quorum.MemberID]time.Duration {
-	list := map[quorum.MemberID]time.Duration{}
-	for _, f := range status.Followers {
-		list[f.ID] = now.Sub(f.LastAck)
-		if f.LostData {
-			list[f.ID] = time.Hour
-		}
-	}
-	return list
-}
-
-// replacesVoter reports whether id has the address of a voter with another folder; that voter no longer exists.
-func replacesVoter(status *quorum.Status, id quorum.MemberID) bool {
-	for _, m := range status.Members {
-		if m.Voter && m.ID.Name == id.Name && m.ID.Folder != id.Folder {
-			return true
-		}
-	}
-	return false
-}
-
-func anySilentVoter(status *quorum.Status, silentFor map[quorum.MemberID]time.Duration) bool {
-	for _, m := range status.Members {
-		if m.Voter && silentFor[m.ID] > replaceVoterAfter {
-			return true
-		}
-	}
-	return false
-}
-
-// voterToRemove returns the voter to remove: one whose address another member uses now, else the one that has been
-// silent for the longest time.
-func voterToRemove(status *quorum.Status, silentFor map[quorum.MemberID]time.Duration, joining []quorum.MemberID) (quorum.MemberID, bool) {
-	var candidate quorum.MemberID
-	longest := replaceVoterAfter
-	for _, m := range status.Members {
-		if !m.Voter {
-			continue
-		}
-		if silentFor[m.ID] > membershipInterval && addressTaken(status, m.ID, joining) {
-			return m.ID, true
-		}
-		if silentFor[m.ID] > longest {
-			candidate, longest = m.ID, silentFor[m.ID]
-		}
-	}
-	return candidate, longest > replaceVoterAfter
-}
-
-func addressTaken(status *quorum.Status, id quorum.MemberID, joining []quorum.MemberID) bool {
-	for _, m := range status.Members {
-		if m.ID.Name == id.Name && m.ID.Folder != id.Folder {
-			return true
-		}
-	}
-	for _, other := range joining {
-		if other.Name == id.Name && other.Folder != id.Folder {
-			return true
-		}
-	}
-	return false
-}
-
-func withLearner(members []quorum.Member, id quorum.MemberID) []quorum.Member {
-	return append(append([]quorum.Member(nil), members...), quorum.Member{ID: id})
-}
-
-func withoutMember(members []quorum.Member, id quorum.MemberID) []quorum.Member {
-	var rest []quorum.Member
-	for _, m := range members {
-		if m.ID != id {
-			rest = append(rest, m)
-		}
-	}
-	return rest
-}
