Pass on the vote of a control daemon that stops by plan

Cause: a stopped daemon kept its vote until the others had noticed a silence of 2.5 s, while its successor waited for a vote.

Change: a daemon that stops announces it in its replies to the leader's appends, which need no second protocol and reach a new leader with the first heartbeat. The leader promotes a learner that has caught up and then makes the stopping voter a learner, so that it sees the entry that ends its vote; it ends once that is committed. It waits only if a learner is there, and at most for the stop grace. An even number of voters gives up a silent or stopping one without a replacement, since one voter fewer tolerates as many losses: a site of three daemons kept a lost folder as a fourth voter for good. The handover of leadership prefers a voter that stays and that has answered last, and a second request doesn't prolong a transfer in progress.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -68,6 +68,9 @@
 	// refusingSince is when the member first refused an index that it had acknowledged before.
 	refusingSince time.Time
 	lostData      bool
+	// leaving and commit are of the member's last reply.
+	leaving bool
+	commit  Index
 	// snapshotRequestedAt limits how often a snapshot is sent to a member that does not reply.
 	snapshotRequestedAt time.Time
 }
@@ -101,12 +104,14 @@
 	startupAttemptsLeft int
 	votes               map[MemberID]bool
 	transferring        bool
-	electedAt           time.Time
-	leaseEnd            time.Time
-	nextHeartbeat       time.Time
-	lastBroadcast       time.Time
-	progress            map[MemberID]*progress
-	snapshotRequests    []MemberID
+	// leaving is set once this member has announced that it stops.
+	leaving          bool
+	electedAt        time.Time
+	leaseEnd         time.Time
+	nextHeartbeat    time.Time
+	lastBroadcast    time.Time
+	progress         map[MemberID]*progress
+	snapshotRequests []MemberID
 
 	appends        []Message
 	messages       []Message
@@ -167,7 +172,7 @@
 func (c *Core) Status() Status {
 	return Status{
 		ID: c.id, Formed: c.formed, Role: c.role, Term: c.hardState.Term, Leader: c.leader.Name, Commit: c.commit,
-		Members: c.members, KnowsCommitted: c.firstCurrentTermCommit > 0, Expelled: c.hardState.Expelled, LeaseEnd: c.leaseEnd, ElectedAt: c.electedAt, LastContact: c.lastContact,
+		Members: c.members, MembersCommitted: c.membersIndex <= c.commit, KnowsCommitted: c.firstCurrentTermCommit > 0, Expelled: c.hardState.Expelled, LeaseEnd: c.leaseEnd, ElectedAt: c.electedAt, LastContact: c.lastContact,
 		Followers: c.followers(),
 	}
 }
@@ -180,20 +185,35 @@
 	list := make([]Follower, 0, len(c.members))
 	for _, m := range c.members {
 		if p := c.progress[m.ID]; m.ID != c.id && p != nil {
-			list = append(list, Follower{ID: m.ID, LastAck: p.lastAck, LostData: p.lostData, CaughtUp: p.match >= c.commit})
+			list = append(list, Follower{
+				ID: m.ID, LastAck: p.lastAck, LostData: p.lostData, CaughtUp: p.match >= c.commit,
+				Leaving: p.leaving, KnowsMembers: p.commit >= c.membersIndex,
+			})
 		}
 	}
 	return list
 }
 
-// CaughtUpVoter returns a voter other than this leader that holds the whole log.
+// CaughtUpVoter returns a voter other than this leader that holds the whole log, if possible one that does not leave.
+// Of those it returns the one that has answered last: one that has ended may hold the whole log, too.
 func (c *Core) CaughtUpVoter() (MemberID, bool) {
+	var best *progress
+	var id MemberID
 	for _, m := range c.members {
-		if p := c.progress[m.ID]; m.Voter && m.ID != c.id && p != nil && !p.lostData && p.match == c.lastIndex() {
-			return m.ID, true
+		p := c.progress[m.ID]
+		if !m.Voter || m.ID == c.id || p == nil || p.lostData || p.match != c.lastIndex() {
+			continue
+		}
+		if best == nil || best.leaving && !p.leaving || best.leaving == p.leaving && p.lastAck.After(best.lastAck) {
+			best, id = p, m.ID
 		}
 	}
-	return MemberID{}, false
+	return id, best != nil
+}
+
+// Leave makes this member announce in all replies to the leader that it stops.
+func (c *Core) Leave() {
+	c.leaving = true
 }
 
 // Persisted records that all entries up to last are synced; only then does a leader count its own copy.
@@ -320,7 +340,7 @@
 // TransferTo asks another voter to take over leadership. The leader gives up its lease with the request.
 func (c *Core) TransferTo(now time.Time, to MemberID) bool {
 	p := c.progress[to]
-	if c.role != RoleLeader || p == nil || p.match != c.lastIndex() || !c.isVoter(to) {
+	if c.role != RoleLeader || c.transferring || p == nil || p.match != c.lastIndex() || !c.isVoter(to) {
 		return false
 	}
 	c.leaseEnd = time.Time{}
@@ -412,9 +432,12 @@
 	m.Instance = c.instance
 	m.From = c.id
 	m.Term = c.hardState.Term
-	if m.Kind == MessageAppend {
+	switch m.Kind {
+	case MessageAppend:
 		c.appends = append(c.appends, m)
 		return
+	case MessageAppendReply:
+		m.Leaving, m.Commit = c.leaving, c.commit
 	}
 	c.messages = append(c.messages, m)
 }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -35,6 +35,8 @@
 	Commit  Index
 	Applied Index
 	Members []Member
+	// MembersCommitted is set if Members are committed, as far as this member knows.
+	MembersCommitted bool
 	// KnowsCommitted is set once this process has applied everything that was committed before. A log read from disk
 	// does not show how much of it is committed.
 	KnowsCommitted bool
@@ -58,6 +60,10 @@
 	LostData bool
 	// CaughtUp is set if it holds all committed entries on disk.
 	CaughtUp bool
+	// Leaving is set if it has announced that it stops. KnowsMembers is set if it knows that the current members are
+	// committed.
+	Leaving      bool
+	KnowsMembers bool
 }
 
 type proposal struct {
@@ -104,6 +110,7 @@
 	proposals chan proposal
 	transfers chan chan bool
 	forms     chan []Member
+	leaves    chan struct{}
 	status    atomic.Pointer[Status]
 	ready     chan struct{}
 	readyOnce sync.Once
@@ -127,6 +134,7 @@
 		proposals:     make(chan proposal, proposalsLength),
 		transfers:     make(chan chan bool),
 		forms:         make(chan []Member),
+		leaves:        make(chan struct{}),
 		ready:         make(chan struct{}),
 		waiters:       map[Index]waiter{},
 	}
@@ -212,6 +220,17 @@
 	}
 }
 
+// Leave announces to the leader, with every reply, that this member stops. It reports whether the node has taken that
+// before ctx was done.
+func (n *Node) Leave(ctx context.Context) bool {
+	select {
+	case n.leaves <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (n *Node) loop(ctx context.Context) {
 	if err := n.restoreState(); err != nil {
 		n.Fatal(err)
@@ -236,6 +255,8 @@
 			n.core.Flush(n.Now())
 		case members := <-n.forms:
 			n.core.Form(members)
+		case <-n.leaves:
+			n.core.Leave()
 		case done := <-n.transfers:
 			done <- n.transferLeadership()
 		}
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -162,7 +162,7 @@
 	if c.role != RoleLeader || p == nil {
 		return
 	}
-	p.lastAck = now
+	p.lastAck, p.leaving, p.commit = now, m.Leaving, m.Commit
 	if sent := c.electedAt.Add(time.Duration(m.Round)); sent.After(p.ackedBroadcast) && !sent.After(c.lastBroadcast) {
 		p.ackedBroadcast = sent
 		c.extendLease()
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -92,9 +92,12 @@
 	LastIndex Index
 	LastTerm  Term
 	Entries   []Entry
-	Commit    Index
+	// Commit is the sender's commit index, in appends and their replies.
+	Commit Index
 	// Round numbers the heartbeat that a reply answers; a lease starts when its heartbeat was sent.
 	Round uint64
+	// Leaving is set in the replies of a member that stops for good or for a restart.
+	Leaving bool
 	// Granted is the reply to a vote request or an append.
 	Granted bool
 	// Unformed is set by a member that has no configuration yet and needs a snapshot.
--- a/site/control.go
+++ b/site/control.go
@@ -251,15 +251,18 @@
 	})
 }
 
-// drain hands leadership over and answers the calls in progress, within the stop grace. Other goroutines go on meanwhile: the transfer needs
-// the quorum, and calls are forwarded to the new leader.
+// drain hands leadership and the vote over and answers the calls in progress, within the stop grace. Other goroutines go on
+// meanwhile: the handover needs the quorum, and calls are forwarded to the new leader.
 func (c *Control) drain(ctx context.Context) {
 	began := clock.Now()
 	c.Log.Info("planned stop started", "grace-ms", c.Settings.Bounds.StopGrace.Std().Milliseconds(), "connections", c.callServer.Connections())
 	ctx, cancel := context.WithTimeout(ctx, c.Settings.Bounds.StopGrace.Std()-stopMargin)
 	defer cancel()
 	c.transferLeadership()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.passVoteOn(ctx) })
 	c.callServer.Drain(ctx)
+	wg.Wait()
 	c.Log.Info("connections are closed", "stopping-ms", clock.Since(began).Milliseconds(), "connections", c.callServer.Connections())
 }
 
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/quarantine"
+	"github.com/dunlinquay/dunlinquay/quorum"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
 	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/replicaset"
@@ -33,6 +34,14 @@
 // NextMembers gives external tests access to nextMembers.
 var NextMembers = nextMembers
 
+// HasMember reports whether the quorum has a member at a host, as far as this daemon knows.
+func (c *Control) HasMember(host string) bool {
+	return slices.ContainsFunc(c.node.Status().Members, func(m quorum.Member) bool {
+		name, _, _ := net.SplitHostPort(string(m.ID.Name))
+		return name == host
+	})
+}
+
 // ReportForwarder is a daemon's queue of reports for the leader.
 type ReportForwarder struct{ forwarder *reportForwarder }
 
--- a/site/members.go
+++ b/site/members.go
@@ -23,6 +23,8 @@
 	membershipInterval = 150 * time.Millisecond
 	// maxVoters is the number of voters that a site grows to: with five it survives two losses at once.
 	maxVoters = 5
+	// minVoters is the number of voters that tolerates one loss; no voter is removed from fewer without a replacement.
+	minVoters = 3
 	// replaceVoterAfter is how long a voter must be silent until a waiting daemon replaces it; a restart takes a
 	// second.
 	replaceVoterAfter = 2500 * time.Millisecond
@@ -34,8 +36,10 @@
 	maxLearners = maxVoters
 	// promotableWithin is how recently a learner must have answered to be promoted.
 	promotableWithin = 500 * time.Millisecond
-	// learnerTimeout is how long a learner may be silent before it is removed.
-	learnerTimeout = 10 * time.Second
+	// learnerTimeout is how long a learner may be silent before it is removed; stopping voters wait for it that long.
+	learnerTimeout = replaceVoterAfter
+	// passVoteInterval is how often a stopping daemon checks whether it still has its vote.
+	passVoteInterval = 20 * time.Millisecond
 	// publishInterval is how long after a change of members the status shows it.
 	publishInterval = 20 * time.Millisecond
 )
@@ -60,7 +64,7 @@
 			}
 		case c.Settings.FirstStart && !c.quorumWorking(&status) && c.isFirstSeed():
 			c.formQuorum(ctx, &status)
-		case clock.Since(status.LastContact) > joinAfterSilence || !isMember(&status, c.self):
+		case !c.stopping() && (clock.Since(status.LastContact) > joinAfterSilence || !isMember(&status, c.self)):
 			c.requestJoin()
 		}
 		sleep(ctx, membershipInterval)
@@ -196,3 +200,60 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
+
+// passVoteOn announces that this daemon stops and waits until another one has its vote. A daemon that ended with its vote
+// would leave four votes of five until the others notice its silence, and two lost disks would then end the quorum for
+// good. It returns at once if no daemon can take the vote.
+func (c *Control) passVoteOn(ctx context.Context) {
+	began := clock.Now()
+	if !c.announceLeave(ctx) {
+		return
+	}
+	for ctx.Err() == nil {
+		status := c.node.Status()
+		if !canPassVoteOn(&status, c.self) {
+			c.Log.Info("vote checked before the end", "voter", c.IsVoter(), "members", status.Members, "waited-ms", clock.Since(began).Milliseconds())
+			return
+		}
+		// A leader can't remove itself.
+		c.transferLeadership()
+		sleep(ctx, passVoteInterval)
+	}
+	c.Log.Info("vote not passed on in time", "waited-ms", clock.Since(began).Milliseconds())
+}
+
+// announceLeave reports whether the quorum's member goes on; one that waits for its disk can't pass anything on.
+func (c *Control) announceLeave(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.node.Leave(ctx)
+}
+
+// canPassVoteOn reports whether self has a vote, or may still have it, that the leader will pass on: to a learner, or to
+// nobody when the others are an odd number.
+func canPassVoteOn(status *quorum.Status, self quorum.MemberID) bool {
+	voters, learners, voter := 0, 0, false
+	for _, m := range status.Members {
+		switch {
+		case m.Voter:
+			voters++
+			voter = voter || m.ID == self
+		case m.ID != self:
+			learners++
+		}
+	}
+	if !voter {
+		return isMember(status, self) && !status.MembersCommitted
+	}
+	return learners > 0 || mayLoseVote(voters)
+}
+
+// stopping reports whether a planned stop has begun.
+func (c *Control) stopping() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
+	}
+}
--- a/site/next_members.go
+++ b/site/next_members.go
@@ -16,28 +16,38 @@
 	// its log counts as silent for an hour.
 	silentFor time.Duration
 	caughtUp  bool
+	// leaving is set once the member has announced that it stops, knowsMembers if it knows that the current members are
+	// committed.
+	leaving, knowsMembers bool
 	// addressTaken is set if another folder uses the member's address, so that this one no longer exists.
 	addressTaken bool
 }
 
 // promotable reports whether a learner can vote at once.
 func (m *memberView) promotable() bool {
-	return !m.Voter && m.caughtUp && m.silentFor < promotableWithin
+	return !m.Voter && m.caughtUp && !m.leaving && m.silentFor < promotableWithin
 }
 
 // nextMembers returns the members after the next step and the reason, or nil when no step is needed.
 func nextMembers(now time.Time, status *quorum.Status, joining []quorum.MemberID) ([]quorum.Member, string) {
 	views := memberViews(now, status, joining)
 	voters, learners := countMembers(views)
-	if voters > maxVoters {
+	if mayLoseVote(voters) {
 		if i := voterToRemove(views); i >= 0 {
-			return withoutMember(status.Members, i), "a silent voter has been replaced"
+			return withoutMember(status.Members, i), "a silent voter is not needed"
+		}
+		if i := leavingVoter(views); i >= 0 {
+			return withVote(status.Members, i, false), "a stopping voter is not needed"
 		}
-	} else if i, reason := learnerToPromote(views, voters); i >= 0 {
-		return withVote(status.Members, i), reason
 	}
-	if i := silentLearner(views); i >= 0 {
-		return withoutMember(status.Members, i), "a learner is silent"
+	if voters > maxVoters {
+		return withoutIdleLearner(status.Members, views)
+	}
+	if i, reason := learnerToPromote(views, voters); i >= 0 {
+		return withVote(status.Members, i, true), reason
+	}
+	if members, reason := withoutIdleLearner(status.Members, views); members != nil {
+		return members, reason
 	}
 	if len(joining) > 0 && learners < maxLearners {
 		return withLearner(status.Members, joining[0]), "a daemon waits for a vote"
@@ -45,6 +55,11 @@
 	return nil, ""
 }
 
+// mayLoseVote reports whether one voter fewer tolerates as many losses: a majority of six is four, one of five is three.
+func mayLoseVote(voters int) bool {
+	return voters > minVoters && voters%2 == 0
+}
+
 // memberViews returns the members in the order of the status.
 func memberViews(now time.Time, status *quorum.Status, joining []quorum.MemberID) []memberView {
 	followers := map[quorum.MemberID]quorum.Follower{}
@@ -56,6 +71,7 @@
 		view := memberView{Member: m, addressTaken: addressTaken(status, m.ID, joining)}
 		if f, ok := followers[m.ID]; ok {
 			view.silentFor, view.caughtUp = now.Sub(f.LastAck), f.CaughtUp
+			view.leaving, view.knowsMembers = f.Leaving, f.KnowsMembers
 			if f.LostData {
 				view.silentFor = time.Hour
 			}
@@ -91,6 +107,8 @@
 		return promotable, "there are fewer voters than wanted"
 	case slices.ContainsFunc(views, func(m memberView) bool { return m.Voter && m.silentFor > replaceVoterAfter }):
 		return promotable, "a voter is silent"
+	case leavingVoter(views) >= 0:
+		return promotable, "a voter is stopping"
 	}
 	return -1, ""
 }
@@ -121,9 +139,25 @@
 	return candidate
 }
 
-// silentLearner returns the index of a learner to remove, or -1.
-func silentLearner(views []memberView) int {
-	return slices.IndexFunc(views, func(m memberView) bool { return !m.Voter && m.silentFor > learnerTimeout })
+// leavingVoter returns the index of a voter that has announced that it stops, or -1.
+func leavingVoter(views []memberView) int {
+	return slices.IndexFunc(views, func(m memberView) bool { return m.Voter && m.leaving })
+}
+
+// withoutIdleLearner removes a learner that is silent or stops, and returns the reason, or nil if there is none. One that
+// stops stays until it knows that it has no vote, since it waits for that.
+func withoutIdleLearner(members []quorum.Member, views []memberView) ([]quorum.Member, string) {
+	for i := range views {
+		m := &views[i]
+		switch {
+		case m.Voter:
+		case m.silentFor > learnerTimeout:
+			return withoutMember(members, i), "a learner is silent"
+		case m.leaving && (m.knowsMembers || m.silentFor > promotableWithin):
+			return withoutMember(members, i), "a learner is stopping"
+		}
+	}
+	return nil, ""
 }
 
 func addressTaken(status *quorum.Status, id quorum.MemberID, joining []quorum.MemberID) bool {
@@ -144,9 +178,9 @@
 	return append(slices.Clone(members), quorum.Member{ID: id})
 }
 
-func withVote(members []quorum.Member, i int) []quorum.Member {
+func withVote(members []quorum.Member, i int, voter bool) []quorum.Member {
 	changed := slices.Clone(members)
-	changed[i].Voter = true
+	changed[i].Voter = voter
 	return changed
 }
 
