Tell a new leader since when members have been silent

Fault: a leader counted the silence of a voter from its own election on, so that each change of leaders gave a lost voter another 2.5 s before a waiting daemon took its vote, in which two lost disks end the quorum.

Change: a leader's appends name the members that have missed two heartbeats (none in calm), followers keep that, and a new leader starts from it. It relies on it after 0.5 s, the time for a member that is only cut off from the former leader to answer (TestSilenceUnderEarlierLeader). The check of the majority still counts from the election.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -27,6 +27,8 @@
 	maxEntriesPerMessage = 512
 	maxBytesPerMessage   = 1 << 20
 	clockDriftFactor     = 1.1
+	// silentHeartbeats is how many heartbeats a member may miss before the leader reports its silence to the others.
+	silentHeartbeats = 2
 	// A member that starts campaigns up to startupAttempts times after the shorter time
 	// Election/startupElectionDivisor, in which a vote with its syncs and replies is usually decided. After that, disks
 	// may be slow, and the member waits as long as any other.
@@ -61,9 +63,12 @@
 }
 
 type progress struct {
-	match          Index
-	next           Index
-	lastAck        time.Time
+	match   Index
+	next    Index
+	lastAck time.Time
+	// silentSince is lastAck, or an earlier time while the member has not answered this leader but is known to have been
+	// silent under the one before.
+	silentSince    time.Time
 	ackedBroadcast time.Time
 	// refusingSince is when the member first refused an index that it had acknowledged before.
 	refusingSince time.Time
@@ -105,12 +110,14 @@
 	votes               map[MemberID]bool
 	transferring        bool
 	// leaving is set once this member has announced that it stops.
-	leaving          bool
-	electedAt        time.Time
-	leaseEnd         time.Time
-	nextHeartbeat    time.Time
-	lastBroadcast    time.Time
-	progress         map[MemberID]*progress
+	leaving       bool
+	electedAt     time.Time
+	leaseEnd      time.Time
+	nextHeartbeat time.Time
+	lastBroadcast time.Time
+	progress      map[MemberID]*progress
+	// silentSince holds the members that the leader has not heard from, as of its last append.
+	silentSince      map[MemberID]time.Time
 	snapshotRequests []MemberID
 
 	appends        []Message
@@ -186,7 +193,7 @@
 	for _, m := range c.members {
 		if p := c.progress[m.ID]; m.ID != c.id && p != nil {
 			list = append(list, Follower{
-				ID: m.ID, LastAck: p.lastAck, LostData: p.lostData, CaughtUp: p.match >= c.commit,
+				ID: m.ID, LastAck: p.silentSince, LostData: p.lostData, CaughtUp: p.match >= c.commit,
 				Leaving: p.leaving, KnowsMembers: p.commit >= c.membersIndex,
 			})
 		}
@@ -404,7 +411,7 @@
 func (c *Core) trackMembers(now time.Time) {
 	for _, m := range c.members {
 		if _, ok := c.progress[m.ID]; !ok {
-			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, lastAck: now}
+			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, lastAck: now, silentSince: now}
 		}
 	}
 }
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -479,3 +479,40 @@
 		})
 	}
 }
+
+// A new leader knows since when a member has been silent. It counted from its election, so that each change of leaders gave
+// a lost voter another 2.5 s.
+func TestNewLeaderKnowsSilenceOfMembers(t *testing.T) {
+	cluster, leader := clusterWithLeader(t, 5)
+	var lost *simMember
+	for _, m := range cluster.members {
+		if m != leader {
+			lost = m
+		}
+	}
+	lost.up = false
+	lostAt := cluster.elapsed
+	for range 2 {
+		cluster.runFor(2*timing.Election, func() {})
+		to, ok := leader.core.CaughtUpVoter()
+		if !ok || !leader.core.TransferTo(cluster.now(leader), to) {
+			t.Fatal("no transfer was started")
+		}
+		cluster.drain(leader, false)
+		cluster.runFor(timing.Election, func() {})
+		for _, m := range cluster.members {
+			if m.id == to {
+				leader = m
+			}
+		}
+		if role := leader.core.Status().Role; role != quorum.RoleLeader {
+			t.Fatalf("the receiver of the transfer is a %v", role)
+		}
+		for _, f := range leader.core.Status().Followers {
+			known, actual := cluster.now(leader).Sub(f.LastAck), cluster.elapsed-lostAt
+			if f.ID == lost.id && known < actual-timing.Election/2 {
+				t.Errorf("the new leader counts a silence of %v, it is %v", known, actual)
+			}
+		}
+	}
+}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -127,6 +127,11 @@
 	c.firstCurrentTermCommit = 0
 	c.progress = map[MemberID]*progress{}
 	c.trackMembers(now)
+	for id, since := range c.silentSince {
+		if p := c.progress[id]; p != nil {
+			p.silentSince = since
+		}
+	}
 	// Entries of earlier terms are committed together with an entry of the leader's own term.
 	c.append(Entry{Index: c.lastIndex() + 1, Term: c.hardState.Term, Kind: EntryNoop})
 	c.broadcast(now)
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -40,12 +40,23 @@
 	entries := c.entriesToSend(p.next)
 	c.send(Message{
 		Kind: MessageAppend, To: to, LastIndex: previous, LastTerm: c.termAt(previous),
-		Entries: entries, Commit: c.commit, Round: c.round(),
+		Entries: entries, Commit: c.commit, Round: c.round(), Silences: c.silences(now),
 	})
 	// Sent entries count as received; a refusal, also after a lost message, moves next back.
 	p.next += Index(len(entries))
 }
 
+// silences returns the members that have missed several heartbeats.
+func (c *Core) silences(now time.Time) []Silence {
+	var list []Silence
+	for _, m := range c.members {
+		if p := c.progress[m.ID]; p != nil && m.ID != c.id && now.Sub(p.silentSince) > silentHeartbeats*c.timing.Heartbeat {
+			list = append(list, Silence{ID: m.ID, For: now.Sub(p.silentSince)})
+		}
+	}
+	return list
+}
+
 func (c *Core) requestSnapshot(now time.Time, to MemberID, p *progress) {
 	if now.Sub(p.snapshotRequestedAt) < c.timing.Election {
 		return
@@ -117,11 +128,23 @@
 	c.lastContact = now
 	c.role = RoleFollower
 	c.leader = m.From
+	c.recordSilences(now, m)
 	c.transferring = false
 	c.startupAttemptsLeft = 0
 	c.resetElectionDeadline(now)
 }
 
+// recordSilences keeps what a new leader needs to know: without it each election would give a lost member more time.
+func (c *Core) recordSilences(now time.Time, m *Message) {
+	if len(m.Silences) == 0 && len(c.silentSince) == 0 {
+		return
+	}
+	c.silentSince = make(map[MemberID]time.Time, len(m.Silences))
+	for _, s := range m.Silences {
+		c.silentSince[s.ID] = now.Add(-s.For)
+	}
+}
+
 func (c *Core) replyToAppend(m *Message, granted bool, match Index) {
 	c.send(Message{Kind: MessageAppendReply, To: m.From, Granted: granted, Match: match, Round: m.Round})
 }
@@ -162,7 +185,7 @@
 	if c.role != RoleLeader || p == nil {
 		return
 	}
-	p.lastAck, p.leaving, p.commit = now, m.Leaving, m.Commit
+	p.lastAck, p.silentSince, p.leaving, p.commit = now, now, m.Leaving, m.Commit
 	if sent := c.electedAt.Add(time.Duration(m.Round)); sent.After(p.ackedBroadcast) && !sent.After(c.lastBroadcast) {
 		p.ackedBroadcast = sent
 		c.extendLease()
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
@@ -96,6 +98,8 @@
 	Commit Index
 	// Round numbers the heartbeat that a reply answers; a lease starts when its heartbeat was sent.
 	Round uint64
+	// Silences are the members that the sender of an append has not heard from lately.
+	Silences []Silence
 	// Leaving is set in the replies of a member that stops for good or for a restart.
 	Leaving bool
 	// Granted is the reply to a vote request or an append.
@@ -109,6 +113,12 @@
 	Transfer bool
 }
 
+// Silence says for how long a member has not answered its leader, or those before.
+type Silence struct {
+	ID  MemberID
+	For time.Duration
+}
+
 // Role is the current role of a member.
 type Role uint8
 
--- a/site/members.go
+++ b/site/members.go
@@ -36,6 +36,8 @@
 	maxLearners = maxVoters
 	// promotableWithin is how recently a learner must have answered to be promoted.
 	promotableWithin = 500 * time.Millisecond
+	// answerTime is how long a new leader waits for answers before it relies on the silence that its predecessor reported.
+	answerTime = 500 * time.Millisecond
 	// learnerTimeout is how long a learner may be silent before it is removed; stopping voters wait for it that long.
 	learnerTimeout = replaceVoterAfter
 	// passVoteInterval is how often a stopping daemon checks whether it still has its vote.
--- a/site/members_test.go
+++ b/site/members_test.go
@@ -127,6 +127,25 @@
 	}
 }
 
+// The silence that an earlier leader reported counts once the voter has had time to answer the new leader.
+func TestSilenceUnderEarlierLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		leading time.Duration
+		want    []string
+	}{
+		{200 * time.Millisecond, nil},
+		{time.Second, []string{"a1", "b1", "c1", "d1", "e1", "f1"}},
+	} {
+		s := status(now, "a1", "b1-", "c1", "d1", "e1", "f1?")
+		s.ElectedAt = now.Add(-c.leading)
+		got, _ := site.NextMembers(now, s, nil)
+		if diff := cmp.Diff(c.want, textOf(got)); diff != "" {
+			t.Errorf("leading for %v (-want +got):\n%s", c.leading, diff)
+		}
+	}
+}
+
 // Over random losses and stops, a step changes one voter at most, leaves fewer voters than before only where their majority
 // is smaller by one, and never makes more than six: a majority of the old voters and one of the new ones always share a
 // member, and the loss of as many voters is tolerated as before.
--- a/site/next_members.go
+++ b/site/next_members.go
@@ -70,17 +70,27 @@
 	for _, m := range status.Members {
 		view := memberView{Member: m, addressTaken: addressTaken(status, m.ID, joining)}
 		if f, ok := followers[m.ID]; ok {
-			view.silentFor, view.caughtUp = now.Sub(f.LastAck), f.CaughtUp
+			view.silentFor, view.caughtUp = silenceOf(now, status, &f), f.CaughtUp
 			view.leaving, view.knowsMembers = f.Leaving, f.KnowsMembers
-			if f.LostData {
-				view.silentFor = time.Hour
-			}
 		}
 		views = append(views, view)
 	}
 	return views
 }
 
+// silenceOf returns how long a member has not answered. What an earlier leader reported counts only once the member has had
+// time to answer this one.
+func silenceOf(now time.Time, status *quorum.Status, f *quorum.Follower) time.Duration {
+	if f.LostData {
+		return time.Hour
+	}
+	silentFor := now.Sub(f.LastAck)
+	if leading := now.Sub(status.ElectedAt); leading < answerTime {
+		return min(silentFor, leading)
+	}
+	return silentFor
+}
+
 // countMembers returns how many voters there are, and how many learners that are not silent.
 func countMembers(views []memberView) (voters, learners int) {
 	for i := range views {
