Take the vote of a sixth voter back when all voters answer

Fault: a voter that returned between the promotion of its replacement and its own removal stayed as a sixth voter until one fell silent. A cut of the core in two halves of three leaves no majority then. A planned restart beside a waiting daemon makes this likelier now.

--- a/site/next_members.go
+++ b/site/next_members.go
@@ -41,6 +41,9 @@
 		}
 	}
 	if voters > maxVoters {
+		if i := surplusVoter(now, status, views); i >= 0 {
+			return withVote(status.Members, i, false), "there are more voters than wanted"
+		}
 		return withoutIdleLearner(status.Members, views)
 	}
 	if i, reason := learnerToPromote(views, voters); i >= 0 {
@@ -55,9 +58,10 @@
 	return nil, ""
 }
 
-// mayLoseVote reports whether one voter fewer tolerates as many losses: a majority of six is four, one of five is three.
+// mayLoseVote reports whether there are more voters than wanted, or one fewer tolerates as many losses: a majority of four is
+// three, one of three is two.
 func mayLoseVote(voters int) bool {
-	return voters > minVoters && voters%2 == 0
+	return voters > maxVoters || voters > minVoters && voters%2 == 0
 }
 
 // memberViews returns the members in the order of the status.
@@ -154,6 +158,26 @@
 	return slices.IndexFunc(views, func(m memberView) bool { return m.Voter && m.leaving })
 }
 
+// surplusVoter returns the index of the voter that was added last, if all voters answer, or -1. A voter that returned before
+// its removal leaves six, of which a cut between halls can leave no majority on either side.
+func surplusVoter(now time.Time, status *quorum.Status, views []memberView) int {
+	if now.Sub(status.ElectedAt) < answerTime {
+		return -1
+	}
+	last := -1
+	for i := range views {
+		m := &views[i]
+		switch {
+		case !m.Voter:
+		case m.silentFor > promotableWithin || m.addressTaken:
+			return -1
+		case m.ID != status.ID:
+			last = i
+		}
+	}
+	return last
+}
+
 // withoutIdleLearner removes a learner that is silent or stops, and returns the reason, or nil if there is none. One that
 // stops stays until it knows that it has no vote, since it waits for that.
 func withoutIdleLearner(members []quorum.Member, views []memberView) ([]quorum.Member, string) {
