Pass on the vote of a control daemon whose disk fails

Fault: a control daemon that ends because its data folder can't be written is started again by its platform, answers heartbeats until its next write, and ends again. Each answer ended the silence of 2.5 s for which a waiting daemon gets its vote, so the vote stayed with a daemon that confirms nothing.

Change: the failing daemon tells the leader that it leaves before it ends.

TestReplacementsOverlap plays the other related paths with whole daemons (a return with the folder, restarts in series, the waiting daemon stops or is lost, two stop and one waits, the leader is lost during a stop, an empty folder returns meanwhile): all eight end with five running voters that don't change any more, and tolerate two lost folders.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -400,6 +400,10 @@
 			c.transferring = true
 			c.campaign(now, RoleCandidate)
 		}
+	case MessageLeave:
+		if p := c.progress[m.From]; p != nil {
+			p.leaving = true
+		}
 	case MessageExpel:
 		// The leader has evidence that this folder lost synced entries.
 		c.hardState.Expelled = true
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -80,6 +80,7 @@
 	MessageTransfer
 	MessageExpel
 	MessageForm
+	MessageLeave
 )
 
 // Message is sent between the members of one instance; Kind determines which fields are set.
--- a/site/control.go
+++ b/site/control.go
@@ -186,6 +186,7 @@
 	case err = <-c.fatalErr:
 		c.Log.Error(err, "control daemon failed", "code", int(result.CodeOf(err)))
 		c.transferLeadership()
+		c.announceFailure(ctx)
 	}
 	stop()
 	for _, s := range servers {
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,6 +45,29 @@
 	})
 }
 
+// VoterHosts returns the hosts of the voters in order, as far as this daemon knows.
+func (c *Control) VoterHosts() []string {
+	var hosts []string
+	for _, m := range c.node.Status().Members {
+		if host, _, err := net.SplitHostPort(string(m.ID.Name)); err == nil && m.Voter {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// FailWrites lets all later writes to the data folder fail; it is called before Run.
+func (c *Control) FailWrites(failing *atomic.Bool) {
+	write := c.folder.WriteAt
+	c.folder.WriteAt = func(f *os.File, b []byte, offset int64) (int, error) {
+		if failing.Load() {
+			return 0, syscall.EIO
+		}
+		return write(f, b, offset)
+	}
+}
+
 // ReportForwarder is a daemon's queue of reports for the leader.
 type ReportForwarder struct{ forwarder *reportForwarder }
 
--- a/site/members.go
+++ b/site/members.go
@@ -231,6 +231,19 @@
 	return c.node.Leave(ctx)
 }
 
+// announceFailure tells the leader that this daemon ends because it can't use its data folder, so that a waiting daemon gets
+// its vote. Each restart would end the silence that the leader waits for, though the daemon may be unable to confirm anything.
+func (c *Control) announceFailure(ctx context.Context) {
+	status := c.node.Status()
+	for _, m := range status.Members {
+		if m.ID.Name == status.Leader && m.ID != c.self {
+			c.links.send([]quorum.Message{{Kind: quorum.MessageLeave, From: c.self, To: m.ID, Term: status.Term}})
+			sleep(ctx, c.Settings.Times.Heartbeat.Std())
+			return
+		}
+	}
+}
+
 // canPassVoteOn reports whether self has a vote, or may still have it, that the leader will pass on: to a learner, or to
 // nobody when the others are an odd number.
 func canPassVoteOn(status *quorum.Status, self quorum.MemberID) bool {
--- a/site/replace_control_test.go
+++ b/site/replace_control_test.go
@@ -119,3 +119,114 @@
 	}
 	s.waitForVoters(s.runningHosts()[0], 5)
 }
+
+// A control daemon whose disk fails loses its vote to one that waits, though it is started again and again: each of its
+// replies ended the silence that the leader waited for.
+func TestDaemonWithFailingDiskLosesItsVote(t *testing.T) {
+	const successor = "127.0.1.6"
+	s := startControlSite(t)
+	s.startSuccessors(s.hosts[0], successor)
+	leader, other := s.leaderAndOther()
+	version := httproute.Version(1)
+	s.running[other].failsWrites.Store(true)
+	for deadline := time.Now().Add(8 * time.Second); time.Now().Before(deadline); {
+		version++
+		s.waitUntilReplaced(leader, version)
+		<-s.running[other].done
+		if s.running[successor].control.IsVoter() {
+			return
+		}
+		s.startControl(other, false)
+		s.running[other].failsWrites.Store(true)
+		time.Sleep(time.Second)
+	}
+	t.Error("the successor has no vote after 8 s")
+}
+
+// votersAre reports whether the voters are at the given hosts, as a daemon knows.
+func (d *daemons) votersAre(known string, hosts ...string) bool {
+	return slices.Equal(d.running[known].control.VoterHosts(), hosts)
+}
+
+// Stops, returns and losses of control daemons that overlap with a planned replacement leave five voters that answer, and the
+// site tolerates two lost folders then.
+func TestReplacementsOverlap(t *testing.T) {
+	const sixth, seventh = "127.0.1.6", "127.0.2.1"
+	for _, c := range []struct {
+		name       string
+		successors []string
+		disturb    func(s *controlSite)
+	}{
+		{"the daemon returns with its folder", []string{sixth}, func(s *controlSite) {
+			_, other := s.leaderAndOther()
+			s.stopByPlan(other)
+			s.startControl(other, false)
+		}},
+		{"all restart in series", []string{sixth}, func(s *controlSite) {
+			for _, host := range s.hosts {
+				s.stopByPlan(host)
+				s.startControl(host, false)
+			}
+		}},
+		{"the waiting daemon stops first", []string{sixth}, func(s *controlSite) {
+			_, other := s.leaderAndOther()
+			s.stopByPlan(sixth)
+			s.stopByPlan(other)
+			s.startControl(other, false)
+		}},
+		{"both stop, the waiting daemon returns", []string{sixth}, func(s *controlSite) {
+			_, other := s.leaderAndOther()
+			s.stopByPlan(sixth, other)
+			s.startControl(sixth, false)
+		}},
+		{"two stop, one waits, one returns", []string{sixth}, func(s *controlSite) {
+			leader, other := s.leaderAndOther()
+			s.stopByPlan(leader, other)
+			s.startControl(other, false)
+		}},
+		{"the waiting daemon is lost, another one waits", []string{sixth, seventh}, func(s *controlSite) {
+			_, other := s.leaderAndOther()
+			s.kill(sixth)
+			s.stopByPlan(other)
+		}},
+		{"a stop while the leader is lost", []string{sixth, seventh}, func(s *controlSite) {
+			leader, other := s.leaderAndOther()
+			s.running[other].control.Stop()
+			s.kill(leader)
+			s.stopByPlan(other)
+		}},
+		{"an empty folder returns during a stop", []string{sixth}, func(s *controlSite) {
+			leader, other := s.leaderAndOther()
+			lost := s.hosts[(slices.Index(s.hosts, other)+1)%len(s.hosts)]
+			if lost == leader {
+				s.t.Fatal("the leader was to stay")
+			}
+			s.running[other].control.Stop()
+			s.loseFolders(lost)
+			s.stopByPlan(other)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startControlSite(t)
+			s.startSuccessors(s.hosts[0], c.successors...)
+			c.disturb(s)
+			left := s.runningHosts()
+			s.waitUntil("five voters are running", func() bool {
+				voters := s.running[left[0]].control.VoterHosts()
+				return len(voters) == 5 && !slices.ContainsFunc(voters, func(host string) bool { return s.running[host] == nil })
+			})
+			voters := s.running[left[0]].control.VoterHosts()
+			time.Sleep(replacementSettles)
+			if !s.votersAre(left[0], voters...) {
+				t.Errorf("voters change from %v to %v though nothing happens", voters, s.running[left[0]].control.VoterHosts())
+			}
+			const version httproute.Version = 2
+			s.waitUntilReplaced(left[0], version)
+			s.loseFolders(voters[0], voters[1])
+			s.waitUntilRead(voters[4], version)
+		})
+	}
+}
+
+// replacementSettles is longer than a silence after which a voter is replaced.
+const replacementSettles = 3 * time.Second
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,8 @@
 	entry   *site.Entry
 	stop    context.CancelFunc
 	done    chan struct{}
+	// failsWrites lets a control daemon's writes to its data folder fail.
+	failsWrites atomic.Bool
 }
 
 func newDaemons(t testing.TB) *daemons {
@@ -119,13 +122,13 @@
 	return &cfg
 }
 
-func (d *daemons) start(host string, run func(ctx context.Context) error) {
+func (d *daemons) start(host string, r *running, run func(ctx context.Context) error) {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{stop: stop, done: make(chan struct{})}
+	r.stop = stop
 	d.running[host] = r
 	go func() {
 		defer close(r.done)
-		if err := run(ctx); err != nil {
+		if err := run(ctx); err != nil && !r.failsWrites.Load() {
 			d.t.Errorf("%s: %v", host, err)
 		}
 	}()
@@ -153,8 +156,9 @@
 		c.Log = funcr.New(func(_, line string) { d.log(host, line) }, funcr.Options{})
 	}
 	c.LoadSettings = func() (*settings.Site, error) { return cfg, nil }
-	d.start(host, c.Run)
-	d.running[host].control = c
+	r := &running{control: c, done: make(chan struct{})}
+	c.FailWrites(&r.failsWrites)
+	d.start(host, r, c.Run)
 }
 
 // waitForVoters waits until a daemon knows n voters.
@@ -174,8 +178,7 @@
 	e.DecodeConfig = decodeConfig
 	e.ReadyHandler = func(func() bool) http.Handler { return http.NotFoundHandler() }
 	e.LoadSettings = func() (*settings.Site, error) { return cfg, nil }
-	d.start(host, e.Run)
-	d.running[host].entry = e
+	d.start(host, &running{entry: e, done: make(chan struct{})}, e.Run)
 }
 
 // kill stops a daemon and waits for its end.
