Forget what is known of a member when it is removed

Fault: a leader kept its record of a removed member. One that was added again counted as silent, and as leaving, since its removal, and was removed again before it could answer. Members are removed and added more often now that waiting daemons are learners.

TestFormerMemberIsNotSilentWhenAdded: silent since 4.9 s before it was added, and leaving, without the change.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -412,7 +412,13 @@
 	}
 }
 
+// trackMembers starts to follow new members and forgets former ones: one that returns must not count as silent since then.
 func (c *Core) trackMembers(now time.Time) {
+	for id := range c.progress {
+		if c.position(id) < 0 {
+			delete(c.progress, id)
+		}
+	}
 	for _, m := range c.members {
 		if _, ok := c.progress[m.ID]; !ok {
 			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, lastAck: now, silentSince: now}
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -480,6 +481,37 @@
 	}
 }
 
+// A member that was removed and is added again counts as heard from when it was added.
+func TestFormerMemberIsNotSilentWhenAdded(t *testing.T) {
+	cluster, leader := clusterWithLeader(t, 4)
+	var former *simMember
+	for _, m := range cluster.members {
+		if m != leader {
+			former = m
+		}
+	}
+	change := func(members []quorum.Member) {
+		if _, ok := leader.core.ProposeMembers(cluster.now(leader), members); !ok {
+			t.Fatal("the leader refuses the change")
+		}
+		leader.core.Flush(cluster.now(leader))
+		cluster.drain(leader, false)
+	}
+	former.core.Leave()
+	cluster.runFor(timing.Election, func() {})
+	members := leader.core.Status().Members
+	change(slices.DeleteFunc(slices.Clone(members), func(m quorum.Member) bool { return m.ID == former.id }))
+	former.up = false
+	cluster.runFor(10*timing.Election, func() {})
+	addedAt := cluster.now(leader)
+	change(append(slices.Clone(leader.core.Status().Members), quorum.Member{ID: former.id}))
+	for _, f := range leader.core.Status().Followers {
+		if f.ID == former.id && (f.LastAck.Before(addedAt) || f.Leaving) {
+			t.Errorf("the former member counts as silent since %v before it was added, leaving %v", addedAt.Sub(f.LastAck), f.Leaving)
+		}
+	}
+}
+
 // A new leader knows since when a member has been silent. It counted from its election, so that each change of leaders gave
 // a lost voter another 2.5 s.
 func TestNewLeaderKnowsSilenceOfMembers(t *testing.T) {
