Let a stopping leader go on while all other voters are stopping, too

Cause: a leader that stops handed over again and again among daemons that all stop, so that no learner could get a vote before the stop grace ended. Found by reading; TestReplacementsOverlap, 'all restart at once', bounds the stops to 5 s (it did not fail before: learners usually won the race).

--- a/site/members.go
+++ b/site/members.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,7 +43,7 @@
 	learnerTimeout = replaceVoterAfter
 	// passVoteInterval is how often a stopping daemon checks whether it still has its vote.
 	passVoteInterval = 20 * time.Millisecond
-	// publishInterval is how long after a change of members the status shows it.
+	// publishInterval is how long after a change of members the status surely shows it.
 	publishInterval = 20 * time.Millisecond
 )
 
@@ -214,14 +215,16 @@
 	for ctx.Err() == nil {
 		status := c.node.Status()
 		if !canPassVoteOn(&status, c.self) {
-			c.Log.Info("vote checked before the end", "voter", c.IsVoter(), "members", status.Members, "waited-ms", clock.Since(began).Milliseconds())
+			c.Log.Info("nothing to wait for before the end", "voter", c.IsVoter(), "members", status.Members, "waited-ms", clock.Since(began).Milliseconds())
 			return
 		}
-		// A leader can't remove itself.
-		c.transferLeadership()
+		// A leader can't remove itself. While all others are stopping, too, it goes on, so that learners get their votes.
+		if hasStayingVoter(&status) {
+			c.transferLeadership()
+		}
 		sleep(ctx, passVoteInterval)
 	}
-	c.Log.Info("vote not passed on in time", "waited-ms", clock.Since(began).Milliseconds())
+	c.Log.Info("vote not passed on within the stop grace", "waited-ms", clock.Since(began).Milliseconds())
 }
 
 // announceLeave reports whether the quorum's member goes on; one that waits for its disk can't pass anything on.
@@ -244,6 +247,13 @@
 	}
 }
 
+// hasStayingVoter reports whether a leader has a follower with a vote that is not stopping.
+func hasStayingVoter(status *quorum.Status) bool {
+	return slices.ContainsFunc(status.Followers, func(f quorum.Follower) bool {
+		return !f.Leaving && slices.Contains(status.Members, quorum.Member{ID: f.ID, Voter: true})
+	})
+}
+
 // canPassVoteOn reports whether self has a vote, or may still have it, that the leader will pass on: to a learner, or to
 // nobody when the others are an odd number.
 func canPassVoteOn(status *quorum.Status, self quorum.MemberID) bool {
--- a/site/replace_control_test.go
+++ b/site/replace_control_test.go
@@ -168,6 +168,16 @@
 				s.startControl(host, false)
 			}
 		}},
+		{"all restart at once", []string{sixth}, func(s *controlSite) {
+			began := time.Now()
+			s.stopByPlan(s.hosts...)
+			if took := time.Since(began); took > stopsWithoutQuorum {
+				s.t.Errorf("the stops took %v", took)
+			}
+			for _, host := range s.hosts {
+				s.startControl(host, false)
+			}
+		}},
 		{"the waiting daemon stops first", []string{sixth}, func(s *controlSite) {
 			_, other := s.leaderAndOther()
 			s.stopByPlan(sixth)
@@ -228,5 +238,8 @@
 	}
 }
 
+// stopsWithoutQuorum is less than a stop grace: daemons that stop together don't wait for each other in vain.
+const stopsWithoutQuorum = 5 * time.Second
+
 // replacementSettles is longer than a silence after which a voter is replaced.
 const replacementSettles = 3 * time.Second
