--- a/site/export_test.go
+++ b/site/export_test.go
@@ -45,6 +45,9 @@
 	})
 }
 
+// MemberCount returns how many members the quorum has, as far as this daemon knows.
+func (c *Control) MemberCount() int { return len(c.node.Status().Members) }
+
 // VoterHosts returns the hosts of the voters in order, as far as this daemon knows.
 func (c *Control) VoterHosts() []string {
 	var hosts []string
--- a/site/replace_control_test.go
+++ b/site/replace_control_test.go
@@ -1,9 +1,12 @@
 package site_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +101,25 @@
 	}
 }
 
+// A planned replacement while two other voters are down leaves a majority: the stopping daemon takes part until its successor
+// votes.
+func TestPlannedReplacementWithTwoVotersDown(t *testing.T) {
+	const successor = "127.0.1.6"
+	s := startControlSite(t)
+	s.startSuccessors(s.hosts[0], successor)
+	leader, other := s.leaderAndOther()
+	for _, host := range s.hosts {
+		if host != leader && host != other && len(s.running) > 4 {
+			s.kill(host)
+		}
+	}
+	s.stopByPlan(other)
+	s.waitUntilReplaced(successor, 2)
+	if len(s.running) != 3 {
+		t.Errorf("%d daemons are running, want 3", len(s.running))
+	}
+}
+
 // runningHosts returns the hosts of the running daemons in order.
 func (d *daemons) runningHosts() []string {
 	var hosts []string
@@ -241,5 +263,66 @@
 // stopsWithoutQuorum is less than a stop grace: daemons that stop together don't wait for each other in vain.
 const stopsWithoutQuorum = 5 * time.Second
 
+// BenchmarkPlannedRestarts measures what it costs to restart every daemon of a site with ten control daemons: changes of
+// members, and how long a daemon takes to stop.
+func BenchmarkPlannedRestarts(b *testing.B) {
+	for _, atOnce := range []int{1, 2, 5} {
+		b.Run(fmt.Sprintf("%d at once", atOnce), func(b *testing.B) {
+			var changes atomic.Int64
+			var stopping time.Duration
+			stops := 0
+			for range b.N {
+				s := startTenControls(b, &changes)
+				changes.Store(0)
+				for hosts := range slices.Chunk(s.runningHosts(), atOnce) {
+					began := time.Now()
+					s.stopByPlan(hosts...)
+					stopping += time.Since(began)
+					stops++
+					for _, host := range hosts {
+						s.startControl(host, false)
+					}
+					s.waitForMembers(10)
+				}
+				for _, host := range s.runningHosts() {
+					s.kill(host)
+				}
+			}
+			b.ReportMetric(float64(changes.Load())/float64(b.N), "changes/op")
+			b.ReportMetric(float64(stopping.Milliseconds())/float64(stops), "ms/stop")
+		})
+	}
+}
+
+// startTenControls returns a site with five voters and five learners, whose changes of members are counted.
+func startTenControls(t testing.TB, changes *atomic.Int64) *daemons {
+	d := newDaemons(t)
+	d.log = func(_, line string) {
+		if strings.Contains(line, "control members changed") {
+			changes.Add(1)
+		}
+	}
+	for i := 1; i <= 10; i++ {
+		host := fmt.Sprintf("127.0.1.%d", i)
+		d.ports[host] = freePort(t, host)
+		d.startControl(host, i <= 5)
+	}
+	d.waitUntilReplaced("127.0.1.1", 1)
+	d.waitForMembers(10)
+	return d
+}
+
+// waitForMembers waits until all daemons know n members, five of them voters.
+func (d *daemons) waitForMembers(n int) {
+	d.waitUntil("all are members", func() bool {
+		for _, r := range d.running {
+			if r.control.Voters() != 5 || r.control.MemberCount() != n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // replacementSettles is longer than a silence after which a voter is replaced.
 const replacementSettles = 3 * time.Second
--- a/soak/process.go
+++ b/soak/process.go
@@ -15,6 +15,9 @@
 	"github.com/dunlinquay/dunlinquay/settings"
 )
 
+// handlesSignalsAfter is how long after its start a process surely handles SIGHUP; until then the signal ends it.
+const handlesSignalsAfter = time.Second
+
 // daemon is one process of the product; only processes that were started here are ever signalled.
 type daemon struct {
 	name ident.Daemon
@@ -47,14 +50,7 @@
 	if d.cmd != nil {
 		return nil
 	}
-	cfg := d.cfg
-	cfg.FirstStart = firstStart
-	content, err := json.MarshalIndent(&cfg, "", "  ")
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(d.dir, string(d.name)+".json")
-	if err := os.WriteFile(file, content, 0o600); err != nil {
+	if err := d.writeSettings(firstStart); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(d.dir, string(d.name)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -62,7 +58,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.CommandContext(context.Background(), d.bin, "site", "--settings", file)
+	cmd := exec.CommandContext(context.Background(), d.bin, "site", "--settings", d.settingsFile())
 	cmd.Stdout, cmd.Stderr = log, log
 	// The process must not outlive the soak.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -76,6 +72,35 @@
 	return nil
 }
 
+func (d *daemon) settingsFile() string {
+	return filepath.Join(d.dir, string(d.name)+".json")
+}
+
+// writeSettings writes the settings file; the mutex is held.
+func (d *daemon) writeSettings(firstStart bool) error {
+	cfg := d.cfg
+	cfg.FirstStart = firstStart
+	content, err := json.MarshalIndent(&cfg, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.settingsFile(), content, 0o600)
+}
+
+// changeSeeds writes other seeds into the settings and lets the process read them, unless it may not handle SIGHUP yet.
+func (d *daemon) changeSeeds(seeds []string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Seeds = seeds
+	if err := d.writeSettings(false); err != nil {
+		return err
+	}
+	if d.cmd != nil && time.Since(d.started) > handlesSignalsAfter {
+		return d.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
 func (d *daemon) wait(cmd *exec.Cmd, ended chan struct{}) {
 	// How it ended matters to nobody but the log, which has its last line.
 	_ = cmd.Wait()
--- a/soak/replacements.go
+++ b/soak/replacements.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -220,10 +222,9 @@
 	s.notef("%s has been replaced by %s", d.name, successor.name)
 	seeds := s.currentSeeds()
 	for _, other := range s.daemons() {
-		other.mu.Lock()
-		other.cfg.Seeds = seeds
-		other.mu.Unlock()
-		other.signal(syscall.SIGHUP)
+		if err := other.changeSeeds(seeds); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			s.notef("%s does not get the new seeds: %v", other.name, err)
+		}
 	}
 }
 
