--- a/site/members_test.go
+++ b/site/members_test.go
@@ -149,8 +149,8 @@
 }
 
 // Over random losses and stops, a step changes one voter at most, leaves fewer voters than before only if there are more
-// than five, or four, of which three tolerate as many losses, and never makes more than six: a majority of the old voters and one of the new ones always share a
-// member.
+// than five, or four, of which three tolerate as many losses, and never makes more than six: a majority of the old voters
+// and one of the new ones always share a member.
 func TestMembershipStepsOverlap(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	now := time.Unix(1000, 0)
