Let the log promote learners again for daemons that operators admit

What operators saw: a control member with a new data folder that was admitted by 'admit' never got its vote.

Now quorum.Node has PromoteLearners, which daemon sets and site does not, so that sites behave as before this commit.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -57,6 +57,7 @@
 func (m *controlMember) newNode(instance quorum.Instance) *quorum.Node {
 	cfg := m.d.cfg
 	node := quorum.NewNode(m.store)
+	node.PromoteLearners = true
 	node.Instance = instance
 	node.Timing = quorum.Timing{Heartbeat: cfg.Times.Heartbeat.Std(), Election: cfg.Times.Election.Std(), Lease: cfg.Times.Lease.Std()}
 	node.Seed = electionSeed(cfg.Name)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -110,12 +110,14 @@
 	votes               map[MemberID]bool
 	transferring        bool
 	// leaving is set once this member has announced that it stops.
-	leaving       bool
-	electedAt     time.Time
-	leaseEnd      time.Time
-	nextHeartbeat time.Time
-	lastBroadcast time.Time
-	progress      map[MemberID]*progress
+	leaving bool
+	// promotesLearners is set if this member, as leader, gives learners their votes by itself.
+	promotesLearners bool
+	electedAt        time.Time
+	leaseEnd         time.Time
+	nextHeartbeat    time.Time
+	lastBroadcast    time.Time
+	progress         map[MemberID]*progress
 	// silentSince holds the members that the leader has not heard from, as of its last append.
 	silentSince      map[MemberID]time.Time
 	snapshotRequests []MemberID
@@ -218,6 +220,25 @@
 	return id, best != nil
 }
 
+// PromoteLearners makes this member, as leader, give each learner a vote once it holds all committed entries.
+func (c *Core) PromoteLearners() {
+	c.promotesLearners = true
+}
+
+func (c *Core) promoteLearner(now time.Time) {
+	if !c.promotesLearners {
+		return
+	}
+	for i, m := range c.members {
+		if p := c.progress[m.ID]; !m.Voter && p != nil && p.match >= c.commit {
+			members := append([]Member(nil), c.members...)
+			members[i].Voter = true
+			c.ProposeMembers(now, members)
+			return
+		}
+	}
+}
+
 // Leave makes this member announce in all replies to the leader that it stops.
 func (c *Core) Leave() {
 	c.leaving = true
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -103,7 +103,10 @@
 	// Fatal is called once if the disk can no longer be trusted.
 	Fatal         func(err error)
 	SnapshotEvery Index
-	Log           logr.Logger
+	// PromoteLearners makes a leader give each learner a vote once it has caught up; without it, the callers of
+	// ProposeMembers do.
+	PromoteLearners bool
+	Log             logr.Logger
 
 	store     *Store
 	tasks     *park.Group
@@ -278,6 +281,9 @@
 		return err
 	}
 	n.core = NewCore(n.store.ID(), n.Instance, n.Timing, n.Seed, n.Now(), snapshot, hardState, entries)
+	if n.PromoteLearners {
+		n.core.PromoteLearners()
+	}
 	if snapshot == nil {
 		return nil
 	}
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -243,6 +243,7 @@
 	p.next = max(p.next, p.match+1)
 	before := c.commit
 	c.advanceCommit()
+	c.promoteLearner(now)
 	if c.commit > before {
 		// Followers learn the new commit index at once instead of with the next heartbeat.
 		c.broadcast(now)
