Ask for another change in the tests of replaced control daemons

A read right after two folders are lost may be answered by the former leader within the rest of its lease, though no majority is left.

Removed: a count of running daemons that the test itself had set and that could not fail. A daemon with a failing disk that does not end fails the test after a minute, not by the time-out of the package.

--- a/site/replace_control_test.go
+++ b/site/replace_control_test.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// waitUntilQuorumHas waits until a daemon reads a version and the next one is accepted. A read alone may be answered by the
+// former leader, within the rest of its lease, when no majority is left.
+func (d *daemons) waitUntilQuorumHas(host string, version httproute.Version) {
+	d.t.Helper()
+	d.waitUntilRead(host, version)
+	d.waitUntilReplaced(host, version+1)
+}
+
 // Two folders may be lost as soon as a replaced control daemon has ended by plan. Its vote ended 2.5 s later, and what was
 // acknowledged in between was gone for good.
 func TestPlannedReplacementToleratesTwoLostFolders(t *testing.T) {
@@ -96,7 +104,7 @@
 			const version httproute.Version = 2
 			s.waitUntilReplaced(left[0], version)
 			s.loseFolders(left[0], left[1])
-			s.waitUntilRead(left[len(left)-1], version)
+			s.waitUntilQuorumHas(left[len(left)-1], version)
 		})
 	}
 }
@@ -115,9 +123,6 @@
 	}
 	s.stopByPlan(other)
 	s.waitUntilReplaced(successor, 2)
-	if len(s.running) != 3 {
-		t.Errorf("%d daemons are running, want 3", len(s.running))
-	}
 }
 
 // runningHosts returns the hosts of the running daemons in order.
@@ -154,7 +159,14 @@
 	for deadline := time.Now().Add(8 * time.Second); time.Now().Before(deadline); {
 		version++
 		s.waitUntilReplaced(leader, version)
-		<-s.running[other].done
+		s.waitUntil("the daemon with the failing disk ends", func() bool {
+			select {
+			case <-s.running[other].done:
+				return true
+			default:
+				return false
+			}
+		})
 		if s.running[successor].control.IsVoter() {
 			return
 		}
@@ -165,11 +177,6 @@
 	t.Error("the successor has no vote after 8 s")
 }
 
-// votersAre reports whether the voters are at the given hosts, as a daemon knows.
-func (d *daemons) votersAre(known string, hosts ...string) bool {
-	return slices.Equal(d.running[known].control.VoterHosts(), hosts)
-}
-
 // Stops, returns and losses of control daemons that overlap with a planned replacement leave five voters that answer, and the
 // site tolerates two lost folders then.
 func TestReplacementsOverlap(t *testing.T) {
@@ -249,13 +256,13 @@
 			})
 			voters := s.running[left[0]].control.VoterHosts()
 			time.Sleep(replacementSettles)
-			if !s.votersAre(left[0], voters...) {
-				t.Errorf("voters change from %v to %v though nothing happens", voters, s.running[left[0]].control.VoterHosts())
+			if now := s.running[left[0]].control.VoterHosts(); !slices.Equal(now, voters) {
+				t.Errorf("voters change from %v to %v though nothing happens", voters, now)
 			}
 			const version httproute.Version = 2
 			s.waitUntilReplaced(left[0], version)
 			s.loseFolders(voters[0], voters[1])
-			s.waitUntilRead(voters[4], version)
+			s.waitUntilQuorumHas(voters[4], version)
 		})
 	}
 }
