Name what a leader knows of silence, and simplify the soak's replacements

Names and comments in quorum and site, no change of what they do: LastAck of a follower held a time that an earlier leader had reported and is LastHeard now; the head of members.go still said that no voter is removed without a replacement.

Soak: a fault has one mode in place of two flags; replaceBy had a result that could not be false; replacementUnderWay was a loop that slices.ContainsFunc has, with a comment that said more than it did.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -66,9 +66,8 @@
 	match   Index
 	next    Index
 	lastAck time.Time
-	// silentSince is lastAck, or an earlier time while the member has not answered this leader but is known to have been
-	// silent under the one before.
-	silentSince    time.Time
+	// lastHeard is lastAck or, until the member has answered this leader, the time that the one before had reported.
+	lastHeard      time.Time
 	ackedBroadcast time.Time
 	// refusingSince is when the member first refused an index that it had acknowledged before.
 	refusingSince time.Time
@@ -195,7 +194,7 @@
 	for _, m := range c.members {
 		if p := c.progress[m.ID]; m.ID != c.id && p != nil {
 			list = append(list, Follower{
-				ID: m.ID, LastAck: p.silentSince, LostData: p.lostData, CaughtUp: p.match >= c.commit,
+				ID: m.ID, LastHeard: p.lastHeard, LostData: p.lostData, CaughtUp: p.match >= c.commit,
 				Leaving: p.leaving, KnowsMembers: p.commit >= c.membersIndex,
 			})
 		}
@@ -442,7 +441,7 @@
 	}
 	for _, m := range c.members {
 		if _, ok := c.progress[m.ID]; !ok {
-			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, lastAck: now, silentSince: now}
+			c.progress[m.ID] = &progress{next: c.lastIndex() + 1, lastAck: now, lastHeard: now}
 		}
 	}
 }
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -506,8 +506,8 @@
 	addedAt := cluster.now(leader)
 	change(append(slices.Clone(leader.core.Status().Members), quorum.Member{ID: former.id}))
 	for _, f := range leader.core.Status().Followers {
-		if f.ID == former.id && (f.LastAck.Before(addedAt) || f.Leaving) {
-			t.Errorf("the former member counts as silent since %v before it was added, leaving %v", addedAt.Sub(f.LastAck), f.Leaving)
+		if f.ID == former.id && (f.LastHeard.Before(addedAt) || f.Leaving) {
+			t.Errorf("the former member counts as silent since %v before it was added, leaving %v", addedAt.Sub(f.LastHeard), f.Leaving)
 		}
 	}
 }
@@ -541,7 +541,7 @@
 			t.Fatalf("the receiver of the transfer is a %v", role)
 		}
 		for _, f := range leader.core.Status().Followers {
-			known, actual := cluster.now(leader).Sub(f.LastAck), cluster.elapsed-lostAt
+			known, actual := cluster.now(leader).Sub(f.LastHeard), cluster.elapsed-lostAt
 			if f.ID == lost.id && known < actual-timing.Election/2 {
 				t.Errorf("the new leader counts a silence of %v, it is %v", known, actual)
 			}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -129,7 +129,7 @@
 	c.trackMembers(now)
 	for id, since := range c.silentSince {
 		if p := c.progress[id]; p != nil {
-			p.silentSince = since
+			p.lastHeard = since
 		}
 	}
 	// Entries of earlier terms are committed together with an entry of the leader's own term.
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -54,9 +54,9 @@
 // Follower is a leader's view of one other member.
 type Follower struct {
 	ID MemberID
-	// LastAck is the time of its last reply to this leader or, as far as that is known, to the one before; else the time when
+	// LastHeard is the time of its last reply to this leader or, as far as that is known, to the one before; else the time when
 	// this leader started to send to it.
-	LastAck time.Time
+	LastHeard time.Time
 	// LostData is set if there is evidence that it lost synced entries.
 	LostData bool
 	// CaughtUp is set if it holds all committed entries on disk.
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -50,8 +50,8 @@
 func (c *Core) silences(now time.Time) []Silence {
 	var list []Silence
 	for _, m := range c.members {
-		if p := c.progress[m.ID]; p != nil && m.ID != c.id && now.Sub(p.silentSince) > silentHeartbeats*c.timing.Heartbeat {
-			list = append(list, Silence{ID: m.ID, For: now.Sub(p.silentSince)})
+		if p := c.progress[m.ID]; p != nil && m.ID != c.id && now.Sub(p.lastHeard) > silentHeartbeats*c.timing.Heartbeat {
+			list = append(list, Silence{ID: m.ID, For: now.Sub(p.lastHeard)})
 		}
 	}
 	return list
@@ -185,7 +185,7 @@
 	if c.role != RoleLeader || p == nil {
 		return
 	}
-	p.lastAck, p.silentSince, p.leaving, p.commit = now, now, m.Leaving, m.Commit
+	p.lastAck, p.lastHeard, p.leaving, p.commit = now, now, m.Leaving, m.Commit
 	if sent := c.electedAt.Add(time.Duration(m.Round)); sent.After(p.ackedBroadcast) && !sent.After(c.lastBroadcast) {
 		p.ackedBroadcast = sent
 		c.extendLease()
--- a/site/members.go
+++ b/site/members.go
@@ -6,7 +6,8 @@
 // learner at once and stays one until a vote is free, so that its promotion takes a single log entry.
 //
 // A voter is removed only after another member has been promoted in its place, so a majority of the voters always
-// includes one that holds what was acknowledged. This way two of five folders may be lost at once.
+// includes one that holds what was acknowledged. This way two of five folders may be lost at once. Only four voters become
+// three without a replacement: both tolerate one loss.
 
 import (
 	"context"
@@ -23,7 +24,7 @@
 	membershipInterval = 150 * time.Millisecond
 	// maxVoters is the number of voters that a site grows to: with five it survives two losses at once.
 	maxVoters = 5
-	// minVoters is the number of voters that tolerates one loss; no voter is removed from fewer without a replacement.
+	// minVoters is the number of voters that tolerates one loss, the fewest that are left when one is removed.
 	minVoters = 3
 	// replaceVoterAfter is how long a voter must be silent until a waiting daemon replaces it; a restart takes a
 	// second.
@@ -40,7 +41,8 @@
 	answerTime = 500 * time.Millisecond
 	// learnerTimeout is how long a learner may be silent before it is removed; stopping voters wait for it that long.
 	learnerTimeout = replaceVoterAfter
-	// publishInterval is how long after a change of members the status surely shows it.
+	// publishInterval is the time in which the status comes to show a change of members; if it does not, the same change is
+	// proposed once more.
 	publishInterval = 20 * time.Millisecond
 )
 
--- a/site/members_test.go
+++ b/site/members_test.go
@@ -24,13 +24,13 @@
 	s := &quorum.Status{ID: id("a", "1"), Role: quorum.RoleLeader}
 	for _, m := range members {
 		member := quorum.Member{ID: id(m[:1], m[1:2]), Voter: true}
-		follower := quorum.Follower{ID: member.ID, LastAck: now, CaughtUp: true}
+		follower := quorum.Follower{ID: member.ID, LastHeard: now, CaughtUp: true}
 		for _, mark := range m[2:] {
 			switch mark {
 			case '-':
-				follower.LastAck = now.Add(-time.Minute)
+				follower.LastHeard = now.Add(-time.Minute)
 			case '~':
-				follower.LastAck = now.Add(-time.Second)
+				follower.LastHeard = now.Add(-time.Second)
 			case '?':
 				member.Voter = false
 			case '%':
--- a/site/next_members.go
+++ b/site/next_members.go
@@ -88,7 +88,7 @@
 	if f.LostData {
 		return time.Hour
 	}
-	silentFor := now.Sub(f.LastAck)
+	silentFor := now.Sub(f.LastHeard)
 	if leading := now.Sub(status.ElectedAt); leading < answerTime {
 		return min(silentFor, leading)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -25,39 +26,46 @@
 	weight  int
 	// leaves is set when entries go on as they were, and know each other.
 	leaves bool
-	// stops is set for what is played with Plan.Stops only, replaces for what is played with Plan.Replacements only.
-	stops    bool
-	replaces bool
-	do       func(s *soak, ctx context.Context, random *rand.Rand) string
+	mode   mode
+	do     func(s *soak, ctx context.Context, random *rand.Rand) string
 }
 
+// mode says in which runs a fault is played.
+type mode uint8
+
+const (
+	anyRun mode = iota
+	stopsRun
+	replacementsRun
+)
+
 var faults = []fault{
-	{"stop an entry", true, 3, false, false, false, (*soak).stopEntry},
-	{"stop a control daemon", true, 2, false, false, false, (*soak).stopControl},
-	{"read settings again", true, 3, false, false, false, (*soak).hangUp},
-	{"an upstream leaves", true, 3, false, false, false, (*soak).drainUpstream},
-	{"an upstream comes", true, 2, false, false, false, (*soak).addUpstream},
-	{"an upstream asks for time", true, 3, true, false, false, (*soak).turnsAway},
-	{"a hall is drained", true, 2, true, false, false, (*soak).drainHall},
-	{"an upstream names a limit", true, 3, true, false, false, (*soak).limits},
-	{"the engines pause", true, 3, true, false, false, (*soak).pauseEngines},
-	{"stop entries in series", true, 6, false, true, false, (*soak).stopEntries},
-	{"stop an entry that has just started", true, 2, false, true, false, (*soak).stopStarted},
-	{"stop the leading control daemon", true, 1, false, true, false, (*soak).stopLeader},
-	{"replace a control daemon", true, 4, false, false, true, (*soak).replaceControl},
-	{"replace a lost control daemon", false, 2, false, false, true, (*soak).replaceLostControl},
-	{"lose folders after a change", false, 4, false, false, true, (*soak).loseFoldersAfterChange},
-	{"an upstream leaves without a report", false, 2, true, false, false, (*soak).leavesSilently},
-	{"kill an entry", false, 3, false, false, false, (*soak).killEntry},
-	{"kill a control daemon", false, 3, true, false, false, (*soak).killControl},
-	{"kill all control daemons", false, 1, true, false, false, (*soak).killControls},
-	{"lose a folder", false, 1, false, false, false, (*soak).loseFolder},
-	{"pause a process", false, 4, false, false, false, (*soak).freeze},
-	{"weather on a link", false, 8, false, false, false, (*soak).storm},
-	{"reset connections", false, 3, false, false, false, (*soak).resets},
-	{"an upstream crashes", false, 5, true, false, false, (*soak).crashUpstream},
-	{"answers get lost", false, 3, true, false, false, (*soak).loseAnswers},
-	{"an upstream turns slow", false, 3, true, false, false, (*soak).slowUpstream},
+	{"stop an entry", true, 3, false, anyRun, (*soak).stopEntry},
+	{"stop a control daemon", true, 2, false, anyRun, (*soak).stopControl},
+	{"read settings again", true, 3, false, anyRun, (*soak).hangUp},
+	{"an upstream leaves", true, 3, false, anyRun, (*soak).drainUpstream},
+	{"an upstream comes", true, 2, false, anyRun, (*soak).addUpstream},
+	{"an upstream asks for time", true, 3, true, anyRun, (*soak).turnsAway},
+	{"a hall is drained", true, 2, true, anyRun, (*soak).drainHall},
+	{"an upstream names a limit", true, 3, true, anyRun, (*soak).limits},
+	{"the engines pause", true, 3, true, anyRun, (*soak).pauseEngines},
+	{"stop entries in series", true, 6, false, stopsRun, (*soak).stopEntries},
+	{"stop an entry that has just started", true, 2, false, stopsRun, (*soak).stopStarted},
+	{"stop the leading control daemon", true, 1, false, stopsRun, (*soak).stopLeader},
+	{"replace a control daemon", true, 4, false, replacementsRun, (*soak).replaceControl},
+	{"replace a lost control daemon", false, 2, false, replacementsRun, (*soak).replaceLostControl},
+	{"lose folders after a change", false, 4, false, replacementsRun, (*soak).loseFoldersAfterChange},
+	{"an upstream leaves without a report", false, 2, true, anyRun, (*soak).leavesSilently},
+	{"kill an entry", false, 3, false, anyRun, (*soak).killEntry},
+	{"kill a control daemon", false, 3, true, anyRun, (*soak).killControl},
+	{"kill all control daemons", false, 1, true, anyRun, (*soak).killControls},
+	{"lose a folder", false, 1, false, anyRun, (*soak).loseFolder},
+	{"pause a process", false, 4, false, anyRun, (*soak).freeze},
+	{"weather on a link", false, 8, false, anyRun, (*soak).storm},
+	{"reset connections", false, 3, false, anyRun, (*soak).resets},
+	{"an upstream crashes", false, 5, true, anyRun, (*soak).crashUpstream},
+	{"answers get lost", false, 3, true, anyRun, (*soak).loseAnswers},
+	{"an upstream turns slow", false, 3, true, anyRun, (*soak).slowUpstream},
 }
 
 // trouble does one thing after the other, so that their effects overlap.
@@ -93,9 +101,9 @@
 // plays reports whether the plan has that fault in it.
 func (s *soak) plays(f *fault) bool {
 	switch {
-	case f.stops:
+	case f.mode == stopsRun:
 		return s.Stops
-	case f.replaces:
+	case f.mode == replacementsRun:
 		return s.Replacements
 	case s.Replacements:
 		return f.planned || f.leaves
@@ -245,7 +253,7 @@
 
 func (s *soak) killControl(ctx context.Context, random *rand.Rand) string {
 	d := one(random, s.controlDaemons())
-	if s.replacementUnderWay(d) {
+	if d.isReplaced() {
 		return ""
 	}
 	d.kill()
@@ -255,7 +263,7 @@
 
 func (s *soak) killControls(ctx context.Context, random *rand.Rand) string {
 	controls := s.controlDaemons()
-	if s.replacementUnderWay(controls...) {
+	if slices.ContainsFunc(controls, (*daemon).isReplaced) {
 		return ""
 	}
 	for _, d := range controls {
--- a/soak/replacements.go
+++ b/soak/replacements.go
@@ -31,15 +31,11 @@
 	lossPoll   = 50 * time.Millisecond
 )
 
-// replaceBy marks a daemon as replaced for good, unless it is already, and reports whether it has.
-func (d *daemon) replaceBy(successor *daemon) bool {
+// replaceBy marks a daemon as replaced for good.
+func (d *daemon) replaceBy(successor *daemon) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.successor != nil {
-		return false
-	}
 	d.successor = successor
-	return true
 }
 
 func (d *daemon) isReplaced() bool {
@@ -83,16 +79,6 @@
 	return min(2, (s.Controls-1)/2)
 }
 
-// replacementUnderWay reports whether one of the daemons is replaced and has not ended yet.
-func (s *soak) replacementUnderWay(daemons ...*daemon) bool {
-	for _, d := range daemons {
-		if d.isReplaced() {
-			return true
-		}
-	}
-	return false
-}
-
 // replaceable returns a control daemon that runs, is not stopping and has caught up, or nil.
 func (s *soak) replaceable(random *rand.Rand) *daemon {
 	controls := s.controlDaemons()
@@ -164,16 +150,14 @@
 	return d.signal(syscall.SIGTERM)
 }
 
-// newSuccessor returns the successor of a daemon, or nil if it has one.
+// newSuccessor returns the successor of a daemon, or nil if there is no address for one.
 func (s *soak) newSuccessor(d *daemon) *daemon {
 	successor, err := s.layControl(s.ctx)
 	if err != nil {
 		s.notef("no successor of %s: %v", d.name, err)
 		return nil
 	}
-	if !d.replaceBy(successor) {
-		return nil
-	}
+	d.replaceBy(successor)
 	return successor
 }
 
