Log which models lack groups, and what their domains have for another one

Change: the leader logs, at most once a second for each service, the report of each model that lacks groups; the report lists all domains, with the members of other models' groups that have the weights, and the loads that may start. No decision changes.

--- a/replicaset/explain.go
+++ b/replicaset/explain.go
@@ -24,6 +24,9 @@
 	Loading int `json:"loading"`
 	Other   int `json:"other"`
 	Slow    int `json:"slow"`
+	// Donors counts the members of other models' groups that have the weights, Members those of all groups.
+	Donors  int `json:"donors"`
+	Members int `json:"members"`
 }
 
 // Outlook is the capacity report of one model.
@@ -37,6 +40,8 @@
 	// Load is the demand as a fraction of the throughput of the Serving groups; 0 while the demand is unknown or no group serves.
 	Load  float64          `json:"load"`
 	Rooms []DomainCapacity `json:"rooms"`
+	// LoadBudget is the number of loads that may start now.
+	LoadBudget int `json:"load-budget"`
 	// Why is the reason why the model has no more groups.
 	Why string `json:"why"`
 }
@@ -49,13 +54,18 @@
 	return Explain(f.planInput())
 }
 
+// ExplainShortages returns the capacity reports of the models that lack groups.
+func (f *Formation) ExplainShortages() []Outlook {
+	return slices.DeleteFunc(f.Explain(), func(o Outlook) bool { return o.Serving >= o.Wanted })
+}
+
 // Explain returns the capacity report of every model.
 func Explain(input *PlanInput) []Outlook {
 	p := newPlan(input)
 	var reports []Outlook
 	for i := range input.Engine.Models {
 		m := &input.Engine.Models[i]
-		report := Outlook{Model: m.Name, Size: m.Size, Serving: p.capacity[m.Name], Wanted: p.wantedGroups(m.Name), Rooms: p.domainCapacities(m)}
+		report := Outlook{Model: m.Name, Size: m.Size, Serving: p.capacity[m.Name], Wanted: p.wantedGroups(m.Name), Rooms: p.domainCapacities(m), LoadBudget: input.LoadBudget}
 		if report.Serving > 0 {
 			report.Load = p.load(m, 0)
 		}
@@ -68,8 +78,19 @@
 func (p *plan) domainCapacities(m *httproute.Model) []DomainCapacity {
 	domains := byDomain(p.free, func(*Candidate) bool { return true })
 	var capacities []DomainCapacity
-	for _, domain := range sortedKeys(domains) {
+	for _, domain := range sortedKeys(p.domainSizes) {
 		capacity := DomainCapacity{Domain: domain}
+		for i := range p.Groups {
+			g := &p.Groups[i]
+			for j := range g.Members {
+				if g.Members[j].Domain == domain {
+					capacity.Members++
+				}
+			}
+			if g.Model != m.Name {
+				capacity.Donors += countReady(m, domain, g.Members)
+			}
+		}
 		for i := range domains[domain] {
 			switch c := &domains[domain][i]; {
 			case !fastEnough(c):
--- a/replicaset/explain_test.go
+++ b/replicaset/explain_test.go
@@ -20,16 +20,16 @@
 		// want is the report of the large model: groups, load, domain capacities and the reason.
 		want string
 	}{
-		{"enough groups", candidates("a:W"), existingGroups("large b:WWWW", "small b:ww"), demandFor(1, 1), "1.0 of 1, load 0.94, [{a 1 0 0 0}]: has the groups it needs"},
-		{"about to form a group", candidates("a:WWWW"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 4 0 0 0}]: domain a has enough members for a group, which is formed unless another model has a greater need"},
+		{"enough groups", candidates("a:W"), existingGroups("large b:WWWW", "small b:ww"), demandFor(1, 1), "1.0 of 1, load 0.94, [{a 1 0 0 0 0 0} {b 0 0 0 0 2 6}]: has the groups it needs"},
+		{"about to form a group", candidates("a:WWWW"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 4 0 0 0 0 0} {b 0 0 0 0 2 2}]: domain a has enough members for a group, which is formed unless another model has a greater need"},
 		{
 			"free members in several domains", candidates("a:WWW", "b:W"), existingGroups("large c:WWWW", "large d:WWWW", "small d:ww"), demandFor(3, 0.1),
-			"2.0 of 3, load 1.41, [{a 3 0 0 0} {b 1 0 0 0}]: no domain has 4 free upstreams with the weights; a group across domains is formed when 40% of the groups are missing",
+			"2.0 of 3, load 1.41, [{a 3 0 0 0 0 0} {b 1 0 0 0 0 0} {c 0 0 0 0 0 4} {d 0 0 0 0 2 6}]: no domain has 4 free upstreams with the weights; a group across domains is formed when 40% of the groups are missing",
 		},
-		{"free upstreams without weights", candidates("a:WW**"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 2 0}]: of 4 free upstreams, 2 have the weights and 0 are loading them"},
-		{"too few free upstreams", candidates("a:WW"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 0}]: only 2 upstreams are free"},
-		{"slow upstreams", slowed(candidates("a:WWWW"), 2), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 2}]: only 2 upstreams are free, not counting 2 slow ones"},
-		{"groups are closed for it", candidates("a:WWW"), existingGroups("small a:ww", "small b:ww"), demandFor(2, 1), "0.0 of 2, load 0.00, [{a 3 0 0 0}]: groups are closed to free the members of a better one"},
+		{"free upstreams without weights", candidates("a:WW**"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 2 0 0 0} {b 0 0 0 0 2 2}]: of 4 free upstreams, 2 have the weights and 0 are loading them"},
+		{"too few free upstreams", candidates("a:WW"), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 0 0 0} {b 0 0 0 0 2 2}]: only 2 upstreams are free"},
+		{"slow upstreams", slowed(candidates("a:WWWW"), 2), existingGroups("small b:ww"), demandFor(1, 1), "0.0 of 1, load 0.00, [{a 2 0 0 2 0 0} {b 0 0 0 0 2 2}]: only 2 upstreams are free, not counting 2 slow ones"},
+		{"groups are closed for it", candidates("a:WWW"), existingGroups("small a:ww", "small b:ww"), demandFor(2, 1), "0.0 of 2, load 0.00, [{a 3 0 0 0 2 2} {b 0 0 0 0 2 2}]: groups are closed to free the members of a better one"},
 	} {
 		o := replicaset.Explain(&replicaset.PlanInput{Engine: engineConfig(), Free: c.free, Groups: c.groups, Demand: c.demand, Usable: 48})[0]
 		got := fmt.Sprintf("%.1f of %.0f, load %.2f, %v: %s", o.Serving, o.Wanted, o.Load, o.Rooms, o.Why)
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -121,6 +121,8 @@
 	drainRollout *rollout[catalog.DrainRevision]
 	// departureExpiry is guarded by evaluating.
 	departureExpiry departureExpiry
+	// shortagesLoggedAt is when the models of a service that lack groups were last logged.
+	shortagesLoggedAt map[ident.Service]time.Time
 }
 
 // bytesPerMbit converts megabits to bytes.
@@ -149,6 +151,7 @@
 		drainRollout:      newRollout[catalog.DrainRevision](now, int(c.leaderEntryCount.Load())),
 		demand:            DemandRates{Forecast: c.Settings.Scheduling.Forecast},
 		loggedMethods:     map[ident.Model]string{},
+		shortagesLoggedAt: map[ident.Service]time.Time{},
 	}
 	if configVersion := c.stateMachine.Current().Version; configVersion > 0 {
 		r.configRollout.track(now, now, configVersion)
@@ -296,9 +299,23 @@
 			continue
 		}
 		f.Step(snapshot, s.Engine)
+		r.logShortages(now, s.Name, f)
 	}
 }
 
+// logShortages logs, at most once a second for each service, which models lack groups and what their domains have for another one.
+func (r *leadership) logShortages(now time.Time, service ident.Service, f *replicaset.Formation) {
+	if now.Sub(r.shortagesLoggedAt[service]) < time.Second {
+		return
+	}
+	shortages := f.ExplainShortages()
+	if len(shortages) == 0 {
+		return
+	}
+	r.shortagesLoggedAt[service] = now
+	r.control.Log.Info("models lack groups", "service", service, "shortages", shortages)
+}
+
 // logRollouts logs which configurations and orders on halls are in force at all entries, and which are late at some.
 func (r *leadership) logRollouts(now time.Time) {
 	for _, report := range r.drainRollout.newReports(now) {
