Count no loads of lost upstreams as in progress

Cause: a load was counted against the store's concurrent loads until its upstream was forgotten, 40 report intervals after its last report, or looked at as a candidate again, which a lost upstream is not. After as many losses of loading upstreams as the store serves at once, no load was started any more. Evidence: load-budget 0 in the leader's log from 17.5 s on with three to six upstreams loading of six allowed; TestLoadsOfLostUpstreamsDoNotCount: 0 of 4 new upstreams load before, 4 after. Why it works: the budget looks at the upstreams behind the loads.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -273,7 +273,18 @@
 	}
 	f.allowanceAt = now
 	// Beyond the number of loads that the store serves concurrently, each load only takes longer.
-	return max(0, min(int(f.loadAllowance), f.engine.ConcurrentLoads-len(f.staging)))
+	return max(0, min(int(f.loadAllowance), f.engine.ConcurrentLoads-f.loadsInProgress()))
+}
+
+// loadsInProgress counts the loads that take bandwidth of the weight store. Lost upstreams stay in the roster for a while, but load no more.
+func (f *Formation) loadsInProgress() int {
+	n := 0
+	for id, order := range f.staging {
+		if u := f.byID[id]; u != nil && !f.isLost(u) && !f.snapshot.Now.After(order.deadline) {
+			n++
+		}
+	}
+	return n
 }
 
 // isLost reports whether an upstream neither reports nor accepts connections.
