Load weights for the members that a domain lacks

Cause: groups are formed only from members that have the weights, and loads went to upstreams without weights and, as a reserve, to members of other groups. A domain with enough upstreams and the wrong weights was nobody's case; loads were also spread over domains that are too small for the model. Why it works: for each model that lacks groups, the group that needs the fewest loads is chosen, within a domain first, and its loads go before all others.

--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -193,9 +193,10 @@
 	if len(d.Close) == 0 && !input.BeforeFirstRequest {
 		d.Groups = append(d.Groups, p.formGroups((*plan).planCrossDomain)...)
 	}
-	d.Stage = p.chooseStaging()
-	d.WarmUp = p.chooseWarmUps(d.Stage)
 	d.Reason = p.summary()
+	d.Stage = p.chooseMissingLoads()
+	d.Stage = append(d.Stage, p.chooseStaging(d.Stage)...)
+	d.WarmUp = p.chooseWarmUps(d.Stage)
 	return d
 }
 
@@ -388,7 +389,7 @@
 
 // planCrossDomain plans a group from free upstreams of several domains, preferably of one hall, for a model that lacks groups.
 func (p *plan) planCrossDomain(m *httproute.Model) (GroupPlan, bool) {
-	if p.load(m, 0) <= plannedGroupLoad || p.deficit(m.Name) < crossDomainDeficit {
+	if !p.needsCrossDomain(m) {
 		return GroupPlan{}, false
 	}
 	readyByHall := map[ident.Hall]int{}
@@ -413,6 +414,11 @@
 	return group, true
 }
 
+// needsCrossDomain reports whether m lacks so many groups that one across domains is worth its members.
+func (p *plan) needsCrossDomain(m *httproute.Model) bool {
+	return p.load(m, 0) > plannedGroupLoad && p.deficit(m.Name) >= crossDomainDeficit
+}
+
 // fastestMembers plans a group of the candidates that are ready first, with the best head at the front.
 func fastestMembers(m *httproute.Model, candidates []Candidate) GroupPlan {
 	sorted := slices.Clone(candidates)
--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -9,10 +9,14 @@
 	"github.com/dunlinquay/dunlinquay/roster"
 )
 
-// chooseStaging chooses weights to load to hosts. An upstream without weights gets those of the model for which one more member is most
+// chooseStaging chooses weights to load to hosts, beside those that are already planned. An upstream without weights gets those of the model for which one more member is most
 // useful in its domain; any other upstream gets, while it works, those of a model that it could not join soon.
-func (p *plan) chooseStaging() []WeightLoad {
+func (p *plan) chooseStaging(planned []WeightLoad) []WeightLoad {
 	var loads []WeightLoad
+	isPlanned := map[ident.Incarnation]bool{}
+	for _, l := range planned {
+		isPlanned[l.ID] = true
+	}
 	addLoad := func(c *Candidate, m ident.Model) {
 		loads = append(loads, WeightLoad{c.ID, m})
 		p.loadsLeft--
@@ -20,10 +24,10 @@
 	available := p.availableMembers()
 	for i := range p.free {
 		c := &p.free[i]
-		if p.loadsLeft < 1 || c.Staging != "" || !withoutWeights(c) || p.BeforeFirstRequest {
+		if p.loadsLeft < 1 || c.Staging != "" || isPlanned[c.ID] || !withoutWeights(c) || p.BeforeFirstRequest {
 			continue
 		}
-		m := p.mostUsefulModel(available[c.Domain])
+		m := p.mostUsefulModel(c.Domain, available[c.Domain])
 		available[c.Domain][m]++
 		addLoad(c, m)
 	}
@@ -32,7 +36,7 @@
 		if p.loadsLeft < 1 {
 			break
 		}
-		if m := p.additionalModel(c, hosts[c.Domain]); m != "" {
+		if m := p.additionalModel(c, hosts[c.Domain]); m != "" && !isPlanned[c.ID] {
 			hosts[c.Domain][c.LastModel]--
 			hosts[c.Domain][m]++
 			addLoad(c, m)
@@ -133,11 +137,17 @@
 	return available
 }
 
-// mostUsefulModel returns the model for which one more upstream is most useful in a domain with the available members.
-func (p *plan) mostUsefulModel(available map[ident.Model]int) ident.Model {
+// mostUsefulModel returns the model for which one more upstream is most useful in a domain with the available members. Models whose groups
+// are larger than the domain count only if all are.
+func (p *plan) mostUsefulModel(domain ident.Domain, available map[ident.Model]int) ident.Model {
 	var best *httproute.Model
 	bestScore := 0.0
-	for _, m := range p.byDeficit() {
+	fits := func(m *httproute.Model) bool { return m.Size <= p.domainSizes[domain] }
+	models := p.byDeficit()
+	if slices.ContainsFunc(models, fits) {
+		models = slices.DeleteFunc(models, func(m *httproute.Model) bool { return !fits(m) })
+	}
+	for _, m := range models {
 		// The fewer members a group lacks, the higher is the score.
 		score := p.deficit(m.Name) + float64(available[m.Name]%m.Size+1)/float64(m.Size)
 		if best == nil || score > bestScore {
