Form groups anew before the first request

Cause: upstreams arrive one after the other. Whatever is free when arrivals pause becomes groups and spares, and a small group fits first; nothing took it apart again, although no group serves anybody yet and loads take a tenth of the time. Evidence: the leader's log: first spares at -22.1 s, 10 of 6 small and 0 of 3 large groups at -14.3 s, unchanged until the end. TestSlowArrivalLeavesNoModelWithoutGroups: 10 small and no large group in 12 of 12 cases before, none after. Why it works: before the first request, groups of a model are closed for one that has a smaller part of its share.

--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -187,7 +187,9 @@
 	p := newPlan(input)
 	var d Decision
 	d.Groups = p.formGroups((*plan).planLocal)
-	if !input.BeforeFirstRequest {
+	if input.BeforeFirstRequest {
+		d.Close = p.chooseRegrouping()
+	} else {
 		d.Close = p.chooseClosings()
 	}
 	if len(d.Close) == 0 && !input.BeforeFirstRequest {
