Let all upstreams of tight domains join groups of both models

Cause: in a domain without room for both models, hosts keep the weights of the model that the upstream uses for the case that the whole domain restarts. After losses, what remains of the domain is too small for a large group, and lacks one or two members with the weights of the small one; loads take 12 s. Change: where a domain has room for either model but not for both, each host gets the weights of the other model. After a restart of the whole domain it forms groups of that model.

--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -103,18 +103,18 @@
 	last, ok := p.Engine.Model(c.LastModel)
 	reserved := ok && roster.HasModel(c.Staged, c.LastModel) && hosts[c.LastModel] <= last.Size
 	for _, m := range p.byDeficit() {
-		if m.Name != c.LastModel && (!reserved || hosts[m.Name] < m.Size && p.supersedes(m, last, c.Domain)) {
+		if m.Name != c.LastModel && (!reserved || p.excludes(last, m, c.Domain)) {
 			return m.Name
 		}
 	}
 	return ""
 }
 
-// supersedes reports whether a domain is too small for a group of the larger model m beside one of another model. Its hosts then keep the
-// weights of m, so that a group of m can take the place of the others at once; after a restart it serves with more of the upstreams.
-func (p *plan) supersedes(m, other *httproute.Model, domain ident.Domain) bool {
+// excludes reports whether a domain has room for a group of either model, but not of both. Each of its upstreams can then join groups of both
+// models, so that those of one can take the place of the other's at once; after a restart the domain forms groups of the other model.
+func (p *plan) excludes(a, b *httproute.Model, domain ident.Domain) bool {
 	size := p.domainSizes[domain]
-	return m.Size > other.Size && m.Size <= size && m.Size+other.Size > size
+	return max(a.Size, b.Size) <= size && size < a.Size+b.Size
 }
 
 // availableMembers counts, for each domain and model, the possible members of a new group: free upstreams and members of groups
