Bound the orders that wait for an answer

Callers saw: SHORT. Cause: at the start of a large site the leader sends an order to each of 925 upstreams at once, on half of a core. It answers nobody for a second, loses its lease, and 474 outcomes are dropped, since their queue holds 256. The next leader knows neither the orders nor the groups that were forming. Evidence: leader's log: 925 orders at -9.1 s, leadership lost at -8.5 s, "unknown to this leader" for 30 groups, 3 of 29 and 6 of 57 groups until 21 s.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -91,14 +91,32 @@
 // startPlanned carries out the decision of Plan.
 func (f *Formation) startPlanned() {
 	d := Plan(f.planInput())
+	unanswered := f.unansweredOrders()
+	// mayStart reports whether more orders may be sent; what is not started is planned again in the next step.
+	mayStart := func(orders int) bool {
+		if unanswered > 0 && unanswered+orders > MaxUnansweredOrders {
+			return false
+		}
+		unanswered += orders
+		return true
+	}
 	for i := range d.Groups {
+		if !mayStart(len(d.Groups[i].Members)) {
+			return
+		}
 		f.formGroup(&d.Groups[i], d.Reason)
 	}
 	f.closeGroups(d.Close, d.Reason)
 	for _, l := range d.Stage {
+		if !mayStart(1) {
+			return
+		}
 		f.stageWeights(l)
 	}
 	for _, l := range d.WarmUp {
+		if !mayStart(1) {
+			return
+		}
 		f.warmUpSpare(l)
 	}
 }
@@ -145,7 +163,7 @@
 
 func (f *Formation) stageWeights(l WeightLoad) {
 	f.useLoads(1)
-	f.staging[l.ID] = stagingOrder{l.Model, f.snapshot.Now.Add(f.loadTimeout(l.Model))}
+	f.staging[l.ID] = stagingOrder{model: l.Model, deadline: f.snapshot.Now.Add(f.loadTimeout(l.Model)), sentAt: f.snapshot.Now, pending: true}
 	f.Send(Order{To: l.ID, Address: f.byID[l.ID].Address, Action: ActionStage, Model: l.Model, Fence: f.Fence})
 }
 
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -30,6 +30,9 @@
 )
 
 const (
+	// MaxUnansweredOrders is the number of unanswered orders from which no group, warm-up or load is started: a leader that sends an order to
+	// every upstream of a large site at once is late with its heartbeats and loses leadership.
+	MaxUnansweredOrders = 128
 	// resendAfter is the time after which an unanswered order is sent again; engines answer within milliseconds.
 	resendAfter = time.Second
 	// orderRetention is how long orders are kept; no order is carried out later than that.
@@ -87,6 +90,9 @@
 type stagingOrder struct {
 	model    ident.Model
 	deadline time.Time
+	sentAt   time.Time
+	// pending is set until the outcome of the order is known.
+	pending bool
 }
 
 // Formation manages the groups of one service. Exported fields are set before use; Step and HandleOutcome must not run concurrently.
--- a/replicaset/orders.go
+++ b/replicaset/orders.go
@@ -70,6 +70,23 @@
 	f.Send(order)
 }
 
+// unansweredOrders counts the orders whose outcome is still expected.
+func (f *Formation) unansweredOrders() int {
+	n := 0
+	expected := func(pending bool, sentAt time.Time) bool { return pending && f.snapshot.Now.Sub(sentAt) < resendAfter }
+	for _, o := range f.orders {
+		if expected(o.pending, o.sentAt) {
+			n++
+		}
+	}
+	for _, o := range f.staging {
+		if expected(o.pending, o.sentAt) {
+			n++
+		}
+	}
+	return n
+}
+
 // uncertain reports whether an attempt of the order may still be carried out late, and when the last such attempt was sent.
 func (o *sentOrder) uncertain() (bool, time.Time) {
 	if o.pending {
@@ -163,7 +180,13 @@
 }
 
 func (f *Formation) handleStageOutcome(o *Order, outcome Outcome) {
-	if previous, ok := f.staging[o.To]; ok && outcome != OutcomeAccepted {
-		f.staging[o.To] = stagingOrder{previous.model, f.snapshot.Now.Add(stageRetryAfter)}
+	staged, ok := f.staging[o.To]
+	if !ok {
+		return
+	}
+	staged.pending = false
+	if outcome != OutcomeAccepted {
+		staged.deadline = f.snapshot.Now.Add(stageRetryAfter)
 	}
+	f.staging[o.To] = staged
 }
--- a/replicaset/simulation_test.go
+++ b/replicaset/simulation_test.go
@@ -132,9 +132,11 @@
 	// spares is Formation.Spares of each leader.
 	spares     bool
 	ordersSent int
-	decisions  int
-	lastID     int
-	violations []string
+	// outcomesKnown counts the orders whose outcome the formation has received.
+	outcomesKnown int
+	decisions     int
+	lastID        int
+	violations    []string
 	// trace lists decisions, orders and their execution.
 	trace []string
 }
@@ -235,6 +237,7 @@
 		outcome := f.deliverOrder(f.byID[o.To], &o)
 		if f.dropOutcome == nil || !f.dropOutcome(&o) {
 			f.formation.HandleOutcome(&o, outcome)
+			f.outcomesKnown++
 		}
 		return
 	}
@@ -248,10 +251,16 @@
 		if f.random.Float64() < f.droppedFraction {
 			return
 		}
-		f.schedule(at, func() { formation.HandleOutcome(&o, outcome) })
+		f.schedule(at, func() {
+			formation.HandleOutcome(&o, outcome)
+			f.outcomesKnown++
+		})
 	})
 }
 
+// unanswered counts the orders whose outcome the formation has not received.
+func (f *fleet) unanswered() int { return f.ordersSent - f.outcomesKnown }
+
 func (f *fleet) transitDelay() time.Duration {
 	return time.Duration(f.random.Int64N(int64(f.maxTransit)))
 }
