Start a leadership from the roster of the daemon's previous one

Cause: a daemon that loses its lease for a moment and leads again starts without any upstream or group, because only followers keep a copy of the roster: it dissolves the groups that it formed itself. And every daemon that has run since the first start of the site takes it for new until an entry reports a request: loads are not limited then, and the demand is not asked for. Evidence: "leadership started ... upstreams 0" 0.46 s after the same daemon's leadership ended. TestLeaderAgainKnowsItsGroups fails before and passes after. Why it works: the ended leadership leaves its roster as the copy, as old as its lease, and a copy with a group that served says that the site isn't new.

--- a/site/export_test.go
+++ b/site/export_test.go
@@ -534,3 +534,17 @@
 
 // CommittedEntries returns the index of the newest committed log entry.
 func (c *Control) CommittedEntries() uint64 { return uint64(c.node.Status().Commit) }
+
+// StartLeadership returns a leadership of a control daemon that is not running, as a new leader starts it.
+func (c *Control) StartLeadership(term quorum.Term) Leadership {
+	return Leadership{c.newLeadership(&quorum.Status{Term: term})}
+}
+
+// EndLeadership ends a leadership whose lease just held.
+func (c *Control) EndLeadership(r Leadership) {
+	r.leaseHeldAt = clock.Now()
+	c.keepRoster(r.leadership)
+}
+
+// IsInitialStart reports whether the leadership plans as before the first request of a new site.
+func (r Leadership) IsInitialStart() bool { return r.initialStart }
--- a/site/leadership.go
+++ b/site/leadership.go
@@ -76,7 +76,8 @@
 	decisions    decisionLog
 	epochCounter uint64
 	orderResults chan orderResult
-	// initialStart is set from the first start of a site until its first request.
+	// initialStart is set from the first start of a site until its first request. Later leaderships that know of groups that served plan as
+	// after the first request.
 	initialStart bool
 	prober       *prober
 	slowdowns    *slowdownTracker
@@ -121,6 +122,8 @@
 	drainRollout *rollout[catalog.DrainRevision]
 	// departureExpiry is guarded by evaluating.
 	departureExpiry departureExpiry
+	// leaseHeldAt is when the lease last held.
+	leaseHeldAt time.Time
 	// shortagesLoggedAt is when the models of a service that lack groups were last logged.
 	shortagesLoggedAt map[ident.Service]time.Time
 }
@@ -144,7 +147,6 @@
 		totals:            map[ident.Incarnation]int{},
 		localShareEntries: map[ident.Incarnation]int{},
 		bulkPacer:         pacer{bytesPerSecond: pacedLinkFraction * float64(c.Settings.LinkMbps) * bytesPerMbit},
-		initialStart:      c.Settings.FirstStart,
 		prober:            newProber(c.Dial),
 		slowdowns:         newSlowdownTracker(c.slowdownQuery(), c.Log),
 		configRollout:     newRollout[httproute.Version](now, int(c.leaderEntryCount.Load())),
@@ -152,6 +154,7 @@
 		demand:            DemandRates{Forecast: c.Settings.Scheduling.Forecast},
 		loggedMethods:     map[ident.Model]string{},
 		shortagesLoggedAt: map[ident.Service]time.Time{},
+		leaseHeldAt:       now,
 	}
 	if configVersion := c.stateMachine.Current().Version; configVersion > 0 {
 		r.configRollout.track(now, now, configVersion)
@@ -172,12 +175,23 @@
 	if !fresh && !c.Settings.FirstStart {
 		r.settledAt = now.Add(settleReportIntervals * reportInterval)
 	}
+	r.initialStart = c.Settings.FirstStart && !hasServingGroup(c.rosterCopy)
 	for _, d := range c.stateMachine.Departures() {
 		r.roster.ApplyDeparture(now, d.ID, d.SignedOff)
 	}
 	return r
 }
 
+// hasServingGroup reports whether a copy of a roster has a group that served, so that requests may have arrived already.
+func hasServingGroup(copied *roster.Copy) bool {
+	for _, g := range copied.Groups {
+		if g.Inheritable() {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *leadership) seed(now time.Time, copied *roster.Copy) {
 	var upstreams []roster.Upstream
 	for _, u := range copied.Upstreams {
@@ -217,6 +231,7 @@
 	if r != nil && (status.Role != quorum.RoleLeader || status.Term != r.term) {
 		c.Log.Info("leadership ended", "leadership", r.name, "leader", status.Leader, "term", status.Term)
 		c.leadership.Store(nil)
+		c.keepRoster(r)
 		c.metrics.load.publish(&siteload.Summary{})
 		// Calls that wait here for updates are answered at once, so that their callers turn to the next leader.
 		c.notifyWaiting()
@@ -231,6 +246,18 @@
 	return r
 }
 
+// keepRoster makes the roster of an ended leadership the copy that the next leadership of this daemon may start from, as a follower's copy
+// would be.
+func (c *Control) keepRoster(r *leadership) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	full := r.roster.Since(0)
+	c.rosterCopy = roster.NewCopy()
+	c.rosterCopy.Apply(&full)
+	c.copyConfirmedAt = r.leaseHeldAt
+	c.copyLeadership = r.name
+}
+
 // evaluatePause returns how long changes are gathered after an evaluation of the given duration.
 func evaluatePause(duration time.Duration) time.Duration {
 	return min(evaluateInterval, max(minEvaluatePause, evaluatePauseFactor*duration))
@@ -273,6 +300,7 @@
 	if !r.control.leads() {
 		return
 	}
+	r.leaseHeldAt = now
 	r.logRollouts(now)
 	r.roster.Expire(now)
 	r.expireDepartures(now)
