--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -184,7 +184,6 @@
 		}
 	}
 	input.LoadBudget = f.loadBudget()
-	input.ReserveBudget = f.reserveBudget(input.LoadBudget)
 	return input
 }
 
@@ -295,15 +294,6 @@
 	return max(0, min(int(f.loadAllowance), f.engine.ConcurrentLoads-f.loadsInProgress()))
 }
 
-// reserveBudget returns how many of the loads that may start may be of weights that no group needs yet. They take long, so once they use
-// half of what the store serves at the same time, the other half stays free for the loads that complete groups.
-func (f *Formation) reserveBudget(loadBudget int) int {
-	if f.BeforeFirstRequest {
-		return loadBudget
-	}
-	return max(0, min(loadBudget, int(reserveLoadFraction*float64(f.engine.ConcurrentLoads))-f.loadsInProgress()))
-}
-
 // loadsInProgress counts the loads that take bandwidth of the weight store. Lost upstreams stay in the roster for a while, but load no more.
 func (f *Formation) loadsInProgress() int {
 	n := 0
--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -82,8 +82,6 @@
 	loadBurst = 4
 	// loadRateFraction is the fraction of the weight store's rate that is used: orders that are carried out late may add loads later.
 	loadRateFraction = 0.75
-	// reserveLoadFraction is the fraction of the store's concurrent loads up to which weights are loaded in reserve.
-	reserveLoadFraction = 0.5
 )
 
 // stagingOrder is an order to load weights to a host, which is treated as failed after the deadline.
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -133,9 +133,8 @@
 	Usable int
 	// Demand is the same as in Snapshot.
 	Demand map[ident.Model]float64
-	// LoadBudget is the number of loads that may start now, ReserveBudget how many of them may be of weights that no group needs yet.
-	LoadBudget    int
-	ReserveBudget int
+	// LoadBudget is the number of loads that may start now.
+	LoadBudget int
 	// BeforeFirstRequest is set until the first request arrives; until then loads are cheap.
 	BeforeFirstRequest bool
 	// Spares is the same as in Formation.
--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -201,7 +201,7 @@
 		{name: "groups and warm-ups that load weights before the first request", free: candidates("a:********"), beforeFirstRequest: true, loads: 8, want: []string{"large a-0 a-1 a-2 a-3", "small a-4 a-5", "warm large a-6", "warm small a-7"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &replicaset.PlanInput{Engine: engineConfig(), Free: c.free, Groups: c.groups, Expected: c.expected, Demand: c.demand, Usable: 48, LoadBudget: c.loads, ReserveBudget: c.loads, BeforeFirstRequest: c.beforeFirstRequest}
+			s := &replicaset.PlanInput{Engine: engineConfig(), Free: c.free, Groups: c.groups, Expected: c.expected, Demand: c.demand, Usable: 48, LoadBudget: c.loads, BeforeFirstRequest: c.beforeFirstRequest}
 			d := replicaset.Plan(s)
 			if diff := cmp.Diff(c.want, decisionText(&d)); diff != "" {
 				t.Errorf("decision (-want +got):\n%s", diff)
--- a/replicaset/weights.go
+++ b/replicaset/weights.go
@@ -32,16 +32,14 @@
 		addLoad(c, m)
 	}
 	hosts := p.stagedHosts()
-	reserveLeft := min(p.loadsLeft, p.ReserveBudget-len(planned)-len(loads))
 	for _, c := range p.stagingCandidates() {
-		if reserveLeft < 1 {
+		if p.loadsLeft < 1 {
 			break
 		}
 		if m := p.additionalModel(c, hosts[c.Domain]); m != "" && !isPlanned[c.ID] {
 			hosts[c.Domain][c.LastModel]--
 			hosts[c.Domain][m]++
 			addLoad(c, m)
-			reserveLeft--
 		}
 	}
 	return loads
