Form groups anew only for models with less than half of their share

Cause: the declared shares are a guess at the demand. Change: groups are closed for a model only if it lacks half of its share.

--- a/replicaset/regroup.go
+++ b/replicaset/regroup.go
@@ -14,11 +14,15 @@
 	"github.com/dunlinquay/dunlinquay/ident"
 )
 
+// regroupDeficit is the fraction of a model's groups that must be missing before groups are closed for it: the declared shares are only a
+// guess at the demand.
+const regroupDeficit = 0.5
+
 // chooseRegrouping returns the groups to close in one domain, so that the largest deficit of the models by their declared shares falls.
 func (p *plan) chooseRegrouping() []Closing {
 	for _, m := range p.byDeficit() {
-		if p.deficit(m.Name) <= 0 {
-			return nil
+		if p.deficit(m.Name) < regroupDeficit {
+			continue
 		}
 		var best []*ExistingGroup
 		var bestDomain ident.Domain
