Count all usable upstreams of a domain when its room is judged

Cause: without spares, members of closing groups were not counted, so a domain counted as too small for both models while a group closed.

--- a/replicaset/begin.go
+++ b/replicaset/begin.go
@@ -168,7 +168,8 @@
 }
 
 func (f *Formation) planInput() *PlanInput {
-	input := &PlanInput{Engine: f.engine, Demand: f.snapshot.Demand, BeforeFirstRequest: f.BeforeFirstRequest, Spares: f.Spares, Expected: map[ident.Domain]ExpectedGroups{}}
+	input := &PlanInput{Engine: f.engine, Demand: f.snapshot.Demand, BeforeFirstRequest: f.BeforeFirstRequest, Spares: f.Spares}
+	input.Expected, input.DomainSizes = map[ident.Domain]ExpectedGroups{}, map[ident.Domain]int{}
 	for _, c := range f.replacing {
 		input.Expected[c.Domain] = c.Expected
 	}
@@ -179,6 +180,7 @@
 			continue
 		}
 		input.Usable++
+		input.DomainSizes[u.Domain]++
 		if !inGroup[u.ID] && f.isFree(u) {
 			input.Free = append(input.Free, f.candidate(u))
 		}
--- a/replicaset/plan.go
+++ b/replicaset/plan.go
@@ -129,8 +129,9 @@
 	Groups []ExistingGroup
 	// Expected holds the new groups of domains in which groups are closing.
 	Expected map[ident.Domain]ExpectedGroups
-	// Usable is the number of usable upstreams, free or not.
-	Usable int
+	// Usable is the number of usable upstreams, free or not, and DomainSizes that of each domain; if it is nil, the listed upstreams count.
+	Usable      int
+	DomainSizes map[ident.Domain]int
 	// Demand is the same as in Snapshot.
 	Demand map[ident.Model]float64
 	// LoadBudget is the number of loads that may start now.
@@ -323,6 +324,9 @@
 
 // countDomains counts the upstreams of each domain.
 func countDomains(input *PlanInput) map[ident.Domain]int {
+	if input.DomainSizes != nil {
+		return input.DomainSizes
+	}
 	counts := map[ident.Domain]int{}
 	add := func(candidates []Candidate) {
 		for i := range candidates {
