--- a/cmd/dunlinquay/inspect.go
+++ b/cmd/dunlinquay/inspect.go
@@ -264,9 +264,9 @@
 		m := &s.Models[i]
 		fmt.Fprintln(t, "MODEL\tSIZE\tSERVING\tWANTED\tLOAD\tWHY")
 		modelRow(t, m)
-		fmt.Fprintln(t, "\nDOMAIN\tFREE, READY\tLOADING\tWITHOUT WEIGHTS\tSLOW")
+		fmt.Fprintln(t, "\nDOMAIN\tFREE, READY\tLOADING\tWITHOUT WEIGHTS\tSLOW\tMEMBERS\tDONORS")
 		for _, r := range m.Rooms {
-			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", r.Domain, r.Ready, r.Loading, r.Other, r.Slow)
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", r.Domain, r.Ready, r.Loading, r.Other, r.Slow, r.Members, r.Donors)
 		}
 		fmt.Fprintln(t)
 	}
