Choose no loads for missing members while none may start

Change: the search for the domains that need the fewest loads is skipped when the budget is used up, as it mostly is while models lack groups.

--- a/replicaset/completion.go
+++ b/replicaset/completion.go
@@ -88,7 +88,7 @@
 // chooseMissingLoads chooses the loads that complete groups of the models that lack some, and counts these groups as existing.
 func (p *plan) chooseMissingLoads() []WeightLoad {
 	var loads []WeightLoad
-	if len(p.requiredGroups) == 0 || p.BeforeFirstRequest {
+	if len(p.requiredGroups) == 0 || p.BeforeFirstRequest || p.loadsLeft < 1 {
 		return loads
 	}
 	pool := p.newCompletionPool()
@@ -101,7 +101,7 @@
 		p.applyCompletion(c)
 		for _, member := range c.loads {
 			if p.loadsLeft < 1 {
-				break
+				return loads
 			}
 			loads = append(loads, WeightLoad{member.ID, c.model.Name})
 			p.loadsLeft--
