Count only orders that start something when orders are bounded

Cause (by reading): orders to leave go to upstreams that may be lost and stay unanswered for a second; with many of them, groups that replace the lost ones would wait.

--- a/replicaset/formation.go
+++ b/replicaset/formation.go
@@ -30,8 +30,8 @@
 )
 
 const (
-	// MaxUnansweredOrders is the number of unanswered orders from which no group, warm-up or load is started: a leader that sends an order to
-	// every upstream of a large site at once is late with its heartbeats and loses leadership.
+	// MaxUnansweredOrders is the number of unanswered orders to join and to stage from which no group, warm-up or load is started: a leader
+	// that sends an order to every upstream of a large site at once is late with its heartbeats and loses leadership.
 	MaxUnansweredOrders = 128
 	// resendAfter is the time after which an unanswered order is sent again; engines answer within milliseconds.
 	resendAfter = time.Second
--- a/replicaset/orders.go
+++ b/replicaset/orders.go
@@ -70,12 +70,13 @@
 	f.Send(order)
 }
 
-// unansweredOrders counts the orders whose outcome is still expected.
+// unansweredOrders counts the orders to join and to stage whose outcome is still expected. Orders to leave do not count:
+// they go to upstreams that may be lost, and must not hold up the groups that replace theirs.
 func (f *Formation) unansweredOrders() int {
 	n := 0
 	expected := func(pending bool, sentAt time.Time) bool { return pending && f.snapshot.Now.Sub(sentAt) < resendAfter }
-	for _, o := range f.orders {
-		if expected(o.pending, o.sentAt) {
+	for key, o := range f.orders {
+		if key.action == ActionJoin && expected(o.pending, o.sentAt) {
 			n++
 		}
 	}
