Test that tight domains load both models to all their upstreams

The change had no test of its own that fails without it: TestGroupsBecomeTheBestOnes passed before, too. The new case of TestPlan fails on (one load in place of five) and passes now. Nothing that runs changes.

--- a/replicaset/plan_test.go
+++ b/replicaset/plan_test.go
@@ -198,6 +198,11 @@
 			name: "no additional model if the one on the host is needed after a restart", groups: existingGroups("large a:LLLL", "small a:SS"), loads: 9, demand: demandFor(1, 1),
 			want: []string{},
 		},
+		{
+			name: "an additional model for all upstreams of a domain without room for both, whatever a restart needs", free: candidates("a:L"),
+			groups: existingGroups("large a:LLLL", "small b:SS"), loads: 9, demand: demandFor(1, 1),
+			want: []string{"stage small a-0", "stage small g0-0", "stage small g0-1", "stage small g0-2", "stage small g0-3"},
+		},
 		{name: "groups and warm-ups that load weights before the first request", free: candidates("a:********"), beforeFirstRequest: true, loads: 8, want: []string{"large a-0 a-1 a-2 a-3", "small a-4 a-5", "warm large a-6", "warm small a-7"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
