Look for models that lack groups once a second, not in each evaluation

Cause: while no model lacks groups nothing is logged, and the report of all models was worked out anew every 50 ms. Found by reading; its cost was not measured. Change: the check itself is limited to once a second for each service.

--- a/site/leadership.go
+++ b/site/leadership.go
@@ -124,8 +124,8 @@
 	departureExpiry departureExpiry
 	// leaseHeldAt is when the lease last held.
 	leaseHeldAt time.Time
-	// shortagesLoggedAt is when the models of a service that lack groups were last logged.
-	shortagesLoggedAt map[ident.Service]time.Time
+	// shortagesCheckedAt is when each service was last checked for models that lack groups.
+	shortagesCheckedAt map[ident.Service]time.Time
 }
 
 // bytesPerMbit converts megabits to bytes.
@@ -138,23 +138,23 @@
 	now := clock.Now()
 	r := &leadership{
 		control: c, term: status.Term, startedAt: time.Now(), roster: roster.New(),
-		name:              LeadershipID(string(c.self.Folder) + "/" + strconv.FormatUint(uint64(status.Term), 10)),
-		formations:        map[ident.Service]*replicaset.Formation{},
-		orderResults:      make(chan orderResult, orderResultQueueLength),
-		entries:           map[string]*entryState{},
-		starts:            newEntryStarts(c.Settings.Retries.Window.Std()),
-		lists:             newEntryLists(),
-		totals:            map[ident.Incarnation]int{},
-		localShareEntries: map[ident.Incarnation]int{},
-		bulkPacer:         pacer{bytesPerSecond: pacedLinkFraction * float64(c.Settings.LinkMbps) * bytesPerMbit},
-		prober:            newProber(c.Dial),
-		slowdowns:         newSlowdownTracker(c.slowdownQuery(), c.Log),
-		configRollout:     newRollout[httproute.Version](now, int(c.leaderEntryCount.Load())),
-		drainRollout:      newRollout[catalog.DrainRevision](now, int(c.leaderEntryCount.Load())),
-		demand:            DemandRates{Forecast: c.Settings.Scheduling.Forecast},
-		loggedMethods:     map[ident.Model]string{},
-		shortagesLoggedAt: map[ident.Service]time.Time{},
-		leaseHeldAt:       now,
+		name:               LeadershipID(string(c.self.Folder) + "/" + strconv.FormatUint(uint64(status.Term), 10)),
+		formations:         map[ident.Service]*replicaset.Formation{},
+		orderResults:       make(chan orderResult, orderResultQueueLength),
+		entries:            map[string]*entryState{},
+		starts:             newEntryStarts(c.Settings.Retries.Window.Std()),
+		lists:              newEntryLists(),
+		totals:             map[ident.Incarnation]int{},
+		localShareEntries:  map[ident.Incarnation]int{},
+		bulkPacer:          pacer{bytesPerSecond: pacedLinkFraction * float64(c.Settings.LinkMbps) * bytesPerMbit},
+		prober:             newProber(c.Dial),
+		slowdowns:          newSlowdownTracker(c.slowdownQuery(), c.Log),
+		configRollout:      newRollout[httproute.Version](now, int(c.leaderEntryCount.Load())),
+		drainRollout:       newRollout[catalog.DrainRevision](now, int(c.leaderEntryCount.Load())),
+		demand:             DemandRates{Forecast: c.Settings.Scheduling.Forecast},
+		loggedMethods:      map[ident.Model]string{},
+		shortagesCheckedAt: map[ident.Service]time.Time{},
+		leaseHeldAt:        now,
 	}
 	if configVersion := c.stateMachine.Current().Version; configVersion > 0 {
 		r.configRollout.track(now, now, configVersion)
@@ -333,15 +333,13 @@
 
 // logShortages logs, at most once a second for each service, which models lack groups and what their domains have for another one.
 func (r *leadership) logShortages(now time.Time, service ident.Service, f *replicaset.Formation) {
-	if now.Sub(r.shortagesLoggedAt[service]) < time.Second {
+	if now.Sub(r.shortagesCheckedAt[service]) < time.Second {
 		return
 	}
-	shortages := f.ExplainShortages()
-	if len(shortages) == 0 {
-		return
+	r.shortagesCheckedAt[service] = now
+	if shortages := f.ExplainShortages(); len(shortages) > 0 {
+		r.control.Log.Info("models lack groups", "service", service, "shortages", shortages)
 	}
-	r.shortagesLoggedAt[service] = now
-	r.control.Log.Info("models lack groups", "service", service, "shortages", shortages)
 }
 
 // logRollouts logs which configurations and orders on halls are in force at all entries, and which are late at some.
