Log how old an order on a hall can be, and which drained halls a request was sent under

The users' record can't tell apart an old order that was carried out late and a drain that was not in force. The line of an order now bounds the age of its connection and of itself by what this process did before (the backlog was empty, the previous answer was written), and has the revision held when it was read. The leader's line has the revision before and after. Entries log the hall of each attempt, the revision in force and since when; attempts are counted by hall. The leader names entries whose revision is above its own. No decision changes.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/clock"
 )
 
 // callerConn is the connection of a caller, which a drain closes only if no byte of a request has arrived. http.Server.Shutdown does not look for
@@ -15,6 +17,13 @@
 	net.Conn
 	// begun is set once bytes of the next request have been read. interrupted is set when a drain has interrupted the read for it.
 	begun, interrupted atomic.Bool
+	// tracked is set where arrivals are tracked, which the fields below are for. openedAfter is a time before which the connection was not
+	// open.
+	tracked     bool
+	openedAfter time.Time
+	// lastWrite is the start of the last write. answeredAt is its value when the current request began, nil for the first request.
+	lastWrite  atomic.Pointer[time.Time]
+	answeredAt *time.Time
 }
 
 // Read implements net.Conn.
@@ -37,6 +46,15 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	if c.tracked {
+		now := clock.Now()
+		c.lastWrite.Store(&now)
+	}
+	return c.Conn.Write(b)
+}
+
 // CloseWrite ends the answer; net/http does so before it closes a connection with unread bytes.
 func (c *callerConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -39,6 +39,8 @@
 type Server struct {
 	Handler http.Handler
 	Log     logr.Logger
+	// TracksArrivals makes ArrivalOf work for the requests.
+	TracksArrivals bool
 
 	mu          sync.Mutex
 	stopped     bool
@@ -119,6 +121,7 @@
 		MaxHeaderBytes:               orDefault(bounds.MaxHeaderBytes, defaultMaxHeaderBytes),
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    func(conn net.Conn, state http.ConnState) { s.setState(g, conn, state) },
+		ConnContext:                  withConn,
 	}
 	s.bounds = bounds
 	s.generations = append(s.generations, g)
@@ -154,8 +157,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.states[conn] = state
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		c.begun.Store(false)
+	case http.StateActive:
+		c.answeredAt = c.lastWrite.Load()
 	}
 }
 
@@ -189,6 +199,13 @@
 		_ = ln.Close()
 	}
 	s.mu.Unlock()
+	var tracked *backlog
+	if s.TracksArrivals {
+		tracked = newBacklog(ln)
+		done := make(chan struct{})
+		defer close(done)
+		go tracked.run(done)
+	}
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -199,7 +216,11 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.assign(&callerConn{Conn: conn})
+		c := &callerConn{Conn: conn}
+		if tracked != nil {
+			c.tracked, c.openedAfter = true, *tracked.emptyAt.Load()
+		}
+		s.assign(c)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -520,6 +520,7 @@
 // Attempt describes the attempt to send a request to one upstream.
 type Attempt struct {
 	Upstream ident.Incarnation `json:"to,omitempty"`
+	Hall     ident.Hall        `json:"hall,omitempty"`
 	// Entry is the entry through which the request was sent, in place of an upstream.
 	Entry string `json:"entry,omitempty"`
 	// Declined is why that entry declined the request.
--- a/relay/run.go
+++ b/relay/run.go
@@ -198,7 +198,7 @@
 		x.expectedFirstEvent = elapsed + t.firstEvent
 	}
 	x.attempts = append(x.attempts, Attempt{
-		Upstream: t.id, Group: t.group, StartMS: elapsed.Milliseconds(), EstimateMS: t.firstEvent.Milliseconds(),
+		Upstream: t.id, Hall: t.hall, Group: t.group, StartMS: elapsed.Milliseconds(), EstimateMS: t.firstEvent.Milliseconds(),
 		PendingPrompt: t.knownLoad.PendingPrompt, Requests: t.knownLoad.Requests, Counted: t.countedRequests, PassedOver: x.skippedUpstreams,
 	})
 	return len(x.attempts) - 1
--- a/site/calls.go
+++ b/site/calls.go
@@ -290,6 +290,7 @@
 		return reply
 	}
 	entries := r.applyCall(call)
+	c.logNewerDrains(call)
 	c.waitForUpdates(r, call, entries)
 	reply := SyncReply{
 		Leader: string(c.self.Name), Controls: c.controls(), Leadership: r.name, Entries: entries,
--- a/site/control.go
+++ b/site/control.go
@@ -108,7 +108,9 @@
 	// proposedConfigs counts the configurations that this daemon proposed as leader.
 	proposedConfigs atomic.Int64
 	configReadLog   logLimiter
-	quarantine      *quarantine.List
+	// newerDrainsLog limits the log lines on entries whose drained halls have a higher revision than the leader's.
+	newerDrainsLog logLimiter
+	quarantine     *quarantine.List
 	// backoffs are the backoffs that upstreams requested from this daemon.
 	backoffs *backoff.List[ident.Incarnation]
 	// limits are the limits that upstreams set for this daemon.
@@ -240,6 +242,7 @@
 // newCallServer returns the server for the calls of upstreams and operators.
 func newCallServer(handler http.Handler) *inbound.Server {
 	s := inbound.New(handler)
+	s.TracksArrivals = true
 	s.SetBounds(inbound.Bounds{MaxHeaderBytes: http.DefaultMaxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	return s
 }
--- a/site/drain.go
+++ b/site/drain.go
@@ -11,6 +11,7 @@
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/inbound"
 	"github.com/dunlinquay/dunlinquay/link"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -20,9 +21,17 @@
 // in force.
 func (c *Control) Drain(ctx context.Context, order catalog.DrainOrder) error {
 	startedAt := clock.Now()
+	held := c.stateMachine.Drained().Revision
 	_, err := c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
-	c.Log.Info("order on a hall", "hall", order.Hall, "drain", order.Drain, "leader", c.leader(), "took-ms", clock.Since(startedAt).Milliseconds(),
-		"code", int(result.CodeOf(err)), "why", result.Message(err))
+	fields := []any{
+		"hall", order.Hall, "drain", order.Drain, "leader", c.leader(), "held", held, "took-ms", clock.Since(startedAt).Milliseconds(),
+		"code", int(result.CodeOf(err)), "why", result.Message(err),
+	}
+	if arrival, ok := inbound.ArrivalOf(ctx); ok {
+		fields = append(fields, "client", arrival.Client, "connection-ms", startedAt.Sub(arrival.OpenedAfter).Milliseconds(),
+			"sent-within-ms", startedAt.Sub(arrival.SentAfter).Milliseconds(), "client-gone", ctx.Err() != nil)
+	}
+	c.Log.Info("order on a hall", fields...)
 	return err
 }
 
@@ -43,6 +52,7 @@
 // proposeDrain writes an order to the log and returns the resulting revision of the drained halls.
 func (c *Control) proposeDrain(ctx context.Context, r *leadership, call *ForwardedCall) (catalog.DrainRevision, error) {
 	startedAt := clock.Now()
+	before := c.stateMachine.Drained().Revision
 	if !call.Drain.Drain && c.stateMachine.Drained().Has(call.Drain.Hall) {
 		r.roster.MarkHallCold(startedAt, call.Drain.Hall)
 	}
@@ -56,7 +66,7 @@
 		err = result.New(result.NoLeader, "the order was not applied here")
 	}
 	c.Log.Info("order on a hall proposed", "hall", call.Drain.Hall, "drain", call.Drain.Drain, "from", call.From, "index", index,
-		"revision", answer.Drained.Revision, "took-ms", clock.Since(startedAt).Milliseconds(), "code", int(result.CodeOf(err)))
+		"revision", answer.Drained.Revision, "before", before, "halls", answer.Drained.Halls, "took-ms", clock.Since(startedAt).Milliseconds(), "code", int(result.CodeOf(err)))
 	if err != nil {
 		return 0, err
 	}
@@ -84,6 +94,18 @@
 	c.Log.Info("drained halls applied from the log", "revision", drained.Revision, "halls", drained.Halls)
 }
 
+// logNewerDrains logs an entry whose drained halls have a higher revision than this leader's: the entry keeps them, which is right while
+// this daemon has not applied a committed order yet, and wrong if the log was lost and its revisions began anew.
+func (c *Control) logNewerDrains(call *SyncCall) {
+	held := c.stateMachine.Drained().Revision
+	if call.Drains <= held {
+		return
+	}
+	if occurrences, ok := c.newerDrainsLog.allow(clock.Now()); ok {
+		c.Log.Info("entry has newer drained halls than the leader", "entry", call.From, "revision", call.Drains, "held", held, "since-last", occurrences)
+	}
+}
+
 // drainedHalls returns the halls in which no group is formed.
 func (c *Control) drainedHalls() map[ident.Hall]bool {
 	halls := map[ident.Hall]bool{}
--- a/site/entry.go
+++ b/site/entry.go
@@ -73,8 +73,8 @@
 	// Both belong to the goroutine that follows the leader, as do the fields up to leaderQuarantineDigest.
 	configBody     []byte
 	needFullConfig bool
-	// drainRevision is the revision of the drained halls in force.
-	drainRevision catalog.DrainRevision
+	// drained are the drained halls in force; only the goroutine that follows the leader changes them.
+	drained atomic.Pointer[drainedInForce]
 	// sentInflight are the requests in progress by upstream that the last call reported, upstreamsByShortID the
 	// upstreams of the roster.
 	sentInflight       map[ident.Incarnation]int
@@ -89,6 +89,12 @@
 	sinceStop              stopCounts
 }
 
+// drainedInForce is the revision of an entry's drained halls, and since when it is in force.
+type drainedInForce struct {
+	revision  catalog.DrainRevision
+	inForceAt time.Time
+}
+
 // stopCounts counts the requests that ended after a planned stop had begun.
 type stopCounts struct{ ended, refused, interrupted atomic.Int64 }
 
@@ -99,6 +105,7 @@
 		relay: relay.New(headers, dial), directory: newControlDirectory(cfg.SeedPeers()),
 		meter: meter.New(), stop: make(chan struct{}), startedAt: clock.Now(),
 	}
+	e.drained.Store(&drainedInForce{})
 	e.callerServer = inbound.New(e.relay)
 	e.forwardServer = inbound.New(&relay.EntryHandler{Relay: e.relay})
 	e.metrics = newEntryMetrics(e.meter.Scope)
@@ -247,7 +254,7 @@
 	}
 	call.Entries = e.peerEntries.digests
 	call.Whole = e.needFullConfig
-	call.Drains = e.drainRevision
+	call.Drains = e.drained.Load().revision
 	e.fillQuarantine(call)
 	call.Unread = e.unrecognized.takeForCall()
 	e.countBackoffs(e.relay.Now())
@@ -329,12 +336,13 @@
 
 // applyDrained puts the drained halls in force, unless newer ones are.
 func (e *Entry) applyDrained(drained *catalog.Drained) {
-	if drained == nil || drained.Revision <= e.drainRevision {
+	before := e.drained.Load().revision
+	if drained == nil || drained.Revision <= before {
 		return
 	}
-	e.drainRevision = drained.Revision
 	e.relay.SetDrained(drained.Halls)
-	e.Log.Info("drained halls in force", "revision", drained.Revision, "halls", drained.Halls)
+	e.drained.Store(&drainedInForce{drained.Revision, clock.Now()})
+	e.Log.Info("drained halls in force", "revision", drained.Revision, "before", before, "halls", drained.Halls)
 }
 
 func (e *Entry) unpackConfig(reply *SyncReply) ([]byte, error) {
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dunlinquay/dunlinquay/clock"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/meter"
 	"github.com/dunlinquay/dunlinquay/ratelimit"
@@ -29,6 +30,9 @@
 	code    result.Code
 }
 
+// maxHallSeries bounds the halls whose attempts are counted.
+const maxHallSeries = 64
+
 // attemptKey is the outcome of an attempt.
 type attemptKey struct {
 	result string
@@ -59,7 +63,9 @@
 	series      map[seriesKey]*series
 	firstEvents map[ident.Model]*firstEventMetrics
 	attempts    map[attemptKey]tally.Counter
-	refusals    map[refusalKey]tally.Counter
+	// hallAttempts count attempts by the hall of their upstream.
+	hallAttempts map[ident.Hall]tally.Counter
+	refusals     map[refusalKey]tally.Counter
 	// quarantined is the number of fingerprints in quarantine.
 	quarantined tally.Gauge
 	// backedOff is the number of upstreams that are backed off at this entry.
@@ -88,8 +94,9 @@
 func newEntryMetrics(scope tally.Scope) *entryMetrics {
 	return &entryMetrics{
 		scope: scope, series: map[seriesKey]*series{}, firstEvents: map[ident.Model]*firstEventMetrics{}, attempts: map[attemptKey]tally.Counter{},
-		refusals:    map[refusalKey]tally.Counter{},
-		quarantined: scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
+		hallAttempts: map[ident.Hall]tally.Counter{},
+		refusals:     map[refusalKey]tally.Counter{},
+		quarantined:  scope.Gauge("held_works"), backedOff: scope.Gauge("backed_off_upstreams"),
 		limited: scope.Gauge("limited_upstreams"), permits: permitCounters(scope),
 		retriesAllowed: retryCounter(scope, "allowed"), retriesDenied: retryCounter(scope, "denied"), retryEntries: scope.Gauge("retry_budget_entries"),
 		cutOff: scope.Gauge("cut_off"), interruptions: map[relay.InterruptReason]tally.Counter{},
@@ -202,6 +209,7 @@
 		n.scope.Tagged(map[string]string{"result": attempt.Result, "declined": string(attempt.Declined)}).Counter("forwarded_requests").Inc(1)
 		return
 	}
+	n.countHall(attempt.Hall)
 	key := attemptKey{attempt.Result, attempt.ConnFailure}
 	counter := n.attempts[key]
 	if counter == nil {
@@ -214,6 +222,19 @@
 	counter.Inc(1)
 }
 
+// countHall counts an attempt at an upstream of a hall; the mutex is held.
+func (n *entryMetrics) countHall(hall ident.Hall) {
+	counter := n.hallAttempts[hall]
+	if counter == nil {
+		if hall == "" || len(n.hallAttempts) >= maxHallSeries {
+			return
+		}
+		counter = n.scope.Tagged(map[string]string{"hall": string(hall)}).Counter("hall_attempts")
+		n.hallAttempts[hall] = counter
+	}
+	counter.Inc(1)
+}
+
 func (n *entryMetrics) firstEvent(model ident.Model) *firstEventMetrics {
 	event := n.firstEvents[model]
 	if event == nil {
@@ -326,6 +347,9 @@
 	if r.SuspectTargets > 0 {
 		fields = append(fields, "targets", r.Targets, "suspect-targets", r.SuspectTargets)
 	}
+	if drained := e.drained.Load(); drained.revision > 0 {
+		fields = append(fields, "drain-revision", drained.revision, "drains-age-ms", clock.Since(drained.inForceAt).Milliseconds())
+	}
 	if r.Interruption != "" {
 		fields = append(fields, "interruption", r.Interruption)
 	}
