Refuse an order on a hall that may be older than the newest one there

A daemon that was paused, or whose operator was cut off, read an undrain seconds after its sender had given it up, and carried it out after a newer drain that was confirmed. Nothing in the call says how old it is.

An order was sent after its connection was opened, and after the previous answer on that connection. If the newest order on the hall was carried out later than that, or this daemon learned of it later, the order may be an old copy: it gets 503 (3008) unless the hall is in the state that it asks for, and a caller that means it sends it again.

--- a/inbound/arrival.go
+++ b/inbound/arrival.go
@@ -23,7 +23,7 @@
 )
 
 // backlogCheckInterval is how often a tracked listener is checked for connections that wait to be accepted.
-const backlogCheckInterval = 20 * time.Millisecond
+const backlogCheckInterval = 10 * time.Millisecond
 
 // Arrival says when the client of a request connected, and when it sent the request, at the earliest.
 type Arrival struct {
--- a/site/control.go
+++ b/site/control.go
@@ -87,6 +87,8 @@
 	// stateChanged is closed when the configuration or the drained halls change, or this daemon stops leading.
 	stateChanged chan struct{}
 	joinRequests map[quorum.MemberID]time.Time
+	// hallOrderNotes are the newest orders on halls that this daemon has learned of.
+	hallOrderNotes map[ident.Hall]hallOrderNote
 
 	leadership      atomic.Pointer[leadership]
 	reportForwarder *reportForwarder
@@ -133,6 +135,7 @@
 		directory: newControlDirectory(cfg.SeedPeers()), fatalErr: make(chan error, 1),
 		stop:       make(chan struct{}),
 		rosterCopy: roster.NewCopy(), stateChanged: make(chan struct{}), joinRequests: map[quorum.MemberID]time.Time{},
+		hallOrderNotes: map[ident.Hall]hallOrderNote{},
 	}
 	c.stateMachine.Changed = c.configChanged
 	c.stateMachine.DrainChanged = c.drainChanged
--- a/site/drain.go
+++ b/site/drain.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/dunlinquay/dunlinquay/catalog"
 	"github.com/dunlinquay/dunlinquay/clock"
@@ -25,7 +26,9 @@
 	defer cancel()
 	err := c.addCondition(ctx, &order)
 	if err == nil {
-		_, err = c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
+		var reply ForwardedReply
+		reply, err = c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
+		c.noteHallOrder(order.Hall, reply.HallOrder.Number)
 	}
 	fields := []any{
 		"hall", order.Hall, "drain", order.Drain, "leader", c.leader(), "held", held, "after", order.After, "took-ms", clock.Since(startedAt).Milliseconds(),
@@ -39,7 +42,7 @@
 	return err
 }
 
-// addCondition makes an order conditional on the newest order.
+// addCondition makes an order conditional on the newest order that its sender can have known of.
 func (c *Control) addCondition(ctx context.Context, order *catalog.DrainOrder) error {
 	if order.Conditional {
 		return nil
@@ -49,9 +52,33 @@
 		return err
 	}
 	order.Conditional, order.After = true, reply.HallOrder.Number
+	known := c.noteHallOrder(order.Hall, order.After)
+	if latest := clock.Now().Add(-reply.HallOrder.Age); latest.Before(known) {
+		known = latest
+	}
+	if arrival, ok := inbound.ArrivalOf(ctx); ok && order.After > 0 && arrival.SentAfter.Before(known) {
+		// The order may be older than the newest one.
+		order.After--
+	}
 	return nil
 }
 
+// hallOrderNote is the newest order on a hall that this daemon has learned of, and since when it has known of it.
+type hallOrderNote struct {
+	number catalog.OrderNumber
+	since  time.Time
+}
+
+// noteHallOrder records that an order on a hall was carried out by now, and returns since when this daemon has known of it.
+func (c *Control) noteHallOrder(hall ident.Hall, number catalog.OrderNumber) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if number > c.hallOrderNotes[hall].number {
+		c.hallOrderNotes[hall] = hallOrderNote{number, clock.Now()}
+	}
+	return c.hallOrderNotes[hall].since
+}
+
 // hallOrder returns the newest order on a hall.
 func (c *Control) hallOrder(hall ident.Hall) HallOrder {
 	number, at := c.stateMachine.HallOrder(hall)
--- a/site/late_order_test.go
+++ b/site/late_order_test.go
@@ -289,3 +289,39 @@
 		t.Errorf("an undrain from a daemon of a build before conditions: %d %s", reply.Code, reply.Text)
 	}
 }
+
+// An operator whose orders follow each other, on one connection or on new ones, is never told that one of them may be old.
+func TestOrdersInSequenceAreCarriedOut(t *testing.T) {
+	s := newLateOrderSite(t)
+	// An operator takes longer for the next connection than the daemons need to see that none waits to be accepted.
+	connect := func(host string) *operatorConn {
+		time.Sleep(200 * time.Millisecond)
+		return s.connect(t, host)
+	}
+	for _, host := range []string{s.leader, s.follower} {
+		kept := connect(host)
+		for i := range 6 {
+			path, drained := "/drain/hall-0", i%2 == 0
+			if !drained {
+				path = "/undrain/hall-0"
+			}
+			for range 2 {
+				if status, text := kept.post(path); status != http.StatusOK {
+					t.Errorf("%s on a kept connection: %d %s", path, status, text)
+				}
+			}
+			if got := slices.Contains(s.running[lateOrderEntry].entry.Drained(), "hall-0"); got != drained {
+				t.Errorf("%s is confirmed, the entry has drained %v", path, got)
+			}
+		}
+		for i := range 6 {
+			path := "/drain/hall-0"
+			if i%2 == 1 {
+				path = "/undrain/hall-0"
+			}
+			if status, text := connect(host).post(path); status != http.StatusOK {
+				t.Errorf("%s on a new connection: %d %s", path, status, text)
+			}
+		}
+	}
+}
