Apply drained halls and configurations from replies whose roster cannot be decoded

An entry that could not decode the leader's roster dropped the whole reply, and went on sending requests into halls that were drained since, for as long as the roster could not be decoded. The committed state is now applied as from a daemon that does not lead.

--- a/site/entry.go
+++ b/site/entry.go
@@ -293,7 +293,7 @@
 	return newest
 }
 
-// applyCommitted applies the committed state from a daemon that does not lead; such a reply confirms nothing.
+// applyCommitted applies only the committed state of a reply, which confirms nothing.
 func (e *Entry) applyCommitted(sentAt time.Time, reply *SyncReply) bool {
 	e.applyDrained(reply.Drained)
 	return e.applyConfig(sentAt, reply)
--- a/site/follow.go
+++ b/site/follow.go
@@ -36,8 +36,7 @@
 	// applyReply applies the leader's reply and reports whether its configuration, if any, is in force; sentAt is when
 	// the call was sent.
 	applyReply func(sentAt time.Time, reply *SyncReply) bool
-	// applyCommitted applies the committed state from a daemon that does not lead, and reports whether its
-	// configuration is in force.
+	// applyCommitted applies only the committed state of a reply, and reports whether its configuration is in force.
 	applyCommitted func(sentAt time.Time, reply *SyncReply) bool
 	// rosterDigests returns the digests of this daemon's roster, nil when it has none.
 	rosterDigests func() *roster.Digests
@@ -99,6 +98,7 @@
 	f.leaderEntryCount = max(1, reply.Entries)
 	if err := reply.unpack(); err != nil {
 		f.log.Error(err, "roster from the leader cannot be decoded", "leader", reply.Leader)
+		f.acceptCommitted(sentAt, &reply)
 		return false
 	}
 	f.leaderUncertain = false
@@ -109,8 +109,8 @@
 	return true
 }
 
-// acceptCommitted applies a newer configuration from a daemon that does not lead, since a configuration can be
-// confirmed while an entry has no contact with the leader.
+// acceptCommitted applies the committed state from a reply whose other parts are not usable, since a configuration or a
+// drain can be confirmed while an entry has no usable contact with the leader.
 func (f *follower) acceptCommitted(sentAt time.Time, reply *SyncReply) {
 	if reply.Version <= f.version {
 		reply.Config, reply.Patch = nil, nil
