--- a/site/control.go
+++ b/site/control.go
@@ -87,7 +87,7 @@
 	// stateChanged is closed when the configuration or the drained halls change, or this daemon stops leading.
 	stateChanged chan struct{}
 	joinRequests map[quorum.MemberID]time.Time
-	// hallOrderNotes are the newest orders on halls that this daemon has learned of.
+	// hallOrderNotes are the newest orders on halls that this daemon knows.
 	hallOrderNotes map[ident.Hall]hallOrderNote
 
 	leadership      atomic.Pointer[leadership]
--- a/site/drain.go
+++ b/site/drain.go
@@ -28,7 +28,7 @@
 	if err == nil {
 		var reply ForwardedReply
 		reply, err = c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
-		c.noteHallOrder(order.Hall, reply.HallOrder.Number)
+		c.noteHallOrder(order.Hall, reply.HallOrder)
 	}
 	fields := []any{
 		"hall", order.Hall, "drain", order.Drain, "leader", c.leader(), "held", held, "after", order.After, "took-ms", clock.Since(startedAt).Milliseconds(),
@@ -47,36 +47,40 @@
 	if order.Conditional {
 		return nil
 	}
-	reply, err := c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallHall, From: string(c.self.Name), Hall: order.Hall})
-	if err != nil {
-		return err
-	}
-	order.Conditional, order.After = true, reply.HallOrder.Number
-	known := c.noteHallOrder(order.Hall, order.After)
-	if latest := clock.Now().Add(-reply.HallOrder.Age); latest.Before(known) {
-		known = latest
-	}
-	if arrival, ok := inbound.ArrivalOf(ctx); ok && order.After > 0 && arrival.SentAfter.Before(known) {
-		// The order may be older than the newest one.
-		order.After--
+	arrival, tracked := inbound.ArrivalOf(ctx)
+	// A slow reply makes the newest order seem newer than it is, so an order that may be older is checked a second time.
+	for range 2 {
+		reply, err := c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallHall, From: string(c.self.Name), Hall: order.Hall})
+		if err != nil {
+			return err
+		}
+		order.Conditional, order.After = true, reply.HallOrder.Number
+		carriedOutBy := c.noteHallOrder(order.Hall, reply.HallOrder)
+		if !tracked || order.After == 0 || !arrival.SentAfter.Before(carriedOutBy) {
+			return nil
+		}
 	}
+	order.After--
 	return nil
 }
 
-// hallOrderNote is the newest order on a hall that this daemon has learned of, and since when it has known of it.
+// hallOrderNote is the newest order on a hall that this daemon knows, and a time by which it was carried out.
 type hallOrderNote struct {
-	number catalog.OrderNumber
-	since  time.Time
+	number       catalog.OrderNumber
+	carriedOutBy time.Time
 }
 
-// noteHallOrder records that an order on a hall was carried out by now, and returns since when this daemon has known of it.
-func (c *Control) noteHallOrder(hall ident.Hall, number catalog.OrderNumber) time.Time {
+// noteHallOrder records what the leader has just said of the newest order on a hall, and returns a time by which that was carried out.
+func (c *Control) noteHallOrder(hall ident.Hall, newest HallOrder) time.Time {
+	by := clock.Now().Add(-newest.Age)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if number > c.hallOrderNotes[hall].number {
-		c.hallOrderNotes[hall] = hallOrderNote{number, clock.Now()}
+	note := c.hallOrderNotes[hall]
+	if newest.Number > note.number || newest.Number == note.number && by.Before(note.carriedOutBy) {
+		note = hallOrderNote{newest.Number, by}
+		c.hallOrderNotes[hall] = note
 	}
-	return c.hallOrderNotes[hall].since
+	return note.carriedOutBy
 }
 
 // hallOrder returns the newest order on a hall.
