--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -46,6 +46,7 @@
 	f.BoolVar(&plan.Fatal, "fatal", false, "let requests come that end what runs them, beside planned things, crashes and losses of control")
 	f.BoolVar(&plan.Stops, "stops", false, "planned things only, with long streams and entries that are stopped in series")
 	f.BoolVar(&plan.Replacements, "replacements", false, "replacements of control daemons and lost folders, beside planned things, crashes and losses of control")
+	f.BoolVar(&plan.Halls, "halls", false, "drains of halls in series, while control daemons read late what they get, beside planned things and losses of control")
 	f.DurationVar(&plan.Length, "length", 20*time.Second, "how long things are broken in each run")
 	f.StringVar(&plan.Binary, "binary", "bin/dunlinquay", "the program")
 	f.StringVar(&folder, "folder", "out/soak", "takes settings, logs and data")
@@ -80,7 +81,7 @@
 			return err
 		}
 		p := *plan
-		p.Seed, p.Folder, p.Planned = seed, folder, (seed%plannedEvery == 0 || plan.Stops) && !plan.Fatal && !plan.Replacements
+		p.Seed, p.Folder, p.Planned = seed, folder, (seed%plannedEvery == 0 || plan.Stops) && !plan.Fatal && !plan.Replacements && !plan.Halls
 		report, err := soak.Run(ctx, &p)
 		if err != nil {
 			return err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,8 @@
 	faultPause = 350 * time.Millisecond
 	// wipeGap is the least time between two lost folders, so that the first one is made good.
 	wipeGap = 8 * time.Second
+	// longestHold is how long a control daemon may be paused, or what it gets held back.
+	longestHold = 8 * time.Second
 	// calmBefore is how long all other control daemons must have run when a folder is lost.
 	calmBefore = 3 * time.Second
 )
@@ -37,6 +39,7 @@
 	anyRun mode = iota
 	stopsRun
 	replacementsRun
+	hallsRun
 )
 
 var faults = []fault{
@@ -55,6 +58,9 @@
 	{"replace a control daemon", true, 4, false, replacementsRun, (*soak).replaceControl},
 	{"replace a lost control daemon", false, 2, false, replacementsRun, (*soak).replaceLostControl},
 	{"lose folders after a change", false, 4, false, replacementsRun, (*soak).loseFoldersAfterChange},
+	{"a hall is drained again and again", true, 8, true, hallsRun, (*soak).drainAgain},
+	{"pause a control daemon", false, 3, true, hallsRun, (*soak).freezeControl},
+	{"hold back what a control daemon gets", false, 3, true, hallsRun, (*soak).holdControl},
 	{"an upstream leaves without a report", false, 2, true, anyRun, (*soak).leavesSilently},
 	{"kill an entry", false, 3, false, anyRun, (*soak).killEntry},
 	{"kill a control daemon", false, 3, true, anyRun, (*soak).killControl},
@@ -105,7 +111,9 @@
 		return s.Stops
 	case f.mode == replacementsRun:
 		return s.Replacements
-	case s.Replacements:
+	case f.mode == hallsRun:
+		return s.Halls
+	case s.Replacements, s.Halls:
 		return f.planned || f.leaves
 	case s.Fatal:
 		return f.planned || f.leaves
@@ -304,6 +312,28 @@
 	return fmt.Sprintf("%s for %v", d.name, wait)
 }
 
+// freezeControl pauses a control daemon, so that what it gets meanwhile is read late.
+func (s *soak) freezeControl(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.controlDaemons())
+	d.pause(true)
+	wait := between(random, 500*time.Millisecond, longestHold)
+	s.after(ctx, wait, func() { d.pause(false) })
+	return fmt.Sprintf("%s for %v", d.name, wait)
+}
+
+// holdControl holds back what other daemons, or operators, send to a control daemon.
+func (s *soak) holdControl(ctx context.Context, random *rand.Rand) string {
+	d := one(random, s.controlDaemons())
+	l, from := d.link, "daemons"
+	if random.IntN(2) == 0 {
+		l, from = d.calls, "operators"
+	}
+	l.set(weather{muteTo: true})
+	wait := between(random, 500*time.Millisecond, longestHold)
+	s.after(ctx, wait, func() { l.set(weather{}) })
+	return fmt.Sprintf("%s from %s for %v", d.name, from, wait)
+}
+
 // links are all links, by what is behind them.
 func (s *soak) links() map[ident.Daemon]*link {
 	all := map[ident.Daemon]*link{}
--- a/soak/halls.go
+++ b/soak/halls.go
@@ -14,6 +14,8 @@
 
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/platform"
+	"github.com/dunlinquay/dunlinquay/site"
+	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 const (
@@ -21,6 +23,10 @@
 	hallBound = 3 * time.Second
 	// backLimit is how long taking a hall back may take.
 	backLimit = 30 * time.Second
+	// drainWatchPause is how often the list of drained halls is read.
+	drainWatchPause = 100 * time.Millisecond
+	// mostDrains is how many times a hall is drained in a row, at most.
+	mostDrains = 4
 	// coldFor is how long an upstream is cold after its start, coldRate what it takes then in a second.
 	coldFor  = 2 * time.Second
 	coldRate = 10.0
@@ -56,11 +62,65 @@
 	return string(hall)
 }
 
+// drainAgain drains a hall several times in series, each time until an order to do so and one to take it back are acknowledged. Operators wait
+// only briefly for an answer, so that orders of theirs are read when newer ones have been acknowledged.
+func (s *soak) drainAgain(ctx context.Context, random *rand.Rand) string {
+	hall := ident.Hall(fmt.Sprintf("hall-%d", random.IntN(domainCount)))
+	if !s.truth.beginDrain(hall) {
+		return ""
+	}
+	seed := random.Uint64()
+	s.tasks.Go(func() {
+		random := rand.New(rand.NewPCG(seed, 1))
+		defer s.truth.forgetDrain(hall)
+		back, cancel := context.WithTimeout(context.WithoutCancel(ctx), backLimit)
+		defer cancel()
+		for range 1 + random.IntN(mostDrains) {
+			if ctx.Err() == nil && s.orderHallWithin(ctx, random, platform.DrainPath(hall), orderPatience) {
+				s.truth.drainAcknowledged(hall)
+				s.notef("%s drained", hall)
+			}
+			// Every second time the hall is taken back at once.
+			pause(ctx, time.Duration(random.IntN(2))*between(random, hallBound, 3*hallBound))
+			s.truth.endDrain(hall)
+			if ctx.Err() == nil {
+				s.giveUpOrder(ctx, random, platform.UndrainPath(hall))
+			}
+			if s.orderHallWithin(back, random, platform.UndrainPath(hall), orderPatience) {
+				s.notef("%s taken back", hall)
+			}
+		}
+	})
+	return string(hall)
+}
+
+// giveUpOrder gives an order on a hall to a daemon that is paused, or to which operators' calls are held back, and gives it up.
+func (s *soak) giveUpOrder(ctx context.Context, random *rand.Rand, path string) {
+	d := one(random, s.controlDaemons())
+	wait := between(random, 2*orderPatience, longestHold)
+	if random.IntN(2) == 0 {
+		d.pause(true)
+		s.after(ctx, wait, func() { d.pause(false) })
+	} else {
+		d.calls.set(weather{muteTo: true})
+		s.after(ctx, wait, func() { d.calls.set(weather{}) })
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderPatience)
+	defer cancel()
+	_, _, err := call(callCtx, http.MethodPost, "http://"+d.calls.address()+path, nil)
+	s.notef("%s reads %s within %v: %v", d.name, path, wait, err)
+}
+
 // orderHall gives an order on a hall to one daemon after the other until one acknowledges it.
 func (s *soak) orderHall(ctx context.Context, random *rand.Rand, path string) bool {
+	return s.orderHallWithin(ctx, random, path, changeLimit)
+}
+
+// orderHallWithin is orderHall for an operator who waits as long as patience for each answer.
+func (s *soak) orderHallWithin(ctx context.Context, random *rand.Rand, path string, patience time.Duration) bool {
 	for ctx.Err() == nil {
 		d := one(random, s.controlDaemons())
-		callCtx, cancel := context.WithTimeout(ctx, changeLimit)
+		callCtx, cancel := context.WithTimeout(ctx, patience)
 		status, text, err := call(callCtx, http.MethodPost, "http://"+d.calls.address()+path, nil)
 		cancel()
 		switch {
@@ -121,6 +181,42 @@
 	return time.Since(t.drains.since)
 }
 
+// watchDrains checks that the leader lists the drained hall. A leader that was paused may answer once with what it knew before, so two answers
+// in a row must lack the hall.
+func (s *soak) watchDrains(ctx context.Context, random *rand.Rand) {
+	var missingSince time.Time
+	for ctx.Err() == nil {
+		pause(ctx, drainWatchPause)
+		before := s.truth.drained()
+		if before.since.IsZero() {
+			missingSince = time.Time{}
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderPatience)
+		state, err := site.Inspect(callCtx, transport.TCP(), []string{one(random, s.controlDaemons()).link.address()})
+		cancel()
+		if err != nil || s.truth.drained() != before {
+			continue
+		}
+		if slices.Contains(state.Drained, before.hall) {
+			missingSince = time.Time{}
+			continue
+		}
+		if missingSince != before.since {
+			missingSince = before.since
+			continue
+		}
+		s.truth.breaksf("the leader lists the drained halls %v, %v after it confirmed the drain of %s", state.Drained, time.Since(before.since), before.hall)
+	}
+}
+
+// drained returns the hall that is drained, with a zero time if its drain was not acknowledged or is about to end.
+func (t *truth) drained() drains {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drains
+}
+
 // checkHallAndCold checks a request that reaches the upstream.
 func (e *engine) checkHallAndCold(id string) {
 	if !e.watched {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,9 @@
 	// Replacements plays replacements of control daemons, and losses of as many folders as a site tolerates, beside planned things, crashes of
 	// upstreams and losses of control.
 	Replacements bool
+	// Halls plays drains of the same hall in series, while control daemons read late what operators and other daemons sent, beside planned
+	// things and losses of control.
+	Halls bool
 	// Untimed leaves out what depends on the speed of the machine.
 	Untimed bool
 	// Routes is how many routes are added on the way, Share the part of a core that each process gets, 0 for all that there is.
@@ -149,6 +152,7 @@
 			s.readBack(load, random)
 		}
 	})
+	s.tasks.Go(func() { s.watchDrains(load, s.random(5)) })
 	if !s.serves(ctx, "at first", formLimit) {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,3 +87,15 @@
 		t.Errorf("no whole answer: %v", report.Answers)
 	}
 }
+
+// Halls are drained again and again, while control daemons read late what operators and other daemons sent. An undrain that its operator had given
+// up ended a newer drain.
+func TestHallsAreDrainedInSeries(t *testing.T) {
+	report := play(t, &soak.Plan{
+		Seed: 88011, Halls: true, Untimed: true, Block: 4, Length: 40 * time.Second, Binary: build(t),
+		Controls: 5, Entries: 2, Engines: 8, Plains: 2, Callers: 8,
+	})
+	if report.Answers["whole"] == 0 {
+		t.Errorf("no whole answer: %v", report.Answers)
+	}
+}
