--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -229,3 +230,80 @@
 		}
 	}
 }
+
+// drainTwoHalls places the first upstream of a pipe entry in hall a and the second one in hall b, which is drained.
+func drainTwoHalls(s *testEntry) {
+	delta := roster.Delta{Full: true, Revision: 2}
+	for i, name := range []string{"a", "b"} {
+		head, plain := ident.Incarnation("h"+strconv.Itoa(i)), ident.Incarnation("p"+strconv.Itoa(i))
+		u := roster.Upstream{ID: head, Service: "model", Address: name, Slots: 4, Hall: ident.Hall(name)}
+		delta.Upstreams = append(delta.Upstreams, u)
+		u.ID, u.Service = plain, "plain"
+		delta.Upstreams = append(delta.Upstreams, u)
+		delta.Groups = append(delta.Groups, roster.Group{
+			Name: ident.Group("g" + name), Service: "model", Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{head},
+		})
+	}
+	s.relay.ApplyRoster(&delta)
+	s.relay.SetDrained([]ident.Hall{"b"})
+}
+
+// Neither second attempts, continuations of streams, nor attempts beside a silent one are sent to a drained hall.
+func TestSecondAttemptsAvoidDrainedHalls(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		respond    responder
+	}{
+		{"second attempt", "/safe/x", always(func(net.Conn, *http.Request) bool { return false })},
+		{"after a refusal", "/unsafe/x", always(respondNotRun)},
+		{"continued stream", "/stream/x", always(func(c net.Conn, r *http.Request) bool { return respondStream(c, r, 1, 2, false) })},
+		{"beside a silent attempt", "/stream/x", always(func(c net.Conn, _ *http.Request) bool { return stayOpenSilent(c) })},
+		{"beside a silent plain attempt", "/safe/x", always(func(c net.Conn, _ *http.Request) bool { return stayOpenSilent(c) })},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s, upstreams := newPipeEntry(t, tt.respond)
+			drainTwoHalls(s)
+			if got := s.serve(s.request("POST", tt.path, "id", "body")); got.Status == http.StatusOK && got.Complete {
+				t.Errorf("%+v", got)
+			}
+			if n := len(upstreams[1].received()); n != 0 {
+				t.Errorf("the drained hall got %d requests", n)
+			}
+			if n := len(upstreams[0].received()); n == 0 {
+				t.Error("no request was sent: the test checks nothing")
+			}
+		})
+	}
+}
+
+// A request that another entry forwards is not sent to a hall that is drained at the entry which sends it.
+func TestForwardedRequestsAvoidDrainedHalls(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		f := newForwardSite(t, respondKind)
+		delta := roster.Delta{Full: true, Revision: 2}
+		for i, u := range append(f.plain, f.heads...) {
+			id := ident.Incarnation("u" + strconv.Itoa(i))
+			service := ident.Service("plain")
+			if i >= len(f.plain) {
+				service = "model"
+				delta.Groups = append(delta.Groups, roster.Group{
+					Name: ident.Group("g" + id), Service: service, Model: "m", Phase: roster.PhaseOpen, Members: []ident.Incarnation{id},
+				})
+			}
+			delta.Upstreams = append(delta.Upstreams, roster.Upstream{ID: id, Service: service, Address: u.address(), Slots: 4, Hall: "a"})
+		}
+		f.cut.relay.ApplyRoster(&delta)
+		f.other.relay.ApplyRoster(&delta)
+		f.other.relay.SetDrained([]ident.Hall{"a"})
+		if got := f.cut.do(f.cut.request("POST", path, "id", "body")); got.Status != http.StatusServiceUnavailable {
+			t.Errorf("%s: %+v, want status %d", path, got, http.StatusServiceUnavailable)
+		}
+		if n := f.arrivals(); n != 0 {
+			t.Errorf("%s: %d requests reached the drained hall", path, n)
+		}
+		if f.forwarded.Load() == 0 {
+			t.Errorf("%s: no request was forwarded: the test checks nothing", path)
+		}
+	}
+}
