Simplify how a request's connection is found, and give each drain of the soak its own time to end

A poll of the backlog that a signal interrupts no longer counts as empty; an order's log line says that its client is gone only if it is, not when the daemon's own time is over. The soak bounded a whole series of drains by 30 s, which four of them can exceed, so that a hall could stay drained. No decision changes.

--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -8,8 +8,8 @@
 //	apply v7: current 7;  v7 again: 7;  v5: 7;  v9: 9
 //
 // Drain orders have no version, and copies of one can be delivered late and in any
-// order. Each is therefore carried out only if no other order on its hall was since
-// its sender, or the daemon that read it, looked at the hall:
+// order. Each is therefore conditional on the newest order on its hall that its
+// sender can have known, and is superseded by any order that was carried out since:
 //
 //	order 1: drain a     order 2: undrain a, after 1     order 3: drain a, after 2
 //	a late copy of order 2, after 1: superseded, since order 3 is newer than 1
@@ -111,8 +111,8 @@
 	Halls  map[ident.Hall]OrderNumber `cbor:"2,keyasint,omitempty"`
 }
 
-// supersede reports whether a newer order than o was carried out on its hall.
-func (n *orderNumbers) supersede(o *DrainOrder) bool {
+// supersedes reports whether a newer order than o was carried out on its hall.
+func (n *orderNumbers) supersedes(o *DrainOrder) bool {
 	return o.Conditional && n.Halls[o.Hall] > o.After
 }
 
@@ -211,7 +211,7 @@
 func (m *Machine) applyDrainOrder(o *DrainOrder) Answer {
 	m.mu.Lock()
 	changes := m.drained.Has(o.Hall) != o.Drain
-	superseded := m.orders.supersede(o)
+	superseded := m.orders.supersedes(o)
 	if !superseded {
 		m.orders.count(o)
 		m.orderedAt[o.Hall] = clock.Now()
@@ -238,7 +238,7 @@
 func (m *Machine) Supersedes(o *DrainOrder) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.orders.supersede(o) && m.drained.Has(o.Hall) != o.Drain
+	return m.orders.supersedes(o) && m.drained.Has(o.Hall) != o.Drain
 }
 
 // setDocument makes d current if its version is higher than the current one, or in any case if replace is set.
--- a/inbound/arrival.go
+++ b/inbound/arrival.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -25,36 +26,27 @@
 // backlogCheckInterval is how often a tracked listener is checked for connections that wait to be accepted.
 const backlogCheckInterval = 10 * time.Millisecond
 
-// Arrival says when the client of a request connected, and when it sent the request, at the earliest.
+// Arrival is the client's address, and when it connected and sent a request at the earliest.
 type Arrival struct {
 	Client      string
 	OpenedAfter time.Time
 	SentAfter   time.Time
 }
 
-type arrivalKey struct{}
-
-// WithArrival returns a context of a request with that arrival.
-func WithArrival(ctx context.Context, a Arrival) context.Context {
-	return context.WithValue(ctx, arrivalKey{}, func() Arrival { return a })
-}
+type connKey struct{}
 
 // ArrivalOf returns the arrival of the request with that context; ok is false if the server does not track arrivals.
 func ArrivalOf(ctx context.Context) (a Arrival, ok bool) {
-	arrival, ok := ctx.Value(arrivalKey{}).(func() Arrival)
-	if !ok {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok || !c.tracked {
 		return Arrival{}, false
 	}
-	return arrival(), true
+	return c.arrival(), true
 }
 
-// withConn lets ArrivalOf find the connection of a request.
+// withConn returns the context of the requests on a connection.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	c, ok := conn.(*callerConn)
-	if !ok || !c.tracked {
-		return ctx
-	}
-	return context.WithValue(ctx, arrivalKey{}, c.arrival)
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // arrival returns the arrival of the request that is being served.
@@ -111,9 +103,13 @@
 	if err != nil {
 		return true
 	}
-	ready := 0
+	var ready int
+	var pollErr error
 	err = raw.Control(func(fd uintptr) {
-		ready, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	})
-	return err != nil || ready <= 0
+	if err != nil || pollErr != nil {
+		return !errors.Is(pollErr, unix.EINTR)
+	}
+	return ready == 0
 }
--- a/site/drain.go
+++ b/site/drain.go
@@ -22,12 +22,12 @@
 func (c *Control) Drain(ctx context.Context, order catalog.DrainOrder) error {
 	startedAt := clock.Now()
 	held := c.stateMachine.Drained().Revision
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	err := c.addCondition(ctx, &order)
+	err := c.addCondition(callCtx, &order)
 	if err == nil {
 		var reply ForwardedReply
-		reply, err = c.retryCall(ctx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
+		reply, err = c.retryCall(callCtx, changeTimeout, &ForwardedCall{Kind: CallDrain, From: string(c.self.Name), Drain: &order})
 		c.noteHallOrder(order.Hall, reply.HallOrder)
 	}
 	fields := []any{
--- a/site/messages.go
+++ b/site/messages.go
@@ -181,7 +181,7 @@
 type HallOrder struct {
 	// Number is 0 before the first order.
 	Number catalog.OrderNumber
-	// Age is how long ago the leader carried it out, or began to lead or to run since.
+	// Age is how long ago the leader's process applied it, or read it from a snapshot.
 	Age time.Duration
 }
 
--- a/soak/halls.go
+++ b/soak/halls.go
@@ -73,22 +73,22 @@
 	s.tasks.Go(func() {
 		random := rand.New(rand.NewPCG(seed, 1))
 		defer s.truth.forgetDrain(hall)
-		back, cancel := context.WithTimeout(context.WithoutCancel(ctx), backLimit)
-		defer cancel()
 		for range 1 + random.IntN(mostDrains) {
 			if ctx.Err() == nil && s.orderHallWithin(ctx, random, platform.DrainPath(hall), orderPatience) {
 				s.truth.drainAcknowledged(hall)
 				s.notef("%s drained", hall)
 			}
-			// Every second time the hall is taken back at once.
+			// About every second time the hall is taken back at once.
 			pause(ctx, time.Duration(random.IntN(2))*between(random, hallBound, 3*hallBound))
 			s.truth.endDrain(hall)
 			if ctx.Err() == nil {
 				s.giveUpOrder(ctx, random, platform.UndrainPath(hall))
 			}
+			back, cancel := context.WithTimeout(context.WithoutCancel(ctx), backLimit)
 			if s.orderHallWithin(back, random, platform.UndrainPath(hall), orderPatience) {
 				s.notef("%s taken back", hall)
 			}
+			cancel()
 		}
 	})
 	return string(hall)
