Check the backlog of control's listener ten times a second

The price is that an order on a new connection within 0.1 s of the previous one on that hall may get 3008 and has to be sent again.

--- a/inbound/arrival.go
+++ b/inbound/arrival.go
@@ -24,7 +24,7 @@
 )
 
 // backlogCheckInterval is how often a tracked listener is checked for connections that wait to be accepted.
-const backlogCheckInterval = 10 * time.Millisecond
+const backlogCheckInterval = 100 * time.Millisecond
 
 // Arrival is the client's address, and when it connected and sent a request at the earliest.
 type Arrival struct {
