Use the relay tests' memory network for heads that are cut off

Cause: the tests of cut heads and of drained halls had listeners and addresses of their own for pipes, beside the memory network that was there, and the test of forwarded heads accepted any failure without a check that an entry had taken the request. Change: memoryNetwork can listen without an HTTP server, and the test fails if no entry accepted the request.

--- a/relay/cut_head_test.go
+++ b/relay/cut_head_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -28,32 +27,19 @@
 	}
 }
 
-// namedListener has only an address.
-type namedListener struct {
-	net.Listener
-	name string
-}
-
-func (l namedListener) Addr() net.Addr { return namedAddr(l.name) }
-
-type namedAddr string
-
-func (a namedAddr) Network() string { return "pipe" }
-func (a namedAddr) String() string  { return string(a) }
-
-// newPipeEntry returns an entry with two upstreams, plain ones that are heads of groups as well, that it reaches by pipes.
+// newPipeEntry returns an entry with two upstreams, plain ones that are heads of groups as well, that it reaches without sockets: the many
+// connections of a test would use up the local ports.
 func newPipeEntry(t *testing.T, respond responder) (*testEntry, []*upstream) {
 	t.Helper()
+	network := &memoryNetwork{listeners: map[string]*memoryListener{}}
 	var upstreams []*upstream
-	for _, name := range []string{"a", "b"} {
-		upstreams = append(upstreams, &upstream{t: t, ln: namedListener{name: name}, respond: respond})
-	}
-	dial := func(_ context.Context, address string) (net.Conn, error) {
-		ours, theirs := net.Pipe()
-		go upstreams[strings.Index("ab", address)].serve(theirs)
-		return ours, nil
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+		u := &upstream{t: t, ln: network.listen(address), respond: respond}
+		go u.accept()
+		t.Cleanup(func() { u.ln.Close() })
+		upstreams = append(upstreams, u)
 	}
-	s := newTestEntryWithDial(t, dial, upstreams, upstreams)
+	s := newTestEntryWithDial(t, network.dial, upstreams, upstreams)
 	s.server.Close()
 	return s, upstreams
 }
@@ -167,12 +153,16 @@
 			text := answerHead(sample, 200, signature, "Content-Length: 12")
 			for size := 0; size < len(text); size += 3 {
 				f := newForwardSite(t, respondKind)
-				entry := newCutEntry(t, text[:size])
+				var accepted atomic.Int64
+				entry := newCutEntry(t, text[:size], &accepted)
 				f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"hall": {"127.0.0.1:1", entry}}))
 				got := f.cut.do(f.cut.request("POST", path, "id", "body"))
 				if got.Status != http.StatusBadGateway && got.Status != 0 && got.Status != http.StatusGatewayTimeout {
 					t.Errorf("sent %q: %+v, want a failure that does not say that the request did not run", text[:size], got)
 				}
+				if accepted.Load() == 0 {
+					t.Errorf("sent %q: no entry accepted the request: the test checks nothing", text[:size])
+				}
 				f.cut.server.Close()
 			}
 		})
@@ -180,8 +170,8 @@
 }
 
 // newCutEntry returns the address of an entry that accepts a forwarded request, sends text in place of the answer, and closes the
-// connection.
-func newCutEntry(t *testing.T, text string) string {
+// connection; accepted counts those requests.
+func newCutEntry(t *testing.T, text string, accepted *atomic.Int64) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -205,6 +195,7 @@
 				if _, err := c.Read(buf); err != nil {
 					return
 				}
+				accepted.Add(1)
 				_, _ = io.WriteString(c, text)
 			}()
 		}
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -232,11 +232,11 @@
 }
 
 // drainTwoHalls places the first upstream of a pipe entry in hall a and the second one in hall b, which is drained.
-func drainTwoHalls(s *testEntry) {
+func drainTwoHalls(s *testEntry, upstreams []*upstream) {
 	delta := roster.Delta{Full: true, Revision: 2}
 	for i, name := range []string{"a", "b"} {
 		head, plain := ident.Incarnation("h"+strconv.Itoa(i)), ident.Incarnation("p"+strconv.Itoa(i))
-		u := roster.Upstream{ID: head, Service: "model", Address: name, Slots: 4, Hall: ident.Hall(name)}
+		u := roster.Upstream{ID: head, Service: "model", Address: upstreams[i].address(), Slots: 4, Hall: ident.Hall(name)}
 		delta.Upstreams = append(delta.Upstreams, u)
 		u.ID, u.Service = plain, "plain"
 		delta.Upstreams = append(delta.Upstreams, u)
@@ -263,7 +263,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s, upstreams := newPipeEntry(t, tt.respond)
-			drainTwoHalls(s)
+			drainTwoHalls(s, upstreams)
 			if got := s.serve(s.request("POST", tt.path, "id", "body")); got.Status == http.StatusOK && got.Complete {
 				t.Errorf("%+v", got)
 			}
--- a/relay/memory_network_test.go
+++ b/relay/memory_network_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// memoryNetwork connects clients and HTTP servers of one synctest bubble.
+// memoryNetwork connects clients and servers without sockets.
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
@@ -46,12 +46,18 @@
 	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(l.address))
 }
 
-// serve starts a server and returns what ends it.
-func (n *memoryNetwork) serve(address string, handler http.Handler) (end func()) {
+// listen returns the listener at an address.
+func (n *memoryNetwork) listen(address string) *memoryListener {
 	l := &memoryListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners[address] = l
+	return l
+}
+
+// serve starts a server and returns what ends it.
+func (n *memoryNetwork) serve(address string, handler http.Handler) (end func()) {
+	l := n.listen(address)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(l) }()
 	return func() { _ = server.Close() }
