Reject upstreams' answers whose status is not valid

What callers saw: with status 000 and a body that is itself an answer with the request's id, they got that body as a 200; with a status of 600 to 999 they got that status. An answer with such a status and a "not run" header made the relay send a request again that must not be repeated.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, the relay took a status below 200 for an interim answer, and read the body as the next head.

Change: the new package httphead checks the bytes of a head before net/http parses them, and the relay reads all heads with it, those of other entries included. A status has three digits, from 100 to 599, and is not 101, since no request asks for an upgrade. A head is at most 64 KB, as callers' heads are. A rejected head ends as one that was cut off: nothing in it is applied, the connection is closed, and a request that can be repeated gets the answer of another upstream.

--- /dev/null
+++ b/httphead/checker.go
@@ -0,0 +1,130 @@
+package httphead
+
+// net/http is lenient where a proxy must not be: a peer could hide an answer in
+// the body of another one, or end an answer elsewhere than the caller sees it
+// end. So the bytes of a head are checked line by line before net/http parses
+// them:
+//
+//	HTTP/1.1 000 X     rejected: status
+//	Content-Length: 2  never parsed
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+const (
+	// MaxBytes bounds the head of a response.
+	MaxBytes = 64 << 10
+	// maxQuotedBytes bounds the part of a rejected line that an error quotes.
+	maxQuotedBytes = 64
+)
+
+// Rule is the rule that a rejected head breaks. The value is a label of a metric.
+type Rule string
+
+// The rules.
+const (
+	// RuleStatus requires a status of three digits that HTTP defines (RFC 9110, section 15), other than 101: no request asks for an upgrade.
+	RuleStatus Rule = "status"
+	// RuleSize bounds the bytes of a head.
+	RuleSize Rule = "size"
+)
+
+// Error says why a head was rejected.
+type Error struct {
+	Rule Rule
+	// Line is the start of the line that breaks the rule, quoted.
+	Line string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("response head breaks the rule %q at %s", e.Rule, e.Line)
+}
+
+func newError(rule Rule, line []byte) *Error {
+	return &Error{rule, fmt.Sprintf("%+q", line[:min(maxQuotedBytes, len(line))])}
+}
+
+// Checker checks the head of one response while its bytes arrive. The zero value is ready for use.
+type Checker struct {
+	// line is the part of the current line that earlier calls got.
+	line   []byte
+	size   int
+	status int
+	done   bool
+}
+
+// Done reports whether the whole head was checked.
+func (c *Checker) Done() bool { return c.done }
+
+// Interim reports whether the response is followed by another one to the same request.
+func (c *Checker) Interim() bool { return c.status < http.StatusOK }
+
+// Check checks the next bytes of a connection, and returns how many of them belong to the head. An error is an *Error.
+func (c *Checker) Check(b []byte) (n int, err error) {
+	for n < len(b) && !c.done && err == nil {
+		part := b[n:]
+		if end := bytes.IndexByte(part, '\n'); end >= 0 {
+			part = part[:end+1]
+		}
+		err = c.add(part)
+		n += len(part)
+	}
+	return n, err
+}
+
+// add adds a part of the current line, which the part may end.
+func (c *Checker) add(part []byte) error {
+	c.size += len(part)
+	line, whole := part, part[len(part)-1] == '\n'
+	if len(c.line) > 0 || !whole {
+		c.line = append(c.line, part...)
+		line = c.line
+	}
+	if whole {
+		c.line = c.line[:0]
+		if err := c.checkLine(bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))); err != nil {
+			return err
+		}
+	}
+	if c.size >= MaxBytes && !c.done {
+		return newError(RuleSize, line)
+	}
+	return nil
+}
+
+// checkLine checks a line without its end.
+func (c *Checker) checkLine(line []byte) error {
+	switch {
+	case c.status == 0:
+		if c.status = parseStatus(line); c.status == 0 {
+			return newError(RuleStatus, line)
+		}
+	case len(line) == 0:
+		c.done = true
+	}
+	return nil
+}
+
+// parseStatus returns the status of a status line, 0 if it is not valid. It finds the status where net/http does.
+func parseStatus(line []byte) int {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(text) != 3 {
+		return 0
+	}
+	status := 0
+	for _, digit := range text {
+		if digit < '0' || digit > '9' {
+			return 0
+		}
+		status = 10*status + int(digit-'0')
+	}
+	if status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
+		return 0
+	}
+	return status
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -86,7 +86,7 @@
 // readAnswerHead returns the head of the answer to this request; late answers to earlier requests are skipped.
 func (f *forwarder) readAnswerHead() (*http.Response, error) {
 	for range maxForeignAnswers + 1 {
-		resp, err := http.ReadResponse(f.conn.br, f.x.r)
+		resp, err := f.conn.br.ReadResponse(f.x.r)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/relay/broken_head_test.go
@@ -0,0 +1,130 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/sharing"
+)
+
+// brokenHead is an answer whose head is not valid.
+type brokenHead struct {
+	name string
+	// text returns the answer to the request with that id.
+	text func(id string) string
+}
+
+// forgedAnswer is a valid answer to the request with that id. An upstream must not be able to hide it in the body of another answer.
+func forgedAnswer(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 X\r\nRequest: %s\r\n%s\r\nContent-Length: 6\r\n\r\nforged", id, signature)
+}
+
+// brokenStatuses are answers whose status is not one of a final answer.
+func brokenStatuses() []brokenHead {
+	var heads []brokenHead
+	for _, status := range []string{"000", "099", "+20", "-00", "101", "600", "999"} {
+		for _, extra := range []string{signature, "Not-Run: 1"} {
+			heads = append(heads, brokenHead{fmt.Sprintf("status %s %s", status, extra), func(id string) string {
+				body := forgedAnswer(id)
+				return fmt.Sprintf("HTTP/1.1 %s X\r\nRequest: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, id, extra, len(body), body)
+			}})
+		}
+	}
+	return heads
+}
+
+// brokenHeads are all answers whose head is not valid.
+func brokenHeads() []brokenHead {
+	return brokenStatuses()
+}
+
+// sendFirst answers the first request with text and any other one with respond. closed is closed once the entry has closed the first
+// request's connection.
+func sendFirst(text string, respond responder) (responder, <-chan struct{}) {
+	var sent atomic.Bool
+	closed := make(chan struct{})
+	return func(c net.Conn, r *http.Request, n int) bool {
+		if sent.Swap(true) {
+			return respond(c, r, n)
+		}
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = io.WriteString(c, text)
+		if _, err := io.Copy(io.Discard, c); err == nil {
+			close(closed)
+		}
+		return false
+	}, closed
+}
+
+// An answer whose head is not valid is no answer, and nothing in it is applied: its connection is closed, a request that can be repeated gets
+// the answer of another upstream, one that cannot gets an error that does not say "not run".
+func TestAnswerWithBrokenHead(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
+		want := reply{http.StatusOK, "answer to id", true}
+		switch path {
+		case "/unsafe/x", "/once/x":
+			want = reply{Status: http.StatusBadGateway}
+		case "/stream/x":
+			want.Body = eventText(1, 3)
+		}
+		for _, head := range brokenHeads() {
+			t.Run(path+" "+head.name, func(t *testing.T) {
+				t.Parallel()
+				respond, closed := sendFirst(head.text("id"), respondKind)
+				checkCutHead(t, path, head.text("id"), respond, want)
+				select {
+				case <-closed:
+				case <-time.After(5 * time.Second):
+					t.Error("the connection is still open")
+				}
+			})
+		}
+	}
+}
+
+// A stream whose continuation has a head that is not valid does not end as complete.
+func TestContinuationWithBrokenHead(t *testing.T) {
+	for _, head := range brokenHeads() {
+		t.Run(head.name, func(t *testing.T) {
+			t.Parallel()
+			s, _ := newPipeEntry(t, always(func(c net.Conn, r *http.Request) bool {
+				if r.Header.Get("Event") == "" {
+					return respondStream(c, r, 1, 2, false)
+				}
+				_, _ = io.WriteString(c, head.text("id"))
+				return false
+			}))
+			if got := s.serve(s.request("POST", "/stream/x", "id", "body")); got.Complete || !strings.HasPrefix(eventText(1, 2), got.Body) {
+				t.Errorf("%+v, want an incomplete answer", got)
+			}
+		})
+	}
+}
+
+// A request that another entry accepted has no answer, and may have run, if that entry's answer has a head that is not valid.
+func TestForwardedAnswerWithBrokenHead(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		for _, head := range brokenHeads() {
+			t.Run(path+" "+head.name, func(t *testing.T) {
+				t.Parallel()
+				f := newForwardSite(t, respondKind)
+				var accepted atomic.Int64
+				entry := newCutEntry(t, head.text("id"), &accepted)
+				f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"hall": {"127.0.0.1:1", entry}}))
+				if got := f.cut.do(f.cut.request("POST", path, "id", "body")); got.Status != http.StatusBadGateway {
+					t.Errorf("%+v, want a failure that does not say that the request did not run", got)
+				}
+				if accepted.Load() == 0 {
+					t.Error("no entry accepted the request: the test checks nothing")
+				}
+			})
+		}
+	}
+}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -2,7 +2,7 @@
 
 // net/http's Transport sends a request again on its own when a kept connection
 // breaks. That must not happen to a request that may run only once, so the relay
-// has its own connection pool; answers are parsed by net/http.
+// has its own connection pool; their heads are checked by package httphead before net/http parses them.
 
 import (
 	"bufio"
@@ -17,12 +17,12 @@
 	"syscall"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httphead"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/transport"
 )
 
 const (
-	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
 	// maxIdlePerUpstream bounds the idle connections to one upstream, unless that accepts fewer.
 	maxIdlePerUpstream = 16
@@ -37,7 +37,7 @@
 type upstreamConn struct {
 	net.Conn
 	address   string
-	br        *bufio.Reader
+	br        *httphead.Reader
 	bw        *bufio.Writer
 	reused    bool
 	idleSince time.Time
@@ -178,7 +178,7 @@
 		return nil, err
 	}
 	c := &upstreamConn{Conn: conn, address: address}
-	c.br, c.bw = bufio.NewReaderSize(c, readBufferBytes), bufio.NewWriterSize(c, writeBufferBytes)
+	c.br, c.bw = httphead.NewReader(c), bufio.NewWriterSize(c, writeBufferBytes)
 	return c, nil
 }
 
@@ -223,6 +223,7 @@
 		c.Close()
 		return
 	}
+	c.br.Shrink()
 	c.idleSince = p.now()
 	c.expires = c.idleSince.Add(keepAliveTimeout(answer.Header.Get("Keep-Alive")))
 	if c.SetDeadline(time.Time{}) != nil {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -327,7 +327,7 @@
 	if err := x.writeForwardedBody(conn.bw); err != nil {
 		return nil, err
 	}
-	if resp, err = http.ReadResponse(conn.br, x.r); err != nil {
+	if resp, err = conn.br.ReadResponse(x.r); err != nil {
 		return nil, err
 	}
 	resp, err = x.checkDeclined(resp)
@@ -343,7 +343,7 @@
 	if err := x.writeForwardedHead(conn.bw, attempts); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(conn.br, x.r)
+	return conn.br.ReadResponse(x.r)
 }
 
 // checkDeclined reads the rest of an answer that declines the request, and returns errDeclined with it.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,8 +17,11 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event.
+	maxEventBytes    = 1 << 20
+	eventBufferBytes = 4 << 10
+)
 
 var (
 	errPartialEvent     = errors.New("stream ended within an event")
@@ -44,7 +47,7 @@
 }
 
 func newEventReader(resp *http.Response) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(resp.Body, readBufferBytes)}
+	return &eventReader{br: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
 }
 
 // next returns the next complete event, and io.EOF if the stream ended between two events.
