Reject answers to calls whose status is not valid

What callers saw: services' callers got status 0, 99 or 20 with the body, and net/http's server panics on a status below 100. A 101 took a call's connection over and held it past the client's time-out. Engines, the platform's list, orders, questions and the operators' interface are read in the same way.

Cause: as in the relay, net/http takes such a status.

Change: the clients of package transport check the heads of answers while net/http reads the connection, with the checks of package httphead. net/http reports the part of the head that it has as malformed, so the client returns the check's own error, as code 5006. It never sends a request again for it.

Why it works: the first bytes of a connection and those after it got a request are a head, and net/http accepts no head without its last line, which the check sees first.

--- a/measure/slopes/series.go
+++ b/measure/slopes/series.go
@@ -5,7 +5,6 @@
 	"encoding/gob"
 	"fmt"
 	"net"
-	"net/http"
 	"path/filepath"
 	"runtime"
 	"sync"
@@ -221,7 +220,7 @@
 	for range int(n) {
 		_, _ = c.State(context.Background(), e.Address())
 	}
-	c.HTTP.Transport.(*http.Transport).CloseIdleConnections()
+	c.HTTP.CloseIdleConnections()
 	return float64(count.n)
 }
 
--- a/transport/doc.go
+++ b/transport/doc.go
@@ -1,2 +1,2 @@
-// Package transport creates HTTP clients that never resend a request on their own, and maps their errors to result codes.
+// Package transport creates HTTP clients that never resend a request on their own and check the heads of answers, and maps their errors to result codes.
 package transport
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httphead"
 	"github.com/dunlinquay/dunlinquay/result"
 )
 
@@ -84,18 +85,23 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall lacks.
 const tcpUserTimeout = 18
 
-// New returns a client that follows no redirects, requests no compression, and opens its connections with dial.
+// New returns a client that follows no redirects, requests no compression, rejects answers whose head is not valid, and opens its connections
+// with dial.
 func New(reuse Reuse, dial Dial) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: checkedTransport{&http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				return dial(ctx, address)
+				conn, err := dial(ctx, address)
+				if err != nil {
+					return nil, err
+				}
+				return &headConn{Conn: conn}, nil
 			},
 			DisableKeepAlives:   reuse == Fresh,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -127,6 +133,10 @@
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return result.Wrap(err, result.NeverSent, "cannot open connection")
 	}
+	var headErr *httphead.Error
+	if errors.As(err, &headErr) {
+		return result.Wrap(err, result.UpstreamMalformed, "the answer's head is not valid")
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return result.Wrap(err, result.TimedOut, "no answer before the deadline")
 	}
