Reject answers with a field whose name is not a token

What callers saw: the chunk framing as the body of a 200, or bytes behind the end of the answer, on routes of all kinds. Entries and services passed the line on in the header map, where net/http's server dropped it.

Cause: net/textproto accepts blanks within a name, before its colon and in front of it, where the line continues the field before. A field with such a name does not frame the body for net/http, and may for the upstream.

Change: each line of a head is a name that is a token, and a colon.

Why it works: the line is rejected before net/http sees the end of the head, so nothing of that answer is read as a body.

--- a/httphead/checker.go
+++ b/httphead/checker.go
@@ -12,6 +12,8 @@
 	"bytes"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -28,6 +30,9 @@
 const (
 	// RuleStatus requires a status of three digits that HTTP defines (RFC 9110, section 15), other than 101: no request asks for an upgrade.
 	RuleStatus Rule = "status"
+	// RuleFieldName requires each line after the first to be a field whose name is a token that a colon follows (RFC 9112, section 5.1). This
+	// excludes lines that continue a field, which a proxy may reject (section 5.2).
+	RuleFieldName Rule = "field-name"
 	// RuleSize bounds the bytes of a head.
 	RuleSize Rule = "size"
 )
@@ -105,6 +110,11 @@
 		}
 	case len(line) == 0:
 		c.done = true
+	default:
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+			return newError(RuleFieldName, line)
+		}
 	}
 	return nil
 }
--- a/httphead/httphead_test.go
+++ b/httphead/httphead_test.go
@@ -12,6 +12,7 @@
 	"testing/iotest"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/dunlinquay/dunlinquay/httphead"
 )
@@ -36,6 +37,20 @@
 	{"HTTP/1.1 20\r\n\r\n", httphead.RuleStatus},
 	{"HTTP/1.1\r\n\r\n", httphead.RuleStatus},
 	{"\r\n\r\n", httphead.RuleStatus},
+	{"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ:\r\n\r\n", ""},
+	{"HTTP/1.1 200 OK\r\nA : b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA\t: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA B: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA\x00B: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA\x7f: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA\xc3\xa4: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA(): b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\n: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\n A: b\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA: b\r\n\t\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\nA: b\r\n\r\r\n\r\n", httphead.RuleFieldName},
 	{"HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("v", httphead.MaxBytes) + "\r\n\r\n", httphead.RuleSize},
 	{"HTTP/1.1 " + strings.Repeat(" ", httphead.MaxBytes) + "200 OK\r\n\r\n", httphead.RuleSize},
 }
@@ -134,6 +149,11 @@
 		if resp.StatusCode < 100 || resp.StatusCode > 599 || c.Interim() != (resp.StatusCode < 200) {
 			t.Errorf("status %d, interim %v", resp.StatusCode, c.Interim())
 		}
+		for name := range resp.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Errorf("field name %q", name)
+			}
+		}
 		if rest := len(text) - n; br.Buffered() != rest {
 			t.Errorf("net/http ends the head %d bytes before the end, not %d", br.Buffered(), rest)
 		}
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,9 +41,28 @@
 	return heads
 }
 
+// brokenNames are answers with a field whose name is not a token (RFC 9110, section 5.1).
+func brokenNames() []brokenHead {
+	var heads []brokenHead
+	for _, line := range []string{
+		"Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Transfer Encoding: chunked", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
+		"Content-Length : 3", "Content-Length\x01: 3", "X-Field : v", "X Field: v", "X\tField: v", "X-\x00Field: v", "X\x7f: v", "X\xe4: v", "X(): v", ": v", "v",
+	} {
+		for _, extra := range []string{signature, "Not-Run: 1"} {
+			heads = append(heads, brokenHead{fmt.Sprintf("%q %s", line, extra), func(id string) string {
+				return fmt.Sprintf("HTTP/1.1 200 X\r\nRequest: %s\r\n%s\r\n%s\r\n\r\n3\r\nabc\r\n0\r\n\r\n", id, extra, line)
+			}})
+		}
+		heads = append(heads, brokenHead{fmt.Sprintf("%q interim", line), func(id string) string {
+			return "HTTP/1.1 103 X\r\n" + line + "\r\n\r\n" + forgedAnswer(id)
+		}})
+	}
+	return heads
+}
+
 // brokenHeads are all answers whose head is not valid.
 func brokenHeads() []brokenHead {
-	return brokenStatuses()
+	return slices.Concat(brokenStatuses(), brokenNames())
 }
 
 // sendFirst answers the first request with text and any other one with respond. closed is closed once the entry has closed the first
--- a/transport/broken_head_test.go
+++ b/transport/broken_head_test.go
@@ -22,12 +22,17 @@
 
 // brokenHeads are answers whose head is not valid.
 var brokenHeads = map[string]string{
-	"status 000":          "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
-	"status 099":          "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
-	"status +20":          "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\nok",
-	"status 101":          "HTTP/1.1 101 X\r\nUpgrade: u\r\nConnection: Upgrade\r\n\r\nok",
-	"status 600":          "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",
-	"status 000, interim": interim + "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
+	"status 000":               "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
+	"status 099":               "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
+	"status +20":               "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\nok",
+	"status 101":               "HTTP/1.1 101 X\r\nUpgrade: u\r\nConnection: Upgrade\r\n\r\nok",
+	"status 600":               "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",
+	"blank in a name":          "HTTP/1.1 200 X\r\nContent-Length : 2\r\n\r\nok",
+	"blank in a name, no body": "HTTP/1.1 204 X\r\nX-Field : v\r\n\r\n",
+	"blank first":              "HTTP/1.1 200 X\r\nA: b\r\n Content-Length: 2\r\n\r\nok",
+	"name with a control byte": "HTTP/1.1 200 X\r\nA\x01: b\r\nContent-Length: 2\r\n\r\nok",
+	"blank in an interim name": "HTTP/1.1 103 X\r\nX-Field : v\r\n\r\n" + validAnswer,
+	"status 000, interim":      interim + "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
 }
 
 // get sends a request and returns the complete body of the answer.
