Bound the memory for heads of answers without end

What callers saw (in reports of other operators): a faulty upstream sent bytes without end in a head, the daemon kept them all, ran out of memory, and the requests of its other callers ended with it.

Cause: http.ReadResponse has no bound on a head, and needs some nine times the bytes of short fields. The clients of package transport had net/http's 10 MB.

Change: a head is shorter than 64 KB and has at most 256 fields; of a line that has not arrived whole, only the first 1 KB is kept besides the connection's buffer, which grows up to the bound and shrinks afterwards. Package transport checks a head before net/http gets any of it, and reads at most five interim answers to a request.

The bound in the tests is 256 KB.

Why it works: nothing reads beyond the bound, whatever the bytes are, and net/http only parses heads that are within it.

--- a/httphead/checker.go
+++ b/httphead/checker.go
@@ -17,8 +17,12 @@
 )
 
 const (
-	// MaxBytes bounds the head of a response.
+	// MaxBytes bounds the head of a response, which is shorter.
 	MaxBytes = 64 << 10
+	// maxFields bounds the fields of a head: net/http needs many times the bytes of short ones.
+	maxFields = 256
+	// maxLineBytes bounds the part of a line that is checked: a status, or a name and its colon.
+	maxLineBytes = 1 << 10
 	// maxQuotedBytes bounds the part of a rejected line that an error quotes.
 	maxQuotedBytes = 64
 )
@@ -33,8 +37,9 @@
 	// RuleFieldName requires each line after the first to be a field whose name is a token that a colon follows (RFC 9112, section 5.1). This
 	// excludes lines that continue a field, which a proxy may reject (section 5.2).
 	RuleFieldName Rule = "field-name"
-	// RuleSize bounds the bytes of a head.
-	RuleSize Rule = "size"
+	// RuleSize bounds the bytes of a head, RuleFieldCount its fields.
+	RuleSize       Rule = "size"
+	RuleFieldCount Rule = "field-count"
 )
 
 // Error says why a head was rejected.
@@ -55,9 +60,10 @@
 
 // Checker checks the head of one response while its bytes arrive. The zero value is ready for use.
 type Checker struct {
-	// line is the part of the current line that earlier calls got.
+	// line is the start of the current line, of which earlier calls got a part.
 	line   []byte
 	size   int
+	fields int
 	status int
 	done   bool
 }
@@ -86,22 +92,23 @@
 	c.size += len(part)
 	line, whole := part, part[len(part)-1] == '\n'
 	if len(c.line) > 0 || !whole {
-		c.line = append(c.line, part...)
+		c.line = append(c.line, part[:min(len(part), maxLineBytes-len(c.line))]...)
 		line = c.line
 	}
+	line = line[:min(len(line), maxLineBytes)]
+	if c.size >= MaxBytes {
+		return newError(RuleSize, line)
+	}
 	if whole {
 		c.line = c.line[:0]
-		if err := c.checkLine(bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))); err != nil {
+		if err := c.checkLine(bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))); err != nil {
 			return err
 		}
 	}
-	if c.size >= MaxBytes && !c.done {
-		return newError(RuleSize, line)
-	}
 	return nil
 }
 
-// checkLine checks a line without its end.
+// checkLine checks the start of a line without its end.
 func (c *Checker) checkLine(line []byte) error {
 	switch {
 	case c.status == 0:
@@ -115,6 +122,9 @@
 		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 			return newError(RuleFieldName, line)
 		}
+		if c.fields++; c.fields > maxFields {
+			return newError(RuleFieldCount, line)
+		}
 	}
 	return nil
 }
--- a/httphead/httphead_test.go
+++ b/httphead/httphead_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -51,8 +52,13 @@
 	{"HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n\r\n", httphead.RuleFieldName},
 	{"HTTP/1.1 200 OK\r\nA: b\r\n\t\r\n\r\n", httphead.RuleFieldName},
 	{"HTTP/1.1 200 OK\r\nA: b\r\n\r\r\n\r\n", httphead.RuleFieldName},
+	{"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\n", 256) + "\n", ""},
+	{"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\n", 257) + "\n", httphead.RuleFieldCount},
+	{"HTTP/1.1 200 OK\r\n" + strings.Repeat("n", 1000) + ": v\r\n\r\n", ""},
+	{"HTTP/1.1 200 OK\r\n" + strings.Repeat("n", 1024) + ": v\r\n\r\n", httphead.RuleFieldName},
 	{"HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("v", httphead.MaxBytes) + "\r\n\r\n", httphead.RuleSize},
 	{"HTTP/1.1 " + strings.Repeat(" ", httphead.MaxBytes) + "200 OK\r\n\r\n", httphead.RuleSize},
+	{"HTTP/1.1 " + strings.Repeat(" ", 2000) + "200 OK\r\n\r\n", httphead.RuleStatus},
 }
 
 func ruleOf(err error) httphead.Rule {
@@ -127,6 +133,29 @@
 	}
 }
 
+// The memory for a valid head is a small multiple of the bound of a head.
+func TestMemoryOfValidHeads(t *testing.T) {
+	for _, fields := range []string{
+		strings.Repeat("a:\n", 255), strings.Repeat("A: "+strings.Repeat("v", 250)+"\r\n", 250), "Long: " + strings.Repeat("v", httphead.MaxBytes-100) + "\n",
+	} {
+		const responses = 8
+		text := "HTTP/1.1 200 X\r\nContent-Length: 0\r\n" + fields + "\r\n"
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range responses {
+			resp, err := httphead.NewReader(strings.NewReader(text)).ReadResponse(nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+		}
+		runtime.ReadMemStats(&after)
+		if allocated := (after.TotalAlloc - before.TotalAlloc) / responses; allocated > 8*httphead.MaxBytes {
+			t.Errorf("%.20q: %d bytes", fields, allocated)
+		}
+	}
+}
+
 // A head that is accepted means the same to net/http.
 func FuzzChecker(f *testing.F) {
 	for _, tt := range heads {
--- a/httphead/reader.go
+++ b/httphead/reader.go
@@ -9,8 +9,11 @@
 	"slices"
 )
 
-// bufferBytes is the size of a reader's buffer unless a head is longer.
-const bufferBytes = 4 << 10
+const (
+	// bufferBytes is the size of a reader's buffer unless a head is longer; then it grows by the factor growth up to MaxBytes.
+	bufferBytes = 4 << 10
+	growth      = 4
+)
 
 // Reader reads responses from a connection.
 type Reader struct {
@@ -26,7 +29,7 @@
 // ReadResponse reads the head of the next response to r. The connection is of no further use after an error, which is an *Error if the head was
 // rejected. The body of the response must be read before the next call.
 func (rd *Reader) ReadResponse(r *http.Request) (*http.Response, error) {
-	if err := rd.checkHead(); err != nil {
+	if _, _, err := rd.AwaitHead(); err != nil {
 		return nil, err
 	}
 	return http.ReadResponse(rd.Reader, r)
@@ -39,22 +42,26 @@
 	}
 }
 
-// checkHead checks the next head while it stays in the buffer.
-func (rd *Reader) checkHead() error {
+// AwaitHead waits until the next head is buffered, and returns its bytes, which stay there, and whether it is that of an interim response. An
+// error is an *Error if the head was rejected.
+func (rd *Reader) AwaitHead() (size int, interim bool, err error) {
 	var c Checker
-	for checked := 0; !c.Done(); checked = rd.Buffered() {
-		if err := rd.awaitMore(checked); err != nil {
-			return err
+	for buffered := 0; !c.Done(); {
+		if err := rd.awaitMore(buffered); err != nil {
+			return 0, false, err
 		}
 		b, err := rd.Peek(rd.Buffered())
 		if err != nil {
-			return err
+			return 0, false, err
 		}
-		if _, err := c.Check(b[checked:]); err != nil {
-			return err
+		n, err := c.Check(b[buffered:])
+		if err != nil {
+			return 0, false, err
 		}
+		size += n
+		buffered = len(b)
 	}
-	return nil
+	return size, c.Interim(), nil
 }
 
 // awaitMore waits until more than n bytes are buffered.
@@ -69,10 +76,10 @@
 	return err
 }
 
-// grow doubles the buffer.
+// grow enlarges the buffer.
 func (rd *Reader) grow() {
 	// The buffer is full, so that this returns all of it without reading.
 	b, _ := rd.Peek(rd.Buffered())
 	rest := io.MultiReader(bytes.NewReader(slices.Clone(b)), rd.conn)
-	rd.Reader = bufio.NewReaderSize(rest, 2*len(b))
+	rd.Reader = bufio.NewReaderSize(rest, growth*len(b))
 }
--- a/relay/cut_head_test.go
+++ b/relay/cut_head_test.go
@@ -54,9 +54,14 @@
 		}
 		got = reply{w.Code, w.Body.String(), aborted == nil}
 	}()
-	served := httptest.NewRequest(r.Method, r.URL.Path, r.Body).WithContext(s.t.Context())
-	served.Host, served.Header = r.Host, r.Header
-	s.relay.ServeHTTP(w, served)
+	s.relay.ServeHTTP(w, incoming(s.t, r))
+	return got
+}
+
+// incoming returns a caller's request as a server gets it.
+func incoming(t testing.TB, r *http.Request) *http.Request {
+	got := httptest.NewRequest(r.Method, r.URL.Path, r.Body).WithContext(t.Context())
+	got.Host, got.Header = r.Host, r.Header
 	return got
 }
 
--- a/transport/broken_head_test.go
+++ b/transport/broken_head_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/dunlinquay/dunlinquay/httphead"
 	"github.com/dunlinquay/dunlinquay/result"
 	"github.com/dunlinquay/dunlinquay/standin"
 	"github.com/dunlinquay/dunlinquay/transport"
@@ -119,3 +122,44 @@
 		}
 	}
 }
+
+// The memory that a call needs for a head without an end is a small multiple of the bound of a head, whatever its bytes are.
+func TestMemoryOfHeadsWithoutEnd(t *testing.T) {
+	const calls, bound, endlessBytes = 8, 4 * httphead.MaxBytes, 24 << 20
+	for _, tt := range []struct{ name, head, text string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"name", "HTTP/1.1 200 X\r\n", "x"},
+		{"value", "HTTP/1.1 200 X\r\nField: ", "x"},
+		{"fields", "HTTP/1.1 200 X\r\n", "Field: value\r\n"},
+		{"short fields", "HTTP/1.1 200 X\r\n", "a:\n"},
+		{"interim answers", "", interim},
+		{"interim fields", "HTTP/1.1 103 X\r\n", "a:\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			part := []byte(strings.Repeat(tt.text, (64<<10)/len(tt.text)))
+			ln, _, err := standin.ListenRaw(func(_ int, c net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(c, tt.head)
+				for sent := 0; sent < endlessBytes && err == nil; sent += len(part) {
+					_, err = c.Write(part)
+				}
+				return false
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			client := transport.New(transport.KeepAlive, transport.TCP())
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range calls {
+				if _, err := get(t, client, ln.Addr().String()); err == nil {
+					t.Error("answered")
+				}
+			}
+			runtime.ReadMemStats(&after)
+			if allocated := (after.TotalAlloc - before.TotalAlloc) / calls; allocated > bound {
+				t.Errorf("%d bytes for each call, want %d at most", allocated, bound)
+			}
+		})
+	}
+}
--- a/transport/head_conn.go
+++ b/transport/head_conn.go
@@ -1,22 +1,28 @@
 package transport
 
-// net/http reads the heads of answers itself, so they are checked while it reads
-// the connection. When a request gets a connection, the next bytes there are the
-// head of its answer:
+// net/http reads the heads of answers itself, so each is checked before net/http
+// gets it. When a request gets a connection, the next bytes there are the head of
+// its answer:
 //
 //	request      answer
 //	GotConn ->   head (checked)  body  |  next GotConn ->  head (checked) ...
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
+	"sync/atomic"
 
 	"github.com/dunlinquay/dunlinquay/httphead"
 )
 
+// maxInterims bounds the interim answers to one request.
+const maxInterims = 5
+
+var errInterims = errors.New("too many interim answers")
+
 // checkedTransport rejects answers whose head is not valid.
 type checkedTransport struct{ *http.Transport }
 
@@ -26,75 +32,80 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*headConn); ok {
 			conn = c
-			c.expectHead()
+			if info.Reused {
+				c.headDue.Store(true)
+			}
 		}
 	}}
 	w, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil && conn != nil {
-		// net/http reports the part of the head that it has as malformed.
+		// net/http reports the byte that it has as malformed.
 		err = cmp.Or(conn.headError(), err)
 	}
 	return w, err
 }
 
-// headConn is a connection whose reads fail at a head that is not valid. The first bytes of a connection are a head.
+// headConn is a connection that delivers no head before it was checked. The first bytes of a connection are a head.
 type headConn struct {
 	net.Conn
-
-	mu     sync.Mutex
-	inBody bool
-	head   httphead.Checker
-	err    error
+	rd *httphead.Reader
+	// left are the bytes of a checked head that have not been delivered, interims the heads of interim answers to the current request.
+	left, interims int
+	headDue        atomic.Bool
+	headErr        atomic.Pointer[error]
 }
 
-// expectHead makes the next bytes a head; on a new connection they are.
-func (c *headConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inBody {
-		c.inBody, c.head = false, httphead.Checker{}
-	}
+func newHeadConn(conn net.Conn) *headConn {
+	c := &headConn{Conn: conn, rd: httphead.NewReader(conn)}
+	c.headDue.Store(true)
+	return c
 }
 
 // headError returns why the connection's last head was rejected.
 func (c *headConn) headError() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.err
+	if err := c.headErr.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // Read implements net.Conn.
 func (c *headConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
+	c.rd.Shrink()
+	// net/http reads a connection that no request has yet, so that a head can be due once bytes have arrived.
+	if _, err := c.rd.Peek(1); err != nil {
+		return 0, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.err == nil {
-		c.err = c.check(b[:n])
+	if c.left == 0 && c.headDue.Load() {
+		if err := c.awaitHead(); err != nil {
+			c.headErr.Store(&err)
+			// net/http sends some requests again if nothing was read. One byte is never a head.
+			n, _ := c.rd.Read(b[:1])
+			return n, err
+		}
 	}
-	if c.err != nil {
-		// A head without its end is never accepted. net/http sends some requests again if nothing at all was read.
-		return 1, c.err
+	if c.left > 0 {
+		b = b[:min(len(b), c.left)]
 	}
+	n, err := c.rd.Read(b)
+	c.left -= min(n, c.left)
 	return n, err
 }
 
-// check checks the heads in bytes that were read; the mutex is held.
-func (c *headConn) check(b []byte) error {
-	for len(b) > 0 && !c.inBody {
-		n, err := c.head.Check(b)
-		if err != nil {
-			return err
-		}
-		b = b[n:]
-		switch {
-		case c.head.Done() && c.head.Interim():
-			c.head = httphead.Checker{}
-		case c.head.Done():
-			c.inBody = true
-		}
+// awaitHead waits for a head and checks it.
+func (c *headConn) awaitHead() error {
+	size, interim, err := c.rd.AwaitHead()
+	switch {
+	case err != nil:
+		return err
+	case !interim:
+		c.interims = 0
+		c.headDue.Store(false)
+	case c.interims == maxInterims:
+		return errInterims
+	default:
+		c.interims++
 	}
+	c.left = size
 	return nil
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -95,12 +95,13 @@
 				if err != nil {
 					return nil, err
 				}
-				return &headConn{Conn: conn}, nil
+				return newHeadConn(conn), nil
 			},
-			DisableKeepAlives:   reuse == Fresh,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdlePerUpstream,
-			IdleConnTimeout:     idleTimeout,
+			DisableKeepAlives:      reuse == Fresh,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    maxIdlePerUpstream,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: httphead.MaxBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
