Use no more memory for a body than was reserved for it

Cause: io.ReadAll copies a body each time that it outgrows its memory.

Change: a body is read in parts that stay where they are. One with a longer length than 8 MB is rejected before it is read.

Why it works: the parts of a body without a length together are at most one part longer than the bound, and those of a body with a length are exactly as long.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -10,18 +10,14 @@
 	"github.com/dunlinquay/dunlinquay/httproute"
 )
 
-const (
-	// maxAnswerBytes bounds an answer that is read completely before it is forwarded.
-	maxAnswerBytes = 8 << 20
-	// maxForeignAnswers is how many answers to other requests are skipped on one connection.
-	maxForeignAnswers = 2
-)
+// maxForeignAnswers is how many answers to other requests are skipped on one connection.
+const maxForeignAnswers = 2
 
 // answer is an upstream's complete answer.
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   answerBody
 }
 
 var (
@@ -151,7 +147,7 @@
 	// An earlier answer is forwarded only if this attempt fails too; it is an error answer and small.
 	x.releaseAnswer()
 	err := x.reserveAnswer(resp)
-	var body []byte
+	var body answerBody
 	if err == nil {
 		body, err = readAnswerBody(resp)
 	}
@@ -163,7 +159,7 @@
 }
 
 // forwardRead forwards an answer whose body has been read.
-func (f *forwarder) forwardRead(resp *http.Response, body []byte) attemptOutcome {
+func (f *forwarder) forwardRead(resp *http.Response, body answerBody) attemptOutcome {
 	a, outcome := f.checkAnswer(resp, body)
 	if outcome == outcomeDone {
 		return f.deliver(a)
@@ -179,7 +175,7 @@
 }
 
 // checkAnswer returns outcomeDone if the caller can have the answer.
-func (f *forwarder) checkAnswer(resp *http.Response, body []byte) (*answer, attemptOutcome) {
+func (f *forwarder) checkAnswer(resp *http.Response, body answerBody) (*answer, attemptOutcome) {
 	x := f.x
 	f.returnConn(resp)
 	signed := resp.Header.Get(x.s.Headers.Signature) != ""
@@ -208,27 +204,19 @@
 	return status >= http.StatusInternalServerError
 }
 
-func readAnswerBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, errAnswerTooLong
-	}
-	return body, nil
-}
-
 // writeAnswer sends an upstream's answer to the caller unchanged.
 func (x *exchange) writeAnswer(a *answer) {
 	x.copyHeader(a.header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.w.Header().Set("Content-Length", strconv.Itoa(a.body.size()))
 	x.status = a.status
 	x.headSent = true
 	x.enter(phaseAnswering)
 	x.w.WriteHeader(a.status)
-	if _, err := x.w.Write(a.body); err != nil {
-		x.attempts = append(x.attempts, Attempt{Result: "answer not delivered: " + err.Error()})
+	for _, part := range a.body {
+		if _, err := x.w.Write(part); err != nil {
+			x.attempts = append(x.attempts, Attempt{Result: "answer not delivered: " + err.Error()})
+			return
+		}
 	}
 }
 
--- a/relay/endless_answer_test.go
+++ b/relay/endless_answer_test.go
@@ -66,3 +66,49 @@
 		}
 	}
 }
+
+// The memory that a request needs for a body is not more than what it reserves, whether the body has a length, ends at last or never.
+func TestMemoryOfBodies(t *testing.T) {
+	const reserved, slack = 8 << 20, 1 << 20
+	for _, tt := range []struct {
+		name  string
+		extra []string
+		text  string
+	}{
+		{"until the connection closes", nil, "x"},
+		{"chunked", []string{"Transfer-Encoding: chunked"}, chunk(strings.Repeat("x", 1000))},
+		{"short chunks", []string{"Transfer-Encoding: chunked"}, chunk("x")},
+		{"too long", []string{"Content-Length: 25165824"}, "x"},
+		{"with a length", []string{"Content-Length: 8388608"}, "x"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _ := newPipeEntry(t, sendEndlessly(func(r *http.Request) string {
+				return answerHead(r, 200, append(tt.extra, signature)...)
+			}, tt.text))
+			r := s.request("POST", "/unsafe/x", "id", "")
+			w := &discardWriter{header: http.Header{}}
+			allocated := allocatedBy(func() { s.relay.ServeHTTP(w, incoming(t, r)) })
+			if allocated > reserved+slack {
+				t.Errorf("%d bytes, want %d at most", allocated, reserved+slack)
+			}
+			if complete := w.status == http.StatusOK && w.bytes == reserved; complete != (tt.name == "with a length") {
+				t.Errorf("status %d with %d bytes", w.status, w.bytes)
+			}
+		})
+	}
+}
+
+// discardWriter counts the bytes of an answer.
+type discardWriter struct {
+	header http.Header
+	status int
+	bytes  int
+}
+
+func (w *discardWriter) Header() http.Header    { return w.header }
+func (w *discardWriter) WriteHeader(status int) { w.status = status }
+
+func (w *discardWriter) Write(b []byte) (int, error) {
+	w.bytes += len(b)
+	return len(b), nil
+}
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -43,7 +43,7 @@
 	// it failed.
 	resp   *http.Response
 	events *eventReader
-	body   []byte
+	body   answerBody
 	err    error
 	// answer is the whole answer once it has been checked.
 	answer *answer
