Test that chunk extensions, chunk sizes and trailers without end stay bounded

Cause: the first look found them bounded, without a test in the tree. Change: four more cases of TestMemoryOfBodies. Result: they pass on the code as it is, so nothing else changes.

--- a/relay/endless_answer_test.go
+++ b/relay/endless_answer_test.go
@@ -69,21 +69,26 @@
 
 // The memory that a request needs for a body is not more than what it reserves, whether the body has a length, ends at last or never.
 func TestMemoryOfBodies(t *testing.T) {
-	const reserved, slack = 8 << 20, 1 << 20
+	const reserved, slack, chunked = 8 << 20, 1 << 20, "Transfer-Encoding: chunked"
 	for _, tt := range []struct {
 		name  string
-		extra []string
+		extra string
+		begin string
 		text  string
 	}{
-		{"until the connection closes", nil, "x"},
-		{"chunked", []string{"Transfer-Encoding: chunked"}, chunk(strings.Repeat("x", 1000))},
-		{"short chunks", []string{"Transfer-Encoding: chunked"}, chunk("x")},
-		{"too long", []string{"Content-Length: 25165824"}, "x"},
-		{"with a length", []string{"Content-Length: 8388608"}, "x"},
+		{"until the connection closes", "Connection: close", "", "x"},
+		{"chunked", chunked, "", chunk(strings.Repeat("x", 1000))},
+		{"short chunks", chunked, "", chunk("x")},
+		{"chunk extension", chunked, "1;", "x"},
+		{"chunk size", chunked, "", "0"},
+		{"trailer", chunked, "0\r\n", "A: b\r\n"},
+		{"trailer field", chunked, "0\r\nA: ", "b"},
+		{"too long", "Content-Length: 25165824", "", "x"},
+		{"with a length", "Content-Length: 8388608", "", "x"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, _ := newPipeEntry(t, sendEndlessly(func(r *http.Request) string {
-				return answerHead(r, 200, append(tt.extra, signature)...)
+				return answerHead(r, 200, tt.extra, signature) + tt.begin
 			}, tt.text))
 			r := s.request("POST", "/unsafe/x", "id", "")
 			w := &discardWriter{header: http.Header{}}
