Skip interim answers of other entries

What callers saw: a signed 102 or 103 of another entry would be passed on as the answer, an unsigned one ended the request as failed. Entries of this build send none, so this was seen in tests only.

Cause: after its acceptance any head of an entry was taken for its answer, and before it any but 100.

Change: up to two interim answers are skipped in each place, as in answers of upstreams.

Why it works: an interim answer is never the last one (RFC 9110, section 15.2).

--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -148,3 +148,23 @@
 		}
 	}
 }
+
+// Interim answers of another entry are skipped, before it accepts a request and afterwards.
+func TestInterimAnswersOfEntries(t *testing.T) {
+	const interim, answer = "HTTP/1.1 103 X\r\nLink: l\r\n\r\n", "HTTP/1.1 200 X\r\n" + signature + "\r\nContent-Length: 2\r\n\r\nok"
+	for _, tt := range []struct{ name, reply, answer string }{
+		{"before it accepts", interim + accepted, answer},
+		{"after it accepted", accepted, interim + answer},
+		{"accepted twice", accepted, accepted + answer},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newForwardSite(t, respondKind)
+			var acceptedCount atomic.Int64
+			entry := newReplyingEntry(t, tt.reply, tt.answer, &acceptedCount)
+			f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"hall": {"127.0.0.1:1", entry}}))
+			if got, want := f.cut.do(f.cut.request("POST", "/unsafe/x", "id", "body")), (reply{http.StatusOK, "ok", true}); got != want {
+				t.Errorf("%+v, want %+v", got, want)
+			}
+		})
+	}
+}
--- a/relay/cut_head_test.go
+++ b/relay/cut_head_test.go
@@ -175,8 +175,17 @@
 }
 
 // newCutEntry returns the address of an entry that accepts a forwarded request, sends text in place of the answer, and closes the
-// connection; accepted counts those requests.
-func newCutEntry(t *testing.T, text string, accepted *atomic.Int64) string {
+// connection; acceptedCount counts those requests.
+func newCutEntry(t *testing.T, text string, acceptedCount *atomic.Int64) string {
+	t.Helper()
+	return newReplyingEntry(t, accepted, text, acceptedCount)
+}
+
+// accepted is the head with which an entry accepts a forwarded request.
+const accepted = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// newReplyingEntry is newCutEntry with another reply to the head of the request.
+func newReplyingEntry(t *testing.T, reply, text string, acceptedCount *atomic.Int64) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -196,11 +205,11 @@
 				if _, err := c.Read(buf); err != nil {
 					return
 				}
-				_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+				_, _ = io.WriteString(c, reply)
 				if _, err := c.Read(buf); err != nil {
 					return
 				}
-				accepted.Add(1)
+				acceptedCount.Add(1)
 				_, _ = io.WriteString(c, text)
 			}()
 		}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -38,6 +38,8 @@
 	lastAcceptTimeout = time.Second
 	// declinedPeriod is how long an entry that declined, was silent, or could not be reached, is avoided.
 	declinedPeriod = 500 * time.Millisecond
+	// maxEntryInterims bounds the interim answers that are skipped before an entry accepts a request, and before it answers.
+	maxEntryInterims = 2
 	// maxForwarded bounds the requests that an entry carries for others at the same time.
 	maxForwarded = 200
 	// maxAcceptors bounds the entries that are remembered because they accepted a request for a service.
@@ -69,6 +71,7 @@
 	// errNotAccepted means that the entry did not reply to the head of the request in time, errNotOffered that the connection failed before.
 	errNotAccepted = errors.New("not accepted by the entry")
 	errNotOffered  = errors.New("not offered to the entry")
+	errInterims    = errors.New("too many interim answers of the entry")
 	// errRefusedAfterRun means that an entry refused a request that may have run before.
 	errRefusedAfterRun = errors.New("refused by the entry, may have run before")
 )
@@ -327,7 +330,7 @@
 	if err := x.writeForwardedBody(conn.bw); err != nil {
 		return nil, err
 	}
-	if resp, err = conn.br.ReadResponse(x.r); err != nil {
+	if resp, err = x.readEntryHead(conn, false); err != nil {
 		return nil, err
 	}
 	resp, err = x.checkDeclined(resp)
@@ -343,7 +346,18 @@
 	if err := x.writeForwardedHead(conn.bw, attempts); err != nil {
 		return nil, err
 	}
-	return conn.br.ReadResponse(x.r)
+	return x.readEntryHead(conn, true)
+}
+
+// readEntryHead returns the head of an entry's answer, or of its acceptance if that is awaited. Other interim answers are skipped.
+func (x *exchange) readEntryHead(conn *upstreamConn, awaitsAcceptance bool) (*http.Response, error) {
+	for range maxEntryInterims + 1 {
+		resp, err := conn.br.ReadResponse(x.r)
+		if err != nil || resp.StatusCode >= http.StatusOK || awaitsAcceptance && resp.StatusCode == http.StatusContinue {
+			return resp, err
+		}
+	}
+	return nil, errInterims
 }
 
 // checkDeclined reads the rest of an answer that declines the request, and returns errDeclined with it.
