Reject answers whose version does not frame them

What callers saw: the chunk framing as the body of a 200, as with a blank in a name.

Cause: net/http ignores a transfer encoding in HTTP/1.0 and below, which an upstream in trouble may still use, and takes an answer of HTTP/2.0 or 0.9 on a connection of HTTP/1.1.

Change: a version is HTTP/1.x, and a head of HTTP/1.0 has no transfer encoding, as RFC 9112, section 6.1, requires of a recipient.

Why it works: without these the body ends for net/http where it ends for the upstream.

--- a/httphead/checker.go
+++ b/httphead/checker.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -34,12 +35,16 @@
 const (
 	// RuleStatus requires a status of three digits that HTTP defines (RFC 9110, section 15), other than 101: no request asks for an upgrade.
 	RuleStatus Rule = "status"
+	// RuleVersion requires a version HTTP/1.x.
+	RuleVersion Rule = "version"
 	// RuleFieldName requires each line after the first to be a field whose name is a token that a colon follows (RFC 9112, section 5.1). This
 	// excludes lines that continue a field, which a proxy may reject (section 5.2).
 	RuleFieldName Rule = "field-name"
 	// RuleSize bounds the bytes of a head, RuleFieldCount its fields.
 	RuleSize       Rule = "size"
 	RuleFieldCount Rule = "field-count"
+	// RuleFraming excludes a transfer encoding in HTTP/1.0, which net/http ignores (RFC 9112, section 6.1).
+	RuleFraming Rule = "framing"
 )
 
 // Error says why a head was rejected.
@@ -64,8 +69,10 @@
 	line   []byte
 	size   int
 	fields int
-	status int
-	done   bool
+	// isHTTP10 is set for a response of HTTP/1.0.
+	isHTTP10 bool
+	status   int
+	done     bool
 }
 
 // Done reports whether the whole head was checked.
@@ -112,23 +119,47 @@
 func (c *Checker) checkLine(line []byte) error {
 	switch {
 	case c.status == 0:
-		if c.status = parseStatus(line); c.status == 0 {
-			return newError(RuleStatus, line)
-		}
+		return c.checkStatusLine(line)
 	case len(line) == 0:
 		c.done = true
-	default:
-		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-			return newError(RuleFieldName, line)
-		}
-		if c.fields++; c.fields > maxFields {
-			return newError(RuleFieldCount, line)
-		}
+		return nil
+	}
+	return c.checkField(line)
+}
+
+// checkStatusLine checks the start of the first line.
+func (c *Checker) checkStatusLine(line []byte) error {
+	c.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
+	if c.status = parseStatus(line); c.status == 0 {
+		return newError(RuleStatus, line)
+	}
+	if !hasVersion1(line) {
+		return newError(RuleVersion, line)
 	}
 	return nil
 }
 
+// checkField checks the start of a line that must be a field.
+func (c *Checker) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return newError(RuleFieldName, line)
+	}
+	if c.fields++; c.fields > maxFields {
+		return newError(RuleFieldCount, line)
+	}
+	if c.isHTTP10 && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return newError(RuleFraming, line)
+	}
+	return nil
+}
+
+// hasVersion1 reports whether a status line has a version HTTP/1.x.
+func hasVersion1(line []byte) bool {
+	minor, found := bytes.CutPrefix(line, []byte("HTTP/1."))
+	return found && len(minor) > 1 && '0' <= minor[0] && minor[0] <= '9' && minor[1] == ' '
+}
+
 // parseStatus returns the status of a status line, 0 if it is not valid. It finds the status where net/http does.
 func parseStatus(line []byte) int {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -60,9 +60,20 @@
 	return heads
 }
 
+// brokenVersions are answers of other major versions, and one of HTTP/1.0 with a transfer encoding, which that does not have.
+func brokenVersions() []brokenHead {
+	var heads []brokenHead
+	for _, version := range []string{"HTTP/1.0", "HTTP/0.9", "HTTP/2.0", "HTTP/1.10", "HTTP/1", "http/1.1", "ICY"} {
+		heads = append(heads, brokenHead{version, func(id string) string {
+			return fmt.Sprintf("%s 200 X\r\nRequest: %s\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", version, id, signature)
+		}})
+	}
+	return heads
+}
+
 // brokenHeads are all answers whose head is not valid.
 func brokenHeads() []brokenHead {
-	return slices.Concat(brokenStatuses(), brokenNames())
+	return slices.Concat(brokenStatuses(), brokenNames(), brokenVersions())
 }
 
 // sendFirst answers the first request with text and any other one with respond. closed is closed once the entry has closed the first
--- a/transport/broken_head_test.go
+++ b/transport/broken_head_test.go
@@ -32,6 +32,8 @@
 	"status 600":               "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",
 	"blank in a name":          "HTTP/1.1 200 X\r\nContent-Length : 2\r\n\r\nok",
 	"blank in a name, no body": "HTTP/1.1 204 X\r\nX-Field : v\r\n\r\n",
+	"encoding in HTTP/1.0":     "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"version 2.0":              "HTTP/2.0 200 X\r\nContent-Length: 2\r\n\r\nok",
 	"blank first":              "HTTP/1.1 200 X\r\nA: b\r\n Content-Length: 2\r\n\r\nok",
 	"name with a control byte": "HTTP/1.1 200 X\r\nA\x01: b\r\nContent-Length: 2\r\n\r\nok",
 	"blank in an interim name": "HTTP/1.1 103 X\r\nX-Field : v\r\n\r\n" + validAnswer,
