--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -6,12 +6,17 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dunlinquay/dunlinquay/httphead"
 	"github.com/dunlinquay/dunlinquay/ident"
+	"github.com/dunlinquay/dunlinquay/relay"
 	"github.com/dunlinquay/dunlinquay/sharing"
 )
 
@@ -120,6 +125,31 @@
 	}
 }
 
+// The record of a request says which answer was rejected, and why.
+func TestRecordOfBrokenHead(t *testing.T) {
+	const line = "HTTP/1.1 000 X"
+	respond, _ := sendFirst(line+"\r\n\r\n", respondKind)
+	s, upstreams := newPipeEntry(t, respond)
+	s.serve(s.request("POST", "/safe/x", "id", ""))
+	s.relay.Wait()
+	attempts := s.records[0].Attempts
+	if len(attempts) != 2 {
+		t.Fatalf("%d attempts, want 2", len(attempts))
+	}
+	first := attempts[0]
+	want := relay.Attempt{Result: "broken", ConnFailure: relay.ConnUnusable, HeadRule: httphead.RuleStatus, HeadLine: strconv.Quote(line)}
+	got := relay.Attempt{Result: first.Result, ConnFailure: first.ConnFailure, HeadRule: first.HeadRule, HeadLine: first.HeadLine}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if sent := len(upstreams[0].received()) == 1; sent != (first.Upstream == "p0") {
+		t.Errorf("the first attempt was at %s", first.Upstream)
+	}
+	if second := attempts[1]; second.HeadRule != "" || second.HeadLine != "" {
+		t.Errorf("the valid answer breaks the rule %q at %s", second.HeadRule, second.HeadLine)
+	}
+}
+
 // A stream whose continuation has a head that is not valid does not end as complete.
 func TestContinuationWithBrokenHead(t *testing.T) {
 	for _, head := range brokenHeads() {
--- a/relay/conn_failure.go
+++ b/relay/conn_failure.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/dunlinquay/dunlinquay/httphead"
 )
 
 // ConnFailure is how the connection failed of an attempt without a complete answer.
@@ -32,6 +34,14 @@
 	return ConnUnusable
 }
 
+// setHeadError copies why the head of the answer was rejected, if err says that it was.
+func (t *Attempt) setHeadError(err error) {
+	var headErr *httphead.Error
+	if errors.As(err, &headErr) {
+		t.HeadRule, t.HeadLine = headErr.Rule, headErr.Line
+	}
+}
+
 // setOutcome copies what the forwarder observed of the attempt; f is nil when nothing was sent.
 func (t *Attempt) setOutcome(f *forwarder, now time.Time) {
 	if f == nil {
@@ -42,6 +52,7 @@
 	}
 	if f.cutErr != nil {
 		t.ConnFailure, t.RanMS, t.Events = connFailureOf(f.cutErr), now.Sub(f.sentAt).Milliseconds(), f.eventCount
+		t.setHeadError(f.cutErr)
 	}
 	t.RetryAfter, t.Leaving, t.Limit = f.notice.RetryAfterText, f.notice.Leaving, f.notice.Limit
 	if f.status >= http.StatusBadRequest {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -300,6 +300,7 @@
 	}
 	if err != nil {
 		conn.Close()
+		x.attempts[len(x.attempts)-1].setHeadError(err)
 		return x.entryOutcome(err)
 	}
 	watch.end()
@@ -316,7 +317,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errNotAccepted
 	} else if err != nil {
-		return nil, errNotOffered
+		return nil, errors.Join(errNotOffered, err)
 	}
 	if resp.StatusCode != http.StatusContinue {
 		x.boundConn(conn, x.timeLeft())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinquay/dunlinquay/answerlen"
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/clock"
+	"github.com/dunlinquay/dunlinquay/httphead"
 	"github.com/dunlinquay/dunlinquay/httproute"
 	"github.com/dunlinquay/dunlinquay/ident"
 	"github.com/dunlinquay/dunlinquay/overload"
@@ -543,6 +544,9 @@
 	ConnFailure ConnFailure `json:"cut,omitempty"`
 	RanMS       int64       `json:"ran-ms,omitempty"`
 	Events      int         `json:"events,omitempty"`
+	// HeadRule is the rule that the head of its answer breaks, HeadLine the start of the line that does, quoted.
+	HeadRule httphead.Rule `json:"head-rule,omitempty"`
+	HeadLine string        `json:"head-line,omitempty"`
 	// Crashed is set when the upstream was found to have crashed.
 	Crashed bool `json:"crashed,omitempty"`
 	// Status is the upstream's status if it failed or refused, RetryAfter its Retry-After header; Leaving is set when it announced that it
--- a/site/entry_metrics.go
+++ b/site/entry_metrics.go
@@ -205,6 +205,9 @@
 // countAttempt counts an attempt by its outcome, and by how the connection was cut if the response is incomplete; the
 // mutex is held.
 func (n *entryMetrics) countAttempt(attempt *relay.Attempt) {
+	if attempt.HeadRule != "" {
+		n.scope.Tagged(map[string]string{"rule": string(attempt.HeadRule)}).Counter("rejected_answer_heads").Inc(1)
+	}
 	if attempt.Entry != "" {
 		n.scope.Tagged(map[string]string{"result": attempt.Result, "declined": string(attempt.Declined)}).Counter("forwarded_requests").Inc(1)
 		return
--- a/site/export_test.go
+++ b/site/export_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/dunlinquay/dunlinquay/backoff"
 	"github.com/dunlinquay/dunlinquay/catalog"
@@ -34,6 +35,9 @@
 	"github.com/dunlinquay/dunlinquay/unread"
 )
 
+// CountRequest counts a finished request in scope.
+func CountRequest(scope tally.Scope, r *relay.Record) { newEntryMetrics(scope).observe(r) }
+
 // NextMembers gives external tests access to nextMembers.
 var NextMembers = nextMembers
 
