Keep the error of a call that ends within the head of its answer

What callers saw: since heads are checked before net/http gets them, a call whose time ended within a head failed as broken (2014) in place of timed out (2013).

Cause: the connection's own error replaced that of the call's context.

Change: it does so only while the context has not ended, and a connection whose head was rejected delivers nothing more. A version that is not valid is named before the status.

--- a/httphead/checker.go
+++ b/httphead/checker.go
@@ -33,10 +33,10 @@
 
 // The rules.
 const (
-	// RuleStatus requires a status of three digits that HTTP defines (RFC 9110, section 15), other than 101: no request asks for an upgrade.
-	RuleStatus Rule = "status"
 	// RuleVersion requires a version HTTP/1.x.
 	RuleVersion Rule = "version"
+	// RuleStatus requires a status of three digits that HTTP defines (RFC 9110, section 15), other than 101: no request asks for an upgrade.
+	RuleStatus Rule = "status"
 	// RuleFieldName requires each line after the first to be a field whose name is a token that a colon follows (RFC 9112, section 5.1). This
 	// excludes lines that continue a field, which a proxy may reject (section 5.2).
 	RuleFieldName Rule = "field-name"
@@ -129,13 +129,14 @@
 
 // checkStatusLine checks the start of the first line.
 func (c *Checker) checkStatusLine(line []byte) error {
-	c.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
-	if c.status = parseStatus(line); c.status == 0 {
-		return newError(RuleStatus, line)
-	}
-	if !hasVersion1(line) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if !isHTTP1(version) {
 		return newError(RuleVersion, line)
 	}
+	c.isHTTP10 = string(version) == "HTTP/1.0"
+	if c.status = parseStatus(rest); c.status == 0 {
+		return newError(RuleStatus, line)
+	}
 	return nil
 }
 
@@ -154,15 +155,14 @@
 	return nil
 }
 
-// hasVersion1 reports whether a status line has a version HTTP/1.x.
-func hasVersion1(line []byte) bool {
-	minor, found := bytes.CutPrefix(line, []byte("HTTP/1."))
-	return found && len(minor) > 1 && '0' <= minor[0] && minor[0] <= '9' && minor[1] == ' '
+// isHTTP1 reports whether a version is HTTP/1.x.
+func isHTTP1(version []byte) bool {
+	minor, found := bytes.CutPrefix(version, []byte("HTTP/1."))
+	return found && len(minor) == 1 && '0' <= minor[0] && minor[0] <= '9'
 }
 
-// parseStatus returns the status of a status line, 0 if it is not valid. It finds the status where net/http does.
-func parseStatus(line []byte) int {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// parseStatus returns the status at the start of what follows the version, 0 if it is not valid. It finds the status where net/http does.
+func parseStatus(rest []byte) int {
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(text) != 3 {
 		return 0
--- a/transport/broken_head_test.go
+++ b/transport/broken_head_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -165,3 +166,28 @@
 		})
 	}
 }
+
+// A call that its context ends within a head fails with the context's error.
+func TestCallEndsWithinHead(t *testing.T) {
+	ln, _, err := standin.ListenRaw(func(_ int, c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 X\r\nContent-Le")
+		return err == nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ln.Addr().String()+"/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := transport.New(transport.KeepAlive, transport.TCP()).Do(r)
+	if err == nil {
+		w.Body.Close()
+	}
+	if code := result.CodeOf(transport.Classify(err)); code != result.TimedOut {
+		t.Errorf("code %d, want %d: %v", code, result.TimedOut, err)
+	}
+}
--- a/transport/head_conn.go
+++ b/transport/head_conn.go
@@ -8,7 +8,6 @@
 //	GotConn ->   head (checked)  body  |  next GotConn ->  head (checked) ...
 
 import (
-	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -38,9 +37,11 @@
 		}
 	}}
 	w, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil && conn != nil {
-		// net/http reports the byte that it has as malformed.
-		err = cmp.Or(conn.headError(), err)
+	if err != nil && conn != nil && r.Context().Err() == nil {
+		// net/http reports the first byte of the head as malformed.
+		if headErr := conn.headErr.Load(); headErr != nil {
+			err = *headErr
+		}
 	}
 	return w, err
 }
@@ -52,7 +53,8 @@
 	// left are the bytes of a checked head that have not been delivered, interims the heads of interim answers to the current request.
 	left, interims int
 	headDue        atomic.Bool
-	headErr        atomic.Pointer[error]
+	// headErr is why no further head is delivered.
+	headErr atomic.Pointer[error]
 }
 
 func newHeadConn(conn net.Conn) *headConn {
@@ -61,16 +63,11 @@
 	return c
 }
 
-// headError returns why the connection's last head was rejected.
-func (c *headConn) headError() error {
-	if err := c.headErr.Load(); err != nil {
-		return *err
-	}
-	return nil
-}
-
 // Read implements net.Conn.
 func (c *headConn) Read(b []byte) (int, error) {
+	if err := c.headErr.Load(); err != nil {
+		return 0, *err
+	}
 	c.rd.Shrink()
 	// net/http reads a connection that no request has yet, so that a head can be due once bytes have arrived.
 	if _, err := c.rd.Peek(1); err != nil {
