Simplify the tests of broken answers after a read-through

Cause: two tests had the same table of what callers get, a variable hid a constant, no test read a head of nearly 64 KB through the clients of package transport, and a comment in relay/conn.go said "their heads" of connections. Change: afterBrokenAnswer, names, one more case in TestValidHeads, the comment. Nothing that runs changes.

--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -103,13 +103,7 @@
 // the answer of another upstream, one that cannot gets an error that does not say "not run".
 func TestAnswerWithBrokenHead(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
-		want := reply{http.StatusOK, "answer to id", true}
-		switch path {
-		case "/unsafe/x", "/once/x":
-			want = reply{Status: http.StatusBadGateway}
-		case "/stream/x":
-			want.Body = eventText(1, 3)
-		}
+		want := afterBrokenAnswer(path)
 		for _, head := range brokenHeads() {
 			t.Run(path+" "+head.name, func(t *testing.T) {
 				t.Parallel()
@@ -178,13 +172,13 @@
 			t.Run(path+" "+head.name, func(t *testing.T) {
 				t.Parallel()
 				f := newForwardSite(t, respondKind)
-				var accepted atomic.Int64
-				entry := newCutEntry(t, head.text("id"), &accepted)
+				var acceptedCount atomic.Int64
+				entry := newCutEntry(t, head.text("id"), &acceptedCount)
 				f.cut.relay.SetEntries(sharing.New("127.0.0.1:1", map[ident.Hall][]string{"hall": {"127.0.0.1:1", entry}}))
 				if got := f.cut.do(f.cut.request("POST", path, "id", "body")); got.Status != http.StatusBadGateway {
 					t.Errorf("%+v, want a failure that does not say that the request did not run", got)
 				}
-				if accepted.Load() == 0 {
+				if acceptedCount.Load() == 0 {
 					t.Error("no entry accepted the request: the test checks nothing")
 				}
 			})
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -2,7 +2,8 @@
 
 // net/http's Transport sends a request again on its own when a kept connection
 // breaks. That must not happen to a request that may run only once, so the relay
-// has its own connection pool; their heads are checked by package httphead before net/http parses them.
+// has its own connection pool; heads of answers are checked by package httphead
+// before net/http parses them.
 
 import (
 	"bufio"
--- a/relay/cut_head_test.go
+++ b/relay/cut_head_test.go
@@ -65,6 +65,17 @@
 	return got
 }
 
+// afterBrokenAnswer returns what the caller of a request gets whose first upstream sent no usable answer, and the second one does.
+func afterBrokenAnswer(path string) reply {
+	switch path {
+	case "/unsafe/x", "/once/x":
+		return reply{Status: http.StatusBadGateway}
+	case "/stream/x":
+		return reply{http.StatusOK, eventText(1, 3), true}
+	}
+	return reply{http.StatusOK, "answer to id", true}
+}
+
 // An upstream that stops within the head of its answer and closes the connection has not answered: a request that can be repeated gets the
 // answer of another upstream, one that cannot gets an error that does not say "not run".
 func TestAnswerWhoseHeadIsCutOff(t *testing.T) {
@@ -80,13 +91,7 @@
 		{"after an interim answer", func(r *http.Request) string { return interim + answerHead(r, 200, signature, "Content-Length: 12") }},
 	}
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
-		want := reply{http.StatusOK, "answer to id", true}
-		switch path {
-		case "/unsafe/x", "/once/x":
-			want = reply{Status: http.StatusBadGateway}
-		case "/stream/x":
-			want.Body = eventText(1, 3)
-		}
+		want := afterBrokenAnswer(path)
 		for _, head := range answerHeads {
 			for _, lineEnd := range []string{"\r\n", "\n"} {
 				t.Run(fmt.Sprintf("%s %s %q", path, head.name, lineEnd), func(t *testing.T) {
--- a/transport/broken_head_test.go
+++ b/transport/broken_head_test.go
@@ -102,9 +102,10 @@
 	}
 }
 
-// Answers after an interim one, and answers without an end on a fresh connection, are read as before.
+// Answers after interim ones, with a long head, and that end with their connection, are read on kept and on fresh connections.
 func TestValidHeads(t *testing.T) {
-	for _, text := range []string{validAnswer, interim + interim + validAnswer, "HTTP/1.1 200 X\r\n\r\nok"} {
+	longHead := "HTTP/1.1 200 X\r\nLong: " + strings.Repeat("v", httphead.MaxBytes-100) + "\r\nContent-Length: 2\r\n\r\nok"
+	for _, text := range []string{validAnswer, interim + interim + validAnswer, longHead, "HTTP/1.1 200 X\r\n\r\nok"} {
 		ln, _, err := standin.ListenRaw(func(_ int, c net.Conn, _ *http.Request) bool {
 			_, err := io.WriteString(c, text)
 			return err == nil && text != "HTTP/1.1 200 X\r\n\r\nok"
@@ -116,7 +117,7 @@
 			client := transport.New(reuse, transport.TCP())
 			for range 3 {
 				if body, err := get(t, client, ln.Addr().String()); body != "ok" || err != nil {
-					t.Errorf("%q: %q, %v", text, body, err)
+					t.Errorf("%.60q: %q, %v", text, body, err)
 				}
 			}
 		}
